--- /dev/null
+++ b/alderhaven-core/src/ids.rs
@@ -0,0 +1,201 @@
+//! Newtypes for the names and numbers that identify things.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result};
+
+/// The longest name, in bytes, that an object of the platform's API may have.
+pub const MAX_NAME_LENGTH: usize = 63;
+
+const NAME_RULE: &str =
+    "1 to 63 of a-z, 0-9, `-`, `_`, `.` and `:`, beginning with a letter or digit";
+
+fn is_name(text: &str) -> bool {
+    let first_is_alphanumeric = text
+        .bytes()
+        .next()
+        .is_some_and(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit());
+    first_is_alphanumeric
+        && text.len() <= MAX_NAME_LENGTH
+        && text.bytes().all(|byte| {
+            byte.is_ascii_lowercase()
+                || byte.is_ascii_digit()
+                || matches!(byte, b'-' | b'_' | b'.' | b':')
+        })
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Gets the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                if is_name(text) {
+                    Ok(Self(text.to_owned()))
+                } else {
+                    Err(Error::parse($kind, text, NAME_RULE))
+                }
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(text: String) -> Result<Self> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $number:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $number);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| Error::parse($kind, text, "a whole number, 0 or more"))
+            }
+        }
+    };
+}
+
+name_id!(
+    /// A `TeamId` names the team on whose behalf a query runs.
+    TeamId,
+    "team"
+);
+name_id!(
+    /// A `TemplateName` names a query template.
+    TemplateName,
+    "template name"
+);
+name_id!(
+    /// A `ServiceName` names a service whose shards are queried.
+    ServiceName,
+    "service name"
+);
+name_id!(
+    /// A `TargetId` names one server that answers for a shard.
+    TargetId,
+    "target"
+);
+name_id!(
+    /// A `NodeId` names one process of the system, an entry or a relay, on its host.
+    NodeId,
+    "node"
+);
+name_id!(
+    /// A `HostId` names a host that processes or targets run on.
+    HostId,
+    "host"
+);
+name_id!(
+    /// A `FailureDomain` names a part of the platform that fails as a whole.
+    FailureDomain,
+    "failure domain"
+);
+
+number_id!(
+    /// A `ShardId` numbers a shard within its service.
+    ShardId,
+    u32,
+    "shard"
+);
+number_id!(
+    /// A `SnapshotId` numbers a manifest of a service; a newer manifest has a higher number.
+    SnapshotId,
+    u64,
+    "snapshot"
+);
+number_id!(
+    /// An `IndexVersion` numbers the version of a shard's index.
+    IndexVersion,
+    u64,
+    "index version"
+);
+number_id!(
+    /// A `StoreVersion` is the store's revision at which an object was last written.
+    StoreVersion,
+    u64,
+    "store version"
+);
+number_id!(
+    /// An `IncarnationNumber` tells a restarted process from what it was before.
+    IncarnationNumber,
+    u64,
+    "incarnation"
+);
+
+/// An `AttemptId` identifies one attempt at one target and never recurs, not even over restarts.
+///
+/// The high half is random per process start, the low half is a counter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd, Hash)]
+pub struct AttemptId {
+    /// The random number of the process start that made the attempt.
+    pub origin: u64,
+    /// The count of attempts within that start.
+    pub sequence: u64,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}-{:x}", self.origin, self.sequence)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || Error::parse("attempt id", text, "two hexadecimal numbers joined by `-`");
+        let (origin, sequence) = text.split_once('-').ok_or_else(bad)?;
+        Ok(Self {
+            origin: u64::from_str_radix(origin, 16).map_err(|_| bad())?,
+            sequence: u64::from_str_radix(sequence, 16).map_err(|_| bad())?,
+        })
+    }
+}
--- /dev/null
+++ b/alderhaven-core/src/logging.rs
@@ -0,0 +1,57 @@
+//! The log: JSON lines on standard error, one typed event a line.
+//!
+//! simplelog has no JSON form of its own. Every prefix is therefore switched off and the message is
+//! the whole line: an event serialised by serde. Only our own crates pass the filter, since other
+//! crates' messages are not JSON.
+
+use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::LevelFilter;
+use serde::Serialize;
+use simplelog::{ConfigBuilder, WriteLogger};
+
+/// The prefix of the modules whose messages are logged.
+const OWN_CRATES: &str = "alderhaven";
+
+/// A `LogLine` is one event with the time at which it was logged.
+#[derive(Serialize)]
+struct LogLine<'a, E: Serialize> {
+    /// Milliseconds since the Unix epoch.
+    time_ms: u128,
+    level: &'a str,
+    #[serde(flatten)]
+    event: &'a E,
+}
+
+/// Starts the log at `level`; a second call in the same process changes nothing.
+pub fn start(level: LevelFilter) {
+    let config = ConfigBuilder::new()
+        .set_max_level(LevelFilter::Off)
+        .set_time_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str(OWN_CRATES)
+        .build();
+    // A second logger in one process (the quickstart) is refused, and the first goes on.
+    let _already_started = WriteLogger::init(level, config, io::stderr());
+}
+
+/// Logs a typed event as one JSON line.
+pub fn emit<E: Serialize>(level: log::Level, event: &E) {
+    if level > log::max_level() {
+        return;
+    }
+    let time_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis());
+    let line = LogLine {
+        time_ms,
+        level: level.as_str(),
+        event,
+    };
+    if let Ok(text) = serde_json::to_string(&line) {
+        log::log!(target: OWN_CRATES, level, "{text}");
+    }
+}
--- /dev/null
+++ b/alderhaven-core/src/parameters.rs
@@ -0,0 +1,140 @@
+//! The parameters of a query: typed values, their specifications and their canonical form.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result};
+
+/// The longest text, in bytes, that a parameter may hold when its specification sets no bound.
+pub const DEFAULT_MAX_LENGTH: usize = 1024;
+
+/// A `ParameterValue` is the value of one parameter.
+#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum ParameterValue {
+    /// True or false.
+    Boolean(bool),
+    /// A whole number.
+    Integer(i64),
+    /// A text.
+    Text(String),
+}
+
+impl fmt::Display for ParameterValue {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Boolean(value) => value.fmt(formatter),
+            Self::Integer(value) => value.fmt(formatter),
+            Self::Text(value) => value.fmt(formatter),
+        }
+    }
+}
+
+/// A `ParameterSet` holds the values of a query by name, in name order.
+///
+/// Two sets with the same values have the same canonical bytes.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ParameterSet(pub BTreeMap<String, ParameterValue>);
+
+impl ParameterSet {
+    /// Gets a value by its name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&ParameterValue> {
+        self.0.get(name)
+    }
+
+    /// Gets the canonical JSON text: names in order and no white space.
+    #[must_use]
+    pub fn canonical(&self) -> String {
+        serde_json::to_string(&self.0).unwrap_or_default()
+    }
+}
+
+/// A `ParameterKind` is the type of a parameter with its bounds.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
+pub enum ParameterKind {
+    /// A boolean.
+    Boolean,
+    /// A whole number within bounds, both included.
+    Integer {
+        /// The least value.
+        min: i64,
+        /// The greatest value.
+        max: i64,
+    },
+    /// A text of bounded length, in bytes.
+    Text {
+        /// The greatest length.
+        #[serde(default = "default_max_length")]
+        max_length: usize,
+    },
+    /// One of the listed texts.
+    Choice {
+        /// The texts that are allowed.
+        of: Vec<String>,
+    },
+}
+
+const fn default_max_length() -> usize {
+    DEFAULT_MAX_LENGTH
+}
+
+impl ParameterKind {
+    /// Checks a value against the type and its bounds.
+    ///
+    /// # Errors
+    /// `Error::Invalid` naming the parameter, the value and what is allowed.
+    pub fn check(&self, name: &str, value: &ParameterValue) -> Result<()> {
+        let allowed = match (self, value) {
+            (Self::Boolean, ParameterValue::Boolean(_)) => return Ok(()),
+            (Self::Integer { min, max }, ParameterValue::Integer(number))
+                if (min..=max).contains(&number) =>
+            {
+                return Ok(());
+            }
+            (Self::Text { max_length }, ParameterValue::Text(text))
+                if text.len() <= *max_length =>
+            {
+                return Ok(());
+            }
+            (Self::Choice { of }, ParameterValue::Text(text)) if of.contains(text) => {
+                return Ok(());
+            }
+            (kind, _) => kind.to_string(),
+        };
+        Err(Error::invalid(
+            format!("parameters.{name}"),
+            format!("`{value}` is refused: allowed is {allowed}"),
+        ))
+    }
+}
+
+impl fmt::Display for ParameterKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Boolean => formatter.write_str("true or false"),
+            Self::Integer { min, max } => {
+                write!(formatter, "a whole number from {min} to {max}")
+            }
+            Self::Text { max_length } => {
+                write!(formatter, "a text of at most {max_length} bytes")
+            }
+            Self::Choice { of } => write!(formatter, "one of {}", of.join(", ")),
+        }
+    }
+}
+
+/// A `ParameterSpec` describes one parameter of a template.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ParameterSpec {
+    /// The type and its bounds.
+    pub kind: ParameterKind,
+    /// The value where the caller gives none; without it the parameter is required.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub default: Option<ParameterValue>,
+}
--- /dev/null
+++ b/alderhaven-core/src/template.rs
@@ -0,0 +1,329 @@
+//! Query templates: what operators publish and callers name.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::class::{AnswerPreference, QueryClass};
+use crate::errors::{Error, Result};
+use crate::ids::{ServiceName, ShardId, TeamId, TemplateName};
+use crate::parameters::{ParameterSet, ParameterSpec, ParameterValue};
+use crate::quantities::Share;
+use crate::time::TimeSpan;
+
+/// The most parameters that a template may have.
+pub const MAX_PARAMETERS: usize = 32;
+/// The most shards that a template may list by number.
+pub const MAX_LISTED_SHARDS: usize = 4096;
+/// The most rows that a top-n merge may keep.
+pub const MAX_TOP_ROWS: usize = 10_000;
+/// The longest deadline that a template may set.
+pub const MAX_DEADLINE: TimeSpan = TimeSpan::from_secs(60);
+/// The shortest deadline that a template may set.
+pub const MIN_DEADLINE: TimeSpan = TimeSpan::from_millis(1);
+
+/// A `QueryTemplate` is a named query with typed parameters over the shards of one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueryTemplate {
+    /// The name that callers use.
+    pub name: TemplateName,
+    /// The service whose shards are asked.
+    pub service: ServiceName,
+    /// The parameters by name.
+    #[serde(default)]
+    pub parameters: BTreeMap<String, ParameterSpec>,
+    /// Values that a team's queries always have, whatever the caller gives.
+    #[serde(default)]
+    pub team_values: BTreeMap<TeamId, ParameterSet>,
+    /// The teams that may use the template; empty for all.
+    #[serde(default)]
+    pub teams: Vec<TeamId>,
+    /// Which shards a query asks.
+    pub shards: ShardSelection,
+    /// How the rows of the shards become one answer.
+    pub merge: MergeRule,
+    /// Whether the query may be repeated without harm.
+    #[serde(default = "default_idempotent")]
+    pub idempotent: bool,
+    /// How urgent the query is.
+    #[serde(default)]
+    pub class: QueryClass,
+    /// The time within which an answer is of use.
+    pub deadline: TimeSpan,
+    /// The time after which a latency-first query answers with what it has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer_by: Option<TimeSpan>,
+    /// The least covered share with which a latency-first query answers early.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub min_coverage: Option<Share>,
+    /// What the query gives up last.
+    #[serde(default)]
+    pub preference: AnswerPreference,
+}
+
+const fn default_idempotent() -> bool {
+    true
+}
+
+/// A `ShardSelection` says which shards of the service a query asks.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "select", rename_all = "snake_case", deny_unknown_fields)]
+pub enum ShardSelection {
+    /// Every shard of the manifest.
+    All,
+    /// The one shard that the hash of a parameter falls on.
+    ByKeyHash {
+        /// The parameter.
+        parameter: String,
+    },
+    /// The shards whose key range holds a parameter, or overlaps the range of two.
+    ByKeyRange {
+        /// The parameter with the key, or the range's lower end.
+        from: String,
+        /// The parameter with the range's upper end, included.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        to: Option<String>,
+    },
+    /// The listed shards.
+    Listed {
+        /// The shards by number.
+        shards: Vec<ShardId>,
+    },
+}
+
+/// A `MergeRule` says how the rows of the shards become one answer.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "rule", rename_all = "snake_case", deny_unknown_fields)]
+pub enum MergeRule {
+    /// All rows, in shard order.
+    Concatenate,
+    /// The `limit` rows with the greatest (or least) numbers in `field`.
+    TopN {
+        /// The field to order by.
+        field: String,
+        /// The number of rows to keep.
+        limit: usize,
+        /// Whether the least numbers come first.
+        #[serde(default)]
+        ascending: bool,
+    },
+    /// One row with the sum of `field` over all rows.
+    Sum {
+        /// The field to add up.
+        field: String,
+    },
+    /// One row for each value of `field`, the first in shard order.
+    DistinctBy {
+        /// The field that tells rows apart.
+        field: String,
+    },
+}
+
+impl QueryTemplate {
+    /// Checks the template and collects everything that is wrong with it.
+    #[must_use]
+    pub fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        self.check_times(&mut errors);
+        self.check_parameters(&mut errors);
+        self.check_shards(&mut errors);
+        self.check_merge(&mut errors);
+        errors
+    }
+
+    /// Builds the values of a query from what the caller gave, the defaults and the team's values.
+    ///
+    /// # Errors
+    /// `Error::Invalid` for an unknown, missing or out-of-bounds parameter, and for a parameter
+    /// that the team's values fix.
+    pub fn bind(&self, team: &TeamId, given: ParameterSet) -> Result<ParameterSet> {
+        let fixed = self.team_values.get(team);
+        let mut bound = given;
+        for (name, value) in fixed.into_iter().flat_map(|values| &values.0) {
+            if bound.get(name).is_some_and(|given| given != value) {
+                return Err(Error::invalid(
+                    format!("parameters.{name}"),
+                    format!("is fixed to `{value}` for team {team}"),
+                ));
+            }
+            bound.0.insert(name.clone(), value.clone());
+        }
+        if let Some(unknown) = bound
+            .0
+            .keys()
+            .find(|name| !self.parameters.contains_key(*name))
+        {
+            return Err(Error::invalid(
+                format!("parameters.{unknown}"),
+                format!("is not a parameter of template {}", self.name),
+            ));
+        }
+        for (name, spec) in &self.parameters {
+            match (bound.get(name), &spec.default) {
+                (Some(value), _) => spec.kind.check(name, value)?,
+                (None, Some(default)) => {
+                    bound.0.insert(name.clone(), default.clone());
+                }
+                (None, None) => {
+                    return Err(Error::invalid(
+                        format!("parameters.{name}"),
+                        format!("is required: {}", spec.kind),
+                    ));
+                }
+            }
+        }
+        Ok(bound)
+    }
+
+    /// Returns true where `team` may use the template.
+    #[must_use]
+    pub fn allows(&self, team: &TeamId) -> bool {
+        self.teams.is_empty() || self.teams.contains(team)
+    }
+
+    fn check_times(&self, errors: &mut Vec<Error>) {
+        if !(MIN_DEADLINE..=MAX_DEADLINE).contains(&self.deadline) {
+            errors.push(Error::invalid(
+                "deadline",
+                format!(
+                    "{} is refused: allowed is {MIN_DEADLINE} to {MAX_DEADLINE}",
+                    self.deadline
+                ),
+            ));
+        }
+        match self.preference {
+            AnswerPreference::Latency => self.check_latency_first(errors),
+            AnswerPreference::Coverage => {
+                if self.answer_by.is_some() || self.min_coverage.is_some() {
+                    errors.push(Error::invalid(
+                        "answer_by",
+                        "answer_by and min_coverage go with `preference: latency` only",
+                    ));
+                }
+            }
+        }
+    }
+
+    fn check_latency_first(&self, errors: &mut Vec<Error>) {
+        match self.answer_by {
+            None => errors.push(Error::invalid(
+                "answer_by",
+                "is required with `preference: latency`",
+            )),
+            Some(span) if span >= self.deadline || span == TimeSpan::ZERO => {
+                errors.push(Error::invalid(
+                    "answer_by",
+                    format!("{span} is refused: allowed is above 0 and below the deadline"),
+                ));
+            }
+            Some(_) => {}
+        }
+        if self.min_coverage.is_none() {
+            errors.push(Error::invalid(
+                "min_coverage",
+                "is required with `preference: latency`",
+            ));
+        }
+        if !self.idempotent {
+            errors.push(Error::invalid(
+                "preference",
+                "a non-idempotent template can't answer with part of its shards",
+            ));
+        }
+    }
+
+    fn check_parameters(&self, errors: &mut Vec<Error>) {
+        if self.parameters.len() > MAX_PARAMETERS {
+            errors.push(Error::invalid(
+                "parameters",
+                format!("at most {MAX_PARAMETERS} parameters are allowed"),
+            ));
+        }
+        for (name, spec) in &self.parameters {
+            if let Some(default) = &spec.default
+                && let Err(error) = spec.kind.check(name, default)
+            {
+                errors.push(error);
+            }
+            if let crate::parameters::ParameterKind::Integer { min, max } = &spec.kind
+                && min > max
+            {
+                errors.push(Error::invalid(
+                    format!("parameters.{name}"),
+                    format!("min {min} is above max {max}"),
+                ));
+            }
+        }
+        for (team, values) in &self.team_values {
+            for (name, value) in &values.0 {
+                let checked = self.parameters.get(name).map_or_else(
+                    || {
+                        Err(Error::invalid(
+                            format!("team_values.{team}.{name}"),
+                            "is not a parameter of the template",
+                        ))
+                    },
+                    |spec| spec.kind.check(name, value),
+                );
+                errors.extend(checked.err());
+            }
+        }
+    }
+
+    fn check_shards(&self, errors: &mut Vec<Error>) {
+        let named: Vec<&String> = match &self.shards {
+            ShardSelection::All => Vec::new(),
+            ShardSelection::ByKeyHash { parameter } => vec![parameter],
+            ShardSelection::ByKeyRange { from, to } => {
+                std::iter::once(from).chain(to.as_ref()).collect()
+            }
+            ShardSelection::Listed { shards } => {
+                if shards.is_empty() || shards.len() > MAX_LISTED_SHARDS {
+                    errors.push(Error::invalid(
+                        "shards.shards",
+                        format!("1 to {MAX_LISTED_SHARDS} shards are allowed"),
+                    ));
+                }
+                Vec::new()
+            }
+        };
+        for parameter in named {
+            if !self.parameters.contains_key(parameter) {
+                errors.push(Error::invalid(
+                    "shards",
+                    format!("`{parameter}` is not a parameter of the template"),
+                ));
+            }
+        }
+        if !self.idempotent && !matches!(self.shards, ShardSelection::ByKeyHash { .. }) {
+            errors.push(Error::invalid(
+                "shards",
+                "a non-idempotent template asks one shard: allowed is `select: by_key_hash`",
+            ));
+        }
+    }
+
+    fn check_merge(&self, errors: &mut Vec<Error>) {
+        let (field, limit) = match &self.merge {
+            MergeRule::Concatenate => return,
+            MergeRule::TopN { field, limit, .. } => (field, Some(*limit)),
+            MergeRule::Sum { field } | MergeRule::DistinctBy { field } => (field, None),
+        };
+        if field.is_empty() {
+            errors.push(Error::invalid("merge.field", "must not be empty"));
+        }
+        if limit.is_some_and(|limit| limit == 0 || limit > MAX_TOP_ROWS) {
+            errors.push(Error::invalid(
+                "merge.limit",
+                format!("allowed is 1 to {MAX_TOP_ROWS}"),
+            ));
+        }
+    }
+}
+
+/// Gets the text by which a parameter value is hashed or compared with key ranges.
+#[must_use]
+pub fn key_text(value: &ParameterValue) -> String {
+    value.to_string()
+}
--- /dev/null
+++ b/alderhaven-core/src/time.rs
@@ -0,0 +1,198 @@
+//! Points in time and spans, as plain numbers that are passed into decisions.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result};
+
+/// A `TimeSpan` is a length of time in microseconds.
+///
+/// Its text form is a number with a unit: `250us`, `370ms`, `9s`, `2m` or `1h`.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct TimeSpan(u64);
+
+/// The units of a `TimeSpan` in microseconds, largest first.
+const UNITS: [(&str, u64); 5] = [
+    ("h", 3_600_000_000),
+    ("m", 60_000_000),
+    ("s", 1_000_000),
+    ("ms", 1_000),
+    ("us", 1),
+];
+
+impl TimeSpan {
+    /// The empty span.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns a span of `micros` microseconds.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns a span of `millis` milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns a span of `secs` seconds.
+    #[must_use]
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1_000_000)
+    }
+
+    /// Gets the whole microseconds.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Gets the whole milliseconds, rounded down.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Gets the seconds with their fraction.
+    #[must_use]
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// Gets the span as the standard library's type.
+    #[must_use]
+    pub const fn as_duration(self) -> Duration {
+        Duration::from_micros(self.0)
+    }
+
+    /// Subtracts a span; the result is never below zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// Multiplies the span by a factor of zero or more.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates, which is what a bound wants"
+    )]
+    pub fn mul_f64(self, factor: f64) -> Self {
+        Self((self.0 as f64 * factor) as u64)
+    }
+}
+
+impl From<Duration> for TimeSpan {
+    fn from(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Add for TimeSpan {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl fmt::Display for TimeSpan {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (unit, size) = UNITS
+            .into_iter()
+            .find(|(_, size)| self.0 >= *size && self.0.is_multiple_of(*size))
+            .unwrap_or(("us", 1));
+        write!(formatter, "{}{unit}", self.0 / size)
+    }
+}
+
+impl FromStr for TimeSpan {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || Error::parse("time span", text, "a whole number with us, ms, s, m or h");
+        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+        let (number, unit) = text.split_at(digits);
+        let size = UNITS
+            .into_iter()
+            .find_map(|(name, size)| (name == unit).then_some(size))
+            .ok_or_else(bad)?;
+        let count: u64 = number.parse().map_err(|_| bad())?;
+        count.checked_mul(size).map(Self).ok_or_else(bad)
+    }
+}
+
+impl TryFrom<String> for TimeSpan {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<TimeSpan> for String {
+    fn from(span: TimeSpan) -> Self {
+        span.to_string()
+    }
+}
+
+/// A `TimePoint` is a reading of a monotonic clock, in microseconds since the process started.
+///
+/// It has no meaning in another process: remaining time is what crosses between them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize)]
+#[serde(transparent)]
+pub struct TimePoint(u64);
+
+impl TimePoint {
+    /// The start of the process.
+    pub const START: Self = Self(0);
+
+    /// Returns the point `micros` microseconds after the start.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Gets the microseconds since the start.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Gets the span from `earlier` to this point, or zero where `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> TimeSpan {
+        TimeSpan(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Gets the span from this point until `later`, or zero where that has passed.
+    #[must_use]
+    pub const fn until(self, later: Self) -> TimeSpan {
+        later.since(self)
+    }
+}
+
+impl Add<TimeSpan> for TimePoint {
+    type Output = Self;
+
+    fn add(self, span: TimeSpan) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<TimeSpan> for TimePoint {
+    type Output = Self;
+
+    fn sub(self, span: TimeSpan) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
--- /dev/null
+++ b/alderhaven-ctl/src/lib.rs
@@ -0,0 +1,3 @@
+//! The alderhaven ctl.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/alderhaven-entry/src/lib.rs
@@ -0,0 +1,3 @@
+//! The alderhaven entry.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/alderhaven-load/src/lib.rs
@@ -0,0 +1,3 @@
+//! The alderhaven load.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/alderhaven-peer/src/frames.rs
@@ -0,0 +1,231 @@
+//! The messages between the system's processes, as prost messages written by hand.
+//!
+//! Times that cross are remaining microseconds, since clocks of two processes are not comparable.
+
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
+
+/// The version of the protocol; a frame of another major version is refused.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// A `PeerFrame` is one message on a connection between two processes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PeerFrame {
+    /// The message; none where the sender is newer and the message is not known here.
+    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5")]
+    pub message: Option<PeerMessage>,
+}
+
+/// A `PeerMessage` is the closed set of messages.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum PeerMessage {
+    /// The first message in each direction.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// An entry asks a relay to run attempts.
+    #[prost(message, tag = "2")]
+    Scatter(ScatterRequest),
+    /// A relay answers one attempt.
+    #[prost(message, tag = "3")]
+    Reply(AttemptReply),
+    /// An entry no longer wants the answers of attempts.
+    #[prost(message, tag = "4")]
+    Cancel(CancelAttempts),
+    /// A relay stops: it takes no new attempts on this connection.
+    #[prost(message, tag = "5")]
+    Leaving(LeavingNotice),
+}
+
+/// A `Hello` says who speaks.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// The protocol's version.
+    #[prost(uint32, tag = "1")]
+    pub protocol: u32,
+    /// The sender's node id.
+    #[prost(string, tag = "2")]
+    pub node: String,
+    /// The sender's incarnation.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+}
+
+/// A `ScatterRequest` carries one query's parameters once for all its attempts at one relay.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ScatterRequest {
+    /// The random half of the attempt ids.
+    #[prost(uint64, tag = "1")]
+    pub origin: u64,
+    /// The service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The template's name.
+    #[prost(string, tag = "3")]
+    pub template: String,
+    /// The canonical parameters as JSON.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub parameters: prost::bytes::Bytes,
+    /// The pinned snapshot.
+    #[prost(uint64, tag = "5")]
+    pub snapshot: u64,
+    /// The rank of the query's class, 0 for urgent.
+    #[prost(uint32, tag = "6")]
+    pub class: u32,
+    /// The order within the class, lower first; all relays of a query get the same number.
+    #[prost(uint64, tag = "7")]
+    pub order: u64,
+    /// The remaining time of the query in microseconds.
+    #[prost(uint64, tag = "8")]
+    pub remaining_us: u64,
+    /// Whether the query may be repeated without harm.
+    #[prost(bool, tag = "9")]
+    pub idempotent: bool,
+    /// The attempts, one a target.
+    #[prost(message, repeated, tag = "10")]
+    pub attempts: Vec<ScatterAttempt>,
+    /// Whether the attempts are hedges, which run only where a slot is free.
+    #[prost(bool, tag = "11")]
+    pub hedge: bool,
+}
+
+/// A `ScatterAttempt` is one attempt of a query at one target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ScatterAttempt {
+    /// The counting half of the attempt id.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The shard.
+    #[prost(uint32, tag = "2")]
+    pub shard: u32,
+    /// The index version that the snapshot fixes for the shard.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// The target's id.
+    #[prost(string, tag = "4")]
+    pub target: String,
+    /// The target's address.
+    #[prost(string, tag = "5")]
+    pub address: String,
+    /// The target's declared slots.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// The target's declared connections.
+    #[prost(uint32, tag = "7")]
+    pub connections: u32,
+}
+
+/// An `AttemptReply` is what became of one attempt.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AttemptReply {
+    /// The counting half of the attempt id.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The outcome.
+    #[prost(enumeration = "ReplyStatus", tag = "2")]
+    pub status: i32,
+    /// The rows as the text of a JSON array, where the target answered.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub rows: prost::bytes::Bytes,
+    /// The snapshot that the target echoed.
+    #[prost(uint64, tag = "4")]
+    pub snapshot: u64,
+    /// The index version that the target echoed.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+    /// The time in the relay's queue, in microseconds.
+    #[prost(uint64, tag = "6")]
+    pub queued_us: u64,
+    /// The time at the target, in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub service_us: u64,
+    /// The wait that a new attempt of this class would have at the target now, in microseconds.
+    #[prost(uint64, tag = "8")]
+    pub wait_us: u64,
+    /// Whether the attempt reached the target, so that it counts as load.
+    #[prost(bool, tag = "9")]
+    pub ran: bool,
+}
+
+/// A `ReplyStatus` is the wire form of an attempt's outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ReplyStatus {
+    /// The attempt may or may not have run; also what an unknown number is read as.
+    Unknown = 0,
+    /// The target answered.
+    Answered = 1,
+    /// The target failed the attempt after running it.
+    Failed = 2,
+    /// The target no longer holds the version.
+    VersionGone = 3,
+    /// Not run: no byte was sent.
+    NotSent = 4,
+    /// Not run: the target shed it.
+    Shed = 5,
+    /// Not run: the target drains.
+    Draining = 6,
+    /// Not run: its time was up in the queue.
+    Expired = 7,
+    /// Not run: the queue was full.
+    QueueFull = 8,
+    /// Not run: it was cancelled in the queue.
+    Cancelled = 9,
+    /// Not run: the relay does not serve the target.
+    NoRoute = 10,
+    /// Not run: the request is quarantined.
+    Quarantined = 11,
+}
+
+impl From<AttemptOutcome> for ReplyStatus {
+    fn from(outcome: AttemptOutcome) -> Self {
+        match outcome {
+            AttemptOutcome::Answered => Self::Answered,
+            AttemptOutcome::Failed => Self::Failed,
+            AttemptOutcome::VersionGone => Self::VersionGone,
+            AttemptOutcome::Unknown => Self::Unknown,
+            AttemptOutcome::NotRun(reason) => match reason {
+                NotRunReason::NotSent => Self::NotSent,
+                NotRunReason::Shed => Self::Shed,
+                NotRunReason::Draining => Self::Draining,
+                NotRunReason::Expired => Self::Expired,
+                NotRunReason::QueueFull => Self::QueueFull,
+                NotRunReason::Cancelled => Self::Cancelled,
+                NotRunReason::NoRoute => Self::NoRoute,
+                NotRunReason::Quarantined => Self::Quarantined,
+            },
+        }
+    }
+}
+
+impl From<ReplyStatus> for AttemptOutcome {
+    fn from(status: ReplyStatus) -> Self {
+        match status {
+            ReplyStatus::Unknown => Self::Unknown,
+            ReplyStatus::Answered => Self::Answered,
+            ReplyStatus::Failed => Self::Failed,
+            ReplyStatus::VersionGone => Self::VersionGone,
+            ReplyStatus::NotSent => Self::NotRun(NotRunReason::NotSent),
+            ReplyStatus::Shed => Self::NotRun(NotRunReason::Shed),
+            ReplyStatus::Draining => Self::NotRun(NotRunReason::Draining),
+            ReplyStatus::Expired => Self::NotRun(NotRunReason::Expired),
+            ReplyStatus::QueueFull => Self::NotRun(NotRunReason::QueueFull),
+            ReplyStatus::Cancelled => Self::NotRun(NotRunReason::Cancelled),
+            ReplyStatus::NoRoute => Self::NotRun(NotRunReason::NoRoute),
+            ReplyStatus::Quarantined => Self::NotRun(NotRunReason::Quarantined),
+        }
+    }
+}
+
+/// A `CancelAttempts` names attempts whose answers are no longer wanted.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CancelAttempts {
+    /// The random half of the attempt ids.
+    #[prost(uint64, tag = "1")]
+    pub origin: u64,
+    /// The counting halves.
+    #[prost(uint64, repeated, tag = "2")]
+    pub sequences: Vec<u64>,
+}
+
+/// A `LeavingNotice` says that the sender stops.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct LeavingNotice {}
--- /dev/null
+++ b/alderhaven-peer/src/lib.rs
@@ -0,0 +1,6 @@
+//! What the system's own processes say to each other: frames, connections, membership and exchange.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod codec;
+pub mod frames;
--- /dev/null
+++ b/alderhaven-policy/src/lib.rs
@@ -0,0 +1,5 @@
+//! The decisions of alderhaven, without network, clock or async: time and randomness are passed in.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod config_registry;
--- /dev/null
+++ b/alderhaven-quickstart/src/lib.rs
@@ -0,0 +1,3 @@
+//! The alderhaven quickstart.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/alderhaven-relay/src/lib.rs
@@ -0,0 +1,3 @@
+//! The alderhaven relay.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/alderhaven-standin/src/lib.rs
@@ -0,0 +1,3 @@
+//! The alderhaven standin.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
