Entry and relay: scatter, gather and the lanes to targets

Cause: a query needs its way from caller to targets before anything can be measured. Change: the relay has a lane a target (queue, slots, kept connections), the entry plans a query, scatters it with its parameters once a relay, gathers verified replies and counts the coverage. Non-idempotent templates are refused until claims are kept.

--- /dev/null
+++ b/alderhaven-entry/src/caller_server.rs
@@ -0,0 +1,171 @@
+//! The HTTP server for callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use alderhaven_policy::config_registry::ConfigView;
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::answer::{ErrorAnswer, ErrorCode};
+use crate::query_plan::{QueryPlan, QueryRequest};
+use crate::query_runner::QueryRunner;
+use crate::settings::EntryLimits;
+
+/// The path below which templates are queried.
+const QUERY_PREFIX: &str = "/v1/query/";
+/// The path that says whether the entry serves.
+const HEALTH_PATH: &str = "/v1/health";
+
+/// A `CallerService` answers callers.
+#[derive(Debug)]
+pub struct CallerService {
+    /// The limits on what callers send.
+    pub limits: EntryLimits,
+    /// The configuration in force.
+    pub config: Arc<ArcSwap<ConfigView>>,
+    /// What runs the queries.
+    pub runner: QueryRunner,
+}
+
+/// Accepts connections from callers until the process ends.
+pub async fn serve(listener: TcpListener, caller_service: Arc<CallerService>) {
+    let permits = Arc::new(Semaphore::new(caller_service.limits.caller_connections));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let caller_service = Arc::clone(&caller_service);
+        tokio::spawn(async move {
+            serve_connection(stream, caller_service).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, caller_service: Arc<CallerService>) {
+    let _without_nagle = stream.set_nodelay(true);
+    let limits = caller_service.limits.clone();
+    let answering = service::service_fn(move |request| {
+        let caller_service = Arc::clone(&caller_service);
+        async move { Ok::<_, Infallible>(caller_service.answer(request).await) }
+    });
+    // A malformed request is answered by hyper and ends this connection only.
+    let _ended = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_timeout.as_duration())
+        .max_buf_size(limits.head.as_bytes().max(8 << 10))
+        .serve_connection(TokioIo::new(stream), answering)
+        .await;
+}
+
+impl CallerService {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        if let Some(template) = path.strip_prefix(QUERY_PREFIX) {
+            if request.method() != Method::POST {
+                return error_response(&ErrorAnswer::not_run(
+                    ErrorCode::MethodNotAllowed,
+                    "queries are sent with POST",
+                ));
+            }
+            return match self.query(template, request).await {
+                Ok(body) => body,
+                Err(error) => error_response(&error),
+            };
+        }
+        match (request.method(), path.as_str()) {
+            (&Method::GET, HEALTH_PATH) => {
+                json_response(StatusCode::OK, &serde_json::json!({ "status": "serving" }))
+            }
+            _ => error_response(&ErrorAnswer::not_run(
+                ErrorCode::NotFound,
+                format!("there is no {path}"),
+            )),
+        }
+    }
+
+    async fn query(
+        &self,
+        template: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, ErrorAnswer> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let body = self.read_body(body).await?;
+        let query: QueryRequest = serde_json::from_slice(&body).map_err(|error| {
+            ErrorAnswer::not_run(
+                ErrorCode::BadRequest,
+                format!("the body is refused: {error}"),
+            )
+        })?;
+        let view = self.config.load_full();
+        let token = bearer_token(&head.headers);
+        let plan = QueryPlan::make(&view, template, query, token, arrived)?;
+        if !plan.template.idempotent {
+            return Err(ErrorAnswer::not_run(
+                ErrorCode::Unavailable,
+                "non-idempotent templates are not served yet",
+            ));
+        }
+        let answer = self.runner.run(&plan).await?;
+        Ok(json_response(StatusCode::OK, &answer))
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
+        let limit = self.limits.body;
+        let reading = Limited::new(body, limit.as_bytes()).collect();
+        let read = tokio::time::timeout(self.limits.read_timeout.as_duration(), reading).await;
+        match read {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(
+                ErrorAnswer::not_run(ErrorCode::TooLarge, format!("a body has at most {limit}")),
+            ),
+            Ok(Err(error)) => Err(ErrorAnswer::not_run(
+                ErrorCode::BadRequest,
+                format!("the body can't be read: {error}"),
+            )),
+            Err(_) => Err(ErrorAnswer::not_run(
+                ErrorCode::BadRequest,
+                format!("the body did not come within {}", self.limits.read_timeout),
+            )),
+        }
+    }
+}
+
+fn bearer_token(headers: &HeaderMap) -> Option<&str> {
+    headers
+        .get(header::AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
+}
+
+fn error_response(answer: &ErrorAnswer) -> Response<Full<Bytes>> {
+    json_response(answer.error.code.status(), answer)
+}
+
+fn json_response<T: Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -1,3 +1,12 @@
-//! The alderhaven entry.
+//! The entry: it serves callers, plans and scatters queries through relays, gathers and answers.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod answer;
+pub mod caller_server;
+pub mod node;
+pub mod query_plan;
+pub mod query_runner;
+pub mod relay_link;
+pub mod relay_routes;
+pub mod settings;
--- /dev/null
+++ b/alderhaven-entry/src/query_plan.rs
@@ -0,0 +1,160 @@
+//! The plan of one query: checked values, the pinned manifest, the asked shards and the deadline.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use alderhaven_core::ids::{TeamId, TemplateName};
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::parameters::ParameterSet;
+use alderhaven_core::team::TeamPolicy;
+use alderhaven_core::template::QueryTemplate;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::config_registry::ConfigView;
+use bytes::Bytes;
+use serde::Deserialize;
+
+use crate::answer::{ErrorAnswer, ErrorCode};
+
+/// A `QueryRequest` is the body of `POST /v1/query/{template}`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueryRequest {
+    /// The team on whose behalf the query runs.
+    pub team: TeamId,
+    /// The values of the template's parameters.
+    #[serde(default)]
+    pub parameters: ParameterSet,
+    /// The time within which the answer is of use, in milliseconds; the template's at most.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+}
+
+/// A `QueryPlan` is a query that may be admitted.
+#[derive(Clone, Debug)]
+pub struct QueryPlan {
+    /// The template.
+    pub template: Arc<QueryTemplate>,
+    /// The team.
+    pub team: Arc<TeamPolicy>,
+    /// The checked values.
+    pub values: ParameterSet,
+    /// The canonical values as they go to targets.
+    pub parameters: Bytes,
+    /// The manifest that the query is pinned to.
+    pub manifest: Arc<SnapshotManifest>,
+    /// The positions of the asked shards in the manifest.
+    pub positions: Vec<usize>,
+    /// When the request came in.
+    pub arrived: Instant,
+    /// The time within which the answer is of use.
+    pub deadline: TimeSpan,
+}
+
+impl QueryPlan {
+    /// Makes the plan of a request that arrived at `arrived`.
+    ///
+    /// # Errors
+    /// The answer for the caller: unknown template or team, wrong token, a parameter out of its
+    /// bounds, or a service without a manifest. Nothing ran.
+    pub fn make(
+        view: &ConfigView,
+        name: &str,
+        request: QueryRequest,
+        token: Option<&str>,
+        arrived: Instant,
+    ) -> Result<Self, ErrorAnswer> {
+        let template = find_template(view, name)?;
+        let team = find_team(view, &request.team, token)?;
+        if !template.allows(&team.name) {
+            return Err(ErrorAnswer::not_run(
+                ErrorCode::Forbidden,
+                format!("team {} may not use template {name}", team.name),
+            ));
+        }
+        let values = template
+            .bind(&team.name, request.parameters)
+            .map_err(|error| ErrorAnswer::not_run(ErrorCode::BadRequest, error.to_string()))?;
+        let deadline = request
+            .deadline_ms
+            .map_or(template.deadline, TimeSpan::from_millis)
+            .min(template.deadline);
+        let manifest = find_manifest(view, &template)?;
+        let positions = manifest
+            .select(&template.shards, &values)
+            .map_err(|error| ErrorAnswer::not_run(ErrorCode::BadRequest, error.to_string()))?;
+        Ok(Self {
+            parameters: Bytes::from(values.canonical()),
+            template,
+            team,
+            values,
+            manifest,
+            positions,
+            arrived,
+            deadline,
+        })
+    }
+
+    /// Returns the same query pinned to another manifest of its service.
+    ///
+    /// # Errors
+    /// Where the selection asks for shards that the manifest does not have.
+    pub fn pinned_to(
+        &self,
+        manifest: Arc<SnapshotManifest>,
+    ) -> Result<Self, alderhaven_core::errors::Error> {
+        let positions = manifest.select(&self.template.shards, &self.values)?;
+        Ok(Self {
+            manifest,
+            positions,
+            ..self.clone()
+        })
+    }
+
+    /// Gets the instant at which the answer is of no more use.
+    #[must_use]
+    pub fn expires(&self) -> Instant {
+        self.arrived + self.deadline.as_duration()
+    }
+}
+
+fn find_template(view: &ConfigView, name: &str) -> Result<Arc<QueryTemplate>, ErrorAnswer> {
+    name.parse::<TemplateName>()
+        .ok()
+        .and_then(|name| view.templates.get(&name).cloned())
+        .ok_or_else(|| {
+            ErrorAnswer::not_run(ErrorCode::NotFound, format!("there is no template {name}"))
+        })
+}
+
+fn find_team(
+    view: &ConfigView,
+    name: &TeamId,
+    token: Option<&str>,
+) -> Result<Arc<TeamPolicy>, ErrorAnswer> {
+    let team = view.teams.get(name).cloned().ok_or_else(|| {
+        ErrorAnswer::not_run(ErrorCode::NotFound, format!("there is no team {name}"))
+    })?;
+    if team.accepts_token(token) {
+        Ok(team)
+    } else {
+        Err(ErrorAnswer::not_run(
+            ErrorCode::Unauthorized,
+            format!("team {name} needs its bearer token"),
+        ))
+    }
+}
+
+fn find_manifest(
+    view: &ConfigView,
+    template: &QueryTemplate,
+) -> Result<Arc<SnapshotManifest>, ErrorAnswer> {
+    view.manifests
+        .get(&template.service)
+        .cloned()
+        .ok_or_else(|| {
+            ErrorAnswer::not_run(
+                ErrorCode::Unavailable,
+                format!("service {} has no manifest yet", template.service),
+            )
+        })
+}
--- /dev/null
+++ b/alderhaven-entry/src/relay_link.rs
@@ -0,0 +1,236 @@
+//! The connection from an entry to one relay, and the replies that are awaited on it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::ids::{IndexVersion, SnapshotId};
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_peer::connection;
+use alderhaven_peer::connection::FrameSender;
+use alderhaven_peer::frames::{AttemptReply, CancelAttempts, PeerMessage, ScatterRequest};
+use alderhaven_policy::query_gather::AttemptResult;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio_util::task::AbortOnDropHandle;
+
+/// The pause before a lost relay is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// The time within which a connection to a relay is made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A `LinkReply` is what was heard of one attempt.
+#[derive(Clone, Debug)]
+pub struct LinkReply {
+    /// The counting half of the attempt's id.
+    pub sequence: u64,
+    /// The result, not yet verified.
+    pub result: AttemptResult,
+    /// The time in the relay's queue.
+    pub queued: TimeSpan,
+    /// The time at the target.
+    pub service: TimeSpan,
+    /// The wait that a new attempt would have at the target.
+    pub wait: TimeSpan,
+    /// Whether the target ran the attempt.
+    pub ran: bool,
+}
+
+/// A `ReplySink` takes the replies of one query.
+pub type ReplySink = mpsc::UnboundedSender<LinkReply>;
+
+/// A `RelayLink` is the connection to one relay; it connects again by itself.
+#[derive(Debug)]
+pub struct RelayLink {
+    address: SocketAddr,
+    shared: Arc<LinkShared>,
+    _task: AbortOnDropHandle<()>,
+}
+
+#[derive(Debug, Default)]
+struct LinkShared {
+    state: Mutex<LinkState>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    sender: Option<FrameSender>,
+    leaving: bool,
+    awaited: HashMap<u64, ReplySink>,
+}
+
+impl RelayLink {
+    /// Starts a link to the relay at `address`.
+    #[must_use]
+    pub fn start(address: SocketAddr) -> Self {
+        let shared = Arc::new(LinkShared::default());
+        let task = tokio::spawn(keep_connected(address, Arc::clone(&shared)));
+        Self {
+            address,
+            shared,
+            _task: AbortOnDropHandle::new(task),
+        }
+    }
+
+    /// Gets the relay's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns true where the relay is connected and takes new attempts.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        let state = self.shared.lock();
+        state.sender.is_some() && !state.leaving
+    }
+
+    /// Gets the number of attempts whose reply is awaited.
+    #[must_use]
+    pub fn awaited_count(&self) -> usize {
+        self.shared.lock().awaited.len()
+    }
+
+    /// Sends the attempts of a query; each gets exactly one reply on `sink` unless it is forgotten.
+    ///
+    /// Returns false where the link is down: then no byte was sent and no reply comes.
+    #[must_use]
+    pub fn scatter(&self, request: ScatterRequest, sink: &ReplySink) -> bool {
+        let mut state = self.shared.lock();
+        let Some(sender) = state.sender.clone() else {
+            return false;
+        };
+        for attempt in &request.attempts {
+            state.awaited.insert(attempt.sequence, sink.clone());
+        }
+        let sequences: Vec<u64> = request
+            .attempts
+            .iter()
+            .map(|attempt| attempt.sequence)
+            .collect();
+        if sender.send(PeerMessage::Scatter(request)).is_ok() {
+            return true;
+        }
+        for sequence in sequences {
+            state.awaited.remove(&sequence);
+        }
+        false
+    }
+
+    /// Forgets attempts and tells the relay that their answers are no longer wanted.
+    pub fn cancel(&self, origin: u64, sequences: Vec<u64>) {
+        let mut state = self.shared.lock();
+        for sequence in &sequences {
+            state.awaited.remove(sequence);
+        }
+        if let Some(sender) = &state.sender {
+            let cancel = CancelAttempts { origin, sequences };
+            let _relay_gone = sender.send(PeerMessage::Cancel(cancel));
+        }
+    }
+}
+
+impl LinkShared {
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn connected(&self, sender: FrameSender) {
+        let mut state = self.lock();
+        state.sender = Some(sender);
+        state.leaving = false;
+    }
+
+    /// Answers every awaited attempt with "unknown": its frame may have reached the relay.
+    fn disconnected(&self) {
+        let mut state = self.lock();
+        state.sender = None;
+        let awaited = std::mem::take(&mut state.awaited);
+        drop(state);
+        for (sequence, sink) in awaited {
+            let _query_over = sink.send(LinkReply::relay_lost(sequence));
+        }
+    }
+
+    fn deliver(&self, reply: AttemptReply) {
+        let sink = self.lock().awaited.remove(&reply.sequence);
+        // A reply that nobody awaits is late, doubled or of another life of this entry.
+        if let Some(sink) = sink {
+            let _query_over = sink.send(LinkReply::from(reply));
+        }
+    }
+}
+
+impl LinkReply {
+    /// Returns the reply of an attempt whose frame was certainly not sent.
+    #[must_use]
+    pub fn not_sent(sequence: u64) -> Self {
+        Self::without_target(
+            sequence,
+            AttemptOutcome::NotRun(NotRunReason::NotSent),
+            false,
+        )
+    }
+
+    /// Returns the reply of an attempt whose relay was lost after its frame may have been sent.
+    #[must_use]
+    pub fn relay_lost(sequence: u64) -> Self {
+        Self::without_target(sequence, AttemptOutcome::Unknown, true)
+    }
+
+    fn without_target(sequence: u64, outcome: AttemptOutcome, ran: bool) -> Self {
+        Self {
+            sequence,
+            result: AttemptResult::without_rows(outcome),
+            queued: TimeSpan::ZERO,
+            service: TimeSpan::ZERO,
+            wait: TimeSpan::ZERO,
+            ran,
+        }
+    }
+}
+
+impl From<AttemptReply> for LinkReply {
+    fn from(reply: AttemptReply) -> Self {
+        Self {
+            sequence: reply.sequence,
+            result: AttemptResult {
+                outcome: AttemptOutcome::from(reply.status()),
+                snapshot: SnapshotId(reply.snapshot),
+                version: IndexVersion(reply.version),
+                rows: reply.rows,
+            },
+            queued: TimeSpan::from_micros(reply.queued_us),
+            service: TimeSpan::from_micros(reply.service_us),
+            wait: TimeSpan::from_micros(reply.wait_us),
+            ran: reply.ran,
+        }
+    }
+}
+
+async fn keep_connected(address: SocketAddr, shared: Arc<LinkShared>) {
+    loop {
+        if let Ok(Ok(stream)) = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            read_replies(stream, &shared).await;
+            shared.disconnected();
+        }
+        time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn read_replies(stream: TcpStream, shared: &LinkShared) {
+    let Ok((sender, mut reader)) = connection::split(stream) else {
+        return;
+    };
+    shared.connected(sender);
+    while let Some(message) = connection::next_message(&mut reader).await {
+        match message {
+            PeerMessage::Reply(reply) => shared.deliver(reply),
+            PeerMessage::Leaving(_) => shared.lock().leaving = true,
+            PeerMessage::Hello(_) | PeerMessage::Scatter(_) | PeerMessage::Cancel(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-entry/src/settings.rs
@@ -0,0 +1,69 @@
+//! The settings of an entry.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
+use alderhaven_core::quantities::ByteSize;
+use alderhaven_core::time::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+/// An `EntrySettings` is the content of an entry's settings file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The entry's own id.
+    pub node: NodeId,
+    /// The host that the entry runs on.
+    pub host: HostId,
+    /// The failure domain of the host.
+    pub domain: FailureDomain,
+    /// The address for callers; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// The address for operators (metrics, dump).
+    pub operator_listen: SocketAddr,
+    /// The address for other processes of the system.
+    pub peer_listen: SocketAddr,
+    /// The platform's object API and host list.
+    pub platform: SocketAddr,
+    /// The relays that are known from the start.
+    #[serde(default)]
+    pub relays: Vec<SocketAddr>,
+    /// Peers to learn from at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The limits.
+    #[serde(default)]
+    pub limits: EntryLimits,
+    /// The least severe level that is logged.
+    #[serde(default = "default_log_level")]
+    pub log_level: log::LevelFilter,
+}
+
+/// An `EntryLimits` bounds what a caller can make the entry hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryLimits {
+    /// The largest body of a request.
+    pub body: ByteSize,
+    /// The largest head of a request: its line and all headers.
+    pub head: ByteSize,
+    /// The most open connections from callers.
+    pub caller_connections: usize,
+    /// The time within which a request must have come in.
+    pub read_timeout: TimeSpan,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            body: ByteSize::from_kib(64),
+            head: ByteSize::from_kib(16),
+            caller_connections: 4096,
+            read_timeout: TimeSpan::from_secs(10),
+        }
+    }
+}
+
+const fn default_log_level() -> log::LevelFilter {
+    log::LevelFilter::Info
+}
--- /dev/null
+++ b/alderhaven-peer/src/connection.rs
@@ -0,0 +1,104 @@
+//! A connection between two processes: a reader of frames and a sender that writes in batches.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use futures::StreamExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio_util::codec::{Encoder, FramedRead};
+
+use crate::codec::FrameCodec;
+use crate::frames::{PeerFrame, PeerMessage};
+
+/// The most messages that one write carries; enough for all attempts of a query.
+const WRITE_BATCH: usize = 256;
+/// The first capacity of the write buffer, in bytes.
+const WRITE_BUFFER: usize = 64 << 10;
+/// The time after which a peer that takes no bytes is given up.
+///
+/// A connection whose path lost track of it accepts no more bytes once the kernel's buffer is full.
+/// Without a bound the queue before it would grow for minutes.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A `FrameSender` queues messages for one connection; it is cheap to clone.
+#[derive(Clone, Debug)]
+pub struct FrameSender {
+    queue: mpsc::UnboundedSender<PeerMessage>,
+}
+
+/// A `ConnectionClosed` says that a message was not sent because its connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionClosed;
+
+/// A `FrameReader` yields the frames that come in on one connection.
+pub type FrameReader = FramedRead<OwnedReadHalf, FrameCodec>;
+
+impl FrameSender {
+    /// Queues a message.
+    ///
+    /// # Errors
+    /// `ConnectionClosed` where the connection is closed: no byte of the message was sent.
+    pub fn send(&self, message: PeerMessage) -> Result<(), ConnectionClosed> {
+        self.queue.send(message).map_err(|_| ConnectionClosed)
+    }
+
+    /// Returns true where the connection is closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+}
+
+/// Splits a connection into its sender and its reader, and starts the task that writes.
+///
+/// # Errors
+/// An error of the operating system where the socket's options can't be set.
+pub fn split(stream: TcpStream) -> io::Result<(FrameSender, FrameReader)> {
+    stream.set_nodelay(true)?;
+    let (read_half, write_half) = stream.into_split();
+    let (sender, queue) = mpsc::unbounded_channel();
+    tokio::spawn(write_frames(write_half, queue));
+    let reader = FramedRead::with_capacity(read_half, FrameCodec::default(), WRITE_BUFFER);
+    Ok((FrameSender { queue: sender }, reader))
+}
+
+/// Reads the next message; none where the connection ended or the peer sent a malformed frame.
+pub async fn next_message(reader: &mut FrameReader) -> Option<PeerMessage> {
+    loop {
+        match reader.next().await {
+            Some(Ok(PeerFrame {
+                message: Some(message),
+            })) => return Some(message),
+            // A newer peer may send messages that are not known here; they are passed over.
+            Some(Ok(PeerFrame { message: None })) => {}
+            Some(Err(_)) | None => return None,
+        }
+    }
+}
+
+async fn write_frames(
+    mut write_half: OwnedWriteHalf,
+    mut queue: mpsc::UnboundedReceiver<PeerMessage>,
+) {
+    let mut messages = Vec::with_capacity(WRITE_BATCH);
+    let mut buffer = BytesMut::with_capacity(WRITE_BUFFER);
+    let mut codec = FrameCodec::default();
+    // All messages that wait go out in one write: under load a system call carries many frames.
+    while queue.recv_many(&mut messages, WRITE_BATCH).await > 0 {
+        buffer.clear();
+        for message in messages.drain(..) {
+            if codec.encode(message, &mut buffer).is_err() {
+                return;
+            }
+        }
+        match time::timeout(WRITE_TIMEOUT, write_half.write_all(&buffer)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+}
--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -3,4 +3,5 @@
 #![warn(missing_docs)]
 
 pub mod codec;
+pub mod connection;
 pub mod frames;
--- a/alderhaven-platform/src/lib.rs
+++ b/alderhaven-platform/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod dialect;
 pub mod host_list;
 pub mod object_store;
+pub mod operator_server;
--- /dev/null
+++ b/alderhaven-platform/src/operator_server.rs
@@ -0,0 +1,117 @@
+//! The HTTP server for operators: metrics, the dump of the process's state, status and drain.
+//!
+//! | Call | Answer |
+//! |---|---|
+//! | `GET /metrics` | the metrics in the OpenMetrics text form |
+//! | `GET /debug/dump` | the whole state of the process as JSON |
+//! | `GET /debug/status` | a short form: node, role, incarnation, configuration in force |
+//! | `POST /drain` | starts the planned stop; 202 |
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::Value;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+/// The path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+/// The path of the dump.
+pub const DUMP_PATH: &str = "/debug/dump";
+/// The path of the status.
+pub const STATUS_PATH: &str = "/debug/status";
+/// The path that starts the planned stop.
+pub const DRAIN_PATH: &str = "/drain";
+/// The content type of the OpenMetrics text form.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// The most connections from operators; a scraper and a few people need fewer.
+const MAX_CONNECTIONS: usize = 32;
+/// The time within which a request's head must have come in.
+const HEAD_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// An `OperatorSource` is a process as operators see it.
+pub trait OperatorSource: Send + Sync + 'static {
+    /// Gets the metrics in the OpenMetrics text form.
+    fn metrics(&self) -> String;
+
+    /// Gets the whole state of the process.
+    fn dump(&self) -> Value;
+
+    /// Gets the short form of the state.
+    fn status(&self) -> Value;
+
+    /// Starts the planned stop; a second call changes nothing.
+    fn drain(&self);
+}
+
+/// Accepts connections from operators until the process ends.
+pub async fn serve<S: OperatorSource>(listener: TcpListener, source: Arc<S>) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let source = Arc::clone(&source);
+        tokio::spawn(async move {
+            serve_connection(stream, source).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<S: OperatorSource>(stream: TcpStream, source: Arc<S>) {
+    let answering = service::service_fn(move |request: Request<Incoming>| {
+        let response = answer(&*source, request.method(), request.uri().path());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let _ended = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), answering)
+        .await;
+}
+
+fn answer<S: OperatorSource>(source: &S, method: &Method, path: &str) -> Response<Full<Bytes>> {
+    match (method, path) {
+        (&Method::GET, METRICS_PATH) => {
+            respond(StatusCode::OK, METRICS_TYPE, source.metrics().into_bytes())
+        }
+        (&Method::GET, DUMP_PATH) => respond_json(StatusCode::OK, &source.dump()),
+        (&Method::GET, STATUS_PATH) => respond_json(StatusCode::OK, &source.status()),
+        (&Method::POST, DRAIN_PATH) => {
+            source.drain();
+            respond_json(
+                StatusCode::ACCEPTED,
+                &serde_json::json!({ "draining": true }),
+            )
+        }
+        _ => respond_json(
+            StatusCode::NOT_FOUND,
+            &serde_json::json!({ "error": { "code": "not_found", "message": format!("there is no {method} {path}") } }),
+        ),
+    }
+}
+
+fn respond_json(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    respond(status, "application/json", body.to_string().into_bytes())
+}
+
+fn respond(status: StatusCode, kind: &'static str, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/alderhaven-policy/src/query_gather.rs
@@ -0,0 +1,378 @@
+//! The gathering of one query: which replies count, what the answer covers, what the caller is told.
+//!
+//! Load pattern: replies come late, twice, crossed, of another index version or not at all, while
+//! retries and hedges put several attempts on one shard. Without one place that judges them, an
+//! answer could mix two snapshots or claim a shard that nobody verified. Here a reply counts only
+//! where its attempt belongs to this query and it names the pinned snapshot and version; the
+//! coverage is counted from those replies alone.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use alderhaven_core::coverage::{CoverageReport, MissingReason, MissingShard};
+use alderhaven_core::ids::{IndexVersion, SnapshotId};
+use alderhaven_core::manifest::{ShardEntry, SnapshotManifest};
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason, QueryOutcome};
+use bytes::Bytes;
+use smallvec::SmallVec;
+
+use crate::row_merge;
+
+/// A `QueryGather` holds the state of one query that is pinned to one manifest.
+#[derive(Debug)]
+pub struct QueryGather {
+    manifest: Arc<SnapshotManifest>,
+    idempotent: bool,
+    shards: Vec<GatherShard>,
+    attempts: HashMap<u64, AttemptPlace>,
+    open_shards: usize,
+    may_have_run: bool,
+}
+
+/// A `GatherShard` is one asked shard.
+#[derive(Debug)]
+struct GatherShard {
+    position: usize,
+    state: ShardState,
+    attempts: SmallVec<[ShardAttempt; 2]>,
+}
+
+#[derive(Debug)]
+enum ShardState {
+    Open,
+    Answered(Bytes),
+    Missing(MissingReason),
+}
+
+/// A `ShardAttempt` is one attempt at one replica of a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShardAttempt {
+    /// The counting half of the attempt's id.
+    pub sequence: u64,
+    /// The replica's position in the manifest's entry.
+    pub replica: usize,
+    /// What became of the attempt; none while it is under way.
+    pub outcome: Option<AttemptOutcome>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AttemptPlace {
+    slot: usize,
+    index: usize,
+}
+
+/// An `AttemptResult` is what was heard of an attempt, before it is verified.
+#[derive(Clone, Debug)]
+pub struct AttemptResult {
+    /// The outcome as reported.
+    pub outcome: AttemptOutcome,
+    /// The snapshot that the reply names.
+    pub snapshot: SnapshotId,
+    /// The index version that the reply names.
+    pub version: IndexVersion,
+    /// The rows as the text of a JSON array.
+    pub rows: Bytes,
+}
+
+impl AttemptResult {
+    /// Returns a result without rows.
+    #[must_use]
+    pub fn without_rows(outcome: AttemptOutcome) -> Self {
+        Self {
+            outcome,
+            snapshot: SnapshotId::default(),
+            version: IndexVersion::default(),
+            rows: Bytes::new(),
+        }
+    }
+}
+
+/// A `GatherEvent` says what a result meant for the query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GatherEvent {
+    /// The shard is answered now.
+    ShardAnswered {
+        /// The shard's slot.
+        slot: usize,
+    },
+    /// The attempt is over without an answer, and the shard is still open.
+    AttemptOver {
+        /// The shard's slot.
+        slot: usize,
+        /// What became of the attempt, after verification.
+        outcome: AttemptOutcome,
+        /// Whether another attempt at the shard is under way.
+        others_under_way: bool,
+    },
+    /// The result belongs to no attempt under way, or came after the shard was settled.
+    Stray,
+}
+
+impl QueryGather {
+    /// Returns the gathering of a query over the shards at `positions` of a manifest.
+    #[must_use]
+    pub fn new(manifest: Arc<SnapshotManifest>, positions: &[usize], idempotent: bool) -> Self {
+        let shards: Vec<GatherShard> = positions
+            .iter()
+            .map(|position| GatherShard {
+                position: *position,
+                state: ShardState::Open,
+                attempts: SmallVec::new(),
+            })
+            .collect();
+        Self {
+            manifest,
+            idempotent,
+            open_shards: shards.len(),
+            attempts: HashMap::with_capacity(shards.len() * 2),
+            shards,
+            may_have_run: false,
+        }
+    }
+
+    /// Gets the pinned manifest.
+    #[must_use]
+    pub const fn manifest(&self) -> &Arc<SnapshotManifest> {
+        &self.manifest
+    }
+
+    /// Gets the number of asked shards; slots are numbered below it.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// Returns true where no shard is asked.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.shards.is_empty()
+    }
+
+    /// Gets the manifest's entry of a slot's shard.
+    #[must_use]
+    pub fn entry(&self, slot: usize) -> &ShardEntry {
+        &self.manifest.shards[self.shards[slot].position]
+    }
+
+    /// Gets the attempts at a slot's shard, the first one first.
+    #[must_use]
+    pub fn attempts(&self, slot: usize) -> &[ShardAttempt] {
+        &self.shards[slot].attempts
+    }
+
+    /// Returns true where a slot's shard is neither answered nor given up.
+    #[must_use]
+    pub fn is_open(&self, slot: usize) -> bool {
+        matches!(self.shards[slot].state, ShardState::Open)
+    }
+
+    /// Gets the slots whose shards are still open.
+    pub fn open_slots(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.shards.len()).filter(|slot| self.is_open(*slot))
+    }
+
+    /// Returns true where no shard is open any more.
+    #[must_use]
+    pub const fn is_settled(&self) -> bool {
+        self.open_shards == 0
+    }
+
+    /// Gets the covered share of the asked shards.
+    #[must_use]
+    pub fn covered_share(&self) -> f64 {
+        self.coverage().share()
+    }
+
+    /// Notes that an attempt at a replica begins.
+    pub fn begin_attempt(&mut self, slot: usize, replica: usize, sequence: u64) {
+        let attempts = &mut self.shards[slot].attempts;
+        let place = AttemptPlace {
+            slot,
+            index: attempts.len(),
+        };
+        attempts.push(ShardAttempt {
+            sequence,
+            replica,
+            outcome: None,
+        });
+        self.attempts.insert(sequence, place);
+    }
+
+    /// Takes what was heard of an attempt.
+    pub fn accept(&mut self, sequence: u64, result: AttemptResult) -> GatherEvent {
+        let Some(place) = self.attempts.get(&sequence).copied() else {
+            return GatherEvent::Stray;
+        };
+        if self.shards[place.slot].attempts[place.index]
+            .outcome
+            .is_some()
+        {
+            return GatherEvent::Stray;
+        }
+        let outcome = self.verify(place.slot, &result);
+        self.may_have_run |= !is_not_run(outcome);
+        let shard = &mut self.shards[place.slot];
+        shard.attempts[place.index].outcome = Some(outcome);
+        if !matches!(shard.state, ShardState::Open) {
+            return GatherEvent::Stray;
+        }
+        if outcome == AttemptOutcome::Answered {
+            shard.state = ShardState::Answered(result.rows);
+            self.open_shards -= 1;
+            return GatherEvent::ShardAnswered { slot: place.slot };
+        }
+        GatherEvent::AttemptOver {
+            slot: place.slot,
+            outcome,
+            others_under_way: shard.attempts.iter().any(|other| other.outcome.is_none()),
+        }
+    }
+
+    /// Gives a shard up; an answered one stays answered.
+    pub fn give_up(&mut self, slot: usize, reason: MissingReason) {
+        let shard = &mut self.shards[slot];
+        if matches!(shard.state, ShardState::Open) {
+            shard.state = ShardState::Missing(reason);
+            self.open_shards -= 1;
+        }
+    }
+
+    /// Gives up all open shards, each for the reason that its attempts show.
+    pub fn give_up_open(&mut self) {
+        for slot in 0..self.shards.len() {
+            let reason = self.missing_reason(slot);
+            self.give_up(slot, reason);
+        }
+    }
+
+    /// Gets the reason for which a slot's shard is missing, as its attempts show it.
+    #[must_use]
+    pub fn missing_reason(&self, slot: usize) -> MissingReason {
+        let attempts = &self.shards[slot].attempts;
+        if attempts.iter().any(|attempt| attempt.outcome.is_none()) {
+            return MissingReason::Late;
+        }
+        match attempts.last().and_then(|attempt| attempt.outcome) {
+            None => MissingReason::Unreachable,
+            Some(AttemptOutcome::VersionGone) => MissingReason::VersionGone,
+            Some(AttemptOutcome::Failed | AttemptOutcome::Unknown | AttemptOutcome::Answered) => {
+                MissingReason::Failed
+            }
+            Some(AttemptOutcome::NotRun(reason)) => match reason {
+                NotRunReason::Expired | NotRunReason::QueueFull | NotRunReason::Shed => {
+                    MissingReason::Overloaded
+                }
+                NotRunReason::Quarantined => MissingReason::Quarantined,
+                NotRunReason::NotSent
+                | NotRunReason::Draining
+                | NotRunReason::Cancelled
+                | NotRunReason::NoRoute => MissingReason::Unreachable,
+            },
+        }
+    }
+
+    /// Returns true where a shard can't be answered because no replica holds its version.
+    #[must_use]
+    pub fn is_version_gone(&self) -> bool {
+        self.shards
+            .iter()
+            .any(|shard| matches!(shard.state, ShardState::Missing(MissingReason::VersionGone)))
+    }
+
+    /// Gets the number of attempts that were begun.
+    #[must_use]
+    pub fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Gets the sequences of attempts under way.
+    pub fn under_way(&self) -> impl Iterator<Item = u64> + '_ {
+        self.shards
+            .iter()
+            .flat_map(|shard| &shard.attempts)
+            .filter(|attempt| attempt.outcome.is_none())
+            .map(|attempt| attempt.sequence)
+    }
+
+    /// Gets the report of which shards are covered.
+    #[must_use]
+    pub fn coverage(&self) -> CoverageReport {
+        let mut report = CoverageReport {
+            asked: self.shards.len(),
+            ..CoverageReport::default()
+        };
+        for (slot, shard) in self.shards.iter().enumerate() {
+            let reason = match shard.state {
+                ShardState::Answered(_) => {
+                    report.answered += 1;
+                    continue;
+                }
+                ShardState::Open => self.missing_reason(slot),
+                ShardState::Missing(reason) => reason,
+            };
+            report.missing.push(MissingShard {
+                shard: self.entry(slot).shard,
+                reason,
+            });
+        }
+        report
+    }
+
+    /// Gets what the caller is told.
+    ///
+    /// "Refused" claims that nothing ran. It is said only where every attempt that was begun has
+    /// the evidence for it; an attempt under way may be running and counts against it.
+    #[must_use]
+    pub fn outcome(&self) -> QueryOutcome {
+        let answered = self
+            .shards
+            .iter()
+            .filter(|shard| matches!(shard.state, ShardState::Answered(_)))
+            .count();
+        let may_have_run = self.may_have_run || self.under_way().next().is_some();
+        if answered == self.shards.len() {
+            QueryOutcome::Complete
+        } else if answered > 0 {
+            QueryOutcome::Partial
+        } else if !may_have_run {
+            QueryOutcome::Refused
+        } else if self.idempotent {
+            QueryOutcome::Failed
+        } else {
+            QueryOutcome::Unknown
+        }
+    }
+
+    /// Gets the rows of the answered shards, in the order of shards.
+    pub fn rows(&self) -> impl Iterator<Item = &Bytes> {
+        self.shards.iter().filter_map(|shard| match &shard.state {
+            ShardState::Answered(rows) => Some(rows),
+            ShardState::Open | ShardState::Missing(_) => None,
+        })
+    }
+
+    /// Judges a result against the pinned manifest.
+    ///
+    /// A reply of another snapshot or version, or with rows that are no JSON array, is no answer.
+    fn verify(&self, slot: usize, result: &AttemptResult) -> AttemptOutcome {
+        if result.outcome != AttemptOutcome::Answered {
+            return result.outcome;
+        }
+        let is_pinned =
+            result.snapshot == self.manifest.snapshot && result.version == self.entry(slot).version;
+        if is_pinned && row_merge::is_row_array(&result.rows) {
+            AttemptOutcome::Answered
+        } else {
+            AttemptOutcome::Failed
+        }
+    }
+}
+
+/// Returns true where an outcome is evidence that the attempt did not run.
+#[must_use]
+pub const fn is_not_run(outcome: AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::NotRun(_) | AttemptOutcome::VersionGone
+    )
+}
--- a/alderhaven-relay/src/lib.rs
+++ b/alderhaven-relay/src/lib.rs
@@ -1,3 +1,10 @@
-//! The alderhaven relay.
+//! The relay: it holds the connections to targets, with one queue and one limit a target.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod lane_table;
+pub mod node;
+pub mod peer_server;
+pub mod settings;
+pub mod target_connections;
+pub mod target_lane;
--- /dev/null
+++ b/alderhaven-relay/src/peer_server.rs
@@ -0,0 +1,104 @@
+//! The relay's side of the connections from entries.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId};
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_peer::connection;
+use alderhaven_peer::connection::FrameSender;
+use alderhaven_peer::frames::{
+    AttemptReply, CancelAttempts, PeerMessage, ReplyStatus, ScatterAttempt, ScatterRequest,
+};
+use alderhaven_platform::dialect::TargetRequest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::lane_table::LaneTable;
+use crate::target_lane::LaneAttempt;
+
+/// The longest remaining time that an entry may claim; it bounds how long an attempt is held.
+const MAX_REMAINING: Duration = Duration::from_mins(1);
+
+/// Accepts connections from entries until the process ends.
+pub async fn serve(listener: TcpListener, table: Arc<LaneTable>, connection_limit: usize) {
+    let permits = Arc::new(Semaphore::new(connection_limit));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let table = Arc::clone(&table);
+        tokio::spawn(async move {
+            serve_entry(stream, &table).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_entry(stream: TcpStream, table: &LaneTable) {
+    let Ok((sender, mut reader)) = connection::split(stream) else {
+        return;
+    };
+    while let Some(message) = connection::next_message(&mut reader).await {
+        match message {
+            PeerMessage::Scatter(request) => scatter(table, &sender, &request),
+            PeerMessage::Cancel(cancel) => cancel_attempts(table, &cancel),
+            PeerMessage::Hello(_) | PeerMessage::Reply(_) | PeerMessage::Leaving(_) => {}
+        }
+    }
+}
+
+fn scatter(table: &LaneTable, sender: &FrameSender, request: &ScatterRequest) {
+    let arrived = Instant::now();
+    let remaining = TimeSpan::from_micros(request.remaining_us).as_duration();
+    let deadline = arrived + remaining.min(MAX_REMAINING);
+    for attempt in &request.attempts {
+        let Some(lane) = table.lane_for(attempt) else {
+            refuse(sender, attempt.sequence);
+            continue;
+        };
+        lane.offer(LaneAttempt {
+            request: target_request(request, attempt),
+            deadline,
+            arrived,
+            reply_to: sender.clone(),
+        });
+    }
+}
+
+fn target_request(request: &ScatterRequest, attempt: &ScatterAttempt) -> TargetRequest {
+    TargetRequest {
+        attempt: AttemptId {
+            origin: request.origin,
+            sequence: attempt.sequence,
+        },
+        service: request.service.clone(),
+        template: request.template.clone(),
+        snapshot: SnapshotId(request.snapshot),
+        shard: ShardId(attempt.shard),
+        version: IndexVersion(attempt.version),
+        remaining: TimeSpan::from_micros(request.remaining_us),
+        parameters: request.parameters.clone(),
+    }
+}
+
+fn refuse(sender: &FrameSender, sequence: u64) {
+    let reply = AttemptReply {
+        sequence,
+        status: ReplyStatus::from(AttemptOutcome::NotRun(NotRunReason::NoRoute)).into(),
+        ..AttemptReply::default()
+    };
+    let _entry_gone = sender.send(PeerMessage::Reply(reply));
+}
+
+fn cancel_attempts(table: &LaneTable, cancel: &CancelAttempts) {
+    for (_, lane) in table.all() {
+        for sequence in &cancel.sequences {
+            lane.cancel(cancel.origin, *sequence);
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-relay/src/settings.rs
@@ -0,0 +1,60 @@
+//! The settings of a relay.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
+use alderhaven_core::time::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+/// A `RelaySettings` is the content of a relay's settings file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// The relay's own id.
+    pub node: NodeId,
+    /// The host that the relay runs on.
+    pub host: HostId,
+    /// The failure domain of the host.
+    pub domain: FailureDomain,
+    /// The address for other processes of the system; port 0 takes a free one.
+    pub peer_listen: SocketAddr,
+    /// The address for operators (metrics, dump).
+    pub operator_listen: SocketAddr,
+    /// The platform's object API and host list.
+    pub platform: SocketAddr,
+    /// Peers to learn from at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The limits.
+    #[serde(default)]
+    pub limits: RelayLimits,
+    /// The least severe level that is logged.
+    #[serde(default = "default_log_level")]
+    pub log_level: log::LevelFilter,
+}
+
+/// A `RelayLimits` bounds what others can make the relay hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayLimits {
+    /// The most attempts that wait for one target.
+    pub queue_length: usize,
+    /// The most connections from entries.
+    pub peer_connections: usize,
+    /// The time within which a connection to a target is made.
+    pub connect_timeout: TimeSpan,
+}
+
+impl Default for RelayLimits {
+    fn default() -> Self {
+        Self {
+            queue_length: 256,
+            peer_connections: 1024,
+            connect_timeout: TimeSpan::from_millis(500),
+        }
+    }
+}
+
+const fn default_log_level() -> log::LevelFilter {
+    log::LevelFilter::Info
+}
