--- /dev/null
+++ b/alderhaven-core/src/program.rs
@@ -0,0 +1,80 @@
+//! What the long-running binaries share at their start: reading, checking and showing settings.
+
+use std::process::ExitCode;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::errors::Error;
+use crate::settings;
+
+/// The exit code for wrong settings or arguments.
+pub const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// A `CheckedSettings` is the content of a settings file that can check its own values.
+pub trait CheckedSettings: Serialize + DeserializeOwned {
+    /// Collects everything that is wrong with the values.
+    fn check(&self) -> Vec<Error>;
+}
+
+/// A `SettingsRequest` says what the command line wants done with the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SettingsRequest {
+    /// Run with them.
+    Run,
+    /// Check them and exit.
+    Check,
+    /// Print the effective values and exit.
+    Print,
+}
+
+impl SettingsRequest {
+    /// Gets the request from the two switches of a command line.
+    #[must_use]
+    pub const fn from_switches(check: bool, print: bool) -> Self {
+        if print {
+            Self::Print
+        } else if check {
+            Self::Check
+        } else {
+            Self::Run
+        }
+    }
+}
+
+/// Reads and checks the settings at `path`; returns them where the process is to run.
+///
+/// # Errors
+/// The exit code, after the result was printed: 0 for a good check, 2 for wrong settings.
+pub fn load<T: CheckedSettings>(path: &str, request: SettingsRequest) -> Result<T, ExitCode> {
+    let loaded: T = settings::read_file(path).map_err(|error| fail(&[error]))?;
+    let errors: Vec<Error> = loaded
+        .check()
+        .into_iter()
+        .map(|error| Error::file(path, error))
+        .collect();
+    if !errors.is_empty() {
+        return Err(fail(&errors));
+    }
+    match request {
+        SettingsRequest::Run => Ok(loaded),
+        SettingsRequest::Check => {
+            println!("{path}: the settings are good");
+            Err(ExitCode::SUCCESS)
+        }
+        SettingsRequest::Print => {
+            match serde_saphyr::to_string(&loaded) {
+                Ok(text) => println!("{text}"),
+                Err(error) => return Err(fail(&[Error::file(path, error)])),
+            }
+            Err(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn fail(errors: &[Error]) -> ExitCode {
+    for error in errors {
+        eprintln!("error: {error}");
+    }
+    ExitCode::from(EXIT_BAD_SETTINGS)
+}
--- a/alderhaven-platform/src/operator_server.rs
+++ b/alderhaven-platform/src/operator_server.rs
@@ -2,7 +2,7 @@
 //!
 //! | Call | Answer |
 //! |---|---|
-//! | `GET /metrics` | the metrics in the OpenMetrics text form |
+//! | `GET /metrics` | the metrics in the `OpenMetrics` text form |
 //! | `GET /debug/dump` | the whole state of the process as JSON |
 //! | `GET /debug/status` | a short form: node, role, incarnation, configuration in force |
 //! | `POST /drain` | starts the planned stop; 202 |
@@ -30,7 +30,7 @@
 pub const STATUS_PATH: &str = "/debug/status";
 /// The path that starts the planned stop.
 pub const DRAIN_PATH: &str = "/drain";
-/// The content type of the OpenMetrics text form.
+/// The content type of the `OpenMetrics` text form.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// The most connections from operators; a scraper and a few people need fewer.
 const MAX_CONNECTIONS: usize = 32;
@@ -39,7 +39,7 @@
 
 /// An `OperatorSource` is a process as operators see it.
 pub trait OperatorSource: Send + Sync + 'static {
-    /// Gets the metrics in the OpenMetrics text form.
+    /// Gets the metrics in the `OpenMetrics` text form.
     fn metrics(&self) -> String;
 
     /// Gets the whole state of the process.
