--- /dev/null
+++ b/alderhaven-standin/src/fake_store.rs
@@ -0,0 +1,357 @@
+//! The platform in memory: object API and host list with fault switches, for tests in process and
+//! behind the HTTP form alike.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::{HostId, StoreVersion};
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_platform::host_list::{HostListing, HostRecord, HostSource};
+use alderhaven_platform::object_store::{
+    ConditionalWrite, MAX_VALUE_BYTES, ObjectList, ObjectStore, StoreError, StoreResult,
+    WatchOutcome, WriteOutcome,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::object_table::ObjectTable;
+use crate::platform_faults::PlatformFaults;
+use crate::rate_gate::RateGate;
+
+/// The number of older host listings that are kept for the lag.
+const HOST_HISTORY: usize = 1_000;
+
+/// A `FakeStore` is a platform in memory; its clones share the same state.
+///
+/// Its clock is tokio's, so that a paused clock holds for it as well.
+#[derive(Clone, Debug)]
+pub struct FakeStore {
+    shared: Arc<StoreShared>,
+}
+
+#[derive(Debug)]
+struct StoreShared {
+    core: Mutex<StoreCore>,
+    changed: Notify,
+    started: Instant,
+}
+
+#[derive(Debug)]
+struct StoreCore {
+    table: ObjectTable,
+    faults: PlatformFaults,
+    reads: RateGate,
+    writes: RateGate,
+    held: Vec<ConditionalWrite>,
+    stale: Option<ObjectTable>,
+    hosts: BTreeMap<HostId, HostRecord>,
+    listings: Vec<(TimePoint, HostListing)>,
+    calls: CallCounts,
+}
+
+/// A `CallCounts` counts the calls of the object API, refused ones included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Lists and gets.
+    pub reads: u64,
+    /// Conditional writes.
+    pub writes: u64,
+    /// Watches, each waiting call as one.
+    pub watches: u64,
+    /// Calls that were above the rate.
+    pub throttled: u64,
+}
+
+/// A `WriteFate` says what a fault makes of a write.
+enum WriteFate {
+    Plain,
+    ReplyLost,
+    Dropped,
+    Held,
+}
+
+impl Default for FakeStore {
+    fn default() -> Self {
+        Self::new(ObjectTable::default())
+    }
+}
+
+impl FakeStore {
+    /// Returns a platform that holds `table`, without hosts and without faults.
+    #[must_use]
+    pub fn new(table: ObjectTable) -> Self {
+        let faults = PlatformFaults::default();
+        let core = StoreCore {
+            table,
+            reads: RateGate::new(faults.reads_per_second),
+            writes: RateGate::new(faults.writes_per_second),
+            faults,
+            held: Vec::new(),
+            stale: None,
+            hosts: BTreeMap::new(),
+            listings: Vec::new(),
+            calls: CallCounts::default(),
+        };
+        Self {
+            shared: Arc::new(StoreShared {
+                core: Mutex::new(core),
+                changed: Notify::new(),
+                started: Instant::now(),
+            }),
+        }
+    }
+
+    /// Replaces the whole set of fault switches.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        let mut core = self.lock();
+        core.reads = RateGate::new(faults.reads_per_second);
+        core.writes = RateGate::new(faults.writes_per_second);
+        core.stale = match (faults.stale_list, core.stale.take()) {
+            (false, _) => None,
+            (true, Some(table)) => Some(table),
+            (true, None) => Some(core.table.clone()),
+        };
+        core.faults = faults;
+        drop(core);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Gets the fault switches as they stand, counters counted down.
+    #[must_use]
+    pub fn faults(&self) -> PlatformFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Gets the counts of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> CallCounts {
+        self.lock().calls
+    }
+
+    /// Gets a copy of the objects.
+    #[must_use]
+    pub fn table(&self) -> ObjectTable {
+        self.lock().table.clone()
+    }
+
+    /// Puts `table` in place of the objects, as when the platform is restored from an old copy.
+    pub fn restore(&self, table: ObjectTable) {
+        self.lock().table = table;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Writes an object whatever its version, beside all faults and rates.
+    pub fn put(&self, key: ObjectKey, body: Option<String>) {
+        let mut core = self.lock();
+        let expected = core
+            .table
+            .get(&key)
+            .map_or(StoreVersion(0), |object| object.version);
+        let write = ConditionalWrite {
+            key,
+            expected,
+            write_id: uuid::Uuid::new_v4().to_string(),
+            body,
+        };
+        core.table.write(write);
+        drop(core);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Lets the held writes take effect in the order in which they came.
+    pub fn release_held(&self) {
+        let mut core = self.lock();
+        for write in std::mem::take(&mut core.held) {
+            core.table.write(write);
+        }
+        drop(core);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Adds a host to the list or replaces it.
+    pub fn put_host(&self, record: HostRecord) {
+        let now = self.now();
+        let mut core = self.lock();
+        core.hosts.insert(record.host.clone(), record);
+        core.keep_listing(now);
+    }
+
+    /// Takes a host from the list.
+    pub fn remove_host(&self, host: &HostId) {
+        let now = self.now();
+        let mut core = self.lock();
+        core.hosts.remove(host);
+        core.keep_listing(now);
+    }
+
+    fn now(&self) -> TimePoint {
+        TimePoint::START + TimeSpan::from(self.shared.started.elapsed())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreCore> {
+        self.shared
+            .core
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins a call: it waits as long as the API is slow, then the outage and the rate are asked.
+    async fn begin(&self, count: impl FnOnce(&mut CallCounts), is_write: bool) -> StoreResult<()> {
+        let delay = self.lock().faults.delay_ms;
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        let now = self.now();
+        let mut core = self.lock();
+        count(&mut core.calls);
+        core.admit(now, is_write)
+    }
+}
+
+impl StoreCore {
+    fn admit(&mut self, now: TimePoint, is_write: bool) -> StoreResult<()> {
+        if self.faults.outage {
+            return Err(StoreError::not_done("out of service"));
+        }
+        let gate = if is_write {
+            &mut self.writes
+        } else {
+            &mut self.reads
+        };
+        let admitted = gate.admit(now);
+        let wait = match (self.faults.throttle, admitted) {
+            (false, Ok(())) => return Ok(()),
+            (true, Ok(())) => TimeSpan::from_millis(100),
+            (_, Err(wait)) => wait,
+        };
+        self.calls.throttled += 1;
+        Err(StoreError::NotDone {
+            reason: "above the rate".to_owned(),
+            retry_after: Some(wait),
+        })
+    }
+
+    /// Takes the next write's fate from the counting switches.
+    const fn next_fate(&mut self) -> WriteFate {
+        if self.faults.lose_write_replies > 0 {
+            self.faults.lose_write_replies -= 1;
+            WriteFate::ReplyLost
+        } else if self.faults.drop_writes > 0 {
+            self.faults.drop_writes -= 1;
+            WriteFate::Dropped
+        } else if self.faults.hold_writes > 0 {
+            self.faults.hold_writes -= 1;
+            WriteFate::Held
+        } else {
+            WriteFate::Plain
+        }
+    }
+
+    fn keep_listing(&mut self, now: TimePoint) {
+        let revision = self
+            .listings
+            .last()
+            .map_or(0, |(_, listing)| listing.revision)
+            + 1;
+        let listing = HostListing {
+            revision,
+            hosts: self.hosts.values().cloned().collect(),
+        };
+        if self.listings.len() >= HOST_HISTORY {
+            self.listings.remove(0);
+        }
+        self.listings.push((now, listing));
+    }
+
+    /// Gets the listing that stood `host_lag_ms` ago.
+    fn lagging_listing(&self, now: TimePoint) -> HostListing {
+        let lag = TimeSpan::from_millis(self.faults.host_lag_ms);
+        self.listings
+            .iter()
+            .rev()
+            .find(|(kept, _)| now.since(*kept) >= lag)
+            .map(|(_, listing)| listing.clone())
+            .unwrap_or_default()
+    }
+}
+
+impl ObjectStore for FakeStore {
+    async fn list(&self, kinds: &[ObjectKind]) -> StoreResult<ObjectList> {
+        self.begin(|calls| calls.reads += 1, false).await?;
+        let core = self.lock();
+        Ok(core.stale.as_ref().unwrap_or(&core.table).list(kinds))
+    }
+
+    async fn get(&self, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
+        self.begin(|calls| calls.reads += 1, false).await?;
+        Ok(self.lock().table.get(key).cloned())
+    }
+
+    async fn write(&self, write: ConditionalWrite) -> StoreResult<WriteOutcome> {
+        if write
+            .body
+            .as_ref()
+            .is_some_and(|body| body.len() > MAX_VALUE_BYTES)
+        {
+            return Err(StoreError::not_done("the value is too large"));
+        }
+        self.begin(|calls| calls.writes += 1, true).await?;
+        let mut core = self.lock();
+        let outcome = match core.next_fate() {
+            WriteFate::Plain => Ok(core.table.write(write)),
+            WriteFate::ReplyLost => {
+                core.table.write(write);
+                Err(StoreError::unknown("the answer was lost"))
+            }
+            WriteFate::Dropped => Err(StoreError::unknown("the call was lost")),
+            WriteFate::Held => {
+                core.held.push(write);
+                Err(StoreError::unknown("the call is late"))
+            }
+        };
+        drop(core);
+        self.shared.changed.notify_waiters();
+        outcome
+    }
+
+    async fn watch(
+        &self,
+        kinds: &[ObjectKind],
+        after: StoreVersion,
+        wait: TimeSpan,
+    ) -> StoreResult<WatchOutcome> {
+        self.begin(|calls| calls.watches += 1, false).await?;
+        let end = Instant::now() + wait.as_duration();
+        loop {
+            // The notice is registered before the table is read, so that no change falls between.
+            let mut changed = std::pin::pin!(self.shared.changed.notified());
+            changed.as_mut().enable();
+            let outcome = {
+                let core = self.lock();
+                if core.faults.outage {
+                    return Err(StoreError::unknown("the watch was cut off"));
+                }
+                core.table.changes(kinds, after)
+            };
+            let is_empty =
+                matches!(&outcome, WatchOutcome::Changes(list) if list.objects.is_empty());
+            if !is_empty || tokio::time::timeout_at(end, changed).await.is_err() {
+                return Ok(outcome);
+            }
+        }
+    }
+}
+
+impl HostSource for FakeStore {
+    async fn hosts(&self) -> StoreResult<HostListing> {
+        let now = self.now();
+        let core = self.lock();
+        if core.faults.hosts_outage {
+            return Err(StoreError::not_done("the host list is out of service"));
+        }
+        Ok(core.lagging_listing(now))
+    }
+}
--- /dev/null
+++ b/alderhaven-standin/src/http_caller.rs
@@ -0,0 +1,50 @@
+//! One kept connection to an HTTP server on loopback, for tools and tests.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::header::HOST;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// An `HttpCaller` sends one request at a time over its connection.
+#[derive(Debug)]
+pub struct HttpCaller {
+    host: HeaderValue,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl HttpCaller {
+    /// Connects.
+    ///
+    /// # Errors
+    /// Where the server can't be reached.
+    pub async fn connect(server: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(server).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        // The connection's end shows in the next call.
+        tokio::spawn(connection);
+        Ok(Self {
+            host: HeaderValue::from_str(&server.to_string())?,
+            sender,
+        })
+    }
+
+    /// Sends a request and reads the whole reply.
+    ///
+    /// # Errors
+    /// Where the connection ends before the reply does.
+    pub async fn call(&mut self, mut request: Request<Full<Bytes>>) -> Result<Response<Bytes>> {
+        request.headers_mut().insert(HOST, self.host.clone());
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.wrap_err("the reply was broken off")?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
+    }
+}
--- a/alderhaven-standin/src/lib.rs
+++ b/alderhaven-standin/src/lib.rs
@@ -1,3 +1,26 @@
-//! The alderhaven standin.
+//! Small stand-ins for what lies outside of the system: the platform's object API with its host
+//! list, and targets.
+//!
+//! Tests, the quickstart and the load tool embed them ([`fake_store::FakeStore`],
+//! [`platform_server::PlatformServer`], [`target_fleet::TargetFleet`]); `alder-standin` runs them as
+//! processes of their own. Faults are switched on by method or over HTTP.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod attempt_head;
+pub mod fake_store;
+pub mod http_caller;
+pub mod http_server;
+pub mod object_set;
+pub mod object_table;
+pub mod platform_faults;
+pub mod platform_server;
+pub mod rate_gate;
+pub mod registration;
+pub mod rows;
+pub mod run_log;
+pub mod service_layout;
+pub mod service_time;
+pub mod target_fleet;
+pub mod target_server;
+pub mod target_state;
--- /dev/null
+++ b/alderhaven-standin/src/main.rs
@@ -0,0 +1,191 @@
+//! `alder-standin`: the stand-ins of platform and targets as processes.
+#![forbid(unsafe_code)]
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use alderhaven_core::errors::Error;
+use alderhaven_core::ids::SnapshotId;
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::settings;
+use alderhaven_standin::object_set::ObjectSet;
+use alderhaven_standin::platform_server::{PlatformOptions, PlatformServer};
+use alderhaven_standin::registration;
+use alderhaven_standin::service_layout::{DeploymentKind, ServiceLayout};
+use alderhaven_standin::target_fleet::{FleetOptions, TargetFleet};
+use argh::FromArgs;
+use eyre::{Result, bail};
+use serde::Serialize;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The exit code for arguments, files and addresses that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// Small stand-ins of the platform and of targets, for trials on loopback.
+#[derive(FromArgs)]
+struct StandinArgs {
+    #[argh(subcommand)]
+    command: StandinCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum StandinCommand {
+    Platform(PlatformArgs),
+    Targets(TargetArgs),
+}
+
+/// Serves the object API and the host list; prints one JSON line when ready.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformArgs {
+    /// the address to listen on (default 127.0.0.1:0, a free port)
+    #[argh(option, default = "loopback()")]
+    listen: SocketAddr,
+    /// a YAML or JSON file with `templates`, `teams` and `manifests` to hold from the start
+    #[argh(option)]
+    load: Vec<String>,
+}
+
+/// Runs targets; prints one JSON line with their manifests when ready.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "targets")]
+struct TargetArgs {
+    /// the services of a deployment: volta or lagerblik
+    #[argh(option)]
+    deployment: Option<DeploymentKind>,
+    /// a service as NAME=SHARDSxREPLICAS, beside or in place of a deployment
+    #[argh(option, from_str_fn(parse_service))]
+    service: Vec<ServiceLayout>,
+    /// a YAML file with a list of services
+    #[argh(option)]
+    layout: Option<String>,
+    /// the platform's address, to register manifests and hosts there
+    #[argh(option)]
+    platform: Option<SocketAddr>,
+    /// the address of the control calls (default 127.0.0.1:0, a free port)
+    #[argh(option, default = "loopback()")]
+    control: SocketAddr,
+    /// the seed of the run times (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+#[derive(Serialize)]
+struct PlatformReady {
+    ready: bool,
+    address: SocketAddr,
+}
+
+#[derive(Serialize)]
+struct TargetsReady {
+    ready: bool,
+    control: SocketAddr,
+    manifests: Vec<SnapshotManifest>,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn parse_service(text: &str) -> Result<ServiceLayout, String> {
+    let bad = || Error::parse("service", text, "NAME=SHARDSxREPLICAS").to_string();
+    let (name, counts) = text.split_once('=').ok_or_else(bad)?;
+    let (shards, replicas) = counts.split_once('x').ok_or_else(bad)?;
+    Ok(ServiceLayout {
+        service: name.parse().map_err(|error: Error| error.to_string())?,
+        shards: shards.parse().map_err(|_| bad())?,
+        replicas: replicas.parse().map_err(|_| bad())?,
+        ..ServiceLayout::default()
+    })
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: StandinArgs = argh::from_env();
+    let result = match args.command {
+        StandinCommand::Platform(args) => run_platform(args).await,
+        StandinCommand::Targets(args) => run_targets(args).await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            print_error(&error);
+            ExitCode::from(BAD_SETTINGS)
+        }
+    }
+}
+
+async fn run_platform(args: PlatformArgs) -> Result<()> {
+    let mut objects = Vec::new();
+    for path in &args.load {
+        objects.push(ObjectSet::read(path)?);
+    }
+    let options = PlatformOptions {
+        listen: args.listen,
+        objects,
+        ..PlatformOptions::default()
+    };
+    let platform = PlatformServer::start(options).await?;
+    print_line(&PlatformReady {
+        ready: true,
+        address: platform.address(),
+    })?;
+    wait_for_stop().await?;
+    platform.stop().await;
+    Ok(())
+}
+
+async fn run_targets(args: TargetArgs) -> Result<()> {
+    let mut services = args.service;
+    if let Some(path) = &args.layout {
+        services.extend(settings::read_file::<Vec<ServiceLayout>>(path)?);
+    }
+    if let Some(deployment) = args.deployment {
+        services.extend(deployment.layouts());
+    }
+    if services.is_empty() {
+        bail!("no service is given: use --deployment, --service or --layout");
+    }
+    let fleet = TargetFleet::start(FleetOptions {
+        services,
+        seed: args.seed,
+        control: args.control,
+    })
+    .await?;
+    let manifests = match args.platform {
+        Some(platform) => registration::register(&fleet, platform).await?,
+        None => fleet.manifests(SnapshotId(1)),
+    };
+    print_line(&TargetsReady {
+        ready: true,
+        control: fleet.control_address(),
+        manifests,
+    })?;
+    wait_for_stop().await?;
+    fleet.stop().await;
+    Ok(())
+}
+
+#[expect(
+    clippy::print_stdout,
+    reason = "the ready line is the command's output"
+)]
+fn print_line(line: &impl Serialize) -> Result<()> {
+    println!("{}", serde_json::to_string(line)?);
+    Ok(())
+}
+
+#[expect(clippy::print_stderr, reason = "the error is the command's output")]
+fn print_error(error: &eyre::Report) {
+    eprintln!("alder-standin: {error:#}");
+}
+
+async fn wait_for_stop() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/alderhaven-standin/src/object_set.rs
@@ -0,0 +1,61 @@
+//! Files with objects that the platform's stand-in holds from its start.
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::errors::{Error, Result};
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::settings;
+use alderhaven_core::team::TeamPolicy;
+use alderhaven_core::template::QueryTemplate;
+use serde::{Deserialize, Serialize};
+
+/// An `ObjectSet` is the content of one file, in YAML or JSON.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ObjectSet {
+    /// The templates.
+    pub templates: Vec<QueryTemplate>,
+    /// The teams.
+    pub teams: Vec<TeamPolicy>,
+    /// The manifests.
+    pub manifests: Vec<SnapshotManifest>,
+}
+
+impl ObjectSet {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// `Error::File` where it can't be read or has unknown content.
+    pub fn read(path: &str) -> Result<Self> {
+        settings::read_file(path)
+    }
+
+    /// Gets the keys and the JSON texts of all objects.
+    ///
+    /// # Errors
+    /// `Error::Invalid` where an object has no JSON form.
+    pub fn objects(&self) -> Result<Vec<(ObjectKey, String)>> {
+        let templates = self
+            .templates
+            .iter()
+            .map(|template| object(ObjectKind::Template, template.name.as_str(), template));
+        let teams = self
+            .teams
+            .iter()
+            .map(|team| object(ObjectKind::Team, team.name.as_str(), team));
+        let manifests = self
+            .manifests
+            .iter()
+            .map(|manifest| object(ObjectKind::Manifest, manifest.service.as_str(), manifest));
+        templates.chain(teams).chain(manifests).collect()
+    }
+}
+
+fn object(kind: ObjectKind, name: &str, content: &impl Serialize) -> Result<(ObjectKey, String)> {
+    let key = ObjectKey {
+        kind,
+        name: name.to_owned(),
+    };
+    let body = serde_json::to_string(content)
+        .map_err(|error| Error::invalid(key.to_string(), error.to_string()))?;
+    Ok((key, body))
+}
--- /dev/null
+++ b/alderhaven-standin/src/object_table.rs
@@ -0,0 +1,114 @@
+//! The state of the platform's object API: revisions, conditional updates, tombstones and history.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_platform::object_store::{ConditionalWrite, ObjectList, WatchOutcome, WriteOutcome};
+
+/// The number of revisions that a watch may lag behind before it has to list again.
+pub const DEFAULT_HISTORY: u64 = 10_000;
+
+/// An `ObjectTable` holds the objects, without network, clock or faults.
+#[derive(Clone, Debug)]
+pub struct ObjectTable {
+    objects: BTreeMap<ObjectKey, StoredObject>,
+    revision: StoreVersion,
+    history: u64,
+}
+
+impl Default for ObjectTable {
+    fn default() -> Self {
+        Self::new(DEFAULT_HISTORY)
+    }
+}
+
+impl ObjectTable {
+    /// Returns an empty table that remembers the last `history` revisions for watches.
+    #[must_use]
+    pub const fn new(history: u64) -> Self {
+        Self {
+            objects: BTreeMap::new(),
+            revision: StoreVersion(0),
+            history,
+        }
+    }
+
+    /// Gets the revision of the last write.
+    #[must_use]
+    pub const fn revision(&self) -> StoreVersion {
+        self.revision
+    }
+
+    /// Lists the objects of the kinds, without tombstones.
+    #[must_use]
+    pub fn list(&self, kinds: &[ObjectKind]) -> ObjectList {
+        let objects = self
+            .of_kinds(kinds)
+            .filter(|object| object.body.is_some())
+            .cloned()
+            .collect();
+        ObjectList {
+            revision: self.revision,
+            objects,
+        }
+    }
+
+    /// Gets an object or its tombstone.
+    #[must_use]
+    pub fn get(&self, key: &ObjectKey) -> Option<&StoredObject> {
+        self.objects.get(key)
+    }
+
+    /// Writes or deletes an object if it still has the expected version.
+    pub fn write(&mut self, write: ConditionalWrite) -> WriteOutcome {
+        let current = self.objects.get(&write.key);
+        let is_expected = match current {
+            None => write.expected == StoreVersion(0),
+            Some(object) if object.body.is_none() => {
+                write.expected == StoreVersion(0) || write.expected == object.version
+            }
+            Some(object) => write.expected == object.version,
+        };
+        if !is_expected {
+            return WriteOutcome::Conflict(current.cloned());
+        }
+        self.revision.0 += 1;
+        let object = StoredObject {
+            key: write.key.clone(),
+            version: self.revision,
+            write_id: write.write_id,
+            body: write.body,
+        };
+        self.objects.insert(write.key, object);
+        WriteOutcome::Written(self.revision)
+    }
+
+    /// Gets what changed after a revision, in the order of versions, tombstones included.
+    ///
+    /// A revision that is older than the history, or that this table never reached (it was
+    /// restored from an older copy), is a gap.
+    #[must_use]
+    pub fn changes(&self, kinds: &[ObjectKind], after: StoreVersion) -> WatchOutcome {
+        let oldest = self.revision.0.saturating_sub(self.history);
+        if after.0 < oldest || after > self.revision {
+            return WatchOutcome::Gap;
+        }
+        let mut objects: Vec<StoredObject> = self
+            .of_kinds(kinds)
+            .filter(|object| object.version > after)
+            .cloned()
+            .collect();
+        objects.sort_by_key(|object| object.version);
+        WatchOutcome::Changes(ObjectList {
+            revision: self.revision,
+            objects,
+        })
+    }
+
+    fn of_kinds(&self, kinds: &[ObjectKind]) -> impl Iterator<Item = &StoredObject> {
+        self.objects
+            .values()
+            .filter(|object| kinds.contains(&object.key.kind))
+    }
+}
--- /dev/null
+++ b/alderhaven-standin/src/platform_server.rs
@@ -0,0 +1,304 @@
+//! The platform's stand-in over HTTP, as `alderhaven_platform::object_store` and `host_list`
+//! describe it.
+//!
+//! Besides these calls it has, for tests: `PUT` and `DELETE /hosts/{host}`, `GET` and
+//! `POST /faults` ([`PlatformFaults`]), `POST /release` (the held writes take effect) and
+//! `GET /calls` (counts of calls).
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::ids::{HostId, StoreVersion};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::host_list::{HostRecord, HostSource};
+use alderhaven_platform::object_store::{
+    ConditionalWrite, IF_VERSION_HEADER, ObjectStore, RETRY_AFTER_MS_HEADER, StoreError,
+    WRITE_ID_HEADER, WatchOutcome, WriteOutcome,
+};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
+
+use crate::fake_store::FakeStore;
+use crate::http_server::{
+    BodyRefusal, ConnectionCut, HttpReply, ServerHandle, json_reply, query_value, read_body,
+    text_reply,
+};
+use crate::object_set::ObjectSet;
+use crate::platform_faults::PlatformFaults;
+
+/// The longest time that a watch waits.
+const MAX_WATCH_WAIT: TimeSpan = TimeSpan::from_secs(30);
+
+/// A `PlatformOptions` says where the server listens and what it holds from the start.
+#[derive(Clone, Debug)]
+pub struct PlatformOptions {
+    /// The address to listen on; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// The objects to hold.
+    pub objects: Vec<ObjectSet>,
+    /// The store to serve.
+    pub store: FakeStore,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            objects: Vec::new(),
+            store: FakeStore::default(),
+        }
+    }
+}
+
+/// A `PlatformServer` serves a [`FakeStore`] over HTTP.
+#[derive(Debug)]
+pub struct PlatformServer {
+    store: FakeStore,
+    server: ServerHandle,
+    closing: CancellationToken,
+}
+
+/// A `CallEnd` says how a call ends where it has no result to show.
+enum CallEnd {
+    Reply(Box<HttpReply>),
+    Cut,
+}
+
+impl From<HttpReply> for CallEnd {
+    fn from(reply: HttpReply) -> Self {
+        Self::Reply(Box::new(reply))
+    }
+}
+
+impl From<BodyRefusal> for CallEnd {
+    fn from(refusal: BodyRefusal) -> Self {
+        refusal.reply().into()
+    }
+}
+
+impl From<StoreError> for CallEnd {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::Unknown { .. } => Self::Cut,
+            StoreError::NotDone {
+                reason,
+                retry_after: None,
+            } => text_reply(StatusCode::SERVICE_UNAVAILABLE, reason).into(),
+            StoreError::NotDone {
+                reason,
+                retry_after: Some(wait),
+            } => {
+                let mut reply = text_reply(StatusCode::TOO_MANY_REQUESTS, reason);
+                let millis = HeaderValue::from(wait.as_micros().div_ceil(1_000));
+                reply.headers_mut().insert(RETRY_AFTER_MS_HEADER, millis);
+                reply.into()
+            }
+        }
+    }
+}
+
+type CallResult = Result<HttpReply, CallEnd>;
+
+impl PlatformServer {
+    /// Starts the server.
+    ///
+    /// # Errors
+    /// The operating system's error where the address can't be bound, and `InvalidData` for an
+    /// object without a JSON form.
+    pub async fn start(options: PlatformOptions) -> io::Result<Self> {
+        let store = options.store;
+        for set in &options.objects {
+            let objects = set
+                .objects()
+                .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+            for (key, body) in objects {
+                store.put(key, Some(body));
+            }
+        }
+        let shared = store.clone();
+        let closing = CancellationToken::new();
+        let closed = closing.clone();
+        let server = ServerHandle::start(options.listen, move |request| {
+            let store = shared.clone();
+            let closed = closed.clone();
+            async move {
+                let result = tokio::select! {
+                    result = handle(&store, request) => result,
+                    () = closed.cancelled() => Err(CallEnd::Cut),
+                };
+                match result {
+                    Ok(reply) => Ok(reply),
+                    Err(CallEnd::Reply(reply)) => Ok(*reply),
+                    Err(CallEnd::Cut) => Err(ConnectionCut),
+                }
+            }
+        })
+        .await?;
+        Ok(Self {
+            store,
+            server,
+            closing,
+        })
+    }
+
+    /// Gets the bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Gets the store behind the server, for faults and direct writes.
+    #[must_use]
+    pub const fn store(&self) -> &FakeStore {
+        &self.store
+    }
+
+    /// Stops the server; waiting watches and other calls in flight are cut off.
+    pub async fn stop(&self) {
+        self.closing.cancel();
+        self.server.stop().await;
+    }
+}
+
+async fn handle(store: &FakeStore, request: Request<Incoming>) -> CallResult {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    match (&parts.method, segments.as_slice()) {
+        (&Method::GET, ["objects"]) => list(store, &parts).await,
+        (&Method::GET, ["objects", kind, name]) => get(store, &object_key(kind, name)?).await,
+        (&Method::PUT, ["objects", kind, name]) => {
+            let body = read_text(body).await?;
+            write(store, &parts.headers, object_key(kind, name)?, Some(body)).await
+        }
+        (&Method::DELETE, ["objects", kind, name]) => {
+            write(store, &parts.headers, object_key(kind, name)?, None).await
+        }
+        (&Method::GET, ["watch"]) => watch(store, &parts).await,
+        (&Method::GET, ["hosts"]) => Ok(json_reply(StatusCode::OK, &store.hosts().await?)),
+        (&Method::PUT, ["hosts", _]) => {
+            let record: HostRecord = read_json(body).await?;
+            store.put_host(record);
+            Ok(text_reply(StatusCode::OK, ""))
+        }
+        (&Method::DELETE, ["hosts", host]) => {
+            let host: HostId = host.parse().map_err(bad_request)?;
+            store.remove_host(&host);
+            Ok(text_reply(StatusCode::OK, ""))
+        }
+        (&Method::GET, ["faults"]) => Ok(json_reply(StatusCode::OK, &store.faults())),
+        (&Method::POST, ["faults"]) => {
+            let faults: PlatformFaults = read_json(body).await?;
+            store.set_faults(faults);
+            Ok(json_reply(StatusCode::OK, &store.faults()))
+        }
+        (&Method::POST, ["release"]) => {
+            store.release_held();
+            Ok(text_reply(StatusCode::OK, ""))
+        }
+        (&Method::GET, ["calls"]) => Ok(json_reply(StatusCode::OK, &store.calls())),
+        _ => Ok(text_reply(StatusCode::NOT_FOUND, "no such call")),
+    }
+}
+
+async fn list(store: &FakeStore, parts: &Parts) -> CallResult {
+    let list = store.list(&kinds_of(parts)?).await?;
+    Ok(json_reply(StatusCode::OK, &list))
+}
+
+async fn get(store: &FakeStore, key: &ObjectKey) -> CallResult {
+    Ok(store.get(key).await?.map_or_else(
+        || text_reply(StatusCode::NOT_FOUND, "never written"),
+        |object| json_reply(StatusCode::OK, &object),
+    ))
+}
+
+async fn write(
+    store: &FakeStore,
+    headers: &HeaderMap,
+    key: ObjectKey,
+    body: Option<String>,
+) -> CallResult {
+    let write = ConditionalWrite {
+        expected: StoreVersion(header_number(headers, IF_VERSION_HEADER)?),
+        write_id: header_text(headers, WRITE_ID_HEADER)?.to_owned(),
+        key,
+        body,
+    };
+    let mut written = alderhaven_core::config_object::StoredObject {
+        key: write.key.clone(),
+        version: write.expected,
+        write_id: write.write_id.clone(),
+        body: write.body.clone(),
+    };
+    match store.write(write).await? {
+        WriteOutcome::Written(version) => {
+            written.version = version;
+            Ok(json_reply(StatusCode::OK, &written))
+        }
+        WriteOutcome::Conflict(current) => Ok(json_reply(StatusCode::CONFLICT, &current)),
+    }
+}
+
+async fn watch(store: &FakeStore, parts: &Parts) -> CallResult {
+    let kinds = kinds_of(parts)?;
+    let after = StoreVersion(query_number(parts, "after")?);
+    let wait = TimeSpan::from_millis(query_number(parts, "wait_ms")?).min(MAX_WATCH_WAIT);
+    match store.watch(&kinds, after, wait).await? {
+        WatchOutcome::Changes(list) => Ok(json_reply(StatusCode::OK, &list)),
+        WatchOutcome::Gap => Ok(text_reply(StatusCode::GONE, "list again")),
+    }
+}
+
+fn kinds_of(parts: &Parts) -> Result<Vec<ObjectKind>, CallEnd> {
+    query_value(parts.uri.query(), "kinds")
+        .unwrap_or_default()
+        .split(',')
+        .map(|kind| kind.parse().map_err(bad_request))
+        .collect()
+}
+
+fn query_number(parts: &Parts, name: &str) -> Result<u64, CallEnd> {
+    query_value(parts.uri.query(), name)
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| bad_request(format!("`{name}` must be a whole number")))
+}
+
+fn object_key(kind: &str, name: &str) -> Result<ObjectKey, CallEnd> {
+    // Objects are named like hosts: the same characters, the same length.
+    let name: HostId = name.parse().map_err(bad_request)?;
+    Ok(ObjectKey {
+        kind: kind.parse().map_err(bad_request)?,
+        name: name.to_string(),
+    })
+}
+
+fn header_text<'h>(headers: &'h HeaderMap, name: &str) -> Result<&'h str, CallEnd> {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .ok_or_else(|| bad_request(format!("header `{name}` is required")))
+}
+
+fn header_number(headers: &HeaderMap, name: &str) -> Result<u64, CallEnd> {
+    header_text(headers, name)?
+        .parse()
+        .map_err(|_| bad_request(format!("header `{name}` must be a whole number")))
+}
+
+async fn read_text(body: Incoming) -> Result<String, CallEnd> {
+    let bytes = read_body(body).await?;
+    String::from_utf8(bytes.to_vec()).map_err(bad_request)
+}
+
+async fn read_json<T: serde::de::DeserializeOwned>(body: Incoming) -> Result<T, CallEnd> {
+    let bytes = read_body(body).await?;
+    serde_json::from_slice(&bytes).map_err(bad_request)
+}
+
+fn bad_request(reason: impl std::fmt::Display) -> CallEnd {
+    text_reply(StatusCode::BAD_REQUEST, reason.to_string()).into()
+}
--- /dev/null
+++ b/alderhaven-standin/src/registration.rs
@@ -0,0 +1,83 @@
+//! Writing a fleet's manifests and hosts into the platform's stand-in over HTTP.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::config_object::{ObjectKind, StoredObject};
+use alderhaven_core::ids::SnapshotId;
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_platform::object_store::{IF_VERSION_HEADER, WRITE_ID_HEADER};
+use bytes::Bytes;
+use eyre::{Result, WrapErr, bail};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+
+use crate::http_caller::HttpCaller;
+use crate::target_fleet::TargetFleet;
+
+/// Registers the fleet, and gets the manifests as they were written.
+///
+/// A manifest that the platform holds already is followed by a higher snapshot.
+///
+/// # Errors
+/// Where the platform can't be reached or refuses a write.
+pub async fn register(fleet: &TargetFleet, platform: SocketAddr) -> Result<Vec<SnapshotManifest>> {
+    let mut caller = HttpCaller::connect(platform)
+        .await
+        .wrap_err_with(|| format!("can't reach the platform at {platform}"))?;
+    let mut written = Vec::new();
+    for manifest in fleet.manifests(SnapshotId(1)) {
+        written.push(put_manifest(&mut caller, manifest).await?);
+    }
+    for host in fleet.hosts() {
+        let path = format!("/hosts/{}", host.host);
+        let body = serde_json::to_vec(&host)?;
+        call(&mut caller, Method::PUT, &path, 0, body).await?;
+    }
+    Ok(written)
+}
+
+async fn put_manifest(
+    caller: &mut HttpCaller,
+    mut manifest: SnapshotManifest,
+) -> Result<SnapshotManifest> {
+    let path = format!("/objects/{}/{}", ObjectKind::Manifest, manifest.service);
+    let (status, body) = call(caller, Method::GET, &path, 0, Vec::new()).await?;
+    let mut expected = 0;
+    if status == StatusCode::OK {
+        let stored: StoredObject = serde_json::from_slice(&body)?;
+        expected = stored.version.0;
+        if let Some(text) = stored.body {
+            let current: SnapshotManifest = serde_json::from_str(&text)?;
+            manifest.snapshot = SnapshotId(current.snapshot.0 + 1);
+        }
+    }
+    let body = serde_json::to_vec(&manifest)?;
+    let (status, _) = call(caller, Method::PUT, &path, expected, body).await?;
+    if status == StatusCode::CONFLICT {
+        bail!("another writer changed {path} at the same time");
+    }
+    Ok(manifest)
+}
+
+/// Makes a call; a status other than 200, 404 and 409 is an error.
+async fn call(
+    caller: &mut HttpCaller,
+    method: Method,
+    path: &str,
+    expected: u64,
+    body: Vec<u8>,
+) -> Result<(StatusCode, Bytes)> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(IF_VERSION_HEADER, expected)
+        .header(WRITE_ID_HEADER, uuid::Uuid::new_v4().to_string())
+        .body(Full::new(Bytes::from(body)))?;
+    let response = caller.call(request).await?;
+    match response.status() {
+        status @ (StatusCode::OK | StatusCode::NOT_FOUND | StatusCode::CONFLICT) => {
+            Ok((status, response.into_body()))
+        }
+        status => bail!("the platform answered {path} with {status}"),
+    }
+}
--- /dev/null
+++ b/alderhaven-standin/src/service_layout.rs
@@ -0,0 +1,177 @@
+//! The services that a fleet of targets serves, and the two deployments of today.
+
+use std::fmt;
+use std::str::FromStr;
+
+use alderhaven_core::errors::{Error, Result};
+use alderhaven_core::ids::{FailureDomain, IndexVersion, ServiceName, ShardId, TargetId};
+use alderhaven_core::time::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+use crate::service_time::ServiceTime;
+
+/// The number of key ranges that decimal keys are cut into.
+const KEY_SPACE: u32 = 10_000;
+
+/// A `ServiceLayout` says how a service is spread over targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceLayout {
+    /// The service.
+    pub service: ServiceName,
+    /// The number of shards.
+    pub shards: u32,
+    /// The number of targets that hold each shard.
+    pub replicas: u32,
+    /// The attempts that a target runs at a time.
+    pub slots: u32,
+    /// The connections that a target takes.
+    pub connections: u32,
+    /// The attempts that a target lets wait for a slot before it sheds.
+    pub queue: u32,
+    /// What a new connection costs before its first reply.
+    pub connect_cost: TimeSpan,
+    /// The failure domains, over which the replicas of a shard are spread.
+    pub domains: Vec<FailureDomain>,
+    /// The index version of each shard.
+    pub version: IndexVersion,
+    /// How long a run takes.
+    pub service_time: ServiceTime,
+}
+
+/// A `DeploymentKind` is one of the two deployments of today.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DeploymentKind {
+    /// Volta Standard Numbering.
+    Volta,
+    /// Lagerblik.
+    Lagerblik,
+}
+
+impl FromStr for DeploymentKind {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "volta" => Ok(Self::Volta),
+            "lagerblik" => Ok(Self::Lagerblik),
+            _ => Err(Error::parse("deployment", text, "volta or lagerblik")),
+        }
+    }
+}
+
+impl fmt::Display for DeploymentKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Volta => "volta",
+            Self::Lagerblik => "lagerblik",
+        })
+    }
+}
+
+impl Default for ServiceLayout {
+    fn default() -> Self {
+        sized("sample", (4, 2, 2, 25, 6), &["domain-1", "domain-2"])
+    }
+}
+
+impl DeploymentKind {
+    /// Gets the layouts of the deployment's services; an instance is a shard, a server a replica.
+    #[must_use]
+    pub fn layouts(self) -> Vec<ServiceLayout> {
+        const VOLTA: [&str; 4] = ["accra-1", "accra-2", "accra-3", "accra-4"];
+        const LAGERBLIK: [&str; 3] = ["sjaelland-1", "sjaelland-2", "sjaelland-3"];
+        match self {
+            Self::Volta => vec![
+                sized("assignment-desk", (20, 2, 2, 25, 6), &VOLTA),
+                sized("trade-portal", (30, 2, 2, 25, 6), &VOLTA),
+                sized("record-view", (1, 4, 4, 100, 1), &VOLTA),
+                sized("billing-ledger", (1, 4, 4, 100, 1), &VOLTA),
+            ],
+            Self::Lagerblik => vec![
+                sized("shortage-desk", (20, 2, 2, 25, 6), &LAGERBLIK),
+                sized("stock-intake", (30, 2, 2, 25, 6), &LAGERBLIK),
+                sized("inspector-lookup", (1, 10, 3, 40, 1), &LAGERBLIK),
+                sized("monthly-statistics", (1, 5, 3, 40, 1), &LAGERBLIK),
+            ],
+        }
+    }
+}
+
+/// Returns a layout of shards, replicas, slots, connections and milliseconds a new connection.
+fn sized(service: &str, sizes: (u32, u32, u32, u32, u64), domains: &[&str]) -> ServiceLayout {
+    let (shards, replicas, slots, connections, connect_ms) = sizes;
+    ServiceLayout {
+        service: literal(service),
+        shards,
+        replicas,
+        slots,
+        connections,
+        queue: 2 * slots,
+        connect_cost: TimeSpan::from_millis(connect_ms),
+        domains: domains.iter().copied().map(literal).collect(),
+        version: IndexVersion(1),
+        service_time: ServiceTime::default(),
+    }
+}
+
+impl ServiceLayout {
+    /// Gets the target of a shard's replica.
+    ///
+    /// # Errors
+    /// `Error::Parse` where the name becomes too long.
+    pub fn target(&self, shard: u32, replica: u32) -> Result<TargetId> {
+        format!("{}-{shard}-{replica}", self.service).parse()
+    }
+
+    /// Gets the failure domain of a shard's replica.
+    #[must_use]
+    pub fn domain(&self, shard: u32, replica: u32) -> FailureDomain {
+        let position = (shard + replica) as usize % self.domains.len().max(1);
+        self.domains
+            .get(position)
+            .cloned()
+            .unwrap_or_else(|| literal("domain-1"))
+    }
+
+    /// Gets the least key of a shard: decimal keys are spread evenly.
+    #[must_use]
+    pub fn first_key(&self, shard: ShardId) -> String {
+        if shard.0 == 0 {
+            return String::new();
+        }
+        format!("{:04}", shard.0 * KEY_SPACE / self.shards.max(1))
+    }
+
+    /// Checks the layout.
+    ///
+    /// # Errors
+    /// `Error::Invalid` for a count that is zero or too large.
+    pub fn check(&self) -> Result<()> {
+        let counts = [
+            ("shards", self.shards, alderhaven_core::manifest::MAX_SHARDS),
+            ("replicas", self.replicas, 64),
+            ("slots", self.slots, 1_000),
+            ("connections", self.connections, 10_000),
+        ];
+        for (field, count, most) in counts {
+            if count == 0 || count as usize > most {
+                return Err(Error::invalid(
+                    format!("{}.{field}", self.service),
+                    format!("{count} is refused: allowed is 1 to {most}"),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads a name that stands in this file.
+fn literal<T: FromStr>(text: &str) -> T
+where
+    T::Err: fmt::Debug,
+{
+    text.parse()
+        .expect("the names in this file follow the rule for names")
+}
--- /dev/null
+++ b/alderhaven-standin/src/target_state.rs
@@ -0,0 +1,272 @@
+//! What a target does with an attempt: slots, a short queue, shedding, runs and cancellation.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::ids::{
+    AttemptId, FailureDomain, IndexVersion, ServiceName, ShardId, TargetId,
+};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::dialect;
+use http::StatusCode;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::attempt_head::{AttemptHead, not_run_reply, set_header};
+use crate::http_server::{HttpReply, json_reply, text_reply};
+use crate::rows;
+use crate::run_log::{RunEnd, RunLog, RunRecord};
+use crate::service_time::ServiceTime;
+
+/// A `TargetSpec` is what a target is.
+#[derive(Clone, Debug)]
+pub struct TargetSpec {
+    /// The target.
+    pub target: TargetId,
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// The service.
+    pub service: ServiceName,
+    /// The shard.
+    pub shard: ShardId,
+    /// The index version that it holds.
+    pub version: IndexVersion,
+    /// The attempts that it runs at a time.
+    pub slots: u32,
+    /// The connections that it takes.
+    pub connections: u32,
+    /// The attempts that it lets wait for a slot.
+    pub queue: u32,
+    /// What a new connection costs before its first reply.
+    pub connect_cost: TimeSpan,
+    /// How long a run takes.
+    pub service_time: ServiceTime,
+    /// The seed of the run times.
+    pub seed: u64,
+}
+
+/// A `TargetFaults` is the set of fault switches of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetFaults {
+    /// The factor by which each run is slower.
+    pub slow_factor: f64,
+    /// The target refuses attempts because it drains.
+    pub draining: bool,
+    /// The target sheds every attempt.
+    pub shedding: bool,
+}
+
+impl Default for TargetFaults {
+    fn default() -> Self {
+        Self {
+            slow_factor: 1.0,
+            draining: false,
+            shedding: false,
+        }
+    }
+}
+
+/// A `TargetState` runs the attempts of one target, whatever connection they come by.
+#[derive(Debug)]
+pub struct TargetState {
+    spec: TargetSpec,
+    slots: Semaphore,
+    waiting: AtomicU32,
+    rng: Mutex<StdRng>,
+    faults: Mutex<TargetFaults>,
+    cancels: Mutex<HashMap<AttemptId, CancellationToken>>,
+    runs: Arc<RunLog>,
+}
+
+impl TargetState {
+    /// Returns an idle target.
+    #[must_use]
+    pub fn new(spec: TargetSpec, runs: Arc<RunLog>) -> Self {
+        Self {
+            slots: Semaphore::new(spec.slots as usize),
+            waiting: AtomicU32::new(0),
+            rng: Mutex::new(StdRng::seed_from_u64(spec.seed)),
+            faults: Mutex::default(),
+            cancels: Mutex::default(),
+            runs,
+            spec,
+        }
+    }
+
+    /// Gets what the target is.
+    #[must_use]
+    pub const fn spec(&self) -> &TargetSpec {
+        &self.spec
+    }
+
+    /// Gets the fault switches.
+    #[must_use]
+    pub fn faults(&self) -> TargetFaults {
+        *lock(&self.faults)
+    }
+
+    /// Replaces the fault switches.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Drops an attempt, whether it waits or runs; returns false where it is not known.
+    pub fn cancel(&self, attempt: AttemptId) -> bool {
+        let cancel = lock(&self.cancels).get(&attempt).cloned();
+        cancel.as_ref().inspect(|token| token.cancel()).is_some()
+    }
+
+    /// Runs or refuses an attempt.
+    pub async fn query(&self, head: &AttemptHead, parameters: String) -> HttpReply {
+        let mut reply = match self.refusal(head) {
+            Some(refusal) => refusal,
+            None => self.admit(head, parameters).await,
+        };
+        head.echo(&mut reply);
+        set_header(
+            &mut reply,
+            dialect::FREE_SLOTS_HEADER,
+            self.slots.available_permits(),
+        );
+        if self.faults().draining {
+            set_header(&mut reply, dialect::DRAINING_HEADER, "true");
+        }
+        reply
+    }
+
+    fn refusal(&self, head: &AttemptHead) -> Option<HttpReply> {
+        let faults = self.faults();
+        if faults.draining || faults.shedding {
+            let reason = if faults.draining { "draining" } else { "shed" };
+            return Some(not_run_reply(StatusCode::SERVICE_UNAVAILABLE, reason));
+        }
+        if head.service != self.spec.service || head.shard != self.spec.shard {
+            return Some(text_reply(StatusCode::NOT_FOUND, "not held here"));
+        }
+        if head.version != self.spec.version {
+            return Some(not_run_reply(StatusCode::GONE, "the version is gone"));
+        }
+        None
+    }
+
+    async fn admit(&self, head: &AttemptHead, parameters: String) -> HttpReply {
+        let end = Instant::now() + head.remaining.as_duration();
+        let cancel = CancelGuard::new(&self.cancels, head.attempt);
+        let slot = tokio::select! {
+            slot = self.take_slot() => slot,
+            () = cancel.token.cancelled() => None,
+            () = tokio::time::sleep_until(end) => None,
+        };
+        match slot {
+            Some(_slot) => self.run(head, parameters, end, &cancel.token).await,
+            None => not_run_reply(StatusCode::SERVICE_UNAVAILABLE, "shed"),
+        }
+    }
+
+    /// Waits for a slot; none where the queue is full.
+    async fn take_slot(&self) -> Option<SemaphorePermit<'_>> {
+        if let Ok(slot) = self.slots.try_acquire() {
+            return Some(slot);
+        }
+        let _place = QueuePlace::take(&self.waiting, self.spec.queue)?;
+        self.slots.acquire().await.ok()
+    }
+
+    async fn run(
+        &self,
+        head: &AttemptHead,
+        parameters: String,
+        end: Instant,
+        cancel: &CancellationToken,
+    ) -> HttpReply {
+        let guard = self.runs.begin(self.record(head, &parameters));
+        let span = self
+            .spec
+            .service_time
+            .draw(&head.template, &mut *lock(&self.rng))
+            .mul_f64(self.faults().slow_factor);
+        tokio::select! {
+            () = tokio::time::sleep(span.as_duration()) => {
+                guard.finish(RunEnd::Answered);
+                let rows = rows::rows_for(&head.service, head.shard, head.version, &parameters);
+                json_reply(StatusCode::OK, &rows)
+            }
+            () = cancel.cancelled() => {
+                guard.finish(RunEnd::Cancelled);
+                text_reply(StatusCode::INTERNAL_SERVER_ERROR, "cancelled")
+            }
+            () = tokio::time::sleep_until(end) => {
+                guard.finish(RunEnd::Expired);
+                text_reply(StatusCode::GATEWAY_TIMEOUT, "the deadline passed")
+            }
+        }
+    }
+
+    fn record(&self, head: &AttemptHead, parameters: &str) -> RunRecord {
+        RunRecord {
+            target: self.spec.target.clone(),
+            attempt: head.attempt,
+            service: head.service.clone(),
+            template: head.template.clone(),
+            snapshot: head.snapshot,
+            shard: head.shard,
+            version: head.version,
+            parameters: parameters.to_owned(),
+            started_us: 0,
+            ended_us: 0,
+            end: RunEnd::Running,
+        }
+    }
+}
+
+/// A `QueuePlace` is a place in the queue before the slots.
+struct QueuePlace<'a> {
+    waiting: &'a AtomicU32,
+}
+
+impl<'a> QueuePlace<'a> {
+    fn take(waiting: &'a AtomicU32, places: u32) -> Option<Self> {
+        let place = Self { waiting };
+        // The place is given back by `drop` where it was one too many.
+        (waiting.fetch_add(1, Ordering::Relaxed) < places).then_some(place)
+    }
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A `CancelGuard` keeps an attempt known to `cancel` while it waits or runs.
+struct CancelGuard<'a> {
+    cancels: &'a Mutex<HashMap<AttemptId, CancellationToken>>,
+    attempt: AttemptId,
+    token: CancellationToken,
+}
+
+impl<'a> CancelGuard<'a> {
+    fn new(cancels: &'a Mutex<HashMap<AttemptId, CancellationToken>>, attempt: AttemptId) -> Self {
+        let token = CancellationToken::new();
+        lock(cancels).insert(attempt, token.clone());
+        Self {
+            cancels,
+            attempt,
+            token,
+        }
+    }
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        lock(self.cancels).remove(&self.attempt);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
