--- a/alderhaven-entry/src/answer.rs
+++ b/alderhaven-entry/src/answer.rs
@@ -85,6 +85,18 @@
     }
 }
 
+impl ErrorCode {
+    /// Gets the query's outcome that the code stands for.
+    #[must_use]
+    pub const fn outcome(self) -> QueryOutcome {
+        match self {
+            Self::Failed => QueryOutcome::Failed,
+            Self::Unknown => QueryOutcome::Unknown,
+            _ => QueryOutcome::Refused,
+        }
+    }
+}
+
 /// An `ErrorAnswer` is the body of everything that is not an answer.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ErrorAnswer {
--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use alderhaven_policy::config_registry::ConfigView;
-use arc_swap::ArcSwap;
+use alderhaven_platform::config_handle::ConfigHandle;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -19,6 +18,7 @@
 use tokio::sync::Semaphore;
 
 use crate::answer::{ErrorAnswer, ErrorCode};
+use crate::metrics::EntryMetrics;
 use crate::query_plan::{QueryPlan, QueryRequest};
 use crate::query_runner::QueryRunner;
 use crate::settings::EntryLimits;
@@ -34,9 +34,11 @@
     /// The limits on what callers send.
     pub limits: EntryLimits,
     /// The configuration in force.
-    pub config: Arc<ArcSwap<ConfigView>>,
+    pub config: ConfigHandle,
     /// What runs the queries.
     pub runner: QueryRunner,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
 }
 
 /// Accepts connections from callers until the process ends.
@@ -113,7 +115,7 @@
                 format!("the body is refused: {error}"),
             )
         })?;
-        let view = self.config.load_full();
+        let view = self.config.view();
         let token = bearer_token(&head.headers);
         let plan = QueryPlan::make(&view, template, query, token, arrived)?;
         if !plan.template.idempotent {
@@ -122,8 +124,16 @@
                 "non-idempotent templates are not served yet",
             ));
         }
-        let answer = self.runner.run(&plan).await?;
-        Ok(json_response(StatusCode::OK, &answer))
+        self.metrics.in_flight.inc();
+        let answer = self.runner.run(&plan).await;
+        self.metrics.in_flight.dec();
+        let outcome = answer
+            .as_ref()
+            .map_or_else(|error| error.error.code.outcome(), |answer| answer.outcome);
+        let seconds = arrived.elapsed().as_secs_f64();
+        self.metrics
+            .observe_query(plan.template.class, outcome, seconds);
+        Ok(json_response(StatusCode::OK, &answer?))
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod caller_server;
+pub mod metrics;
 pub mod node;
 pub mod query_plan;
 pub mod query_runner;
--- /dev/null
+++ b/alderhaven-entry/src/metrics.rs
@@ -0,0 +1,157 @@
+//! The metrics of an entry.
+
+use alderhaven_core::class::QueryClass;
+use alderhaven_core::outcome::QueryOutcome;
+use prometheus_client::encoding::text;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// The upper bounds of the latency histogram in seconds; 0.37 s is the two-year goal at p99.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// A `QueryLabels` is the label set of a query's metrics; both sets are closed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct QueryLabels {
+    class: ClassLabel,
+    outcome: OutcomeLabel,
+}
+
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+enum ClassLabel {
+    Urgent,
+    Ordinary,
+    Bulk,
+}
+
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+enum OutcomeLabel {
+    Complete,
+    Partial,
+    Refused,
+    Failed,
+    Unknown,
+}
+
+/// An `EntryMetrics` counts what an entry does.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    queries: Family<QueryLabels, Counter>,
+    latency: Family<QueryLabels, Histogram>,
+    /// The queries between arrival and answer.
+    pub in_flight: Gauge,
+    /// The attempts that were begun.
+    pub attempts: Counter,
+    /// The attempts that were begun as hedges.
+    pub hedges: Counter,
+    /// The attempts that were begun after another one at the same shard was over.
+    pub retries: Counter,
+    /// The replies that belonged to no attempt under way.
+    pub stray_replies: Counter,
+    /// The queries that were restarted on a newer snapshot.
+    pub snapshot_restarts: Counter,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("alderhaven_entry");
+        let queries = Family::default();
+        let latency = Family::<QueryLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(LATENCY_BUCKETS)
+        });
+        registry.register("queries", "Queries by class and outcome", queries.clone());
+        registry.register_with_unit(
+            "query_latency",
+            "Time from a query's arrival to its answer",
+            Unit::Seconds,
+            latency.clone(),
+        );
+        let metrics = Self {
+            registry: Registry::default(),
+            queries,
+            latency,
+            in_flight: Gauge::default(),
+            attempts: Counter::default(),
+            hedges: Counter::default(),
+            retries: Counter::default(),
+            stray_replies: Counter::default(),
+            snapshot_restarts: Counter::default(),
+        };
+        registry.register(
+            "queries_in_flight",
+            "Queries between arrival and answer",
+            metrics.in_flight.clone(),
+        );
+        let counters = [
+            ("attempts", "Attempts begun", &metrics.attempts),
+            ("hedges", "Attempts begun as hedges", &metrics.hedges),
+            ("retries", "Attempts begun as retries", &metrics.retries),
+            (
+                "stray_replies",
+                "Replies that belonged to no attempt under way",
+                &metrics.stray_replies,
+            ),
+            (
+                "snapshot_restarts",
+                "Queries restarted on a newer snapshot",
+                &metrics.snapshot_restarts,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+}
+
+impl EntryMetrics {
+    /// Counts an answered or refused query and its latency in seconds.
+    pub fn observe_query(&self, class: QueryClass, outcome: QueryOutcome, seconds: f64) {
+        let labels = QueryLabels {
+            class: class.into(),
+            outcome: outcome.into(),
+        };
+        self.queries.get_or_create(&labels).inc();
+        self.latency.get_or_create(&labels).observe(seconds);
+    }
+
+    /// Gets the metrics in the `OpenMetrics` text form.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut body = String::new();
+        // Writing to a string does not fail.
+        let _written = text::encode(&mut body, &self.registry);
+        body
+    }
+}
+
+impl From<QueryClass> for ClassLabel {
+    fn from(class: QueryClass) -> Self {
+        match class {
+            QueryClass::Urgent => Self::Urgent,
+            QueryClass::Ordinary => Self::Ordinary,
+            QueryClass::Bulk => Self::Bulk,
+        }
+    }
+}
+
+impl From<QueryOutcome> for OutcomeLabel {
+    fn from(outcome: QueryOutcome) -> Self {
+        match outcome {
+            QueryOutcome::Complete => Self::Complete,
+            QueryOutcome::Partial => Self::Partial,
+            QueryOutcome::Refused => Self::Refused,
+            QueryOutcome::Failed => Self::Failed,
+            QueryOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -4,13 +4,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use alderhaven_policy::config_registry::ConfigView;
-use arc_swap::ArcSwap;
+use alderhaven_core::ids::NodeId;
+use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::operator_server;
+use alderhaven_platform::operator_server::OperatorSource;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::caller_server;
 use crate::caller_server::CallerService;
+use crate::metrics::EntryMetrics;
 use crate::query_runner::QueryRunner;
 use crate::relay_routes::RelayRoutes;
 use crate::settings::EntrySettings;
@@ -20,34 +24,62 @@
 pub struct EntryNode {
     settings: EntrySettings,
     caller_address: SocketAddr,
-    routes: Arc<RelayRoutes>,
-    _caller_task: AbortOnDropHandle<()>,
+    operator_address: SocketAddr,
+    state: Arc<EntryState>,
+    _tasks: [AbortOnDropHandle<()>; 2],
+}
+
+/// An `EntryState` is what the parts of an entry share, as operators see it.
+#[derive(Debug)]
+pub struct EntryState {
+    /// The entry's own id.
+    pub node: NodeId,
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// The routes through relays.
+    pub routes: Arc<RelayRoutes>,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
 }
 
 impl EntryNode {
-    /// Starts an entry on the current runtime.
+    /// Starts an entry on the current runtime; `config` is kept up to date by the caller.
     ///
     /// # Errors
     /// An error of the operating system where an address can't be bound.
-    pub async fn start(
-        settings: EntrySettings,
-        config: Arc<ArcSwap<ConfigView>>,
-    ) -> io::Result<Self> {
+    pub async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.listen).await?;
         let caller_address = listener.local_addr()?;
+        let operator_listener = TcpListener::bind(settings.operator_listen).await?;
+        let operator_address = operator_listener.local_addr()?;
         let routes = Arc::new(RelayRoutes::default());
         routes.set_relays(&settings.relays);
+        let metrics = Arc::new(EntryMetrics::default());
+        let state = Arc::new(EntryState {
+            node: settings.node.clone(),
+            config: config.clone(),
+            routes: Arc::clone(&routes),
+            metrics: Arc::clone(&metrics),
+        });
         let service = CallerService {
             limits: settings.limits.clone(),
             config,
-            runner: QueryRunner::new(rand::random(), Arc::clone(&routes)),
+            runner: QueryRunner::new(rand::random(), routes),
+            metrics,
         };
-        let serving = caller_server::serve(listener, Arc::new(service));
+        let tasks = [
+            tokio::spawn(caller_server::serve(listener, Arc::new(service))),
+            tokio::spawn(operator_server::serve(
+                operator_listener,
+                Arc::clone(&state),
+            )),
+        ];
         Ok(Self {
             settings,
             caller_address,
-            routes,
-            _caller_task: AbortOnDropHandle::new(tokio::spawn(serving)),
+            operator_address,
+            state,
+            _tasks: tasks.map(AbortOnDropHandle::new),
         })
     }
 
@@ -57,15 +89,53 @@
         self.caller_address
     }
 
+    /// Gets the address for operators.
+    #[must_use]
+    pub const fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Gets the settings in force.
     #[must_use]
     pub const fn settings(&self) -> &EntrySettings {
         &self.settings
     }
 
-    /// Gets the routes through relays.
+    /// Gets what the parts of the entry share.
     #[must_use]
-    pub const fn routes(&self) -> &Arc<RelayRoutes> {
-        &self.routes
+    pub const fn state(&self) -> &Arc<EntryState> {
+        &self.state
     }
 }
+
+impl OperatorSource for EntryState {
+    fn metrics(&self) -> String {
+        self.metrics.encode()
+    }
+
+    fn dump(&self) -> Value {
+        let links: Vec<Value> = self
+            .routes
+            .links()
+            .iter()
+            .map(|link| {
+                json!({
+                    "relay": link.address(),
+                    "usable": link.is_usable(),
+                    "awaited": link.awaited_count(),
+                })
+            })
+            .collect();
+        json!({ "status": self.status(), "relays": links })
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "node": self.node,
+            "role": "entry",
+            "config": self.config.status(),
+        })
+    }
+
+    fn drain(&self) {}
+}
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -2,11 +2,18 @@
 
 use std::net::SocketAddr;
 
+use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
+use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
 
+/// The least and the greatest limit on a body.
+const BODY_RANGE: (ByteSize, ByteSize) = (ByteSize::from_kib(1), ByteSize::from_kib(1024));
+/// The least and the greatest limit on a head; hyper needs 8 KB at least.
+const HEAD_RANGE: (ByteSize, ByteSize) = (ByteSize::from_kib(8), ByteSize::from_kib(256));
+
 /// An `EntrySettings` is the content of an entry's settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +60,43 @@
     pub read_timeout: TimeSpan,
 }
 
+impl CheckedSettings for EntrySettings {
+    fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        if !(BODY_RANGE.0..=BODY_RANGE.1).contains(&self.limits.body) {
+            errors.push(Error::invalid(
+                "limits.body",
+                format!(
+                    "{} is refused: allowed is {} to {}",
+                    self.limits.body, BODY_RANGE.0, BODY_RANGE.1
+                ),
+            ));
+        }
+        if !(HEAD_RANGE.0..=HEAD_RANGE.1).contains(&self.limits.head) {
+            errors.push(Error::invalid(
+                "limits.head",
+                format!(
+                    "{} is refused: allowed is {} to {}",
+                    self.limits.head, HEAD_RANGE.0, HEAD_RANGE.1
+                ),
+            ));
+        }
+        if self.limits.caller_connections == 0 {
+            errors.push(Error::invalid(
+                "limits.caller_connections",
+                "0 is refused: allowed is 1 or more",
+            ));
+        }
+        if self.limits.read_timeout == TimeSpan::ZERO {
+            errors.push(Error::invalid(
+                "limits.read_timeout",
+                "0us is refused: allowed is above 0",
+            ));
+        }
+        errors
+    }
+}
+
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -8,6 +8,7 @@
 use alderhaven_peer::frames::ScatterAttempt;
 use arc_swap::ArcSwap;
 
+use crate::metrics::AttemptCounters;
 use crate::settings::RelayLimits;
 use crate::target_connections::TargetConnections;
 use crate::target_lane::{LaneReport, TargetLane};
@@ -16,6 +17,7 @@
 #[derive(Debug)]
 pub struct LaneTable {
     limits: RelayLimits,
+    counters: AttemptCounters,
     lanes: ArcSwap<HashMap<TargetId, Arc<TargetLane>>>,
     writing: Mutex<()>,
 }
@@ -23,9 +25,10 @@
 impl LaneTable {
     /// Returns an empty table.
     #[must_use]
-    pub fn new(limits: RelayLimits) -> Self {
+    pub fn new(limits: RelayLimits, counters: AttemptCounters) -> Self {
         Self {
             limits,
+            counters,
             lanes: ArcSwap::default(),
             writing: Mutex::new(()),
         }
@@ -74,6 +77,7 @@
             connections,
             slots,
             self.limits.queue_length,
+            self.counters.clone(),
         ));
         let mut lanes = HashMap::clone(&self.lanes.load());
         lanes.insert(target, Arc::clone(&lane));
--- a/alderhaven-relay/src/lib.rs
+++ b/alderhaven-relay/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod lane_table;
+pub mod metrics;
 pub mod node;
 pub mod peer_server;
 pub mod settings;
--- /dev/null
+++ b/alderhaven-relay/src/metrics.rs
@@ -0,0 +1,77 @@
+//! The metrics of a relay.
+
+use alderhaven_core::outcome::AttemptOutcome;
+use prometheus_client::encoding::text;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+/// An `AttemptLabels` is the label set of an attempt's metrics; it is closed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AttemptLabels {
+    outcome: OutcomeLabel,
+}
+
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+enum OutcomeLabel {
+    Answered,
+    NotRun,
+    Failed,
+    VersionGone,
+    Unknown,
+}
+
+/// An `AttemptCounters` counts attempts by their outcome; its clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptCounters {
+    counters: Family<AttemptLabels, Counter>,
+}
+
+/// A `RelayMetrics` counts what a relay does.
+#[derive(Debug)]
+pub struct RelayMetrics {
+    registry: Registry,
+    /// The attempts by outcome.
+    pub attempts: AttemptCounters,
+}
+
+impl AttemptCounters {
+    /// Counts an attempt.
+    pub fn observe(&self, outcome: AttemptOutcome) {
+        let outcome = match outcome {
+            AttemptOutcome::Answered => OutcomeLabel::Answered,
+            AttemptOutcome::NotRun(_) => OutcomeLabel::NotRun,
+            AttemptOutcome::Failed => OutcomeLabel::Failed,
+            AttemptOutcome::VersionGone => OutcomeLabel::VersionGone,
+            AttemptOutcome::Unknown => OutcomeLabel::Unknown,
+        };
+        self.counters
+            .get_or_create(&AttemptLabels { outcome })
+            .inc();
+    }
+}
+
+impl Default for RelayMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("alderhaven_relay");
+        let attempts = AttemptCounters::default();
+        registry.register(
+            "attempts",
+            "Attempts at targets by outcome",
+            attempts.counters.clone(),
+        );
+        Self { registry, attempts }
+    }
+}
+
+impl RelayMetrics {
+    /// Gets the metrics in the `OpenMetrics` text form.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut body = String::new();
+        // Writing to a string does not fail.
+        let _written = text::encode(&mut body, &self.registry);
+        body
+    }
+}
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -4,10 +4,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use alderhaven_core::ids::NodeId;
+use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::operator_server;
+use alderhaven_platform::operator_server::OperatorSource;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::lane_table::LaneTable;
+use crate::metrics::RelayMetrics;
 use crate::peer_server;
 use crate::settings::RelaySettings;
 
@@ -16,29 +22,62 @@
 pub struct RelayNode {
     settings: RelaySettings,
     peer_address: SocketAddr,
-    table: Arc<LaneTable>,
-    _peer_task: AbortOnDropHandle<()>,
+    operator_address: SocketAddr,
+    state: Arc<RelayState>,
+    _tasks: [AbortOnDropHandle<()>; 2],
+}
+
+/// A `RelayState` is what the parts of a relay share, as operators see it.
+#[derive(Debug)]
+pub struct RelayState {
+    /// The relay's own id.
+    pub node: NodeId,
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// The lanes to targets.
+    pub table: Arc<LaneTable>,
+    /// What is counted.
+    pub metrics: RelayMetrics,
 }
 
 impl RelayNode {
-    /// Starts a relay on the current runtime.
+    /// Starts a relay on the current runtime; `config` is kept up to date by the caller.
     ///
     /// # Errors
     /// An error of the operating system where an address can't be bound.
-    pub async fn start(settings: RelaySettings) -> io::Result<Self> {
+    pub async fn start(settings: RelaySettings, config: ConfigHandle) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.peer_listen).await?;
         let peer_address = listener.local_addr()?;
-        let table = Arc::new(LaneTable::new(settings.limits.clone()));
-        let serving = peer_server::serve(
-            listener,
-            Arc::clone(&table),
-            settings.limits.peer_connections,
-        );
+        let operator_listener = TcpListener::bind(settings.operator_listen).await?;
+        let operator_address = operator_listener.local_addr()?;
+        let metrics = RelayMetrics::default();
+        let table = Arc::new(LaneTable::new(
+            settings.limits.clone(),
+            metrics.attempts.clone(),
+        ));
+        let state = Arc::new(RelayState {
+            node: settings.node.clone(),
+            config,
+            table: Arc::clone(&table),
+            metrics,
+        });
+        let tasks = [
+            tokio::spawn(peer_server::serve(
+                listener,
+                table,
+                settings.limits.peer_connections,
+            )),
+            tokio::spawn(operator_server::serve(
+                operator_listener,
+                Arc::clone(&state),
+            )),
+        ];
         Ok(Self {
             settings,
             peer_address,
-            table,
-            _peer_task: AbortOnDropHandle::new(tokio::spawn(serving)),
+            operator_address,
+            state,
+            _tasks: tasks.map(AbortOnDropHandle::new),
         })
     }
 
@@ -48,15 +87,41 @@
         self.peer_address
     }
 
+    /// Gets the address for operators.
+    #[must_use]
+    pub const fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Gets the settings in force.
     #[must_use]
     pub const fn settings(&self) -> &RelaySettings {
         &self.settings
     }
 
-    /// Gets the lanes.
+    /// Gets what the parts of the relay share.
     #[must_use]
-    pub const fn table(&self) -> &Arc<LaneTable> {
-        &self.table
+    pub const fn state(&self) -> &Arc<RelayState> {
+        &self.state
     }
 }
+
+impl OperatorSource for RelayState {
+    fn metrics(&self) -> String {
+        self.metrics.encode()
+    }
+
+    fn dump(&self) -> Value {
+        json!({ "status": self.status(), "lanes": self.table.reports() })
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "node": self.node,
+            "role": "relay",
+            "config": self.config.status(),
+        })
+    }
+
+    fn drain(&self) {}
+}
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
+use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
+use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +47,27 @@
     pub connect_timeout: TimeSpan,
 }
 
+impl CheckedSettings for RelaySettings {
+    fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        for (field, value) in [
+            ("limits.queue_length", self.limits.queue_length),
+            ("limits.peer_connections", self.limits.peer_connections),
+        ] {
+            if value == 0 {
+                errors.push(Error::invalid(field, "0 is refused: allowed is 1 or more"));
+            }
+        }
+        if self.limits.connect_timeout == TimeSpan::ZERO {
+            errors.push(Error::invalid(
+                "limits.connect_timeout",
+                "0us is refused: allowed is above 0",
+            ));
+        }
+        errors
+    }
+}
+
 impl Default for RelayLimits {
     fn default() -> Self {
         Self {
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use tokio::time;
 
+use crate::metrics::AttemptCounters;
 use crate::target_connections::TargetConnections;
 
 /// A `LaneAttempt` is one attempt on its way to the target.
@@ -34,6 +35,7 @@
     connections: TargetConnections,
     authority: String,
     queue_length: usize,
+    counters: AttemptCounters,
     state: Mutex<LaneState>,
 }
 
@@ -78,11 +80,17 @@
     /// Returns a lane to the target behind `connections` with as many attempts at a time as it has
     /// slots.
     #[must_use]
-    pub fn new(connections: TargetConnections, slots: u32, queue_length: usize) -> Self {
+    pub fn new(
+        connections: TargetConnections,
+        slots: u32,
+        queue_length: usize,
+        counters: AttemptCounters,
+    ) -> Self {
         Self {
             authority: connections.address().to_string(),
             connections,
             queue_length,
+            counters,
             state: Mutex::new(LaneState {
                 queue: VecDeque::new(),
                 in_flight: 0,
@@ -96,7 +104,7 @@
         let mut state = self.lock();
         if state.queue.len() >= self.queue_length {
             drop(state);
-            answer_not_run(&attempt, NotRunReason::QueueFull);
+            self.answer_not_run(&attempt, NotRunReason::QueueFull);
             return;
         }
         state.queue.push_back(attempt);
@@ -112,7 +120,7 @@
         });
         if let Some(attempt) = place.and_then(|place| state.queue.remove(place)) {
             drop(state);
-            answer_not_run(&attempt, NotRunReason::Cancelled);
+            self.answer_not_run(&attempt, NotRunReason::Cancelled);
         }
     }
 
@@ -145,7 +153,7 @@
         while let Some(attempt) = self.next_ready() {
             if attempt.deadline <= Instant::now() {
                 self.lock().in_flight -= 1;
-                answer_not_run(&attempt, NotRunReason::Expired);
+                self.answer_not_run(&attempt, NotRunReason::Expired);
                 continue;
             }
             let lane = Arc::clone(self);
@@ -171,6 +179,7 @@
         let started = Instant::now();
         attempt.request.remaining = TimeSpan::from(attempt.deadline - started);
         let verdict = self.ask_target(&attempt).await;
+        self.counters.observe(verdict.outcome);
         let reply = AttemptReply {
             sequence: attempt.request.attempt.sequence,
             status: ReplyStatus::from(verdict.outcome).into(),
@@ -185,6 +194,19 @@
         send_reply(&attempt.reply_to, reply);
     }
 
+    /// Answers an attempt that certainly did not run.
+    fn answer_not_run(&self, attempt: &LaneAttempt, reason: NotRunReason) {
+        let outcome = AttemptOutcome::NotRun(reason);
+        self.counters.observe(outcome);
+        let reply = AttemptReply {
+            sequence: attempt.request.attempt.sequence,
+            status: ReplyStatus::from(outcome).into(),
+            queued_us: TimeSpan::from(attempt.arrived.elapsed()).as_micros(),
+            ..AttemptReply::default()
+        };
+        send_reply(&attempt.reply_to, reply);
+    }
+
     /// Runs one attempt at the target and says what came of it.
     async fn ask_target(&self, attempt: &LaneAttempt) -> LaneVerdict {
         let not_sent = LaneVerdict::bare(AttemptOutcome::NotRun(NotRunReason::NotSent));
@@ -230,17 +252,6 @@
     }
 }
 
-/// Answers an attempt that certainly did not run.
-pub fn answer_not_run(attempt: &LaneAttempt, reason: NotRunReason) {
-    let reply = AttemptReply {
-        sequence: attempt.request.attempt.sequence,
-        status: ReplyStatus::from(AttemptOutcome::NotRun(reason)).into(),
-        queued_us: TimeSpan::from(attempt.arrived.elapsed()).as_micros(),
-        ..AttemptReply::default()
-    };
-    send_reply(&attempt.reply_to, reply);
-}
-
 fn send_reply(reply_to: &FrameSender, reply: AttemptReply) {
     // Where the entry's connection is gone nobody waits for the reply.
     let _entry_gone = reply_to.send(PeerMessage::Reply(reply));
