Add the example objects and the offline check of files

Volta and Lagerblik each get templates and teams, one object a file in a folder of its kind. The check reads all files, reports every problem with file and line, and compares the objects with each other: names are unique, teams are known and may use the templates that name them.

The object kind 'history' is added for the earlier contents of an object; nodes do not watch it.

--- a/alderhaven-core/src/config_object.rs
+++ b/alderhaven-core/src/config_object.rs
@@ -25,10 +25,12 @@
     Claims,
     /// A target that operators drain.
     Drain,
+    /// The earlier contents of one configuration object, kept for rollback.
+    History,
 }
 
 impl ObjectKind {
-    /// The kinds that every node keeps in force; claim buckets are not among them.
+    /// The kinds that every node keeps in force; claim buckets and histories are not among them.
     pub const CONFIGURATION: [Self; 4] = [Self::Template, Self::Team, Self::Manifest, Self::Drain];
 
     /// Gets the kind's name in paths of the object API.
@@ -40,6 +42,7 @@
             Self::Manifest => "manifest",
             Self::Claims => "claims",
             Self::Drain => "drain",
+            Self::History => "history",
         }
     }
 }
@@ -60,10 +63,11 @@
             "manifest" => Ok(Self::Manifest),
             "claims" => Ok(Self::Claims),
             "drain" => Ok(Self::Drain),
+            "history" => Ok(Self::History),
             _ => Err(Error::parse(
                 "object kind",
                 text,
-                "template, team, manifest, claims or drain",
+                "template, team, manifest, claims, drain or history",
             )),
         }
     }
@@ -138,10 +142,10 @@
                 (Self::Manifest(manifest), name, errors)
             }
             ObjectKind::Drain => (Self::Drain, key.name.clone(), Vec::new()),
-            ObjectKind::Claims => {
+            ObjectKind::Claims | ObjectKind::History => {
                 return Err(vec![Error::invalid(
                     key.to_string(),
-                    "claim buckets are not configuration",
+                    "claim buckets and histories are not configuration",
                 )]);
             }
         };
--- a/alderhaven-core/src/team.rs
+++ b/alderhaven-core/src/team.rs
@@ -34,6 +34,12 @@
     1
 }
 
+/// Gets the text that `token_hash` holds for a bearer token.
+#[must_use]
+pub fn hash_token(token: &str) -> String {
+    blake3::hash(token.as_bytes()).to_hex().to_string()
+}
+
 impl TeamPolicy {
     /// Checks the policy and collects everything that is wrong with it.
     #[must_use]
--- /dev/null
+++ b/alderhaven-ctl/src/file_check.rs
@@ -0,0 +1,162 @@
+//! The offline check of a set of files: each by itself, then against each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use alderhaven_core::config_object::{ConfigObject, ObjectKey, ObjectKind};
+use alderhaven_core::ids::TeamId;
+use alderhaven_core::template::QueryTemplate;
+use serde::Serialize;
+
+use crate::file_problem::FileProblem;
+use crate::object_file::{self, ObjectFile};
+
+/// How deep folders are followed, which ends a loop of links.
+const MAX_DEPTH: usize = 8;
+
+/// A `CheckReport` holds the objects that were read and everything that is wrong with them.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CheckReport {
+    /// The objects that could be read, in the order of their keys.
+    #[serde(skip)]
+    pub objects: Vec<ObjectFile>,
+    /// The number of files that were read.
+    pub files: usize,
+    /// Everything that is wrong.
+    pub problems: Vec<FileProblem>,
+}
+
+impl CheckReport {
+    /// Reads and checks all YAML files at or below the paths.
+    #[must_use]
+    pub fn read(paths: &[PathBuf]) -> Self {
+        let mut report = Self::default();
+        let mut files = BTreeSet::new();
+        for path in paths {
+            collect_files(path, MAX_DEPTH, &mut files, &mut report.problems);
+        }
+        if files.is_empty() && report.problems.is_empty() {
+            let first = paths.first().map_or(Path::new("."), PathBuf::as_path);
+            report
+                .problems
+                .push(FileProblem::of_file(first, "no YAML file is at this path"));
+        }
+        report.files = files.len();
+        for file in &files {
+            match ObjectFile::read(file) {
+                Ok(object) => {
+                    report.problems.extend(object.problems.iter().cloned());
+                    report.objects.push(object);
+                }
+                Err(problem) => report.problems.push(problem),
+            }
+        }
+        report.objects.sort_by(|a, b| a.key.cmp(&b.key));
+        report.check_names();
+        report.check_teams(&BTreeSet::new());
+        report
+            .problems
+            .sort_by(|a, b| (&a.path, a.line).cmp(&(&b.path, b.line)));
+        report
+    }
+
+    /// Returns true where nothing is wrong.
+    #[must_use]
+    pub const fn is_clean(&self) -> bool {
+        self.problems.is_empty()
+    }
+
+    /// Two files with one key would overwrite each other in the order of reading.
+    fn check_names(&mut self) {
+        let mut first_of: BTreeMap<&ObjectKey, &ObjectFile> = BTreeMap::new();
+        let mut problems = Vec::new();
+        for object in &self.objects {
+            if let Some(first) = first_of.get(&object.key) {
+                let reason = format!(
+                    "{} is also in {}: names are unique within a kind",
+                    object.key,
+                    first.path.display()
+                );
+                problems.push(object.problem("name", reason));
+            } else {
+                first_of.insert(&object.key, object);
+            }
+        }
+        self.problems.extend(problems);
+    }
+
+    /// Checks that the teams which templates name are known here or in `published`.
+    ///
+    /// Without any known team nothing can be said, and nothing is.
+    fn check_teams(&mut self, published: &BTreeSet<String>) {
+        let known: BTreeSet<&str> = self
+            .objects
+            .iter()
+            .filter(|object| object.key.kind == ObjectKind::Team)
+            .map(|object| object.key.name.as_str())
+            .chain(published.iter().map(String::as_str))
+            .collect();
+        if known.is_empty() {
+            return;
+        }
+        let mut problems = Vec::new();
+        for object in &self.objects {
+            if let ConfigObject::Template(template) = &object.content {
+                problems.extend(team_problems(object, template, &known));
+            }
+        }
+        self.problems.extend(problems);
+    }
+}
+
+fn team_problems(
+    object: &ObjectFile,
+    template: &QueryTemplate,
+    known: &BTreeSet<&str>,
+) -> Vec<FileProblem> {
+    let unknown = |team: &TeamId| !known.contains(team.as_str());
+    let mut problems = Vec::new();
+    for team in template.teams.iter().filter(|team| unknown(team)) {
+        problems.push(object.problem("teams", format!("team `{team}` is not known")));
+    }
+    for team in template.team_values.keys() {
+        let field = format!("team_values.{team}");
+        if unknown(team) {
+            problems.push(object.problem(&field, format!("team `{team}` is not known")));
+        } else if !template.allows(team) {
+            let reason = format!("team `{team}` may not use the template: see `teams`");
+            problems.push(object.problem(&field, reason));
+        }
+    }
+    problems
+}
+
+fn collect_files(
+    path: &Path,
+    depth: usize,
+    files: &mut BTreeSet<PathBuf>,
+    problems: &mut Vec<FileProblem>,
+) {
+    if !path.is_dir() {
+        files.insert(path.to_owned());
+        return;
+    }
+    if depth == 0 {
+        problems.push(FileProblem::of_file(path, "folders are nested too deep"));
+        return;
+    }
+    let entries = match fs::read_dir(path) {
+        Ok(entries) => entries,
+        Err(error) => {
+            problems.push(FileProblem::of_file(path, error));
+            return;
+        }
+    };
+    for entry in entries.flatten() {
+        let child = entry.path();
+        if child.is_dir() || object_file::is_yaml(&child) {
+            collect_files(&child, depth - 1, files, problems);
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-ctl/src/object_file.rs
@@ -0,0 +1,179 @@
+//! The files that operators keep in version control: one object a file, in a folder of its kind.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use alderhaven_core::config_object::{ConfigObject, ObjectKey, ObjectKind};
+use alderhaven_core::errors::Error;
+use alderhaven_core::settings;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::file_problem::FileProblem;
+use crate::line_index;
+
+/// The largest object that is published, in bytes of JSON.
+///
+/// A quarter of the platform's largest value, so that an object's history holds several of them.
+pub const MAX_OBJECT_BYTES: usize = 256 << 10;
+
+/// The folders of the kinds that have files.
+const FOLDERS: [(&str, ObjectKind); 3] = [
+    ("templates", ObjectKind::Template),
+    ("teams", ObjectKind::Team),
+    ("manifests", ObjectKind::Manifest),
+];
+
+/// An `ObjectFile` is one configuration object read from its file and checked by itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ObjectFile {
+    /// The file.
+    pub path: PathBuf,
+    /// The text as it was read.
+    pub text: String,
+    /// The key under which the object is published.
+    pub key: ObjectKey,
+    /// The checked content.
+    pub content: ConfigObject,
+    /// The JSON text that is published.
+    pub body: String,
+    /// What is wrong with the content; an object with problems is not published.
+    pub problems: Vec<FileProblem>,
+}
+
+impl ObjectFile {
+    /// Reads and checks one file.
+    ///
+    /// # Errors
+    /// The problem that keeps the file from being read as an object, with its line.
+    pub fn read(path: &Path) -> Result<Self, FileProblem> {
+        let kind = kind_of(path).ok_or_else(|| unknown_folder(path))?;
+        let size = fs::metadata(path).map_err(|error| FileProblem::of_file(path, error))?;
+        if size.len() > settings::MAX_SETTINGS_BYTES {
+            let reason = format!("larger than {} bytes", settings::MAX_SETTINGS_BYTES);
+            return Err(FileProblem::of_file(path, reason));
+        }
+        let text = fs::read_to_string(path).map_err(|error| FileProblem::of_file(path, error))?;
+        Self::read_text(path, kind, text)
+    }
+
+    /// Reads and checks a text as the content of `path`.
+    ///
+    /// # Errors
+    /// The problem that keeps the text from being read as an object, with its line.
+    pub fn read_text(path: &Path, kind: ObjectKind, text: String) -> Result<Self, FileProblem> {
+        let (content, name, errors) = match kind {
+            ObjectKind::Template => {
+                let template: alderhaven_core::template::QueryTemplate = parse(path, &text)?;
+                let (name, errors) = (template.name.to_string(), template.check());
+                (ConfigObject::Template(template), name, errors)
+            }
+            ObjectKind::Team => {
+                let team: alderhaven_core::team::TeamPolicy = parse(path, &text)?;
+                let (name, errors) = (team.name.to_string(), team.check());
+                (ConfigObject::Team(team), name, errors)
+            }
+            ObjectKind::Manifest => {
+                let manifest: alderhaven_core::manifest::SnapshotManifest = parse(path, &text)?;
+                let (name, errors) = (manifest.service.to_string(), manifest.check());
+                (ConfigObject::Manifest(manifest), name, errors)
+            }
+            ObjectKind::Claims | ObjectKind::Drain | ObjectKind::History => {
+                return Err(unknown_folder(path));
+            }
+        };
+        let mut problems: Vec<FileProblem> = errors
+            .into_iter()
+            .map(|error| problem_of(path, &text, error))
+            .collect();
+        let body = body_of(&content);
+        if body.len() > MAX_OBJECT_BYTES {
+            let reason = format!("larger than {MAX_OBJECT_BYTES} bytes of JSON");
+            problems.push(FileProblem::of_file(path, reason));
+        }
+        Ok(Self {
+            path: path.to_owned(),
+            key: ObjectKey { kind, name },
+            text,
+            content,
+            body,
+            problems,
+        })
+    }
+
+    /// Returns a problem with a field of this file.
+    #[must_use]
+    pub fn problem(&self, field: &str, reason: impl Into<String>) -> FileProblem {
+        problem_of(&self.path, &self.text, Error::invalid(field, reason))
+    }
+}
+
+/// Gets the kind that a file's folder names.
+#[must_use]
+pub fn kind_of(path: &Path) -> Option<ObjectKind> {
+    let folder = path.parent()?.file_name()?.to_str()?;
+    FOLDERS
+        .into_iter()
+        .find_map(|(name, kind)| (name == folder).then_some(kind))
+}
+
+/// Returns true where the file name ends as YAML files do.
+#[must_use]
+pub fn is_yaml(path: &Path) -> bool {
+    path.extension()
+        .is_some_and(|extension| extension == "yaml" || extension == "yml")
+}
+
+/// Gets the JSON text that is published for a checked object.
+#[must_use]
+pub fn body_of(content: &ConfigObject) -> String {
+    fn json<T: Serialize>(value: &T) -> String {
+        serde_json::to_string(value).expect("the types of the vocabulary serialise")
+    }
+    match content {
+        ConfigObject::Template(template) => json(template),
+        ConfigObject::Team(team) => json(team),
+        ConfigObject::Manifest(manifest) => json(manifest),
+        ConfigObject::Drain => json(&serde_json::Map::new()),
+    }
+}
+
+fn parse<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, FileProblem> {
+    serde_saphyr::from_str(text).map_err(|error| {
+        let line = error
+            .location()
+            .and_then(|location| usize::try_from(location.line()).ok());
+        FileProblem {
+            path: path.display().to_string(),
+            line,
+            field: None,
+            reason: error.without_snippet().to_string(),
+        }
+    })
+}
+
+fn problem_of(path: &Path, text: &str, error: Error) -> FileProblem {
+    let (field, reason) = match error {
+        Error::Invalid { field, reason } => (Some(field), reason),
+        other => (None, other.to_string()),
+    };
+    FileProblem {
+        path: path.display().to_string(),
+        line: field
+            .as_deref()
+            .and_then(|field| line_index::line_of(text, field)),
+        field,
+        reason,
+    }
+}
+
+fn unknown_folder(path: &Path) -> FileProblem {
+    let folders: Vec<&str> = FOLDERS.iter().map(|(name, _)| *name).collect();
+    FileProblem::of_file(
+        path,
+        format!(
+            "the folder names no kind: allowed is {}",
+            folders.join(", ")
+        ),
+    )
+}
--- /dev/null
+++ b/alderhaven-ctl/tests/examples.rs
@@ -0,0 +1,78 @@
+//! Tests that the published examples check, so that a newcomer's first files are right.
+
+use std::path::Path;
+
+use alderhaven_core::class::{AnswerPreference, QueryClass};
+use alderhaven_core::config_object::{ConfigObject, ObjectKind};
+use alderhaven_core::template::QueryTemplate;
+use alderhaven_ctl::file_check::CheckReport;
+
+fn report_of(deployment: &str) -> CheckReport {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples");
+    CheckReport::read(&[examples.join(deployment)])
+}
+
+fn template_of<'a>(report: &'a CheckReport, name: &str) -> &'a QueryTemplate {
+    report
+        .objects
+        .iter()
+        .find_map(|object| match &object.content {
+            ConfigObject::Template(template) if template.name.as_str() == name => Some(template),
+            _ => None,
+        })
+        .unwrap_or_else(|| panic!("{name} is among the examples"))
+}
+
+#[test]
+fn examples_check_without_problems() {
+    for deployment in ["volta", "lagerblik"] {
+        let report = report_of(deployment);
+        assert_eq!(report.problems, [], "{deployment}");
+        let teams = report
+            .objects
+            .iter()
+            .filter(|object| object.key.kind == ObjectKind::Team)
+            .count();
+        assert!(teams >= 4 && report.files >= teams + 5, "{deployment}");
+    }
+}
+
+#[test]
+fn examples_publish_what_nodes_accept() {
+    for deployment in ["volta", "lagerblik"] {
+        for object in report_of(deployment).objects {
+            let read = ConfigObject::read(&object.key, &object.body);
+            assert_eq!(read, Ok(object.content), "{}", object.key);
+        }
+    }
+}
+
+#[test]
+fn examples_keep_what_must_hold_for_each_template() {
+    let volta = report_of("volta");
+    let duplicates = template_of(&volta, "duplicate-check");
+    assert_eq!(duplicates.preference, AnswerPreference::Coverage);
+    assert_eq!(duplicates.class, QueryClass::Urgent);
+    assert!(!template_of(&volta, "assign-isbn").idempotent);
+    let lagerblik = report_of("lagerblik");
+    let sweep = template_of(&lagerblik, "stock-sweep");
+    assert_eq!(sweep.preference, AnswerPreference::Latency);
+    assert!(!template_of(&lagerblik, "reserve-stock").idempotent);
+}
+
+#[test]
+fn examples_token_is_accepted() {
+    for (deployment, team) in [("volta", "registry-staff"), ("lagerblik", "shortage-desk")] {
+        let report = report_of(deployment);
+        let policy = report
+            .objects
+            .iter()
+            .find_map(|object| match &object.content {
+                ConfigObject::Team(policy) if policy.name.as_str() == team => Some(policy),
+                _ => None,
+            });
+        let token = format!("{deployment}-example-token");
+        assert!(policy.is_some_and(|policy| policy.accepts_token(Some(&token))));
+        assert!(policy.is_some_and(|policy| !policy.accepts_token(None)));
+    }
+}
--- a/alderhaven-policy/src/config_registry.rs
+++ b/alderhaven-policy/src/config_registry.rs
@@ -146,7 +146,7 @@
             ObjectKind::Drain => {
                 self.drains.remove(&key.name);
             }
-            ObjectKind::Claims => {}
+            ObjectKind::Claims | ObjectKind::History => {}
         }
     }
 }
