Publish objects by conditional update, with lost answers resolved by reading back

A publication names its operator, a unique id and the version that it replaces; all of it is the write id in the store. A write whose answer was lost is read back and tried again under the same id and version, so that one copy of it at most takes effect.

Ways weighed for the history: an envelope around the body (atomic, but every node would read and hold all earlier contents), a history object written after the replacement (lost when the publisher dies between), a history object written before it (chosen: a surplus entry does no harm).

Seen to fail with each of: own write not recognised, history not consulted, history not recorded, a lost write called not published, the base read anew before the write.

--- a/alderhaven-core/src/config_object.rs
+++ b/alderhaven-core/src/config_object.rs
@@ -88,6 +88,21 @@
     }
 }
 
+impl FromStr for ObjectKey {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (kind, name) = text
+            .split_once('/')
+            .filter(|(_, name)| !name.is_empty())
+            .ok_or_else(|| Error::parse("object key", text, "a kind and a name joined by `/`"))?;
+        Ok(Self {
+            kind: kind.parse()?,
+            name: name.to_owned(),
+        })
+    }
+}
+
 /// A `StoredObject` is an object as the platform's API holds it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct StoredObject {
--- a/alderhaven-core/src/ids.rs
+++ b/alderhaven-core/src/ids.rs
@@ -133,6 +133,11 @@
     HostId,
     "host"
 );
+name_id!(
+    /// An `OperatorName` names a person or job that publishes configuration.
+    OperatorName,
+    "operator"
+);
 name_id!(
     /// A `FailureDomain` names a part of the platform that fails as a whole.
     FailureDomain,
--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ids;
 pub mod logging;
 pub mod manifest;
+pub mod node_status;
 pub mod outcome;
 pub mod parameters;
 pub mod quantities;
--- /dev/null
+++ b/alderhaven-ctl/src/change_plan.rs
@@ -0,0 +1,140 @@
+//! What a publication would change, against the versions that the operator has seen.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::{OperatorName, StoreVersion};
+use alderhaven_platform::object_store::{ObjectStore, StoreResult};
+use serde::{Deserialize, Serialize};
+
+use crate::field_change::FieldChange;
+use crate::object_file::ObjectFile;
+use crate::publication_id::PublicationId;
+
+/// A `ChangePlan` is an ordered set of changes.
+///
+/// Written to a file by `diff --plan` and read by `publish --plan`, it ties a publication to the
+/// difference that its operator has looked at.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangePlan {
+    /// The changes in the order in which they are published.
+    pub changes: Vec<PlannedChange>,
+}
+
+/// A `PlannedChange` is one object with the content that was seen and the one to publish.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlannedChange {
+    /// The object.
+    pub key: ObjectKey,
+    /// What the store held; none where it held nothing.
+    pub seen: Option<StoredObject>,
+    /// The JSON text to publish; none to delete the object.
+    pub body: Option<String>,
+}
+
+impl ChangePlan {
+    /// Compares objects with what the store holds.
+    ///
+    /// Manifests come first and templates last, so that no template names a team which is not
+    /// published yet.
+    ///
+    /// # Errors
+    /// The store's error; nothing was written.
+    pub async fn read<S: ObjectStore>(store: &S, objects: &[ObjectFile]) -> StoreResult<Self> {
+        let listed = store.list(&ObjectKind::CONFIGURATION).await?;
+        let mut stored: BTreeMap<ObjectKey, StoredObject> = listed
+            .objects
+            .into_iter()
+            .map(|object| (object.key.clone(), object))
+            .collect();
+        let mut changes = Vec::with_capacity(objects.len());
+        for object in objects {
+            let body = Some(object.body.clone());
+            let change = match stored.remove(&object.key) {
+                Some(seen) => PlannedChange {
+                    key: object.key.clone(),
+                    seen: Some(seen),
+                    body,
+                },
+                // A list leaves tombstones out.
+                None => PlannedChange::read(store, object.key.clone(), body).await?,
+            };
+            changes.push(change);
+        }
+        changes.sort_by_key(|change| (publish_rank(change.key.kind), change.key.clone()));
+        Ok(Self { changes })
+    }
+
+    /// Gets the changes that would replace another operator's latest publication.
+    ///
+    /// Their difference has to be looked at before they are published.
+    #[must_use]
+    pub fn replacing_others(&self, operator: &OperatorName) -> Vec<&PlannedChange> {
+        self.changes
+            .iter()
+            .filter(|change| !change.is_unchanged() && change.replaces_other(operator))
+            .collect()
+    }
+}
+
+impl PlannedChange {
+    /// Compares one content with what the store holds.
+    ///
+    /// # Errors
+    /// The store's error; nothing was written.
+    pub async fn read<S: ObjectStore>(
+        store: &S,
+        key: ObjectKey,
+        body: Option<String>,
+    ) -> StoreResult<Self> {
+        let seen = store.get(&key).await?;
+        Ok(Self { key, seen, body })
+    }
+
+    /// Gets the version that was seen, 0 for none; the write demands it.
+    ///
+    /// A tombstone's own version is demanded too: a late copy of the write could otherwise bring
+    /// back an object that was created and deleted meanwhile.
+    #[must_use]
+    pub fn seen_version(&self) -> StoreVersion {
+        self.seen
+            .as_ref()
+            .map(|seen| seen.version)
+            .unwrap_or_default()
+    }
+
+    /// Returns true where the store holds the content already.
+    #[must_use]
+    pub fn is_unchanged(&self) -> bool {
+        self.differences().is_empty() && self.seen_body().is_some() == self.body.is_some()
+    }
+
+    /// Gets the fields that differ between what was seen and what is published.
+    #[must_use]
+    pub fn differences(&self) -> Vec<FieldChange> {
+        FieldChange::between(self.seen_body(), self.body.as_deref())
+    }
+
+    fn seen_body(&self) -> Option<&str> {
+        self.seen.as_ref()?.body.as_deref()
+    }
+
+    fn replaces_other(&self, operator: &OperatorName) -> bool {
+        let Some(seen) = self.seen.as_ref().filter(|seen| seen.body.is_some()) else {
+            return false;
+        };
+        let writer: Option<PublicationId> = seen.write_id.parse().ok();
+        writer.is_none_or(|writer| writer.operator != *operator)
+    }
+}
+
+const fn publish_rank(kind: ObjectKind) -> u8 {
+    match kind {
+        ObjectKind::Manifest => 0,
+        ObjectKind::Team => 1,
+        ObjectKind::Template => 2,
+        ObjectKind::Drain | ObjectKind::Claims | ObjectKind::History => 3,
+    }
+}
--- a/alderhaven-ctl/src/lib.rs
+++ b/alderhaven-ctl/src/lib.rs
@@ -2,7 +2,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod change_plan;
+pub mod field_change;
 pub mod file_check;
 pub mod file_problem;
 pub mod line_index;
 pub mod object_file;
+pub mod object_history;
+pub mod publication_id;
+pub mod publish_outcome;
+pub mod publisher;
--- /dev/null
+++ b/alderhaven-ctl/src/publication_id.rs
@@ -0,0 +1,71 @@
+//! The write id of a publication, by which its writer and everyone else know it again.
+
+use std::fmt;
+use std::str::FromStr;
+
+use alderhaven_core::errors::{Error, Result};
+use alderhaven_core::ids::{OperatorName, StoreVersion};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// A `PublicationId` says who made a publication, which one it is and what it replaced.
+///
+/// Its text form, `operator/uuid/base`, is the write id in the store. The base lets a reader follow
+/// the publications of an object backwards through its history.
+#[derive(Clone, Debug, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct PublicationId {
+    /// The operator.
+    pub operator: OperatorName,
+    /// The unique part, a `UUIDv7` that begins with the time of the publication.
+    pub id: Uuid,
+    /// The version that the publication replaced, 0 for none.
+    pub base: StoreVersion,
+}
+
+impl PublicationId {
+    /// Gets the time of the publication in seconds since the Unix epoch.
+    #[must_use]
+    pub fn unix_seconds(&self) -> Option<u64> {
+        self.id.get_timestamp().map(|time| time.to_unix().0)
+    }
+}
+
+impl fmt::Display for PublicationId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}/{}", self.operator, self.id, self.base)
+    }
+}
+
+impl FromStr for PublicationId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || Error::parse("publication id", text, "operator/uuid/base");
+        let mut parts = text.split('/');
+        let (Some(operator), Some(id), Some(base), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(bad());
+        };
+        Ok(Self {
+            operator: operator.parse()?,
+            id: id.parse().map_err(|_| bad())?,
+            base: base.parse()?,
+        })
+    }
+}
+
+impl TryFrom<String> for PublicationId {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<PublicationId> for String {
+    fn from(id: PublicationId) -> Self {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/alderhaven-ctl/tests/publish/scenarios.rs
@@ -0,0 +1,188 @@
+//! Scenarios of publication: who is told what when answers are lost and operators race.
+
+use crate::support::{ScriptedStore, StoreFault};
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::{OperatorName, StoreVersion};
+use alderhaven_ctl::change_plan::{ChangePlan, PlannedChange};
+use alderhaven_ctl::object_history::{MAX_ENTRIES, MAX_HISTORY_BYTES, ObjectHistory};
+use alderhaven_ctl::publication_id::PublicationId;
+use alderhaven_ctl::publish_outcome::PublishOutcome;
+use alderhaven_ctl::publisher::{ObjectPublisher, PublishOptions};
+
+fn key() -> ObjectKey {
+    ObjectKey {
+        kind: ObjectKind::Team,
+        name: "desk".to_owned(),
+    }
+}
+
+fn operator(name: &str) -> OperatorName {
+    name.parse().expect("it is a name")
+}
+
+fn publisher<'a>(store: &'a ScriptedStore, name: &str) -> ObjectPublisher<'a, ScriptedStore> {
+    ObjectPublisher::new(store, operator(name), PublishOptions::default())
+}
+
+async fn plan(store: &ScriptedStore, body: &str) -> PlannedChange {
+    PlannedChange::read(store, key(), Some(body.to_owned()))
+        .await
+        .expect("the store answers")
+}
+
+/// An operator publishes and hears of a conflict, though nobody else was there. The store wrote the
+/// object, its answer was lost, and the second try met the first one's result.
+#[tokio::test(start_paused = true)]
+async fn publish_recognises_its_own_write_after_a_lost_answer() {
+    // The plan's read, then the write whose answer is lost, then a read that fails too.
+    let script = [StoreFault::None, StoreFault::LostAfter, StoreFault::Refused];
+    let store = ScriptedStore::new(script.map(|fault| (0, fault)));
+    let change = plan(&store, r#"{"weight":2}"#).await;
+    let outcome = publisher(&store, "ama").publish(&change).await;
+    let stored = store.peek(&key()).expect("it was written");
+    assert!(
+        matches!(&outcome, PublishOutcome::Published { version, id }
+            if *version == stored.version && id.to_string() == stored.write_id),
+        "{outcome:?}"
+    );
+}
+
+/// Two operators change the same object. The slower one must lose, see who won, and find the
+/// winner's content untouched.
+#[tokio::test(start_paused = true)]
+async fn publish_loses_a_race_and_names_the_winner() {
+    let store = ScriptedStore::default();
+    store.seed(&key(), "seed", Some(r#"{"weight":1}"#));
+    let slow = plan(&store, r#"{"weight":2}"#).await;
+    let fast = plan(&store, r#"{"weight":3}"#).await;
+    publisher(&store, "kofi").publish(&fast).await;
+    let outcome = publisher(&store, "ama").publish(&slow).await;
+    assert!(outcome.to_string().contains("changed by kofi"), "{outcome}");
+    let stored = store.peek(&key()).and_then(|object| object.body);
+    assert_eq!(stored.as_deref(), Some(r#"{"weight":3}"#));
+}
+
+/// An operator's answer is lost, and before the read another one replaces the content. The first
+/// was published all the same, and nodes may have had it in force: "not published" would be false.
+#[tokio::test(start_paused = true)]
+async fn publish_tells_that_it_was_replaced() {
+    let store = ScriptedStore::new([
+        (0, StoreFault::None),
+        (0, StoreFault::None),
+        (0, StoreFault::None),
+        (0, StoreFault::LostAfter),
+    ]);
+    store.seed(&key(), "seed", Some(r#"{"weight":1}"#));
+    let change = plan(&store, r#"{"weight":2}"#).await;
+    let first = publisher(&store, "ama");
+    let second = publisher(&store, "kofi");
+    let (outcome, ()) = tokio::join!(first.publish(&change), async {
+        while store
+            .peek(&key())
+            .is_some_and(|object| object.write_id == "seed")
+        {
+            tokio::task::yield_now().await;
+        }
+        let change = plan(&store, r#"{"weight":3}"#).await;
+        second.publish(&change).await;
+    });
+    assert!(
+        matches!(&outcome, PublishOutcome::Superseded { version: StoreVersion(3), by, .. }
+            if by.write_id.starts_with("kofi/")),
+        "{outcome:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn publish_writes_nothing_where_nothing_changes() {
+    let store = ScriptedStore::default();
+    let version = store.seed(&key(), "seed", Some(r#"{"weight":1, "name":"desk"}"#));
+    let change = plan(&store, r#"{"name":"desk","weight":1}"#).await;
+    let outcome = publisher(&store, "ama").publish(&change).await;
+    assert_eq!(outcome, PublishOutcome::Unchanged { version });
+    assert_eq!(store.finish().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn publish_over_a_broken_history_writes_nothing() {
+    let store = ScriptedStore::default();
+    store.seed(&key(), "seed", Some("{}"));
+    store.seed(
+        &ObjectHistory::key_of(&key()),
+        "seed-history",
+        Some("no JSON"),
+    );
+    let change = plan(&store, r#"{"weight":2}"#).await;
+    let outcome = publisher(&store, "ama").publish(&change).await;
+    assert!(
+        matches!(outcome, PublishOutcome::NotPublished { .. }),
+        "{outcome:?}"
+    );
+    assert_eq!(store.finish().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn replacing_others_names_what_another_operator_wrote() {
+    let store = ScriptedStore::default();
+    publisher(&store, "kofi")
+        .publish(&plan(&store, "{}").await)
+        .await;
+    let plan = ChangePlan {
+        changes: vec![plan(&store, r#"{"weight":2}"#).await],
+    };
+    assert_eq!(plan.replacing_others(&operator("ama")).len(), 1);
+    assert_eq!(plan.replacing_others(&operator("kofi")).len(), 0);
+    let text = serde_json::to_string(&plan).expect("a plan serialises");
+    assert_eq!(
+        serde_json::from_str::<ChangePlan>(&text).expect("and back"),
+        plan
+    );
+}
+
+#[test]
+fn object_history_keeps_the_latest_within_its_bounds() {
+    let object = |version: u64, size: usize| StoredObject {
+        key: key(),
+        version: StoreVersion(version),
+        write_id: format!("w{version}"),
+        body: Some("\"".repeat(size)),
+    };
+    let mut history = ObjectHistory::default();
+    for version in (1..=40).rev() {
+        history.record(&object(version, 10));
+        history.record(&object(version, 10));
+    }
+    let versions: Vec<u64> = history
+        .entries
+        .iter()
+        .map(|entry| entry.version.0)
+        .collect();
+    assert_eq!(versions, (41 - MAX_ENTRIES as u64..=40).collect::<Vec<_>>());
+    for version in 41..=60 {
+        history.record(&object(
+            version,
+            alderhaven_ctl::object_file::MAX_OBJECT_BYTES,
+        ));
+    }
+    assert!(history.to_body().len() <= MAX_HISTORY_BYTES && !history.entries.is_empty());
+    assert!(history.entry_of(StoreVersion(60)).is_some());
+}
+
+#[test]
+fn publication_id_round_trips() {
+    let id = PublicationId {
+        operator: operator("ama"),
+        id: uuid::Uuid::now_v7(),
+        base: StoreVersion(17),
+    };
+    assert_eq!(id.to_string().parse(), Ok(id.clone()));
+    assert!(id.unix_seconds().is_some());
+    for bad in [
+        "ama",
+        "ama/x/1",
+        "ama/1/2/3",
+        "Ama/01a238cf-9af3-70a8-8e9d-a07cb02ebd20/1",
+    ] {
+        assert!(bad.parse::<PublicationId>().is_err(), "{bad}");
+    }
+}
--- /dev/null
+++ b/alderhaven-ctl/tests/publish/support.rs
@@ -0,0 +1,228 @@
+//! A small fake of the object API whose faults follow a script, with a log of all that took effect.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::object_store::{
+    ConditionalWrite, ObjectList, ObjectStore, StoreError, StoreResult, WatchOutcome, WriteOutcome,
+};
+
+/// A `StoreFault` is what befalls one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    None,
+    /// The call is refused and did nothing.
+    Refused,
+    /// The call is lost before it takes effect.
+    LostBefore,
+    /// The answer is lost after the call took effect.
+    LostAfter,
+    /// The answer is lost, and a write takes effect only after that many further calls.
+    Late(u8),
+}
+
+/// An `AppliedWrite` is a write that took effect, with what it replaced.
+#[derive(Clone, Debug)]
+pub struct AppliedWrite {
+    /// The content as written.
+    pub object: StoredObject,
+    /// The content that it replaced.
+    pub replaced: Option<StoredObject>,
+}
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    objects: BTreeMap<ObjectKey, StoredObject>,
+    log: Vec<AppliedWrite>,
+    late: Vec<(u8, ConditionalWrite)>,
+    script: VecDeque<(u8, StoreFault)>,
+    faults: usize,
+}
+
+/// A `ScriptedStore` is a fake store: each call takes the next step of the script.
+///
+/// A step says how often the call lets others run first, and which fault befalls it. After the
+/// script's end there are no faults.
+#[derive(Default)]
+pub struct ScriptedStore {
+    state: Mutex<StoreState>,
+}
+
+impl ScriptedStore {
+    /// Returns a store that follows a script.
+    pub fn new(script: impl IntoIterator<Item = (u8, StoreFault)>) -> Self {
+        let store = Self::default();
+        store.lock().script.extend(script);
+        store
+    }
+
+    /// Writes an object without fault, as someone else would.
+    pub fn seed(&self, key: &ObjectKey, write_id: &str, body: Option<&str>) -> StoreVersion {
+        let mut state = self.lock();
+        let expected = state.version_of(key);
+        let write = ConditionalWrite {
+            key: key.clone(),
+            expected,
+            write_id: write_id.to_owned(),
+            body: body.map(ToOwned::to_owned),
+        };
+        match state.apply(write) {
+            WriteOutcome::Written(version) => version,
+            WriteOutcome::Conflict(_) => unreachable!("the lock is held"),
+        }
+    }
+
+    /// Gets an object without fault.
+    pub fn peek(&self, key: &ObjectKey) -> Option<StoredObject> {
+        self.lock().objects.get(key).cloned()
+    }
+
+    /// Lets all late writes arrive, and gets everything that took effect but histories.
+    pub fn finish(&self) -> Vec<AppliedWrite> {
+        let mut state = self.lock();
+        for (_, write) in std::mem::take(&mut state.late) {
+            state.apply(write);
+        }
+        state
+            .log
+            .iter()
+            .filter(|applied| applied.object.key.kind != ObjectKind::History)
+            .cloned()
+            .collect()
+    }
+
+    /// Gets the number of faults that befell calls.
+    pub fn faults(&self) -> usize {
+        self.lock().faults
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn step(&self) -> StoreFault {
+        let (yields, fault) = {
+            let mut state = self.lock();
+            state.arrive_late();
+            let step = state.script.pop_front().unwrap_or((0, StoreFault::None));
+            state.faults += usize::from(step.1 != StoreFault::None);
+            step
+        };
+        for _ in 0..yields {
+            tokio::task::yield_now().await;
+        }
+        fault
+    }
+}
+
+impl StoreState {
+    fn version_of(&self, key: &ObjectKey) -> StoreVersion {
+        self.objects
+            .get(key)
+            .map(|object| object.version)
+            .unwrap_or_default()
+    }
+
+    fn apply(&mut self, write: ConditionalWrite) -> WriteOutcome {
+        let replaced = self.objects.get(&write.key).cloned();
+        let is_tombstone = replaced
+            .as_ref()
+            .is_some_and(|object| object.body.is_none());
+        let may_create = is_tombstone && write.expected == StoreVersion(0);
+        if self.version_of(&write.key) != write.expected && !may_create {
+            return WriteOutcome::Conflict(replaced);
+        }
+        self.revision += 1;
+        let object = StoredObject {
+            key: write.key.clone(),
+            version: StoreVersion(self.revision),
+            write_id: write.write_id,
+            body: write.body,
+        };
+        self.objects.insert(write.key, object.clone());
+        self.log.push(AppliedWrite { object, replaced });
+        WriteOutcome::Written(StoreVersion(self.revision))
+    }
+
+    fn arrive_late(&mut self) {
+        for (wait, _) in &mut self.late {
+            *wait = wait.saturating_sub(1);
+        }
+        let (due, waiting) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(wait, _)| *wait == 0);
+        self.late = waiting;
+        let due: Vec<(u8, ConditionalWrite)> = due;
+        for (_, write) in due {
+            self.apply(write);
+        }
+    }
+}
+
+impl ObjectStore for ScriptedStore {
+    async fn list(&self, kinds: &[ObjectKind]) -> StoreResult<ObjectList> {
+        match self.step().await {
+            StoreFault::None => {}
+            fault => return Err(read_error(fault)),
+        }
+        let state = self.lock();
+        let objects = state
+            .objects
+            .values()
+            .filter(|object| kinds.contains(&object.key.kind) && object.body.is_some())
+            .cloned()
+            .collect();
+        Ok(ObjectList {
+            revision: StoreVersion(state.revision),
+            objects,
+        })
+    }
+
+    async fn get(&self, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
+        match self.step().await {
+            StoreFault::None => Ok(self.lock().objects.get(key).cloned()),
+            fault => Err(read_error(fault)),
+        }
+    }
+
+    async fn write(&self, write: ConditionalWrite) -> StoreResult<WriteOutcome> {
+        let fault = self.step().await;
+        let mut state = self.lock();
+        match fault {
+            StoreFault::None => Ok(state.apply(write)),
+            StoreFault::Refused => Err(StoreError::not_done("above the rate")),
+            StoreFault::LostBefore => Err(StoreError::unknown("connection reset")),
+            StoreFault::LostAfter => {
+                state.apply(write);
+                Err(StoreError::unknown("connection reset"))
+            }
+            StoreFault::Late(wait) => {
+                state.late.push((wait.max(1), write));
+                Err(StoreError::unknown("timeout"))
+            }
+        }
+    }
+
+    async fn watch(
+        &self,
+        _kinds: &[ObjectKind],
+        _after: StoreVersion,
+        _wait: TimeSpan,
+    ) -> StoreResult<WatchOutcome> {
+        Err(StoreError::not_done("no publisher watches"))
+    }
+}
+
+fn read_error(fault: StoreFault) -> StoreError {
+    match fault {
+        StoreFault::None | StoreFault::Refused => StoreError::not_done("out of service"),
+        StoreFault::LostBefore | StoreFault::LostAfter | StoreFault::Late(_) => {
+            StoreError::unknown("connection reset")
+        }
+    }
+}
