--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node_status;
 pub mod outcome;
 pub mod parameters;
+pub mod program;
 pub mod quantities;
 pub mod settings;
 pub mod team;
