Add the commands of alderctl and the wait until in force

diff, publish, rollback, history, drain, status, members and dump run over any store and any way to ask nodes.

Proof: seen to fail when a node's refusal counts as in force (publish_wait_names_who_lags) and when unseen changes are published (publish_refuses_to_replace_what_was_not_looked_at).

--- a/alderhaven-ctl/src/change_plan.rs
+++ b/alderhaven-ctl/src/change_plan.rs
@@ -117,7 +117,9 @@
         FieldChange::between(self.seen_body(), self.body.as_deref())
     }
 
-    fn seen_body(&self) -> Option<&str> {
+    /// Gets the JSON text that was seen; none where the store held nothing or a tombstone.
+    #[must_use]
+    pub fn seen_body(&self) -> Option<&str> {
         self.seen.as_ref()?.body.as_deref()
     }
 
--- /dev/null
+++ b/alderhaven-ctl/src/commands.rs
@@ -0,0 +1,263 @@
+//! The commands of `alderctl`, over any store and any way to ask nodes.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::ids::{OperatorName, StoreVersion, TargetId};
+use alderhaven_platform::object_store::{ObjectStore, StoreResult};
+use serde_json::Value;
+
+use crate::change_plan::{ChangePlan, PlannedChange};
+use crate::command_report::{
+    ChangeReport, CommandReport, DiffReport, HistoryReport, NodeAnswer, NodesReport,
+    PublicationReport, PublishReport, StatusReport,
+};
+use crate::exit_status::ExitStatus;
+use crate::file_check::CheckReport;
+use crate::in_force::{self, InForceReport, WaitOptions, WantedVersion};
+use crate::node_probe::NodeProbe;
+use crate::object_history::ObjectHistory;
+use crate::publisher::{ObjectPublisher, PublishOptions};
+
+/// A `CommandContext` is what the commands that talk to the store or to nodes share.
+pub struct CommandContext<S, P> {
+    /// The platform's object API.
+    pub store: S,
+    /// The way to ask nodes.
+    pub probe: Arc<P>,
+    /// The operator addresses of the nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// The operator on whose behalf the command runs.
+    pub operator: OperatorName,
+    /// How long publications are tried.
+    pub publishing: PublishOptions,
+    /// Whether and how long to wait until publications are in force.
+    pub waiting: Option<WaitOptions>,
+}
+
+impl<S: ObjectStore, P: NodeProbe> CommandContext<S, P> {
+    /// Compares files with the store; returns the plan for `publish --plan` beside the report.
+    pub async fn diff(&self, paths: &[PathBuf]) -> (CommandReport, Option<ChangePlan>) {
+        match self.plan(paths).await {
+            Ok(plan) => (CommandReport::Diff(DiffReport::of(&plan)), Some(plan)),
+            Err(report) => (report, None),
+        }
+    }
+
+    /// Publishes files, unless one would replace another operator's publication unseen.
+    pub async fn publish(
+        &self,
+        paths: &[PathBuf],
+        show: impl FnMut(&InForceReport),
+    ) -> CommandReport {
+        let plan = match self.plan(paths).await {
+            Ok(plan) => plan,
+            Err(report) => return report,
+        };
+        let unseen: Vec<ChangeReport> = plan
+            .replacing_others(&self.operator)
+            .into_iter()
+            .map(ChangeReport::of)
+            .collect();
+        if !unseen.is_empty() {
+            return CommandReport::Publish(PublishReport {
+                unseen,
+                ..PublishReport::default()
+            });
+        }
+        self.publish_plan(&plan, show).await
+    }
+
+    /// Publishes a plan whose difference was looked at.
+    pub async fn publish_plan(
+        &self,
+        plan: &ChangePlan,
+        show: impl FnMut(&InForceReport),
+    ) -> CommandReport {
+        let publisher = ObjectPublisher::new(&self.store, self.operator.clone(), self.publishing);
+        let mut publications = Vec::with_capacity(plan.changes.len());
+        let mut wanted = Vec::new();
+        for change in &plan.changes {
+            let outcome = publisher.publish(change).await;
+            if let Some(version) = outcome.version() {
+                wanted.push(WantedVersion {
+                    key: change.key.clone(),
+                    version,
+                });
+            }
+            publications.push(PublicationReport::of(change, outcome));
+        }
+        let in_force = match self.waiting {
+            Some(options) if !wanted.is_empty() => {
+                Some(in_force::wait(&self.probe, &self.nodes, &wanted, options, show).await)
+            }
+            _ => None,
+        };
+        CommandReport::Publish(PublishReport {
+            publications,
+            unseen: Vec::new(),
+            in_force,
+        })
+    }
+
+    /// Publishes an earlier content of an object again.
+    pub async fn rollback(
+        &self,
+        key: &ObjectKey,
+        version: StoreVersion,
+        show: impl FnMut(&InForceReport),
+    ) -> CommandReport {
+        let history = match self.read_history(key).await {
+            Ok(report) => report,
+            Err(report) => return report,
+        };
+        let Some(entry) = history.history.entry_of(version) else {
+            let reason = format!("the history of {key} has no version {version}");
+            return CommandReport::failure(ExitStatus::Invalid, reason);
+        };
+        let change = PlannedChange {
+            key: key.clone(),
+            seen: history.current.clone(),
+            body: entry.body.clone(),
+        };
+        let changes = vec![change];
+        self.publish_plan(&ChangePlan { changes }, show).await
+    }
+
+    /// Gets an object with its earlier contents.
+    pub async fn history(&self, key: &ObjectKey) -> CommandReport {
+        match self.read_history(key).await {
+            Ok(report) => CommandReport::History(report),
+            Err(report) => report,
+        }
+    }
+
+    /// Publishes that a target drains, or with `is_end` that it no longer does.
+    pub async fn drain_target(
+        &self,
+        target: &TargetId,
+        is_end: bool,
+        show: impl FnMut(&InForceReport),
+    ) -> CommandReport {
+        let key = ObjectKey {
+            kind: ObjectKind::Drain,
+            name: target.to_string(),
+        };
+        let body = (!is_end).then(|| "{}".to_owned());
+        match PlannedChange::read(&self.store, key, body).await {
+            Ok(change) => {
+                let changes = vec![change];
+                self.publish_plan(&ChangePlan { changes }, show).await
+            }
+            Err(error) => CommandReport::failure(ExitStatus::Failed, error),
+        }
+    }
+
+    /// Starts the planned stop of a node.
+    pub async fn drain_node(&self, address: SocketAddr) -> CommandReport {
+        let answer = self.probe.drain(address).await;
+        let answer = answer.map(|()| serde_json::json!({ "draining": true }));
+        CommandReport::Nodes(NodesReport {
+            nodes: vec![NodeAnswer::of(address, answer)],
+        })
+    }
+
+    /// Gets the nodes' status, and whether the store's versions of `keys` are in force on them.
+    pub async fn status(&self, keys: &[ObjectKey]) -> CommandReport {
+        let mut nodes = Vec::with_capacity(self.nodes.len());
+        for address in self.nodes.iter().copied() {
+            let answer = self.probe.status(address, keys).await;
+            nodes.push(NodeAnswer::of(address, answer));
+        }
+        let in_force = if keys.is_empty() {
+            None
+        } else {
+            match self.wanted(keys).await {
+                Ok(wanted) => {
+                    let once = WaitOptions {
+                        limit: alderhaven_core::time::TimeSpan::ZERO,
+                        ..WaitOptions::default()
+                    };
+                    Some(in_force::wait(&self.probe, &self.nodes, &wanted, once, |_| {}).await)
+                }
+                Err(error) => return CommandReport::failure(ExitStatus::Failed, error),
+            }
+        };
+        CommandReport::Status(StatusReport { nodes, in_force })
+    }
+
+    /// Gets the whole state of each node.
+    pub async fn dump(&self) -> CommandReport {
+        let mut nodes = Vec::with_capacity(self.nodes.len());
+        for address in self.nodes.iter().copied() {
+            nodes.push(NodeAnswer::of(address, self.probe.dump(address).await));
+        }
+        CommandReport::Nodes(NodesReport { nodes })
+    }
+
+    /// Gets the members that each node knows, from its dump.
+    pub async fn members(&self) -> CommandReport {
+        let mut nodes = Vec::with_capacity(self.nodes.len());
+        for address in self.nodes.iter().copied() {
+            let answer = match self.probe.dump(address).await {
+                Ok(Value::Object(mut dump)) => dump
+                    .remove("members")
+                    .ok_or_else(|| "its dump has no members".to_owned()),
+                Ok(_) => Err("its dump is no JSON object".to_owned()),
+                Err(error) => Err(error.reason),
+            };
+            nodes.push(NodeAnswer::of(address, answer));
+        }
+        CommandReport::Nodes(NodesReport { nodes })
+    }
+
+    async fn plan(&self, paths: &[PathBuf]) -> Result<ChangePlan, CommandReport> {
+        let failed = |error| CommandReport::failure(ExitStatus::Failed, error);
+        let mut report = CheckReport::read(paths);
+        let listed = self.store.list(&[ObjectKind::Team]).await.map_err(failed)?;
+        let teams: BTreeSet<String> = listed
+            .objects
+            .into_iter()
+            .map(|object| object.key.name)
+            .collect();
+        report.check_teams(&teams);
+        if !report.is_clean() {
+            return Err(CommandReport::Check(report));
+        }
+        ChangePlan::read(&self.store, &report.objects)
+            .await
+            .map_err(failed)
+    }
+
+    async fn read_history(&self, key: &ObjectKey) -> Result<HistoryReport, CommandReport> {
+        let failed = |error| CommandReport::failure(ExitStatus::Failed, error);
+        let current = self.store.get(key).await.map_err(failed)?;
+        let stored = self
+            .store
+            .get(&ObjectHistory::key_of(key))
+            .await
+            .map_err(failed)?;
+        let history = ObjectHistory::read(stored.as_ref())
+            .map_err(|error| CommandReport::failure(ExitStatus::Failed, error))?;
+        Ok(HistoryReport {
+            key: key.clone(),
+            current,
+            history,
+        })
+    }
+
+    async fn wanted(&self, keys: &[ObjectKey]) -> StoreResult<Vec<WantedVersion>> {
+        let mut wanted = Vec::with_capacity(keys.len());
+        for key in keys {
+            let stored = self.store.get(key).await?;
+            wanted.push(WantedVersion {
+                key: key.clone(),
+                version: stored.map(|object| object.version).unwrap_or_default(),
+            });
+        }
+        Ok(wanted)
+    }
+}
--- a/alderhaven-ctl/src/file_check.rs
+++ b/alderhaven-ctl/src/file_check.rs
@@ -28,7 +28,7 @@
 }
 
 impl CheckReport {
-    /// Reads and checks all YAML files at or below the paths.
+    /// Reads and checks all YAML files at or below the paths, except for the teams they name.
     #[must_use]
     pub fn read(paths: &[PathBuf]) -> Self {
         let mut report = Self::default();
@@ -54,10 +54,15 @@
         }
         report.objects.sort_by(|a, b| a.key.cmp(&b.key));
         report.check_names();
-        report.check_teams(&BTreeSet::new());
+        report.sort();
         report
-            .problems
-            .sort_by(|a, b| (&a.path, a.line).cmp(&(&b.path, b.line)));
+    }
+
+    /// Checks the files by themselves, and the teams against these files alone.
+    #[must_use]
+    pub fn read_offline(paths: &[PathBuf]) -> Self {
+        let mut report = Self::read(paths);
+        report.check_teams(&BTreeSet::new());
         report
     }
 
@@ -89,7 +94,7 @@
     /// Checks that the teams which templates name are known here or in `published`.
     ///
     /// Without any known team nothing can be said, and nothing is.
-    fn check_teams(&mut self, published: &BTreeSet<String>) {
+    pub fn check_teams(&mut self, published: &BTreeSet<String>) {
         let known: BTreeSet<&str> = self
             .objects
             .iter()
@@ -107,6 +112,12 @@
             }
         }
         self.problems.extend(problems);
+        self.sort();
+    }
+
+    fn sort(&mut self) {
+        self.problems
+            .sort_by(|a, b| (&a.path, a.line).cmp(&(&b.path, b.line)));
     }
 }
 
--- a/alderhaven-ctl/src/lib.rs
+++ b/alderhaven-ctl/src/lib.rs
@@ -3,12 +3,20 @@
 #![warn(missing_docs)]
 
 pub mod change_plan;
+pub mod command_report;
+pub mod commands;
+pub mod ctl_settings;
+pub mod exit_status;
 pub mod field_change;
 pub mod file_check;
 pub mod file_problem;
+pub mod in_force;
 pub mod line_index;
+pub mod node_probe;
 pub mod object_file;
 pub mod object_history;
+pub mod operator_client;
 pub mod publication_id;
 pub mod publish_outcome;
 pub mod publisher;
+pub mod report_text;
--- /dev/null
+++ b/alderhaven-ctl/src/operator_client.rs
@@ -0,0 +1,112 @@
+//! The HTTP client for the nodes' operator addresses.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::config_object::ObjectKey;
+use alderhaven_core::node_status::NodeStatus;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::operator_server::{DRAIN_PATH, DUMP_PATH, STATUS_PATH};
+use http::{Method, Request, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::net::TcpStream;
+
+use crate::node_probe::{NodeProbe, ProbeError, ProbeResult};
+
+/// The time within which a node must have answered.
+pub const DEFAULT_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
+/// The largest answer that is read; a dump of a busy relay is a few MB.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// The parameter of the status that names objects, joined by commas.
+pub const OBJECTS_PARAMETER: &str = "objects";
+
+/// An `OperatorClient` makes one connection for each call: a stale one can't deceive it.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorClient {
+    /// The time within which a node must have answered.
+    pub timeout: TimeSpan,
+}
+
+impl Default for OperatorClient {
+    fn default() -> Self {
+        Self {
+            timeout: DEFAULT_TIMEOUT,
+        }
+    }
+}
+
+impl OperatorClient {
+    async fn call<T: DeserializeOwned>(
+        &self,
+        node: SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> ProbeResult<T> {
+        let calling = exchange(node, method, path);
+        let body = tokio::time::timeout(self.timeout.as_duration(), calling)
+            .await
+            .map_err(|_| ProbeError::new(format!("no answer within {}", self.timeout)))??;
+        serde_json::from_slice(&body)
+            .map_err(|error| ProbeError::new(format!("{path} can't be read: {error}")))
+    }
+}
+
+impl NodeProbe for OperatorClient {
+    async fn status(&self, node: SocketAddr, keys: &[ObjectKey]) -> ProbeResult<NodeStatus> {
+        let names: Vec<String> = keys.iter().map(ToString::to_string).collect();
+        let path = format!("{STATUS_PATH}?{OBJECTS_PARAMETER}={}", names.join(","));
+        self.call(node, Method::GET, &path).await
+    }
+
+    async fn dump(&self, node: SocketAddr) -> ProbeResult<Value> {
+        self.call(node, Method::GET, DUMP_PATH).await
+    }
+
+    async fn drain(&self, node: SocketAddr) -> ProbeResult<()> {
+        let _answer: Value = self.call(node, Method::POST, DRAIN_PATH).await?;
+        Ok(())
+    }
+}
+
+async fn exchange(node: SocketAddr, method: Method, path: &str) -> ProbeResult<Bytes> {
+    let stream = TcpStream::connect(node).await.map_err(ProbeError::new)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(ProbeError::new)?;
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, node.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(ProbeError::new)?;
+    let answering = async {
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(ProbeError::new)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(ProbeError::new)?
+            .to_bytes();
+        if status.is_success() {
+            Ok(body)
+        } else {
+            Err(ProbeError::new(format!("{path} answered {status}")))
+        }
+    };
+    // The connection is driven beside the call and ends with it.
+    tokio::select! {
+        biased;
+        answer = answering => answer,
+        ended = async {
+            let _ended = connection.await;
+            std::future::pending::<()>().await;
+        } => { let () = ended; Err(ProbeError::new("the connection ended")) }
+    }
+}
--- a/alderhaven-ctl/tests/examples.rs
+++ b/alderhaven-ctl/tests/examples.rs
@@ -9,7 +9,7 @@
 
 fn report_of(deployment: &str) -> CheckReport {
     let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples");
-    CheckReport::read(&[examples.join(deployment)])
+    CheckReport::read_offline(&[examples.join(deployment)])
 }
 
 fn template_of<'a>(report: &'a CheckReport, name: &str) -> &'a QueryTemplate {
--- a/alderhaven-ctl/tests/file_check.rs
+++ b/alderhaven-ctl/tests/file_check.rs
@@ -32,7 +32,7 @@
 #[test]
 fn check_report_names_all_problems_with_lines() {
     let root = format!("{}/", refused_folder().display());
-    let report = CheckReport::read(&[refused_folder()]);
+    let report = CheckReport::read_offline(&[refused_folder()]);
     let lines: Vec<String> = report
         .problems
         .iter()
@@ -44,14 +44,14 @@
 
 #[test]
 fn check_report_refuses_a_missing_path() {
-    let report = CheckReport::read(&[refused_folder().join("teams/absent.yaml")]);
+    let report = CheckReport::read_offline(&[refused_folder().join("teams/absent.yaml")]);
     assert_eq!(report.problems.len(), 1);
     assert!(!report.is_clean());
 }
 
 #[test]
 fn check_report_skips_teams_where_none_is_known() {
-    let report = CheckReport::read(&[refused_folder().join("templates/sweep.yaml")]);
+    let report = CheckReport::read_offline(&[refused_folder().join("templates/sweep.yaml")]);
     let named_team = report
         .problems
         .iter()
--- /dev/null
+++ b/alderhaven-ctl/tests/operator_client.rs
@@ -0,0 +1,76 @@
+//! Tests of the HTTP client against the operator server that entries and relays run.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_ctl::node_probe::NodeProbe;
+use alderhaven_ctl::operator_client::OperatorClient;
+use alderhaven_platform::operator_server::{self, OperatorSource};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+#[derive(Default)]
+struct FakeProcess {
+    is_draining: AtomicBool,
+}
+
+impl OperatorSource for FakeProcess {
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn dump(&self) -> Value {
+        json!({ "members": [] })
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "node": "relay-1", "role": "relay", "domain": "accra-a", "incarnation": 3,
+            "state": "serving", "store_version": 17,
+            "objects": [{ "key": { "kind": "team", "name": "desk" }, "version": 17 }],
+        })
+    }
+
+    fn drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+}
+
+#[tokio::test]
+async fn operator_client_asks_a_node() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let process = Arc::new(FakeProcess::default());
+    let serving = tokio::spawn(operator_server::serve(listener, Arc::clone(&process)));
+    let client = OperatorClient::default();
+    let key = "team/desk".parse().expect("it is a key");
+    let status = client.status(address, &[key]).await.expect("it answers");
+    assert_eq!(status.objects[0].version.0, 17);
+    assert_eq!(
+        client.dump(address).await.expect("it answers"),
+        json!({ "members": [] })
+    );
+    client.drain(address).await.expect("it answers");
+    assert!(process.is_draining.load(Ordering::Relaxed));
+    serving.abort();
+}
+
+/// A node's host is gone without a word, or something else listens at its address. The client must
+/// end in bounded time, or one such node would hold up a publication's report.
+#[tokio::test]
+async fn operator_client_gives_up_on_a_silent_node() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let client = OperatorClient {
+        timeout: TimeSpan::from_millis(20),
+    };
+    let error = client.dump(address).await.expect_err("nobody answers");
+    assert!(error.reason.contains("no answer within 20ms"), "{error}");
+    drop(listener);
+    assert!(client.dump(address).await.is_err());
+}
--- /dev/null
+++ b/alderhaven-ctl/tests/publish/commands.rs
@@ -0,0 +1,254 @@
+//! Tests of the commands over a fake store and fake nodes: reports and exit statuses.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_ctl::command_report::CommandReport;
+use alderhaven_ctl::commands::CommandContext;
+use alderhaven_ctl::exit_status::ExitStatus;
+use alderhaven_ctl::in_force::WaitOptions;
+use alderhaven_ctl::object_history::ObjectHistory;
+use alderhaven_ctl::publisher::PublishOptions;
+
+use crate::nodes::{FakeNodes, NodeBehaviour};
+use crate::support::ScriptedStore;
+
+type FakeContext = CommandContext<ScriptedStore, FakeNodes>;
+
+fn context(operator: &str, behaviours: &[NodeBehaviour]) -> FakeContext {
+    let probe = Arc::new(FakeNodes::new(behaviours));
+    CommandContext {
+        store: ScriptedStore::default(),
+        nodes: probe.addresses(),
+        probe,
+        operator: operator.parse().expect("it is a name"),
+        publishing: PublishOptions::default(),
+        waiting: None,
+    }
+}
+
+fn examples(folder: &str) -> Vec<PathBuf> {
+    vec![
+        Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("../examples")
+            .join(folder),
+    ]
+}
+
+fn team(name: &str) -> ObjectKey {
+    ObjectKey {
+        kind: ObjectKind::Team,
+        name: name.to_owned(),
+    }
+}
+
+fn body_of(context: &FakeContext, key: &ObjectKey) -> Option<String> {
+    context.store.peek(key)?.body
+}
+
+/// An operator publishes and waits. One node takes it up late, one refuses it, one is gone: the
+/// report names the last two, and the exit status says that it is not in force everywhere.
+#[tokio::test(start_paused = true)]
+async fn publish_wait_names_who_lags() {
+    let behaviours = [
+        NodeBehaviour::InForceAfter(0),
+        NodeBehaviour::InForceAfter(3),
+        NodeBehaviour::Refuses,
+        NodeBehaviour::Silent,
+    ];
+    let mut context = context("ama", &behaviours);
+    context.waiting = Some(WaitOptions::default());
+    let mut rounds = 0;
+    let report = context.publish(&examples("volta"), |_| rounds += 1).await;
+    let text = report.to_string();
+    assert_eq!(report.exit_status(), ExitStatus::Lagging, "{text}");
+    assert!(text.contains("in force on 2 of 4"), "{text}");
+    assert!(text.contains("refuses team/"), "{text}");
+    assert!(
+        text.contains("does not answer: connection refused"),
+        "{text}"
+    );
+    assert_eq!((context.probe.asked(0), context.probe.asked(1)), (1, 4));
+    assert!(rounds > 100, "progress is shown in each of {rounds} rounds");
+}
+
+#[tokio::test(start_paused = true)]
+async fn publish_wait_ends_when_in_force_everywhere() {
+    let mut context = context("ama", &[NodeBehaviour::InForceAfter(2); 8]);
+    context.waiting = Some(WaitOptions::default());
+    let report = context.publish(&examples("lagerblik"), |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Done, "{report}");
+    assert!(report.to_string().contains("in force on 8 of 8"));
+    let json = serde_json::to_value(&report).expect("a report serialises");
+    assert_eq!(json["command"], "publish");
+    assert_eq!(json["in_force"]["nodes"][7]["progress"], "in_force");
+}
+
+/// Kofi has changed a team since Ama last looked. Her files would take his change back, and she
+/// has not seen it: nothing is published until she has looked at the difference.
+#[tokio::test(start_paused = true)]
+async fn publish_refuses_to_replace_what_was_not_looked_at() {
+    let mut context = context("kofi", &[]);
+    let theirs = r#"{"name":"publishers","weight":9}"#;
+    let key = team("publishers");
+    context.store.seed(&key, "someone", Some(theirs));
+    context.operator = "ama".parse().expect("it is a name");
+    let report = context.publish(&examples("volta"), |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Conflict, "{report}");
+    assert_eq!(
+        context.store.finish().len(),
+        1,
+        "nothing else was published either"
+    );
+
+    let (report, plan) = context.diff(&examples("volta")).await;
+    assert!(report.to_string().contains("~ weight: 9 -> 4"), "{report}");
+    let plan = plan.expect("the files check");
+    let report = context.publish_plan(&plan, |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Done, "{report}");
+    assert_ne!(body_of(&context, &key).as_deref(), Some(theirs));
+}
+
+/// Between Ama's look at the difference and her publication Kofi publishes. His content stays, and
+/// she is shown what he changed.
+#[tokio::test(start_paused = true)]
+async fn publish_plan_shows_what_the_winner_changed() {
+    let context = context("ama", &[]);
+    let key = team("publishers");
+    context
+        .store
+        .seed(&key, "seed", Some(r#"{"name":"publishers","weight":1}"#));
+    let (_, plan) = context.diff(&examples("volta/teams")).await;
+    let theirs = r#"{"name":"publishers","weight":7}"#;
+    context.store.seed(
+        &key,
+        "kofi/01a238cf-9af3-70a8-8e9d-a07cb02ebd20/1",
+        Some(theirs),
+    );
+    let report = context
+        .publish_plan(&plan.expect("the files check"), |_| {})
+        .await;
+    let text = report.to_string();
+    assert_eq!(report.exit_status(), ExitStatus::Conflict, "{text}");
+    assert!(
+        text.contains("changed by kofi") && text.contains("~ weight: 1 -> 7"),
+        "{text}"
+    );
+    assert_eq!(body_of(&context, &key).as_deref(), Some(theirs));
+    assert!(
+        body_of(&context, &team("libraries")).is_some(),
+        "each object by itself"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn publish_refuses_files_that_do_not_check() {
+    let context = context("ama", &[]);
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/refused");
+    let report = context.publish(&[folder], |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Invalid);
+    assert_eq!(context.store.finish().len(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn publish_knows_the_teams_of_the_store() {
+    let context = context("ama", &[]);
+    let template = examples("volta/templates/assign-isbn.yaml");
+    context.store.seed(&team("publishers"), "seed", Some("{}"));
+    let report = context.publish(&template, |_| {}).await;
+    assert!(
+        report.to_string().contains("`registry-staff` is not known"),
+        "{report}"
+    );
+    context
+        .store
+        .seed(&team("registry-staff"), "seed", Some("{}"));
+    let report = context.publish(&template, |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Done, "{report}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn rollback_publishes_an_earlier_content_again() {
+    let context = context("ama", &[]);
+    let key = team("publishers");
+    let first = r#"{"name":"publishers","weight":1}"#;
+    let version = context.store.seed(
+        &key,
+        "ama/01a238cf-9af3-70a8-8e9d-a07cb02ebd20/0",
+        Some(first),
+    );
+    context.publish(&examples("volta/teams"), |_| {}).await;
+    assert_ne!(body_of(&context, &key).as_deref(), Some(first));
+
+    let report = context.rollback(&key, version, |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Done, "{report}");
+    let stored = context.store.peek(&key).expect("it is stored");
+    assert_eq!(stored.body.as_deref(), Some(first));
+    assert!(
+        stored.version > version,
+        "a rollback is a publication of its own"
+    );
+    let history = context.store.peek(&ObjectHistory::key_of(&key));
+    let history = ObjectHistory::read(history.as_ref()).expect("a history is readable");
+    assert_eq!(history.entries.len(), 2);
+
+    let report = context.rollback(&key, StoreVersion(99), |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Invalid, "{report}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_target_begins_and_ends() {
+    let context = context("ama", &[]);
+    let target = "desk-3-a".parse().expect("it is a name");
+    let key = ObjectKey {
+        kind: ObjectKind::Drain,
+        name: "desk-3-a".to_owned(),
+    };
+    context.drain_target(&target, false, |_| {}).await;
+    assert!(body_of(&context, &key).is_some());
+    context.drain_target(&target, true, |_| {}).await;
+    assert!(
+        context
+            .store
+            .peek(&key)
+            .is_some_and(|object| object.body.is_none())
+    );
+    let report = context.drain_target(&target, false, |_| {}).await;
+    assert_eq!(report.exit_status(), ExitStatus::Done, "{report}");
+    assert!(
+        body_of(&context, &key).is_some(),
+        "a tombstone is no obstacle"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn status_tells_of_nodes_and_objects() {
+    let mut context = context(
+        "ama",
+        &[NodeBehaviour::InForceAfter(0), NodeBehaviour::Silent],
+    );
+    let report = context.status(&[]).await;
+    assert_eq!(report.exit_status(), ExitStatus::Failed);
+    context.nodes.pop();
+    let report = context.status(&[team("publishers")]).await;
+    assert_eq!(report.exit_status(), ExitStatus::Done);
+    assert!(
+        report.to_string().contains("entry-9000 in accra-a"),
+        "{report}"
+    );
+    let CommandReport::Nodes(members) = context.members().await else {
+        panic!("members are answers of nodes");
+    };
+    assert_eq!(
+        members.nodes[0].answer,
+        Some(serde_json::json!(["entry-9000"]))
+    );
+}
+
+#[test]
+fn wait_options_outlast_the_bound_of_the_users() {
+    assert!(WaitOptions::default().limit > TimeSpan::from_secs(9));
+}
--- a/alderhaven-ctl/tests/publish/main.rs
+++ b/alderhaven-ctl/tests/publish/main.rs
@@ -1,5 +1,7 @@
-//! Tests of publication: scenarios of lost answers, and operators that race each other.
+//! Tests of publication: scenarios of lost answers, operators that race, and the commands.
 
+mod commands;
+mod nodes;
 mod races;
 mod scenarios;
 mod support;
