Judge what is in force by the revision that a node has reached

A node tells the revision up to which every change is in force and the objects that it refuses; that is of constant size and decides for all published objects at once. The question about single objects, which would have grown with the number of objects, is dropped.

--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod ids;
 pub mod logging;
 pub mod manifest;
-pub mod node_status;
 pub mod outcome;
 pub mod parameters;
 pub mod program;
--- a/alderhaven-ctl/src/command_report.rs
+++ b/alderhaven-ctl/src/command_report.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 
 use alderhaven_core::config_object::{ObjectKey, StoredObject};
-use alderhaven_core::node_status::NodeStatus;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -13,6 +12,7 @@
 use crate::field_change::FieldChange;
 use crate::file_check::CheckReport;
 use crate::in_force::InForceReport;
+use crate::node_status::NodeStatus;
 use crate::object_history::ObjectHistory;
 use crate::publish_outcome::{self, PublishOutcome};
 
--- a/alderhaven-ctl/src/commands.rs
+++ b/alderhaven-ctl/src/commands.rs
@@ -169,7 +169,7 @@
     pub async fn status(&self, keys: &[ObjectKey]) -> CommandReport {
         let mut nodes = Vec::with_capacity(self.nodes.len());
         for address in self.nodes.iter().copied() {
-            let answer = self.probe.status(address, keys).await;
+            let answer = self.probe.status(address).await;
             nodes.push(NodeAnswer::of(address, answer));
         }
         let in_force = if keys.is_empty() {
--- a/alderhaven-ctl/src/in_force.rs
+++ b/alderhaven-ctl/src/in_force.rs
@@ -6,13 +6,13 @@
 
 use alderhaven_core::config_object::ObjectKey;
 use alderhaven_core::ids::{NodeId, StoreVersion};
-use alderhaven_core::node_status::NodeStatus;
 use alderhaven_core::time::TimeSpan;
 use serde::Serialize;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::node_probe::NodeProbe;
+use crate::node_status::NodeStatus;
 
 /// The most nodes that are asked at a time: the operator's host makes one connection for each.
 const MAX_CONCURRENT_PROBES: usize = 64;
@@ -54,12 +54,10 @@
 pub enum NodeProgress {
     /// All wanted versions, or later ones, are in force.
     InForce,
-    /// An earlier version of an object is in force, or none.
+    /// Changes up to an earlier revision of the store are in force, or none.
     Behind {
-        /// The first object that lags.
-        key: ObjectKey,
-        /// The version that the node has heard of.
-        version: Option<StoreVersion>,
+        /// The revision.
+        revision: Option<StoreVersion>,
     },
     /// The node refuses the content and keeps an earlier one.
     Rejected {
@@ -98,26 +96,28 @@
     /// Judges a node by its status.
     #[must_use]
     pub fn judge(status: &NodeStatus, wanted: &[WantedVersion]) -> Self {
-        let mut behind = None;
         for want in wanted {
-            let held = status.objects.iter().find(|object| object.key == want.key);
-            match held {
-                Some(held) if held.version >= want.version && held.errors.is_empty() => {}
-                Some(held) if held.version >= want.version => {
-                    return Self::Rejected {
-                        key: want.key.clone(),
-                        errors: held.errors.clone(),
-                    };
-                }
-                _ => {
-                    behind.get_or_insert_with(|| Self::Behind {
-                        key: want.key.clone(),
-                        version: held.map(|held| held.version),
-                    });
-                }
+            let key = want.key.to_string();
+            let refused = status
+                .config
+                .rejected
+                .iter()
+                .find(|refused| refused.key == key && refused.version >= want.version);
+            if let Some(refused) = refused {
+                return Self::Rejected {
+                    key: want.key.clone(),
+                    errors: refused.errors.clone(),
+                };
             }
         }
-        behind.unwrap_or(Self::InForce)
+        let revision = status.config.revision;
+        // Every change up to the revision is in force, so the newest wanted version decides.
+        let newest = wanted.iter().map(|want| want.version).max();
+        if newest.is_none() || revision >= newest {
+            Self::InForce
+        } else {
+            Self::Behind { revision }
+        }
     }
 }
 
@@ -177,13 +177,10 @@
         match &self.progress {
             NodeProgress::InForce => formatter.write_str("in force"),
             NodeProgress::Behind {
-                key,
-                version: Some(version),
-            } => {
-                write!(formatter, "lags: has {key} at version {version}")
-            }
-            NodeProgress::Behind { key, version: None } => {
-                write!(formatter, "lags: has not heard of {key}")
+                revision: Some(revision),
+            } => write!(formatter, "lags at revision {revision}"),
+            NodeProgress::Behind { revision: None } => {
+                formatter.write_str("lags: has no configuration yet")
             }
             NodeProgress::Rejected { key, errors } => {
                 write!(formatter, "refuses {key}: {}", errors.join("; "))
@@ -237,7 +234,6 @@
     wanted: &[WantedVersion],
     report: &mut InForceReport,
 ) {
-    let keys: Arc<[ObjectKey]> = wanted.iter().map(|want| want.key.clone()).collect();
     let lagging: Vec<(usize, SocketAddr)> = report
         .nodes
         .iter()
@@ -248,8 +244,8 @@
     for batch in lagging.chunks(MAX_CONCURRENT_PROBES) {
         let mut probes = JoinSet::new();
         for (index, address) in batch.iter().copied() {
-            let (probe, keys) = (Arc::clone(probe), Arc::clone(&keys));
-            probes.spawn(async move { (index, probe.status(address, &keys).await) });
+            let probe = Arc::clone(probe);
+            probes.spawn(async move { (index, probe.status(address).await) });
         }
         while let Some(Ok((index, answer))) = probes.join_next().await {
             let node = &mut report.nodes[index];
--- a/alderhaven-ctl/src/lib.rs
+++ b/alderhaven-ctl/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod in_force;
 pub mod line_index;
 pub mod node_probe;
+pub mod node_status;
 pub mod object_file;
 pub mod object_history;
 pub mod operator_client;
--- a/alderhaven-ctl/src/node_probe.rs
+++ b/alderhaven-ctl/src/node_probe.rs
@@ -4,10 +4,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
-use alderhaven_core::config_object::ObjectKey;
-use alderhaven_core::node_status::NodeStatus;
 use serde_json::Value;
 
+use crate::node_status::NodeStatus;
+
 /// A `ProbeError` says why a node did not tell what it was asked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProbeError {
@@ -37,12 +37,8 @@
 
 /// A `NodeProbe` asks nodes at their operator addresses.
 pub trait NodeProbe: Send + Sync + 'static {
-    /// Gets a node's status with what it holds of the objects.
-    fn status(
-        &self,
-        node: SocketAddr,
-        keys: &[ObjectKey],
-    ) -> impl Future<Output = ProbeResult<NodeStatus>> + Send;
+    /// Gets a node's status.
+    fn status(&self, node: SocketAddr) -> impl Future<Output = ProbeResult<NodeStatus>> + Send;
 
     /// Gets the whole state of a node.
     fn dump(&self, node: SocketAddr) -> impl Future<Output = ProbeResult<Value>> + Send;
--- a/alderhaven-ctl/src/operator_client.rs
+++ b/alderhaven-ctl/src/operator_client.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 
-use alderhaven_core::config_object::ObjectKey;
-use alderhaven_core::node_status::NodeStatus;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::operator_server::{DRAIN_PATH, DUMP_PATH, STATUS_PATH};
 use http::{Method, Request, header};
@@ -16,13 +14,12 @@
 use tokio::net::TcpStream;
 
 use crate::node_probe::{NodeProbe, ProbeError, ProbeResult};
+use crate::node_status::NodeStatus;
 
 /// The time within which a node must have answered.
 pub const DEFAULT_TIMEOUT: TimeSpan = TimeSpan::from_secs(2);
 /// The largest answer that is read; a dump of a busy relay is a few MB.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
-/// The parameter of the status that names objects, joined by commas.
-pub const OBJECTS_PARAMETER: &str = "objects";
 
 /// An `OperatorClient` makes one connection for each call: a stale one can't deceive it.
 #[derive(Clone, Copy, Debug)]
@@ -56,10 +53,8 @@
 }
 
 impl NodeProbe for OperatorClient {
-    async fn status(&self, node: SocketAddr, keys: &[ObjectKey]) -> ProbeResult<NodeStatus> {
-        let names: Vec<String> = keys.iter().map(ToString::to_string).collect();
-        let path = format!("{STATUS_PATH}?{OBJECTS_PARAMETER}={}", names.join(","));
-        self.call(node, Method::GET, &path).await
+    async fn status(&self, node: SocketAddr) -> ProbeResult<NodeStatus> {
+        self.call(node, Method::GET, STATUS_PATH).await
     }
 
     async fn dump(&self, node: SocketAddr) -> ProbeResult<Value> {
--- a/alderhaven-ctl/src/report_text.rs
+++ b/alderhaven-ctl/src/report_text.rs
@@ -97,18 +97,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         for node in &self.nodes {
             match (&node.answer, &node.error) {
-                (Some(status), _) => writeln!(
-                    formatter,
-                    "{} {} {} in {}, incarnation {}, {}, store version {}, {} objects rejected",
-                    node.address,
-                    status.role,
-                    status.node,
-                    status.domain,
-                    status.incarnation,
-                    status.state,
-                    status.store_version,
-                    status.rejected
-                )?,
+                (Some(status), _) => writeln!(formatter, "{}: {status}", node.address)?,
                 (None, error) => {
                     let reason = error.as_deref().unwrap_or_default();
                     writeln!(formatter, "{} does not answer: {reason}", node.address)?;
--- a/alderhaven-ctl/tests/operator_client.rs
+++ b/alderhaven-ctl/tests/operator_client.rs
@@ -26,9 +26,8 @@
 
     fn status(&self) -> Value {
         json!({
-            "node": "relay-1", "role": "relay", "domain": "accra-a", "incarnation": 3,
-            "state": "serving", "store_version": 17,
-            "objects": [{ "key": { "kind": "team", "name": "desk" }, "version": 17 }],
+            "node": "relay-1", "role": "relay",
+            "config": { "contact": { "state": "following" }, "revision": 17, "rejected": [] },
         })
     }
 
@@ -46,9 +45,8 @@
     let process = Arc::new(FakeProcess::default());
     let serving = tokio::spawn(operator_server::serve(listener, Arc::clone(&process)));
     let client = OperatorClient::default();
-    let key = "team/desk".parse().expect("it is a key");
-    let status = client.status(address, &[key]).await.expect("it answers");
-    assert_eq!(status.objects[0].version.0, 17);
+    let status = client.status(address).await.expect("it answers");
+    assert_eq!(status.config.revision.map(|revision| revision.0), Some(17));
     assert_eq!(
         client.dump(address).await.expect("it answers"),
         json!({ "members": [] })
--- a/alderhaven-ctl/tests/publish/commands.rs
+++ b/alderhaven-ctl/tests/publish/commands.rs
@@ -66,7 +66,7 @@
     let text = report.to_string();
     assert_eq!(report.exit_status(), ExitStatus::Lagging, "{text}");
     assert!(text.contains("in force on 2 of 4"), "{text}");
-    assert!(text.contains("refuses team/"), "{text}");
+    assert!(text.contains("refuses team/publishers: weight"), "{text}");
     assert!(
         text.contains("does not answer: connection refused"),
         "{text}"
--- a/alderhaven-ctl/tests/publish/nodes.rs
+++ b/alderhaven-ctl/tests/publish/nodes.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
-use alderhaven_core::config_object::ObjectKey;
 use alderhaven_core::ids::{IncarnationNumber, StoreVersion};
-use alderhaven_core::node_status::{NodeRole, NodeState, NodeStatus, ObjectStatus};
 use alderhaven_ctl::node_probe::{NodeProbe, ProbeError, ProbeResult};
+use alderhaven_ctl::node_status::{ConfigStatus, NodeStatus, RejectedStatus};
 use serde_json::Value;
 
 /// A `NodeBehaviour` is how a fake node takes up what is published.
@@ -15,7 +14,7 @@
 pub enum NodeBehaviour {
     /// It has every version in force from that question on, counted from 0.
     InForceAfter(u32),
-    /// It refuses every version.
+    /// It refuses every version of the team `publishers`.
     Refuses,
     /// It does not answer.
     Silent,
@@ -58,38 +57,36 @@
 }
 
 impl NodeProbe for FakeNodes {
-    async fn status(&self, node: SocketAddr, keys: &[ObjectKey]) -> ProbeResult<NodeStatus> {
+    async fn status(&self, node: SocketAddr) -> ProbeResult<NodeStatus> {
         let question = {
             let mut asked = self.asked.lock().expect("no test panics with the lock");
             let count = asked.entry(node).or_default();
             *count += 1;
             *count - 1
         };
-        let (version, errors) = match self.behaviours[&node] {
+        let revision = match self.behaviours[&node] {
             NodeBehaviour::Silent => return Err(ProbeError::new("connection refused")),
-            NodeBehaviour::Refuses => (u64::MAX, vec!["weight: refused".to_owned()]),
-            NodeBehaviour::InForceAfter(after) if question >= after => (u64::MAX, Vec::new()),
-            NodeBehaviour::InForceAfter(_) => (0, Vec::new()),
+            NodeBehaviour::InForceAfter(after) if question < after => None,
+            NodeBehaviour::InForceAfter(_) | NodeBehaviour::Refuses => Some(StoreVersion(u64::MAX)),
+        };
+        let is_refusing = self.behaviours[&node] == NodeBehaviour::Refuses;
+        let refused = RejectedStatus {
+            key: "team/publishers".to_owned(),
+            version: StoreVersion(u64::MAX),
+            errors: vec!["weight: refused".to_owned()],
         };
-        let objects = keys
-            .iter()
-            .map(|key| ObjectStatus {
-                key: key.clone(),
-                version: StoreVersion(version),
-                errors: errors.clone(),
-            })
-            .collect();
         Ok(NodeStatus {
             node: format!("entry-{}", node.port())
                 .parse()
                 .expect("it is a name"),
-            role: NodeRole::Entry,
-            domain: "accra-a".parse().expect("it is a name"),
-            incarnation: IncarnationNumber(1),
-            state: NodeState::Serving,
-            store_version: StoreVersion(version),
-            objects,
-            rejected: errors.len(),
+            role: "entry".to_owned(),
+            domain: "accra-a".parse().ok(),
+            incarnation: Some(IncarnationNumber(1)),
+            state: None,
+            config: ConfigStatus {
+                revision,
+                rejected: is_refusing.then_some(refused).into_iter().collect(),
+            },
         })
     }
 
--- a/alderhaven-policy/src/config_registry.rs
+++ b/alderhaven-policy/src/config_registry.rs
@@ -12,7 +12,6 @@
 use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{ServiceName, StoreVersion, TeamId, TemplateName};
 use alderhaven_core::manifest::SnapshotManifest;
-use alderhaven_core::node_status::ObjectStatus;
 use alderhaven_core::team::TeamPolicy;
 use alderhaven_core::template::QueryTemplate;
 
@@ -108,20 +107,6 @@
         &self.rejected
     }
 
-    /// Gets what is held of an object; none where it was never heard of.
-    #[must_use]
-    pub fn status_of(&self, key: &ObjectKey) -> Option<ObjectStatus> {
-        let newest = self.newest.get(key)?;
-        let errors = self.rejected.get(key).map_or_else(Vec::new, |rejected| {
-            rejected.errors.iter().map(ToString::to_string).collect()
-        });
-        Some(ObjectStatus {
-            key: key.clone(),
-            version: newest.version,
-            errors,
-        })
-    }
-
     /// Gets the highest store version heard of.
     #[must_use]
     pub fn highest_version(&self) -> StoreVersion {
