--- a/alderhaven-ctl/src/command_report.rs
+++ b/alderhaven-ctl/src/command_report.rs
@@ -32,6 +32,8 @@
     Nodes(NodesReport),
     /// Of `history`.
     History(HistoryReport),
+    /// Of `hash-token`.
+    Token(TokenReport),
     /// Of a command that could not begin.
     Failure(FailureReport),
 }
@@ -122,6 +124,13 @@
     pub history: ObjectHistory,
 }
 
+/// A `TokenReport` is the hash of a bearer token.
+#[derive(Clone, Debug, Serialize)]
+pub struct TokenReport {
+    /// What a team's file holds.
+    pub token_hash: String,
+}
+
 /// A `FailureReport` says why a command could not do its work; nothing took effect.
 #[derive(Clone, Debug, Serialize)]
 pub struct FailureReport {
@@ -151,7 +160,7 @@
             Self::Nodes(report) if report.nodes.iter().any(|node| node.error.is_some()) => {
                 ExitStatus::Failed
             }
-            Self::Nodes(_) | Self::Diff(_) | Self::History(_) => ExitStatus::Done,
+            Self::Nodes(_) | Self::Diff(_) | Self::History(_) | Self::Token(_) => ExitStatus::Done,
             Self::Failure(report) => report.status,
         }
     }
--- a/alderhaven-ctl/src/commands.rs
+++ b/alderhaven-ctl/src/commands.rs
@@ -1,35 +1,32 @@
-//! The commands of `alderctl`, over any store and any way to ask nodes.
+//! The commands that talk to the store, over any store and any way to ask nodes.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind};
 use alderhaven_core::ids::{OperatorName, StoreVersion, TargetId};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::object_store::{ObjectStore, StoreResult};
-use serde_json::Value;
 
 use crate::change_plan::{ChangePlan, PlannedChange};
 use crate::command_report::{
-    ChangeReport, CommandReport, DiffReport, HistoryReport, NodeAnswer, NodesReport,
-    PublicationReport, PublishReport, StatusReport,
+    ChangeReport, CommandReport, DiffReport, HistoryReport, PublicationReport, PublishReport,
+    StatusReport,
 };
 use crate::exit_status::ExitStatus;
 use crate::file_check::CheckReport;
-use crate::in_force::{self, InForceReport, WaitOptions, WantedVersion};
+use crate::in_force::{InForceReport, WaitOptions, WantedVersion};
+use crate::node_commands::NodeContext;
 use crate::node_probe::NodeProbe;
 use crate::object_history::ObjectHistory;
 use crate::publisher::{ObjectPublisher, PublishOptions};
 
-/// A `CommandContext` is what the commands that talk to the store or to nodes share.
+/// A `CommandContext` is what the commands that talk to the store share.
 pub struct CommandContext<S, P> {
     /// The platform's object API.
     pub store: S,
-    /// The way to ask nodes.
-    pub probe: Arc<P>,
-    /// The operator addresses of the nodes.
-    pub nodes: Vec<SocketAddr>,
+    /// The nodes.
+    pub nodes: NodeContext<P>,
     /// The operator on whose behalf the command runs.
     pub operator: OperatorName,
     /// How long publications are tried.
@@ -92,7 +89,7 @@
         }
         let in_force = match self.waiting {
             Some(options) if !wanted.is_empty() => {
-                Some(in_force::wait(&self.probe, &self.nodes, &wanted, options, show).await)
+                Some(self.nodes.wait(&wanted, options, show).await)
             }
             _ => None,
         };
@@ -156,62 +153,20 @@
         }
     }
 
-    /// Starts the planned stop of a node.
-    pub async fn drain_node(&self, address: SocketAddr) -> CommandReport {
-        let answer = self.probe.drain(address).await;
-        let answer = answer.map(|()| serde_json::json!({ "draining": true }));
-        CommandReport::Nodes(NodesReport {
-            nodes: vec![NodeAnswer::of(address, answer)],
-        })
-    }
-
     /// Gets the nodes' status, and whether the store's versions of `keys` are in force on them.
     pub async fn status(&self, keys: &[ObjectKey]) -> CommandReport {
-        let mut nodes = Vec::with_capacity(self.nodes.len());
-        for address in self.nodes.iter().copied() {
-            let answer = self.probe.status(address).await;
-            nodes.push(NodeAnswer::of(address, answer));
-        }
-        let in_force = if keys.is_empty() {
-            None
-        } else {
-            match self.wanted(keys).await {
-                Ok(wanted) => {
-                    let once = WaitOptions {
-                        limit: alderhaven_core::time::TimeSpan::ZERO,
-                        ..WaitOptions::default()
-                    };
-                    Some(in_force::wait(&self.probe, &self.nodes, &wanted, once, |_| {}).await)
-                }
-                Err(error) => return CommandReport::failure(ExitStatus::Failed, error),
-            }
+        let wanted = match self.wanted(keys).await {
+            Ok(wanted) => wanted,
+            Err(error) => return CommandReport::failure(ExitStatus::Failed, error),
         };
-        CommandReport::Status(StatusReport { nodes, in_force })
-    }
-
-    /// Gets the whole state of each node.
-    pub async fn dump(&self) -> CommandReport {
-        let mut nodes = Vec::with_capacity(self.nodes.len());
-        for address in self.nodes.iter().copied() {
-            nodes.push(NodeAnswer::of(address, self.probe.dump(address).await));
-        }
-        CommandReport::Nodes(NodesReport { nodes })
-    }
-
-    /// Gets the members that each node knows, from its dump.
-    pub async fn members(&self) -> CommandReport {
-        let mut nodes = Vec::with_capacity(self.nodes.len());
-        for address in self.nodes.iter().copied() {
-            let answer = match self.probe.dump(address).await {
-                Ok(Value::Object(mut dump)) => dump
-                    .remove("members")
-                    .ok_or_else(|| "its dump has no members".to_owned()),
-                Ok(_) => Err("its dump is no JSON object".to_owned()),
-                Err(error) => Err(error.reason),
-            };
-            nodes.push(NodeAnswer::of(address, answer));
-        }
-        CommandReport::Nodes(NodesReport { nodes })
+        let once = WaitOptions {
+            limit: TimeSpan::ZERO,
+            ..WaitOptions::default()
+        };
+        CommandReport::Status(StatusReport {
+            nodes: self.nodes.statuses().await,
+            in_force: Some(self.nodes.wait(&wanted, once, |_| {}).await),
+        })
     }
 
     async fn plan(&self, paths: &[PathBuf]) -> Result<ChangePlan, CommandReport> {
--- a/alderhaven-ctl/src/lib.rs
+++ b/alderhaven-ctl/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod file_problem;
 pub mod in_force;
 pub mod line_index;
+pub mod node_commands;
 pub mod node_probe;
 pub mod node_status;
 pub mod object_file;
--- a/alderhaven-ctl/src/report_text.rs
+++ b/alderhaven-ctl/src/report_text.rs
@@ -18,6 +18,7 @@
             Self::Status(report) => report.fmt(formatter),
             Self::Nodes(report) => report.fmt(formatter),
             Self::History(report) => report.fmt(formatter),
+            Self::Token(report) => formatter.write_str(&report.token_hash),
             Self::Failure(report) => report.fmt(formatter),
         }
     }
--- a/alderhaven-ctl/tests/publish/commands.rs
+++ b/alderhaven-ctl/tests/publish/commands.rs
@@ -10,6 +10,7 @@
 use alderhaven_ctl::commands::CommandContext;
 use alderhaven_ctl::exit_status::ExitStatus;
 use alderhaven_ctl::in_force::WaitOptions;
+use alderhaven_ctl::node_commands::NodeContext;
 use alderhaven_ctl::object_history::ObjectHistory;
 use alderhaven_ctl::publisher::PublishOptions;
 
@@ -22,8 +23,10 @@
     let probe = Arc::new(FakeNodes::new(behaviours));
     CommandContext {
         store: ScriptedStore::default(),
-        nodes: probe.addresses(),
-        probe,
+        nodes: NodeContext {
+            addresses: probe.addresses(),
+            probe,
+        },
         operator: operator.parse().expect("it is a name"),
         publishing: PublishOptions::default(),
         waiting: None,
@@ -71,7 +74,10 @@
         text.contains("does not answer: connection refused"),
         "{text}"
     );
-    assert_eq!((context.probe.asked(0), context.probe.asked(1)), (1, 4));
+    assert_eq!(
+        (context.nodes.probe.asked(0), context.nodes.probe.asked(1)),
+        (1, 4)
+    );
     assert!(rounds > 100, "progress is shown in each of {rounds} rounds");
 }
 
@@ -230,16 +236,16 @@
         "ama",
         &[NodeBehaviour::InForceAfter(0), NodeBehaviour::Silent],
     );
-    let report = context.status(&[]).await;
+    let report = context.nodes.status().await;
     assert_eq!(report.exit_status(), ExitStatus::Failed);
-    context.nodes.pop();
+    context.nodes.addresses.pop();
     let report = context.status(&[team("publishers")]).await;
     assert_eq!(report.exit_status(), ExitStatus::Done);
     assert!(
         report.to_string().contains("entry-9000 in accra-a"),
         "{report}"
     );
-    let CommandReport::Nodes(members) = context.members().await else {
+    let CommandReport::Nodes(members) = context.nodes.members().await else {
         panic!("members are answers of nodes");
     };
     assert_eq!(
