--- a/alderhaven-ctl/src/change_plan.rs
+++ b/alderhaven-ctl/src/change_plan.rs
@@ -10,6 +10,7 @@
 use crate::field_change::FieldChange;
 use crate::object_file::ObjectFile;
 use crate::publication_id::PublicationId;
+use crate::retry_options::RetryOptions;
 
 /// A `ChangePlan` is an ordered set of changes.
 ///
@@ -42,8 +43,12 @@
     ///
     /// # Errors
     /// The store's error; nothing was written.
-    pub async fn read<S: ObjectStore>(store: &S, objects: &[ObjectFile]) -> StoreResult<Self> {
-        let listed = store.list(&ObjectKind::CONFIGURATION).await?;
+    pub async fn read<S: ObjectStore>(
+        store: &S,
+        objects: &[ObjectFile],
+        options: RetryOptions,
+    ) -> StoreResult<Self> {
+        let listed = options.list(store, &ObjectKind::CONFIGURATION).await?;
         let mut stored: BTreeMap<ObjectKey, StoredObject> = listed
             .objects
             .into_iter()
@@ -59,7 +64,7 @@
                     body,
                 },
                 // A list leaves tombstones out.
-                None => PlannedChange::read(store, object.key.clone(), body).await?,
+                None => PlannedChange::read(store, object.key.clone(), body, options).await?,
             };
             changes.push(change);
         }
@@ -88,8 +93,9 @@
         store: &S,
         key: ObjectKey,
         body: Option<String>,
+        options: RetryOptions,
     ) -> StoreResult<Self> {
-        let seen = store.get(&key).await?;
+        let seen = options.get(store, &key).await?;
         Ok(Self { key, seen, body })
     }
 
--- a/alderhaven-ctl/src/commands.rs
+++ b/alderhaven-ctl/src/commands.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
-use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::{OperatorName, StoreVersion, TargetId};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::object_store::{ObjectStore, StoreResult};
@@ -19,7 +19,8 @@
 use crate::node_commands::NodeContext;
 use crate::node_probe::NodeProbe;
 use crate::object_history::ObjectHistory;
-use crate::publisher::{ObjectPublisher, PublishOptions};
+use crate::publisher::ObjectPublisher;
+use crate::retry_options::RetryOptions;
 
 /// A `CommandContext` is what the commands that talk to the store share.
 pub struct CommandContext<S, P> {
@@ -29,8 +30,8 @@
     pub nodes: NodeContext<P>,
     /// The operator on whose behalf the command runs.
     pub operator: OperatorName,
-    /// How long publications are tried.
-    pub publishing: PublishOptions,
+    /// How long calls to the store are tried.
+    pub retries: RetryOptions,
     /// Whether and how long to wait until publications are in force.
     pub waiting: Option<WaitOptions>,
 }
@@ -74,7 +75,7 @@
         plan: &ChangePlan,
         show: impl FnMut(&InForceReport),
     ) -> CommandReport {
-        let publisher = ObjectPublisher::new(&self.store, self.operator.clone(), self.publishing);
+        let publisher = ObjectPublisher::new(&self.store, self.operator.clone(), self.retries);
         let mut publications = Vec::with_capacity(plan.changes.len());
         let mut wanted = Vec::new();
         for change in &plan.changes {
@@ -144,7 +145,7 @@
             name: target.to_string(),
         };
         let body = (!is_end).then(|| "{}".to_owned());
-        match PlannedChange::read(&self.store, key, body).await {
+        match PlannedChange::read(&self.store, key, body, self.retries).await {
             Ok(change) => {
                 let changes = vec![change];
                 self.publish_plan(&ChangePlan { changes }, show).await
@@ -172,7 +173,11 @@
     async fn plan(&self, paths: &[PathBuf]) -> Result<ChangePlan, CommandReport> {
         let failed = |error| CommandReport::failure(ExitStatus::Failed, error);
         let mut report = CheckReport::read(paths);
-        let listed = self.store.list(&[ObjectKind::Team]).await.map_err(failed)?;
+        let listed = self
+            .retries
+            .list(&self.store, &[ObjectKind::Team])
+            .await
+            .map_err(failed)?;
         let teams: BTreeSet<String> = listed
             .objects
             .into_iter()
@@ -182,16 +187,15 @@
         if !report.is_clean() {
             return Err(CommandReport::Check(report));
         }
-        ChangePlan::read(&self.store, &report.objects)
+        ChangePlan::read(&self.store, &report.objects, self.retries)
             .await
             .map_err(failed)
     }
 
     async fn read_history(&self, key: &ObjectKey) -> Result<HistoryReport, CommandReport> {
         let failed = |error| CommandReport::failure(ExitStatus::Failed, error);
-        let current = self.store.get(key).await.map_err(failed)?;
+        let current = self.get(key).await.map_err(failed)?;
         let stored = self
-            .store
             .get(&ObjectHistory::key_of(key))
             .await
             .map_err(failed)?;
@@ -204,10 +208,14 @@
         })
     }
 
+    async fn get(&self, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
+        self.retries.get(&self.store, key).await
+    }
+
     async fn wanted(&self, keys: &[ObjectKey]) -> StoreResult<Vec<WantedVersion>> {
         let mut wanted = Vec::with_capacity(keys.len());
         for key in keys {
-            let stored = self.store.get(key).await?;
+            let stored = self.get(key).await?;
             wanted.push(WantedVersion {
                 key: key.clone(),
                 version: stored.map(|object| object.version).unwrap_or_default(),
--- a/alderhaven-ctl/src/lib.rs
+++ b/alderhaven-ctl/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod publish_outcome;
 pub mod publisher;
 pub mod report_text;
+pub mod retry_options;
--- a/alderhaven-ctl/src/publisher.rs
+++ b/alderhaven-ctl/src/publisher.rs
@@ -1,10 +1,7 @@
 //! Publication of changes by conditional update, with lost replies resolved by reading back.
 
-use std::time::Duration;
-
 use alderhaven_core::config_object::{ObjectKey, StoredObject};
 use alderhaven_core::ids::OperatorName;
-use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::object_store::{ConditionalWrite, ObjectStore, StoreError, WriteOutcome};
 use uuid::Uuid;
 
@@ -12,40 +9,13 @@
 use crate::object_history::ObjectHistory;
 use crate::publication_id::PublicationId;
 use crate::publish_outcome::PublishOutcome;
-
-/// How often a call is tried before the publisher gives up.
-pub const DEFAULT_ATTEMPTS: u32 = 8;
-/// The wait after the first failed call; it doubles with each further one.
-pub const DEFAULT_FIRST_DELAY: TimeSpan = TimeSpan::from_millis(50);
-/// The longest wait between calls.
-pub const DEFAULT_MAX_DELAY: TimeSpan = TimeSpan::from_secs(2);
-
-/// The `PublishOptions` bound how long a publisher tries.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PublishOptions {
-    /// How often each step is tried, 1 or more.
-    pub attempts: u32,
-    /// The wait after the first failed call.
-    pub first_delay: TimeSpan,
-    /// The longest wait between calls.
-    pub max_delay: TimeSpan,
-}
-
-impl Default for PublishOptions {
-    fn default() -> Self {
-        Self {
-            attempts: DEFAULT_ATTEMPTS,
-            first_delay: DEFAULT_FIRST_DELAY,
-            max_delay: DEFAULT_MAX_DELAY,
-        }
-    }
-}
+use crate::retry_options::RetryOptions;
 
 /// An `ObjectPublisher` publishes changes on behalf of one operator.
 pub struct ObjectPublisher<'a, S> {
     store: &'a S,
     operator: OperatorName,
-    options: PublishOptions,
+    options: RetryOptions,
 }
 
 /// A `WriteAttempt` is the write of one publication with what is known of its earlier tries.
@@ -59,7 +29,7 @@
 
 impl<'a, S: ObjectStore> ObjectPublisher<'a, S> {
     /// Returns a publisher for `operator`.
-    pub const fn new(store: &'a S, operator: OperatorName, options: PublishOptions) -> Self {
+    pub const fn new(store: &'a S, operator: OperatorName, options: RetryOptions) -> Self {
         Self {
             store,
             operator,
@@ -119,7 +89,7 @@
             };
             attempt.may_have_landed |= matches!(error, StoreError::Unknown { .. });
             reason = error.to_string();
-            self.pause(round, &error).await;
+            self.options.pause(round, &error).await;
             if attempt.may_have_landed
                 && let Ok(current) = self.store.get(&attempt.write.key).await
                 && !attempt.shows_seen(current.as_ref())
@@ -176,19 +146,9 @@
 
     async fn read_history(&self, object: &StoredObject) -> Result<ObjectHistory, String> {
         let key = ObjectHistory::key_of(&object.key);
-        let mut reason = String::new();
-        for round in 0..self.options.attempts {
-            match self.store.get(&key).await {
-                Ok(stored) => {
-                    return ObjectHistory::read(stored.as_ref()).map_err(|error| error.to_string());
-                }
-                Err(error) => {
-                    reason = error.to_string();
-                    self.pause(round, &error).await;
-                }
-            }
-        }
-        Err(reason)
+        let read = self.options.get(self.store, &key).await;
+        let stored = read.map_err(|error| error.to_string())?;
+        ObjectHistory::read(stored.as_ref()).map_err(|error| error.to_string())
     }
 
     /// Records a content in its object's history, before it is replaced.
@@ -201,7 +161,7 @@
                 Ok(false) => "other publishers write the history".clone_into(&mut reason),
                 Err(error) => {
                     reason = error.to_string();
-                    self.pause(round, &error).await;
+                    self.options.pause(round, &error).await;
                 }
             }
         }
@@ -226,19 +186,6 @@
         let outcome = self.store.write(write).await?;
         Ok(matches!(outcome, WriteOutcome::Written(_)))
     }
-
-    async fn pause(&self, round: u32, error: &StoreError) {
-        let backoff = self
-            .options
-            .first_delay
-            .mul_f64(f64::from(1_u32 << round.min(16)));
-        let asked = match error {
-            StoreError::NotDone { retry_after, .. } => retry_after.unwrap_or_default(),
-            StoreError::Unknown { .. } => TimeSpan::ZERO,
-        };
-        let delay: Duration = backoff.max(asked).min(self.options.max_delay).as_duration();
-        tokio::time::sleep(delay).await;
-    }
 }
 
 impl WriteAttempt<'_> {
--- a/alderhaven-ctl/tests/publish/commands.rs
+++ b/alderhaven-ctl/tests/publish/commands.rs
@@ -12,7 +12,7 @@
 use alderhaven_ctl::in_force::WaitOptions;
 use alderhaven_ctl::node_commands::NodeContext;
 use alderhaven_ctl::object_history::ObjectHistory;
-use alderhaven_ctl::publisher::PublishOptions;
+use alderhaven_ctl::retry_options::RetryOptions;
 
 use crate::nodes::{FakeNodes, NodeBehaviour};
 use crate::support::ScriptedStore;
@@ -28,7 +28,7 @@
             probe,
         },
         operator: operator.parse().expect("it is a name"),
-        publishing: PublishOptions::default(),
+        retries: RetryOptions::default(),
         waiting: None,
     }
 }
--- a/alderhaven-ctl/tests/publish/races.rs
+++ b/alderhaven-ctl/tests/publish/races.rs
@@ -8,7 +8,8 @@
 use alderhaven_ctl::change_plan::PlannedChange;
 use alderhaven_ctl::object_history::ObjectHistory;
 use alderhaven_ctl::publish_outcome::PublishOutcome;
-use alderhaven_ctl::publisher::{ObjectPublisher, PublishOptions};
+use alderhaven_ctl::publisher::ObjectPublisher;
+use alderhaven_ctl::retry_options::RetryOptions;
 use proptest::collection;
 use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_assert, prop_oneof, proptest};
 use proptest::test_runner::{RngSeed, TestCaseError};
@@ -67,7 +68,7 @@
     store: Arc<ScriptedStore>,
     operator: usize,
     steps: Vec<OperatorStep>,
-    options: PublishOptions,
+    options: RetryOptions,
 ) -> Vec<PublishReport> {
     let name = format!("operator-{operator}")
         .parse()
@@ -78,7 +79,7 @@
         let body = (!step.is_delete).then(|| format!(r#"{{"by":{operator},"step":{number}}}"#));
         let key = key_of(NAMES[step.name]);
         // Without a plan an operator publishes nothing.
-        if let Ok(change) = PlannedChange::read(&*store, key, body).await {
+        if let Ok(change) = PlannedChange::read(&*store, key, body, options).await {
             let outcome = publisher.publish(&change).await;
             reports.push(PublishReport { change, outcome });
         }
@@ -89,7 +90,7 @@
 fn run(
     store: &Arc<ScriptedStore>,
     operators: Vec<Vec<OperatorStep>>,
-    options: PublishOptions,
+    options: RetryOptions,
 ) -> Vec<PublishReport> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -116,7 +117,7 @@
 fn check(
     log: &[AppliedWrite],
     reports: &[PublishReport],
-    options: PublishOptions,
+    options: RetryOptions,
     faults: usize,
 ) -> Result<(), TestCaseError> {
     let mut by_id: BTreeMap<&str, &AppliedWrite> = BTreeMap::new();
@@ -221,7 +222,7 @@
         operators in operators(),
         attempts in 1_u32..8,
     ) {
-        let options = PublishOptions { attempts, ..PublishOptions::default() };
+        let options = RetryOptions { attempts, ..RetryOptions::default() };
         let store = Arc::new(ScriptedStore::new(script));
         for name in NAMES {
             store.seed(&key_of(name), &format!("seed-{name}"), Some("{}"));
--- a/alderhaven-ctl/tests/publish/scenarios.rs
+++ b/alderhaven-ctl/tests/publish/scenarios.rs
@@ -7,7 +7,8 @@
 use alderhaven_ctl::object_history::{MAX_ENTRIES, MAX_HISTORY_BYTES, ObjectHistory};
 use alderhaven_ctl::publication_id::PublicationId;
 use alderhaven_ctl::publish_outcome::PublishOutcome;
-use alderhaven_ctl::publisher::{ObjectPublisher, PublishOptions};
+use alderhaven_ctl::publisher::ObjectPublisher;
+use alderhaven_ctl::retry_options::RetryOptions;
 
 fn key() -> ObjectKey {
     ObjectKey {
@@ -21,11 +22,11 @@
 }
 
 fn publisher<'a>(store: &'a ScriptedStore, name: &str) -> ObjectPublisher<'a, ScriptedStore> {
-    ObjectPublisher::new(store, operator(name), PublishOptions::default())
+    ObjectPublisher::new(store, operator(name), RetryOptions::default())
 }
 
 async fn plan(store: &ScriptedStore, body: &str) -> PlannedChange {
-    PlannedChange::read(store, key(), Some(body.to_owned()))
+    PlannedChange::read(store, key(), Some(body.to_owned()), RetryOptions::default())
         .await
         .expect("the store answers")
 }
