--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod config_registry;
 pub mod query_gather;
 pub mod row_merge;
+pub mod store_budget;
