Relay queue, target limit and the policy kinds

Cause: a target has 2 to 4 slots, and what runs in them under overload decides whether queries come back whole and urgent ones in time.

Ruled out: refusal by the wait of the class as a whole. Ruled out as well: leaving out what higher classes will still bring; ordinary work was taken and dropped later (median above 5 ms after arrival).

Proof: faults put in by hand and caught: no bound on long jobs (long_among_short), no aging (bulk_is_not_starved), the mean believed for an idle target (slow_target_is_tried_again), arrival in place of the shared order (overloaded_relays), displaced jobs held back (displaced_job), shed replies ignored (overload_of_a_target), a report believed over what was sent (report_counts).

--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -3,3 +3,9 @@
 #![warn(missing_docs)]
 
 pub mod config_registry;
+pub mod load_meter;
+pub mod policy_kind;
+pub mod relay_queue;
+pub mod running_mean;
+pub mod service_means;
+pub mod target_limit;
--- /dev/null
+++ b/alderhaven-policy/src/relay_queue.rs
@@ -0,0 +1,464 @@
+//! The queue of one target at a relay: which waiting attempt runs next, and which never will.
+//!
+//! Load pattern: more attempts arrive for a target than its 2 to 4 slots can run, urgent ones
+//! among bulk, short ones among long.
+//!
+//! Without it (first in first out):
+//! - each overloaded relay drops other shards of other queries, so hardly any query is whole;
+//! - slots run work whose caller has gone, and under twice the capacity nothing arrives in time;
+//! - a few long jobs hold all slots, and an urgent lookup waits for a monthly report.
+//!
+//! The rules:
+//! - The order is class, then the `order` number of the query, which all its relays share, so
+//!   that overloaded relays prefer the same whole queries.
+//! - One start in [`RelayQueueOptions::aged_every`] goes to a lower class whose first job has
+//!   waited for [`RelayQueueOptions::aging_step`]. Bulk gets at least that share of a target, and
+//!   urgent work never loses more than it.
+//! - Long jobs, and those of a template that has not run here yet, hold at most all slots but one.
+//! - An attempt that can't finish in time is answered as not run at once. While nothing runs at
+//!   the target an attempt is tried all the same: the mean that says "hopeless" may be out of date,
+//!   and only a run can correct it.
+//!
+//! Grounds for the figures: one start in 8 costs urgent work at most an eighth of a target;
+//! 200 ms of waiting is more than half of the 370 ms within which answers are due, so only work
+//! that priority alone would starve counts as aged; a job four times as long as the shortest ones
+//! would more than double their mean wait at two slots.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use alderhaven_core::class::QueryClass;
+use alderhaven_core::ids::{AttemptId, TemplateName};
+use alderhaven_core::outcome::NotRunReason;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+use crate::load_meter::LoadMeter;
+use crate::policy_kind::PolicyKind;
+use crate::service_means::ServiceMeans;
+
+/// Over how long the work that arrives per class is averaged: some dozens of attempts, and a
+/// burst shows within half a deadline.
+const LOAD_FADE: TimeSpan = TimeSpan::from_millis(200);
+
+/// A `RelayQueueOptions` holds the settings of a relay's queues.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayQueueOptions {
+    /// The longest estimated wait with which an attempt is still taken.
+    pub max_wait: TimeSpan,
+    /// The most waiting attempts, a bound on memory only.
+    pub max_jobs: usize,
+    /// The wait after which a lower class's first job may be started before a higher class.
+    pub aging_step: TimeSpan,
+    /// One start in this many may go to an aged job of a lower class.
+    pub aged_every: u32,
+    /// How many times the shortest template's mean makes a template long.
+    pub long_factor: f64,
+}
+
+impl Default for RelayQueueOptions {
+    fn default() -> Self {
+        Self {
+            max_wait: TimeSpan::from_secs(2),
+            max_jobs: 4096,
+            aging_step: TimeSpan::from_millis(200),
+            aged_every: 8,
+            long_factor: 4.0,
+        }
+    }
+}
+
+/// A `QueueJob` is one attempt that waits for a slot of the target.
+#[derive(Clone, Debug)]
+pub struct QueueJob {
+    /// The attempt.
+    pub id: AttemptId,
+    /// The class of its query.
+    pub class: QueryClass,
+    /// The order within the class, lower first; the same at all relays of the query.
+    pub order: u64,
+    /// The template, by which service times are remembered.
+    pub template: TemplateName,
+    /// When its answer is of no more use.
+    pub deadline: TimePoint,
+    /// Whether it is a hedge, which runs only where a slot is free.
+    pub hedge: bool,
+}
+
+/// An `OfferOutcome` says whether a job was taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OfferOutcome {
+    /// The job waits, or can be started at once.
+    Queued,
+    /// The job will never run here, and its answer is final.
+    Refused(NotRunReason),
+}
+
+/// A `DroppedJob` is a job that had been taken and will not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DroppedJob {
+    /// The attempt.
+    pub id: AttemptId,
+    /// Why it did not run.
+    pub reason: NotRunReason,
+}
+
+/// A `StartedJob` is a job that the queue gave a slot to.
+#[derive(Clone, Debug)]
+pub struct StartedJob {
+    /// The job.
+    pub job: QueueJob,
+    /// How long it waited.
+    pub waited: TimeSpan,
+}
+
+type PlaceKey = (u64, AttemptId);
+
+#[derive(Clone, Debug)]
+struct WaitingJob {
+    job: QueueJob,
+    since: TimePoint,
+    expected: TimeSpan,
+    give_up_at: TimePoint,
+}
+
+/// A `RelayQueue` holds the attempts that wait for one target and those that run there.
+#[derive(Debug)]
+pub struct RelayQueue {
+    options: RelayQueueOptions,
+    policy: PolicyKind,
+    waiting: [BTreeMap<PlaceKey, WaitingJob>; 3],
+    places: HashMap<AttemptId, (usize, PlaceKey)>,
+    give_ups: BTreeSet<(TimePoint, AttemptId)>,
+    queued_work: [TimeSpan; 3],
+    arriving_work: [LoadMeter; 3],
+    running: HashMap<AttemptId, TemplateName>,
+    dropped: Vec<DroppedJob>,
+    means: ServiceMeans,
+    arrivals: u64,
+    starts_since_aged: u32,
+}
+
+impl RelayQueue {
+    /// Returns an empty queue.
+    #[must_use]
+    pub fn new(policy: PolicyKind, options: RelayQueueOptions) -> Self {
+        Self {
+            options,
+            policy,
+            waiting: Default::default(),
+            places: HashMap::new(),
+            give_ups: BTreeSet::new(),
+            queued_work: [TimeSpan::ZERO; 3],
+            arriving_work: [LoadMeter::new(LOAD_FADE); 3],
+            running: HashMap::new(),
+            dropped: Vec::new(),
+            means: ServiceMeans::default(),
+            arrivals: 0,
+            starts_since_aged: 0,
+        }
+    }
+
+    /// Takes a job or refuses it for good; `slots` is how many may run at a time now.
+    ///
+    /// Jobs that the new one displaces are among [`Self::take_dropped`].
+    pub fn offer(&mut self, job: QueueJob, now: TimePoint, slots: u32) -> OfferOutcome {
+        let expected = self.means.expected(&job.template);
+        if let Some(reason) = self.refusal(&job, expected, now, slots) {
+            return OfferOutcome::Refused(reason);
+        }
+        self.insert(job, expected, now);
+        if self.policy == PolicyKind::Current {
+            self.shed_displaced(now, slots);
+        }
+        OfferOutcome::Queued
+    }
+
+    /// Starts the next job where a slot is free; call it again until it returns none.
+    pub fn start_next(&mut self, now: TimePoint, slots: u32) -> Option<StartedJob> {
+        self.drop_expired(now);
+        if self.running.len() >= slots as usize {
+            return None;
+        }
+        let (rank, key) = match self.policy {
+            PolicyKind::Current => self.pick(now, slots)?,
+            PolicyKind::Baseline => (0, *self.waiting[0].first_key_value()?.0),
+        };
+        let waiting = self.remove(rank, key)?;
+        let template = waiting.job.template.clone();
+        self.running.insert(waiting.job.id, template);
+        Some(StartedJob {
+            waited: now.since(waiting.since),
+            job: waiting.job,
+        })
+    }
+
+    /// Frees the slot of a job; `service` is its time at the target where that was measured.
+    pub fn finished(&mut self, id: AttemptId, service: Option<TimeSpan>, now: TimePoint) {
+        let Some(template) = self.running.remove(&id) else {
+            return;
+        };
+        if let Some(service) = service {
+            self.means.add(&template, service, now);
+        }
+    }
+
+    /// Takes a waiting job out; returns false where it runs already or is not known.
+    pub fn cancel(&mut self, id: AttemptId) -> bool {
+        let Some((rank, key)) = self.places.get(&id).copied() else {
+            return false;
+        };
+        self.remove(rank, key).is_some()
+    }
+
+    /// Drops the jobs that can no longer finish in time; they are among [`Self::take_dropped`].
+    pub fn drop_expired(&mut self, now: TimePoint) {
+        while let Some((give_up_at, id)) = self.give_ups.first().copied() {
+            if give_up_at > now {
+                return;
+            }
+            let Some((rank, key)) = self.places.get(&id).copied() else {
+                self.give_ups.pop_first();
+                continue;
+            };
+            let deadline = self.waiting[rank]
+                .get(&key)
+                .map_or(give_up_at, |job| job.job.deadline);
+            // The mean may be out of date: while the target is idle, only the deadline itself counts.
+            if self.running.is_empty() && now < deadline {
+                self.give_ups.remove(&(give_up_at, id));
+                self.give_ups.insert((deadline, id));
+                if let Some(job) = self.waiting[rank].get_mut(&key) {
+                    job.give_up_at = deadline;
+                }
+                continue;
+            }
+            self.drop_job(rank, key, NotRunReason::Expired);
+        }
+    }
+
+    /// Gets the next time at which [`Self::drop_expired`] may have something to drop.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<TimePoint> {
+        self.give_ups.first().map(|(at, _)| *at)
+    }
+
+    /// Takes the jobs that were dropped since the last call, each to be answered at once.
+    pub fn take_dropped(&mut self) -> Vec<DroppedJob> {
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Drops all waiting jobs, for example because the target drains.
+    pub fn drop_all(&mut self, reason: NotRunReason) {
+        for rank in 0..self.waiting.len() {
+            while let Some((key, _)) = self.waiting[rank].first_key_value() {
+                let key = *key;
+                self.drop_job(rank, key, reason);
+            }
+        }
+    }
+
+    /// Estimates the wait that a new attempt of a class would have.
+    #[must_use]
+    pub fn wait_of(&self, class: QueryClass, now: TimePoint, slots: u32) -> TimeSpan {
+        let rank = self.rank_of(class);
+        let nothing_ahead = self.waiting[..=rank].iter().all(BTreeMap::is_empty);
+        if nothing_ahead && self.running.len() < slots as usize {
+            return TimeSpan::ZERO;
+        }
+        self.wait_behind(rank, self.queued_work[rank], now, slots)
+    }
+
+    /// Gets the number of waiting jobs.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Gets the number of running jobs.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Gets the expected service time of a template at this target.
+    #[must_use]
+    pub fn expected(&self, template: &TemplateName) -> TimeSpan {
+        self.means.expected(template)
+    }
+
+    fn refusal(
+        &self,
+        job: &QueueJob,
+        expected: TimeSpan,
+        now: TimePoint,
+        slots: u32,
+    ) -> Option<NotRunReason> {
+        if self.places.len() >= self.options.max_jobs {
+            return Some(NotRunReason::QueueFull);
+        }
+        let is_free = self.places.is_empty() && self.running.len() < slots as usize;
+        if job.hedge && !is_free {
+            return Some(NotRunReason::QueueFull);
+        }
+        if self.policy == PolicyKind::Baseline {
+            return None;
+        }
+        let remaining = now.until(job.deadline);
+        let is_tried_anyway = self.running.is_empty() && is_free;
+        if remaining == TimeSpan::ZERO || (expected > remaining && !is_tried_anyway) {
+            return Some(NotRunReason::Expired);
+        }
+        let rank = self.rank_of(job.class);
+        let own_ahead = self.waiting[rank]
+            .range(..(job.order, job.id))
+            .fold(TimeSpan::ZERO, |sum, (_, ahead)| sum + ahead.expected);
+        let wait = if is_free {
+            TimeSpan::ZERO
+        } else {
+            self.wait_behind(rank, own_ahead, now, slots)
+        };
+        let is_too_long = wait > self.options.max_wait || wait + expected > remaining;
+        (is_too_long && !is_tried_anyway).then_some(NotRunReason::QueueFull)
+    }
+
+    /// Estimates the wait behind `own_ahead` of the same class and all work of higher classes,
+    /// those that will arrive meanwhile included.
+    fn wait_behind(
+        &self,
+        rank: usize,
+        own_ahead: TimeSpan,
+        now: TimePoint,
+        slots: u32,
+    ) -> TimeSpan {
+        let slots = f64::from(slots.max(1));
+        let arriving: f64 = self.arriving_work[..rank]
+            .iter()
+            .map(|meter| meter.per_second(now))
+            .sum();
+        // What higher classes leave over, and by aging no less than its share of the starts.
+        let least_share = 1.0 / f64::from(self.options.aged_every.max(1));
+        let left_share = (1.0 - arriving / slots).max(least_share);
+        // Until the first of the running jobs ends takes about one mean over the slots.
+        let first_end = self.means.overall().unwrap_or_default();
+        let higher = self.queued_work[..rank]
+            .iter()
+            .fold(first_end, |sum, work| sum + *work);
+        let by_class = (higher + own_ahead).mul_f64(1.0 / (slots * left_share));
+        if rank == 0 {
+            return by_class;
+        }
+        let by_aging = self.options.aging_step + own_ahead.mul_f64(1.0 / (slots * least_share));
+        by_class.min(by_aging)
+    }
+
+    fn insert(&mut self, job: QueueJob, expected: TimeSpan, now: TimePoint) {
+        let rank = self.rank_of(job.class);
+        self.arrivals += 1;
+        let (order, give_up_at) = match self.policy {
+            PolicyKind::Current => (job.order, (job.deadline - expected).max(now)),
+            PolicyKind::Baseline => (self.arrivals, job.deadline),
+        };
+        let key = (order, job.id);
+        let id = job.id;
+        let waiting = WaitingJob {
+            job,
+            since: now,
+            expected,
+            give_up_at,
+        };
+        self.queued_work[rank] = self.queued_work[rank] + expected;
+        self.arriving_work[rank].add(expected.as_secs_f64(), now);
+        self.waiting[rank].insert(key, waiting);
+        self.places.insert(id, (rank, key));
+        self.give_ups.insert((give_up_at, id));
+    }
+
+    fn remove(&mut self, rank: usize, key: PlaceKey) -> Option<WaitingJob> {
+        let job = self.waiting[rank].remove(&key)?;
+        self.places.remove(&key.1);
+        self.give_ups.remove(&(job.give_up_at, key.1));
+        self.queued_work[rank] = self.queued_work[rank].saturating_sub(job.expected);
+        Some(job)
+    }
+
+    fn drop_job(&mut self, rank: usize, key: PlaceKey, reason: NotRunReason) {
+        if let Some(job) = self.remove(rank, key) {
+            let id = job.job.id;
+            self.dropped.push(DroppedJob { id, reason });
+        }
+    }
+
+    /// Drops the last jobs while the work ahead of them exceeds their time, rather than hold them
+    /// until that time is up.
+    fn shed_displaced(&mut self, now: TimePoint, slots: u32) {
+        while let Some((rank, key, job)) = self.last_job() {
+            let own_ahead = self.queued_work[rank].saturating_sub(job.expected);
+            let wait = self.wait_behind(rank, own_ahead, now, slots);
+            let is_late = now + wait + job.expected > job.job.deadline;
+            let starts_now = self.places.len() == 1 && self.running.len() < slots as usize;
+            if !is_late || starts_now {
+                return;
+            }
+            self.drop_job(rank, key, NotRunReason::QueueFull);
+        }
+    }
+
+    fn last_job(&self) -> Option<(usize, PlaceKey, &WaitingJob)> {
+        (0..self.waiting.len()).rev().find_map(|rank| {
+            let (key, job) = self.waiting[rank].last_key_value()?;
+            Some((rank, *key, job))
+        })
+    }
+
+    /// Picks the job to start: an aged one of a lower class when it is due, else the first of the
+    /// highest class that may run.
+    fn pick(&mut self, now: TimePoint, slots: u32) -> Option<(usize, PlaceKey)> {
+        let firsts: [Option<PlaceKey>; 3] =
+            std::array::from_fn(|rank| self.first_startable(rank, now, slots));
+        let highest = firsts.iter().position(Option::is_some)?;
+        let aged = (highest + 1..firsts.len())
+            .filter_map(|rank| Some((rank, firsts[rank]?)))
+            .map(|(rank, key)| (self.waited(rank, &key, now), rank, key))
+            .filter(|(waited, _, _)| *waited >= self.options.aging_step)
+            .max_by_key(|(waited, _, _)| *waited);
+        let is_due = self.starts_since_aged + 1 >= self.options.aged_every;
+        if let (Some((_, rank, key)), true) = (aged, is_due) {
+            self.starts_since_aged = 0;
+            return Some((rank, key));
+        }
+        self.starts_since_aged = self.starts_since_aged.saturating_add(1);
+        firsts[highest].map(|key| (highest, key))
+    }
+
+    fn first_startable(&self, rank: usize, now: TimePoint, slots: u32) -> Option<PlaceKey> {
+        let is_long = |template| self.is_long(template, now);
+        let running_long = self
+            .running
+            .values()
+            .filter(|template| is_long(template))
+            .count();
+        let may_start_long = slots <= 1 || running_long + 1 < slots as usize;
+        self.waiting[rank]
+            .iter()
+            .find(|(_, job)| may_start_long || !is_long(&job.job.template))
+            .map(|(key, _)| *key)
+    }
+
+    fn waited(&self, rank: usize, key: &PlaceKey, now: TimePoint) -> TimeSpan {
+        self.waiting[rank]
+            .get(key)
+            .map_or(TimeSpan::ZERO, |job| now.since(job.since))
+    }
+
+    fn is_long(&self, template: &TemplateName, now: TimePoint) -> bool {
+        self.means.is_long(template, self.options.long_factor, now)
+    }
+
+    fn rank_of(&self, class: QueryClass) -> usize {
+        match self.policy {
+            PolicyKind::Current => usize::from(class.rank()),
+            PolicyKind::Baseline => 0,
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/service_means.rs
@@ -0,0 +1,97 @@
+//! The running mean of the service time of each template, and which templates are long.
+
+use std::collections::HashMap;
+
+use alderhaven_core::ids::TemplateName;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+
+use crate::running_mean::RunningMean;
+
+/// The number of samples that a mean covers; enough to steady an exponential service time to a
+/// sixth, few enough to follow a target that turns slow within half a second at 100 attempts/s.
+const MEAN_WINDOW: u32 = 32;
+/// How long a template without samples still counts as one that runs here.
+const RECENT_SPAN: TimeSpan = TimeSpan::from_secs(10);
+/// The most templates that are remembered; the one unused for longest is forgotten first.
+const MAX_TEMPLATES: usize = 256;
+
+/// A `ServiceMeans` holds the mean service time of each template at one place.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceMeans {
+    templates: HashMap<TemplateName, TemplateMean>,
+    overall: RunningMean,
+}
+
+/// A `TemplateMean` is the mean of one template with the time of its last sample.
+#[derive(Clone, Debug)]
+struct TemplateMean {
+    mean: RunningMean,
+    last_sample: TimePoint,
+}
+
+impl ServiceMeans {
+    /// Adds the service time of one attempt.
+    pub fn add(&mut self, template: &TemplateName, service: TimeSpan, now: TimePoint) {
+        self.overall.add(service, MEAN_WINDOW);
+        if let Some(entry) = self.templates.get_mut(template) {
+            entry.mean.add(service, MEAN_WINDOW);
+            entry.last_sample = now;
+            return;
+        }
+        if self.templates.len() >= MAX_TEMPLATES {
+            self.forget_oldest();
+        }
+        let mut mean = RunningMean::default();
+        mean.add(service, MEAN_WINDOW);
+        let last_sample = now;
+        self.templates
+            .insert(template.clone(), TemplateMean { mean, last_sample });
+    }
+
+    /// Gets the expected service time: the template's mean, else the overall one, else zero.
+    #[must_use]
+    pub fn expected(&self, template: &TemplateName) -> TimeSpan {
+        self.templates
+            .get(template)
+            .and_then(|entry| entry.mean.get())
+            .or_else(|| self.overall.get())
+            .unwrap_or_default()
+    }
+
+    /// Gets the mean over all templates, or none before the first sample.
+    #[must_use]
+    pub fn overall(&self) -> Option<TimeSpan> {
+        self.overall.get()
+    }
+
+    /// Returns true where the template takes at least `factor` times as long as the shortest
+    /// template that ran recently, and for one that never ran here, which may be.
+    #[must_use]
+    pub fn is_long(&self, template: &TemplateName, factor: f64, now: TimePoint) -> bool {
+        let shortest = self
+            .templates
+            .values()
+            .filter(|entry| now.since(entry.last_sample) <= RECENT_SPAN)
+            .filter_map(|entry| entry.mean.get())
+            .min();
+        let own = self
+            .templates
+            .get(template)
+            .and_then(|entry| entry.mean.get());
+        match (own, shortest) {
+            (Some(own), Some(shortest)) => own >= shortest.mul_f64(factor) && own > shortest,
+            _ => own.is_none(),
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .templates
+            .iter()
+            .min_by_key(|(_, entry)| entry.last_sample)
+            .map(|(name, _)| name.clone());
+        if let Some(oldest) = oldest {
+            self.templates.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/common/mod.rs
@@ -0,0 +1,100 @@
+//! What the tests of decisions share: fixed seeds, times and small loops over passed-in time.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use proptest::test_runner::{Config, RngSeed};
+
+/// Returns a configuration with a fixed seed; `PROPTEST_CASES` sets the number of cases.
+pub fn cases(count: u32) -> Config {
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(count);
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(0x000a_1de4),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// Returns the point `millis` milliseconds after the start.
+pub const fn at(millis: u64) -> TimePoint {
+    TimePoint::from_micros(millis * 1_000)
+}
+
+/// Returns a span in milliseconds.
+pub const fn ms(millis: u64) -> TimeSpan {
+    TimeSpan::from_millis(millis)
+}
+
+/// A `DrawSource` draws repeatable numbers (the generator splitmix64).
+pub struct DrawSource(pub u64);
+
+impl DrawSource {
+    /// Draws any number.
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Draws a number from 0 up to but not including 1.
+    pub fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Draws an exponential span with this mean.
+    pub fn exponential(&mut self, mean: TimeSpan) -> TimeSpan {
+        mean.mul_f64(-(1.0 - self.unit()).ln())
+    }
+}
+
+/// An `EventLoop` hands out events in the order of their times.
+pub struct EventLoop<E> {
+    events: BinaryHeap<Reverse<(TimePoint, u64)>>,
+    bodies: std::collections::HashMap<u64, E>,
+    count: u64,
+}
+
+impl<E> EventLoop<E> {
+    /// Returns a loop without events.
+    pub fn new() -> Self {
+        Self {
+            events: BinaryHeap::new(),
+            bodies: std::collections::HashMap::new(),
+            count: 0,
+        }
+    }
+
+    /// Adds an event.
+    pub fn add(&mut self, time: TimePoint, body: E) {
+        self.count += 1;
+        self.events.push(Reverse((time, self.count)));
+        self.bodies.insert(self.count, body);
+    }
+
+    /// Takes the next event.
+    pub fn next(&mut self) -> Option<(TimePoint, E)> {
+        let Reverse((time, number)) = self.events.pop()?;
+        self.bodies.remove(&number).map(|body| (time, body))
+    }
+}
+
+/// Gets the value below which this share of the values lies.
+pub fn quantile(values: &mut [TimeSpan], share: f64) -> TimeSpan {
+    values.sort_unstable();
+    let place = (values.len().saturating_sub(1)) as f64 * share;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a place in a short list"
+    )]
+    let place = place.round() as usize;
+    values.get(place).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/alderhaven-policy/tests/target_limit.rs
@@ -0,0 +1,147 @@
+//! Tests of the concurrency limit of a target, judged by what it is sent.
+
+mod common;
+
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit, TargetLimitOptions};
+use common::{at, cases, ms};
+use proptest::collection;
+use proptest::prelude::{any, prop_assert, proptest};
+
+fn limit(slots: u32) -> TargetLimit {
+    TargetLimit::new(PolicyKind::Current, TargetLimitOptions::default(), slots)
+}
+
+fn ran(service: u64) -> AttemptSignal {
+    AttemptSignal::Ran {
+        service: ms(service),
+        expected: ms(10),
+    }
+}
+
+/// A target with 4 declared slots runs only 2 at a time, because something else uses it. Callers
+/// would see one attempt in two shed and sent again elsewhere, for as long as it lasts.
+#[test]
+fn overload_of_a_target_costs_few_shed_attempts() {
+    let mut limit = limit(4);
+    let (mut sent, mut shed) = (0, 0);
+    for step in 0..3000 {
+        let now = at(step * 10);
+        let count = limit.free(now);
+        for _ in 0..count {
+            limit.sent();
+        }
+        for place in 0..count {
+            let is_shed = place >= 2;
+            sent += 1;
+            shed += u32::from(is_shed);
+            let signal = if is_shed {
+                AttemptSignal::Shed
+            } else {
+                ran(10)
+            };
+            limit.finished(signal, now + ms(9));
+        }
+    }
+    assert!(shed * 100 <= sent, "{shed} of {sent} shed");
+    assert!(sent >= 5500, "{sent} sent: two slots were used");
+}
+
+#[test]
+fn baseline_keeps_sending_what_is_shed() {
+    let options = TargetLimitOptions::default();
+    let mut limit = TargetLimit::new(PolicyKind::Baseline, options, 4);
+    for step in 0..100 {
+        limit.sent();
+        limit.finished(AttemptSignal::Shed, at(step));
+    }
+    assert_eq!(limit.free(at(100)), 4);
+}
+
+#[test]
+fn slow_target_is_given_less_and_recovers() {
+    let mut limit = limit(4);
+    for step in 0..40 {
+        limit.sent();
+        limit.finished(ran(100), at(step * 100));
+    }
+    assert!(limit.limit(at(4000)) <= 2, "{}", limit.limit(at(4000)));
+    for step in 0..300 {
+        limit.sent();
+        limit.finished(ran(10), at(4000 + step * 100));
+    }
+    assert_eq!(limit.limit(at(34_000)), 4);
+}
+
+#[test]
+fn spread_of_service_times_is_no_slowness() {
+    let mut limit = limit(4);
+    let mut draw = common::DrawSource(7);
+    let mut lowered = 0;
+    for step in 0..2000 {
+        limit.sent();
+        let service = draw.exponential(ms(10));
+        let expected = ms(10);
+        limit.finished(AttemptSignal::Ran { service, expected }, at(step * 10));
+        lowered += u32::from(limit.limit(at(step * 10)) < 4);
+    }
+    assert!(
+        lowered * 20 <= 2000,
+        "{lowered} of 2000 steps below the slots"
+    );
+}
+
+/// A target returns from a restart with cold caches. With its full load at once it would answer
+/// everything late and look broken.
+#[test]
+fn cold_target_begins_at_one_slot() {
+    let mut limit = limit(4);
+    limit.mark_cold(at(1000));
+    assert_eq!(limit.limit(at(1000)), 1);
+    assert!(limit.limit(at(3000)) < 4);
+    assert_eq!(limit.limit(at(5000)), 4);
+}
+
+#[test]
+fn report_counts_only_where_it_says_more_and_is_fresh() {
+    let options = TargetLimitOptions {
+        reported_slots: true,
+        ..TargetLimitOptions::default()
+    };
+    let mut limit = TargetLimit::new(PolicyKind::Current, options, 4);
+    limit.sent();
+    limit.sent();
+    limit.reported(0, at(10));
+    assert_eq!(limit.free(at(10)), 2, "what was sent goes before a report");
+    limit.reported(3, at(10));
+    assert_eq!(limit.free(at(10)), 1);
+    assert_eq!(limit.free(at(100)), 2, "an old report is forgotten");
+}
+
+proptest! {
+    #![proptest_config(cases(256))]
+
+    /// Whatever the target says, it is given at least one and at most its declared slots.
+    #[test]
+    fn limit_stays_within_its_bounds(
+        steps in collection::vec((0_u8..5, 0_u64..2000, any::<bool>()), 1..200),
+        slots in 1_u32..8,
+    ) {
+        let mut limit = limit(slots);
+        let mut now = at(0);
+        for (kind, time, forward) in steps {
+            if forward {
+                now = now + ms(time);
+            }
+            match kind {
+                0 => limit.mark_cold(now),
+                1 => limit.finished(AttemptSignal::Shed, now),
+                2 => limit.finished(ran(time), now),
+                3 => limit.finished(AttemptSignal::Nothing, now),
+                _ => while limit.free(now) > 0 { limit.sent() },
+            }
+            prop_assert!((1..=slots).contains(&limit.limit(now)));
+            prop_assert!(limit.in_flight() <= slots);
+        }
+    }
+}
