--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -7,6 +7,7 @@
 use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
 /// The least and the greatest limit on a body.
@@ -41,6 +42,9 @@
     /// The limits.
     #[serde(default)]
     pub limits: EntryLimits,
+    /// The decisions to run; `baseline` is for comparisons only.
+    #[serde(default)]
+    pub policy: PolicyKind,
     /// The least severe level that is logged.
     #[serde(default = "default_log_level")]
     pub log_level: log::LevelFilter,
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -6,6 +6,7 @@
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
 use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
 /// A `RelaySettings` is the content of a relay's settings file.
@@ -30,6 +31,9 @@
     /// The limits.
     #[serde(default)]
     pub limits: RelayLimits,
+    /// The decisions to run; `baseline` is for comparisons only.
+    #[serde(default)]
+    pub policy: PolicyKind,
     /// The least severe level that is logged.
     #[serde(default = "default_log_level")]
     pub log_level: log::LevelFilter,
