--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod manifest;
 pub mod outcome;
 pub mod parameters;
+pub mod process_clock;
 pub mod program;
 pub mod quantities;
 pub mod settings;
--- a/alderhaven-entry/src/query_plan.rs
+++ b/alderhaven-entry/src/query_plan.rs
@@ -1,7 +1,7 @@
 //! The plan of one query: checked values, the pinned manifest, the asked shards and the deadline.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use alderhaven_core::ids::{TeamId, TemplateName};
 use alderhaven_core::manifest::SnapshotManifest;
@@ -44,6 +44,9 @@
     pub manifest: Arc<SnapshotManifest>,
     /// The positions of the asked shards in the manifest.
     pub positions: Vec<usize>,
+    /// The order among queries of a class at all relays: the arrival in microseconds since the
+    /// Unix epoch. Clocks of entries that differ favour one entry a little and cost no correctness.
+    pub order: u64,
     /// When the request came in.
     pub arrived: Instant,
     /// The time within which the answer is of use.
@@ -89,6 +92,7 @@
             values,
             manifest,
             positions,
+            order: arrival_order(),
             arrived,
             deadline,
         })
@@ -117,6 +121,12 @@
     }
 }
 
+fn arrival_order() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| TimeSpan::from(elapsed).as_micros())
+}
+
 fn find_template(view: &ConfigView, name: &str) -> Result<Arc<QueryTemplate>, ErrorAnswer> {
     name.parse::<TemplateName>()
         .ok()
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -9,7 +9,7 @@
 use alderhaven_core::class::AnswerPreference;
 use alderhaven_core::outcome::{AttemptOutcome, QueryOutcome};
 use alderhaven_core::time::TimeSpan;
-use alderhaven_peer::frames::{ScatterAttempt, ScatterRequest};
+use alderhaven_peer::frames::{CancelledAttempt, ScatterAttempt, ScatterRequest};
 use alderhaven_policy::query_gather::{GatherEvent, QueryGather};
 use alderhaven_policy::{query_gather, row_merge};
 use serde_json::value::RawValue;
@@ -132,7 +132,7 @@
             parameters: plan.parameters.clone(),
             snapshot: plan.manifest.snapshot.0,
             class: u32::from(plan.template.class.rank()),
-            order: 0,
+            order: self.plan.order,
             remaining_us: TimeSpan::from(plan.expires().saturating_duration_since(Instant::now()))
                 .as_micros(),
             idempotent: plan.template.idempotent,
@@ -272,18 +272,24 @@
     }
 
     fn cancel_under_way(&self) {
-        let mut by_link: HashMap<SocketAddr, (Arc<RelayLink>, Vec<u64>)> = HashMap::new();
-        for sequence in self.gather.under_way() {
-            if let Some(link) = self.links.get(&sequence) {
-                by_link
-                    .entry(link.address())
-                    .or_insert_with(|| (Arc::clone(link), Vec::new()))
-                    .1
-                    .push(sequence);
-            }
+        let mut by_link: HashMap<SocketAddr, (Arc<RelayLink>, Vec<CancelledAttempt>)> =
+            HashMap::new();
+        for (slot, attempt) in self.gather.under_way() {
+            let Some(link) = self.links.get(&attempt.sequence) else {
+                continue;
+            };
+            let target = &self.gather.entry(slot).replicas[attempt.replica].target;
+            by_link
+                .entry(link.address())
+                .or_insert_with(|| (Arc::clone(link), Vec::new()))
+                .1
+                .push(CancelledAttempt {
+                    sequence: attempt.sequence,
+                    target: target.to_string(),
+                });
         }
-        for (link, sequences) in by_link.into_values() {
-            link.cancel(self.runner.origin, sequences);
+        for (link, attempts) in by_link.into_values() {
+            link.cancel(self.runner.origin, attempts);
         }
     }
 }
--- a/alderhaven-entry/src/relay_link.rs
+++ b/alderhaven-entry/src/relay_link.rs
@@ -10,7 +10,9 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::connection;
 use alderhaven_peer::connection::FrameSender;
-use alderhaven_peer::frames::{AttemptReply, CancelAttempts, PeerMessage, ScatterRequest};
+use alderhaven_peer::frames::{
+    AttemptReply, CancelAttempts, CancelledAttempt, PeerMessage, ScatterRequest,
+};
 use alderhaven_policy::query_gather::AttemptResult;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -121,13 +123,13 @@
     }
 
     /// Forgets attempts and tells the relay that their answers are no longer wanted.
-    pub fn cancel(&self, origin: u64, sequences: Vec<u64>) {
+    pub fn cancel(&self, origin: u64, attempts: Vec<CancelledAttempt>) {
         let mut state = self.shared.lock();
-        for sequence in &sequences {
-            state.awaited.remove(sequence);
+        for attempt in &attempts {
+            state.awaited.remove(&attempt.sequence);
         }
         if let Some(sender) = &state.sender {
-            let cancel = CancelAttempts { origin, sequences };
+            let cancel = CancelAttempts { origin, attempts };
             let _relay_gone = sender.send(PeerMessage::Cancel(cancel));
         }
     }
--- a/alderhaven-peer/src/frames.rs
+++ b/alderhaven-peer/src/frames.rs
@@ -221,9 +221,20 @@
     /// The random half of the attempt ids.
     #[prost(uint64, tag = "1")]
     pub origin: u64,
-    /// The counting halves.
-    #[prost(uint64, repeated, tag = "2")]
-    pub sequences: Vec<u64>,
+    /// The attempts.
+    #[prost(message, repeated, tag = "2")]
+    pub attempts: Vec<CancelledAttempt>,
+}
+
+/// A `CancelledAttempt` is one attempt whose answer is no longer wanted.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CancelledAttempt {
+    /// The counting half of the attempt's id.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The target's id, by which the relay finds the attempt.
+    #[prost(string, tag = "2")]
+    pub target: String,
 }
 
 /// A `LeavingNotice` says that the sender stops.
--- a/alderhaven-policy/src/query_gather.rs
+++ b/alderhaven-policy/src/query_gather.rs
@@ -285,13 +285,15 @@
         self.attempts.len()
     }
 
-    /// Gets the sequences of attempts under way.
-    pub fn under_way(&self) -> impl Iterator<Item = u64> + '_ {
-        self.shards
-            .iter()
-            .flat_map(|shard| &shard.attempts)
-            .filter(|attempt| attempt.outcome.is_none())
-            .map(|attempt| attempt.sequence)
+    /// Gets the attempts under way with their slots.
+    pub fn under_way(&self) -> impl Iterator<Item = (usize, ShardAttempt)> + '_ {
+        self.shards.iter().enumerate().flat_map(|(slot, shard)| {
+            shard
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.outcome.is_none())
+                .map(move |attempt| (slot, *attempt))
+        })
     }
 
     /// Gets the report of which shards are covered.
--- /dev/null
+++ b/alderhaven-relay/src/lane_attempt.rs
@@ -0,0 +1,63 @@
+//! One attempt on its way through a lane.
+
+use alderhaven_core::class::QueryClass;
+use alderhaven_core::ids::{AttemptId, TemplateName};
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_peer::connection::FrameSender;
+use alderhaven_peer::frames::{AttemptReply, PeerMessage};
+use alderhaven_platform::dialect::TargetRequest;
+use alderhaven_policy::relay_queue::QueueJob;
+
+/// A `LaneAttempt` is one attempt that a lane has taken.
+#[derive(Debug)]
+pub struct LaneAttempt {
+    /// What is asked of the target; its remaining time is set when it is sent.
+    pub request: TargetRequest,
+    /// The template, by which service times are remembered.
+    pub template: TemplateName,
+    /// The class of the query.
+    pub class: QueryClass,
+    /// The order within the class, the same at all relays of the query.
+    pub order: u64,
+    /// Whether the attempt is a hedge, which runs only where a slot is free.
+    pub hedge: bool,
+    /// The time after which the answer is of no use.
+    pub deadline: TimePoint,
+    /// When the attempt came in.
+    pub arrived: TimePoint,
+    /// Where the reply goes.
+    pub reply_to: FrameSender,
+}
+
+impl LaneAttempt {
+    /// Gets the attempt's id.
+    #[must_use]
+    pub const fn id(&self) -> AttemptId {
+        self.request.attempt
+    }
+
+    /// Gets the attempt as the queue orders it.
+    #[must_use]
+    pub fn job(&self) -> QueueJob {
+        QueueJob {
+            id: self.id(),
+            class: self.class,
+            order: self.order,
+            template: self.template.clone(),
+            deadline: self.deadline,
+            hedge: self.hedge,
+        }
+    }
+
+    /// Sends the attempt's reply.
+    pub fn reply(&self, reply: AttemptReply) {
+        // Where the entry's connection is gone nobody waits for the reply.
+        let _entry_gone = self.reply_to.send(PeerMessage::Reply(reply));
+    }
+
+    /// Gets the remaining time at `now`.
+    #[must_use]
+    pub const fn remaining(&self, now: TimePoint) -> TimeSpan {
+        now.until(self.deadline)
+    }
+}
--- /dev/null
+++ b/alderhaven-relay/src/lane_options.rs
@@ -0,0 +1,19 @@
+//! The settings of the lanes to targets.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::relay_queue::RelayQueueOptions;
+use alderhaven_policy::target_limit::TargetLimitOptions;
+
+/// A `LaneOptions` holds what all lanes of a relay have in common.
+#[derive(Clone, Debug, Default)]
+pub struct LaneOptions {
+    /// The decisions to run.
+    pub policy: PolicyKind,
+    /// The settings of the queues.
+    pub queue: RelayQueueOptions,
+    /// The settings of the limits.
+    pub limit: TargetLimitOptions,
+    /// The time within which a connection to a target is made.
+    pub connect_timeout: TimeSpan,
+}
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -3,20 +3,28 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use alderhaven_core::ids::TargetId;
+use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_peer::frames::ScatterAttempt;
 use arc_swap::ArcSwap;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
 
+use crate::lane_options::LaneOptions;
 use crate::metrics::AttemptCounters;
-use crate::settings::RelayLimits;
 use crate::target_connections::TargetConnections;
 use crate::target_lane::{LaneReport, TargetLane};
 
+/// The time between two looks for attempts whose time is up: little beside a deadline.
+const EXPIRY_TICK: Duration = Duration::from_millis(5);
+
 /// A `LaneTable` finds the lane of a target; reads take no lock.
 #[derive(Debug)]
 pub struct LaneTable {
-    limits: RelayLimits,
+    options: LaneOptions,
+    clock: ProcessClock,
     counters: AttemptCounters,
     lanes: ArcSwap<HashMap<TargetId, Arc<TargetLane>>>,
     writing: Mutex<()>,
@@ -25,9 +33,10 @@
 impl LaneTable {
     /// Returns an empty table.
     #[must_use]
-    pub fn new(limits: RelayLimits, counters: AttemptCounters) -> Self {
+    pub fn new(options: LaneOptions, counters: AttemptCounters) -> Self {
         Self {
-            limits,
+            options,
+            clock: ProcessClock::default(),
             counters,
             lanes: ArcSwap::default(),
             writing: Mutex::new(()),
@@ -47,6 +56,34 @@
         Some(self.add(target, address, attempt.slots))
     }
 
+    /// Gets the lane of a target that has had attempts.
+    #[must_use]
+    pub fn lane_of(&self, target: &str) -> Option<Arc<TargetLane>> {
+        let target: TargetId = target.parse().ok()?;
+        self.lanes.load().get(&target).cloned()
+    }
+
+    /// Gets the clock that all lanes share.
+    #[must_use]
+    pub const fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    /// Answers, in all lanes, the waiting attempts whose time is up, until the process ends.
+    ///
+    /// An attempt that has been given up on gets its answer within one tick, not when the target
+    /// next frees a slot.
+    pub async fn expire_forever(self: Arc<Self>) {
+        let mut ticks = time::interval(EXPIRY_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            for lane in self.lanes.load().values() {
+                lane.expire();
+            }
+        }
+    }
+
     /// Gets all lanes.
     #[must_use]
     pub fn all(&self) -> Vec<(TargetId, Arc<TargetLane>)> {
@@ -72,15 +109,18 @@
         if let Some(lane) = self.lanes.load().get(&target) {
             return Arc::clone(lane);
         }
-        let connections = TargetConnections::new(address, self.limits.connect_timeout);
+        let connections = TargetConnections::new(address, self.options.connect_timeout);
         let lane = Arc::new(TargetLane::new(
             connections,
             slots,
-            self.limits.queue_length,
+            &self.options,
+            self.clock,
             self.counters.clone(),
         ));
         let mut lanes = HashMap::clone(&self.lanes.load());
         lanes.insert(target, Arc::clone(&lane));
+        let warmed = Arc::clone(&lane);
+        tokio::spawn(async move { warmed.warm().await });
         self.lanes.store(Arc::new(lanes));
         lane
     }
--- a/alderhaven-relay/src/lib.rs
+++ b/alderhaven-relay/src/lib.rs
@@ -2,10 +2,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod lane_attempt;
+pub mod lane_options;
 pub mod lane_table;
 pub mod metrics;
 pub mod node;
 pub mod peer_server;
 pub mod settings;
+pub mod target_call;
 pub mod target_connections;
 pub mod target_lane;
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -24,7 +24,7 @@
     peer_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<RelayState>,
-    _tasks: [AbortOnDropHandle<()>; 2],
+    _tasks: [AbortOnDropHandle<()>; 3],
 }
 
 /// A `RelayState` is what the parts of a relay share, as operators see it.
@@ -52,7 +52,7 @@
         let operator_address = operator_listener.local_addr()?;
         let metrics = RelayMetrics::default();
         let table = Arc::new(LaneTable::new(
-            settings.limits.clone(),
+            settings.lane_options(),
             metrics.attempts.clone(),
         ));
         let state = Arc::new(RelayState {
@@ -62,6 +62,7 @@
             metrics,
         });
         let tasks = [
+            tokio::spawn(Arc::clone(&table).expire_forever()),
             tokio::spawn(peer_server::serve(
                 listener,
                 table,
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -1,9 +1,9 @@
 //! The relay's side of the connections from entries.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
-use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId};
+use alderhaven_core::class::QueryClass;
+use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId, TemplateName};
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::connection;
@@ -15,11 +15,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
+use crate::lane_attempt::LaneAttempt;
 use crate::lane_table::LaneTable;
-use crate::target_lane::LaneAttempt;
 
 /// The longest remaining time that an entry may claim; it bounds how long an attempt is held.
-const MAX_REMAINING: Duration = Duration::from_mins(1);
+const MAX_REMAINING: TimeSpan = TimeSpan::from_secs(60);
 
 /// Accepts connections from entries until the process ends.
 pub async fn serve(listener: TcpListener, table: Arc<LaneTable>, connection_limit: usize) {
@@ -53,17 +53,22 @@
 }
 
 fn scatter(table: &LaneTable, sender: &FrameSender, request: &ScatterRequest) {
-    let arrived = Instant::now();
-    let remaining = TimeSpan::from_micros(request.remaining_us).as_duration();
-    let deadline = arrived + remaining.min(MAX_REMAINING);
+    let arrived = table.clock().now();
+    let remaining = TimeSpan::from_micros(request.remaining_us).min(MAX_REMAINING);
+    let class = QueryClass::from_rank(u8::try_from(request.class).unwrap_or(u8::MAX));
+    let template: Option<TemplateName> = request.template.parse().ok();
     for attempt in &request.attempts {
-        let Some(lane) = table.lane_for(attempt) else {
+        let (Some(lane), Some(template)) = (table.lane_for(attempt), template.clone()) else {
             refuse(sender, attempt.sequence);
             continue;
         };
         lane.offer(LaneAttempt {
             request: target_request(request, attempt),
-            deadline,
+            template,
+            class,
+            order: request.order,
+            hedge: request.hedge,
+            deadline: arrived + remaining,
             arrived,
             reply_to: sender.clone(),
         });
@@ -96,9 +101,12 @@
 }
 
 fn cancel_attempts(table: &LaneTable, cancel: &CancelAttempts) {
-    for (_, lane) in table.all() {
-        for sequence in &cancel.sequences {
-            lane.cancel(cancel.origin, *sequence);
+    for attempt in &cancel.attempts {
+        if let Some(lane) = table.lane_of(&attempt.target) {
+            lane.cancel(AttemptId {
+                origin: cancel.origin,
+                sequence: attempt.sequence,
+            });
         }
     }
 }
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -7,8 +7,12 @@
 use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::relay_queue::RelayQueueOptions;
+use alderhaven_policy::target_limit::TargetLimitOptions;
 use serde::{Deserialize, Serialize};
 
+use crate::lane_options::LaneOptions;
+
 /// A `RelaySettings` is the content of a relay's settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -31,6 +35,12 @@
     /// The limits.
     #[serde(default)]
     pub limits: RelayLimits,
+    /// The queues before targets.
+    #[serde(default)]
+    pub queue: RelayQueueOptions,
+    /// The limits of attempts at a time.
+    #[serde(default)]
+    pub limit: TargetLimitOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
@@ -43,24 +53,33 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelayLimits {
-    /// The most attempts that wait for one target.
-    pub queue_length: usize,
     /// The most connections from entries.
     pub peer_connections: usize,
     /// The time within which a connection to a target is made.
     pub connect_timeout: TimeSpan,
 }
 
+impl RelaySettings {
+    /// Gets the settings of the lanes.
+    #[must_use]
+    pub fn lane_options(&self) -> LaneOptions {
+        LaneOptions {
+            policy: self.policy,
+            queue: self.queue.clone(),
+            limit: self.limit.clone(),
+            connect_timeout: self.limits.connect_timeout,
+        }
+    }
+}
+
 impl CheckedSettings for RelaySettings {
     fn check(&self) -> Vec<Error> {
         let mut errors = Vec::new();
-        for (field, value) in [
-            ("limits.queue_length", self.limits.queue_length),
-            ("limits.peer_connections", self.limits.peer_connections),
-        ] {
-            if value == 0 {
-                errors.push(Error::invalid(field, "0 is refused: allowed is 1 or more"));
-            }
+        if self.limits.peer_connections == 0 {
+            errors.push(Error::invalid(
+                "limits.peer_connections",
+                "0 is refused: allowed is 1 or more",
+            ));
         }
         if self.limits.connect_timeout == TimeSpan::ZERO {
             errors.push(Error::invalid(
@@ -75,7 +94,6 @@
 impl Default for RelayLimits {
     fn default() -> Self {
         Self {
-            queue_length: 256,
             peer_connections: 1024,
             connect_timeout: TimeSpan::from_millis(500),
         }
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -1,49 +1,47 @@
-//! The lane to one target: a queue, a limit of attempts at a time, and the running of attempts.
+//! The lane to one target: its queue, its limit and the attempts that run there.
 
-use std::collections::VecDeque;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
+use alderhaven_core::ids::AttemptId;
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
-use alderhaven_core::time::TimeSpan;
-use alderhaven_peer::connection::FrameSender;
-use alderhaven_peer::frames::{AttemptReply, PeerMessage, ReplyStatus};
-use alderhaven_platform::dialect::TargetRequest;
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_peer::frames::{AttemptReply, ReplyStatus};
+use alderhaven_policy::query_gather;
+use alderhaven_policy::relay_queue::{OfferOutcome, RelayQueue};
+use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit};
+use tokio::sync::Notify;
 use tokio::time;
 
+use crate::lane_attempt::LaneAttempt;
+use crate::lane_options::LaneOptions;
 use crate::metrics::AttemptCounters;
+use crate::target_call;
+use crate::target_call::CallVerdict;
 use crate::target_connections::TargetConnections;
 
-/// A `LaneAttempt` is one attempt on its way to the target.
-#[derive(Debug)]
-pub struct LaneAttempt {
-    /// What is asked of the target; its remaining time is set when it is sent.
-    pub request: TargetRequest,
-    /// The time after which the answer is of no use.
-    pub deadline: Instant,
-    /// When the attempt came in.
-    pub arrived: Instant,
-    /// Where the reply goes.
-    pub reply_to: FrameSender,
-}
-
 /// A `TargetLane` orders and runs the attempts at one target.
 #[derive(Debug)]
 pub struct TargetLane {
     connections: TargetConnections,
     authority: String,
-    queue_length: usize,
+    clock: ProcessClock,
     counters: AttemptCounters,
     state: Mutex<LaneState>,
+    /// The number of waiting attempts, readable without the lock.
+    waiting: AtomicUsize,
 }
 
 #[derive(Debug)]
 struct LaneState {
-    queue: VecDeque<LaneAttempt>,
-    in_flight: u32,
-    limit: u32,
+    queue: RelayQueue,
+    limit: TargetLimit,
+    slots: u32,
+    waiting: HashMap<AttemptId, LaneAttempt>,
+    running: HashMap<AttemptId, Arc<Notify>>,
+    is_draining: bool,
 }
 
 /// A `LaneReport` is the state of a lane for the dump.
@@ -54,73 +52,106 @@
     /// The attempts that wait.
     pub queued: usize,
     /// The attempts at the target.
-    pub in_flight: u32,
-    /// The most attempts at the target at a time.
+    pub in_flight: usize,
+    /// The most attempts at the target at a time, as adapted.
     pub limit: u32,
     /// The idle connections.
     pub idle_connections: usize,
+    /// Whether the target said that it drains.
+    pub draining: bool,
 }
 
-/// A `LaneVerdict` is what an attempt at the target came to.
-struct LaneVerdict {
-    outcome: AttemptOutcome,
-    rows: Bytes,
-}
-
-impl LaneVerdict {
-    const fn bare(outcome: AttemptOutcome) -> Self {
-        Self {
-            outcome,
-            rows: Bytes::new(),
-        }
-    }
+/// An attempt that was given a slot, with the means to cancel it.
+struct ReadyAttempt {
+    attempt: LaneAttempt,
+    cancelled: Arc<Notify>,
+    waited: TimeSpan,
+    expected: TimeSpan,
 }
 
 impl TargetLane {
-    /// Returns a lane to the target behind `connections` with as many attempts at a time as it has
-    /// slots.
+    /// Returns a lane to the target behind `connections` with this many declared slots.
     #[must_use]
     pub fn new(
         connections: TargetConnections,
         slots: u32,
-        queue_length: usize,
+        options: &LaneOptions,
+        clock: ProcessClock,
         counters: AttemptCounters,
     ) -> Self {
+        let slots = slots.max(1);
         Self {
             authority: connections.address().to_string(),
             connections,
-            queue_length,
+            clock,
             counters,
             state: Mutex::new(LaneState {
-                queue: VecDeque::new(),
-                in_flight: 0,
-                limit: slots.max(1),
+                queue: RelayQueue::new(options.policy, options.queue.clone()),
+                limit: TargetLimit::new(options.policy, options.limit.clone(), slots),
+                slots,
+                waiting: HashMap::new(),
+                running: HashMap::new(),
+                is_draining: false,
             }),
+            waiting: AtomicUsize::new(0),
         }
     }
 
     /// Takes an attempt: it is run, queued or refused at once.
     pub fn offer(self: &Arc<Self>, attempt: LaneAttempt) {
+        let now = self.clock.now();
         let mut state = self.lock();
-        if state.queue.len() >= self.queue_length {
+        let refusal = if state.is_draining {
+            Some(NotRunReason::Draining)
+        } else {
+            let slots = state.limit.limit(now);
+            match state.queue.offer(attempt.job(), now, slots) {
+                OfferOutcome::Queued => None,
+                OfferOutcome::Refused(reason) => Some(reason),
+            }
+        };
+        if let Some(reason) = refusal {
+            let wait = state.wait_of(&attempt, now);
             drop(state);
-            self.answer_not_run(&attempt, NotRunReason::QueueFull);
+            self.answer_not_run(&attempt, reason, wait);
             return;
         }
-        state.queue.push_back(attempt);
+        state.waiting.insert(attempt.id(), attempt);
         drop(state);
         self.run_ready();
     }
 
-    /// Drops a queued attempt whose answer is no longer wanted; one at the target runs on.
-    pub fn cancel(&self, origin: u64, sequence: u64) {
+    /// Drops an attempt whose answer is no longer wanted; one at the target is cancelled there.
+    pub fn cancel(self: &Arc<Self>, id: AttemptId) {
         let mut state = self.lock();
-        let place = state.queue.iter().position(|attempt| {
-            attempt.request.attempt.origin == origin && attempt.request.attempt.sequence == sequence
-        });
-        if let Some(attempt) = place.and_then(|place| state.queue.remove(place)) {
+        if let Some(cancelled) = state.running.get(&id) {
+            cancelled.notify_one();
+            return;
+        }
+        if state.queue.cancel(id)
+            && let Some(attempt) = state.waiting.remove(&id)
+        {
             drop(state);
-            self.answer_not_run(&attempt, NotRunReason::Cancelled);
+            self.answer_not_run(&attempt, NotRunReason::Cancelled, TimeSpan::ZERO);
+            self.run_ready();
+        }
+    }
+
+    /// Answers the waiting attempts whose time is up.
+    pub fn expire(self: &Arc<Self>) {
+        if self.waiting.load(Ordering::Relaxed) > 0 {
+            self.run_ready();
+        }
+    }
+
+    /// Makes connections ahead of the first attempts, as many as the target has slots.
+    pub async fn warm(&self) {
+        let slots = self.lock().slots as usize;
+        while self.connections.idle_count() < slots {
+            let Ok(sender) = self.connections.connect().await else {
+                return;
+            };
+            self.connections.give_back(sender);
         }
     }
 
@@ -128,19 +159,21 @@
     #[must_use]
     pub fn unfinished(&self) -> usize {
         let state = self.lock();
-        state.queue.len() + state.in_flight as usize
+        state.queue.waiting() + state.queue.running()
     }
 
     /// Gets the lane's state for the dump.
     #[must_use]
     pub fn report(&self) -> LaneReport {
+        let now = self.clock.now();
         let state = self.lock();
         LaneReport {
             address: self.authority.clone(),
-            queued: state.queue.len(),
-            in_flight: state.in_flight,
-            limit: state.limit,
+            queued: state.queue.waiting(),
+            in_flight: state.queue.running(),
+            limit: state.limit.limit(now),
             idle_connections: self.connections.idle_count(),
+            draining: state.is_draining,
         }
     }
 
@@ -148,111 +181,147 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Starts queued attempts while the limit allows it.
+    /// Starts queued attempts while the limit allows it and answers those that were dropped.
     fn run_ready(self: &Arc<Self>) {
-        while let Some(attempt) = self.next_ready() {
-            if attempt.deadline <= Instant::now() {
-                self.lock().in_flight -= 1;
-                self.answer_not_run(&attempt, NotRunReason::Expired);
-                continue;
-            }
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut ready = Vec::new();
+        while let Some(attempt) = state.start_next(now) {
+            ready.push(attempt);
+        }
+        let dropped = state.take_dropped();
+        let waits: Vec<TimeSpan> = dropped
+            .iter()
+            .map(|(attempt, _)| state.wait_of(attempt, now))
+            .collect();
+        self.waiting.store(state.queue.waiting(), Ordering::Relaxed);
+        drop(state);
+        for ((attempt, reason), wait) in dropped.into_iter().zip(waits) {
+            self.answer_not_run(&attempt, reason, wait);
+        }
+        for attempt in ready {
             let lane = Arc::clone(self);
             tokio::spawn(async move {
                 lane.run(attempt).await;
-                lane.lock().in_flight -= 1;
                 lane.run_ready();
             });
         }
     }
 
-    fn next_ready(&self) -> Option<LaneAttempt> {
-        let mut state = self.lock();
-        if state.in_flight >= state.limit {
-            return None;
-        }
-        let attempt = state.queue.pop_front()?;
-        state.in_flight += 1;
-        Some(attempt)
-    }
-
-    async fn run(&self, mut attempt: LaneAttempt) {
-        let started = Instant::now();
-        attempt.request.remaining = TimeSpan::from(attempt.deadline - started);
-        let verdict = self.ask_target(&attempt).await;
+    async fn run(&self, mut ready: ReadyAttempt) {
+        let started = self.clock.now();
+        let attempt = &mut ready.attempt;
+        attempt.request.remaining = attempt.remaining(started);
+        let verdict = self.call_target(attempt, &ready.cancelled).await;
         self.counters.observe(verdict.outcome);
+        let now = self.clock.now();
+        let service = now.since(started);
+        let wait = self.note_finished(attempt, &verdict, service, ready.expected, now);
         let reply = AttemptReply {
-            sequence: attempt.request.attempt.sequence,
+            sequence: attempt.id().sequence,
             status: ReplyStatus::from(verdict.outcome).into(),
             rows: verdict.rows,
             snapshot: attempt.request.snapshot.0,
             version: attempt.request.version.0,
-            queued_us: TimeSpan::from(started - attempt.arrived).as_micros(),
-            service_us: TimeSpan::from(started.elapsed()).as_micros(),
-            wait_us: 0,
-            ran: !alderhaven_policy::query_gather::is_not_run(verdict.outcome),
+            queued_us: ready.waited.as_micros(),
+            service_us: service.as_micros(),
+            wait_us: wait.as_micros(),
+            ran: !query_gather::is_not_run(verdict.outcome),
+        };
+        attempt.reply(reply);
+    }
+
+    /// Calls the target until it replies or the attempt's time is up.
+    async fn call_target(&self, attempt: &LaneAttempt, cancelled: &Notify) -> CallVerdict {
+        let call = target_call::run(&self.connections, &self.authority, &attempt.request);
+        let deadline = self.clock.instant(attempt.deadline);
+        let bounded = time::timeout_at(deadline.into(), call);
+        tokio::pin!(bounded);
+        let replied = tokio::select! {
+            replied = &mut bounded => replied,
+            () = cancelled.notified() => {
+                // The target is asked to drop the attempt; its slot is free once it has replied.
+                target_call::cancel(&self.connections, &self.authority, &attempt.request).await;
+                bounded.await
+            }
+        };
+        replied.unwrap_or_else(|_| CallVerdict::without_reply(AttemptOutcome::Unknown))
+    }
+
+    /// Frees the attempt's slot, learns from its verdict and returns the wait of the next one.
+    fn note_finished(
+        &self,
+        attempt: &LaneAttempt,
+        verdict: &CallVerdict,
+        service: TimeSpan,
+        expected: TimeSpan,
+        now: TimePoint,
+    ) -> TimeSpan {
+        let mut state = self.lock();
+        state.running.remove(&attempt.id());
+        let has_run = verdict.outcome == AttemptOutcome::Answered;
+        let measured = has_run.then_some(service);
+        state.queue.finished(attempt.id(), measured, now);
+        let signal = match verdict.outcome {
+            AttemptOutcome::Answered => AttemptSignal::Ran { service, expected },
+            AttemptOutcome::NotRun(NotRunReason::Shed) => AttemptSignal::Shed,
+            AttemptOutcome::NotRun(_)
+            | AttemptOutcome::Failed
+            | AttemptOutcome::VersionGone
+            | AttemptOutcome::Unknown => AttemptSignal::Nothing,
         };
-        send_reply(&attempt.reply_to, reply);
+        state.limit.finished(signal, now);
+        if let Some(free) = verdict.free_slots {
+            let used = state.slots.saturating_sub(free);
+            state.limit.reported(used, now);
+        }
+        if verdict.is_draining && !state.is_draining {
+            state.is_draining = true;
+            state.queue.drop_all(NotRunReason::Draining);
+        }
+        state.wait_of(attempt, now)
     }
 
     /// Answers an attempt that certainly did not run.
-    fn answer_not_run(&self, attempt: &LaneAttempt, reason: NotRunReason) {
+    fn answer_not_run(&self, attempt: &LaneAttempt, reason: NotRunReason, wait: TimeSpan) {
         let outcome = AttemptOutcome::NotRun(reason);
         self.counters.observe(outcome);
-        let reply = AttemptReply {
-            sequence: attempt.request.attempt.sequence,
+        attempt.reply(AttemptReply {
+            sequence: attempt.id().sequence,
             status: ReplyStatus::from(outcome).into(),
-            queued_us: TimeSpan::from(attempt.arrived.elapsed()).as_micros(),
+            queued_us: self.clock.now().since(attempt.arrived).as_micros(),
+            wait_us: wait.as_micros(),
             ..AttemptReply::default()
-        };
-        send_reply(&attempt.reply_to, reply);
+        });
     }
+}
 
-    /// Runs one attempt at the target and says what came of it.
-    async fn ask_target(&self, attempt: &LaneAttempt) -> LaneVerdict {
-        let not_sent = LaneVerdict::bare(AttemptOutcome::NotRun(NotRunReason::NotSent));
-        let Ok(mut sender) = self.connections.take().await else {
-            return not_sent;
-        };
-        let Ok(request) = attempt.request.to_http(&self.authority) else {
-            return not_sent;
-        };
-        let asking = async {
-            let response = match sender.try_send_request(request).await {
-                Ok(response) => response,
-                // hyper hands a request back only where no byte of it was written; without that
-                // proof the attempt may have run.
-                Err(mut error) => {
-                    return match error.take_message() {
-                        Some(_) => not_sent,
-                        None => LaneVerdict::bare(AttemptOutcome::Unknown),
-                    };
-                }
-            };
-            let outcome = attempt.request.judge(response.status(), response.headers());
-            match response.into_body().collect().await {
-                Ok(body) => LaneVerdict {
-                    outcome,
-                    rows: body.to_bytes(),
-                },
-                // A truncated answer is no answer, though the target ran the attempt.
-                Err(_) if outcome == AttemptOutcome::Answered => {
-                    LaneVerdict::bare(AttemptOutcome::Unknown)
-                }
-                Err(_) => LaneVerdict::bare(outcome),
-            }
-        };
-        match time::timeout_at(attempt.deadline.into(), asking).await {
-            Ok(verdict) => {
-                self.connections.give_back(sender);
-                verdict
-            }
-            // The connection has an unanswered attempt and is dropped with `sender`.
-            Err(_) => LaneVerdict::bare(AttemptOutcome::Unknown),
-        }
+impl LaneState {
+    fn start_next(&mut self, now: TimePoint) -> Option<ReadyAttempt> {
+        let slots = self.limit.in_flight() + self.limit.free(now);
+        let started = self.queue.start_next(now, slots)?;
+        let attempt = self.waiting.remove(&started.job.id)?;
+        self.limit.sent();
+        let cancelled = Arc::new(Notify::new());
+        self.running.insert(attempt.id(), Arc::clone(&cancelled));
+        Some(ReadyAttempt {
+            expected: self.queue.expected(&attempt.template),
+            attempt,
+            cancelled,
+            waited: started.waited,
+        })
     }
-}
 
-fn send_reply(reply_to: &FrameSender, reply: AttemptReply) {
-    // Where the entry's connection is gone nobody waits for the reply.
-    let _entry_gone = reply_to.send(PeerMessage::Reply(reply));
+    fn take_dropped(&mut self) -> Vec<(LaneAttempt, NotRunReason)> {
+        self.queue
+            .take_dropped()
+            .into_iter()
+            .filter_map(|dropped| Some((self.waiting.remove(&dropped.id)?, dropped.reason)))
+            .collect()
+    }
+
+    fn wait_of(&self, attempt: &LaneAttempt, now: TimePoint) -> TimeSpan {
+        self.queue
+            .wait_of(attempt.class, now, self.limit.limit(now))
+    }
 }
