Add the binary alderctl

A plan leaves out what is unchanged, and meeting the very content to publish is no conflict.

Proof: tests/alderctl.rs runs the binary against the platform's stand-in with lost answers; publish_survives_a_lost_answer fails when the publisher does not recognise its own write.

--- /dev/null
+++ b/alderhaven-ctl/src/bin/alderctl/main.rs
@@ -0,0 +1,260 @@
+//! `alderctl`: the operators' tool.
+#![forbid(unsafe_code)]
+
+mod arguments;
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use alderhaven_core::ids::OperatorName;
+use alderhaven_core::settings;
+use alderhaven_core::team;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_ctl::change_plan::ChangePlan;
+use alderhaven_ctl::command_report::{CommandReport, TokenReport};
+use alderhaven_ctl::commands::CommandContext;
+use alderhaven_ctl::ctl_settings::ControlSettings;
+use alderhaven_ctl::exit_status::ExitStatus;
+use alderhaven_ctl::file_check::CheckReport;
+use alderhaven_ctl::in_force::{self, InForceReport, WaitOptions};
+use alderhaven_ctl::node_commands::NodeContext;
+use alderhaven_ctl::operator_client::OperatorClient;
+use alderhaven_ctl::retry_options::RetryOptions;
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
+use argh::FromArgs;
+use eyre::{OptionExt, WrapErr, ensure};
+
+use crate::arguments::{
+    ControlArgs, ControlCommand, DiffArgs, DrainArgs, PublishArgs, RollbackArgs,
+};
+
+/// The switch that may stand after the command as well.
+const JSON_SWITCH: &str = "--json";
+/// The operator's name where a command publishes nothing.
+const READER: &str = "reader";
+
+type Nodes = NodeContext<OperatorClient>;
+type Context = CommandContext<HttpStore, OperatorClient>;
+
+fn main() -> ExitCode {
+    let mut words: Vec<String> = std::env::args().collect();
+    hoist_json(&mut words);
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = match ControlArgs::from_args(&["alderctl"], words.get(1..).unwrap_or_default())
+    {
+        Ok(arguments) => arguments,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}\nRun alderctl --help for more information.", exit.output);
+            return ExitStatus::Invalid.into();
+        }
+    };
+    let is_json = arguments.json;
+    let report = run(arguments)
+        .unwrap_or_else(|error| CommandReport::failure(ExitStatus::Invalid, format!("{error:#}")));
+    print(&report, is_json);
+    report.exit_status().into()
+}
+
+/// Moves a `--json` after the command to where it is understood.
+fn hoist_json(words: &mut Vec<String>) {
+    if words.iter().skip(1).any(|word| word == JSON_SWITCH) {
+        words.retain(|word| word != JSON_SWITCH);
+        words.insert(1, JSON_SWITCH.to_owned());
+    }
+}
+
+fn print(report: &CommandReport, is_json: bool) {
+    if is_json {
+        match serde_json::to_string(report) {
+            Ok(text) => println!("{text}"),
+            Err(error) => eprintln!("error: {error}"),
+        }
+    } else if matches!(report, CommandReport::Failure(_)) {
+        eprintln!("{report}");
+    } else {
+        println!("{report}");
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run(arguments: ControlArgs) -> eyre::Result<CommandReport> {
+    let settings = read_settings(&arguments)?;
+    match arguments.command {
+        ControlCommand::Check(check) => {
+            ensure!(!check.paths.is_empty(), "check needs files or folders");
+            Ok(CommandReport::Check(CheckReport::read_offline(
+                &check.paths,
+            )))
+        }
+        ControlCommand::HashToken(_) => hash_token(),
+        ControlCommand::Diff(diff_args) => diff(&settings, diff_args).await,
+        ControlCommand::Publish(publish_args) => publish(&settings, publish_args).await,
+        ControlCommand::Drain(drain_args) => drain(&settings, drain_args).await,
+        ControlCommand::Rollback(rollback_args) => rollback(&settings, rollback_args).await,
+        ControlCommand::History(history) => Ok(reader(&settings)?.history(&history.object).await),
+        ControlCommand::Status(status) if status.objects.is_empty() => {
+            Ok(nodes(&settings)?.status().await)
+        }
+        ControlCommand::Status(status) => {
+            nodes(&settings)?;
+            Ok(reader(&settings)?.status(&status.objects).await)
+        }
+        ControlCommand::Members(_) => Ok(nodes(&settings)?.members().await),
+        ControlCommand::Dump(_) => Ok(nodes(&settings)?.dump().await),
+    }
+}
+
+fn read_settings(arguments: &ControlArgs) -> eyre::Result<ControlSettings> {
+    let mut read: ControlSettings = match &arguments.settings {
+        Some(path) => settings::read_file(path)?,
+        None => ControlSettings::default(),
+    };
+    if let Some(operator) = &arguments.operator {
+        read.operator = Some(operator.clone());
+    }
+    if let Some(platform) = arguments.platform {
+        read.platform = Some(platform);
+    }
+    if !arguments.node.is_empty() {
+        read.nodes.clone_from(&arguments.node);
+    }
+    Ok(read)
+}
+
+fn nodes(settings: &ControlSettings) -> eyre::Result<Nodes> {
+    ensure!(
+        !settings.nodes.is_empty(),
+        "no nodes are given: `nodes` in --settings, or --node"
+    );
+    Ok(all_nodes(settings))
+}
+
+fn all_nodes(settings: &ControlSettings) -> Nodes {
+    NodeContext {
+        probe: Arc::new(OperatorClient::default()),
+        addresses: settings.nodes.clone(),
+    }
+}
+
+/// Returns the context of a command that only reads.
+fn reader(settings: &ControlSettings) -> eyre::Result<Context> {
+    let operator = READER.parse().wrap_err("the reader's name is a name")?;
+    context(settings, operator, None)
+}
+
+/// Returns the context of a command that publishes, and waits for `limit` where it is given.
+fn writer(settings: &ControlSettings, limit: Option<TimeSpan>) -> eyre::Result<Context> {
+    let operator = settings
+        .operator
+        .clone()
+        .ok_or_eyre("no operator is given: `operator` in --settings, or --operator")?;
+    if limit.is_some() {
+        nodes(settings)?;
+    }
+    context(settings, operator, limit)
+}
+
+fn context(
+    settings: &ControlSettings,
+    operator: OperatorName,
+    limit: Option<TimeSpan>,
+) -> eyre::Result<Context> {
+    let platform = settings
+        .platform
+        .ok_or_eyre("no platform is given: `platform` in --settings, or --platform")?;
+    Ok(CommandContext {
+        store: HttpStore::new(platform, HttpStoreOptions::default()),
+        nodes: all_nodes(settings),
+        operator,
+        retries: RetryOptions::default(),
+        waiting: limit.map(|limit| WaitOptions {
+            limit,
+            ..WaitOptions::default()
+        }),
+    })
+}
+
+async fn diff(settings: &ControlSettings, arguments: DiffArgs) -> eyre::Result<CommandReport> {
+    ensure!(!arguments.paths.is_empty(), "diff needs files or folders");
+    let (report, plan) = reader(settings)?.diff(&arguments.paths).await;
+    if let (Some(path), Some(plan)) = (&arguments.plan, plan) {
+        let text = serde_json::to_string_pretty(&plan)?;
+        fs::write(path, text).wrap_err_with(|| path.display().to_string())?;
+    }
+    Ok(report)
+}
+
+async fn publish(
+    settings: &ControlSettings,
+    arguments: PublishArgs,
+) -> eyre::Result<CommandReport> {
+    let context = writer(settings, arguments.wait.then_some(arguments.limit))?;
+    if let Some(path) = &arguments.plan {
+        ensure!(
+            arguments.paths.is_empty(),
+            "publish takes files or a plan, not both"
+        );
+        let plan = read_plan(path)?;
+        return Ok(context.publish_plan(&plan, show_progress).await);
+    }
+    ensure!(
+        !arguments.paths.is_empty(),
+        "publish needs files, folders or --plan"
+    );
+    Ok(context.publish(&arguments.paths, show_progress).await)
+}
+
+async fn drain(settings: &ControlSettings, arguments: DrainArgs) -> eyre::Result<CommandReport> {
+    match (&arguments.target, arguments.node) {
+        (Some(target), None) => {
+            let context = writer(settings, arguments.wait.then_some(in_force::DEFAULT_LIMIT))?;
+            let is_end = arguments.end;
+            Ok(context.drain_target(target, is_end, show_progress).await)
+        }
+        (None, Some(node)) => {
+            ensure!(!arguments.end, "--end goes with --target");
+            Ok(all_nodes(settings).drain(node).await)
+        }
+        _ => Err(eyre::eyre!("drain needs either --target or --node")),
+    }
+}
+
+async fn rollback(
+    settings: &ControlSettings,
+    arguments: RollbackArgs,
+) -> eyre::Result<CommandReport> {
+    let context = writer(settings, arguments.wait.then_some(in_force::DEFAULT_LIMIT))?;
+    let report = context.rollback(&arguments.object, arguments.to, show_progress);
+    Ok(report.await)
+}
+
+fn hash_token() -> eyre::Result<CommandReport> {
+    let mut token = String::new();
+    io::stdin().read_line(&mut token)?;
+    let token = token.trim_end_matches(['\r', '\n']);
+    ensure!(!token.is_empty(), "the token is read from standard input");
+    Ok(CommandReport::Token(TokenReport {
+        token_hash: team::hash_token(token),
+    }))
+}
+
+fn read_plan(path: &Path) -> eyre::Result<ChangePlan> {
+    let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    serde_json::from_str(&text).wrap_err_with(|| path.display().to_string())
+}
+
+/// Shows a round of the wait on standard error, so that standard output has the result alone.
+fn show_progress(report: &InForceReport) {
+    eprintln!(
+        "in force on {} of {}",
+        report.in_force(),
+        report.nodes.len()
+    );
+}
--- a/alderhaven-ctl/src/change_plan.rs
+++ b/alderhaven-ctl/src/change_plan.rs
@@ -10,6 +10,7 @@
 use crate::field_change::FieldChange;
 use crate::object_file::ObjectFile;
 use crate::publication_id::PublicationId;
+use crate::publish_outcome::PublishOutcome;
 use crate::retry_options::RetryOptions;
 
 /// A `ChangePlan` is an ordered set of changes.
@@ -117,6 +118,23 @@
         self.differences().is_empty() && self.seen_body().is_some() == self.body.is_some()
     }
 
+    /// Gets the outcome of a change that met another content than the one that was seen.
+    ///
+    /// Where that is the very content to publish, nothing is left to do: a plan was published
+    /// twice, or two operators made the same change.
+    #[must_use]
+    pub fn outcome_of_conflict(&self, current: Option<StoredObject>) -> PublishOutcome {
+        let body = current.as_ref().and_then(|current| current.body.as_deref());
+        let is_wanted = body.is_some() == self.body.is_some()
+            && FieldChange::between(body, self.body.as_deref()).is_empty();
+        match current {
+            Some(current) if is_wanted => PublishOutcome::Unchanged {
+                version: current.version,
+            },
+            current => PublishOutcome::Conflict { current },
+        }
+    }
+
     /// Gets the fields that differ between what was seen and what is published.
     #[must_use]
     pub fn differences(&self) -> Vec<FieldChange> {
--- a/alderhaven-ctl/src/commands.rs
+++ b/alderhaven-ctl/src/commands.rs
@@ -38,9 +38,15 @@
 
 impl<S: ObjectStore, P: NodeProbe> CommandContext<S, P> {
     /// Compares files with the store; returns the plan for `publish --plan` beside the report.
+    ///
+    /// The plan leaves out what is unchanged: by the time it is published that may be so no more.
     pub async fn diff(&self, paths: &[PathBuf]) -> (CommandReport, Option<ChangePlan>) {
         match self.plan(paths).await {
-            Ok(plan) => (CommandReport::Diff(DiffReport::of(&plan)), Some(plan)),
+            Ok(mut plan) => {
+                let report = CommandReport::Diff(DiffReport::of(&plan));
+                plan.changes.retain(|change| !change.is_unchanged());
+                (report, Some(plan))
+            }
             Err(report) => (report, None),
         }
     }
--- a/alderhaven-ctl/src/publisher.rs
+++ b/alderhaven-ctl/src/publisher.rs
@@ -123,7 +123,7 @@
             return PublishOutcome::Published { version, id };
         }
         if !attempt.may_have_landed {
-            return PublishOutcome::Conflict { current };
+            return attempt.change.outcome_of_conflict(current);
         }
         let Some(by) = current else {
             let reason = "the answer was lost, and the object is gone".to_owned();
--- a/alderhaven-ctl/src/report_text.rs
+++ b/alderhaven-ctl/src/report_text.rs
@@ -89,7 +89,7 @@
         }
         match &self.in_force {
             Some(report) => report.fmt(formatter),
-            None => write!(formatter, "{} publications", self.publications.len()),
+            None => write!(formatter, "objects: {}", self.publications.len()),
         }
     }
 }
--- a/alderhaven-ctl/src/retry_options.rs
+++ b/alderhaven-ctl/src/retry_options.rs
@@ -6,8 +6,8 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::object_store::{ObjectList, ObjectStore, StoreError, StoreResult};
 
-/// How often a call is tried before it is given up.
-pub const DEFAULT_ATTEMPTS: u32 = 8;
+/// How often a call is tried before it is given up: with the delays below, after 1.5 s.
+pub const DEFAULT_ATTEMPTS: u32 = 6;
 /// The wait after the first failed call; it doubles with each further one.
 pub const DEFAULT_FIRST_DELAY: TimeSpan = TimeSpan::from_millis(50);
 /// The longest wait between calls.
--- /dev/null
+++ b/alderhaven-ctl/tests/alderctl.rs
@@ -0,0 +1,155 @@
+//! Tests of the binary against the stand-in of the platform: what an operator sees and exit codes.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_standin::platform_faults::PlatformFaults;
+use alderhaven_standin::platform_server::{PlatformOptions, PlatformServer};
+use serde_json::Value;
+
+fn examples(folder: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../examples")
+        .join(folder)
+}
+
+/// Runs the binary while the platform goes on in this process.
+async fn alderctl(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_alderctl"));
+    command.args(words);
+    tokio::task::spawn_blocking(move || command.output().expect("the binary runs"))
+        .await
+        .expect("the binary ends")
+}
+
+/// Runs the binary on behalf of an operator; standard output is JSON.
+async fn as_operator(platform: &PlatformServer, operator: &str, words: &[&str]) -> Output {
+    let address = platform.address().to_string();
+    let base = ["--json", "--operator", operator, "--platform", &address];
+    let words: Vec<&str> = base.into_iter().chain(words.iter().copied()).collect();
+    alderctl(&words).await
+}
+
+async fn platform() -> PlatformServer {
+    PlatformServer::start(PlatformOptions::default())
+        .await
+        .expect("a port is free")
+}
+
+fn json_of(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).expect("standard output is one JSON document")
+}
+
+/// The store's answer to a publication is lost, and so is that of the second try. The operator must
+/// not hear of a conflict with the own write, and the object must have been written once.
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_survives_a_lost_answer() {
+    let platform = platform().await;
+    platform.store().set_faults(PlatformFaults {
+        lose_write_replies: 1,
+        drop_writes: 1,
+        ..PlatformFaults::default()
+    });
+    let address = platform.address().to_string();
+    let file = examples("volta/templates/record-fetch.yaml");
+    let file = file.display().to_string();
+    let words = [
+        "--operator",
+        "ama",
+        "--platform",
+        &address,
+        "publish",
+        &file,
+        "--json",
+    ];
+    let output = alderctl(&words).await;
+    let report = json_of(&output);
+    assert_eq!(output.status.code(), Some(0), "{report}");
+    assert_eq!(report["publications"][0]["outcome"], "published");
+    let key = ObjectKey {
+        kind: ObjectKind::Template,
+        name: "record-fetch".to_owned(),
+    };
+    let table = platform.store().table();
+    let stored = table.get(&key).expect("it is stored");
+    assert_eq!(report["publications"][0]["id"], stored.write_id.as_str());
+    assert_eq!(table.revision().0, 1, "written once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_ends_and_rolls_back_over_http() {
+    let platform = platform().await;
+    let begun = as_operator(&platform, "ama", &["drain", "--target", "desk-1"]).await;
+    assert_eq!(begun.status.code(), Some(0));
+    let ended = as_operator(&platform, "kofi", &["drain", "--target", "desk-1", "--end"]).await;
+    assert_eq!(ended.status.code(), Some(0));
+    let key: ObjectKey = "drain/desk-1".parse().expect("it is a key");
+    let body_of = || {
+        platform
+            .store()
+            .table()
+            .get(&key)
+            .and_then(|object| object.body.clone())
+    };
+    assert_eq!(body_of(), None);
+
+    let history = as_operator(&platform, "ama", &["history", "drain/desk-1"]).await;
+    let entry = &json_of(&history)["entries"][0];
+    assert_eq!(entry["body"], "{}");
+    let version = entry["version"].to_string();
+    let words = ["rollback", "drain/desk-1", "--to", &version];
+    let rolled_back = as_operator(&platform, "ama", &words).await;
+    assert_eq!(rolled_back.status.code(), Some(0));
+    assert_eq!(body_of().as_deref(), Some("{}"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_twice_finds_nothing_to_do() {
+    let platform = platform().await;
+    let teams = examples("volta/teams").display().to_string();
+    let first = as_operator(&platform, "ama", &["publish", &teams]).await;
+    assert_eq!(first.status.code(), Some(0));
+    let revision = platform.store().table().revision();
+    let second = as_operator(&platform, "kofi", &["publish", &teams]).await;
+    assert_eq!(json_of(&second)["publications"][0]["outcome"], "unchanged");
+    assert_eq!(platform.store().table().revision(), revision);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn alderctl_says_what_is_wrong_with_its_arguments() {
+    let refused = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/refused");
+    let refused = refused.display().to_string();
+    let cases: [(&[&str], &str); 6] = [
+        (&["check", &refused], "16 problems"),
+        (&["publish", "x"], "no operator is given"),
+        (&["status"], "no nodes are given"),
+        (&["drain"], "either --target or --node"),
+        (&["history", "team"], "a kind and a name"),
+        (&["--settings", "absent.yaml", "status"], "absent.yaml"),
+    ];
+    for (words, expected) in cases {
+        let output = alderctl(words).await;
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(output.status.code(), Some(2), "{words:?}: {text}");
+        assert!(text.contains(expected), "{words:?}: {text}");
+    }
+}
+
+#[test]
+fn hash_token_reads_standard_input() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_alderctl"))
+        .args(["hash-token", "--json"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary runs");
+    let mut input = child.stdin.take().expect("it is piped");
+    input.write_all(b"volta-example-token\n").expect("it reads");
+    drop(input);
+    let output = child.wait_with_output().expect("it ends");
+    let hash = alderhaven_core::team::hash_token("volta-example-token");
+    assert_eq!(json_of(&output)["token_hash"], hash.as_str());
+}
--- a/alderhaven-ctl/tests/publish/scenarios.rs
+++ b/alderhaven-ctl/tests/publish/scenarios.rs
@@ -104,6 +104,19 @@
     assert_eq!(store.finish().len(), 1);
 }
 
+/// Two operators make the same change, or one publishes a plan twice. The second is told that
+/// nothing is left to do, since the store holds the very content.
+#[tokio::test(start_paused = true)]
+async fn publish_of_the_same_change_is_no_conflict() {
+    let store = ScriptedStore::default();
+    store.seed(&key(), "seed", Some("{}"));
+    let change = plan(&store, r#"{"weight":2}"#).await;
+    let first = publisher(&store, "ama").publish(&change).await;
+    let second = publisher(&store, "kofi").publish(&change).await;
+    let version = first.version().expect("it is published");
+    assert_eq!(second, PublishOutcome::Unchanged { version });
+}
+
 #[tokio::test(start_paused = true)]
 async fn publish_over_a_broken_history_writes_nothing() {
     let store = ScriptedStore::default();
