--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -3,6 +3,12 @@
 #![warn(missing_docs)]
 
 pub mod config_registry;
+pub mod load_meter;
+pub mod policy_kind;
 pub mod query_gather;
+pub mod relay_queue;
 pub mod row_merge;
+pub mod running_mean;
+pub mod service_means;
 pub mod store_budget;
+pub mod target_limit;
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -2,8 +2,11 @@
 
 use std::net::SocketAddr;
 
+use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
+use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
 /// A `RelaySettings` is the content of a relay's settings file.
@@ -28,6 +31,9 @@
     /// The limits.
     #[serde(default)]
     pub limits: RelayLimits,
+    /// The decisions to run; `baseline` is for comparisons only.
+    #[serde(default)]
+    pub policy: PolicyKind,
     /// The least severe level that is logged.
     #[serde(default = "default_log_level")]
     pub log_level: log::LevelFilter,
@@ -45,6 +51,27 @@
     pub connect_timeout: TimeSpan,
 }
 
+impl CheckedSettings for RelaySettings {
+    fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        for (field, value) in [
+            ("limits.queue_length", self.limits.queue_length),
+            ("limits.peer_connections", self.limits.peer_connections),
+        ] {
+            if value == 0 {
+                errors.push(Error::invalid(field, "0 is refused: allowed is 1 or more"));
+            }
+        }
+        if self.limits.connect_timeout == TimeSpan::ZERO {
+            errors.push(Error::invalid(
+                "limits.connect_timeout",
+                "0us is refused: allowed is above 0",
+            ));
+        }
+        errors
+    }
+}
+
 impl Default for RelayLimits {
     fn default() -> Self {
         Self {
