--- /dev/null
+++ b/alderhaven-quickstart/src/answer_oracle.rs
@@ -0,0 +1,217 @@
+//! The oracle of a run: every promise that a reply makes is checked against what the targets ran.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use alderhaven_core::ids::{ServiceName, ShardId, TemplateName};
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::outcome::QueryOutcome;
+use alderhaven_core::template::QueryTemplate;
+use alderhaven_standin::run_log::RunRecord;
+use eyre::{OptionExt, Result};
+
+use crate::expected_rows;
+use crate::query_reply::{AnswerBody, ErrorBody, QueryReply};
+use crate::sample_query::SampleQuery;
+
+/// An `AnswerOracle` knows the templates, the manifests, the replies and the runs.
+#[derive(Debug)]
+pub struct AnswerOracle {
+    templates: BTreeMap<TemplateName, QueryTemplate>,
+    manifests: BTreeMap<ServiceName, SnapshotManifest>,
+    replied: Vec<RepliedQuery>,
+    runs: HashMap<RunKey, usize>,
+}
+
+/// A `RunKey` tells which query a run belongs to; no two queries of a run of samples share one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RunKey {
+    template: String,
+    parameters: String,
+}
+
+#[derive(Debug)]
+struct RepliedQuery {
+    number: usize,
+    key: RunKey,
+    idempotent: bool,
+    not_run: bool,
+    outcome: Option<QueryOutcome>,
+}
+
+/// The query whose answer is checked, with what it is checked against.
+struct CheckedQuery<'a> {
+    template: &'a QueryTemplate,
+    manifest: &'a SnapshotManifest,
+    asked: Vec<ShardId>,
+    parameters: String,
+}
+
+impl AnswerOracle {
+    /// Returns an oracle of what was published.
+    #[must_use]
+    pub fn new(templates: &[QueryTemplate], manifests: &[SnapshotManifest]) -> Self {
+        Self {
+            templates: templates
+                .iter()
+                .map(|template| (template.name.clone(), template.clone()))
+                .collect(),
+            manifests: manifests
+                .iter()
+                .map(|manifest| (manifest.service.clone(), manifest.clone()))
+                .collect(),
+            replied: Vec::new(),
+            runs: HashMap::new(),
+        }
+    }
+
+    /// Takes the records of runs.
+    pub fn take_runs(&mut self, records: Vec<RunRecord>) {
+        for record in records {
+            let key = RunKey {
+                template: record.template,
+                parameters: record.parameters,
+            };
+            *self.runs.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Takes a reply, and gets what it says that is not so.
+    ///
+    /// # Errors
+    /// Where the query itself is not one of the published templates.
+    pub fn take_reply(&mut self, query: &SampleQuery, reply: &QueryReply) -> Result<Vec<String>> {
+        let checked = self.checked(query)?;
+        let found = match reply {
+            QueryReply::Answer(answer) => checked.check_answer(answer),
+            QueryReply::Error(body) => check_error(body),
+            QueryReply::Unreadable(reason) => vec![format!("no readable reply: {reason}")],
+        };
+        let replied = RepliedQuery {
+            number: query.number,
+            idempotent: checked.template.idempotent,
+            key: RunKey {
+                template: query.template.to_string(),
+                parameters: checked.parameters,
+            },
+            not_run: matches!(reply, QueryReply::Error(body) if body.error.not_run),
+            outcome: reply.outcome(),
+        };
+        self.replied.push(replied);
+        Ok(found
+            .into_iter()
+            .map(|text| format!("query {}: {text}", query.number))
+            .collect())
+    }
+
+    /// Gets what the runs say against the replies, after the last run.
+    #[must_use]
+    pub fn finish(&self) -> Vec<String> {
+        let replied = self.replied.iter().filter_map(|query| {
+            let runs = self.runs.get(&query.key).copied().unwrap_or_default();
+            let text = query.contradiction(runs)?;
+            Some(format!("query {}: {text}", query.number))
+        });
+        let known: HashSet<&RunKey> = self.replied.iter().map(|query| &query.key).collect();
+        let strange = self
+            .runs
+            .keys()
+            .filter(|key| !known.contains(key))
+            .map(|key| {
+                format!(
+                    "{} {} ran and nobody asked it",
+                    key.template, key.parameters
+                )
+            });
+        replied.chain(strange).collect()
+    }
+
+    fn checked(&self, query: &SampleQuery) -> Result<CheckedQuery<'_>> {
+        let template = self
+            .templates
+            .get(&query.template)
+            .ok_or_eyre("the template is not published")?;
+        let manifest = self
+            .manifests
+            .get(&template.service)
+            .ok_or_eyre("the service has no manifest")?;
+        let values = template.bind(&query.team, query.given.clone())?;
+        let positions = manifest.select(&template.shards, &values)?;
+        Ok(CheckedQuery {
+            template,
+            manifest,
+            asked: positions
+                .into_iter()
+                .map(|position| manifest.shards[position].shard)
+                .collect(),
+            parameters: values.canonical(),
+        })
+    }
+}
+
+impl RepliedQuery {
+    fn contradiction(&self, runs: usize) -> Option<String> {
+        if self.not_run && runs > 0 {
+            return Some(format!("was answered as not run and ran {runs} times"));
+        }
+        if !self.idempotent && runs > 1 {
+            return Some(format!("must run at most once and ran {runs} times"));
+        }
+        let is_answered = self.outcome == Some(QueryOutcome::Complete);
+        (is_answered && runs == 0).then(|| "was answered and never ran".to_owned())
+    }
+}
+
+impl CheckedQuery<'_> {
+    fn check_answer(&self, answer: &AnswerBody) -> Vec<String> {
+        let mut found = Vec::new();
+        if answer.snapshot != self.manifest.snapshot {
+            found.push(format!("names snapshot {}", answer.snapshot));
+        }
+        let coverage = &answer.coverage;
+        let missing: HashSet<ShardId> = coverage.missing.iter().map(|shard| shard.shard).collect();
+        let covered: Vec<ShardId> = self
+            .asked
+            .iter()
+            .copied()
+            .filter(|shard| !missing.contains(shard))
+            .collect();
+        let is_true = coverage.asked == self.asked.len()
+            && coverage.answered == covered.len()
+            && coverage.missing.len() == missing.len()
+            && missing.iter().all(|shard| self.asked.contains(shard));
+        if !is_true {
+            found.push(format!(
+                "states a coverage of {} and {} missing of {}",
+                coverage.answered,
+                coverage.missing.len(),
+                self.asked.len()
+            ));
+        }
+        let says_complete = answer.outcome == QueryOutcome::Complete;
+        if says_complete != missing.is_empty() {
+            found.push(format!("is {} in spite of its coverage", answer.outcome));
+        }
+        let expected = expected_rows::expected_rows(
+            &self.template.merge,
+            self.manifest,
+            &covered,
+            &self.parameters,
+        );
+        if answer.rows != expected {
+            found.push("holds rows that are not those of its covered shards".to_owned());
+        }
+        found
+    }
+}
+
+fn check_error(body: &ErrorBody) -> Vec<String> {
+    let may_have_run = matches!(body.error.code.as_str(), "failed" | "unknown");
+    let mut found = Vec::new();
+    if body.error.not_run == may_have_run {
+        found.push(format!(
+            "code {} with not_run {}",
+            body.error.code, body.error.not_run
+        ));
+    }
+    found
+}
--- /dev/null
+++ b/alderhaven-quickstart/src/answer_text.rs
@@ -0,0 +1,99 @@
+//! Replies as people read them.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+use crate::query_reply::{AnswerBody, ErrorBody, QueryReply};
+use crate::sample_query::SampleQuery;
+
+/// The number of rows that are shown of an answer.
+const SHOWN_ROWS: usize = 3;
+
+/// Gets the text of a query and its reply, over several lines.
+#[must_use]
+pub fn reply_text(query: &SampleQuery, reply: &QueryReply) -> String {
+    let mut text = format!(
+        "{} for {}: {}\n",
+        query.template,
+        query.team,
+        values_of(query)
+    );
+    if let Some(key) = query.key {
+        // Writing to a string does not fail.
+        let _written = writeln!(text, "  Idempotency-Key {key}");
+    }
+    let rest = match reply {
+        QueryReply::Answer(answer) => answer_text(answer),
+        QueryReply::Error(body) => error_text(body),
+        QueryReply::Unreadable(reason) => format!("  no readable reply: {reason}\n"),
+    };
+    text + &rest
+}
+
+fn values_of(query: &SampleQuery) -> String {
+    let values: Vec<String> = query
+        .given
+        .0
+        .iter()
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    values.join(", ")
+}
+
+fn answer_text(answer: &AnswerBody) -> String {
+    let coverage = &answer.coverage;
+    let mut text = format!(
+        "  {}: shards {}/{}, snapshot {}, rows {}, {:.1} ms (slowest target {:.1} ms, attempts {})\n",
+        answer.outcome,
+        coverage.answered,
+        coverage.asked,
+        answer.snapshot,
+        answer.rows.len(),
+        millis(answer.timing.total_us),
+        millis(answer.timing.slowest_target_us),
+        answer.timing.attempts,
+    );
+    for missing in &coverage.missing {
+        let _written = writeln!(
+            text,
+            "  missing: shard {}, {}",
+            missing.shard, missing.reason
+        );
+    }
+    for row in answer.rows.iter().take(SHOWN_ROWS) {
+        let _written = writeln!(text, "    {}", row_text(row));
+    }
+    if answer.rows.len() > SHOWN_ROWS {
+        let _written = writeln!(text, "    and {} more", answer.rows.len() - SHOWN_ROWS);
+    }
+    text
+}
+
+fn row_text(row: &Value) -> String {
+    let Some(fields) = row.as_object() else {
+        return row.to_string();
+    };
+    let fields: Vec<String> = fields
+        .iter()
+        .map(|(name, value)| format!("{name} {value}"))
+        .collect();
+    fields.join(", ")
+}
+
+fn error_text(body: &ErrorBody) -> String {
+    let error = &body.error;
+    let ran = if error.not_run {
+        "nothing ran"
+    } else {
+        "it may have run"
+    };
+    let again = error.retry_after_ms.map_or_else(String::new, |millis| {
+        format!("; ask again after {millis} ms")
+    });
+    format!("  {}: {} ({ran}{again})\n", error.code, error.message)
+}
+
+fn millis(micros: u64) -> f64 {
+    micros as f64 / 1_000.0
+}
--- /dev/null
+++ b/alderhaven-quickstart/src/example_objects.rs
@@ -0,0 +1,62 @@
+//! The templates and teams of both example deployments, as they stand under `examples/`.
+
+use alderhaven_core::errors::Result;
+use alderhaven_core::settings;
+use alderhaven_core::team::TeamPolicy;
+use alderhaven_core::template::QueryTemplate;
+use alderhaven_standin::object_set::ObjectSet;
+
+/// A file of the examples, with its content built in so that the binary runs from any directory.
+macro_rules! example {
+    ($path:literal) => {
+        ($path, include_str!(concat!("../../examples/", $path)))
+    };
+}
+
+/// The templates by file and content.
+const TEMPLATES: [(&str, &str); 11] = [
+    example!("volta/templates/duplicate-check.yaml"),
+    example!("volta/templates/title-lookup.yaml"),
+    example!("volta/templates/record-fetch.yaml"),
+    example!("volta/templates/assign-isbn.yaml"),
+    example!("volta/templates/prefix-range.yaml"),
+    example!("volta/templates/billing-report.yaml"),
+    example!("lagerblik/templates/stock-sweep.yaml"),
+    example!("lagerblik/templates/find-alternative.yaml"),
+    example!("lagerblik/templates/reserve-stock.yaml"),
+    example!("lagerblik/templates/depot-record.yaml"),
+    example!("lagerblik/templates/monthly-sum.yaml"),
+];
+
+/// The teams by file and content.
+const TEAMS: [(&str, &str); 9] = [
+    example!("volta/teams/publishers.yaml"),
+    example!("volta/teams/booksellers.yaml"),
+    example!("volta/teams/libraries.yaml"),
+    example!("volta/teams/registry-staff.yaml"),
+    example!("volta/teams/billing-office.yaml"),
+    example!("lagerblik/teams/pharmacies.yaml"),
+    example!("lagerblik/teams/shortage-desk.yaml"),
+    example!("lagerblik/teams/inspectorate.yaml"),
+    example!("lagerblik/teams/statistics-office.yaml"),
+];
+
+/// Reads the examples.
+///
+/// # Errors
+/// `Error::File` for an example that can't be read.
+pub fn load() -> Result<ObjectSet> {
+    let templates = TEMPLATES
+        .iter()
+        .map(|(path, text)| settings::read_text::<QueryTemplate>(path, text))
+        .collect::<Result<_>>()?;
+    let teams = TEAMS
+        .iter()
+        .map(|(path, text)| settings::read_text::<TeamPolicy>(path, text))
+        .collect::<Result<_>>()?;
+    Ok(ObjectSet {
+        templates,
+        teams,
+        manifests: Vec::new(),
+    })
+}
--- /dev/null
+++ b/alderhaven-quickstart/src/expected_rows.rs
@@ -0,0 +1,58 @@
+//! What an answer must hold, from the rows that stand-in targets derive.
+//!
+//! It is written apart from the entry's own merge, so that one fault can't hide in both.
+
+use std::collections::HashSet;
+
+use alderhaven_core::ids::ShardId;
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::template::MergeRule;
+use alderhaven_standin::rows;
+use alderhaven_standin::rows::DerivedRow;
+use serde_json::{Value, json};
+
+/// Gets the rows of an answer that covers `shards` of the manifest, for canonical parameters.
+#[must_use]
+pub fn expected_rows(
+    rule: &MergeRule,
+    manifest: &SnapshotManifest,
+    shards: &[ShardId],
+    parameters: &str,
+) -> Vec<Value> {
+    let derived: Vec<DerivedRow> = manifest
+        .shards
+        .iter()
+        .filter(|entry| shards.contains(&entry.shard))
+        .flat_map(|entry| rows::rows_for(&manifest.service, entry.shard, entry.version, parameters))
+        .collect();
+    let all = derived.iter().map(|row| json!(row));
+    match rule {
+        MergeRule::Concatenate => all.collect(),
+        MergeRule::TopN {
+            field,
+            limit,
+            ascending,
+        } => {
+            let mut ordered: Vec<Value> = all.collect();
+            ordered.sort_by_key(|row| {
+                let number = number_of(row, field);
+                if *ascending { number } else { -number }
+            });
+            ordered.truncate(*limit);
+            ordered
+        }
+        MergeRule::Sum { field } => {
+            let total: i64 = all.map(|row| number_of(&row, field)).sum();
+            vec![json!({ field: total })]
+        }
+        MergeRule::DistinctBy { field } => {
+            let mut seen = HashSet::new();
+            all.filter(|row| seen.insert(row[field].to_string()))
+                .collect()
+        }
+    }
+}
+
+fn number_of(row: &Value, field: &str) -> i64 {
+    row[field].as_i64().unwrap_or_default()
+}
--- /dev/null
+++ b/alderhaven-quickstart/src/main.rs
@@ -0,0 +1,189 @@
+//! `alder-quickstart`: queries over many shards in one process, on loopback.
+#![forbid(unsafe_code)]
+#![expect(
+    clippy::print_stdout,
+    clippy::print_stderr,
+    reason = "answers and progress are the command's output"
+)]
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use alderhaven_core::errors::Error;
+use alderhaven_core::logging;
+use alderhaven_core::program::EXIT_BAD_SETTINGS;
+use alderhaven_quickstart::answer_text;
+use alderhaven_quickstart::local_system::{LocalSystem, MAX_NODES};
+use alderhaven_quickstart::query_run;
+use alderhaven_quickstart::query_run::{RunOptions, RunReport, RunStep};
+use alderhaven_quickstart::sample_source::{MAX_QUERIES, SAMPLES};
+use argh::FromArgs;
+use eyre::Result;
+use log::LevelFilter;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time;
+
+/// The most queries whose answers are shown one by one.
+const SHOWN_QUERIES: usize = 24;
+/// The number of progress lines of a longer run.
+const PROGRESS_LINES: usize = 10;
+/// The most broken promises that are shown.
+const SHOWN_VIOLATIONS: usize = 20;
+
+/// Runs sample queries of two deployments over stand-in targets on loopback and shows the answers.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the number of entries and of relays, 1 to 64 (default 8)
+    #[argh(option, default = "8")]
+    nodes: usize,
+
+    /// the number of queries, 1 to 100000 (default 11: each template once)
+    #[argh(option, default = "SAMPLES.len()")]
+    queries: usize,
+
+    /// the seed of parameters and of run times at targets (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// end with one JSON line of totals
+    #[argh(switch)]
+    json: bool,
+
+    /// serve on after the queries, until SIGINT or SIGTERM
+    #[argh(switch)]
+    keep_running: bool,
+
+    /// the seconds after which `--keep-running` ends by itself
+    #[argh(option, long = "for")]
+    seconds: Option<u64>,
+}
+
+impl Arguments {
+    /// Checks the numbers before anything is started.
+    fn check(&self) -> alderhaven_core::errors::Result<()> {
+        let bounded = [
+            ("--nodes", self.nodes, MAX_NODES),
+            ("--queries", self.queries, MAX_QUERIES),
+        ];
+        for (name, value, most) in bounded {
+            if !(1..=most).contains(&value) {
+                let allowed = format!("{value} is refused: allowed is 1 to {most}");
+                return Err(Error::invalid(name, allowed));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if let Err(error) = arguments.check() {
+        eprintln!("error: {error}");
+        return ExitCode::from(EXIT_BAD_SETTINGS);
+    }
+    logging::start(LevelFilter::Error);
+    match run(&arguments).await {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs everything and gets the number of broken promises.
+async fn run(arguments: &Arguments) -> Result<usize> {
+    eprintln!(
+        "starting {} entries and relays, and stand-ins",
+        arguments.nodes
+    );
+    let system = LocalSystem::start(arguments.nodes, arguments.seed).await?;
+    eprintln!("ready: {} targets of 2 deployments", system.target_count());
+    let shown = arguments.queries <= SHOWN_QUERIES;
+    let options = RunOptions {
+        queries: arguments.queries,
+        seed: arguments.seed,
+        callers: if shown { 1 } else { arguments.nodes },
+    };
+    let mut done = 0;
+    let report = query_run::run(&system, options, |step| {
+        done += 1;
+        show_step(step, shown);
+        if !shown {
+            show_progress(done, options.queries);
+        }
+    })
+    .await?;
+    show_report(&report, arguments.json)?;
+    if arguments.keep_running {
+        keep_running(&system, arguments.seconds).await?;
+    }
+    system.stop().await;
+    Ok(report.totals.violations)
+}
+
+fn show_step(step: &RunStep, shown: bool) {
+    if shown {
+        println!("{}", answer_text::reply_text(&step.query, &step.reply));
+    }
+    for violation in step.violations.iter().take(SHOWN_VIOLATIONS) {
+        eprintln!("broken promise: {violation}");
+    }
+}
+
+fn show_progress(done: usize, queries: usize) {
+    let stride = queries.div_ceil(PROGRESS_LINES);
+    if done.is_multiple_of(stride) || done == queries {
+        eprintln!("{done} of {queries} queries");
+    }
+}
+
+fn show_report(report: &RunReport, json: bool) -> Result<()> {
+    for violation in report.violations.iter().take(SHOWN_VIOLATIONS) {
+        eprintln!("broken promise: {violation}");
+    }
+    let totals = report.totals;
+    if json {
+        println!("{}", serde_json::to_string(&totals)?);
+    } else {
+        println!(
+            "{} queries: {} complete, {} partial, {} refused, {} unknown, {} failed; {} broken promises",
+            totals.queries,
+            totals.complete,
+            totals.partial,
+            totals.refused,
+            totals.unknown,
+            totals.failed,
+            totals.violations,
+        );
+    }
+    Ok(())
+}
+
+async fn keep_running(system: &LocalSystem, seconds: Option<u64>) -> Result<()> {
+    let entries = system.entry_addresses();
+    eprintln!("entries: {entries:?}");
+    eprintln!("operators: {:?}", system.operator_addresses());
+    eprintln!("platform: {}", system.platform_address());
+    if let Some(entry) = entries.first() {
+        eprintln!(
+            "try: curl -s http://{entry}/v1/query/title-lookup \
+             -d '{{\"team\":\"booksellers\",\"parameters\":{{\"title\":\"River Songs\"}}}}'"
+        );
+    }
+    let mut terminate = signal(SignalKind::terminate())?;
+    let limit = async {
+        match seconds {
+            Some(seconds) => time::sleep(Duration::from_secs(seconds)).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+        () = limit => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/alderhaven-quickstart/src/query_run.rs
@@ -0,0 +1,131 @@
+//! A run of sample queries: several callers at once, each reply checked as it comes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use alderhaven_standin::http_caller::HttpCaller;
+use eyre::{Result, bail};
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use crate::answer_oracle::AnswerOracle;
+use crate::local_system::LocalSystem;
+use crate::query_reply::QueryReply;
+use crate::run_totals::RunTotals;
+use crate::sample_query::SampleQuery;
+use crate::sample_source::{MAX_QUERIES, SampleSource};
+
+/// The time after which a caller gives up on a reply; the longest deadline of a template is 60 s.
+const REPLY_LIMIT: Duration = Duration::from_secs(65);
+/// The most callers at once; more would queue at targets with 2 slots.
+const MAX_CALLERS: usize = 8;
+
+/// A `RunOptions` says which queries a run sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunOptions {
+    /// The number of queries.
+    pub queries: usize,
+    /// The seed of their parameters.
+    pub seed: u64,
+    /// The number of callers at once.
+    pub callers: usize,
+}
+
+/// A `RunStep` is one reply with what the oracle found wrong with it.
+#[derive(Clone, Debug)]
+pub struct RunStep {
+    /// The query.
+    pub query: SampleQuery,
+    /// Its reply.
+    pub reply: QueryReply,
+    /// The broken promises.
+    pub violations: Vec<String>,
+}
+
+/// A `RunReport` is what a run came to.
+#[derive(Clone, Debug, Default)]
+pub struct RunReport {
+    /// The totals.
+    pub totals: RunTotals,
+    /// The broken promises that only the runs at targets showed.
+    pub violations: Vec<String>,
+}
+
+/// Sends the queries; `step` hears of each reply in the order in which they come.
+///
+/// # Errors
+/// Where no query can be made or no entry can be reached.
+pub async fn run(
+    system: &LocalSystem,
+    options: RunOptions,
+    mut step: impl FnMut(&RunStep),
+) -> Result<RunReport> {
+    if !(1..=MAX_QUERIES).contains(&options.queries) {
+        let queries = options.queries;
+        bail!("queries: {queries} is refused: allowed is 1 to {MAX_QUERIES}");
+    }
+    let mut oracle = AnswerOracle::new(system.templates(), system.manifests());
+    let mut report = RunReport::default();
+    let mut source = SampleSource::new(options.seed);
+    let mut queries = Vec::with_capacity(options.queries);
+    for _ in 0..options.queries {
+        queries.push(source.next_query()?);
+    }
+    queries.reverse();
+    let queries = Arc::new(Mutex::new(queries));
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    let mut callers = JoinSet::new();
+    let addresses = system.entry_addresses();
+    for number in 0..options.callers.clamp(1, MAX_CALLERS) {
+        let address = addresses[number % addresses.len()];
+        callers.spawn(call_all(address, Arc::clone(&queries), sender.clone()));
+    }
+    drop(sender);
+    while let Some((query, reply)) = replies.recv().await {
+        oracle.take_runs(system.runs().take());
+        let violations = oracle.take_reply(&query, &reply)?;
+        report.totals.count(reply.outcome());
+        report.totals.violations += violations.len();
+        step(&RunStep {
+            query,
+            reply,
+            violations,
+        });
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended??;
+    }
+    oracle.take_runs(system.runs().take());
+    report.violations = oracle.finish();
+    report.totals.violations += report.violations.len();
+    Ok(report)
+}
+
+/// Takes queries until none is left, over one connection that is made again where it breaks.
+async fn call_all(
+    address: SocketAddr,
+    queries: Arc<Mutex<Vec<SampleQuery>>>,
+    sender: UnboundedSender<(SampleQuery, QueryReply)>,
+) -> Result<()> {
+    let mut caller = HttpCaller::connect(address).await?;
+    loop {
+        let next = queries.lock().unwrap_or_else(PoisonError::into_inner).pop();
+        let Some(query) = next else {
+            return Ok(());
+        };
+        let outcome = time::timeout(REPLY_LIMIT, caller.call(query.request()?)).await;
+        let reply = match outcome {
+            Ok(result) => QueryReply::read(result),
+            Err(_) => QueryReply::Unreadable(format!("none within {REPLY_LIMIT:?}")),
+        };
+        if matches!(reply, QueryReply::Unreadable(_)) {
+            caller = HttpCaller::connect(address).await?;
+        }
+        if sender.send((query, reply)).is_err() {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-quickstart/tests/answer_oracle.rs
@@ -0,0 +1,246 @@
+//! Tests that the oracle finds replies and runs that break a promise.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::coverage::{CoverageReport, MissingReason, MissingShard};
+use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId};
+use alderhaven_core::manifest::{ReplicaEntry, ShardEntry, SnapshotManifest};
+use alderhaven_core::outcome::QueryOutcome;
+use alderhaven_core::template::QueryTemplate;
+use alderhaven_quickstart::answer_oracle::AnswerOracle;
+use alderhaven_quickstart::example_objects;
+use alderhaven_quickstart::expected_rows::expected_rows;
+use alderhaven_quickstart::query_reply::{
+    AnswerBody, ErrorBody, ErrorPart, QueryReply, TimingBody,
+};
+use alderhaven_quickstart::sample_query::SampleQuery;
+use alderhaven_quickstart::sample_source::SampleSource;
+use alderhaven_standin::run_log::{RunEnd, RunRecord};
+use smallvec::smallvec;
+
+const SHARDS: u32 = 3;
+
+/// One query of a template, with all that is needed to answer it.
+struct Case {
+    query: SampleQuery,
+    template: QueryTemplate,
+    manifest: SnapshotManifest,
+    parameters: String,
+}
+
+impl Case {
+    fn of(template: &str) -> Self {
+        let mut source = SampleSource::new(1);
+        let query = std::iter::repeat_with(|| source.next_query().unwrap())
+            .take(11)
+            .find(|query| query.template.as_str() == template)
+            .unwrap();
+        let template = example_objects::load()
+            .unwrap()
+            .templates
+            .into_iter()
+            .find(|known| known.name == query.template)
+            .unwrap();
+        let values = template.bind(&query.team, query.given.clone()).unwrap();
+        Self {
+            manifest: manifest_of(&template),
+            parameters: values.canonical(),
+            template,
+            query,
+        }
+    }
+
+    fn oracle(&self) -> AnswerOracle {
+        AnswerOracle::new(
+            std::slice::from_ref(&self.template),
+            std::slice::from_ref(&self.manifest),
+        )
+    }
+
+    fn true_answer(&self) -> AnswerBody {
+        let shards: Vec<ShardId> = (0..SHARDS).map(ShardId).collect();
+        AnswerBody {
+            outcome: QueryOutcome::Complete,
+            rows: expected_rows(
+                &self.template.merge,
+                &self.manifest,
+                &shards,
+                &self.parameters,
+            ),
+            coverage: CoverageReport {
+                asked: shards.len(),
+                answered: shards.len(),
+                missing: Vec::new(),
+            },
+            snapshot: SnapshotId(4),
+            timing: TimingBody {
+                total_us: 1,
+                slowest_target_us: 1,
+                attempts: 3,
+            },
+        }
+    }
+
+    fn found(&self, answer: AnswerBody) -> usize {
+        let reply = QueryReply::Answer(answer);
+        let found = self.oracle().take_reply(&self.query, &reply).unwrap();
+        found.len()
+    }
+
+    fn run(&self, sequence: u64) -> RunRecord {
+        RunRecord {
+            target: "desk-0-0".parse().unwrap(),
+            attempt: AttemptId {
+                origin: 1,
+                sequence,
+            },
+            service: self.template.service.clone(),
+            template: self.template.name.to_string(),
+            snapshot: SnapshotId(4),
+            shard: ShardId(0),
+            version: IndexVersion(2),
+            parameters: self.parameters.clone(),
+            started_us: 1,
+            ended_us: 2,
+            end: RunEnd::Answered,
+        }
+    }
+}
+
+fn manifest_of(template: &QueryTemplate) -> SnapshotManifest {
+    let entry = |shard| ShardEntry {
+        shard: ShardId(shard),
+        version: IndexVersion(2),
+        first_key: String::new(),
+        replicas: smallvec![ReplicaEntry {
+            target: "desk-0-0".parse().unwrap(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            domain: "accra-1".parse().unwrap(),
+            slots: 2,
+            connections: 25,
+        }],
+    };
+    SnapshotManifest {
+        service: template.service.clone(),
+        snapshot: SnapshotId(4),
+        shards: (0..SHARDS).map(entry).collect(),
+    }
+}
+
+fn refusal() -> QueryReply {
+    QueryReply::Error(ErrorBody {
+        error: ErrorPart {
+            code: "overloaded".to_owned(),
+            message: "too much".to_owned(),
+            not_run: true,
+            retry_after_ms: None,
+        },
+        coverage: None,
+    })
+}
+
+#[test]
+fn take_reply_true_answer() {
+    for template in ["duplicate-check", "title-lookup", "find-alternative"] {
+        let case = Case::of(template);
+        assert_eq!(case.found(case.true_answer()), 0, "{template}");
+    }
+}
+
+#[test]
+fn take_reply_rows_of_another_query() {
+    let case = Case::of("duplicate-check");
+    let mut answer = case.true_answer();
+    answer.rows = expected_rows(
+        &case.template.merge,
+        &case.manifest,
+        &[ShardId(0), ShardId(1), ShardId(2)],
+        r#"{"title":"another"}"#,
+    );
+    assert_eq!(case.found(answer), 1);
+}
+
+#[test]
+fn take_reply_lost_and_doubled_rows() {
+    let case = Case::of("duplicate-check");
+    let mut answer = case.true_answer();
+    answer.rows.pop();
+    assert_eq!(case.found(answer), 1);
+    let mut answer = case.true_answer();
+    answer.rows.push(answer.rows[0].clone());
+    assert_eq!(case.found(answer), 1);
+}
+
+#[test]
+fn take_reply_untrue_coverage() {
+    let case = Case::of("duplicate-check");
+    let mut answer = case.true_answer();
+    answer.coverage.answered = 2;
+    answer.outcome = QueryOutcome::Partial;
+    assert!(
+        case.found(answer) > 0,
+        "a shard is neither answered nor missing"
+    );
+    let mut answer = case.true_answer();
+    answer.coverage.answered = 2;
+    answer.coverage.missing = vec![MissingShard {
+        shard: ShardId(1),
+        reason: MissingReason::Late,
+    }];
+    assert!(case.found(answer) > 0, "complete, and a shard is missing");
+}
+
+#[test]
+fn take_reply_other_snapshot() {
+    let case = Case::of("duplicate-check");
+    let mut answer = case.true_answer();
+    answer.snapshot = SnapshotId(3);
+    assert_eq!(case.found(answer), 1);
+}
+
+#[test]
+fn take_reply_unknown_that_says_not_run() {
+    let case = Case::of("duplicate-check");
+    let QueryReply::Error(mut body) = refusal() else {
+        unreachable!("a refusal is an error");
+    };
+    body.error.code = "unknown".to_owned();
+    let reply = QueryReply::Error(body);
+    let found = case.oracle().take_reply(&case.query, &reply).unwrap();
+    assert_eq!(found.len(), 1);
+}
+
+#[test]
+fn finish_not_run_that_ran() {
+    let case = Case::of("assign-isbn");
+    let mut oracle = case.oracle();
+    assert!(
+        oracle
+            .take_reply(&case.query, &refusal())
+            .unwrap()
+            .is_empty()
+    );
+    assert!(oracle.finish().is_empty());
+    oracle.take_runs(vec![case.run(1)]);
+    assert_eq!(oracle.finish().len(), 1);
+}
+
+#[test]
+fn finish_second_run() {
+    let case = Case::of("assign-isbn");
+    let mut oracle = case.oracle();
+    let reply = QueryReply::Unreadable("cut".to_owned());
+    let _unreadable = oracle.take_reply(&case.query, &reply).unwrap();
+    oracle.take_runs(vec![case.run(1)]);
+    assert!(oracle.finish().is_empty());
+    oracle.take_runs(vec![case.run(2)]);
+    assert_eq!(oracle.finish().len(), 1);
+}
+
+#[test]
+fn finish_run_that_nobody_asked() {
+    let case = Case::of("duplicate-check");
+    let mut oracle = case.oracle();
+    oracle.take_runs(vec![case.run(1)]);
+    assert_eq!(oracle.finish().len(), 1);
+}
