--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -63,8 +63,8 @@
         });
         let service = CallerService {
             limits: settings.limits.clone(),
+            runner: QueryRunner::new(rand::random(), routes, config.clone(), Arc::clone(&metrics)),
             config,
-            runner: QueryRunner::new(rand::random(), routes),
             metrics,
         };
         let tasks = [
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -10,6 +10,7 @@
 use alderhaven_core::outcome::{AttemptOutcome, QueryOutcome};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::frames::{CancelledAttempt, ScatterAttempt, ScatterRequest};
+use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_policy::query_gather::{GatherEvent, QueryGather};
 use alderhaven_policy::{query_gather, row_merge};
 use serde_json::value::RawValue;
@@ -18,6 +19,7 @@
 use tokio::time;
 
 use crate::answer::{AnswerTiming, ErrorAnswer, ErrorCode, QueryAnswer};
+use crate::metrics::EntryMetrics;
 use crate::query_plan::QueryPlan;
 use crate::relay_link::{LinkReply, RelayLink, ReplySink};
 use crate::relay_routes::RelayRoutes;
@@ -28,6 +30,8 @@
     origin: u64,
     next_sequence: AtomicU64,
     routes: Arc<RelayRoutes>,
+    config: ConfigHandle,
+    metrics: Arc<EntryMetrics>,
 }
 
 /// A `RunningQuery` is one query between scatter and answer.
@@ -43,19 +47,42 @@
 impl QueryRunner {
     /// Returns a runner; `origin` is random so that attempt ids don't recur over restarts.
     #[must_use]
-    pub const fn new(origin: u64, routes: Arc<RelayRoutes>) -> Self {
+    pub const fn new(
+        origin: u64,
+        routes: Arc<RelayRoutes>,
+        config: ConfigHandle,
+        metrics: Arc<EntryMetrics>,
+    ) -> Self {
         Self {
             origin,
             next_sequence: AtomicU64::new(1),
             routes,
+            config,
+            metrics,
         }
     }
 
     /// Runs a query to its answer.
     ///
+    /// Where no replica of a shard holds the pinned version any more, an idempotent query is run
+    /// once more as a whole on a newer manifest; replies for the older one belong to nobody then.
+    ///
     /// # Errors
     /// The answer for the caller where the query was refused, failed or has an unknown outcome.
     pub async fn run(&self, plan: &QueryPlan) -> Result<QueryAnswer, ErrorAnswer> {
+        let query = self.run_pinned(plan).await;
+        if !query.needs_newer_snapshot() {
+            return query.finish();
+        }
+        let Some(newer) = self.newer_plan(plan).await else {
+            return query.finish();
+        };
+        query.cancel_under_way();
+        self.metrics.snapshot_restarts.inc();
+        self.run_pinned(&newer).await.finish()
+    }
+
+    async fn run_pinned<'a>(&'a self, plan: &'a QueryPlan) -> RunningQuery<'a> {
         let (sink, replies) = mpsc::unbounded_channel();
         let mut query = RunningQuery {
             runner: self,
@@ -71,7 +98,29 @@
         };
         query.scatter((0..plan.positions.len()).collect());
         query.gather(replies).await;
-        query.finish()
+        query
+    }
+
+    /// Waits for a manifest that is newer than the plan's, until the plan's time is up.
+    async fn newer_plan(&self, plan: &QueryPlan) -> Option<QueryPlan> {
+        let mut changed = self.config.changed();
+        let expires = time::Instant::from_std(plan.expires());
+        loop {
+            let newer = self
+                .config
+                .view()
+                .manifests
+                .get(&plan.template.service)
+                .filter(|manifest| manifest.snapshot > plan.manifest.snapshot)
+                .cloned();
+            if let Some(manifest) = newer {
+                return plan.pinned_to(manifest).ok();
+            }
+            match time::timeout_at(expires, changed.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return None,
+            }
+        }
     }
 }
 
@@ -87,6 +136,7 @@
             };
             let sequence = self.runner.next_sequence.fetch_add(1, Ordering::Relaxed);
             self.gather.begin_attempt(slot, replica, sequence);
+            self.runner.metrics.attempts.inc();
             self.links.insert(sequence, Arc::clone(&link));
             let attempt = self.attempt(slot, replica, sequence);
             requests
@@ -168,7 +218,7 @@
             time::Instant::from_std(instant).min(expires)
         });
         let mut early = true;
-        while !self.gather.is_settled() {
+        while !self.gather.is_settled() && !self.needs_newer_snapshot() {
             let wake = if early { answer_by } else { expires };
             tokio::select! {
                 reply = replies.recv() => {
@@ -189,6 +239,11 @@
         }
     }
 
+    /// Returns true where the query can only be answered in full on a newer snapshot.
+    fn needs_newer_snapshot(&self) -> bool {
+        self.plan.template.idempotent && self.gather.is_version_gone()
+    }
+
     fn answer_by(&self) -> Option<Instant> {
         match self.plan.template.preference {
             AnswerPreference::Coverage => None,
@@ -215,15 +270,17 @@
                 outcome,
                 others_under_way: false,
             } => self.retry(slot, outcome),
-            GatherEvent::ShardAnswered { .. }
-            | GatherEvent::AttemptOver { .. }
-            | GatherEvent::Stray => {}
+            GatherEvent::Stray => {
+                self.runner.metrics.stray_replies.inc();
+            }
+            GatherEvent::ShardAnswered { .. } | GatherEvent::AttemptOver { .. } => {}
         }
     }
 
     /// Tries another replica where that can do no harm.
     fn retry(&mut self, slot: usize, outcome: AttemptOutcome) {
         if self.plan.template.idempotent || query_gather::is_not_run(outcome) {
+            self.runner.metrics.retries.inc();
             self.scatter(vec![slot]);
         } else {
             let reason = self.gather.missing_reason(slot);
