Admission on the path of a query

Change: callers wait for or are refused by AdmissionGate; a pass that is dropped in any way frees its place; what is under way is cancelled also where the caller goes away.

--- /dev/null
+++ b/alderhaven-core/src/fingerprint.rs
@@ -0,0 +1,77 @@
+//! The fingerprint of a request: what makes two requests the same, whoever sends them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result};
+use crate::ids::TemplateName;
+use crate::parameters::ParameterSet;
+
+/// A `RequestFingerprint` is a BLAKE3 hash of a template's name and the canonical parameters.
+///
+/// It leaves out the caller, the idempotency key and the deadline, so that a request that is sent
+/// again has the same fingerprint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestFingerprint([u8; 16]);
+
+impl RequestFingerprint {
+    /// Computes the fingerprint of a request.
+    #[must_use]
+    pub fn of(template: &TemplateName, parameters: &ParameterSet) -> Self {
+        Self::of_canonical(template.as_str(), parameters.canonical().as_bytes())
+    }
+
+    /// Computes the fingerprint of a request from the canonical text of its parameters.
+    #[must_use]
+    pub fn of_canonical(template: &str, parameters: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(template.as_bytes());
+        // A name holds no such byte, so that name and parameters can't run into each other.
+        hasher.update(&[0]);
+        hasher.update(parameters);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(bytes)
+    }
+
+    /// Gets the first eight bytes as a number.
+    #[must_use]
+    pub fn head(&self) -> u64 {
+        let mut head = [0; 8];
+        head.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(head)
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl FromStr for RequestFingerprint {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = u128::from_str_radix(text, 16)
+            .map_err(|_| Error::parse("fingerprint", text, "32 hexadecimal digits"))?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
+
+impl TryFrom<String> for RequestFingerprint {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<RequestFingerprint> for String {
+    fn from(fingerprint: RequestFingerprint) -> Self {
+        fingerprint.to_string()
+    }
+}
--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config_object;
 pub mod coverage;
 pub mod errors;
+pub mod fingerprint;
 pub mod ids;
 pub mod logging;
 pub mod manifest;
--- /dev/null
+++ b/alderhaven-entry/src/admission_desk.rs
@@ -0,0 +1,225 @@
+//! The admission of queries at an entry: who runs now, who waits, who is refused at once.
+//!
+//! The decisions are those of [`AdmissionGate`]; this module lets callers wait for them.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::TimePoint;
+use alderhaven_policy::admission::{AdmissionGate, AdmissionOptions};
+use alderhaven_policy::admit_decision::{
+    AdmitDecision, AdmitRequest, AdmitTicket, ReadyQuery, Refusal,
+};
+use alderhaven_policy::config_registry::ConfigView;
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::service_lane::ServiceLoad;
+use tokio::sync::{Notify, oneshot};
+use tokio::time;
+
+use crate::admission_pass::AdmissionPass;
+use crate::query_plan::QueryPlan;
+
+type DeskVerdict = Result<AdmitTicket, Refusal>;
+
+/// An `AdmissionDesk` admits the queries of one entry.
+#[derive(Debug)]
+pub struct AdmissionDesk {
+    clock: ProcessClock,
+    next_id: AtomicU64,
+    state: Mutex<DeskState>,
+    /// Wakes the task that gives up on waiting queries, when the next such time may be earlier.
+    queued: Notify,
+}
+
+#[derive(Debug)]
+struct DeskState {
+    gate: AdmissionGate,
+    waiters: HashMap<u64, oneshot::Sender<DeskVerdict>>,
+}
+
+/// Takes a waiting query out again where its caller goes away.
+struct WaitingPlace<'a> {
+    desk: &'a AdmissionDesk,
+    request: AdmitRequest,
+    verdict: oneshot::Receiver<DeskVerdict>,
+}
+
+impl AdmissionDesk {
+    /// Returns a desk.
+    #[must_use]
+    pub fn new(policy: PolicyKind, options: AdmissionOptions, clock: ProcessClock) -> Self {
+        Self {
+            clock,
+            next_id: AtomicU64::new(1),
+            state: Mutex::new(DeskState {
+                gate: AdmissionGate::new(policy, options, rand::random()),
+                waiters: HashMap::new(),
+            }),
+            queued: Notify::new(),
+        }
+    }
+
+    /// Takes over the sizes of services and the teams of a configuration.
+    pub fn apply(&self, view: &ConfigView) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for manifest in view.manifests.values() {
+            let shards = u32::try_from(manifest.shards.len()).unwrap_or(u32::MAX);
+            let slots = manifest
+                .shards
+                .iter()
+                .flat_map(|entry| &entry.replicas)
+                .map(|replica| replica.slots)
+                .sum();
+            state.gate.set_service(&manifest.service, shards, slots);
+        }
+        for team in view.teams.values() {
+            state.gate.set_team(team, now);
+        }
+    }
+
+    /// Takes over how many entries share the services.
+    pub fn set_entries(&self, entries: u32) {
+        let now = self.clock.now();
+        self.lock().gate.set_entries(entries, now);
+    }
+
+    /// Decides on a query; waits where it has to wait its turn.
+    ///
+    /// # Errors
+    /// The refusal: nothing ran, and it says when to come back.
+    pub async fn admit(self: &Arc<Self>, plan: &QueryPlan) -> Result<AdmissionPass, Refusal> {
+        let request = self.request(plan);
+        let now = self.clock.now();
+        let decision = self.lock().gate.offer(request.clone(), now);
+        let ticket = match decision {
+            AdmitDecision::Admit(ticket) => ticket,
+            AdmitDecision::Refuse(refusal) => return Err(refusal),
+            AdmitDecision::Queue => self.wait(request).await?,
+        };
+        Ok(AdmissionPass::new(Arc::clone(self), ticket))
+    }
+
+    /// Gets the load of all services that `view` names, for the dump.
+    #[must_use]
+    pub fn loads(&self, view: &ConfigView) -> Vec<(String, ServiceLoad)> {
+        let state = self.lock();
+        view.manifests
+            .keys()
+            .filter_map(|service| Some((service.to_string(), state.gate.load_of(service)?)))
+            .collect()
+    }
+
+    /// Gets the clock of the tickets.
+    #[must_use]
+    pub const fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    /// Gives up on waiting queries when their time has come, until the process ends.
+    pub async fn give_up_forever(self: Arc<Self>) {
+        loop {
+            self.decide_ready();
+            let next = self.lock().gate.next_give_up();
+            match next {
+                Some(point) => {
+                    let wake = time::Instant::from_std(self.clock.instant(point));
+                    tokio::select! {
+                        () = time::sleep_until(wake) => {}
+                        () = self.queued.notified() => {}
+                    }
+                }
+                None => self.queued.notified().await,
+            }
+        }
+    }
+
+    /// Runs a change of the gate and then decides on what waits.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut AdmissionGate, TimePoint)) {
+        let now = self.clock.now();
+        change(&mut self.lock().gate, now);
+        self.decide_ready();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn request(&self, plan: &QueryPlan) -> AdmitRequest {
+        AdmitRequest {
+            id: self.next_id.fetch_add(1, Ordering::Relaxed),
+            team: plan.team.name.clone(),
+            service: plan.template.service.clone(),
+            template: plan.template.name.clone(),
+            class: plan.template.class,
+            fan_out: u32::try_from(plan.positions.len()).unwrap_or(u32::MAX),
+            key: plan.fingerprint().head(),
+            deadline: self.clock.point(plan.expires()),
+        }
+    }
+
+    async fn wait(&self, request: AdmitRequest) -> DeskVerdict {
+        let (sender, verdict) = oneshot::channel();
+        self.lock().waiters.insert(request.id, sender);
+        let mut place = WaitingPlace {
+            desk: self,
+            request,
+            verdict,
+        };
+        self.queued.notify_one();
+        // The query may have become ready before its waiter was there.
+        self.decide_ready();
+        let verdict = (&mut place.verdict).await;
+        // A waiter is only dropped after it was answered.
+        verdict.unwrap_or_else(|_| Err(place.dropped()))
+    }
+
+    /// Answers the waiting queries that are decided now.
+    fn decide_ready(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut unclaimed = Vec::new();
+        while let Some(ready) = state.gate.next_ready(now) {
+            let (id, verdict) = match ready {
+                ReadyQuery::Admit(ticket) => (ticket.request.id, Ok(ticket)),
+                ReadyQuery::Refuse { id, refusal } => (id, Err(refusal)),
+            };
+            let verdict = match state.waiters.remove(&id) {
+                Some(waiter) => waiter.send(verdict),
+                None => Err(verdict),
+            };
+            if let Err(Ok(ticket)) = verdict {
+                unclaimed.push(ticket);
+            }
+        }
+        for ticket in unclaimed {
+            let report = alderhaven_policy::service_capacity::QueryReport::default();
+            state.gate.finished(&ticket, report, now);
+        }
+    }
+}
+
+impl WaitingPlace<'_> {
+    fn dropped(&self) -> Refusal {
+        Refusal {
+            reason: alderhaven_policy::admit_decision::RefusalReason::Overloaded,
+            retry_after: self.desk.clock.now().until(self.request.deadline),
+        }
+    }
+}
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        let now = self.desk.clock.now();
+        let mut state = self.desk.lock();
+        state.waiters.remove(&self.request.id);
+        state.gate.cancel(&self.request.service, self.request.id);
+        // The ticket may have been sent while the caller went away.
+        if let Ok(Ok(ticket)) = self.verdict.try_recv() {
+            let report = alderhaven_policy::service_capacity::QueryReport::default();
+            state.gate.finished(&ticket, report, now);
+        }
+    }
+}
--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -17,7 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use crate::answer::{ErrorAnswer, ErrorCode};
+use crate::admission_desk::AdmissionDesk;
+use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
 use crate::metrics::EntryMetrics;
 use crate::query_plan::{QueryPlan, QueryRequest};
 use crate::query_runner::QueryRunner;
@@ -35,6 +37,8 @@
     pub limits: EntryLimits,
     /// The configuration in force.
     pub config: ConfigHandle,
+    /// What admits the queries.
+    pub desk: Arc<AdmissionDesk>,
     /// What runs the queries.
     pub runner: QueryRunner,
     /// What is counted.
@@ -125,7 +129,7 @@
             ));
         }
         self.metrics.in_flight.inc();
-        let answer = self.runner.run(&plan).await;
+        let answer = self.admit_and_run(&plan).await;
         self.metrics.in_flight.dec();
         let outcome = answer
             .as_ref()
@@ -136,6 +140,11 @@
         Ok(json_response(StatusCode::OK, &answer?))
     }
 
+    async fn admit_and_run(&self, plan: &QueryPlan) -> Result<QueryAnswer, ErrorAnswer> {
+        let mut pass = self.desk.admit(plan).await.map_err(refused)?;
+        self.runner.run(plan, &mut pass).await
+    }
+
     async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
         let limit = self.limits.body;
         let reading = Limited::new(body, limit.as_bytes()).collect();
@@ -157,6 +166,16 @@
     }
 }
 
+fn refused(refusal: Refusal) -> ErrorAnswer {
+    let message = match refusal.reason {
+        RefusalReason::TeamRate => "the team's rate is used up",
+        RefusalReason::TeamInFlight => "the team has as many queries in flight as it may",
+        RefusalReason::Overloaded => "the service is full",
+        RefusalReason::Deadline => "the answer would come after the deadline",
+    };
+    ErrorAnswer::not_run(ErrorCode::Overloaded, message).with_retry_after(refusal.retry_after)
+}
+
 fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     headers
         .get(header::AUTHORIZATION)?
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission_desk;
+pub mod admission_pass;
 pub mod answer;
 pub mod caller_server;
 pub mod metrics;
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
@@ -12,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::admission_desk::AdmissionDesk;
 use crate::caller_server;
 use crate::caller_server::CallerService;
 use crate::metrics::EntryMetrics;
@@ -26,7 +28,7 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<EntryState>,
-    _tasks: [AbortOnDropHandle<()>; 2],
+    _tasks: [AbortOnDropHandle<()>; 4],
 }
 
 /// An `EntryState` is what the parts of an entry share, as operators see it.
@@ -36,6 +38,8 @@
     pub node: NodeId,
     /// The configuration in force.
     pub config: ConfigHandle,
+    /// What admits queries.
+    pub desk: Arc<AdmissionDesk>,
     /// The routes through relays.
     pub routes: Arc<RelayRoutes>,
     /// What is counted.
@@ -55,19 +59,31 @@
         let routes = Arc::new(RelayRoutes::default());
         routes.set_relays(&settings.relays);
         let metrics = Arc::new(EntryMetrics::default());
+        let clock = ProcessClock::default();
+        let desk = Arc::new(AdmissionDesk::new(
+            settings.policy,
+            settings.admission.clone(),
+            clock,
+        ));
+        // Each host runs one entry and one relay, so the relays' number is the entries' number.
+        desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
             routes: Arc::clone(&routes),
+            desk: Arc::clone(&desk),
             metrics: Arc::clone(&metrics),
         });
         let service = CallerService {
             limits: settings.limits.clone(),
+            desk: Arc::clone(&desk),
             runner: QueryRunner::new(rand::random(), routes, config.clone(), Arc::clone(&metrics)),
             config,
             metrics,
         };
         let tasks = [
+            tokio::spawn(Arc::clone(&desk).give_up_forever()),
+            tokio::spawn(apply_configuration(desk, state.config.clone())),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
             tokio::spawn(operator_server::serve(
                 operator_listener,
@@ -126,7 +142,8 @@
                 })
             })
             .collect();
-        json!({ "status": self.status(), "relays": links })
+        let loads = self.desk.loads(&self.config.view());
+        json!({ "status": self.status(), "services": loads, "relays": links })
     }
 
     fn status(&self) -> Value {
@@ -139,3 +156,14 @@
 
     fn drain(&self) {}
 }
+
+/// Takes over each change of the configuration until the process ends.
+async fn apply_configuration(desk: Arc<AdmissionDesk>, config: ConfigHandle) {
+    let mut changed = config.changed();
+    loop {
+        desk.apply(&config.view());
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/alderhaven-entry/src/query_plan.rs
+++ b/alderhaven-entry/src/query_plan.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{TeamId, TemplateName};
 use alderhaven_core::manifest::SnapshotManifest;
 use alderhaven_core::parameters::ParameterSet;
@@ -114,6 +115,12 @@
         })
     }
 
+    /// Gets the fingerprint of template and parameters.
+    #[must_use]
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        RequestFingerprint::of_canonical(self.template.name.as_str(), &self.parameters)
+    }
+
     /// Gets the instant at which the answer is of no more use.
     #[must_use]
     pub fn expires(&self) -> Instant {
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time;
 
+use crate::admission_pass::AdmissionPass;
 use crate::answer::{AnswerTiming, ErrorAnswer, ErrorCode, QueryAnswer};
 use crate::metrics::EntryMetrics;
 use crate::query_plan::QueryPlan;
@@ -38,6 +39,7 @@
 struct RunningQuery<'a> {
     runner: &'a QueryRunner,
     plan: &'a QueryPlan,
+    pass: &'a mut AdmissionPass,
     gather: QueryGather,
     sink: ReplySink,
     links: HashMap<u64, Arc<RelayLink>>,
@@ -69,24 +71,33 @@
     ///
     /// # Errors
     /// The answer for the caller where the query was refused, failed or has an unknown outcome.
-    pub async fn run(&self, plan: &QueryPlan) -> Result<QueryAnswer, ErrorAnswer> {
-        let query = self.run_pinned(plan).await;
+    pub async fn run(
+        &self,
+        plan: &QueryPlan,
+        pass: &mut AdmissionPass,
+    ) -> Result<QueryAnswer, ErrorAnswer> {
+        let query = self.run_pinned(plan, pass).await;
         if !query.needs_newer_snapshot() {
             return query.finish();
         }
         let Some(newer) = self.newer_plan(plan).await else {
             return query.finish();
         };
-        query.cancel_under_way();
+        drop(query);
         self.metrics.snapshot_restarts.inc();
-        self.run_pinned(&newer).await.finish()
+        self.run_pinned(&newer, pass).await.finish()
     }
 
-    async fn run_pinned<'a>(&'a self, plan: &'a QueryPlan) -> RunningQuery<'a> {
+    async fn run_pinned<'a>(
+        &'a self,
+        plan: &'a QueryPlan,
+        pass: &'a mut AdmissionPass,
+    ) -> RunningQuery<'a> {
         let (sink, replies) = mpsc::unbounded_channel();
         let mut query = RunningQuery {
             runner: self,
             plan,
+            pass,
             gather: QueryGather::new(
                 Arc::clone(&plan.manifest),
                 &plan.positions,
@@ -181,8 +192,8 @@
             template: plan.template.name.to_string(),
             parameters: plan.parameters.clone(),
             snapshot: plan.manifest.snapshot.0,
-            class: u32::from(plan.template.class.rank()),
-            order: self.plan.order,
+            class: u32::from(self.pass.class().rank()),
+            order: self.pass.order(plan),
             remaining_us: TimeSpan::from(plan.expires().saturating_duration_since(Instant::now()))
                 .as_micros(),
             idempotent: plan.template.idempotent,
@@ -264,6 +275,7 @@
 
     fn take(&mut self, reply: LinkReply) {
         self.slowest_target = self.slowest_target.max(reply.service);
+        self.pass.note_reply(&reply);
         match self.gather.accept(reply.sequence, reply.result) {
             GatherEvent::AttemptOver {
                 slot,
@@ -288,9 +300,8 @@
         }
     }
 
-    /// Cancels what is under way and makes the answer.
+    /// Makes the answer.
     fn finish(self) -> Result<QueryAnswer, ErrorAnswer> {
-        self.cancel_under_way();
         let coverage = self.gather.coverage();
         let outcome = self.gather.outcome();
         let error = match outcome {
@@ -350,3 +361,10 @@
         }
     }
 }
+
+impl Drop for RunningQuery<'_> {
+    /// Cancels what is under way, also where the caller has gone away and dropped the query.
+    fn drop(&mut self) {
+        self.cancel_under_way();
+    }
+}
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -7,6 +7,7 @@
 use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::admission::AdmissionOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +43,9 @@
     /// The limits.
     #[serde(default)]
     pub limits: EntryLimits,
+    /// The admission of queries.
+    #[serde(default)]
+    pub admission: AdmissionOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
