Object API and host list over HTTP, budget of calls, configuration follower

HttpStore and HttpHosts call the platform over kept-alive HTTP/1.1 connections. A request that hyper hands back was never sent and goes once to a new connection; anything sent without a readable answer to this very write is `Unknown`; 429, 503, a refused connection and an empty budget are `NotDone`. After a timeout no idle connection is used again, since the path may have lost track of them all.

ConfigFollower lists, watches and resumes; ConfigState decides which news is taken. Versions alone were not enough: a list leaves out deleted objects, so a peer's stale copy would bring one back (objects up to the complete revision are therefore left out), and absent objects become tombstones at the list's revision. A store that went backwards is refused until its list holds everything that is known, since a restored store's revision grows past the known one again.

--- /dev/null
+++ b/alderhaven-platform/src/config_handle.rs
@@ -0,0 +1,288 @@
+//! The configuration in force, as the other parts of a process read it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::config_object::{ObjectKey, StoredObject};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::logging;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::config_registry::ConfigView;
+use arc_swap::ArcSwap;
+use log::Level;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::config_state::{ConfigState, StoreRegression};
+use crate::object_store::StoreResult;
+
+/// A `ConfigHandle` reads the configuration in force; its clones share it.
+#[derive(Clone, Debug)]
+pub struct ConfigHandle {
+    shared: Arc<SharedConfig>,
+}
+
+#[derive(Debug)]
+struct SharedConfig {
+    /// Read on the path of a request; written only with `state` locked, so that views can't be
+    /// published out of order.
+    view: ArcSwap<ConfigView>,
+    state: Mutex<ConfigState>,
+    contact: Mutex<ContactRecord>,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct ContactRecord {
+    contact: StoreContact,
+    last_answer: Option<Instant>,
+}
+
+/// A `StoreContact` says how the follower stands with the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum StoreContact {
+    /// The store has not answered yet.
+    #[default]
+    Waiting,
+    /// The store answers.
+    Following,
+    /// The store does not answer; the node runs on what it has accepted.
+    Lost {
+        /// The last error.
+        reason: String,
+    },
+    /// The store went backwards; the node keeps what it has accepted.
+    Backwards {
+        /// How it went backwards.
+        regression: StoreRegression,
+    },
+}
+
+/// A `FollowerStatus` is the follower's state for dumps and reports.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FollowerStatus {
+    /// How the follower stands with the store.
+    pub contact: StoreContact,
+    /// The revision up to which every change is in force, none before the first list.
+    pub revision: Option<StoreVersion>,
+    /// The highest version heard of, from the store or from peers.
+    pub highest_version: StoreVersion,
+    /// The time since the store's last answer.
+    pub since_contact: Option<TimeSpan>,
+    /// The number of objects held, tombstones included.
+    pub objects: usize,
+    /// The objects that did not check.
+    pub rejected: Vec<RejectedStatus>,
+}
+
+/// A `RejectedStatus` is an object that did not check; the last good one stays in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RejectedStatus {
+    /// The object.
+    pub key: String,
+    /// The version that was refused.
+    pub version: StoreVersion,
+    /// Everything that is wrong with it.
+    pub errors: Vec<String>,
+}
+
+/// A `ConfigEvent` is what the log says of the configuration.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum ConfigEvent<'a> {
+    StoreFollowed { revision: StoreVersion },
+    StoreLost { reason: &'a str },
+    StoreBackwards { reason: String },
+    ConfigChanged { key: String, version: StoreVersion },
+    ConfigRejected(RejectedStatus),
+}
+
+impl Default for ConfigHandle {
+    fn default() -> Self {
+        Self {
+            shared: Arc::new(SharedConfig {
+                view: ArcSwap::default(),
+                state: Mutex::default(),
+                contact: Mutex::default(),
+                changed: watch::Sender::new(0),
+            }),
+        }
+    }
+}
+
+impl ConfigHandle {
+    /// Gets the configuration in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<ConfigView> {
+        self.shared.view.load_full()
+    }
+
+    /// Gets a channel that changes with each change of the view.
+    #[must_use]
+    pub fn changed(&self) -> watch::Receiver<u64> {
+        self.shared.changed.subscribe()
+    }
+
+    /// Takes objects that a peer knows.
+    pub fn accept(&self, objects: Vec<StoredObject>) {
+        let mut state = self.state();
+        let changed = state.take_from_peer(objects);
+        self.publish(&state, &changed);
+    }
+
+    /// Gets every object that is known, tombstones included, for peers.
+    #[must_use]
+    pub fn objects(&self) -> Vec<StoredObject> {
+        self.state().registry().objects().cloned().collect()
+    }
+
+    /// Gets the revision up to which every change is known, none before the first list.
+    #[must_use]
+    pub fn complete_at(&self) -> Option<StoreVersion> {
+        self.state().complete_at()
+    }
+
+    /// Gets the follower's state.
+    #[must_use]
+    pub fn status(&self) -> FollowerStatus {
+        let (contact, last_answer) = {
+            let record = self.contact();
+            (record.contact.clone(), record.last_answer)
+        };
+        let state = self.state();
+        FollowerStatus {
+            contact,
+            revision: state.complete_at(),
+            highest_version: state.registry().highest_version(),
+            since_contact: last_answer.map(|answer| answer.elapsed().into()),
+            objects: state.registry().objects().count(),
+            rejected: rejected(&state),
+        }
+    }
+
+    pub(crate) fn floor(&self) -> StoreVersion {
+        self.state().floor()
+    }
+
+    /// Applies an answer of the store to the state and publishes what it changed.
+    pub(crate) fn apply(
+        &self,
+        take: impl FnOnce(&mut ConfigState) -> Result<Vec<ObjectKey>, StoreRegression>,
+    ) -> Result<(), StoreRegression> {
+        let mut state = self.state();
+        let taken = take(&mut state);
+        let revision = state.complete_at().unwrap_or_default();
+        if let Ok(changed) = &taken {
+            self.publish(&state, changed);
+        }
+        drop(state);
+        let contact = match &taken {
+            Ok(_) => StoreContact::Following,
+            Err(regression) => StoreContact::Backwards {
+                regression: regression.clone(),
+            },
+        };
+        self.contact().last_answer = Some(Instant::now());
+        self.set_contact(contact, revision);
+        taken.map(drop)
+    }
+
+    /// Notes that a call failed.
+    pub(crate) fn note_failure(&self, reason: &str) {
+        let is_backwards = matches!(self.contact().contact, StoreContact::Backwards { .. });
+        // That the store went backwards is the graver news and stays until it has caught up.
+        if !is_backwards {
+            let reason = reason.to_owned();
+            self.set_contact(StoreContact::Lost { reason }, StoreVersion::default());
+        }
+    }
+
+    /// Passes on the answer to a call, and notes its failure.
+    pub(crate) fn note<T>(&self, answer: StoreResult<T>) -> StoreResult<T> {
+        answer.inspect_err(|error| self.note_failure(&error.to_string()))
+    }
+
+    fn publish(&self, state: &ConfigState, changed: &[ObjectKey]) {
+        if changed.is_empty() {
+            return;
+        }
+        self.shared.view.store(Arc::new(state.registry().view()));
+        self.shared.changed.send_modify(|count| *count += 1);
+        log_changes(state, changed);
+    }
+
+    fn set_contact(&self, contact: StoreContact, revision: StoreVersion) {
+        let mut record = self.contact();
+        // One line for each change of state, not for each failed call of a long outage.
+        let is_new = std::mem::discriminant(&record.contact) != std::mem::discriminant(&contact);
+        if is_new {
+            log_contact(&contact, revision);
+        }
+        record.contact = contact;
+    }
+
+    fn state(&self) -> MutexGuard<'_, ConfigState> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn contact(&self) -> MutexGuard<'_, ContactRecord> {
+        self.shared
+            .contact
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn rejected(state: &ConfigState) -> Vec<RejectedStatus> {
+    state
+        .registry()
+        .rejected()
+        .iter()
+        .map(|(key, object)| RejectedStatus {
+            key: key.to_string(),
+            version: object.version,
+            errors: object.errors.iter().map(ToString::to_string).collect(),
+        })
+        .collect()
+}
+
+fn log_changes(state: &ConfigState, changed: &[ObjectKey]) {
+    for key in changed {
+        if !state.registry().rejected().contains_key(key) {
+            let version = state
+                .registry()
+                .objects()
+                .find(|object| object.key == *key)
+                .map(|object| object.version)
+                .unwrap_or_default();
+            let key = key.to_string();
+            logging::emit(Level::Info, &ConfigEvent::ConfigChanged { key, version });
+        }
+    }
+    let names: Vec<String> = changed.iter().map(ToString::to_string).collect();
+    for status in rejected(state) {
+        if names.contains(&status.key) {
+            logging::emit(Level::Warn, &ConfigEvent::ConfigRejected(status));
+        }
+    }
+}
+
+fn log_contact(contact: &StoreContact, revision: StoreVersion) {
+    match contact {
+        StoreContact::Waiting => {}
+        StoreContact::Following => {
+            logging::emit(Level::Info, &ConfigEvent::StoreFollowed { revision });
+        }
+        StoreContact::Lost { reason } => {
+            logging::emit(Level::Warn, &ConfigEvent::StoreLost { reason });
+        }
+        StoreContact::Backwards { regression } => {
+            let reason = regression.to_string();
+            logging::emit(Level::Error, &ConfigEvent::StoreBackwards { reason });
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-platform/src/http_store.rs
@@ -0,0 +1,180 @@
+//! The platform's object API over HTTP, within the process's budget of calls.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::store_budget::{BudgetOptions, StoreBudget, StoreCall};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::http_client::{ClientAnswer, ClientOptions, PlatformClient};
+use crate::object_store::{
+    ConditionalWrite, IF_VERSION_HEADER, MAX_VALUE_BYTES, ObjectList, ObjectStore, StoreError,
+    StoreResult, WRITE_ID_HEADER, WatchOutcome, WriteOutcome,
+};
+
+/// `HttpStoreOptions` bound the calls to the object API.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HttpStoreOptions {
+    /// Timeouts, connections and sizes.
+    pub client: ClientOptions,
+    /// The calls a second.
+    pub budget: BudgetOptions,
+}
+
+/// An `HttpStore` is the object API at one address of the platform.
+#[derive(Debug)]
+pub struct HttpStore {
+    client: PlatformClient,
+    budget: Mutex<StoreBudget>,
+    started: Instant,
+}
+
+impl HttpStore {
+    /// Returns a client of the API at `address`; connections are opened by the first calls.
+    #[must_use]
+    pub fn new(address: SocketAddr, options: HttpStoreOptions) -> Self {
+        Self {
+            client: PlatformClient::new(address, options.client),
+            budget: Mutex::new(StoreBudget::new(options.budget, TimePoint::START)),
+            started: Instant::now(),
+        }
+    }
+
+    /// Gets the address of the API.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.client.address()
+    }
+
+    async fn call(
+        &self,
+        call: StoreCall,
+        request: Request<Full<Bytes>>,
+        wait: TimeSpan,
+    ) -> StoreResult<ClientAnswer> {
+        let now = TimePoint::START + TimeSpan::from(self.started.elapsed());
+        let taken = self
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take(call, now);
+        if let Err(retry_after) = taken {
+            return Err(StoreError::NotDone {
+                reason: "the budget of calls is used up".to_owned(),
+                retry_after: Some(retry_after),
+            });
+        }
+        self.client.call(request, wait).await
+    }
+
+    fn read_request(&self, path: &str) -> StoreResult<Request<Full<Bytes>>> {
+        Request::get(path)
+            .header(http::header::HOST, self.client.host())
+            .body(Full::default())
+            .map_err(StoreError::not_done)
+    }
+
+    fn write_request(&self, write: &ConditionalWrite) -> StoreResult<Request<Full<Bytes>>> {
+        let size = write.body.as_ref().map_or(0, String::len);
+        if size > MAX_VALUE_BYTES {
+            return Err(StoreError::not_done(format!(
+                "{}: {size} bytes are above the {MAX_VALUE_BYTES} that the platform holds",
+                write.key
+            )));
+        }
+        let path = object_path(&write.key)?;
+        let request = match write.body {
+            Some(_) => Request::put(path),
+            None => Request::delete(path),
+        };
+        request
+            .header(http::header::HOST, self.client.host())
+            .header(IF_VERSION_HEADER, write.expected.0)
+            .header(WRITE_ID_HEADER, write.write_id.as_str())
+            .body(Full::from(write.body.clone().unwrap_or_default()))
+            .map_err(StoreError::not_done)
+    }
+}
+
+impl ObjectStore for HttpStore {
+    async fn list(&self, kinds: &[ObjectKind]) -> StoreResult<ObjectList> {
+        let request = self.read_request(&format!("/objects?kinds={}", join(kinds)))?;
+        let answer = self.call(StoreCall::Read, request, TimeSpan::ZERO).await?;
+        match answer.status {
+            StatusCode::OK => answer.json(),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    async fn get(&self, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
+        let request = self.read_request(&object_path(key)?)?;
+        let answer = self.call(StoreCall::Read, request, TimeSpan::ZERO).await?;
+        match answer.status {
+            StatusCode::OK => answer.json().map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    async fn write(&self, write: ConditionalWrite) -> StoreResult<WriteOutcome> {
+        let request = self.write_request(&write)?;
+        let answer = self.call(StoreCall::Write, request, TimeSpan::ZERO).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let written: StoredObject = answer.json()?;
+                if written.write_id == write.write_id && written.key == write.key {
+                    Ok(WriteOutcome::Written(written.version))
+                } else {
+                    Err(StoreError::unknown("the answer names another write"))
+                }
+            }
+            StatusCode::CONFLICT => answer.json().map(WriteOutcome::Conflict),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    async fn watch(
+        &self,
+        kinds: &[ObjectKind],
+        after: StoreVersion,
+        wait: TimeSpan,
+    ) -> StoreResult<WatchOutcome> {
+        let request = self.read_request(&format!(
+            "/watch?kinds={}&after={after}&wait_ms={}",
+            join(kinds),
+            wait.as_millis()
+        ))?;
+        let answer = self.call(StoreCall::Read, request, wait).await?;
+        match answer.status {
+            StatusCode::OK => answer.json().map(WatchOutcome::Changes),
+            StatusCode::GONE => Ok(WatchOutcome::Gap),
+            _ => Err(answer.unexpected()),
+        }
+    }
+}
+
+fn join(kinds: &[ObjectKind]) -> String {
+    let names: Vec<&str> = kinds.iter().map(|kind| kind.as_str()).collect();
+    names.join(",")
+}
+
+/// Gets the path of an object; a name that would change the path's meaning is refused.
+fn object_path(key: &ObjectKey) -> StoreResult<String> {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    let is_dots = key.name.bytes().all(|byte| byte == b'.');
+    if is_dots || !key.name.bytes().all(is_plain) {
+        return Err(StoreError::not_done(format!(
+            "`{}` is not an object's name",
+            key.name
+        )));
+    }
+    Ok(format!("/objects/{}/{}", key.kind, key.name))
+}
--- a/alderhaven-platform/src/lib.rs
+++ b/alderhaven-platform/src/lib.rs
@@ -2,6 +2,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config_follower;
+pub mod config_handle;
+pub mod config_state;
 pub mod dialect;
 pub mod host_list;
+pub mod http_client;
+pub mod http_hosts;
+pub mod http_store;
 pub mod object_store;
+pub mod retry_backoff;
--- /dev/null
+++ b/alderhaven-platform/src/retry_backoff.rs
@@ -0,0 +1,67 @@
+//! The waits between calls to the platform while it fails.
+//!
+//! Load pattern: an outage ends for all processes at once. Without growing and jittered waits they
+//! all call in the same moment, again and again, and the API stays overloaded after it is back.
+
+use alderhaven_core::time::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+/// The default first wait.
+const DEFAULT_FIRST: TimeSpan = TimeSpan::from_millis(100);
+/// The default longest wait: short beside the 9 s in which a change must be in force.
+const DEFAULT_LONGEST: TimeSpan = TimeSpan::from_secs(4);
+/// The factor between two waits.
+const GROWTH: f64 = 2.0;
+/// The part of each wait that is not random, so that no wait is next to nothing.
+const FIXED_PART: f64 = 0.5;
+
+/// `BackoffOptions` bound the waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BackoffOptions {
+    /// The first wait.
+    pub first: TimeSpan,
+    /// The longest wait.
+    pub longest: TimeSpan,
+}
+
+impl Default for BackoffOptions {
+    fn default() -> Self {
+        Self {
+            first: DEFAULT_FIRST,
+            longest: DEFAULT_LONGEST,
+        }
+    }
+}
+
+/// A `RetryBackoff` gives the next wait of a series of failures.
+#[derive(Clone, Debug)]
+pub struct RetryBackoff {
+    options: BackoffOptions,
+    ceiling: TimeSpan,
+}
+
+impl RetryBackoff {
+    /// Returns a backoff that has seen no failure.
+    #[must_use]
+    pub const fn new(options: BackoffOptions) -> Self {
+        Self {
+            options,
+            ceiling: options.first,
+        }
+    }
+
+    /// Gets the wait after one more failure; `random` is from 0 to 1.
+    pub fn next(&mut self, random: f64) -> TimeSpan {
+        let wait = self
+            .ceiling
+            .mul_f64(FIXED_PART + (1.0 - FIXED_PART) * random);
+        self.ceiling = self.ceiling.mul_f64(GROWTH).min(self.options.longest);
+        wait
+    }
+
+    /// Begins anew after a success.
+    pub const fn reset(&mut self) {
+        self.ceiling = self.options.first;
+    }
+}
--- /dev/null
+++ b/alderhaven-platform/tests/http_store.rs
@@ -0,0 +1,257 @@
+//! Tests of the object API's client: what it says of a call whose answer is missing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::http_client::ClientOptions;
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
+use alderhaven_platform::object_store::{
+    ConditionalWrite, ObjectStore, StoreError, StoreResult, WatchOutcome, WriteOutcome,
+};
+use alderhaven_policy::store_budget::BudgetOptions;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the scripted platform does with one request.
+#[derive(Clone, Copy)]
+enum Reply {
+    /// Answers with a status line, extra headers and a body.
+    Answer(&'static str, &'static str, &'static str),
+    /// Answers, then closes the connection although it said nothing of it.
+    AnswerAndClose(&'static str, &'static str),
+    /// Reads the request and closes.
+    Close,
+    /// Reads the request and says nothing.
+    Silence,
+}
+
+/// Serves `replies` one after the other, over any number of connections.
+async fn platform(replies: &'static [Reply]) -> (HttpStore, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let served = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&served);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, replies, Arc::clone(&counter)));
+        }
+    });
+    (store(address), served)
+}
+
+fn store(address: SocketAddr) -> HttpStore {
+    let client = ClientOptions {
+        call_timeout: TimeSpan::from_millis(200),
+        ..ClientOptions::default()
+    };
+    let options = HttpStoreOptions {
+        client,
+        ..HttpStoreOptions::default()
+    };
+    HttpStore::new(address, options)
+}
+
+async fn serve(mut stream: TcpStream, replies: &'static [Reply], served: Arc<AtomicUsize>) {
+    while read_request(&mut stream).await {
+        let turn = served.fetch_add(1, Ordering::SeqCst);
+        match replies[turn.min(replies.len() - 1)] {
+            Reply::Answer(status, headers, body) => {
+                answer(&mut stream, status, headers, body).await;
+            }
+            Reply::AnswerAndClose(status, body) => {
+                return answer(&mut stream, status, "", body).await;
+            }
+            Reply::Close => return,
+            Reply::Silence => {
+                // Holds the connection open until the client gives it up.
+                let _closed = stream.read(&mut [0; 64]).await;
+                return;
+            }
+        }
+    }
+}
+
+async fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &str) {
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await.expect("written");
+}
+
+/// Reads one request with its body; false at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> bool {
+    let mut text = String::new();
+    let mut buffer = [0; 1024];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => text.push_str(&String::from_utf8_lossy(&buffer[..count])),
+        }
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "))
+            .map_or(0, |length| length.parse().expect("a length"));
+        if body.len() >= length {
+            return true;
+        }
+    }
+}
+
+fn write() -> ConditionalWrite {
+    ConditionalWrite {
+        key: key("volta"),
+        expected: StoreVersion(3),
+        write_id: "w1".to_owned(),
+        body: Some("{}".to_owned()),
+    }
+}
+
+fn key(name: &str) -> ObjectKey {
+    ObjectKey {
+        kind: ObjectKind::Team,
+        name: name.to_owned(),
+    }
+}
+
+fn is_not_done<T>(result: &StoreResult<T>) -> bool {
+    matches!(result, Err(StoreError::NotDone { .. }))
+}
+
+fn is_unknown<T>(result: &StoreResult<T>) -> bool {
+    matches!(result, Err(StoreError::Unknown { .. }))
+}
+
+const WRITTEN: &str =
+    r#"{"key":{"kind":"team","name":"volta"},"version":4,"write_id":"w1","body":"{}"}"#;
+const WRITTEN_BY_OTHER: &str =
+    r#"{"key":{"kind":"team","name":"volta"},"version":4,"write_id":"w2","body":"{}"}"#;
+
+#[tokio::test]
+async fn write_reads_its_answers() {
+    let (store, _) = platform(&[
+        Reply::Answer("200 OK", "", WRITTEN),
+        Reply::Answer("409 Conflict", "", WRITTEN_BY_OTHER),
+        Reply::Answer("409 Conflict", "", "null"),
+    ])
+    .await;
+    assert_eq!(
+        store.write(write()).await,
+        Ok(WriteOutcome::Written(StoreVersion(4)))
+    );
+    let conflict = store.write(write()).await.expect("an answer");
+    assert!(matches!(conflict, WriteOutcome::Conflict(Some(other)) if other.write_id == "w2"));
+    assert_eq!(store.write(write()).await, Ok(WriteOutcome::Conflict(None)));
+}
+
+#[tokio::test]
+async fn write_refused_connection_is_not_done() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    assert!(is_not_done(&store(address).write(write()).await));
+}
+
+#[tokio::test]
+async fn write_overload_is_not_done() {
+    let (store, _) = platform(&[
+        Reply::Answer("429 Too Many Requests", "retry-after-ms: 70\r\n", ""),
+        Reply::Answer("503 Service Unavailable", "", ""),
+    ])
+    .await;
+    let refused = store.write(write()).await;
+    assert!(matches!(
+        refused,
+        Err(StoreError::NotDone { retry_after: Some(wait), .. }) if wait == TimeSpan::from_millis(70)
+    ));
+    assert!(is_not_done(&store.write(write()).await));
+}
+
+/// The platform takes a write and its answer is lost: the connection breaks, stays silent, or
+/// brings something that can't be read or belongs to another write. The write may stand.
+#[tokio::test]
+async fn write_lost_answer_is_unknown() {
+    let (store, served) = platform(&[
+        Reply::Close,
+        Reply::Silence,
+        Reply::Answer("200 OK", "", "{"),
+        Reply::Answer("200 OK", "", WRITTEN_BY_OTHER),
+        Reply::Answer("500 Internal Server Error", "", ""),
+    ])
+    .await;
+    for turn in 1..=5 {
+        assert!(is_unknown(&store.write(write()).await), "turn {turn}");
+        // Each write was sent once: a lost answer never leads to a second write by the client.
+        assert_eq!(served.load(Ordering::SeqCst), turn);
+    }
+}
+
+/// The platform closes a kept connection after its answer. The next call finds it closed, was
+/// never sent, and succeeds on a new connection.
+#[tokio::test]
+async fn get_closed_idle_connection_is_replaced() {
+    let (store, served) = platform(&[
+        Reply::AnswerAndClose("404 Not Found", ""),
+        Reply::Answer("200 OK", "", WRITTEN),
+    ])
+    .await;
+    assert_eq!(store.get(&key("volta")).await, Ok(None));
+    let mut found = store.get(&key("volta")).await;
+    // The close may arrive only after the request was written; then the answer is lost, not wrong.
+    while is_unknown(&found) {
+        found = store.get(&key("volta")).await;
+    }
+    assert_eq!(found.expect("an answer").expect("an object").version.0, 4);
+    assert!(served.load(Ordering::SeqCst) >= 2);
+}
+
+#[tokio::test]
+async fn watch_reads_its_answers() {
+    let (store, _) = platform(&[
+        Reply::Answer("410 Gone", "", ""),
+        Reply::Answer("200 OK", "", r#"{"revision":9,"objects":[]}"#),
+    ])
+    .await;
+    let kinds = ObjectKind::CONFIGURATION;
+    let watch = async || {
+        store
+            .watch(&kinds, StoreVersion(2), TimeSpan::from_millis(1))
+            .await
+    };
+    assert_eq!(watch().await, Ok(WatchOutcome::Gap));
+    let changes = watch().await.expect("an answer");
+    assert!(matches!(changes, WatchOutcome::Changes(list) if list.revision.0 == 9));
+}
+
+#[tokio::test]
+async fn get_bad_name_is_not_sent() {
+    let (store, served) = platform(&[Reply::Answer("404 Not Found", "", "")]).await;
+    for name in ["..", "a/b", "a?kinds=team", "a b", ""] {
+        assert!(is_not_done(&store.get(&key(name)).await), "{name}");
+    }
+    assert_eq!(served.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn call_budget_used_up_is_not_sent() {
+    let (store, served) = platform(&[Reply::Answer("404 Not Found", "", "")]).await;
+    let budget = BudgetOptions {
+        reads: "0.001/s".parse().expect("a rate"),
+        ..BudgetOptions::default()
+    };
+    let options = HttpStoreOptions {
+        budget,
+        ..HttpStoreOptions::default()
+    };
+    let store = HttpStore::new(store.address(), options);
+    assert_eq!(store.get(&key("volta")).await, Ok(None));
+    assert!(is_not_done(&store.get(&key("volta")).await));
+    assert_eq!(served.load(Ordering::SeqCst), 1);
+}
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -3,3 +3,4 @@
 #![warn(missing_docs)]
 
 pub mod config_registry;
+pub mod store_budget;
