--- a/alderhaven-policy/tests/store_budget.rs
+++ b/alderhaven-policy/tests/store_budget.rs
@@ -58,3 +58,15 @@
     assert!(budget.take(StoreCall::Write, TimePoint::START).is_err());
     assert!(budget.take(StoreCall::Read, TimePoint::START).is_ok());
 }
+
+/// A fleet is idle over night; in the morning every process wants its calls at once. What was not
+/// used is not saved beyond one burst.
+#[test]
+fn take_after_idle_time_grants_one_burst() {
+    let mut budget = StoreBudget::new(options(10.0), TimePoint::START);
+    let morning = TimePoint::START + TimeSpan::from_secs(3_600);
+    let granted = (0..100)
+        .filter(|_| budget.take(StoreCall::Write, morning).is_ok())
+        .count();
+    assert_eq!(granted, 10);
+}
