--- a/alderhaven-platform/tests/config_follower.rs
+++ b/alderhaven-platform/tests/config_follower.rs
@@ -14,6 +14,9 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
+/// The bound of a wait, on the paused clock: a wait that never ends fails at once.
+const WAIT_BOUND: TimeSpan = TimeSpan::from_secs(60);
+
 /// An answer that the fake gives to the next call.
 enum Answer {
     List(StoreResult<ObjectList>),
@@ -44,13 +47,14 @@
     }
 
     async fn called(&self, count: usize) -> Vec<String> {
-        loop {
+        for _ in 0..WAIT_BOUND.as_millis() {
             let calls = self.calls.lock().expect("calls").clone();
             if calls.len() >= count {
                 return calls;
             }
             time::sleep(TimeSpan::from_millis(1).as_duration()).await;
         }
+        panic!("fewer than {count} calls");
     }
 }
 
@@ -123,7 +127,9 @@
         if view.drains.iter().eq(names.iter()) {
             return;
         }
-        receiver.changed().await.expect("the handle lives");
+        let changed = time::timeout(WAIT_BOUND.as_duration(), receiver.changed()).await;
+        let changed = changed.unwrap_or_else(|_| panic!("{names:?} not reached"));
+        changed.expect("the handle lives");
     }
 }
 
