Add the harness of end-to-end proofs: real processes, polled conditions, signals

alderhaven-proof starts the stand-ins, relays and entries as processes on free ports, reads their ready lines, polls status and dump up to 30 s, and ends, freezes or resumes a process by the id of the child that it started. Children end on drop. A shard's replicas can be put on any target process, so that one replica or all of a shard can be killed.

Cargo gives a test the paths of its own package's binaries only, and builds no others for it; binaries found beside the test could be missing or older than the source.

SIGSTOP only asks the threads to stop: freeze waits until the system reports the process stopped.

--- /dev/null
+++ b/alderhaven-proof/src/caller.rs
@@ -0,0 +1,97 @@
+//! A caller: one query and its reply.
+
+use std::net::SocketAddr;
+
+use alderhaven_standin::http_caller::HttpCaller;
+use eyre::Result;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+/// The parameter of the proofs' templates.
+pub const PARAMETER: &str = "key";
+/// The team of the proofs.
+pub const TEAM: &str = "desk";
+
+/// A `CallerReply` is what a caller received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerReply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Value,
+}
+
+/// A `CallerQuery` is a query of the proofs' templates.
+#[derive(Clone, Debug, PartialEq, Eq, bon::Builder)]
+#[builder(on(String, into))]
+pub struct CallerQuery {
+    /// The template.
+    pub template: String,
+    /// The value of its parameter.
+    pub key: String,
+    /// The deadline in milliseconds; the template's without it.
+    pub deadline_ms: Option<u64>,
+    /// The key of a request that must run at most once.
+    pub idempotency_key: Option<Uuid>,
+}
+
+impl CallerQuery {
+    /// Sends the query to an entry over a connection of its own.
+    ///
+    /// # Errors
+    /// Where no whole reply comes.
+    pub async fn send(&self, entry: SocketAddr) -> Result<CallerReply> {
+        let mut caller = HttpCaller::connect(entry).await?;
+        let mut body = json!({ "team": TEAM, "parameters": { PARAMETER: self.key } });
+        if let Some(millis) = self.deadline_ms {
+            body["deadline_ms"] = json!(millis);
+        }
+        let mut request = Request::post(format!("/v1/query/{}", self.template));
+        if let Some(key) = self.idempotency_key {
+            request = request.header("idempotency-key", key.to_string());
+        }
+        let response = caller
+            .call(request.body(Full::from(body.to_string()))?)
+            .await?;
+        Ok(CallerReply {
+            status: response.status(),
+            body: serde_json::from_slice(response.body())?,
+        })
+    }
+
+    /// Gets the canonical parameters, as they stand in the record of runs.
+    #[must_use]
+    pub fn parameters(&self) -> String {
+        json!({ PARAMETER: self.key }).to_string()
+    }
+}
+
+impl CallerReply {
+    /// Gets the outcome of an answer, or the code of an error.
+    #[must_use]
+    pub fn word(&self) -> &str {
+        self.body["outcome"]
+            .as_str()
+            .or_else(|| self.body["error"]["code"].as_str())
+            .unwrap_or("neither an answer nor an error")
+    }
+
+    /// Returns true where the reply promises that nothing ran.
+    #[must_use]
+    pub fn says_not_run(&self) -> bool {
+        self.body["error"]["not_run"] == Value::Bool(true)
+    }
+
+    /// Gets the shards that the answer says are missing.
+    #[must_use]
+    pub fn missing(&self) -> Vec<u64> {
+        self.body["coverage"]["missing"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|shard| shard["shard"].as_u64())
+            .collect()
+    }
+}
--- /dev/null
+++ b/alderhaven-proof/src/cluster.rs
@@ -0,0 +1,308 @@
+//! The running cluster of a proof: platform, targets, relays and entries as processes.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::{ShardId, SnapshotId};
+use alderhaven_core::manifest::{ReplicaEntry, ShardEntry, SnapshotManifest};
+use alderhaven_standin::object_set::ObjectSet;
+use alderhaven_standin::rows;
+use alderhaven_standin::rows::DerivedRow;
+use alderhaven_standin::run_log::RunRecord;
+use eyre::{OptionExt, Result};
+use serde_json::{Value, json};
+
+use crate::caller::CallerQuery;
+use crate::child_process::ChildProcess;
+use crate::cluster_options::{ClusterOptions, ProofBinaries};
+use crate::condition;
+use crate::operator_view;
+use crate::scratch_files::ScratchFiles;
+
+/// A `ProofCluster` is a running cluster; dropping it ends all its processes.
+#[derive(Debug)]
+pub struct ProofCluster {
+    /// The platform.
+    pub platform: ChildProcess,
+    /// The target processes; each holds one target for every shard.
+    pub targets: Vec<ChildProcess>,
+    /// The relays.
+    pub relays: Vec<ChildProcess>,
+    /// The entries.
+    pub entries: Vec<ChildProcess>,
+    /// The manifest that was published.
+    pub manifest: SnapshotManifest,
+    binaries: ProofBinaries,
+    files: ScratchFiles,
+    revision: u64,
+}
+
+impl ProofCluster {
+    /// Starts all processes and waits until every entry has the configuration and its relays.
+    ///
+    /// # Errors
+    /// Where a process can't be started or is not ready in time.
+    pub async fn start(binaries: ProofBinaries, options: &ClusterOptions) -> Result<Self> {
+        let files = ScratchFiles::new(&binaries.scratch)?;
+        let targets = start_targets(&binaries, &files, options)?;
+        let manifest = manifest_of(&targets, options)?;
+        let objects = ObjectSet {
+            templates: options.templates()?,
+            teams: vec![options.team()?],
+            manifests: vec![manifest.clone()],
+        };
+        let revision = objects.objects()?.len() as u64;
+        let loaded = files.write("objects.yaml", &objects)?;
+        let arguments = ["platform".to_owned(), "--load".to_owned(), loaded];
+        let platform = ChildProcess::start("platform", &binaries.standin, &arguments)?;
+        let mut cluster = Self {
+            platform,
+            targets,
+            relays: Vec::new(),
+            entries: Vec::new(),
+            manifest,
+            binaries,
+            files,
+            revision,
+        };
+        for _ in 0..options.relays {
+            cluster.start_relay()?;
+        }
+        for _ in 0..options.entries {
+            let number = cluster.start_entry()?;
+            cluster.entry_ready(number, options.relays).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts one more relay and gets its number.
+    ///
+    /// # Errors
+    /// Where it can't be started.
+    pub fn start_relay(&mut self) -> Result<usize> {
+        let number = self.relays.len();
+        let settings = self.settings(&format!("relay-{number}"))?;
+        let relay = self.start_node(&format!("relay-{number}"), &settings, true)?;
+        self.relays.push(relay);
+        Ok(number)
+    }
+
+    /// Starts one more entry and gets its number; it need not be ready.
+    ///
+    /// # Errors
+    /// Where it can't be started.
+    pub fn start_entry(&mut self) -> Result<usize> {
+        let number = self.entries.len();
+        let mut settings = self.settings(&format!("entry-{number}"))?;
+        let relays: Result<Vec<SocketAddr>> = self
+            .relays
+            .iter()
+            .map(|relay| relay.address("peer"))
+            .collect();
+        settings["listen"] = json!("127.0.0.1:0");
+        settings["relays"] = json!(relays?);
+        let entry = self.start_node(&format!("entry-{number}"), &settings, false)?;
+        self.entries.push(entry);
+        Ok(number)
+    }
+
+    /// Waits until an entry has the whole configuration and exactly `relays` usable relays.
+    ///
+    /// # Errors
+    /// Where that does not come about in time.
+    pub async fn entry_ready(&self, number: usize, relays: usize) -> Result<()> {
+        let operator = self.entries[number].address("operator")?;
+        let revision = self.revision;
+        condition::until(
+            &format!("entry {number} with {relays} relays"),
+            async || {
+                let known = operator_view::revision(operator).await?;
+                let usable = operator_view::usable_relays(operator).await?;
+                Ok((known >= Some(revision) && usable == relays).then_some(()))
+            },
+        )
+        .await
+    }
+
+    /// Gets the address of an entry for callers.
+    ///
+    /// # Errors
+    /// Where the entry told none.
+    pub fn entry(&self, number: usize) -> Result<SocketAddr> {
+        self.entries[number].address("listen")
+    }
+
+    /// Gets the runs of a query at one target process.
+    ///
+    /// # Errors
+    /// Where the process can't be asked.
+    pub async fn runs_at(&self, process: usize, query: &CallerQuery) -> Result<Vec<RunRecord>> {
+        let control = self.targets[process].address("control")?;
+        let records: Vec<RunRecord> = operator_view::get(control, "/runs").await?;
+        let parameters = query.parameters();
+        Ok(records
+            .into_iter()
+            .filter(|run| run.template == query.template && run.parameters == parameters)
+            .collect())
+    }
+
+    /// Gets the runs of a query at all target processes.
+    ///
+    /// # Errors
+    /// Where a process can't be asked.
+    pub async fn runs(&self, query: &CallerQuery) -> Result<Vec<RunRecord>> {
+        let mut runs = Vec::new();
+        for process in 0..self.targets.len() {
+            runs.extend(self.runs_at(process, query).await?);
+        }
+        Ok(runs)
+    }
+
+    /// Waits until `count` runs of a query are known at one target process.
+    ///
+    /// # Errors
+    /// Where that does not come about in time.
+    pub async fn await_runs_at(
+        &self,
+        process: usize,
+        query: &CallerQuery,
+        count: usize,
+    ) -> Result<()> {
+        condition::until(&format!("{count} runs at process {process}"), async || {
+            let runs = self.runs_at(process, query).await?;
+            Ok((runs.len() >= count).then_some(()))
+        })
+        .await
+    }
+
+    /// Gets what a relay says of its lanes: the target, and the attempts that are at it.
+    ///
+    /// # Errors
+    /// Where the relay can't be asked.
+    pub async fn lanes(&self, relay: usize) -> Result<Vec<(String, u64)>> {
+        let operator = self.relays[relay].address("operator")?;
+        let dump: Value = operator_view::get(operator, "/debug/dump").await?;
+        let lanes = dump["lanes"].as_object().into_iter().flatten();
+        Ok(lanes
+            .map(|(target, lane)| (target.clone(), lane["in_flight"].as_u64().unwrap_or(0)))
+            .collect())
+    }
+
+    /// Waits until a relay has attempts at targets, and gets its number.
+    ///
+    /// # Errors
+    /// Where that does not come about in time.
+    pub async fn busy_relay(&self) -> Result<usize> {
+        condition::until("a relay with attempts at targets", async || {
+            for relay in 0..self.relays.len() {
+                let lanes = self.lanes(relay).await?;
+                if lanes.iter().any(|(_, in_flight)| *in_flight > 0) {
+                    return Ok(Some(relay));
+                }
+            }
+            Ok(None)
+        })
+        .await
+    }
+
+    /// Gets the rows that a query's answer must hold over `shards`.
+    #[must_use]
+    pub fn rows_of(&self, query: &CallerQuery, shards: &[u32]) -> Value {
+        let parameters = query.parameters();
+        let rows: Vec<DerivedRow> = self
+            .manifest
+            .shards
+            .iter()
+            .filter(|entry| shards.contains(&entry.shard.0))
+            .flat_map(|entry| {
+                let service = &self.manifest.service;
+                rows::rows_for(service, entry.shard, entry.version, &parameters)
+            })
+            .collect();
+        json!(rows)
+    }
+
+    /// Gets the numbers of all shards.
+    #[must_use]
+    pub fn all_shards(&self) -> Vec<u32> {
+        let shards = self.manifest.shards.iter();
+        shards.map(|entry| entry.shard.0).collect()
+    }
+
+    fn settings(&self, name: &str) -> Result<Value> {
+        Ok(json!({
+            "node": name,
+            "host": format!("host-of-{name}"),
+            "domain": "domain-1",
+            "peer_listen": "127.0.0.1:0",
+            "operator_listen": "127.0.0.1:0",
+            "platform": self.platform.address("address")?,
+        }))
+    }
+
+    fn start_node(&self, name: &str, settings: &Value, is_relay: bool) -> Result<ChildProcess> {
+        let file = self.files.write(&format!("{name}.yaml"), settings)?;
+        let binary = if is_relay {
+            &self.binaries.relay
+        } else {
+            &self.binaries.entry
+        };
+        ChildProcess::start(name, binary, &["--settings".to_owned(), file])
+    }
+}
+
+fn start_targets(
+    binaries: &ProofBinaries,
+    files: &ScratchFiles,
+    options: &ClusterOptions,
+) -> Result<Vec<ChildProcess>> {
+    let layout = files.write("layout.yaml", &[options.layout()?])?;
+    (0..options.target_processes())
+        .map(|number| {
+            let arguments = [
+                "targets".to_owned(),
+                "--layout".to_owned(),
+                layout.clone(),
+                "--seed".to_owned(),
+                number.to_string(),
+            ];
+            ChildProcess::start(&format!("targets-{number}"), &binaries.standin, &arguments)
+        })
+        .collect()
+}
+
+/// Gets the manifest that takes each shard's replicas from the processes of its placement.
+fn manifest_of(targets: &[ChildProcess], options: &ClusterOptions) -> Result<SnapshotManifest> {
+    let layout = options.layout()?;
+    let own: Vec<SnapshotManifest> = targets
+        .iter()
+        .map(|process| {
+            let manifests = process.ready()["manifests"].clone();
+            let mut manifests: Vec<SnapshotManifest> = serde_json::from_value(manifests)?;
+            manifests.pop().ok_or_eyre("no manifest")
+        })
+        .collect::<Result<_>>()?;
+    let entry = |(shard, processes): (u32, &Vec<usize>)| -> Result<ShardEntry> {
+        let replicas = processes.iter().map(|process| {
+            let replica = &own[*process].shards[shard as usize].replicas[0];
+            Ok(ReplicaEntry {
+                // Each process has a target of this name; the cluster needs a name for each.
+                target: layout.target(shard, u32::try_from(*process)?)?,
+                ..replica.clone()
+            })
+        });
+        Ok(ShardEntry {
+            shard: ShardId(shard),
+            version: layout.version,
+            first_key: layout.first_key(ShardId(shard)),
+            replicas: replicas.collect::<Result<_>>()?,
+        })
+    };
+    Ok(SnapshotManifest {
+        service: layout.service.clone(),
+        snapshot: SnapshotId(1),
+        shards: (0..)
+            .zip(&options.placement)
+            .map(entry)
+            .collect::<Result<_>>()?,
+    })
+}
--- /dev/null
+++ b/alderhaven-proof/src/condition.rs
@@ -0,0 +1,33 @@
+//! Waiting on conditions in place of sleeping.
+
+use std::time::Duration;
+
+use eyre::{Result, bail};
+use tokio::time;
+use tokio::time::Instant;
+
+/// The time within which every condition must come about; far above what a busy machine needs.
+pub const CONDITION_LIMIT: Duration = Duration::from_secs(30);
+/// The pause between two looks.
+const POLL_PAUSE: Duration = Duration::from_millis(10);
+
+/// Waits until `probe` gives a value; an error of the probe counts as "not yet".
+///
+/// # Errors
+/// Where the limit passes; it names `what` and the last error.
+pub async fn until<T>(what: &str, mut probe: impl AsyncFnMut() -> Result<Option<T>>) -> Result<T> {
+    let limit = Instant::now() + CONDITION_LIMIT;
+    let mut last_error = String::from("none");
+    loop {
+        match time::timeout_at(limit, probe()).await {
+            Ok(Ok(Some(value))) => return Ok(value),
+            Ok(Ok(None)) => {}
+            Ok(Err(error)) => last_error = format!("{error:#}"),
+            Err(_) => bail!("{what}: the probe hangs"),
+        }
+        if Instant::now() >= limit {
+            bail!("{what}: not within {CONDITION_LIMIT:?}; last error: {last_error}");
+        }
+        time::sleep(POLL_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/alderhaven-proof/src/operator_view.rs
@@ -0,0 +1,47 @@
+//! What operators see of a process: its status and its dump.
+
+use std::net::SocketAddr;
+
+use alderhaven_standin::http_caller::HttpCaller;
+use eyre::{Result, bail};
+use http::Request;
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Gets a JSON document from a process.
+///
+/// # Errors
+/// Where it can't be reached or answers otherwise than with 200 and JSON.
+pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T> {
+    let mut caller = HttpCaller::connect(address).await?;
+    let response = caller
+        .call(Request::get(path).body(Full::default())?)
+        .await?;
+    if !response.status().is_success() {
+        bail!("{path}: status {}", response.status());
+    }
+    Ok(serde_json::from_slice(response.body())?)
+}
+
+/// Gets the revision of the configuration in force, none before the first.
+///
+/// # Errors
+/// As for [`get`].
+pub async fn revision(operator: SocketAddr) -> Result<Option<u64>> {
+    let status: Value = get(operator, "/debug/status").await?;
+    Ok(status["config"]["revision"].as_u64())
+}
+
+/// Gets the number of relays that an entry can use.
+///
+/// # Errors
+/// As for [`get`].
+pub async fn usable_relays(operator: SocketAddr) -> Result<usize> {
+    let dump: Value = get(operator, "/debug/dump").await?;
+    let relays = dump["relays"].as_array().map_or(&[][..], Vec::as_slice);
+    Ok(relays
+        .iter()
+        .filter(|relay| relay["usable"] == Value::Bool(true))
+        .count())
+}
