Prove coverage, own answers and "not run" over the separate binaries

Deliberate faults, applied by hand one at a time and reverted, and what failed: - no second attempt after a lost or refused one: coverage_replica_refuses_ connections, coverage_replica_killed_mid_query, coverage_relay_killed_mid_query - a partial answer called complete: coverage_shard_gone, coverage_relay_frozen - a reply matched to any awaited attempt: own_answer_crossed_callers, own_answer_after_late_replies and five others - attempt ids that recur from query to query: own_answer_after_late_replies, own_answer_crossed_callers and three others - a non-idempotent request sent without a claim: not_run_platform_down - attempts of a lost relay counted as not run: not_run_relay_killed_mid_query - an unknown template answered as possibly run: not_run_platform_down_at_start

--- /dev/null
+++ b/alderhaven-proof/tests/proofs/coverage.rs
@@ -0,0 +1,142 @@
+//! Proofs that each answer states truly which shards it covers.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
+use alderhaven_proof::condition;
+
+use crate::support;
+
+/// The run time at targets in proofs that act while a query runs.
+const LONG_RUN: TimeSpan = TimeSpan::from_millis(300);
+
+/// A caller sweeps all shards, and a host with one replica of each shard dies while it works on the
+/// query. The caller sees a complete answer all the same: the shards whose attempts were lost are
+/// asked again at their other replica. Without that the dead host's shards would be missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_replica_killed_mid_query() {
+    let options = ClusterOptions::builder().run_time(LONG_RUN).build();
+    let mut cluster = support::start(options).await;
+    let entry = cluster.entry(0).unwrap();
+    // The replica of a shard is chosen at random: sweeps are sent until the dying host has a run.
+    let query = support::query(SWEEP, "killed");
+    let asked = tokio::spawn({
+        let query = query.clone();
+        async move { futures::future::join_all((0..4).map(|_| query.send(entry))).await }
+    });
+    cluster.await_runs_at(0, &query, 1).await.unwrap();
+    cluster.targets[0].kill().unwrap();
+    for reply in asked.await.unwrap() {
+        let reply = reply.unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+        let all = cluster.all_shards();
+        assert_eq!(reply.body["rows"], cluster.rows_of(&query, &all));
+    }
+}
+
+/// A host with one replica of each shard is dead when queries come, and new connections to it are
+/// refused. Every caller sees a complete answer through the other replicas, query after query.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_replica_refuses_connections() {
+    let mut cluster = support::start(ClusterOptions::builder().build()).await;
+    cluster.targets[0].kill().unwrap();
+    let entry = cluster.entry(0).unwrap();
+    for number in 0..20 {
+        let query = support::query(SWEEP, &format!("refused-{number}"));
+        let reply = query.send(entry).await.unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+        let all = cluster.all_shards();
+        assert_eq!(reply.body["rows"], cluster.rows_of(&query, &all));
+    }
+}
+
+/// Both hosts that hold replicas of shard 2 die. Callers see a partial answer that names exactly
+/// shard 2 as missing and holds exactly the rows of the others. An answer that called itself
+/// complete would hide whatever shard 2 holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_shard_gone() {
+    let placement = vec![vec![0, 1], vec![0, 1], vec![2, 3], vec![0, 1]];
+    let options = ClusterOptions::builder().placement(placement).build();
+    let mut cluster = support::start(options).await;
+    let entry = cluster.entry(0).unwrap();
+    let before = support::query(SWEEP, "before").send(entry).await.unwrap();
+    assert_eq!(before.word(), "complete", "{}", before.body);
+    cluster.targets[2].kill().unwrap();
+    cluster.targets[3].kill().unwrap();
+    for number in 0..5 {
+        let query = support::query(SWEEP, &format!("gone-{number}"));
+        let reply = query.send(entry).await.unwrap();
+        assert_eq!(reply.word(), "partial", "{}", reply.body);
+        assert_eq!(reply.missing(), [2]);
+        assert_eq!(reply.body["coverage"]["asked"], 4);
+        assert_eq!(reply.body["coverage"]["answered"], 3);
+        assert_eq!(reply.body["rows"], cluster.rows_of(&query, &[0, 1, 3]));
+    }
+}
+
+/// A relay is killed while it holds attempts of a query. The entry loses the connection, can't know
+/// what the targets did, and asks the shards again through the other relay, since a sweep may be
+/// repeated. The caller sees a complete answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_relay_killed_mid_query() {
+    let options = ClusterOptions::builder().run_time(LONG_RUN).build();
+    let mut cluster = support::start(options).await;
+    let entry = cluster.entry(0).unwrap();
+    let query = support::query(SWEEP, "relay-killed");
+    let asked = tokio::spawn({
+        let query = query.clone();
+        async move { futures::future::join_all((0..4).map(|_| query.send(entry))).await }
+    });
+    let busy = cluster.busy_relay().await.unwrap();
+    cluster.relays[busy].kill().unwrap();
+    for reply in asked.await.unwrap() {
+        let reply = reply.unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+        let all = cluster.all_shards();
+        assert_eq!(reply.body["rows"], cluster.rows_of(&query, &all));
+    }
+}
+
+/// A relay is frozen: its connections stay open and nothing comes back. Whatever an answer holds by
+/// its deadline, its coverage is true: it is partial, the rows are exactly those of the shards that
+/// it does not name as missing. Once the relay goes on, late replies join no later answer and
+/// answers are complete again.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_relay_frozen() {
+    let deadline = TimeSpan::from_secs(1);
+    let options = ClusterOptions::builder().deadline(deadline).build();
+    let cluster = support::start(options).await;
+    let entry = cluster.entry(0).unwrap();
+    let frozen = support::relay_with_most_lanes(&cluster).await;
+    cluster.relays[frozen].freeze().unwrap();
+    condition::until("an answer without the frozen relay's shards", async || {
+        let query = support::query(SWEEP, "frozen");
+        let reply = query.send(entry).await?;
+        let missing = reply.missing();
+        let covered: Vec<u32> = cluster
+            .all_shards()
+            .into_iter()
+            .filter(|shard| !missing.contains(&u64::from(*shard)))
+            .collect();
+        if reply.status.is_success() {
+            assert_eq!(reply.body["rows"], cluster.rows_of(&query, &covered));
+            assert_eq!(reply.word() == "complete", missing.is_empty());
+        } else {
+            assert_eq!(missing.len(), 4, "{}", reply.body);
+        }
+        Ok((!missing.is_empty()).then_some(()))
+    })
+    .await
+    .unwrap();
+    cluster.relays[frozen].resume().unwrap();
+    condition::until("a complete answer", async || {
+        let query = support::query(SWEEP, "resumed");
+        let reply = query.send(entry).await?;
+        if reply.word() == "complete" {
+            let all = cluster.rows_of(&query, &cluster.all_shards());
+            assert_eq!(reply.body["rows"], all);
+        }
+        Ok((reply.word() == "complete").then_some(()))
+    })
+    .await
+    .unwrap();
+}
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/not_run.rs
@@ -0,0 +1,85 @@
+//! Proofs that a request refused as "not run" did not run.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_proof::caller::CallerQuery;
+use alderhaven_proof::cluster_options::{ClusterOptions, RESERVE, SWEEP};
+use alderhaven_proof::condition;
+use alderhaven_proof::operator_view;
+use uuid::Uuid;
+
+use crate::support;
+
+/// The platform is down. A reservation can't be claimed, so the caller hears that it did not run,
+/// and the targets have no run of it. A sweep needs no claim and is answered as before.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_platform_down() {
+    let mut cluster = support::start(ClusterOptions::builder().build()).await;
+    let entry = cluster.entry(0).unwrap();
+    cluster.platform.kill().unwrap();
+    let reserve = CallerQuery::builder()
+        .template(RESERVE)
+        .key("platform-down")
+        .idempotency_key(Uuid::now_v7())
+        .build();
+    let reply = reserve.send(entry).await.unwrap();
+    assert!(reply.says_not_run(), "{}", reply.body);
+    let sweep = support::query(SWEEP, "platform-down");
+    let answer = sweep.send(entry).await.unwrap();
+    assert_eq!(answer.word(), "complete", "{}", answer.body);
+    // The sweep went the same way after the reservation: its runs are there, none of the other's.
+    assert!(!cluster.runs(&sweep).await.unwrap().is_empty());
+    assert!(cluster.runs(&reserve).await.unwrap().is_empty());
+}
+
+/// An entry starts while the platform is down and knows no template. Callers hear at once that
+/// nothing ran, and the targets have no run.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_platform_down_at_start() {
+    let mut cluster = support::start(ClusterOptions::builder().build()).await;
+    cluster.platform.kill().unwrap();
+    let number = cluster.start_entry().unwrap();
+    let query = support::query(SWEEP, "no-template");
+    let reply = query.send(cluster.entry(number).unwrap()).await.unwrap();
+    assert!(reply.says_not_run(), "{}", reply.body);
+    assert!(cluster.runs(&query).await.unwrap().is_empty());
+}
+
+/// The only relay is killed while targets run a caller's query. Nothing came back, yet the targets
+/// ran it: the caller must not hear "not run". A later query finds no relay at all; it is refused as
+/// "not run", and the targets have no run of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_relay_killed_mid_query() {
+    let options = ClusterOptions::builder()
+        .relays(1)
+        .run_time(TimeSpan::from_secs(15))
+        .build();
+    let mut cluster = support::start(options).await;
+    let entry = cluster.entry(0).unwrap();
+    let caught = support::query(SWEEP, "caught");
+    let asked = tokio::spawn({
+        let caught = caught.clone();
+        async move { caught.send(entry).await }
+    });
+    condition::until("a run of the query", async || {
+        let runs = cluster.runs(&caught).await?;
+        Ok((!runs.is_empty()).then_some(()))
+    })
+    .await
+    .unwrap();
+    cluster.relays[0].kill().unwrap();
+    let reply = asked.await.unwrap().unwrap();
+    assert_eq!(reply.word(), "failed", "{}", reply.body);
+    assert!(!reply.says_not_run(), "{}", reply.body);
+
+    let operator = cluster.entries[0].address("operator").unwrap();
+    condition::until("the loss of the relay", async || {
+        let usable = operator_view::usable_relays(operator).await?;
+        Ok((usable == 0).then_some(()))
+    })
+    .await
+    .unwrap();
+    let refused = support::query(SWEEP, "refused");
+    let reply = refused.send(entry).await.unwrap();
+    assert!(reply.says_not_run(), "{}", reply.body);
+    assert!(cluster.runs(&refused).await.unwrap().is_empty());
+}
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/own_answer.rs
@@ -0,0 +1,65 @@
+//! Proofs that each caller receives the whole answer to its own request and no one else's.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_proof::caller::CallerQuery;
+use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
+use futures::future;
+
+use crate::support;
+
+/// Callers ask at once, with parameters of their own, over the same entry, relays and targets. Run
+/// times differ widely, so that replies come back crossed. Each caller sees exactly the rows of its
+/// own parameters: a reply is matched by its attempt, never by its place in line.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_answer_crossed_callers() {
+    let options = ClusterOptions::builder()
+        .run_time(TimeSpan::from_millis(30))
+        .spread(1.0)
+        .build();
+    let cluster = support::start(options).await;
+    let entry = cluster.entry(0).unwrap();
+    for round in 0..3 {
+        let queries: Vec<CallerQuery> = (0..8)
+            .map(|caller| support::query(SWEEP, &format!("caller-{caller}-{round}")))
+            .collect();
+        let replies = future::join_all(queries.iter().map(|query| query.send(entry))).await;
+        for (query, reply) in queries.iter().zip(replies) {
+            let reply = reply.unwrap();
+            assert_eq!(reply.word(), "complete", "{}", reply.body);
+            let all = cluster.all_shards();
+            assert_eq!(reply.body["rows"], cluster.rows_of(query, &all));
+        }
+    }
+}
+
+/// The relays are frozen. A caller's deadline passes and its answer goes out without any shard. The
+/// relays go on, and what they now reply for the first caller comes in while the next caller's query
+/// runs over the same connections. The next caller sees its own rows alone: the late replies belong
+/// to attempts that are forgotten, and no attempt's id recurs.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_answer_after_late_replies() {
+    let cluster = support::start(ClusterOptions::builder().build()).await;
+    let entry = cluster.entry(0).unwrap();
+    let _warm = support::relay_with_most_lanes(&cluster).await;
+    for round in 0..5 {
+        for relay in &cluster.relays {
+            relay.freeze().unwrap();
+        }
+        let hasty = CallerQuery::builder()
+            .template(SWEEP)
+            .key(format!("hasty-{round}"))
+            .deadline_ms(200)
+            .build();
+        let reply = hasty.send(entry).await.unwrap();
+        assert_eq!(reply.word(), "failed", "{}", reply.body);
+        assert_eq!(reply.missing().len(), 4, "{}", reply.body);
+        for relay in &cluster.relays {
+            relay.resume().unwrap();
+        }
+        let patient = support::query(SWEEP, &format!("patient-{round}"));
+        let reply = patient.send(entry).await.unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+        let all = cluster.all_shards();
+        assert_eq!(reply.body["rows"], cluster.rows_of(&patient, &all));
+    }
+}
