Leaving targets get no new work, whoever says so first

Cause: a draining target was tried by each query until it stopped, and the host list lags. Change: published drains, the host list (read each second) and the targets' own replies are joined in LeavingTargets; entries don't choose such a target and relays refuse attempts for it as not run.

--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -7,8 +7,11 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::http_client::ClientOptions;
+use alderhaven_platform::http_hosts::HttpHosts;
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
+use alderhaven_platform::target_watch::TargetWatch;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio_util::task::AbortOnDropHandle;
@@ -28,7 +31,7 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<EntryState>,
-    _tasks: [AbortOnDropHandle<()>; 4],
+    _tasks: [AbortOnDropHandle<()>; 5],
 }
 
 /// An `EntryState` is what the parts of an entry share, as operators see it.
@@ -42,6 +45,8 @@
     pub desk: Arc<AdmissionDesk>,
     /// The routes through relays.
     pub routes: Arc<RelayRoutes>,
+    /// The targets that get no new work.
+    pub watch: TargetWatch,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
@@ -59,6 +64,7 @@
         let routes = Arc::new(RelayRoutes::default());
         routes.set_relays(&settings.relays);
         let metrics = Arc::new(EntryMetrics::default());
+        let watch = TargetWatch::default();
         let clock = ProcessClock::default();
         let desk = Arc::new(AdmissionDesk::new(
             settings.policy,
@@ -72,16 +78,25 @@
             config: config.clone(),
             routes: Arc::clone(&routes),
             desk: Arc::clone(&desk),
+            watch: watch.clone(),
             metrics: Arc::clone(&metrics),
         });
         let service = CallerService {
             limits: settings.limits.clone(),
             desk: Arc::clone(&desk),
-            runner: QueryRunner::new(rand::random(), routes, config.clone(), Arc::clone(&metrics)),
+            runner: QueryRunner::new(
+                rand::random(),
+                routes,
+                config.clone(),
+                watch.clone(),
+                Arc::clone(&metrics),
+            ),
             config,
             metrics,
         };
+        let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
         let tasks = [
+            tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
             tokio::spawn(apply_configuration(desk, state.config.clone())),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
@@ -143,7 +158,8 @@
             })
             .collect();
         let loads = self.desk.loads(&self.config.view());
-        json!({ "status": self.status(), "services": loads, "relays": links })
+        json!({ "status": self.status(), "services": loads,
+            "leaving_targets": *self.watch.names(), "relays": links })
     }
 
     fn status(&self) -> Value {
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -7,10 +7,11 @@
 use std::time::Instant;
 
 use alderhaven_core::class::AnswerPreference;
-use alderhaven_core::outcome::{AttemptOutcome, QueryOutcome};
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason, QueryOutcome};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::frames::{CancelledAttempt, ScatterAttempt, ScatterRequest};
 use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::target_watch::TargetWatch;
 use alderhaven_policy::query_gather::{GatherEvent, QueryGather};
 use alderhaven_policy::{query_gather, row_merge};
 use serde_json::value::RawValue;
@@ -32,6 +33,7 @@
     next_sequence: AtomicU64,
     routes: Arc<RelayRoutes>,
     config: ConfigHandle,
+    watch: TargetWatch,
     metrics: Arc<EntryMetrics>,
 }
 
@@ -53,6 +55,7 @@
         origin: u64,
         routes: Arc<RelayRoutes>,
         config: ConfigHandle,
+        watch: TargetWatch,
         metrics: Arc<EntryMetrics>,
     ) -> Self {
         Self {
@@ -60,6 +63,7 @@
             next_sequence: AtomicU64::new(1),
             routes,
             config,
+            watch,
             metrics,
         }
     }
@@ -179,7 +183,11 @@
             .map(|step| (first + step) % count)
             .filter(|replica| tried.iter().all(|attempt| attempt.replica != *replica))
             .find_map(|replica| {
-                let link = self.runner.routes.route(&entry.replicas[replica].target)?;
+                let target = &entry.replicas[replica].target;
+                if self.runner.watch.is_leaving(target.as_str()) {
+                    return None;
+                }
+                let link = self.runner.routes.route(target)?;
                 Some((replica, link))
             })
     }
@@ -291,6 +299,7 @@
 
     /// Tries another replica where that can do no harm.
     fn retry(&mut self, slot: usize, outcome: AttemptOutcome) {
+        self.note_draining(slot, outcome);
         if self.plan.template.idempotent || query_gather::is_not_run(outcome) {
             self.runner.metrics.retries.inc();
             self.scatter(vec![slot]);
@@ -300,6 +309,16 @@
         }
     }
 
+    /// Tells the watch of a target whose reply says that it drains.
+    fn note_draining(&self, slot: usize, outcome: AttemptOutcome) {
+        if outcome == AttemptOutcome::NotRun(NotRunReason::Draining)
+            && let Some(attempt) = self.gather.attempts(slot).last()
+        {
+            let target = &self.gather.entry(slot).replicas[attempt.replica].target;
+            self.runner.watch.note_reply(target);
+        }
+    }
+
     /// Makes the answer.
     fn finish(self) -> Result<QueryAnswer, ErrorAnswer> {
         let coverage = self.gather.coverage();
--- a/alderhaven-platform/src/lib.rs
+++ b/alderhaven-platform/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod object_store;
 pub mod operator_server;
 pub mod retry_backoff;
+pub mod target_watch;
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit_decision;
 pub mod config_registry;
 pub mod fair_queue;
+pub mod leaving_targets;
 pub mod load_meter;
 pub mod policy_kind;
 pub mod query_gather;
--- /dev/null
+++ b/alderhaven-policy/tests/leaving_targets.rs
@@ -0,0 +1,52 @@
+//! Tests of which targets get no new work.
+
+use std::collections::BTreeSet;
+
+use alderhaven_core::ids::TargetId;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::leaving_targets::{LeavingOptions, LeavingTargets};
+
+fn names(list: &[&str]) -> BTreeSet<String> {
+    list.iter().map(ToString::to_string).collect()
+}
+
+fn second(count: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_secs(count)
+}
+
+/// A target drains and its reply says so; the host list lags and shows it as live.
+/// A node that believed the list would send it work again and see it cut when the target stops.
+#[test]
+fn leaving_reply_outlives_lagging_list() {
+    let target: TargetId = "desk-0-0".parse().expect("a name");
+    let mut targets = LeavingTargets::new(LeavingOptions::default());
+    targets.set_listed(1, names(&[]), second(0));
+    targets.note_reply(&target, second(1));
+    targets.set_listed(1, names(&[]), second(2));
+    assert_eq!(targets.names(), names(&["desk-0-0"]));
+    targets.set_listed(2, names(&["desk-0-0"]), second(5));
+    targets.set_listed(2, names(&["desk-0-0"]), second(40));
+    assert_eq!(targets.names(), names(&["desk-0-0"]));
+    targets.set_listed(3, names(&[]), second(41));
+    assert_eq!(targets.names(), names(&[]));
+}
+
+/// Two copies of the host list answer in turn, and one of them lags behind.
+/// The older reading shows the target as live after the newer one called it leaving.
+#[test]
+fn leaving_list_does_not_go_back() {
+    let mut targets = LeavingTargets::new(LeavingOptions::default());
+    targets.set_listed(7, names(&["desk-0-0"]), second(1));
+    targets.set_listed(6, names(&[]), second(2));
+    assert_eq!(targets.names(), names(&["desk-0-0"]));
+}
+
+#[test]
+fn leaving_drain_holds_until_taken_back() {
+    let mut targets = LeavingTargets::new(LeavingOptions::default());
+    targets.set_drained(names(&["desk-1-1"]));
+    targets.set_listed(1, names(&[]), second(100));
+    assert_eq!(targets.names(), names(&["desk-1-1"]));
+    targets.set_drained(names(&[]));
+    assert_eq!(targets.names(), names(&[]));
+}
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::ids::TargetId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_peer::frames::ScatterAttempt;
+use alderhaven_platform::target_watch::TargetWatch;
 use arc_swap::ArcSwap;
 use tokio::time;
 use tokio::time::MissedTickBehavior;
@@ -15,7 +16,7 @@
 use crate::lane_options::LaneOptions;
 use crate::metrics::AttemptCounters;
 use crate::target_connections::TargetConnections;
-use crate::target_lane::{LaneReport, TargetLane};
+use crate::target_lane::{LaneReport, LaneShared, TargetLane};
 
 /// The time between two looks for attempts whose time is up: little beside a deadline.
 const EXPIRY_TICK: Duration = Duration::from_millis(5);
@@ -26,6 +27,7 @@
     options: LaneOptions,
     clock: ProcessClock,
     counters: AttemptCounters,
+    watch: TargetWatch,
     lanes: ArcSwap<HashMap<TargetId, Arc<TargetLane>>>,
     writing: Mutex<()>,
 }
@@ -33,11 +35,12 @@
 impl LaneTable {
     /// Returns an empty table.
     #[must_use]
-    pub fn new(options: LaneOptions, counters: AttemptCounters) -> Self {
+    pub fn new(options: LaneOptions, counters: AttemptCounters, watch: TargetWatch) -> Self {
         Self {
             options,
             clock: ProcessClock::default(),
             counters,
+            watch,
             lanes: ArcSwap::default(),
             writing: Mutex::new(()),
         }
@@ -110,13 +113,14 @@
             return Arc::clone(lane);
         }
         let connections = TargetConnections::new(address, self.options.connect_timeout);
-        let lane = Arc::new(TargetLane::new(
+        let shared = LaneShared {
+            target: target.clone(),
             connections,
-            slots,
-            &self.options,
-            self.clock,
-            self.counters.clone(),
-        ));
+            clock: self.clock,
+            counters: self.counters.clone(),
+            watch: self.watch.clone(),
+        };
+        let lane = Arc::new(TargetLane::new(shared, slots, &self.options));
         let mut lanes = HashMap::clone(&self.lanes.load());
         lanes.insert(target, Arc::clone(&lane));
         let warmed = Arc::clone(&lane);
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -6,8 +6,11 @@
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::http_client::ClientOptions;
+use alderhaven_platform::http_hosts::HttpHosts;
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
+use alderhaven_platform::target_watch::TargetWatch;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio_util::task::AbortOnDropHandle;
@@ -24,7 +27,7 @@
     peer_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<RelayState>,
-    _tasks: [AbortOnDropHandle<()>; 3],
+    _tasks: [AbortOnDropHandle<()>; 4],
 }
 
 /// A `RelayState` is what the parts of a relay share, as operators see it.
@@ -36,6 +39,8 @@
     pub config: ConfigHandle,
     /// The lanes to targets.
     pub table: Arc<LaneTable>,
+    /// The targets that get no new work.
+    pub watch: TargetWatch,
     /// What is counted.
     pub metrics: RelayMetrics,
 }
@@ -51,17 +56,22 @@
         let operator_listener = TcpListener::bind(settings.operator_listen).await?;
         let operator_address = operator_listener.local_addr()?;
         let metrics = RelayMetrics::default();
+        let watch = TargetWatch::default();
+        let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
         let table = Arc::new(LaneTable::new(
             settings.lane_options(),
             metrics.attempts.clone(),
+            watch.clone(),
         ));
         let state = Arc::new(RelayState {
             node: settings.node.clone(),
             config,
             table: Arc::clone(&table),
+            watch: watch.clone(),
             metrics,
         });
         let tasks = [
+            tokio::spawn(watch.clone().follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(&table).expire_forever()),
             tokio::spawn(peer_server::serve(
                 listener,
@@ -113,7 +123,7 @@
     }
 
     fn dump(&self) -> Value {
-        json!({ "status": self.status(), "lanes": self.table.reports() })
+        json!({ "status": self.status(), "lanes": self.table.reports(), "leaving_targets": *self.watch.names() })
     }
 
     fn status(&self) -> Value {
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use alderhaven_core::ids::AttemptId;
+use alderhaven_core::ids::{AttemptId, TargetId};
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::frames::{AttemptReply, ReplyStatus};
+use alderhaven_platform::target_watch::TargetWatch;
 use alderhaven_policy::query_gather;
 use alderhaven_policy::relay_queue::{OfferOutcome, RelayQueue};
 use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit};
@@ -25,15 +26,28 @@
 /// A `TargetLane` orders and runs the attempts at one target.
 #[derive(Debug)]
 pub struct TargetLane {
-    connections: TargetConnections,
+    shared: LaneShared,
     authority: String,
-    clock: ProcessClock,
-    counters: AttemptCounters,
     state: Mutex<LaneState>,
     /// The number of waiting attempts, readable without the lock.
     waiting: AtomicUsize,
 }
 
+/// A `LaneShared` is what a lane is given by its relay.
+#[derive(Debug)]
+pub struct LaneShared {
+    /// The target.
+    pub target: TargetId,
+    /// The connections to the target.
+    pub connections: TargetConnections,
+    /// The clock of all lanes.
+    pub clock: ProcessClock,
+    /// The counts of attempts.
+    pub counters: AttemptCounters,
+    /// The targets that get no new work.
+    pub watch: TargetWatch,
+}
+
 #[derive(Debug)]
 struct LaneState {
     queue: RelayQueue,
@@ -41,7 +55,6 @@
     slots: u32,
     waiting: HashMap<AttemptId, LaneAttempt>,
     running: HashMap<AttemptId, Arc<Notify>>,
-    is_draining: bool,
 }
 
 /// A `LaneReport` is the state of a lane for the dump.
@@ -57,7 +70,7 @@
     pub limit: u32,
     /// The idle connections.
     pub idle_connections: usize,
-    /// Whether the target said that it drains.
+    /// Whether the target gets no new work.
     pub draining: bool,
 }
 
@@ -70,28 +83,19 @@
 }
 
 impl TargetLane {
-    /// Returns a lane to the target behind `connections` with this many declared slots.
+    /// Returns a lane to a target with this many declared slots.
     #[must_use]
-    pub fn new(
-        connections: TargetConnections,
-        slots: u32,
-        options: &LaneOptions,
-        clock: ProcessClock,
-        counters: AttemptCounters,
-    ) -> Self {
+    pub fn new(shared: LaneShared, slots: u32, options: &LaneOptions) -> Self {
         let slots = slots.max(1);
         Self {
-            authority: connections.address().to_string(),
-            connections,
-            clock,
-            counters,
+            authority: shared.connections.address().to_string(),
+            shared,
             state: Mutex::new(LaneState {
                 queue: RelayQueue::new(options.policy, options.queue.clone()),
                 limit: TargetLimit::new(options.policy, options.limit.clone(), slots),
                 slots,
                 waiting: HashMap::new(),
                 running: HashMap::new(),
-                is_draining: false,
             }),
             waiting: AtomicUsize::new(0),
         }
@@ -99,9 +103,9 @@
 
     /// Takes an attempt: it is run, queued or refused at once.
     pub fn offer(self: &Arc<Self>, attempt: LaneAttempt) {
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         let mut state = self.lock();
-        let refusal = if state.is_draining {
+        let refusal = if self.is_leaving() {
             Some(NotRunReason::Draining)
         } else {
             let slots = state.limit.limit(now);
@@ -147,11 +151,11 @@
     /// Makes connections ahead of the first attempts, as many as the target has slots.
     pub async fn warm(&self) {
         let slots = self.lock().slots as usize;
-        while self.connections.idle_count() < slots {
-            let Ok(sender) = self.connections.connect().await else {
+        while self.shared.connections.idle_count() < slots {
+            let Ok(sender) = self.shared.connections.connect().await else {
                 return;
             };
-            self.connections.give_back(sender);
+            self.shared.connections.give_back(sender);
         }
     }
 
@@ -165,27 +169,35 @@
     /// Gets the lane's state for the dump.
     #[must_use]
     pub fn report(&self) -> LaneReport {
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         let state = self.lock();
         LaneReport {
             address: self.authority.clone(),
             queued: state.queue.waiting(),
             in_flight: state.queue.running(),
             limit: state.limit.limit(now),
-            idle_connections: self.connections.idle_count(),
-            draining: state.is_draining,
+            idle_connections: self.shared.connections.idle_count(),
+            draining: self.is_leaving(),
         }
     }
 
+    /// Returns true where the target leaves: by its own word, the host list's or an operator's.
+    fn is_leaving(&self) -> bool {
+        self.shared.watch.is_leaving(self.shared.target.as_str())
+    }
+
     fn lock(&self) -> MutexGuard<'_, LaneState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Starts queued attempts while the limit allows it and answers those that were dropped.
     fn run_ready(self: &Arc<Self>) {
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         let mut state = self.lock();
         let mut ready = Vec::new();
+        if self.is_leaving() {
+            state.queue.drop_all(NotRunReason::Draining);
+        }
         while let Some(attempt) = state.start_next(now) {
             ready.push(attempt);
         }
@@ -209,12 +221,12 @@
     }
 
     async fn run(&self, mut ready: ReadyAttempt) {
-        let started = self.clock.now();
+        let started = self.shared.clock.now();
         let attempt = &mut ready.attempt;
         attempt.request.remaining = attempt.remaining(started);
         let verdict = self.call_target(attempt, &ready.cancelled).await;
-        self.counters.observe(verdict.outcome);
-        let now = self.clock.now();
+        self.shared.counters.observe(verdict.outcome);
+        let now = self.shared.clock.now();
         let service = now.since(started);
         let wait = self.note_finished(attempt, &verdict, service, ready.expected, now);
         let reply = AttemptReply {
@@ -233,15 +245,15 @@
 
     /// Calls the target until it replies or the attempt's time is up.
     async fn call_target(&self, attempt: &LaneAttempt, cancelled: &Notify) -> CallVerdict {
-        let call = target_call::run(&self.connections, &self.authority, &attempt.request);
-        let deadline = self.clock.instant(attempt.deadline);
+        let call = target_call::run(&self.shared.connections, &self.authority, &attempt.request);
+        let deadline = self.shared.clock.instant(attempt.deadline);
         let bounded = time::timeout_at(deadline.into(), call);
         tokio::pin!(bounded);
         let replied = tokio::select! {
             replied = &mut bounded => replied,
             () = cancelled.notified() => {
                 // The target is asked to drop the attempt; its slot is free once it has replied.
-                target_call::cancel(&self.connections, &self.authority, &attempt.request).await;
+                target_call::cancel(&self.shared.connections, &self.authority, &attempt.request).await;
                 bounded.await
             }
         };
@@ -275,8 +287,8 @@
             let used = state.slots.saturating_sub(free);
             state.limit.reported(used, now);
         }
-        if verdict.is_draining && !state.is_draining {
-            state.is_draining = true;
+        if verdict.is_draining {
+            self.shared.watch.note_reply(&self.shared.target);
             state.queue.drop_all(NotRunReason::Draining);
         }
         state.wait_of(attempt, now)
@@ -285,11 +297,11 @@
     /// Answers an attempt that certainly did not run.
     fn answer_not_run(&self, attempt: &LaneAttempt, reason: NotRunReason, wait: TimeSpan) {
         let outcome = AttemptOutcome::NotRun(reason);
-        self.counters.observe(outcome);
+        self.shared.counters.observe(outcome);
         attempt.reply(AttemptReply {
             sequence: attempt.id().sequence,
             status: ReplyStatus::from(outcome).into(),
-            queued_us: self.clock.now().since(attempt.arrived).as_micros(),
+            queued_us: self.shared.clock.now().since(attempt.arrived).as_micros(),
             wait_us: wait.as_micros(),
             ..AttemptReply::default()
         });
