--- /dev/null
+++ b/alderhaven-load/src/answer_oracle.rs
@@ -0,0 +1,212 @@
+//! The oracle: checks every answer from the manifests, the derived rows and the targets' runs.
+
+use std::collections::HashMap;
+
+use alderhaven_core::ids::{NodeId, ServiceName, SnapshotId, StoreVersion, TargetId};
+use alderhaven_core::manifest::{ShardEntry, SnapshotManifest};
+use alderhaven_core::outcome::QueryOutcome;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_standin::rows::{self, DerivedRow};
+use alderhaven_standin::run_log::{RunEnd, RunRecord};
+use serde_json::Value;
+
+use crate::expected_rows;
+use crate::load_query::LoadQuery;
+use crate::query_reply::{AnswerBody, QueryReply, ReadReply, ReplyContent};
+use crate::violations::ViolationKind;
+
+/// The time after which a leaving target must receive no new work ("after a few seconds").
+pub const LEAVING_GRACE: TimeSpan = TimeSpan::from_secs(3);
+
+/// A `TargetLeaving` is the moment at which a target began to leave, on the run log's clock.
+#[derive(Clone, Debug)]
+pub struct TargetLeaving {
+    /// The target.
+    pub target: TargetId,
+    /// When it began to leave, in microseconds since the run log began.
+    pub at_us: u64,
+}
+
+/// A `ConfigSighting` is the configuration that a node had in force, in the order of looking.
+#[derive(Clone, Debug)]
+pub struct ConfigSighting {
+    /// The node.
+    pub node: NodeId,
+    /// The revision in force.
+    pub revision: StoreVersion,
+}
+
+/// An `AnswerOracle` knows all that was published and all that the targets ran.
+#[derive(Debug)]
+pub struct AnswerOracle {
+    manifests: HashMap<(ServiceName, SnapshotId), SnapshotManifest>,
+    /// The runs by template and canonical parameters.
+    runs: HashMap<(String, String), Vec<RunRecord>>,
+}
+
+impl AnswerOracle {
+    /// Returns an oracle over everything that was published and that ran.
+    #[must_use]
+    pub fn new(manifests: Vec<SnapshotManifest>, records: Vec<RunRecord>) -> Self {
+        let mut runs: HashMap<(String, String), Vec<RunRecord>> = HashMap::new();
+        for record in records {
+            let key = (record.template.clone(), record.parameters.clone());
+            runs.entry(key).or_default().push(record);
+        }
+        let manifests = manifests
+            .into_iter()
+            .map(|manifest| ((manifest.service.clone(), manifest.snapshot), manifest))
+            .collect();
+        Self { manifests, runs }
+    }
+
+    /// Checks a query's reply and returns the promises that it broke.
+    #[must_use]
+    pub fn judge(&self, query: &LoadQuery, reply: &QueryReply) -> Vec<ViolationKind> {
+        let mut broken = Vec::new();
+        let runs = self.runs_of(query);
+        if !query.mixed.template.idempotent && runs.len() > 1 {
+            broken.push(ViolationKind::DoubleRun);
+        }
+        if matches!(reply.content, ReplyContent::Cut) {
+            broken.push(ViolationKind::CutInFlight);
+        }
+        match reply.read() {
+            ReadReply::Answer(answer) => broken.extend(self.judge_answer(query, &answer, runs)),
+            ReadReply::Error(body) if body.error.not_run && !runs.is_empty() => {
+                broken.push(ViolationKind::FalseNotRun);
+            }
+            ReadReply::Error(_) | ReadReply::Unreadable => {}
+        }
+        broken
+    }
+
+    fn runs_of(&self, query: &LoadQuery) -> &[RunRecord] {
+        let key = (
+            query.mixed.template.name.to_string(),
+            query.parameters.canonical(),
+        );
+        self.runs.get(&key).map_or(&[], Vec::as_slice)
+    }
+
+    fn judge_answer(
+        &self,
+        query: &LoadQuery,
+        answer: &AnswerBody,
+        runs: &[RunRecord],
+    ) -> Option<ViolationKind> {
+        let key = (query.mixed.template.service.clone(), answer.snapshot);
+        let Some(manifest) = self.manifests.get(&key) else {
+            return Some(ViolationKind::MixedSnapshot);
+        };
+        let Some(covered) = covered_shards(query, answer, manifest) else {
+            return Some(ViolationKind::UntrueCoverage);
+        };
+        let was_run = |entry: &&ShardEntry| runs.iter().any(|run| answers(run, entry, manifest));
+        if !covered.iter().all(was_run) {
+            return Some(ViolationKind::UntrueCoverage);
+        }
+        if answer.rows == merged_rows(query, &covered) {
+            return None;
+        }
+        Some(blame_rows(query, &answer.rows, manifest))
+    }
+}
+
+/// Gets the covered shards; none where the report contradicts itself or the manifest.
+fn covered_shards<'a>(
+    query: &LoadQuery,
+    answer: &AnswerBody,
+    manifest: &'a SnapshotManifest,
+) -> Option<Vec<&'a ShardEntry>> {
+    let selection = &query.mixed.template.shards;
+    let positions = manifest.select(selection, &query.parameters).ok()?;
+    let asked: Vec<&ShardEntry> = positions
+        .into_iter()
+        .map(|position| &manifest.shards[position])
+        .collect();
+    let report = &answer.coverage;
+    let is_missing = |entry: &ShardEntry| {
+        report
+            .missing
+            .iter()
+            .any(|missing| missing.shard == entry.shard)
+    };
+    let covered: Vec<&ShardEntry> = asked
+        .iter()
+        .copied()
+        .filter(|entry| !is_missing(entry))
+        .collect();
+    let is_true = report.asked == asked.len()
+        && report.answered == covered.len()
+        && report.answered + report.missing.len() == report.asked
+        && (answer.outcome == QueryOutcome::Complete) == report.missing.is_empty();
+    is_true.then_some(covered)
+}
+
+fn answers(run: &RunRecord, entry: &ShardEntry, manifest: &SnapshotManifest) -> bool {
+    run.end == RunEnd::Answered
+        && run.shard == entry.shard
+        && run.version == entry.version
+        && run.snapshot == manifest.snapshot
+}
+
+fn shard_rows(query: &LoadQuery, entry: &ShardEntry) -> Vec<DerivedRow> {
+    rows::rows_for(
+        &query.mixed.template.service,
+        entry.shard,
+        entry.version,
+        &query.parameters.canonical(),
+    )
+}
+
+fn merged_rows(query: &LoadQuery, covered: &[&ShardEntry]) -> Value {
+    let rows = covered
+        .iter()
+        .flat_map(|entry| shard_rows(query, entry))
+        .map(|row| serde_json::to_value(row).unwrap_or_default())
+        .collect();
+    Value::Array(expected_rows::merged(&query.mixed.template.merge, rows))
+}
+
+/// Says why rows are not those that the coverage stands for.
+fn blame_rows(query: &LoadQuery, rows: &Value, manifest: &SnapshotManifest) -> ViolationKind {
+    let rows: Vec<DerivedRow> = serde_json::from_value(rows.clone()).unwrap_or_default();
+    for row in rows {
+        let Ok(position) = manifest.position_of(row.shard) else {
+            return ViolationKind::MixedSnapshot;
+        };
+        let entry = &manifest.shards[position];
+        if row.version != entry.version {
+            return ViolationKind::MixedSnapshot;
+        }
+        if !shard_rows(query, entry).contains(&row) {
+            return ViolationKind::Crossed;
+        }
+    }
+    ViolationKind::UntrueCoverage
+}
+
+/// Counts the runs that began at targets more than [`LEAVING_GRACE`] after they began to leave.
+#[must_use]
+pub fn work_after_leaving(records: &[RunRecord], leavings: &[TargetLeaving]) -> usize {
+    let is_late = |record: &&RunRecord| {
+        leavings.iter().any(|leaving| {
+            leaving.target == record.target
+                && record.started_us > leaving.at_us + LEAVING_GRACE.as_micros()
+        })
+    };
+    records.iter().filter(is_late).count()
+}
+
+/// Counts the steps back of any node's configuration.
+#[must_use]
+pub fn steps_back(sightings: &[ConfigSighting]) -> usize {
+    let mut latest: HashMap<&NodeId, StoreVersion> = HashMap::new();
+    let mut steps = 0;
+    for sighting in sightings {
+        let last = latest.insert(&sighting.node, sighting.revision);
+        steps += usize::from(last.is_some_and(|last| last > sighting.revision));
+    }
+    steps
+}
--- /dev/null
+++ b/alderhaven-load/src/caller_pool.rs
@@ -0,0 +1,110 @@
+//! The callers' kept-alive connections to the entries.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::query_reply::ReplyContent;
+
+type CallerSender = SendRequest<Full<Bytes>>;
+
+/// A `CallerPool` spreads requests over all entries, each with its own idle connections.
+#[derive(Debug)]
+pub struct CallerPool {
+    entries: Vec<EntryConnections>,
+    next: AtomicUsize,
+}
+
+#[derive(Debug)]
+struct EntryConnections {
+    address: SocketAddr,
+    idle: Mutex<Vec<CallerSender>>,
+}
+
+impl CallerPool {
+    /// Returns a pool without connections.
+    #[must_use]
+    pub fn new(entries: &[SocketAddr]) -> Self {
+        let entries = entries.iter().map(|address| EntryConnections {
+            address: *address,
+            idle: Mutex::default(),
+        });
+        Self {
+            entries: entries.collect(),
+            next: AtomicUsize::new(0),
+        }
+    }
+
+    /// Sends a request to the next entry and waits for the whole reply.
+    pub async fn post(&self, path: &str, body: Bytes) -> ReplyContent {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        self.entries[turn % self.entries.len()]
+            .post(path, body)
+            .await
+    }
+}
+
+impl EntryConnections {
+    async fn post(&self, path: &str, body: Bytes) -> ReplyContent {
+        let mut request = self.request(path, body);
+        loop {
+            let idle = self.lock().pop();
+            let is_new = idle.is_none();
+            let mut sender = match idle {
+                Some(sender) => sender,
+                None => match self.connect().await {
+                    Some(sender) => sender,
+                    None => return ReplyContent::Unsent,
+                },
+            };
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    let Ok(body) = response.into_body().collect().await else {
+                        return ReplyContent::Cut;
+                    };
+                    self.lock().push(sender);
+                    return ReplyContent::Body(body.to_bytes());
+                }
+                // The entry closed an idle connection: the request comes back unsent.
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if !is_new => request = unsent,
+                    Some(_) => return ReplyContent::Unsent,
+                    None => return ReplyContent::Cut,
+                },
+            }
+        }
+    }
+
+    fn request(&self, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = http::Method::POST;
+        *request.uri_mut() = path.parse().expect("template names stand in paths");
+        let headers = request.headers_mut();
+        let host = HeaderValue::from_str(&self.address.to_string());
+        headers.insert(HOST, host.expect("an address stands in a header"));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        request
+    }
+
+    async fn connect(&self) -> Option<CallerSender> {
+        let stream = TcpStream::connect(self.address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        // The connection's end shows in the request on it.
+        tokio::spawn(connection);
+        Some(sender)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<CallerSender>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/alderhaven-load/src/lib.rs
+++ b/alderhaven-load/src/lib.rs
@@ -1,3 +1,22 @@
-//! The alderhaven load.
+//! The load and experiment tool: open-loop load on the whole path, with stand-ins of platform and
+//! targets, and an oracle that checks every answer from what the targets ran.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod answer_oracle;
+pub mod arrivals;
+pub mod caller_pool;
+pub mod cpu_clock;
+pub mod expected_rows;
+pub mod fair_share;
+pub mod load_driver;
+pub mod load_query;
+pub mod query_reply;
+pub mod run_line;
+pub mod run_options;
+pub mod run_tally;
+pub mod scenario;
+pub mod test_bed;
+pub mod test_run;
+pub mod violations;
+pub mod workload;
--- /dev/null
+++ b/alderhaven-load/src/load_driver.rs
@@ -0,0 +1,66 @@
+//! The sending of queries at their due times, whatever became of those before (open loop).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use alderhaven_core::time::TimeSpan;
+use bytes::Bytes;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::{self, Instant};
+
+use crate::caller_pool::CallerPool;
+use crate::load_query::LoadQuery;
+use crate::query_reply::{QueryReply, ReplyContent};
+
+/// The time after its deadline at which a caller gives up on a reply.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// A `LoadDriver` sends queries through a pool and gathers the replies.
+#[derive(Debug)]
+pub struct LoadDriver {
+    pool: Arc<CallerPool>,
+    began: Instant,
+}
+
+impl LoadDriver {
+    /// Returns a driver whose run begins now.
+    #[must_use]
+    pub fn new(pool: CallerPool) -> Self {
+        Self {
+            pool: Arc::new(pool),
+            began: Instant::now(),
+        }
+    }
+
+    /// Sends each query when it is due and returns all queries with their replies.
+    pub async fn run(
+        &self,
+        queries: impl Iterator<Item = LoadQuery>,
+    ) -> Vec<(LoadQuery, QueryReply)> {
+        let mut calls = JoinSet::new();
+        for query in queries {
+            time::sleep_until(self.began + query.due.as_duration()).await;
+            let pool = Arc::clone(&self.pool);
+            calls.spawn(call(pool, query, self.began));
+        }
+        calls.join_all().await
+    }
+}
+
+async fn call(pool: Arc<CallerPool>, query: LoadQuery, began: Instant) -> (LoadQuery, QueryReply) {
+    let sent = TimeSpan::from(began.elapsed());
+    let path = format!("/v1/query/{}", query.mixed.template.name);
+    let body = json!({ "team": query.team, "parameters": query.parameters }).to_string();
+    let limit = query.mixed.template.deadline.as_duration() + SILENCE_LIMIT;
+    let posting = pool.post(&path, Bytes::from(body));
+    let content = time::timeout(limit, posting)
+        .await
+        .unwrap_or(ReplyContent::Silent);
+    let reply = QueryReply {
+        sent,
+        ended: TimeSpan::from(began.elapsed()),
+        content,
+    };
+    (query, reply)
+}
--- /dev/null
+++ b/alderhaven-load/src/main.rs
@@ -0,0 +1,200 @@
+//! `alder-load`: runs load scenarios against the whole path and prints one JSON line a policy.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use alderhaven_core::errors::Error;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_load::run_line::{RatioLine, RunLine};
+use alderhaven_load::run_options::RunOptions;
+use alderhaven_load::scenario::ScenarioKind;
+use alderhaven_load::test_run;
+use alderhaven_load::workload::Workload;
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_standin::service_layout::DeploymentKind;
+use argh::FromArgs;
+use eyre::{Result, bail};
+use serde::Serialize;
+
+/// The exit code for arguments that are refused.
+const BAD_ARGUMENTS: u8 = 2;
+/// The exit code where a promise was broken.
+const VIOLATED: u8 = 1;
+/// The longest measured time, in seconds.
+const MOST_SECONDS: u64 = 600;
+/// The most entries, and as many relays.
+const MOST_NODES: usize = 64;
+
+/// Load and experiment tool of alderhaven; everything runs on loopback in this process.
+#[derive(FromArgs)]
+struct LoadArgs {
+    #[argh(subcommand)]
+    command: LoadCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum LoadCommand {
+    Run(RunArgs),
+}
+
+/// Runs a scenario and prints a line of results for each policy.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunArgs {
+    /// volta (default) or lagerblik
+    #[argh(option, default = "DeploymentKind::Volta")]
+    deployment: DeploymentKind,
+    /// steady, slow-target or overload
+    #[argh(option)]
+    scenario: ScenarioKind,
+    /// current, baseline or both (default): one after the other, then a line of ratios
+    #[argh(option, default = "PolicyChoice::Both")]
+    policy: PolicyChoice,
+    /// the load as a share of the targets' capacity (default: the scenario's own)
+    #[argh(option)]
+    load: Option<f64>,
+    /// the load as queries a second, in place of --load
+    #[argh(option)]
+    rate: Option<f64>,
+    /// the measured seconds (default 10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// the seconds of load before them (default 2)
+    #[argh(option, default = "2")]
+    warm_up: u64,
+    /// the seed of arrivals, run times and faults (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// the number of entries, and of relays (default 8)
+    #[argh(option, default = "8")]
+    nodes: usize,
+    /// slow-target: how many times slower (default 10)
+    #[argh(option, default = "10.0")]
+    slow_factor: f64,
+    /// slow-target: the share of slow replicas (default 0.1)
+    #[argh(option, default = "0.1")]
+    slow_share: f64,
+    /// print JSON lines in place of a text
+    #[argh(switch)]
+    json: bool,
+}
+
+/// A `PolicyChoice` says which policies run.
+#[derive(Clone, Copy)]
+enum PolicyChoice {
+    One(PolicyKind),
+    Both,
+}
+
+impl FromStr for PolicyChoice {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        if text == "both" {
+            return Ok(Self::Both);
+        }
+        text.parse().map(Self::One)
+    }
+}
+
+impl PolicyChoice {
+    fn policies(self) -> Vec<PolicyKind> {
+        match self {
+            Self::One(policy) => vec![policy],
+            Self::Both => vec![PolicyKind::Baseline, PolicyKind::Current],
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: LoadArgs = argh::from_env();
+    let LoadCommand::Run(args) = args.command;
+    let options = match options_of(&args) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("alder-load: {error:#}");
+            return ExitCode::from(BAD_ARGUMENTS);
+        }
+    };
+    match run(&args, &options).await {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(violations) => {
+            eprintln!("alder-load: {violations} violations");
+            ExitCode::from(VIOLATED)
+        }
+        Err(error) => {
+            eprintln!("alder-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options_of(args: &RunArgs) -> Result<RunOptions> {
+    let full_rate = Workload::of(args.deployment)?.rate_at_full_load();
+    let load = match (args.load, args.rate) {
+        (Some(_), Some(_)) => bail!("--load and --rate can't be given together"),
+        (Some(load), None) => load,
+        (None, Some(rate)) => rate / full_rate,
+        (None, None) => args.scenario.default_load(),
+    };
+    if !(load > 0.0 && load <= 20.0) {
+        bail!("--load: {load} is refused: allowed is above 0 to 20");
+    }
+    if !(1..=MOST_SECONDS).contains(&args.seconds) || args.warm_up > MOST_SECONDS {
+        bail!("--seconds and --warm-up: allowed is at most {MOST_SECONDS}, and 1 s of --seconds");
+    }
+    if !(1..=MOST_NODES).contains(&args.nodes) {
+        bail!(
+            "--nodes: {} is refused: allowed is 1 to {MOST_NODES}",
+            args.nodes
+        );
+    }
+    if !(args.slow_factor >= 1.0 && args.slow_factor <= 1_000.0) {
+        bail!("--slow-factor: allowed is 1 to 1000");
+    }
+    if !(0.0..=1.0).contains(&args.slow_share) {
+        bail!("--slow-share: allowed is 0 to 1");
+    }
+    Ok(RunOptions {
+        deployment: args.deployment,
+        scenario: args.scenario,
+        policy: PolicyKind::Current,
+        load,
+        measured: TimeSpan::from_secs(args.seconds),
+        warm_up: TimeSpan::from_secs(args.warm_up),
+        seed: args.seed,
+        nodes: args.nodes,
+        slow_factor: args.slow_factor,
+        slow_share: args.slow_share,
+    })
+}
+
+/// Runs the policies one after the other and returns the number of violations.
+async fn run(args: &RunArgs, options: &RunOptions) -> Result<u64> {
+    let mut lines: Vec<RunLine> = Vec::new();
+    for policy in args.policy.policies() {
+        let options = RunOptions {
+            policy,
+            ..options.clone()
+        };
+        let line = test_run::run(&options).await?;
+        print_line(&line, args.json)?;
+        lines.push(line);
+    }
+    if let [baseline, current] = lines.as_slice() {
+        print_line(&RatioLine::of(current, baseline), args.json)?;
+    }
+    Ok(lines.iter().map(|line| line.violations.total()).sum())
+}
+
+fn print_line(line: &impl Serialize, json: bool) -> Result<()> {
+    if json {
+        println!("{}", serde_json::to_string(line)?);
+    } else {
+        println!("{}", serde_json::to_string_pretty(line)?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/alderhaven-load/src/run_options.rs
@@ -0,0 +1,49 @@
+//! What a run is asked to do.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_standin::service_layout::DeploymentKind;
+
+use crate::scenario::ScenarioKind;
+
+/// A `RunOptions` says what one run of one policy does.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunOptions {
+    /// The deployment whose targets and templates are used.
+    pub deployment: DeploymentKind,
+    /// The scenario.
+    pub scenario: ScenarioKind,
+    /// The policy of entries and relays.
+    pub policy: PolicyKind,
+    /// The arrivals a second, as a share of what the targets can serve.
+    pub load: f64,
+    /// The measured time.
+    pub measured: TimeSpan,
+    /// The time before it, whose queries are checked but not measured.
+    pub warm_up: TimeSpan,
+    /// The seed of arrivals, run times and faults.
+    pub seed: u64,
+    /// The number of entries and of relays.
+    pub nodes: usize,
+    /// The factor by which slow targets are slower.
+    pub slow_factor: f64,
+    /// The share of the targets that are slow.
+    pub slow_share: f64,
+}
+
+impl Default for RunOptions {
+    fn default() -> Self {
+        Self {
+            deployment: DeploymentKind::Volta,
+            scenario: ScenarioKind::Steady,
+            policy: PolicyKind::Current,
+            load: ScenarioKind::Steady.default_load(),
+            measured: TimeSpan::from_secs(10),
+            warm_up: TimeSpan::from_secs(2),
+            seed: 1,
+            nodes: 8,
+            slow_factor: 10.0,
+            slow_share: 0.1,
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-load/src/test_bed.rs
@@ -0,0 +1,240 @@
+//! The whole path in one process: stand-ins of platform and targets, relays and entries.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::ids::{NodeId, StoreVersion};
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::settings;
+use alderhaven_entry::node::EntryNode;
+use alderhaven_entry::settings::EntrySettings;
+use alderhaven_platform::config_follower::{ConfigFollower, FollowerOptions};
+use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_relay::node::RelayNode;
+use alderhaven_relay::settings::RelaySettings;
+use alderhaven_standin::platform_server::{PlatformOptions, PlatformServer};
+use alderhaven_standin::registration;
+use alderhaven_standin::target_fleet::{FleetOptions, TargetFleet};
+use eyre::{Result, WrapErr, bail};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+
+use crate::answer_oracle::ConfigSighting;
+use crate::workload::Workload;
+
+/// The time within which the whole path must be ready.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// The pause between two looks at whether it is.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+/// The pause between two looks at the configuration in force during a run.
+const SIGHTING_PAUSE: Duration = Duration::from_millis(200);
+
+/// A `TestBed` is a running system with its stand-ins.
+#[derive(Debug)]
+pub struct TestBed {
+    platform: PlatformServer,
+    fleet: TargetFleet,
+    manifests: Vec<SnapshotManifest>,
+    configs: Vec<(NodeId, ConfigHandle)>,
+    relays: Vec<RelayNode>,
+    entries: Vec<EntryNode>,
+    sightings: Arc<Mutex<Vec<ConfigSighting>>>,
+    shutdown: CancellationToken,
+}
+
+impl TestBed {
+    /// Starts everything and waits until the configuration is in force on every node.
+    ///
+    /// # Errors
+    /// Where an address can't be bound or the system does not become ready.
+    pub async fn start(
+        workload: &Workload,
+        policy: PolicyKind,
+        nodes: usize,
+        seed: u64,
+    ) -> Result<Self> {
+        let platform = PlatformServer::start(PlatformOptions {
+            objects: vec![workload.objects()],
+            ..PlatformOptions::default()
+        })
+        .await?;
+        let fleet = TargetFleet::start(FleetOptions {
+            services: workload.layouts.clone(),
+            seed,
+            ..FleetOptions::default()
+        })
+        .await?;
+        let manifests = registration::register(&fleet, platform.address()).await?;
+        let mut bed = Self {
+            platform,
+            fleet,
+            manifests,
+            configs: Vec::new(),
+            relays: Vec::new(),
+            entries: Vec::new(),
+            sightings: Arc::default(),
+            shutdown: CancellationToken::new(),
+        };
+        bed.start_nodes(policy, nodes).await?;
+        bed.wait_until_ready().await?;
+        tokio::spawn(
+            bed.shutdown
+                .clone()
+                .run_until_cancelled_owned(watch_configs(
+                    bed.configs.clone(),
+                    Arc::clone(&bed.sightings),
+                )),
+        );
+        Ok(bed)
+    }
+
+    async fn start_nodes(&mut self, policy: PolicyKind, nodes: usize) -> Result<()> {
+        for number in 1..=nodes {
+            let settings: RelaySettings = self.settings("relay", number, policy, "")?;
+            let config = self.follow(&settings.node);
+            let relay = RelayNode::start(settings, config).await;
+            self.relays.push(relay.wrap_err("a relay can't start")?);
+        }
+        let relays: Vec<SocketAddr> = self.relays.iter().map(RelayNode::peer_address).collect();
+        let more = format!(
+            "listen: 127.0.0.1:0\nrelays: {}\n",
+            serde_json::to_string(&relays)?
+        );
+        for number in 1..=nodes {
+            let settings: EntrySettings = self.settings("entry", number, policy, &more)?;
+            let config = self.follow(&settings.node);
+            let entry = EntryNode::start(settings, config).await;
+            self.entries.push(entry.wrap_err("an entry can't start")?);
+        }
+        Ok(())
+    }
+
+    /// Reads settings as a process does; what is left out takes its default.
+    fn settings<T: serde::de::DeserializeOwned>(
+        &self,
+        role: &str,
+        number: usize,
+        policy: PolicyKind,
+        more: &str,
+    ) -> Result<T> {
+        let platform = self.platform.address();
+        let text = format!(
+            "node: {role}-{number}\nhost: host-{number}\ndomain: domain-1\n\
+             peer_listen: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n\
+             platform: {platform}\npolicy: {policy}\n{more}"
+        );
+        Ok(settings::read_text(role, &text)?)
+    }
+
+    fn follow(&mut self, node: &NodeId) -> ConfigHandle {
+        let store = HttpStore::new(self.platform.address(), HttpStoreOptions::default());
+        let options = FollowerOptions::default();
+        let config = ConfigFollower::start(Arc::new(store), options, self.shutdown.clone());
+        self.configs.push((node.clone(), config.clone()));
+        config
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        let limit = Instant::now() + START_LIMIT;
+        while !self.is_ready() {
+            if Instant::now() >= limit {
+                bail!("the system is not ready within {} s", START_LIMIT.as_secs());
+            }
+            time::sleep(LOOK_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self) -> bool {
+        let revision = self.platform.store().table().revision();
+        let in_force = |config: &ConfigHandle| config.complete_at() >= Some(revision);
+        let is_linked = |entry: &EntryNode| {
+            let links = entry.state().routes.links();
+            links.len() == self.relays.len() && links.iter().all(|link| link.is_usable())
+        };
+        self.configs.iter().all(|(_, config)| in_force(config))
+            && self.entries.iter().all(is_linked)
+    }
+
+    /// Gets the addresses for callers.
+    #[must_use]
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryNode::caller_address).collect()
+    }
+
+    /// Gets the targets.
+    #[must_use]
+    pub const fn fleet(&self) -> &TargetFleet {
+        &self.fleet
+    }
+
+    /// Gets all manifests that were published.
+    #[must_use]
+    pub fn manifests(&self) -> &[SnapshotManifest] {
+        &self.manifests
+    }
+
+    /// Gets what was seen of the nodes' configuration.
+    #[must_use]
+    pub fn sightings(&self) -> Vec<ConfigSighting> {
+        self.sightings
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Waits until the targets run nothing.
+    ///
+    /// # Errors
+    /// Where a run goes on beyond `limit`.
+    pub async fn wait_until_idle(&self, limit: Duration) -> Result<()> {
+        let end = Instant::now() + limit;
+        while self.fleet.runs().running() > 0 {
+            if Instant::now() >= end {
+                bail!(
+                    "targets still run attempts {} s after the last reply",
+                    limit.as_secs()
+                );
+            }
+            time::sleep(LOOK_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Stops everything.
+    pub async fn stop(self) {
+        self.shutdown.cancel();
+        drop(self.entries);
+        drop(self.relays);
+        self.fleet.stop().await;
+        self.platform.stop().await;
+    }
+}
+
+async fn watch_configs(
+    configs: Vec<(NodeId, ConfigHandle)>,
+    sightings: Arc<Mutex<Vec<ConfigSighting>>>,
+) {
+    let mut last: Vec<Option<StoreVersion>> = vec![None; configs.len()];
+    loop {
+        for (position, (node, config)) in configs.iter().enumerate() {
+            let revision = config.complete_at();
+            if revision == last[position] {
+                continue;
+            }
+            last[position] = revision;
+            let sighting = revision.map(|revision| ConfigSighting {
+                node: node.clone(),
+                revision,
+            });
+            sightings
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .extend(sighting);
+        }
+        time::sleep(SIGHTING_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/alderhaven-load/src/workload.rs
@@ -0,0 +1,189 @@
+//! What is asked of a deployment: teams, templates and their mix, from the YAML files under
+//! `workloads/`.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::errors::{Error, Result};
+use alderhaven_core::ids::{TeamId, TemplateName};
+use alderhaven_core::settings;
+use alderhaven_core::team::TeamPolicy;
+use alderhaven_core::template::{QueryTemplate, ShardSelection};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_standin::object_set::ObjectSet;
+use alderhaven_standin::service_layout::{DeploymentKind, ServiceLayout};
+use serde::{Deserialize, Serialize};
+
+const VOLTA: &str = include_str!("../workloads/volta.yaml");
+const LAGERBLIK: &str = include_str!("../workloads/lagerblik.yaml");
+
+/// A `WorkloadFile` is the content of a workload file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkloadFile {
+    /// The teams.
+    pub teams: Vec<TeamPolicy>,
+    /// The templates.
+    pub templates: Vec<QueryTemplate>,
+    /// How often each template is asked.
+    pub mix: Vec<MixEntry>,
+}
+
+/// A `MixEntry` says how often a template is asked and by whom.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MixEntry {
+    /// The template.
+    pub template: TemplateName,
+    /// The part of its service's capacity that the template takes at load 1.
+    pub share: f64,
+    /// The mean run time at a target.
+    pub mean: TimeSpan,
+    /// The parameter that is unique to each query, so that runs can be told apart.
+    pub tag: String,
+    /// The teams that ask, by their part of the queries.
+    pub teams: BTreeMap<TeamId, f64>,
+}
+
+/// A `MixedTemplate` is a template with its place in the mix and its service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MixedTemplate {
+    /// The place in the mix.
+    pub entry: MixEntry,
+    /// The template.
+    pub template: QueryTemplate,
+    /// The service that it asks.
+    pub layout: ServiceLayout,
+}
+
+/// A `Workload` is what is asked of a deployment, with the services that are asked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workload {
+    /// The teams.
+    pub teams: Vec<TeamPolicy>,
+    /// The templates of the mix.
+    pub mix: Vec<MixedTemplate>,
+    /// The services, with the run times of the mix.
+    pub layouts: Vec<ServiceLayout>,
+}
+
+impl MixedTemplate {
+    /// Gets the number of shards that a query asks.
+    #[must_use]
+    pub fn asked(&self) -> u32 {
+        match &self.template.shards {
+            ShardSelection::All => self.layout.shards,
+            ShardSelection::ByKeyHash { .. } | ShardSelection::ByKeyRange { .. } => 1,
+            ShardSelection::Listed { shards } => u32::try_from(shards.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Gets the work of a query, in seconds of a slot: the fewest attempts by their mean time.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        f64::from(self.asked()) * self.entry.mean.as_secs_f64()
+    }
+
+    /// Gets the queries a second that take the entry's share of the service.
+    #[must_use]
+    pub fn rate_at_full_load(&self) -> f64 {
+        self.entry.share * slot_count(&self.layout) / self.work()
+    }
+}
+
+impl Workload {
+    /// Returns the workload of a deployment.
+    ///
+    /// # Errors
+    /// `Error::Invalid` where the deployment's file does not check.
+    pub fn of(deployment: DeploymentKind) -> Result<Self> {
+        let text = match deployment {
+            DeploymentKind::Volta => VOLTA,
+            DeploymentKind::Lagerblik => LAGERBLIK,
+        };
+        let path = format!("workloads/{deployment}.yaml");
+        Self::join(settings::read_text(&path, text)?, deployment.layouts())
+    }
+
+    /// Joins a workload file to the services that it asks.
+    ///
+    /// # Errors
+    /// `Error::Invalid` for a template or service that is not there.
+    pub fn join(file: WorkloadFile, mut layouts: Vec<ServiceLayout>) -> Result<Self> {
+        let mut mix = Vec::new();
+        for entry in file.mix {
+            let template = file
+                .templates
+                .iter()
+                .find(|template| template.name == entry.template)
+                .cloned()
+                .ok_or_else(|| missing("mix.template", &entry.template))?;
+            let layout = layouts
+                .iter_mut()
+                .find(|layout| layout.service == template.service)
+                .ok_or_else(|| missing("templates.service", &template.service))?;
+            let name = entry.template.to_string();
+            layout.service_time.templates.insert(name, entry.mean);
+            mix.push(MixedTemplate {
+                entry,
+                template,
+                layout: layout.clone(),
+            });
+        }
+        Ok(Self {
+            teams: file.teams,
+            mix,
+            layouts,
+        })
+    }
+
+    /// Gets the objects to publish.
+    #[must_use]
+    pub fn objects(&self) -> ObjectSet {
+        ObjectSet {
+            templates: self
+                .mix
+                .iter()
+                .map(|mixed| mixed.template.clone())
+                .collect(),
+            teams: self.teams.clone(),
+            manifests: Vec::new(),
+        }
+    }
+
+    /// Gets the queries a second at load 1.
+    #[must_use]
+    pub fn rate_at_full_load(&self) -> f64 {
+        self.mix.iter().map(MixedTemplate::rate_at_full_load).sum()
+    }
+
+    /// Gets the slots of all services that the mix asks: the seconds of a slot in a second.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        self.layouts
+            .iter()
+            .filter(|layout| {
+                self.mix
+                    .iter()
+                    .any(|mixed| mixed.layout.service == layout.service)
+            })
+            .map(slot_count)
+            .sum()
+    }
+
+    /// Gets the weight of a team, 1 where it is not known.
+    #[must_use]
+    pub fn weight(&self, team: &TeamId) -> f64 {
+        self.teams
+            .iter()
+            .find(|policy| policy.name == *team)
+            .map_or(1.0, |policy| f64::from(policy.weight))
+    }
+}
+
+fn slot_count(layout: &ServiceLayout) -> f64 {
+    f64::from(layout.shards) * f64::from(layout.replicas) * f64::from(layout.slots)
+}
+
+fn missing(field: &str, name: &impl std::fmt::Display) -> Error {
+    Error::invalid(field, format!("there is no `{name}`"))
+}
--- /dev/null
+++ b/alderhaven-load/tests/answer_oracle.rs
@@ -0,0 +1,200 @@
+//! Tests of the oracle: it passes what is right and finds each kind of broken promise.
+
+mod common;
+
+use std::sync::Arc;
+
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_load::answer_oracle::{
+    self, AnswerOracle, ConfigSighting, LEAVING_GRACE, TargetLeaving,
+};
+use alderhaven_load::load_query::LoadQuery;
+use alderhaven_load::query_reply::ReplyContent;
+use alderhaven_load::violations::ViolationKind;
+use alderhaven_standin::run_log::{RunEnd, RunRecord};
+use common::{
+    SHARDS, all_rows, complete_answer, duplicate_check, manifest, query_of, refusal, reply,
+    reply_of, rows_of, run_of, runs_of, target,
+};
+use serde_json::{Value, json};
+
+fn judge(query: &LoadQuery, runs: Vec<RunRecord>, body: &Value) -> Vec<ViolationKind> {
+    let oracle = AnswerOracle::new(vec![manifest(1), manifest(2)], runs);
+    oracle.judge(query, &reply(query, 10, body))
+}
+
+#[test]
+fn judge_complete_answer() {
+    let query = duplicate_check(7, 0);
+    assert_eq!(
+        judge(&query, runs_of(&query, 1), &complete_answer(&query)),
+        []
+    );
+}
+
+#[test]
+fn judge_true_partial_answer() {
+    let query = duplicate_check(7, 0);
+    let mut rows = rows_of(&query, 0, 1);
+    rows.extend(rows_of(&query, 2, 1));
+    let body = json!({
+        "outcome": "partial",
+        "rows": rows,
+        "coverage": {"asked": 3, "answered": 2, "missing": [{"shard": 1, "reason": "late"}]},
+        "snapshot": 1,
+    });
+    assert_eq!(judge(&query, runs_of(&query, 1), &body), []);
+}
+
+#[test]
+fn judge_merged_answers() {
+    for template in ["ledger-audit", "ledger-review"] {
+        let query = query_of(template, 3, 0);
+        let mut body = complete_answer(&query);
+        if template == "ledger-audit" {
+            let sum: u64 = all_rows(&query, 1).iter().map(|row| row.score).sum();
+            body["rows"] = json!([{ "score": sum }]);
+        }
+        assert_eq!(judge(&query, runs_of(&query, 1), &body), [], "{template}");
+    }
+}
+
+#[test]
+fn judge_wrong_sum() {
+    let query = query_of("ledger-audit", 3, 0);
+    let mut body = complete_answer(&query);
+    body["rows"] = json!([{ "score": 1 }]);
+    let found = judge(&query, runs_of(&query, 1), &body);
+    assert_eq!(found, [ViolationKind::UntrueCoverage]);
+}
+
+#[test]
+fn judge_rows_of_another_version() {
+    let query = duplicate_check(7, 0);
+    let mut body = complete_answer(&query);
+    let mut rows = rows_of(&query, 0, 1);
+    rows.extend(rows_of(&query, 1, 2));
+    rows.extend(rows_of(&query, 2, 1));
+    body["rows"] = json!(rows);
+    let mut runs = runs_of(&query, 1);
+    runs.extend(runs_of(&query, 2));
+    let found = judge(&query, runs, &body);
+    assert_eq!(found, [ViolationKind::MixedSnapshot]);
+}
+
+#[test]
+fn judge_unpublished_snapshot() {
+    let query = duplicate_check(7, 0);
+    let mut body = complete_answer(&query);
+    body["snapshot"] = json!(9);
+    let found = judge(&query, runs_of(&query, 1), &body);
+    assert_eq!(found, [ViolationKind::MixedSnapshot]);
+}
+
+#[test]
+fn judge_shard_without_rows() {
+    let query = duplicate_check(7, 0);
+    let mut body = complete_answer(&query);
+    body["rows"] = json!(rows_of(&query, 0, 1));
+    let found = judge(&query, runs_of(&query, 1), &body);
+    assert_eq!(found, [ViolationKind::UntrueCoverage]);
+}
+
+#[test]
+fn judge_shard_that_never_ran() {
+    let query = duplicate_check(7, 0);
+    let mut runs = runs_of(&query, 1);
+    runs[1].end = RunEnd::Expired;
+    let found = judge(&query, runs, &complete_answer(&query));
+    assert_eq!(found, [ViolationKind::UntrueCoverage]);
+}
+
+#[test]
+fn judge_coverage_that_contradicts_itself() {
+    let query = duplicate_check(7, 0);
+    let reports = [
+        json!({"asked": 2, "answered": 2, "missing": []}),
+        json!({"asked": SHARDS, "answered": 2, "missing": []}),
+        json!({"asked": SHARDS, "answered": 2, "missing": [{"shard": 1, "reason": "late"}]}),
+    ];
+    for report in reports {
+        let mut body = complete_answer(&query);
+        body["coverage"] = report;
+        let found = judge(&query, runs_of(&query, 1), &body);
+        assert_eq!(found, [ViolationKind::UntrueCoverage]);
+    }
+}
+
+#[test]
+fn judge_rows_of_another_query() {
+    let (query, other) = (duplicate_check(7, 0), duplicate_check(8, 0));
+    let found = judge(&query, runs_of(&query, 1), &complete_answer(&other));
+    assert_eq!(found, [ViolationKind::Crossed]);
+}
+
+#[test]
+fn judge_refusal_of_what_ran() {
+    let query = duplicate_check(7, 0);
+    assert_eq!(judge(&query, Vec::new(), &refusal()), []);
+    let mut run = run_of(&query, 1, 1);
+    run.end = RunEnd::Cancelled;
+    let found = judge(&query, vec![run], &refusal());
+    assert_eq!(found, [ViolationKind::FalseNotRun]);
+}
+
+#[test]
+fn judge_second_run_of_non_idempotent() {
+    let mut query = duplicate_check(7, 0);
+    let runs = vec![run_of(&query, 1, 1), run_of(&query, 1, 1)];
+    let body = json!({"error": {"code": "unknown", "message": "lost", "not_run": false}});
+    assert_eq!(judge(&query, runs.clone(), &body), []);
+    Arc::make_mut(&mut query.mixed).template.idempotent = false;
+    assert_eq!(judge(&query, runs, &body), [ViolationKind::DoubleRun]);
+}
+
+#[test]
+fn judge_cut_connection() {
+    let query = duplicate_check(7, 0);
+    let oracle = AnswerOracle::new(vec![manifest(1)], Vec::new());
+    let cut = reply_of(&query, 10, ReplyContent::Cut);
+    assert_eq!(oracle.judge(&query, &cut), [ViolationKind::CutInFlight]);
+    let unsent = reply_of(&query, 10, ReplyContent::Unsent);
+    assert_eq!(oracle.judge(&query, &unsent), []);
+}
+
+#[test]
+fn work_after_leaving_beyond_grace() {
+    let query = duplicate_check(7, 0);
+    let leaving = TargetLeaving {
+        target: target(1),
+        at_us: 500,
+    };
+    let limit = 500 + LEAVING_GRACE.as_micros();
+    let started_at = |shard, started_us| RunRecord {
+        started_us,
+        ..run_of(&query, shard, 1)
+    };
+    let records = [
+        started_at(0, limit + 1),
+        started_at(1, limit),
+        started_at(1, limit + 1),
+    ];
+    assert_eq!(answer_oracle::work_after_leaving(&records, &[leaving]), 1);
+}
+
+#[test]
+fn steps_back_per_node() {
+    let sighting = |node: &str, revision| ConfigSighting {
+        node: node.parse().unwrap(),
+        revision: StoreVersion(revision),
+    };
+    let sound = [
+        sighting("entry-1", 3),
+        sighting("entry-2", 2),
+        sighting("entry-1", 4),
+        sighting("entry-2", 4),
+    ];
+    assert_eq!(answer_oracle::steps_back(&sound), 0);
+    let reverted = [sighting("entry-1", 4), sighting("entry-1", 3)];
+    assert_eq!(answer_oracle::steps_back(&reverted), 1);
+}
--- /dev/null
+++ b/alderhaven-load/tests/common/mod.rs
@@ -0,0 +1,142 @@
+//! Queries, manifests, runs and replies made by hand.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+
+use alderhaven_core::ids::{AttemptId, IndexVersion, ServiceName, ShardId, SnapshotId, TargetId};
+use alderhaven_core::manifest::{ReplicaEntry, ShardEntry, SnapshotManifest};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_load::load_query::LoadQuery;
+use alderhaven_load::query_reply::{QueryReply, ReplyContent};
+use alderhaven_load::workload::Workload;
+use alderhaven_standin::rows::{DerivedRow, rows_for};
+use alderhaven_standin::run_log::{RunEnd, RunRecord};
+use alderhaven_standin::service_layout::DeploymentKind;
+use bytes::Bytes;
+use serde_json::{Value, json};
+
+pub const SHARDS: u32 = 3;
+
+/// Gets a duplicate check (urgent, all shards, concatenated) that is due at `due_ms`.
+pub fn duplicate_check(number: u64, due_ms: u64) -> LoadQuery {
+    query_of("duplicate-check", number, due_ms)
+}
+
+pub fn query_of(template: &str, number: u64, due_ms: u64) -> LoadQuery {
+    let workload = Workload::of(DeploymentKind::Volta).unwrap();
+    let mixed = workload
+        .mix
+        .into_iter()
+        .find(|mixed| mixed.template.name.as_str() == template)
+        .unwrap();
+    let parameters = serde_json::from_value(json!({ "title": format!("q{number:06}") })).unwrap();
+    LoadQuery {
+        number,
+        due: TimeSpan::from_millis(due_ms),
+        team: "publishers".parse().unwrap(),
+        parameters,
+        mixed: Arc::new(mixed),
+    }
+}
+
+pub fn service() -> ServiceName {
+    "assignment-desk".parse().unwrap()
+}
+
+/// Gets the manifest of [`SHARDS`] shards whose index version is the snapshot's number.
+pub fn manifest(snapshot: u64) -> SnapshotManifest {
+    let shards = (0..SHARDS).map(|shard| ShardEntry {
+        shard: ShardId(shard),
+        version: IndexVersion(snapshot),
+        first_key: String::new(),
+        replicas: [ReplicaEntry {
+            target: target(shard),
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: "accra-1".parse().unwrap(),
+            slots: 2,
+            connections: 25,
+        }]
+        .into_iter()
+        .collect(),
+    });
+    SnapshotManifest {
+        service: service(),
+        snapshot: SnapshotId(snapshot),
+        shards: shards.collect(),
+    }
+}
+
+pub fn target(shard: u32) -> TargetId {
+    format!("assignment-desk-{shard}-0").parse().unwrap()
+}
+
+pub fn run_of(query: &LoadQuery, shard: u32, snapshot: u64) -> RunRecord {
+    RunRecord {
+        target: target(shard),
+        attempt: AttemptId {
+            origin: 1,
+            sequence: query.number * 100 + u64::from(shard),
+        },
+        service: service(),
+        template: query.mixed.template.name.to_string(),
+        snapshot: SnapshotId(snapshot),
+        shard: ShardId(shard),
+        version: IndexVersion(snapshot),
+        parameters: query.parameters.canonical(),
+        started_us: 1_000,
+        ended_us: 2_000,
+        end: RunEnd::Answered,
+    }
+}
+
+pub fn runs_of(query: &LoadQuery, snapshot: u64) -> Vec<RunRecord> {
+    (0..SHARDS)
+        .map(|shard| run_of(query, shard, snapshot))
+        .collect()
+}
+
+pub fn rows_of(query: &LoadQuery, shard: u32, version: u64) -> Vec<DerivedRow> {
+    let parameters = query.parameters.canonical();
+    rows_for(
+        &service(),
+        ShardId(shard),
+        IndexVersion(version),
+        &parameters,
+    )
+}
+
+pub fn all_rows(query: &LoadQuery, version: u64) -> Vec<DerivedRow> {
+    (0..SHARDS)
+        .flat_map(|shard| rows_of(query, shard, version))
+        .collect()
+}
+
+pub fn complete_answer(query: &LoadQuery) -> Value {
+    json!({
+        "outcome": "complete",
+        "rows": all_rows(query, 1),
+        "coverage": {"asked": SHARDS, "answered": SHARDS, "missing": []},
+        "snapshot": 1,
+    })
+}
+
+pub fn refusal() -> Value {
+    json!({"error": {"code": "overloaded", "message": "full", "not_run": true}})
+}
+
+/// Gets the reply with `body` to a query, `latency_ms` after it was due.
+pub fn reply(query: &LoadQuery, latency_ms: u64, body: &Value) -> QueryReply {
+    reply_of(
+        query,
+        latency_ms,
+        ReplyContent::Body(Bytes::from(body.to_string())),
+    )
+}
+
+pub fn reply_of(query: &LoadQuery, latency_ms: u64, content: ReplyContent) -> QueryReply {
+    QueryReply {
+        sent: query.due,
+        ended: query.due + TimeSpan::from_millis(latency_ms),
+        content,
+    }
+}
--- /dev/null
+++ b/alderhaven-load/tests/figures.rs
@@ -0,0 +1,204 @@
+//! Tests of the figures: workloads, fairness, tally and the result line.
+
+mod common;
+
+use alderhaven_core::class::QueryClass;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_load::cpu_clock::CpuShares;
+use alderhaven_load::fair_share::{self, FairShare, TeamWork};
+use alderhaven_load::query_reply::ReplyContent;
+use alderhaven_load::run_line::{RatioLine, RunLine};
+use alderhaven_load::run_options::RunOptions;
+use alderhaven_load::run_tally::RunTally;
+use alderhaven_load::violations::ViolationKind;
+use alderhaven_load::workload::{MixedTemplate, Workload};
+use alderhaven_standin::service_layout::DeploymentKind;
+use common::{complete_answer, duplicate_check, refusal, reply, reply_of};
+use serde_json::{Value, json};
+
+/// The fields that readers of result lines rely on, in their order.
+const FIELDS: [&str; 20] = [
+    "scenario",
+    "policy",
+    "seed",
+    "offered",
+    "complete",
+    "partial",
+    "refused_not_run",
+    "failed",
+    "unknown",
+    "late",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "urgent_p99_ms",
+    "urgent_in_time",
+    "goodput",
+    "fairness",
+    "coverage",
+    "extra_load",
+    "violations",
+];
+
+fn options() -> RunOptions {
+    RunOptions {
+        warm_up: TimeSpan::from_secs(1),
+        measured: TimeSpan::from_secs(10),
+        ..RunOptions::default()
+    }
+}
+
+fn line(attempts: usize, fill: impl FnOnce(&mut RunTally<'_>)) -> RunLine {
+    let options = options();
+    let workload = Workload::of(DeploymentKind::Volta).unwrap();
+    let mut tally = RunTally::new(&options, &workload);
+    fill(&mut tally);
+    tally.line(attempts, CpuShares::default())
+}
+
+#[test]
+fn workload_fills_each_service_at_load_one() {
+    for deployment in [DeploymentKind::Volta, DeploymentKind::Lagerblik] {
+        let workload = Workload::of(deployment).unwrap();
+        let work = |mixed: &MixedTemplate| mixed.rate_at_full_load() * mixed.work();
+        for layout in &workload.layouts {
+            let slots = f64::from(layout.shards * layout.replicas * layout.slots);
+            let asked: f64 = workload
+                .mix
+                .iter()
+                .filter(|mixed| mixed.layout.service == layout.service)
+                .map(work)
+                .sum();
+            assert!((asked / slots - 1.0).abs() < 1e-9, "{}", layout.service);
+        }
+        let asked: f64 = workload.mix.iter().map(work).sum();
+        assert!((asked / workload.capacity() - 1.0).abs() < 1e-9);
+        assert!(workload.teams.iter().all(|team| team.check().is_empty()));
+        assert!(
+            workload
+                .mix
+                .iter()
+                .all(|mixed| mixed.template.check().is_empty())
+        );
+    }
+}
+
+#[test]
+fn dues_by_weight_up_to_offered() {
+    let work = |weight, offered, served| TeamWork {
+        weight,
+        offered,
+        served,
+    };
+    let works = [
+        work(1.0, 5.0, 5.0),
+        work(1.0, 90.0, 40.0),
+        work(2.0, 90.0, 15.0),
+    ];
+    let dues = fair_share::dues(&works);
+    // The first team wants less than its part; the other 55 are shared one to two.
+    assert!((dues[0] - 5.0).abs() < 1e-9);
+    assert!((dues[1] - 55.0 / 3.0).abs() < 1e-9);
+    assert!((dues[2] - 110.0 / 3.0).abs() < 1e-9);
+}
+
+#[test]
+fn fairness_lowest_team() {
+    let mut fair = FairShare::default();
+    for (team, served) in [("publishers", 30.0), ("booksellers", 10.0)] {
+        let class = QueryClass::Urgent;
+        *fair.work_of(&common::service(), class, &team.parse().unwrap()) = TeamWork {
+            weight: 1.0,
+            offered: 100.0,
+            served,
+        };
+    }
+    assert!((fair.fairness() - 0.5).abs() < 1e-9);
+}
+
+#[test]
+fn line_counts_outcomes() {
+    let line = line(12, |tally| {
+        let query = duplicate_check(1, 1_000);
+        tally.add(&query, &reply(&query, 100, &complete_answer(&query)));
+        let query = duplicate_check(2, 1_500);
+        tally.add(&query, &reply(&query, 1_200, &complete_answer(&query)));
+        let query = duplicate_check(3, 2_000);
+        tally.add(&query, &reply(&query, 2, &refusal()));
+        let query = duplicate_check(4, 2_000);
+        tally.add(&query, &reply_of(&query, 900, ReplyContent::Silent));
+        // Due in the warm-up: checked, not counted.
+        let query = duplicate_check(5, 500);
+        tally.add(&query, &reply(&query, 10, &complete_answer(&query)));
+        tally.add_violation(ViolationKind::Crossed);
+    });
+    assert_eq!(
+        (
+            line.offered,
+            line.complete,
+            line.refused_not_run,
+            line.failed,
+            line.late
+        ),
+        (4, 2, 1, 1, 1)
+    );
+    assert_eq!(line.urgent_in_time, Some(0.25));
+    assert_eq!(line.coverage, Some(0.6667));
+    // Twelve attempts for three answers over three shards each.
+    assert_eq!(line.extra_load, Some(1.3333));
+    assert_eq!(line.violations.crossed, 1);
+    assert_eq!(line.errors.get("overloaded"), Some(&1));
+    assert!((1_199.0..1_202.0).contains(&line.p99_ms.unwrap()));
+    assert!((1.9..2.1).contains(&line.refusal_p99_ms.unwrap()));
+}
+
+#[test]
+fn line_latency_from_due_time() {
+    // A caller that waits for earlier replies before it sends hides the wait in its own queue;
+    // the latency counts from when the query was due.
+    let line = line(3, |tally| {
+        let query = duplicate_check(1, 1_000);
+        let mut late = reply(&query, 700, &complete_answer(&query));
+        late.sent = query.due + TimeSpan::from_millis(600);
+        tally.add(&query, &late);
+    });
+    assert!((699.0..702.0).contains(&line.p50_ms.unwrap()));
+    assert!((599.0..602.0).contains(&line.send_lag_p99_ms.unwrap()));
+}
+
+#[test]
+fn line_fields_in_order() {
+    let line = line(0, |_| {});
+    let text = serde_json::to_string(&line).unwrap();
+    let places: Vec<usize> = FIELDS
+        .iter()
+        .map(|field| text.find(&format!("\"{field}\":")).unwrap())
+        .collect();
+    assert!(places.is_sorted());
+    let value: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(value["p99_ms"], Value::Null);
+    assert_eq!(
+        value["violations"],
+        json!({
+            "mixed_snapshot": 0, "untrue_coverage": 0, "crossed": 0, "false_not_run": 0,
+            "double_run": 0, "work_after_leaving": 0, "cut_in_flight": 0, "reverted": 0,
+        })
+    );
+    assert_eq!(serde_json::from_value::<RunLine>(value).unwrap(), line);
+}
+
+#[test]
+fn ratio_current_over_baseline() {
+    let baseline = line(0, |tally| {
+        let query = duplicate_check(1, 1_000);
+        tally.add(&query, &reply(&query, 400, &complete_answer(&query)));
+    });
+    let current = RunLine {
+        p99_ms: Some(100.0),
+        coverage: None,
+        ..baseline.clone()
+    };
+    let ratio = RatioLine::of(&current, &baseline);
+    assert!((0.249..0.251).contains(&ratio.p99.unwrap()));
+    assert_eq!(ratio.coverage, None);
+}
--- /dev/null
+++ b/alderhaven-load/tests/whole_run.rs
@@ -0,0 +1,32 @@
+//! A short run of the whole path.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_load::run_options::RunOptions;
+use alderhaven_load::scenario::ScenarioKind;
+use alderhaven_load::test_run;
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_standin::service_layout::DeploymentKind;
+
+/// Both deployments are asked below their capacity: every query has an outcome and no promise is
+/// broken, whatever the machine's speed.
+#[tokio::test(flavor = "multi_thread")]
+async fn run_every_query_accounted_for() {
+    for deployment in [DeploymentKind::Volta, DeploymentKind::Lagerblik] {
+        let options = RunOptions {
+            deployment,
+            scenario: ScenarioKind::SlowTarget,
+            policy: PolicyKind::Current,
+            load: 0.2,
+            measured: TimeSpan::from_millis(600),
+            warm_up: TimeSpan::from_millis(200),
+            nodes: 2,
+            ..RunOptions::default()
+        };
+        let line = test_run::run(&options).await.unwrap();
+        assert!(line.offered > 0);
+        let ended =
+            line.complete + line.partial + line.refused_not_run + line.failed + line.unknown;
+        assert_eq!(ended, line.offered);
+        assert_eq!(line.violations.total(), 0, "{:?}", line.violations);
+    }
+}
--- a/alderhaven-standin/src/run_log.rs
+++ b/alderhaven-standin/src/run_log.rs
@@ -94,6 +94,14 @@
         std::mem::take(&mut kept.records)
     }
 
+    /// Gets the number of recorded runs that go on.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let kept = self.lock();
+        let running = |record: &&RunRecord| record.end == RunEnd::Running;
+        kept.records.iter().filter(running).count()
+    }
+
     /// Gets the number of runs since the log began.
     #[must_use]
     pub fn count(&self) -> usize {
