--- /dev/null
+++ b/alderhaven-policy/tests/hedging.rs
@@ -0,0 +1,153 @@
+//! Tests of hedging, judged by the latency of queries and the load that it adds.
+
+mod common;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::hedging::{HedgeGroup, HedgeOptions, HedgePolicy};
+use alderhaven_policy::policy_kind::PolicyKind;
+use common::{DrawSource, cases, ms, quantile};
+use proptest::collection;
+use proptest::prelude::{any, prop_assert, proptest};
+
+fn group(template: &str) -> HedgeGroup {
+    HedgeGroup {
+        service: "stock".parse().expect("a name"),
+        template: template.parse().expect("a name"),
+    }
+}
+
+fn policy(kind: PolicyKind) -> HedgePolicy {
+    HedgePolicy::new(kind, HedgeOptions::default())
+}
+
+/// Queries of 20 shards, one attempt in a hundred of which takes ten times as long. Gets the
+/// latencies of the queries and the attempts per shard that ran.
+fn run(kind: PolicyKind, slow_share: f64) -> (Vec<TimeSpan>, f64) {
+    let mut policy = policy(kind);
+    let group = group("search");
+    let mut draw = DrawSource(21);
+    let mut latencies = Vec::new();
+    let mut ran = 0_u32;
+    let service = |draw: &mut DrawSource| {
+        let slow = if draw.unit() < slow_share { 10.0 } else { 1.0 };
+        (ms(5) + draw.exponential(ms(5))).mul_f64(slow)
+    };
+    for _ in 0..3000 {
+        policy.sent(20);
+        let delay = policy.delay(&group, true);
+        let mut slowest = TimeSpan::ZERO;
+        for _ in 0..20 {
+            ran += 1;
+            let mut latency = service(&mut draw);
+            if let Some(delay) = delay
+                && latency > delay
+                && policy.take(false)
+            {
+                ran += 1;
+                latency = latency.min(delay + service(&mut draw));
+                policy.hedge_ended(false);
+            }
+            policy.answered(&group, latency, latency);
+            slowest = slowest.max(latency);
+        }
+        latencies.push(slowest);
+    }
+    (latencies, f64::from(ran) / 60_000.0)
+}
+
+/// One attempt in a hundred meets a target that pauses. Nearly one query in five has one of those
+/// among its 20, so that what is rare for a target is common for callers.
+#[test]
+fn slow_target_is_hedged_within_the_budget() {
+    let (mut plain, _) = run(PolicyKind::Baseline, 0.01);
+    let (mut hedged, load) = run(PolicyKind::Current, 0.01);
+    let (plain, hedged) = (quantile(&mut plain, 0.99), quantile(&mut hedged, 0.99));
+    assert!(hedged <= plain.mul_f64(0.35), "{hedged} against {plain}");
+    assert!(load <= 1.06, "{load}");
+}
+
+#[test]
+fn overload_turns_hedging_off() {
+    let mut policy = policy(PolicyKind::Current);
+    policy.sent(1000);
+    assert!(!policy.take(true), "the service is full");
+    assert!(policy.take(false));
+    for _ in 0..30 {
+        policy.hedge_ended(true);
+    }
+    assert!(!policy.take(false), "relays refuse most hedges");
+    policy.sent(2000);
+    assert!(policy.take(false), "it is tried again later");
+}
+
+#[test]
+fn hedge_is_for_idempotent_queries_only() {
+    let mut policy = policy(PolicyKind::Current);
+    let group = group("assign");
+    for _ in 0..100 {
+        policy.answered(&group, ms(10), ms(10));
+    }
+    assert!(policy.delay(&group, true).is_some());
+    assert!(policy.delay(&group, false).is_none());
+}
+
+/// Reports take a hundred times as long as lookups. With one delay for both, every report would be
+/// hedged and the budget spent on them.
+#[test]
+fn long_among_short_has_its_own_delay() {
+    let mut policy = policy(PolicyKind::Current);
+    for _ in 0..100 {
+        policy.answered(&group("lookup"), ms(5), ms(5));
+        policy.answered(&group("report"), ms(500), ms(500));
+    }
+    let delay = |name| policy.delay(&group(name), true).expect("it is known");
+    assert!(delay("lookup") <= ms(6));
+    assert!(delay("report") >= ms(495));
+    assert_eq!(policy.expected_service(&group("report")), Some(ms(500)));
+}
+
+#[test]
+fn unknown_group_is_not_hedged() {
+    let policy = policy(PolicyKind::Current);
+    assert!(policy.delay(&group("new"), true).is_none());
+}
+
+proptest! {
+    #![proptest_config(cases(256))]
+
+    /// However attempts and hedges follow each other, hedges stay within the budget.
+    #[test]
+    fn hedges_stay_within_the_budget(
+        steps in collection::vec((1_u32..200, 0_u32..40, any::<bool>()), 1..60),
+    ) {
+        let mut policy = policy(PolicyKind::Current);
+        let (mut sent, mut hedged) = (0_u32, 0_u32);
+        for (attempts, wanted, refused) in steps {
+            policy.sent(attempts);
+            sent += attempts;
+            for _ in 0..wanted {
+                if policy.take(false) {
+                    hedged += u32::from(!refused);
+                    policy.hedge_ended(refused);
+                }
+            }
+            prop_assert!(f64::from(hedged) <= 0.05 * f64::from(sent) + 1e-6);
+        }
+    }
+
+    /// The delay is at least the quantile's share of what was seen, whatever was seen.
+    #[test]
+    fn delay_lies_within_what_was_seen(
+        latencies in collection::vec(1_u64..100_000_000, 20..2500),
+    ) {
+        let mut policy = policy(PolicyKind::Current);
+        let group = group("search");
+        for latency in &latencies {
+            let latency = TimeSpan::from_micros(*latency);
+            policy.answered(&group, latency, latency);
+        }
+        let delay = policy.delay(&group, true).expect("it is known");
+        let greatest = latencies.iter().max().expect("some");
+        prop_assert!(delay <= TimeSpan::from_micros(*greatest).mul_f64(1.02) + ms(1));
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/retry.rs
@@ -0,0 +1,139 @@
+//! Tests of retries, judged by what runs twice and by the load that they add.
+
+mod common;
+
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::retry::{EndedAttempt, GiveUpReason, RetryDecision, decide};
+use alderhaven_policy::retry_budget::{RetryBudget, RetryOptions};
+use common::{at, cases, ms};
+use proptest::prelude::{any, prop_assert, proptest};
+use proptest::{collection, sample};
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(PolicyKind::Current, RetryOptions::default())
+}
+
+fn attempt(outcome: AttemptOutcome) -> EndedAttempt {
+    EndedAttempt {
+        outcome,
+        is_idempotent: true,
+        retries: 0,
+        untried: 1,
+        expected: ms(10),
+        deadline: at(1000),
+    }
+}
+
+const NOT_RUN: [NotRunReason; 8] = [
+    NotRunReason::NotSent,
+    NotRunReason::Shed,
+    NotRunReason::Draining,
+    NotRunReason::Expired,
+    NotRunReason::QueueFull,
+    NotRunReason::Cancelled,
+    NotRunReason::NoRoute,
+    NotRunReason::Quarantined,
+];
+
+fn outcomes() -> Vec<AttemptOutcome> {
+    let not_run = NOT_RUN.into_iter().map(AttemptOutcome::NotRun);
+    [
+        AttemptOutcome::Answered,
+        AttemptOutcome::Failed,
+        AttemptOutcome::VersionGone,
+        AttemptOutcome::Unknown,
+    ]
+    .into_iter()
+    .chain(not_run)
+    .collect()
+}
+
+/// The connection breaks while an assignment is under way. If it were sent again, the number would
+/// be issued twice and the fee charged twice.
+#[test]
+fn what_may_have_run_is_not_repeated() {
+    for outcome in [AttemptOutcome::Unknown, AttemptOutcome::Failed] {
+        let mut ended = attempt(outcome);
+        assert_eq!(decide(ended, &mut budget(), at(0)), RetryDecision::Retry);
+        ended.is_idempotent = false;
+        let given_up = RetryDecision::GiveUp(GiveUpReason::MayHaveRun);
+        assert_eq!(decide(ended, &mut budget(), at(0)), given_up);
+    }
+}
+
+#[test]
+fn quarantined_request_is_not_repeated() {
+    let ended = attempt(AttemptOutcome::NotRun(NotRunReason::Quarantined));
+    let given_up = RetryDecision::GiveUp(GiveUpReason::Final);
+    assert_eq!(decide(ended, &mut budget(), at(0)), given_up);
+}
+
+/// Every target sheds all it is sent. Retries must not double the load that causes it.
+#[test]
+fn overload_is_not_fed_by_retries() {
+    let mut budget = budget();
+    let mut retries = 0;
+    for step in 0..100_u64 {
+        budget.sent(100);
+        for _ in 0..100 {
+            let mut ended = attempt(AttemptOutcome::NotRun(NotRunReason::Shed));
+            ended.deadline = at(step * 10 + 1000);
+            let decision = decide(ended, &mut budget, at(step * 10));
+            retries += u32::from(decision == RetryDecision::Retry);
+        }
+    }
+    // A tenth of the 10,000 attempts, the bucket of 64 and two a second.
+    assert!(retries <= 1000 + 64 + 3, "{retries}");
+    assert!(retries >= 1000, "{retries}");
+}
+
+proptest! {
+    #![proptest_config(cases(256))]
+
+    /// Whatever the attempt, it is repeated only where that does no harm and may still help.
+    #[test]
+    fn retry_does_no_harm(
+        outcome in sample::select(outcomes()),
+        is_idempotent in any::<bool>(),
+        retries in 0_u32..4,
+        untried in 0_usize..3,
+        expected in 0_u64..100,
+        left in 0_u64..200,
+    ) {
+        let ended = EndedAttempt {
+            outcome,
+            is_idempotent,
+            retries,
+            untried,
+            expected: ms(expected),
+            deadline: at(500 + left),
+        };
+        if decide(ended, &mut budget(), at(500)) == RetryDecision::Retry {
+            let has_not_run = matches!(outcome, AttemptOutcome::NotRun(_));
+            prop_assert!(has_not_run || is_idempotent);
+            prop_assert!(outcome != AttemptOutcome::Answered);
+            prop_assert!(untried > 0 && left >= expected && left > 0);
+        }
+    }
+
+    #[test]
+    fn retries_stay_within_the_budget(
+        steps in collection::vec((0_u32..50, 0_u32..50, 0_u64..500), 1..80),
+    ) {
+        let mut budget = budget();
+        let options = RetryOptions::default();
+        let (mut sent, mut taken, mut now) = (0.0, 0.0, at(0));
+        for (attempts, wanted, time) in steps {
+            now = now + ms(time);
+            budget.sent(attempts);
+            sent += f64::from(attempts);
+            for _ in 0..wanted {
+                taken += f64::from(u8::from(budget.take(now)));
+            }
+            let free = now.since(at(0)).as_secs_f64() * options.free_per_second;
+            let most = options.burst + sent * options.budget + free;
+            prop_assert!(taken <= most + 1e-6);
+        }
+    }
+}
