--- a/alderhaven-policy/src/service_lane.rs
+++ b/alderhaven-policy/src/service_lane.rs
@@ -160,7 +160,7 @@
         let waiting = self
             .queue
             .waiting_of_key(request.class, &request.team, request.key);
-        let turns = (waiting + 1) as f64 / self.capacity.key_limit();
+        let turns = (waiting + 1) as f64 / self.capacity.limit();
         turns * self.capacity.latency().as_secs_f64()
     }
 
@@ -176,7 +176,7 @@
 
     fn key_has_room(&self, key: u64) -> bool {
         let in_flight = self.keys_in_flight.get(&key).copied().unwrap_or(0);
-        f64::from(in_flight) + 0.5 <= self.capacity.key_limit()
+        f64::from(in_flight) + 0.5 <= self.capacity.limit()
     }
 
     /// Notes a query that is admitted without waiting.
