Replica choice, hedging and retries on the path of a query

Change: two random choices by outstanding work, slowness and the relays' word; hedges after the group's 95th percentile within the budget; retries within a budget.

--- a/alderhaven-entry/src/admission_desk.rs
+++ b/alderhaven-entry/src/admission_desk.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use alderhaven_core::ids::ServiceName;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimePoint;
 use alderhaven_policy::admission::{AdmissionGate, AdmissionOptions};
@@ -112,6 +113,15 @@
             .collect()
     }
 
+    /// Returns true where queries wait for admission to a service.
+    #[must_use]
+    pub fn is_overloaded(&self, service: &ServiceName) -> bool {
+        self.lock()
+            .gate
+            .load_of(service)
+            .is_some_and(|load| load.waiting > 0)
+    }
+
     /// Gets the clock of the tickets.
     #[must_use]
     pub const fn clock(&self) -> ProcessClock {
--- a/alderhaven-entry/src/admission_pass.rs
+++ b/alderhaven-entry/src/admission_pass.rs
@@ -55,6 +55,12 @@
         plan.order + self.ticket.order_at.since(arrived).as_micros()
     }
 
+    /// Returns true where queries wait for admission to the same service.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        self.desk.is_overloaded(&self.ticket.request.service)
+    }
+
     /// Notes the end of one attempt.
     pub fn note_reply(&mut self, reply: &LinkReply) {
         self.attempts += 1;
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod query_runner;
 pub mod relay_link;
 pub mod relay_routes;
+pub mod replica_board;
+pub mod running_query;
 pub mod settings;
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -52,6 +52,8 @@
     pub hedges: Counter,
     /// The attempts that were begun after another one at the same shard was over.
     pub retries: Counter,
+    /// The ejections of targets that failed several times in a row.
+    pub ejections: Counter,
     /// The replies that belonged to no attempt under way.
     pub stray_replies: Counter,
     /// The queries that were restarted on a newer snapshot.
@@ -80,6 +82,7 @@
             attempts: Counter::default(),
             hedges: Counter::default(),
             retries: Counter::default(),
+            ejections: Counter::default(),
             stray_replies: Counter::default(),
             snapshot_restarts: Counter::default(),
         };
@@ -92,6 +95,7 @@
             ("attempts", "Attempts begun", &metrics.attempts),
             ("hedges", "Attempts begun as hedges", &metrics.hedges),
             ("retries", "Attempts begun as retries", &metrics.retries),
+            ("ejections", "Targets ejected", &metrics.ejections),
             (
                 "stray_replies",
                 "Replies that belonged to no attempt under way",
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -20,8 +20,9 @@
 use crate::caller_server;
 use crate::caller_server::CallerService;
 use crate::metrics::EntryMetrics;
-use crate::query_runner::QueryRunner;
+use crate::query_runner::{QueryRunner, RunnerParts};
 use crate::relay_routes::RelayRoutes;
+use crate::replica_board::ReplicaBoard;
 use crate::settings::EntrySettings;
 
 /// An `EntryNode` is a running entry; dropping it ends its tasks.
@@ -73,6 +74,12 @@
         ));
         // Each host runs one entry and one relay, so the relays' number is the entries' number.
         desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
+        let board = Arc::new(ReplicaBoard::new(
+            settings.policy,
+            settings.choices.clone(),
+            settings.domain.clone(),
+            clock,
+        ));
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
@@ -86,10 +93,13 @@
             desk: Arc::clone(&desk),
             runner: QueryRunner::new(
                 rand::random(),
-                routes,
-                config.clone(),
-                watch.clone(),
-                Arc::clone(&metrics),
+                RunnerParts {
+                    routes,
+                    board: Arc::clone(&board),
+                    watch: watch.clone(),
+                    config: config.clone(),
+                    metrics: Arc::clone(&metrics),
+                },
             ),
             config,
             metrics,
@@ -98,7 +108,7 @@
         let tasks = [
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
-            tokio::spawn(apply_configuration(desk, state.config.clone())),
+            tokio::spawn(apply_configuration(desk, board, state.config.clone())),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
             tokio::spawn(operator_server::serve(
                 operator_listener,
@@ -174,10 +184,16 @@
 }
 
 /// Takes over each change of the configuration until the process ends.
-async fn apply_configuration(desk: Arc<AdmissionDesk>, config: ConfigHandle) {
+async fn apply_configuration(
+    desk: Arc<AdmissionDesk>,
+    board: Arc<ReplicaBoard>,
+    config: ConfigHandle,
+) {
     let mut changed = config.changed();
     loop {
-        desk.apply(&config.view());
+        let view = config.view();
+        desk.apply(&view);
+        board.apply(&view);
         if changed.changed().await.is_err() {
             return;
         }
--- /dev/null
+++ b/alderhaven-entry/src/replica_board.rs
@@ -0,0 +1,144 @@
+//! What an entry knows of the targets, and the choices that it makes on it: replica, hedge, retry.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::ids::FailureDomain;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::config_registry::ConfigView;
+use alderhaven_policy::hedging::{HedgeGroup, HedgeOptions, HedgePolicy};
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::replica_choice::{ReplicaChooser, ReplicaOptions};
+use alderhaven_policy::replica_table::{ReplicaTable, TargetListing};
+use alderhaven_policy::retry;
+use alderhaven_policy::retry::{EndedAttempt, RetryDecision};
+use alderhaven_policy::retry_budget::{RetryBudget, RetryOptions};
+use arc_swap::ArcSwap;
+use serde::{Deserialize, Serialize};
+
+/// A `BoardOptions` holds the settings of the choices.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BoardOptions {
+    /// The choice of replicas.
+    pub replicas: ReplicaOptions,
+    /// The hedging.
+    pub hedging: HedgeOptions,
+    /// The retries.
+    pub retries: RetryOptions,
+}
+
+/// A `ReplicaBoard` is shared by all queries of an entry.
+#[derive(Debug)]
+pub struct ReplicaBoard {
+    clock: ProcessClock,
+    domain: FailureDomain,
+    chooser: ReplicaChooser,
+    table: ArcSwap<ReplicaTable>,
+    hedging: Mutex<HedgePolicy>,
+    retries: Mutex<RetryBudget>,
+}
+
+impl ReplicaBoard {
+    /// Returns a board without targets.
+    #[must_use]
+    pub fn new(
+        policy: PolicyKind,
+        options: BoardOptions,
+        domain: FailureDomain,
+        clock: ProcessClock,
+    ) -> Self {
+        Self {
+            clock,
+            domain,
+            chooser: ReplicaChooser::new(policy, options.replicas),
+            table: ArcSwap::default(),
+            hedging: Mutex::new(HedgePolicy::new(policy, options.hedging)),
+            retries: Mutex::new(RetryBudget::new(policy, options.retries)),
+        }
+    }
+
+    /// Takes over the targets of a configuration; what is known of those that stay is kept.
+    pub fn apply(&self, view: &ConfigView) {
+        let listings = view
+            .manifests
+            .values()
+            .flat_map(|manifest| &manifest.shards)
+            .flat_map(|entry| &entry.replicas)
+            .map(|replica| TargetListing {
+                target: replica.target.clone(),
+                domain: replica.domain.clone(),
+                slots: replica.slots,
+                is_draining: view.drains.contains(replica.target.as_str()),
+            });
+        let table = ReplicaTable::build(&self.table.load(), listings, &self.domain);
+        self.table.store(Arc::new(table));
+    }
+
+    /// Gets the targets as they are now; a query keeps this table until its end.
+    #[must_use]
+    pub fn table(&self) -> Arc<ReplicaTable> {
+        self.table.load_full()
+    }
+
+    /// Gets the rules of the choice.
+    #[must_use]
+    pub const fn chooser(&self) -> &ReplicaChooser {
+        &self.chooser
+    }
+
+    /// Gets the clock of what is known.
+    #[must_use]
+    pub const fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    /// Notes first attempts, which earn hedges and retries.
+    pub fn note_sent(&self, attempts: u32) {
+        self.hedging().sent(attempts);
+        self.retries().sent(attempts);
+    }
+
+    /// Gets the service time that is expected of any target, zero where nothing is known.
+    #[must_use]
+    pub fn expected_service(&self, group: &HedgeGroup) -> TimeSpan {
+        self.hedging().expected_service(group).unwrap_or_default()
+    }
+
+    /// Gets the time after which an attempt is hedged; none where it is not.
+    #[must_use]
+    pub fn hedge_delay(&self, group: &HedgeGroup, is_idempotent: bool) -> Option<TimeSpan> {
+        self.hedging().delay(group, is_idempotent)
+    }
+
+    /// Takes a token for a hedge; false where none may be sent.
+    #[must_use]
+    pub fn take_hedge(&self, is_overloaded: bool) -> bool {
+        self.hedging().take(is_overloaded)
+    }
+
+    /// Notes whether a hedge was refused for want of a free slot.
+    pub fn note_hedge(&self, is_refused: bool) {
+        self.hedging().hedge_ended(is_refused);
+    }
+
+    /// Notes the latency of an answered attempt and its time at the target.
+    pub fn note_answer(&self, group: &HedgeGroup, latency: TimeSpan, service: TimeSpan) {
+        self.hedging().answered(group, latency, service);
+    }
+
+    /// Decides whether an attempt that ended is sent again.
+    #[must_use]
+    pub fn decide_retry(&self, ended: EndedAttempt) -> RetryDecision {
+        let now = self.clock.now();
+        retry::decide(ended, &mut self.retries(), now)
+    }
+
+    fn hedging(&self) -> MutexGuard<'_, HedgePolicy> {
+        self.hedging.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/alderhaven-entry/src/running_query.rs
@@ -0,0 +1,514 @@
+//! One query on one snapshot, between its scatter and its answer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use alderhaven_core::class::AnswerPreference;
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason, QueryOutcome};
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_peer::frames::{CancelledAttempt, ScatterAttempt, ScatterRequest};
+use alderhaven_policy::hedging::HedgeGroup;
+use alderhaven_policy::query_gather::{GatherEvent, QueryGather};
+use alderhaven_policy::replica_choice::AttemptSample;
+use alderhaven_policy::replica_table::{ReplicaTable, TargetIndex};
+use alderhaven_policy::retry::{EndedAttempt, RetryDecision};
+use alderhaven_policy::row_merge;
+use serde_json::value::RawValue;
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time;
+
+use crate::admission_pass::AdmissionPass;
+use crate::answer::{AnswerTiming, ErrorAnswer, ErrorCode, QueryAnswer};
+use crate::query_plan::QueryPlan;
+use crate::query_runner::QueryRunner;
+use crate::relay_link::{LinkReply, RelayLink, ReplySink};
+
+type Indexes = SmallVec<[TargetIndex; 4]>;
+
+/// A `RunningQuery` is one query between scatter and answer.
+pub(crate) struct RunningQuery<'a> {
+    runner: &'a QueryRunner,
+    plan: &'a QueryPlan,
+    pass: &'a mut AdmissionPass,
+    group: HedgeGroup,
+    table: Arc<ReplicaTable>,
+    expected: TimeSpan,
+    gather: QueryGather,
+    sink: ReplySink,
+    placed: HashMap<u64, PlacedAttempt>,
+    slowest_target: TimeSpan,
+}
+
+/// A `PlacedAttempt` is an attempt whose end has not been heard of.
+struct PlacedAttempt {
+    link: Arc<RelayLink>,
+    index: TargetIndex,
+    sent_at: TimePoint,
+    is_hedge: bool,
+}
+
+/// A `ChosenReplica` is where an attempt goes, and through which relay.
+struct ChosenReplica {
+    replica: usize,
+    index: TargetIndex,
+    link: Arc<RelayLink>,
+}
+
+/// The times at which a running query does something without a reply.
+struct QueryTimers {
+    expires: Instant,
+    /// When a latency-first query answers with what it has.
+    answer_by: Option<Instant>,
+    /// When attempts that are still under way are hedged.
+    hedge_at: Option<Instant>,
+    hedge_delay: TimeSpan,
+}
+
+impl<'a> RunningQuery<'a> {
+    /// Scatters a query and gathers until it is settled.
+    pub(crate) async fn run(
+        runner: &'a QueryRunner,
+        plan: &'a QueryPlan,
+        pass: &'a mut AdmissionPass,
+    ) -> Self {
+        let (sink, replies) = mpsc::unbounded_channel();
+        let group = HedgeGroup {
+            service: plan.template.service.clone(),
+            template: plan.template.name.clone(),
+        };
+        let is_idempotent = plan.template.idempotent;
+        let manifest = Arc::clone(&plan.manifest);
+        let mut query = Self {
+            runner,
+            plan,
+            pass,
+            table: runner.board.table(),
+            expected: runner.board.expected_service(&group),
+            group,
+            gather: QueryGather::new(manifest, &plan.positions, is_idempotent),
+            sink,
+            placed: HashMap::with_capacity(plan.positions.len()),
+            slowest_target: TimeSpan::ZERO,
+        };
+        let slots: Vec<usize> = (0..plan.positions.len()).collect();
+        runner
+            .board
+            .note_sent(u32::try_from(slots.len()).unwrap_or(u32::MAX));
+        query.scatter(&slots, false);
+        query.gather(replies).await;
+        query
+    }
+
+    /// Begins one attempt at each of the slots' shards, grouped by relay.
+    ///
+    /// A shard without a replica to try is given up, but for a hedge, whose first attempt is still
+    /// under way.
+    fn scatter(&mut self, slots: &[usize], is_hedge: bool) {
+        let now = self.runner.board.clock().now();
+        let mut requests: HashMap<SocketAddr, (Arc<RelayLink>, ScatterRequest)> = HashMap::new();
+        for slot in slots.iter().copied() {
+            let Some(chosen) = self.choose(slot, now) else {
+                if !is_hedge {
+                    let reason = self.gather.missing_reason(slot);
+                    self.gather.give_up(slot, reason);
+                }
+                continue;
+            };
+            let sequence = self.begin(slot, &chosen, is_hedge, now);
+            let attempt = self.attempt(slot, chosen.replica, sequence);
+            requests
+                .entry(chosen.link.address())
+                .or_insert_with(|| (chosen.link, self.request(is_hedge)))
+                .1
+                .attempts
+                .push(attempt);
+        }
+        for (link, request) in requests.into_values() {
+            self.send(&link, request);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        slot: usize,
+        chosen: &ChosenReplica,
+        is_hedge: bool,
+        now: TimePoint,
+    ) -> u64 {
+        let runner = self.runner;
+        let sequence = runner.next_sequence();
+        self.gather.begin_attempt(slot, chosen.replica, sequence);
+        runner.board.chooser().sent(&self.table, chosen.index);
+        runner.metrics.attempts.inc();
+        if is_hedge {
+            runner.metrics.hedges.inc();
+        }
+        self.placed.insert(
+            sequence,
+            PlacedAttempt {
+                link: Arc::clone(&chosen.link),
+                index: chosen.index,
+                sent_at: now,
+                is_hedge,
+            },
+        );
+        sequence
+    }
+
+    fn send(&self, link: &RelayLink, request: ScatterRequest) {
+        let sequences: Vec<u64> = request
+            .attempts
+            .iter()
+            .map(|attempt| attempt.sequence)
+            .collect();
+        if !link.scatter(request, &self.sink) {
+            for sequence in sequences {
+                let _always_open = self.sink.send(LinkReply::not_sent(sequence));
+            }
+        }
+    }
+
+    /// Chooses a replica that was not tried yet, and the relay to reach it through.
+    fn choose(&self, slot: usize, now: TimePoint) -> Option<ChosenReplica> {
+        let entry = self.gather.entry(slot);
+        let usable: SmallVec<[(TargetIndex, usize, Arc<RelayLink>); 4]> = entry
+            .replicas
+            .iter()
+            .enumerate()
+            .filter(|(_, replica)| !self.runner.watch.is_leaving(replica.target.as_str()))
+            .filter_map(|(place, replica)| {
+                let index = self.table.index_of(&replica.target)?;
+                let link = self.runner.routes.route(&replica.target)?;
+                Some((index, place, link))
+            })
+            .collect();
+        let indexes: Indexes = usable.iter().map(|(index, _, _)| *index).collect();
+        let chosen = self.runner.board.chooser().choose(
+            &self.table,
+            &indexes,
+            &self.tried(slot),
+            self.expected,
+            now,
+            rand::random(),
+        )?;
+        let (index, replica, link) = usable.into_iter().find(|(index, _, _)| *index == chosen)?;
+        Some(ChosenReplica {
+            replica,
+            index,
+            link,
+        })
+    }
+
+    /// Gets the replicas that a further attempt must not go to.
+    ///
+    /// One that merely had no free slot for a hedge has not been tried.
+    fn tried(&self, slot: usize) -> Indexes {
+        let no_slot = Some(AttemptOutcome::NotRun(NotRunReason::QueueFull));
+        self.gather
+            .attempts(slot)
+            .iter()
+            .enumerate()
+            .filter(|(place, attempt)| *place == 0 || attempt.outcome != no_slot)
+            .filter_map(|(_, attempt)| {
+                let target = &self.gather.entry(slot).replicas[attempt.replica].target;
+                self.table.index_of(target)
+            })
+            .collect()
+    }
+
+    fn request(&self, is_hedge: bool) -> ScatterRequest {
+        let plan = self.plan;
+        let remaining = plan.expires().saturating_duration_since(Instant::now());
+        ScatterRequest {
+            origin: self.runner.origin(),
+            service: plan.template.service.to_string(),
+            template: plan.template.name.to_string(),
+            parameters: plan.parameters.clone(),
+            snapshot: plan.manifest.snapshot.0,
+            class: u32::from(self.pass.class().rank()),
+            order: self.pass.order(plan),
+            remaining_us: TimeSpan::from(remaining).as_micros(),
+            idempotent: plan.template.idempotent,
+            attempts: Vec::new(),
+            hedge: is_hedge,
+        }
+    }
+
+    fn attempt(&self, slot: usize, replica: usize, sequence: u64) -> ScatterAttempt {
+        let entry = self.gather.entry(slot);
+        let replica = &entry.replicas[replica];
+        ScatterAttempt {
+            sequence,
+            shard: entry.shard.0,
+            version: entry.version.0,
+            target: replica.target.to_string(),
+            address: replica.address.to_string(),
+            slots: replica.slots,
+            connections: replica.connections,
+        }
+    }
+
+    /// Takes replies until every shard is settled or the time is up.
+    async fn gather(&mut self, mut replies: UnboundedReceiver<LinkReply>) {
+        let mut timers = self.timers();
+        while !self.gather.is_settled() && !self.needs_newer_snapshot() {
+            tokio::select! {
+                reply = replies.recv() => {
+                    if let Some(reply) = reply {
+                        self.take(reply);
+                    }
+                }
+                () = time::sleep_until(timers.next().into()) => self.wake(&mut timers),
+            }
+            if timers.answer_by.is_none() && self.is_covered_enough() {
+                self.gather.give_up_open();
+            }
+        }
+    }
+
+    fn timers(&self) -> QueryTimers {
+        let plan = self.plan;
+        let answer_by = match plan.template.preference {
+            AnswerPreference::Coverage => None,
+            AnswerPreference::Latency => plan.template.answer_by,
+        };
+        let is_idempotent = plan.template.idempotent;
+        let delay = self.runner.board.hedge_delay(&self.group, is_idempotent);
+        QueryTimers {
+            expires: plan.expires(),
+            answer_by: answer_by.map(|span| plan.arrived + span.as_duration()),
+            hedge_at: delay.map(|delay| Instant::now() + delay.as_duration()),
+            hedge_delay: delay.unwrap_or_default(),
+        }
+    }
+
+    /// Does what is due by the time.
+    fn wake(&mut self, timers: &mut QueryTimers) {
+        let now = Instant::now();
+        if now >= timers.expires {
+            self.gather.give_up_open();
+            return;
+        }
+        if timers.answer_by.is_some_and(|at| now >= at) {
+            timers.answer_by = None;
+        }
+        if timers.hedge_at.is_some_and(|at| now >= at) {
+            self.hedge();
+            // A hedge that found no free slot is tried again after the same time.
+            timers.hedge_at = Some(now + timers.hedge_delay.as_duration());
+        }
+    }
+
+    /// Sends second attempts for the shards whose only attempt is still under way.
+    fn hedge(&mut self) {
+        let is_overloaded = self.pass.is_overloaded();
+        let board = Arc::clone(&self.runner.board);
+        let late: Vec<usize> = self
+            .gather
+            .open_slots()
+            .filter(|slot| self.under_way_at(*slot) == 1 && self.has_untried(*slot))
+            .collect();
+        let hedged: Vec<usize> = late
+            .into_iter()
+            .take_while(|_| board.take_hedge(is_overloaded))
+            .collect();
+        if !hedged.is_empty() {
+            self.scatter(&hedged, true);
+        }
+    }
+
+    fn under_way_at(&self, slot: usize) -> usize {
+        self.gather
+            .attempts(slot)
+            .iter()
+            .filter(|attempt| attempt.outcome.is_none())
+            .count()
+    }
+
+    fn has_untried(&self, slot: usize) -> bool {
+        self.tried(slot).len() < self.gather.entry(slot).replicas.len()
+    }
+
+    fn is_covered_enough(&self) -> bool {
+        let template = &self.plan.template;
+        template.preference == AnswerPreference::Latency
+            && template
+                .min_coverage
+                .is_some_and(|share| self.gather.covered_share() >= share.as_f64())
+    }
+
+    /// Returns true where the query can only be answered in full on a newer snapshot.
+    pub(crate) fn needs_newer_snapshot(&self) -> bool {
+        self.plan.template.idempotent && self.gather.is_version_gone()
+    }
+
+    fn take(&mut self, reply: LinkReply) {
+        self.slowest_target = self.slowest_target.max(reply.service);
+        self.pass.note_reply(&reply);
+        self.note_ended(&reply);
+        match self.gather.accept(reply.sequence, reply.result) {
+            GatherEvent::AttemptOver {
+                slot,
+                outcome,
+                others_under_way: false,
+            } => self.retry(slot, outcome),
+            GatherEvent::Stray => {
+                self.runner.metrics.stray_replies.inc();
+            }
+            GatherEvent::ShardAnswered { .. } | GatherEvent::AttemptOver { .. } => {}
+        }
+    }
+
+    /// Learns from the end of an attempt.
+    fn note_ended(&mut self, reply: &LinkReply) {
+        let Some(placed) = self.placed.remove(&reply.sequence) else {
+            return;
+        };
+        let board = &self.runner.board;
+        let now = board.clock().now();
+        let outcome = reply.result.outcome;
+        if placed.is_hedge {
+            board.note_hedge(outcome == AttemptOutcome::NotRun(NotRunReason::QueueFull));
+        }
+        let sample = match outcome {
+            AttemptOutcome::Answered => AttemptSample::Answered {
+                service: reply.service,
+                expected: self.expected,
+            },
+            AttemptOutcome::Failed | AttemptOutcome::Unknown => AttemptSample::Failed,
+            AttemptOutcome::NotRun(_) | AttemptOutcome::VersionGone => AttemptSample::NotRun,
+        };
+        if outcome == AttemptOutcome::Answered {
+            board.note_answer(&self.group, now.since(placed.sent_at), reply.service);
+        }
+        if let Some(entry) = self.table.get(placed.index) {
+            if outcome == AttemptOutcome::NotRun(NotRunReason::Draining) {
+                self.runner.watch.note_reply(&entry.target);
+            }
+            let is_ejected = board
+                .chooser()
+                .finished(entry, sample, Some(reply.wait), now);
+            if is_ejected {
+                self.runner.metrics.ejections.inc();
+            }
+        }
+    }
+
+    /// Tries another replica where that can do no harm and there is time and budget for it.
+    fn retry(&mut self, slot: usize, outcome: AttemptOutcome) {
+        let tried = self.tried(slot).len();
+        let retries = self.gather.attempts(slot).len().saturating_sub(1);
+        let board = &self.runner.board;
+        let decision = board.decide_retry(EndedAttempt {
+            outcome,
+            is_idempotent: self.plan.template.idempotent,
+            retries: u32::try_from(retries).unwrap_or(u32::MAX),
+            untried: self.gather.entry(slot).replicas.len().saturating_sub(tried),
+            expected: self.expected,
+            deadline: board.clock().point(self.plan.expires()),
+        });
+        match decision {
+            RetryDecision::Retry => {
+                self.runner.metrics.retries.inc();
+                self.scatter(&[slot], false);
+            }
+            RetryDecision::GiveUp(_) => {
+                let reason = self.gather.missing_reason(slot);
+                self.gather.give_up(slot, reason);
+            }
+        }
+    }
+
+    /// Makes the answer.
+    pub(crate) fn finish(self) -> Result<QueryAnswer, ErrorAnswer> {
+        let coverage = self.gather.coverage();
+        let outcome = self.gather.outcome();
+        let error = match outcome {
+            QueryOutcome::Complete | QueryOutcome::Partial => None,
+            QueryOutcome::Refused => Some(
+                ErrorAnswer::not_run(ErrorCode::Overloaded, "no target took the query")
+                    .with_retry_after(self.plan.deadline),
+            ),
+            QueryOutcome::Failed => Some(ErrorAnswer::may_have_run(
+                ErrorCode::Failed,
+                "no shard answered in time; the query may be repeated",
+            )),
+            QueryOutcome::Unknown => Some(ErrorAnswer::may_have_run(
+                ErrorCode::Unknown,
+                "the request may or may not have run",
+            )),
+        };
+        if let Some(error) = error {
+            return Err(error.with_coverage(coverage));
+        }
+        let merged = row_merge::merge(&self.plan.template.merge, self.gather.rows());
+        let rows = RawValue::from_string(merged).map_err(|error| {
+            ErrorAnswer::may_have_run(ErrorCode::Failed, format!("rows don't merge: {error}"))
+        })?;
+        Ok(QueryAnswer {
+            outcome,
+            rows,
+            coverage,
+            snapshot: self.plan.manifest.snapshot,
+            timing: AnswerTiming {
+                total_us: TimeSpan::from(self.plan.arrived.elapsed()).as_micros(),
+                slowest_target_us: self.slowest_target.as_micros(),
+                attempts: self.gather.attempt_count(),
+            },
+        })
+    }
+
+    /// Cancels the attempts under way and learns from how long they have taken.
+    fn cancel_under_way(&mut self) {
+        let now = self.runner.board.clock().now();
+        let mut by_link: HashMap<SocketAddr, (Arc<RelayLink>, Vec<CancelledAttempt>)> =
+            HashMap::new();
+        for (sequence, placed) in self.placed.drain() {
+            let Some(entry) = self.table.get(placed.index) else {
+                continue;
+            };
+            let waited = entry.gauge.wait(now);
+            let sample = AttemptSample::Unfinished {
+                elapsed: now.since(placed.sent_at).saturating_sub(waited),
+                expected: self.expected,
+            };
+            let _never_ejects = self
+                .runner
+                .board
+                .chooser()
+                .finished(entry, sample, None, now);
+            by_link
+                .entry(placed.link.address())
+                .or_insert_with(|| (Arc::clone(&placed.link), Vec::new()))
+                .1
+                .push(CancelledAttempt {
+                    sequence,
+                    target: entry.target.to_string(),
+                });
+        }
+        for (link, attempts) in by_link.into_values() {
+            link.cancel(self.runner.origin(), attempts);
+        }
+    }
+}
+
+impl QueryTimers {
+    /// Gets the next time at which something is due.
+    fn next(&self) -> Instant {
+        [self.answer_by, self.hedge_at]
+            .into_iter()
+            .flatten()
+            .fold(self.expires, Instant::min)
+    }
+}
+
+impl Drop for RunningQuery<'_> {
+    /// Cancels what is under way, also where the caller has gone away and dropped the query.
+    fn drop(&mut self) {
+        self.cancel_under_way();
+    }
+}
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -11,6 +11,8 @@
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
+use crate::replica_board::BoardOptions;
+
 /// The least and the greatest limit on a body.
 const BODY_RANGE: (ByteSize, ByteSize) = (ByteSize::from_kib(1), ByteSize::from_kib(1024));
 /// The least and the greatest limit on a head; hyper needs 8 KB at least.
@@ -46,6 +48,9 @@
     /// The admission of queries.
     #[serde(default)]
     pub admission: AdmissionOptions,
+    /// The choices of replicas, hedges and retries.
+    #[serde(default)]
+    pub choices: BoardOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
