--- a/alderhaven-policy/src/admission.rs
+++ b/alderhaven-policy/src/admission.rs
@@ -9,7 +9,7 @@
 //!
 //! The rules:
 //! - Whole queries are shed, before the fan-out. What is in flight per service is bounded by
-//!   [`ServiceCapacity`], which is found from what ended queries report.
+//!   [`crate::service_capacity::ServiceCapacity`], which is found from what ended queries report.
 //! - Waiting queries go by class, then fairly by team weight, then by key ([`crate::fair_queue`]).
 //! - A query whose estimated wait exceeds its class's share of its time, or whose wait and latency
 //!   together exceed its time, is refused on arrival, with when to come back, spread by jitter so
--- a/alderhaven-policy/src/admit_decision.rs
+++ b/alderhaven-policy/src/admit_decision.rs
@@ -71,7 +71,7 @@
 pub enum AdmitDecision {
     /// It runs now.
     Admit(AdmitTicket),
-    /// It waits; [`AdmissionGate::next_ready`] will name it.
+    /// It waits; [`crate::admission::AdmissionGate::next_ready`] will name it.
     Queue,
     /// It is refused for good.
     Refuse(Refusal),
