Claim ledger: buckets in a ring of time slices, group commit, release

Cause: a request that may not be repeated needs a record that outlives every entry, and the store takes a few hundred writes a second for everybody.

Change: ClaimBucket (claims of a time slice, horizon moved in the same update that prunes), ClaimBatcher (many claims a write, paced; a lost reply is read back; a write that can't be resolved is never dispatched, and is written out until the bucket's version has passed it), ClaimVerdict, ClaimOptions.

What the fuzzer found at first was two faults of the test's own world: a pause that it did not wait for, and a doubled call that took effect after the store had said that it did nothing.

--- /dev/null
+++ b/alderhaven-policy/src/claim_batcher.rs
@@ -0,0 +1,313 @@
+//! The claims of one process on the ledger: which calls to the store they need, and when.
+//!
+//! Load pattern: up to hundreds of claims a second in bursts, against a store that takes several
+//! hundred writes a second for everything and everybody, and that is at times slow or out of
+//! service. With one write a claim, the claims of one team would use up the rate of all. Here many
+//! claims share a write: the first claim after a quiet time is written at once; when writes come
+//! faster than the entry's share, the next one waits for its turn and takes along what has come
+//! meanwhile. The batch interval is thus zero at low load and grows to the inverse of the share.
+//!
+//! While the store is out of service, claims are refused at once instead of being held until their
+//! time is up; one claim after each pause finds out whether it is back.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use serde::Serialize;
+
+use crate::claim_bucket::ClaimWriter;
+use crate::claim_call::{ClaimAction, ClaimCall, ClaimReply};
+use crate::claim_fingerprint::ClaimFingerprint;
+use crate::claim_id::ClaimId;
+use crate::claim_key::ClaimKey;
+use crate::claim_lane::{ClaimLane, LaneClaim, LaneEnd, LaneNeed, LaneVerdicts};
+use crate::claim_options::ClaimOptions;
+use crate::claim_slot::ClaimSlot;
+use crate::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
+use crate::token_bucket::TokenBucket;
+
+/// The most lanes that are kept though they have nothing to do: their buckets are likely to be
+/// claimed in again, and a kept bucket saves a read.
+const MAX_IDLE_LANES: usize = 8;
+
+/// A `ClaimBatcher` turns tries to claim keys into calls to the store, and replies into verdicts.
+#[derive(Debug)]
+pub struct ClaimBatcher {
+    writer: ClaimWriter,
+    options: ClaimOptions,
+    lanes: BTreeMap<ClaimSlot, ClaimLane>,
+    pacer: TokenBucket,
+    next_sequence: u64,
+    /// The number of tries without a verdict.
+    waiting: usize,
+    write_at: TimePoint,
+    pause: Option<StorePause>,
+    verdicts: LaneVerdicts,
+    counts: ClaimCounts,
+}
+
+/// A `StorePause` is a time in which the store is left alone.
+#[derive(Clone, Copy, Debug)]
+struct StorePause {
+    until: TimePoint,
+    span: TimeSpan,
+    /// Whether claims are refused meanwhile, or wait.
+    refuses: bool,
+}
+
+/// A `ClaimCounts` counts what a batcher did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ClaimCounts {
+    /// Tries to claim a key.
+    pub offered: u64,
+    /// Claims that were granted.
+    pub granted: u64,
+    /// Reads of buckets.
+    pub reads: u64,
+    /// Writes of buckets that were begun.
+    pub writes: u64,
+    /// Writes that took effect.
+    pub written: u64,
+    /// The bytes of those writes.
+    pub written_bytes: u64,
+    /// Writes that another writer was before.
+    pub conflicts: u64,
+    /// Calls whose answer was lost.
+    pub lost_replies: u64,
+    /// Calls that the store, or the process's budget, refused.
+    pub not_done: u64,
+    /// Buckets that can't be read, and buckets older than one seen before.
+    pub broken: u64,
+}
+
+impl ClaimBatcher {
+    /// Returns a batcher; the writer's origin must be random, so that claims don't recur.
+    #[must_use]
+    pub fn new(writer: ClaimWriter, options: ClaimOptions, now: TimePoint) -> Self {
+        Self {
+            writer,
+            lanes: BTreeMap::new(),
+            pacer: TokenBucket::new(options.writes, f64::from(options.burst), now),
+            options,
+            next_sequence: 1,
+            waiting: 0,
+            write_at: now,
+            pause: None,
+            verdicts: Vec::new(),
+            counts: ClaimCounts::default(),
+        }
+    }
+
+    /// Gets the counts.
+    #[must_use]
+    pub const fn counts(&self) -> ClaimCounts {
+        self.counts
+    }
+
+    /// Gets the number of tries without a verdict.
+    #[must_use]
+    pub const fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Gets the number of claims that are still to be taken back.
+    #[must_use]
+    pub fn releases(&self) -> usize {
+        self.lanes.values().map(ClaimLane::release_count).sum()
+    }
+
+    /// Tries to claim a key until `deadline`; exactly one verdict follows.
+    pub fn offer(
+        &mut self,
+        key: ClaimKey,
+        fingerprint: ClaimFingerprint,
+        deadline: TimePoint,
+        now: TimePoint,
+    ) -> ClaimTicket {
+        let id = ClaimId {
+            origin: self.writer.origin,
+            sequence: self.next_sequence,
+        };
+        self.next_sequence += 1;
+        self.counts.offered += 1;
+        let ticket = ClaimTicket { key, id };
+        self.waiting += 1;
+        if let Some((reason, retry_after)) = self.refusal(now) {
+            let verdict = ClaimVerdict::Refused {
+                reason,
+                retry_after,
+            };
+            self.verdicts.push((ticket, verdict));
+            return ticket;
+        }
+        let claim_by = deadline.min(now + self.options.claim_timeout);
+        let claim = LaneClaim::new(ticket, fingerprint, claim_by);
+        self.lane(ClaimSlot::of(&key)).offer(claim, now);
+        ticket
+    }
+
+    /// Takes a granted claim back. To be called only with evidence that the request did not run.
+    pub fn release(&mut self, ticket: ClaimTicket) {
+        self.lane(ClaimSlot::of(&ticket.key)).release(ticket);
+    }
+
+    /// Gets the next call to make now; to be repeated until there is none.
+    pub fn poll(&mut self, now: TimePoint) -> Option<ClaimCall> {
+        let retry = self.options.least_pause;
+        let is_paused = self.pause.is_some_and(|pause| now < pause.until);
+        let mut call = None;
+        for (slot, lane) in &mut self.lanes {
+            lane.give_up(now, retry, &mut self.verdicts);
+            let need = lane.need(now, retry, &mut self.verdicts);
+            if need == LaneNeed::Nothing || is_paused || call.is_some() {
+                continue;
+            }
+            if !lane.has_turn() {
+                if now < self.write_at {
+                    continue;
+                }
+                if let Err(wait) = self.pacer.take(now) {
+                    self.write_at = now + wait;
+                    continue;
+                }
+                lane.give_turn();
+            }
+            call = lane.begin(need, &self.writer).map(|action| ClaimCall {
+                slot: *slot,
+                action,
+            });
+        }
+        self.count_call(call.as_ref());
+        self.drop_idle_lanes();
+        call
+    }
+
+    /// Takes the reply to a call.
+    pub fn finish(&mut self, slot: ClaimSlot, reply: ClaimReply, now: TimePoint) {
+        if matches!(reply, ClaimReply::Conflict(_)) {
+            self.counts.conflicts += 1;
+        }
+        let Some(lane) = self.lanes.get_mut(&slot) else {
+            return;
+        };
+        match lane.finish(reply, now, &mut self.verdicts) {
+            LaneEnd::Answered => self.pause = None,
+            LaneEnd::Written => {
+                self.pause = None;
+                self.counts.written += 1;
+            }
+            LaneEnd::NotDone(Some(retry_after)) => {
+                self.counts.not_done += 1;
+                self.pause = Some(StorePause {
+                    until: now + retry_after,
+                    span: retry_after,
+                    refuses: false,
+                });
+            }
+            LaneEnd::NotDone(None) => {
+                self.counts.not_done += 1;
+                let pause = self.begin_pause(true, now);
+                self.refuse_all(ClaimRefusal::StoreDown, pause);
+            }
+            LaneEnd::Lost => {
+                self.counts.lost_replies += 1;
+                self.begin_pause(false, now);
+            }
+            LaneEnd::Broken => {
+                self.counts.broken += 1;
+                let retry = self.begin_pause(false, now);
+                if let Some(lane) = self.lanes.get_mut(&slot) {
+                    lane.refuse_waiting(ClaimRefusal::LedgerBroken, retry, &mut self.verdicts);
+                }
+            }
+        }
+    }
+
+    /// Takes the verdicts that were reached.
+    #[must_use]
+    pub fn take_verdicts(&mut self) -> Vec<(ClaimTicket, ClaimVerdict)> {
+        let verdicts = std::mem::take(&mut self.verdicts);
+        self.waiting = self.waiting.saturating_sub(verdicts.len());
+        let granted = verdicts
+            .iter()
+            .filter(|(_, verdict)| matches!(verdict, ClaimVerdict::Granted(_)))
+            .count();
+        self.counts.granted += granted as u64;
+        verdicts
+    }
+
+    /// Gets the time at which [`Self::poll`] may have more to do without another event.
+    #[must_use]
+    pub fn next_wake(&self, now: TimePoint) -> Option<TimePoint> {
+        let give_up = self
+            .lanes
+            .values()
+            .filter_map(ClaimLane::next_give_up)
+            .min();
+        let has_work = self.lanes.values().any(|lane| !lane.is_idle());
+        let paused = self.pause.map(|pause| pause.until);
+        let turn = [Some(self.write_at), paused]
+            .into_iter()
+            .flatten()
+            .filter(|point| has_work && *point > now)
+            .min();
+        [give_up, turn].into_iter().flatten().min()
+    }
+
+    const fn count_call(&mut self, call: Option<&ClaimCall>) {
+        let Some(call) = call else { return };
+        match &call.action {
+            ClaimAction::Read => self.counts.reads += 1,
+            ClaimAction::Write { body, .. } => {
+                self.counts.writes += 1;
+                self.counts.written_bytes += body.len() as u64;
+            }
+        }
+    }
+
+    fn lane(&mut self, slot: ClaimSlot) -> &mut ClaimLane {
+        self.lanes.entry(slot).or_default()
+    }
+
+    fn refusal(&self, now: TimePoint) -> Option<(ClaimRefusal, TimeSpan)> {
+        if self.waiting > self.options.max_waiting {
+            return Some((ClaimRefusal::Busy, self.options.least_pause));
+        }
+        self.pause
+            .filter(|pause| pause.refuses && now < pause.until)
+            .map(|pause| (ClaimRefusal::StoreDown, now.until(pause.until)))
+    }
+
+    fn begin_pause(&mut self, refuses: bool, now: TimePoint) -> TimeSpan {
+        let span = self.pause.map_or(self.options.least_pause, |pause| {
+            (pause.span + pause.span).min(self.options.longest_pause)
+        });
+        self.pause = Some(StorePause {
+            until: now + span,
+            span,
+            refuses,
+        });
+        span
+    }
+
+    fn refuse_all(&mut self, reason: ClaimRefusal, retry: TimeSpan) {
+        for lane in self.lanes.values_mut() {
+            lane.refuse_waiting(reason, retry, &mut self.verdicts);
+        }
+    }
+
+    /// Drops the lanes that have nothing to do and were claimed in the longest time ago.
+    fn drop_idle_lanes(&mut self) {
+        let mut idle: Vec<(TimePoint, ClaimSlot)> = self
+            .lanes
+            .iter()
+            .filter(|(_, lane)| lane.is_idle())
+            .map(|(slot, lane)| (lane.used(), *slot))
+            .collect();
+        idle.sort_unstable();
+        let surplus = idle.len().saturating_sub(MAX_IDLE_LANES);
+        for (_, slot) in idle.into_iter().take(surplus) {
+            self.lanes.remove(&slot);
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/claim_key.rs
@@ -0,0 +1,64 @@
+//! The idempotency key of a request that may run at most once.
+
+use std::fmt;
+use std::str::FromStr;
+
+use alderhaven_core::errors::{Error, Result};
+use serde::{Deserialize, Serialize};
+use uuid::{Uuid, Variant};
+
+/// The bits of a `UUIDv7` below its time.
+const BITS_BELOW_TIME: u32 = 80;
+
+/// A `ClaimKey` is a caller's idempotency key, a `UUIDv7`.
+///
+/// Its embedded time says which bucket remembers it, and with that for how long. The time is the
+/// caller's; nothing's safety rests on it being right.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ClaimKey(Uuid);
+
+impl ClaimKey {
+    /// Returns the key of a time, in milliseconds since the Unix epoch, and random bits.
+    #[must_use]
+    pub fn new(millis: u64, random: [u8; 10]) -> Self {
+        Self(uuid::Builder::from_unix_timestamp_millis(millis, &random).into_uuid())
+    }
+
+    /// Gets the embedded time in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn millis(&self) -> u64 {
+        u64::try_from(self.0.as_u128() >> BITS_BELOW_TIME).unwrap_or(u64::MAX)
+    }
+}
+
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.simple().fmt(formatter)
+    }
+}
+
+impl FromStr for ClaimKey {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || Error::parse("idempotency key", text, "a UUID of version 7");
+        let uuid = Uuid::parse_str(text).map_err(|_| bad())?;
+        let is_v7 = uuid.get_version_num() == 7 && uuid.get_variant() == Variant::RFC4122;
+        if is_v7 { Ok(Self(uuid)) } else { Err(bad()) }
+    }
+}
+
+impl TryFrom<String> for ClaimKey {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<ClaimKey> for String {
+    fn from(key: ClaimKey) -> Self {
+        key.to_string()
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/claim_lane.rs
@@ -0,0 +1,476 @@
+//! The claims of one process on one bucket: which of them wait, are being written or taken back.
+//!
+//! One call is under way at a time. What waits meanwhile goes into the next write together, so that
+//! the number of writes does not grow with the number of claims.
+//!
+//! A write whose answer is lost leaves three cases: it took effect, it never will, or it is still
+//! on its way. A read tells only the first from the others. The lane therefore goes on as follows:
+//! a claim that the read shows is granted; one that it doesn't show is written again over the
+//! version that was read, so that the store itself decides between the old write and the new one.
+//! A claim that is given up on in that state is written out of the bucket, and that is only over
+//! once the bucket's version has moved past the one that the lost write expected.
+
+use std::mem;
+
+use alderhaven_core::config_object::StoredObject;
+use alderhaven_core::errors::Result;
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+
+use crate::claim_bucket::{BucketVerdict, ClaimBucket, ClaimWriter};
+use crate::claim_call::{ClaimAction, ClaimReply};
+use crate::claim_fingerprint::ClaimFingerprint;
+use crate::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
+
+/// A `LaneClaim` is one try to claim a key.
+#[derive(Clone, Debug)]
+pub(crate) struct LaneClaim {
+    pub ticket: ClaimTicket,
+    pub fingerprint: ClaimFingerprint,
+    /// The time at which the try is given up on.
+    pub claim_by: TimePoint,
+    /// The number of the lane's last call before the try came.
+    offered: u64,
+    /// The version that a lost write of this claim expected; that write may still take effect as
+    /// long as the bucket has this version.
+    lost_at: Option<StoreVersion>,
+    /// Whether the try was refused while a write with it was under way.
+    is_abandoned: bool,
+}
+
+/// A `LaneRelease` is a claim that is to be taken out of the bucket.
+#[derive(Clone, Copy, Debug)]
+struct LaneRelease {
+    ticket: ClaimTicket,
+    /// The version past which no lost write can bring the claim in any more.
+    lost_at: Option<StoreVersion>,
+}
+
+#[derive(Debug)]
+struct SeenBucket {
+    version: StoreVersion,
+    bucket: ClaimBucket,
+    /// The number of the call that showed it.
+    call: u64,
+    /// When it was shown.
+    at: TimePoint,
+}
+
+#[derive(Debug)]
+enum LaneFlight {
+    Read,
+    Write {
+        expected: StoreVersion,
+        bucket: ClaimBucket,
+        claims: Vec<LaneClaim>,
+        releases: Vec<LaneRelease>,
+    },
+}
+
+/// A `LaneNeed` says what call a lane wants to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LaneNeed {
+    Nothing,
+    Read,
+    Write,
+}
+
+/// A `ClaimLane` is the state of one process towards one bucket.
+#[derive(Debug, Default)]
+pub(crate) struct ClaimLane {
+    seen: Option<SeenBucket>,
+    calls: u64,
+    waiting: Vec<LaneClaim>,
+    releases: Vec<LaneRelease>,
+    flight: Option<LaneFlight>,
+    must_read: bool,
+    has_turn: bool,
+    used: TimePoint,
+}
+
+impl LaneClaim {
+    pub(crate) const fn new(
+        ticket: ClaimTicket,
+        fingerprint: ClaimFingerprint,
+        claim_by: TimePoint,
+    ) -> Self {
+        Self {
+            ticket,
+            fingerprint,
+            claim_by,
+            offered: 0,
+            lost_at: None,
+            is_abandoned: false,
+        }
+    }
+
+    fn refuse(&self, reason: ClaimRefusal, retry_after: TimeSpan) -> (ClaimTicket, ClaimVerdict) {
+        let verdict = ClaimVerdict::Refused {
+            reason,
+            retry_after,
+        };
+        (self.ticket, verdict)
+    }
+
+    const fn release(&self) -> LaneRelease {
+        LaneRelease {
+            ticket: self.ticket,
+            lost_at: self.lost_at,
+        }
+    }
+}
+
+/// How long a bucket that was seen is taken as the newest. Other entries write the same bucket, and
+/// a read before the write costs less than a write that comes to nothing.
+const FRESH_FOR: TimeSpan = TimeSpan::from_millis(10);
+
+/// The verdicts that a step of a lane gives.
+pub(crate) type LaneVerdicts = Vec<(ClaimTicket, ClaimVerdict)>;
+
+impl ClaimLane {
+    pub(crate) fn offer(&mut self, mut claim: LaneClaim, now: TimePoint) {
+        self.used = now;
+        claim.offered = self.calls;
+        self.waiting.push(claim);
+    }
+
+    pub(crate) fn release(&mut self, ticket: ClaimTicket) {
+        let lost_at = None;
+        self.releases.push(LaneRelease { ticket, lost_at });
+    }
+
+    /// Gets when the lane was last claimed in.
+    pub(crate) const fn used(&self) -> TimePoint {
+        self.used
+    }
+
+    /// Returns true where the lane's next write has its place in the rate already.
+    pub(crate) const fn has_turn(&self) -> bool {
+        self.has_turn
+    }
+
+    pub(crate) const fn give_turn(&mut self) {
+        self.has_turn = true;
+    }
+
+    pub(crate) const fn is_idle(&self) -> bool {
+        self.flight.is_none() && self.waiting.is_empty() && self.releases.is_empty()
+    }
+
+    pub(crate) const fn release_count(&self) -> usize {
+        self.releases.len()
+    }
+
+    /// Gets the time at which the next try is given up on.
+    pub(crate) fn next_give_up(&self) -> Option<TimePoint> {
+        let flying = match &self.flight {
+            Some(LaneFlight::Write { claims, .. }) => claims.as_slice(),
+            Some(LaneFlight::Read) | None => &[],
+        };
+        self.waiting
+            .iter()
+            .chain(flying.iter().filter(|claim| !claim.is_abandoned))
+            .map(|claim| claim.claim_by)
+            .min()
+    }
+
+    /// Gives up on the tries whose time has come.
+    pub(crate) fn give_up(&mut self, now: TimePoint, retry: TimeSpan, verdicts: &mut LaneVerdicts) {
+        let (over, waiting): (Vec<_>, Vec<_>) = mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|claim| claim.claim_by <= now);
+        self.waiting = waiting;
+        for claim in over {
+            verdicts.push(claim.refuse(ClaimRefusal::StoreSlow, retry));
+            self.forget(&claim);
+        }
+        if let Some(LaneFlight::Write { claims, .. }) = &mut self.flight {
+            for claim in claims {
+                if claim.claim_by <= now && !claim.is_abandoned {
+                    claim.is_abandoned = true;
+                    verdicts.push(claim.refuse(ClaimRefusal::StoreSlow, retry));
+                }
+            }
+        }
+    }
+
+    /// Refuses every try that waits.
+    pub(crate) fn refuse_waiting(
+        &mut self,
+        reason: ClaimRefusal,
+        retry: TimeSpan,
+        verdicts: &mut LaneVerdicts,
+    ) {
+        for claim in mem::take(&mut self.waiting) {
+            verdicts.push(claim.refuse(reason, retry));
+            self.forget(&claim);
+        }
+    }
+
+    /// Settles what the bucket as seen already tells, and gets the call that is wanted next.
+    pub(crate) fn need(
+        &mut self,
+        now: TimePoint,
+        retry: TimeSpan,
+        verdicts: &mut LaneVerdicts,
+    ) -> LaneNeed {
+        if self.flight.is_some() {
+            return LaneNeed::Nothing;
+        }
+        self.judge(retry, verdicts);
+        if self.waiting.is_empty() && self.releases.is_empty() {
+            LaneNeed::Nothing
+        } else if self.must_read || !self.is_seen_fresh(now) {
+            LaneNeed::Read
+        } else {
+            LaneNeed::Write
+        }
+    }
+
+    /// Begins the call that [`Self::need`] wanted.
+    pub(crate) fn begin(&mut self, need: LaneNeed, writer: &ClaimWriter) -> Option<ClaimAction> {
+        self.calls += 1;
+        let seen = match need {
+            LaneNeed::Nothing => return None,
+            LaneNeed::Read => None,
+            LaneNeed::Write => self.seen.as_ref(),
+        };
+        let Some(seen) = seen else {
+            self.must_read = false;
+            self.flight = Some(LaneFlight::Read);
+            return Some(ClaimAction::Read);
+        };
+        self.has_turn = false;
+        let expected = seen.version;
+        let mut bucket = seen.bucket.clone();
+        for release in &self.releases {
+            bucket.release(&release.ticket.key, release.ticket.id);
+        }
+        let mut claims = Vec::new();
+        let mut left = Vec::new();
+        for claim in mem::take(&mut self.waiting) {
+            let ticket = claim.ticket;
+            let verdict = bucket.claim(ticket.key, claim.fingerprint, writer, ticket.id.sequence);
+            match verdict {
+                BucketVerdict::Free => claims.push(claim),
+                _ => left.push(claim),
+            }
+        }
+        // A claim of a newer slice takes the bucket over and leaves those of older ones behind.
+        let (claims, behind): (Vec<_>, Vec<_>) = claims
+            .into_iter()
+            .partition(|claim| bucket.holds(&claim.ticket.key, claim.ticket.id));
+        left.extend(behind);
+        self.waiting = left;
+        let body = bucket.encode();
+        self.flight = Some(LaneFlight::Write {
+            expected,
+            bucket,
+            claims,
+            releases: mem::take(&mut self.releases),
+        });
+        Some(ClaimAction::Write { expected, body })
+    }
+
+    /// Takes the reply to the call under way.
+    pub(crate) fn finish(
+        &mut self,
+        reply: ClaimReply,
+        now: TimePoint,
+        verdicts: &mut LaneVerdicts,
+    ) -> LaneEnd {
+        match (self.flight.take(), reply) {
+            (None, _) => LaneEnd::Answered,
+            (Some(LaneFlight::Read), ClaimReply::Bucket(object)) => self.observe(object, now),
+            (Some(LaneFlight::Read), ClaimReply::NotDone { retry_after }) => {
+                self.must_read = true;
+                LaneEnd::NotDone(retry_after)
+            }
+            (Some(LaneFlight::Read), _) => {
+                self.must_read = true;
+                LaneEnd::Lost
+            }
+            (Some(flight @ LaneFlight::Write { .. }), reply) => {
+                self.finish_write(flight, reply, now, verdicts)
+            }
+        }
+    }
+
+    fn finish_write(
+        &mut self,
+        flight: LaneFlight,
+        reply: ClaimReply,
+        now: TimePoint,
+        verdicts: &mut LaneVerdicts,
+    ) -> LaneEnd {
+        let LaneFlight::Write {
+            expected,
+            bucket,
+            claims,
+            releases,
+        } = flight
+        else {
+            return LaneEnd::Answered;
+        };
+        match reply {
+            // A version that has not grown is no answer to this write: the store went backwards.
+            ClaimReply::Written(version) if version > expected => {
+                let call = self.calls;
+                self.seen = Some(SeenBucket {
+                    version,
+                    bucket,
+                    call,
+                    at: now,
+                });
+                for claim in claims {
+                    if claim.is_abandoned {
+                        self.releases.push(claim.release());
+                    } else {
+                        verdicts.push((claim.ticket, ClaimVerdict::Granted(claim.ticket)));
+                    }
+                }
+                LaneEnd::Written
+            }
+            ClaimReply::Conflict(object) => {
+                self.has_turn = true;
+                self.releases.extend(releases);
+                for claim in claims {
+                    self.put_back(claim);
+                }
+                self.observe(object, now)
+            }
+            ClaimReply::NotDone { retry_after } => {
+                self.has_turn = true;
+                self.releases.extend(releases);
+                for claim in claims {
+                    self.put_back(claim);
+                }
+                LaneEnd::NotDone(retry_after)
+            }
+            ClaimReply::Written(_) | ClaimReply::Bucket(_) | ClaimReply::Lost => {
+                self.must_read = true;
+                self.releases.extend(releases);
+                for mut claim in claims {
+                    claim.lost_at = Some(expected);
+                    self.put_back(claim);
+                }
+                LaneEnd::Lost
+            }
+        }
+    }
+
+    /// Takes over a bucket that the store showed.
+    fn observe(&mut self, object: Option<StoredObject>, now: TimePoint) -> LaneEnd {
+        let version = object
+            .as_ref()
+            .map_or(StoreVersion(0), |object| object.version);
+        let known = self
+            .seen
+            .as_ref()
+            .map_or(StoreVersion(0), |seen| seen.version);
+        if version < known {
+            // The store was restored from an older copy, which lacks claims that were granted.
+            self.must_read = true;
+            return LaneEnd::Broken;
+        }
+        let body = object.and_then(|object| object.body);
+        let read: Result<ClaimBucket> = body.map_or_else(
+            || Ok(ClaimBucket::default()),
+            |body| ClaimBucket::read(&body),
+        );
+        let Ok(bucket) = read else {
+            self.must_read = true;
+            return LaneEnd::Broken;
+        };
+        self.must_read = false;
+        let call = self.calls;
+        self.seen = Some(SeenBucket {
+            version,
+            bucket,
+            call,
+            at: now,
+        });
+        self.settle();
+        LaneEnd::Answered
+    }
+
+    /// Drops the doubt about lost writes that the seen version has left behind.
+    fn settle(&mut self) {
+        let Some(seen) = &self.seen else { return };
+        let is_past = |lost_at: StoreVersion| seen.version > lost_at;
+        for claim in &mut self.waiting {
+            let holds = seen.bucket.holds(&claim.ticket.key, claim.ticket.id);
+            claim.lost_at = claim.lost_at.filter(|lost_at| holds || !is_past(*lost_at));
+        }
+        self.releases.retain(|release| {
+            let may_come = release.lost_at.is_some_and(|lost_at| !is_past(lost_at));
+            may_come || seen.bucket.holds(&release.ticket.key, release.ticket.id)
+        });
+    }
+
+    fn is_seen_fresh(&self, now: TimePoint) -> bool {
+        self.seen
+            .as_ref()
+            .is_some_and(|seen| now.since(seen.at) <= FRESH_FOR)
+    }
+
+    /// Judges the tries that wait by the bucket as it was last seen.
+    fn judge(&mut self, retry: TimeSpan, verdicts: &mut LaneVerdicts) {
+        let Some(seen) = &self.seen else { return };
+        let mut waiting = Vec::new();
+        for claim in mem::take(&mut self.waiting) {
+            let ticket = claim.ticket;
+            let verdict = seen.bucket.judge(&ticket.key, claim.fingerprint, ticket.id);
+            // A claim may have been released since, so that only a bucket that was asked for after
+            // the try came says that the key is taken.
+            let is_fresh = seen.call > claim.offered;
+            match verdict {
+                BucketVerdict::Free => waiting.push(claim),
+                BucketVerdict::Own => verdicts.push((ticket, ClaimVerdict::Granted(ticket))),
+                BucketVerdict::TooOld => verdicts.push((ticket, ClaimVerdict::TooOld)),
+                _ if !is_fresh => {
+                    self.must_read = true;
+                    waiting.push(claim);
+                }
+                BucketVerdict::Taken(holder) => {
+                    verdicts.push((ticket, ClaimVerdict::Taken(holder)));
+                }
+                BucketVerdict::Conflict => verdicts.push((ticket, ClaimVerdict::Conflict)),
+                BucketVerdict::Full => {
+                    verdicts.push(claim.refuse(ClaimRefusal::BucketFull, retry));
+                }
+            }
+        }
+        self.waiting = waiting;
+    }
+
+    fn put_back(&mut self, claim: LaneClaim) {
+        if claim.is_abandoned {
+            self.forget(&claim);
+        } else {
+            self.waiting.push(claim);
+        }
+    }
+
+    /// Forgets a try that was refused; one that a lost write may yet bring in is written out.
+    fn forget(&mut self, claim: &LaneClaim) {
+        if claim.lost_at.is_some() {
+            self.releases.push(claim.release());
+        }
+    }
+}
+
+/// A `LaneEnd` says how a lane's call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LaneEnd {
+    /// The store answered.
+    Answered,
+    /// The store took the write.
+    Written,
+    /// The call did nothing.
+    NotDone(Option<TimeSpan>),
+    /// The answer is lost.
+    Lost,
+    /// The bucket can't be read, or went backwards.
+    Broken,
+}
--- /dev/null
+++ b/alderhaven-policy/src/claim_options.rs
@@ -0,0 +1,79 @@
+//! The settings of the claim ledger.
+
+use alderhaven_core::errors::Error;
+use alderhaven_core::quantities::{ByteSize, RatePerSecond};
+use alderhaven_core::time::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+/// The default writes a second of one entry: 8 entries make 24 of the store's 300, and 500 claims/s
+/// over them make batches of about 20.
+const DEFAULT_WRITES: &str = "3/s";
+
+/// `ClaimOptions` bound what the claim ledger costs and holds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClaimOptions {
+    /// The sustained writes a second of this entry; batches grow where claims come faster.
+    pub writes: RatePerSecond,
+    /// The writes that may follow each other at once after a quiet time.
+    pub burst: u32,
+    /// The longest time that a claim waits for the store.
+    pub claim_timeout: TimeSpan,
+    /// How long the store is left alone after it was out of service; doubled up to the longest.
+    pub least_pause: TimeSpan,
+    /// The longest such pause.
+    pub longest_pause: TimeSpan,
+    /// The most claims under way at a time.
+    pub max_waiting: usize,
+    /// The most bytes of answers that are held for resends.
+    pub held_bytes: ByteSize,
+    /// How long an answer is held for resends.
+    pub held_time: TimeSpan,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        Self {
+            writes: DEFAULT_WRITES.parse().unwrap_or_default(),
+            burst: 6,
+            claim_timeout: TimeSpan::from_secs(2),
+            least_pause: TimeSpan::from_millis(100),
+            longest_pause: TimeSpan::from_secs(2),
+            max_waiting: 4_096,
+            held_bytes: ByteSize::from_kib(8 << 10),
+            held_time: TimeSpan::from_secs(600),
+        }
+    }
+}
+
+impl ClaimOptions {
+    /// Collects everything that is wrong with the values.
+    #[must_use]
+    pub fn check(&self) -> Vec<Error> {
+        let zero = |field: &str| {
+            let field = format!("claims.{field}");
+            Error::invalid(field, "0 is refused: allowed is above 0")
+        };
+        let mut errors = Vec::new();
+        if self.writes.per_second() <= 0.0 {
+            errors.push(zero("writes"));
+        }
+        if self.burst == 0 {
+            errors.push(zero("burst"));
+        }
+        if self.max_waiting == 0 {
+            errors.push(zero("max_waiting"));
+        }
+        let spans = [
+            ("claim_timeout", self.claim_timeout),
+            ("least_pause", self.least_pause),
+            ("longest_pause", self.longest_pause),
+        ];
+        for (field, span) in spans {
+            if span == TimeSpan::ZERO {
+                errors.push(zero(field));
+            }
+        }
+        errors
+    }
+}
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -4,6 +4,16 @@
 
 pub mod admission;
 pub mod admit_decision;
+pub mod claim_batcher;
+pub mod claim_bucket;
+pub mod claim_call;
+pub mod claim_fingerprint;
+pub mod claim_id;
+pub mod claim_key;
+mod claim_lane;
+pub mod claim_options;
+pub mod claim_slot;
+pub mod claim_verdict;
 pub mod config_registry;
 pub mod fair_queue;
 pub mod load_meter;
--- /dev/null
+++ b/alderhaven-policy/tests/claim_ledger/ledger_world.rs
@@ -0,0 +1,381 @@
+//! Several entries, one store and a network between them that loses, delays, doubles and reorders;
+//! the oracle knows which request ran and asserts what must hold.
+
+use std::collections::{BTreeMap, HashMap};
+
+use alderhaven_core::config_object::StoredObject;
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::claim_batcher::ClaimBatcher;
+use alderhaven_policy::claim_bucket::ClaimWriter;
+use alderhaven_policy::claim_call::{ClaimAction, ClaimCall, ClaimReply};
+use alderhaven_policy::claim_fingerprint::ClaimFingerprint;
+use alderhaven_policy::claim_key::ClaimKey;
+use alderhaven_policy::claim_options::ClaimOptions;
+use alderhaven_policy::claim_slot::{ClaimSlot, SLICE_MILLIS, SLOT_COUNT, slice_of};
+use alderhaven_policy::claim_verdict::{ClaimTicket, ClaimVerdict};
+
+/// The most rounds in which a healthy ledger must come to rest.
+const REST_ROUNDS: usize = 400;
+
+/// A `LedgerOp` is one thing that happens.
+#[derive(Clone, Copy, Debug)]
+pub enum LedgerOp {
+    /// A caller sends a key to a node; `other` with another request.
+    Send {
+        node: usize,
+        key: usize,
+        other: bool,
+    },
+    /// A call reaches the store.
+    Serve(usize),
+    /// A call reaches the store, and does so once more later.
+    ServeTwice(usize),
+    /// A reply reaches its node.
+    Reply(usize),
+    /// A reply is lost.
+    LoseReply(usize),
+    /// A node gives up on a call that is still on its way.
+    Delay(usize),
+    /// A call is lost.
+    LoseCall(usize),
+    /// A node dispatches a granted request: it runs, or certainly did not.
+    Dispatch { pick: usize, runs: bool },
+    /// Milliseconds pass.
+    Advance(u64),
+    /// A node restarts with nothing kept.
+    Crash(usize),
+    /// The store goes out of service or comes back.
+    Outage(bool),
+}
+
+struct Message {
+    node: usize,
+    start: u64,
+    call: ClaimCall,
+    is_awaited: bool,
+}
+
+struct Reply {
+    node: usize,
+    start: u64,
+    slot: ClaimSlot,
+    content: ClaimReply,
+}
+
+struct Sent {
+    start: u64,
+    key: ClaimKey,
+    other: bool,
+    verdict: Option<ClaimVerdict>,
+    dispatched: Option<bool>,
+}
+
+pub struct LedgerWorld {
+    now: TimePoint,
+    starts: u64,
+    nodes: Vec<(u64, ClaimBatcher)>,
+    store: BTreeMap<ClaimSlot, StoredObject>,
+    version: u64,
+    outage: bool,
+    calls: Vec<Message>,
+    replies: Vec<Reply>,
+    sent: HashMap<ClaimTicket, Sent>,
+    order: Vec<ClaimTicket>,
+    runs: HashMap<ClaimKey, usize>,
+}
+
+/// Gets one of five keys: two share a slice, two more the slot in the next round of the ring.
+pub fn sample_key(number: usize) -> ClaimKey {
+    let round = SLICE_MILLIS * SLOT_COUNT;
+    let millis = [0, 1, round, round + 1, SLICE_MILLIS][number];
+    ClaimKey::new(round * 9 + millis, [u8::try_from(number).unwrap(); 10])
+}
+
+pub fn fingerprint(other: bool) -> ClaimFingerprint {
+    ClaimFingerprint::from_bits(u64::from(other))
+}
+
+impl LedgerWorld {
+    pub fn new() -> Self {
+        let mut world = Self {
+            now: TimePoint::START,
+            starts: 0,
+            nodes: Vec::new(),
+            store: BTreeMap::new(),
+            version: 0,
+            outage: false,
+            calls: Vec::new(),
+            replies: Vec::new(),
+            sent: HashMap::new(),
+            order: Vec::new(),
+            runs: HashMap::new(),
+        };
+        for _ in 0..3 {
+            let node = world.fresh_node();
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    fn fresh_node(&mut self) -> (u64, ClaimBatcher) {
+        self.starts += 1;
+        let writer = ClaimWriter {
+            node: "entry".parse().unwrap(),
+            origin: self.starts,
+        };
+        let batcher = ClaimBatcher::new(writer, ClaimOptions::default(), self.now);
+        (self.starts, batcher)
+    }
+
+    pub fn apply(&mut self, op: LedgerOp) {
+        match op {
+            LedgerOp::Send { node, key, other } => {
+                self.send(node, sample_key(key), other);
+            }
+            LedgerOp::Serve(pick) => self.serve(pick, false),
+            LedgerOp::ServeTwice(pick) => self.serve(pick, true),
+            LedgerOp::Reply(pick) => self.reply(pick, false),
+            LedgerOp::LoseReply(pick) => self.reply(pick, true),
+            LedgerOp::Delay(pick) => self.give_up_call(pick, false),
+            LedgerOp::LoseCall(pick) => self.give_up_call(pick, true),
+            LedgerOp::Dispatch { pick, runs } => self.dispatch(pick, runs),
+            LedgerOp::Advance(millis) => self.now = self.now + TimeSpan::from_millis(millis),
+            LedgerOp::Crash(node) => self.nodes[node] = self.fresh_node(),
+            LedgerOp::Outage(outage) => self.outage = outage,
+        }
+        self.step();
+    }
+
+    pub fn send(&mut self, node: usize, key: ClaimKey, other: bool) -> ClaimTicket {
+        let deadline = self.now + TimeSpan::from_secs(3);
+        let (start, batcher) = &mut self.nodes[node];
+        let ticket = batcher.offer(key, fingerprint(other), deadline, self.now);
+        let sent = Sent {
+            start: *start,
+            key,
+            other,
+            verdict: None,
+            dispatched: None,
+        };
+        self.sent.insert(ticket, sent);
+        self.order.push(ticket);
+        ticket
+    }
+
+    pub fn verdict(&self, ticket: ClaimTicket) -> Option<&ClaimVerdict> {
+        self.sent[&ticket].verdict.as_ref()
+    }
+
+    /// Lets every node make its calls and give its verdicts.
+    pub fn step(&mut self) {
+        for node in 0..self.nodes.len() {
+            let (start, batcher) = &mut self.nodes[node];
+            while let Some(call) = batcher.poll(self.now) {
+                self.calls.push(Message {
+                    node,
+                    start: *start,
+                    call,
+                    is_awaited: true,
+                });
+            }
+            for (ticket, verdict) in batcher.take_verdicts() {
+                self.check_verdict(ticket, verdict);
+            }
+        }
+    }
+
+    fn check_verdict(&mut self, ticket: ClaimTicket, verdict: ClaimVerdict) {
+        let key = ticket.key;
+        let other = self.sent[&ticket].other;
+        let same_key = |sent: &&Sent| sent.key == key;
+        let mut others = self.sent.values().filter(same_key);
+        match &verdict {
+            ClaimVerdict::Granted(granted) => assert_eq!(*granted, ticket),
+            ClaimVerdict::Taken(_) => {
+                assert!(others.filter(|sent| sent.other == other).count() > 1);
+            }
+            ClaimVerdict::Conflict => assert!(others.any(|sent| sent.other != other)),
+            ClaimVerdict::TooOld => assert!(self.is_passed(key), "{key} too old too early"),
+            ClaimVerdict::Refused { .. } => {}
+        }
+        let sent = self.sent.get_mut(&ticket).unwrap();
+        assert!(sent.verdict.is_none(), "a second verdict for {ticket:?}");
+        sent.verdict = Some(verdict);
+    }
+
+    fn is_passed(&self, key: ClaimKey) -> bool {
+        self.sent.values().any(|sent| {
+            ClaimSlot::of(&sent.key) == ClaimSlot::of(&key) && slice_of(&sent.key) > slice_of(&key)
+        })
+    }
+
+    fn dispatch(&mut self, pick: usize, runs: bool) {
+        let ready: Vec<ClaimTicket> = self.ready().collect();
+        if ready.is_empty() {
+            return;
+        }
+        let ticket = ready[pick % ready.len()];
+        let sent = self.sent.get_mut(&ticket).unwrap();
+        sent.dispatched = Some(runs);
+        if runs {
+            let count = self.runs.entry(sent.key).or_default();
+            *count += 1;
+            assert_eq!(*count, 1, "{} ran twice", sent.key);
+        } else {
+            let node = self.nodes.iter_mut().find(|node| node.0 == sent.start);
+            node.unwrap().1.release(ticket);
+        }
+    }
+
+    /// Gets the granted requests that nodes still up have yet to dispatch.
+    fn ready(&self) -> impl Iterator<Item = ClaimTicket> + '_ {
+        self.order.iter().copied().filter(|ticket| {
+            let sent = &self.sent[ticket];
+            let is_up = self.nodes.iter().any(|node| node.0 == sent.start);
+            let is_granted = matches!(sent.verdict, Some(ClaimVerdict::Granted(_)));
+            is_up && is_granted && sent.dispatched.is_none()
+        })
+    }
+
+    fn serve(&mut self, pick: usize, again: bool) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let place = pick % self.calls.len();
+        let reply = self.store_reply(self.calls[place].call.clone());
+        let message = &mut self.calls[place];
+        if message.is_awaited {
+            self.replies.push(Reply {
+                node: message.node,
+                start: message.start,
+                slot: message.call.slot,
+                content: reply,
+            });
+        }
+        message.is_awaited = false;
+        // A store that answers that it did nothing does nothing later either.
+        if !again || self.outage {
+            self.calls.remove(place);
+        }
+    }
+
+    fn store_reply(&mut self, call: ClaimCall) -> ClaimReply {
+        if self.outage {
+            return ClaimReply::NotDone { retry_after: None };
+        }
+        let current = self.store.get(&call.slot).cloned();
+        let ClaimAction::Write { expected, body } = call.action else {
+            return ClaimReply::Bucket(current);
+        };
+        let version = current
+            .as_ref()
+            .map_or(StoreVersion(0), |held| held.version);
+        if version != expected {
+            return ClaimReply::Conflict(current);
+        }
+        self.version += 1;
+        let object = StoredObject {
+            key: call.slot.object_key(),
+            version: StoreVersion(self.version),
+            write_id: String::new(),
+            body: Some(body),
+        };
+        self.store.insert(call.slot, object);
+        ClaimReply::Written(StoreVersion(self.version))
+    }
+
+    fn reply(&mut self, pick: usize, is_lost: bool) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let place = pick % self.replies.len();
+        let reply = self.replies.remove(place);
+        let heard = if is_lost {
+            ClaimReply::Lost
+        } else {
+            reply.content
+        };
+        self.hear(reply.node, reply.start, reply.slot, heard);
+    }
+
+    fn give_up_call(&mut self, pick: usize, is_gone: bool) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let place = pick % self.calls.len();
+        let message = &mut self.calls[place];
+        let (node, start, slot) = (message.node, message.start, message.call.slot);
+        let was_awaited = std::mem::replace(&mut message.is_awaited, false);
+        if is_gone {
+            self.calls.remove(place);
+        }
+        if was_awaited {
+            self.hear(node, start, slot, ClaimReply::Lost);
+        }
+    }
+
+    fn hear(&mut self, node: usize, start: u64, slot: ClaimSlot, reply: ClaimReply) {
+        let (current, batcher) = &mut self.nodes[node];
+        if *current == start {
+            batcher.finish(slot, reply, self.now);
+        }
+    }
+
+    /// Ends all faults, lets everything come to rest, and asserts that free keys can be claimed.
+    pub fn heal(&mut self) {
+        self.outage = false;
+        self.rest();
+        // The ledger may refuse until its longest pause is over.
+        self.now = self.now + ClaimOptions::default().longest_pause;
+        let ready: Vec<ClaimTicket> = self.ready().collect();
+        for ticket in ready {
+            self.sent.get_mut(&ticket).unwrap().dispatched = Some(true);
+            *self.runs.entry(ticket.key).or_default() += 1;
+        }
+        assert!(self.runs.values().all(|count| *count == 1), "ran twice");
+        for key in (0..5).map(sample_key) {
+            let is_held = self
+                .sent
+                .values()
+                .any(|sent| sent.key == key && self.is_held(sent));
+            if is_held || self.is_passed(key) {
+                continue;
+            }
+            let ticket = self.send(0, key, false);
+            self.rest();
+            let verdict = self.verdict(ticket);
+            assert!(
+                matches!(verdict, Some(ClaimVerdict::Granted(_))),
+                "{key} is free and was answered {verdict:?}"
+            );
+        }
+    }
+
+    /// Returns true where the claim of a send stands, or may do so since its node is gone.
+    fn is_held(&self, sent: &Sent) -> bool {
+        let is_up = self.nodes.iter().any(|node| node.0 == sent.start);
+        let is_granted = matches!(sent.verdict, Some(ClaimVerdict::Granted(_)));
+        !is_up || (is_granted && sent.dispatched != Some(false))
+    }
+
+    fn rest(&mut self) {
+        for _ in 0..REST_ROUNDS {
+            self.now = self.now + TimeSpan::from_millis(50);
+            self.step();
+            while !self.calls.is_empty() {
+                self.serve(0, false);
+            }
+            while !self.replies.is_empty() {
+                self.reply(0, false);
+            }
+            self.step();
+            let is_idle =
+                |node: &(u64, ClaimBatcher)| node.1.waiting() == 0 && node.1.releases() == 0;
+            if self.calls.is_empty() && self.nodes.iter().all(is_idle) {
+                return;
+            }
+        }
+        panic!("the ledger does not come to rest");
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/claim_ledger/main.rs
@@ -0,0 +1,68 @@
+//! Tests of the claim ledger: buckets by cases, and the whole by stateful fuzzing against an oracle.
+
+mod bucket;
+mod ledger_world;
+mod scenarios;
+
+use ledger_world::{LedgerOp, LedgerWorld};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// The cases of a plain run; `PROPTEST_CASES` raises them.
+const LEAST_CASES: u32 = 256;
+/// The seed of a plain run; `LEDGER_SEED` gives another.
+const CI_SEED: u64 = 20_261_202;
+
+fn fuzz_config() -> ProptestConfig {
+    let asked = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let seed = std::env::var("LEDGER_SEED")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    ProptestConfig {
+        cases: asked.unwrap_or(LEAST_CASES),
+        rng_seed: RngSeed::Fixed(seed.unwrap_or(CI_SEED)),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    }
+}
+
+fn ledger_op() -> impl Strategy<Value = LedgerOp> {
+    let node = 0..3_usize;
+    let pick = 0..16_usize;
+    prop_oneof![
+        8 => (node.clone(), 0..5_usize, prop::bool::weighted(0.1))
+            .prop_map(|(node, key, other)| LedgerOp::Send { node, key, other }),
+        20 => pick.clone().prop_map(LedgerOp::Serve),
+        1 => pick.clone().prop_map(LedgerOp::ServeTwice),
+        20 => pick.clone().prop_map(LedgerOp::Reply),
+        3 => pick.clone().prop_map(LedgerOp::LoseReply),
+        2 => pick.clone().prop_map(LedgerOp::Delay),
+        2 => pick.clone().prop_map(LedgerOp::LoseCall),
+        8 => (pick, any::<bool>())
+            .prop_map(|(pick, runs)| LedgerOp::Dispatch { pick, runs }),
+        6 => (0..400_u64).prop_map(LedgerOp::Advance),
+        1 => (1_000..4_000_u64).prop_map(LedgerOp::Advance),
+        1 => node.prop_map(LedgerOp::Crash),
+        1 => any::<bool>().prop_map(LedgerOp::Outage),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fuzz_config())]
+
+    /// Callers send keys to several entries, again and at once, while calls to the store are lost,
+    /// late, doubled and out of order, entries crash or pause between claim and dispatch, and the
+    /// store goes out of service. A key must run at most once, "refused" must stay true, and once
+    /// all is well again a key that nobody ran or holds can be claimed.
+    #[test]
+    fn ledger_any_order_of_events(ops in prop::collection::vec(ledger_op(), 0..160)) {
+        let mut world = LedgerWorld::new();
+        for op in ops {
+            world.apply(op);
+        }
+        world.heal();
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/claim_ledger/scenarios.rs
@@ -0,0 +1,99 @@
+//! Scenarios of the ledger that are worth a name.
+
+use alderhaven_policy::claim_verdict::{ClaimRefusal, ClaimVerdict};
+
+use crate::ledger_world::{LedgerOp, LedgerWorld, sample_key};
+
+fn run(world: &mut LedgerWorld, ops: &[LedgerOp]) {
+    for op in ops {
+        world.apply(*op);
+    }
+}
+
+/// A caller sends a request; the store takes the entry's write and the answer to it is lost. The
+/// entry reads back, finds its own claim and runs the request, once.
+#[test]
+fn ledger_lost_reply_is_read_back() {
+    let mut world = LedgerWorld::new();
+    let ticket = world.send(0, sample_key(0), false);
+    world.step();
+    run(
+        &mut world,
+        &[
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(0),
+            LedgerOp::Serve(0),
+            LedgerOp::LoseReply(0),
+            LedgerOp::Advance(150),
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(0),
+        ],
+    );
+    assert_eq!(world.verdict(ticket), Some(&ClaimVerdict::Granted(ticket)));
+    world.heal();
+}
+
+/// A write is late and its entry gives up: the caller hears "not run". A read shows nothing, and
+/// only then the write takes effect. A resend must not be answered "unknown" for good, so that the
+/// entry has to write the claim out instead of trusting the read.
+#[test]
+fn ledger_write_takes_effect_after_the_read() {
+    let mut world = LedgerWorld::new();
+    let ticket = world.send(0, sample_key(0), false);
+    world.step();
+    run(
+        &mut world,
+        &[
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(0),
+            LedgerOp::Delay(0),
+            LedgerOp::Advance(150),
+            LedgerOp::Serve(1),
+            LedgerOp::Reply(0),
+            LedgerOp::LoseCall(1),
+            LedgerOp::Advance(2_500),
+            LedgerOp::Serve(1),
+            LedgerOp::Reply(0),
+            LedgerOp::Serve(0),
+        ],
+    );
+    let refused = matches!(
+        world.verdict(ticket),
+        Some(ClaimVerdict::Refused {
+            reason: ClaimRefusal::StoreSlow,
+            ..
+        })
+    );
+    assert!(refused, "{:?}", world.verdict(ticket));
+    world.heal();
+}
+
+/// The store is out of service: the first request finds that out and is refused at once, and so is
+/// the next one without a call.
+#[test]
+fn ledger_outage_refuses_at_once() {
+    let mut world = LedgerWorld::new();
+    let first = world.send(0, sample_key(0), false);
+    world.step();
+    run(
+        &mut world,
+        &[
+            LedgerOp::Outage(true),
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(0),
+        ],
+    );
+    let second = world.send(0, sample_key(1), false);
+    world.step();
+    for ticket in [first, second] {
+        let refused = matches!(
+            world.verdict(ticket),
+            Some(ClaimVerdict::Refused {
+                reason: ClaimRefusal::StoreDown,
+                ..
+            })
+        );
+        assert!(refused, "{:?}", world.verdict(ticket));
+    }
+    world.heal();
+}
