--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod claim_verdict;
 pub mod config_registry;
 pub mod fair_queue;
+pub mod leaving_targets;
 pub mod load_meter;
 pub mod policy_kind;
 pub mod query_gather;
