Non-idempotent templates run at most once, end to end

Change: an entry claims the caller's Idempotency-Key (UUIDv7) in the ledger after admission and before the one dispatch; the work runs in a task of its own; its answer is held for resends (bounded in bytes and time) and given again with replayed: true; a request that certainly did not run gives its key back. Settings under claims:, metrics claim_*, dump entry claims.

Proof: end-to-end tests over stand-ins on loopback; the targets' record of runs counts what ran.

--- a/alderhaven-entry/src/answer.rs
+++ b/alderhaven-entry/src/answer.rs
@@ -9,7 +9,7 @@
 use serde_json::value::RawValue;
 
 /// A `QueryAnswer` is the body of an answered query.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct QueryAnswer {
     /// Complete or partial.
     pub outcome: QueryOutcome,
@@ -21,6 +21,9 @@
     pub snapshot: SnapshotId,
     /// Where the time went.
     pub timing: AnswerTiming,
+    /// Whether this is the answer to an earlier send of the same request.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub replayed: bool,
 }
 
 /// An `AnswerTiming` says where the time of a query went.
@@ -105,6 +108,9 @@
     /// The coverage, where the query was scattered.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub coverage: Option<CoverageReport>,
+    /// Whether this is the answer to an earlier send of the same request.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub replayed: bool,
 }
 
 /// An `ErrorDetail` says what went wrong and what the caller may do.
@@ -132,6 +138,7 @@
                 retry_after_ms: None,
             },
             coverage: None,
+            replayed: false,
         }
     }
 
--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::http_store::HttpStore;
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
+use alderhaven_policy::claim_key::ClaimKey;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -20,6 +22,7 @@
 
 use crate::admission_desk::AdmissionDesk;
 use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
+use crate::claimed_runner::ClaimedRunner;
 use crate::metrics::EntryMetrics;
 use crate::query_plan::{QueryPlan, QueryRequest};
 use crate::query_runner::QueryRunner;
@@ -29,6 +32,8 @@
 const QUERY_PREFIX: &str = "/v1/query/";
 /// The path that says whether the entry serves.
 const HEALTH_PATH: &str = "/v1/health";
+/// The header with the key of a non-idempotent request, a `UUIDv7`.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
 /// A `CallerService` answers callers.
 #[derive(Debug)]
@@ -40,7 +45,9 @@
     /// What admits the queries.
     pub desk: Arc<AdmissionDesk>,
     /// What runs the queries.
-    pub runner: QueryRunner,
+    pub runner: Arc<QueryRunner>,
+    /// What runs the non-idempotent ones.
+    pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
@@ -122,21 +129,23 @@
         let view = self.config.view();
         let token = bearer_token(&head.headers);
         let plan = QueryPlan::make(&view, template, query, token, arrived)?;
-        if !plan.template.idempotent {
-            return Err(ErrorAnswer::not_run(
-                ErrorCode::Unavailable,
-                "non-idempotent templates are not served yet",
-            ));
-        }
+        let class = plan.template.class;
+        let key = if plan.template.idempotent {
+            None
+        } else {
+            Some(idempotency_key(&head.headers)?)
+        };
         self.metrics.in_flight.inc();
-        let answer = self.admit_and_run(&plan).await;
+        let answer = match key {
+            None => self.admit_and_run(&plan).await,
+            Some(key) => self.claims.answer(key, plan).await,
+        };
         self.metrics.in_flight.dec();
         let outcome = answer
             .as_ref()
             .map_or_else(|error| error.error.code.outcome(), |answer| answer.outcome);
         let seconds = arrived.elapsed().as_secs_f64();
-        self.metrics
-            .observe_query(plan.template.class, outcome, seconds);
+        self.metrics.observe_query(class, outcome, seconds);
         Ok(json_response(StatusCode::OK, &answer?))
     }
 
@@ -166,7 +175,7 @@
     }
 }
 
-fn refused(refusal: Refusal) -> ErrorAnswer {
+pub(crate) fn refused(refusal: Refusal) -> ErrorAnswer {
     let message = match refusal.reason {
         RefusalReason::TeamRate => "the team's rate is used up",
         RefusalReason::TeamInFlight => "the team has as many queries in flight as it may",
@@ -176,6 +185,17 @@
     ErrorAnswer::not_run(ErrorCode::Overloaded, message).with_retry_after(refusal.retry_after)
 }
 
+fn idempotency_key(headers: &HeaderMap) -> Result<ClaimKey, ErrorAnswer> {
+    let bad = |message: String| ErrorAnswer::not_run(ErrorCode::BadRequest, message);
+    let key = headers.get(IDEMPOTENCY_KEY_HEADER).ok_or_else(|| {
+        bad("the template is not idempotent and needs an Idempotency-Key header".to_owned())
+    })?;
+    key.to_str()
+        .unwrap_or_default()
+        .parse()
+        .map_err(|error: alderhaven_core::errors::Error| bad(error.to_string()))
+}
+
 fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     headers
         .get(header::AUTHORIZATION)?
--- /dev/null
+++ b/alderhaven-entry/src/claim_ledger.rs
@@ -0,0 +1,211 @@
+//! The claim ledger of one entry: makes the calls to the store that the batcher asks for.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::TimePoint;
+use alderhaven_platform::object_store::{
+    ConditionalWrite, ObjectStore, StoreError, StoreResult, WriteOutcome,
+};
+use alderhaven_policy::claim_batcher::{ClaimBatcher, ClaimCounts};
+use alderhaven_policy::claim_bucket::ClaimWriter;
+use alderhaven_policy::claim_call::{ClaimAction, ClaimCall, ClaimReply};
+use alderhaven_policy::claim_fingerprint::ClaimFingerprint;
+use alderhaven_policy::claim_key::ClaimKey;
+use alderhaven_policy::claim_options::ClaimOptions;
+use alderhaven_policy::claim_slot::ClaimSlot;
+use alderhaven_policy::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
+use futures::future::Either;
+use futures::stream::{FuturesUnordered, StreamExt};
+use serde::Serialize;
+use tokio::sync::{Notify, oneshot};
+use tokio::time;
+
+use crate::claim_metrics::ClaimMetrics;
+
+/// A `ClaimLedger` claims keys in the store on behalf of one entry.
+#[derive(Debug)]
+pub struct ClaimLedger<S> {
+    store: Arc<S>,
+    clock: ProcessClock,
+    options: ClaimOptions,
+    state: Mutex<LedgerState>,
+    /// Wakes the task that makes the calls.
+    changed: Notify,
+    metrics: ClaimMetrics,
+}
+
+#[derive(Debug)]
+struct LedgerState {
+    batcher: ClaimBatcher,
+    waiters: HashMap<ClaimTicket, oneshot::Sender<ClaimVerdict>>,
+    counted: ClaimCounts,
+}
+
+/// A `LedgerReport` is the ledger's state for the dump.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct LedgerReport {
+    /// What was done since the start.
+    pub counts: ClaimCounts,
+    /// The tries without a verdict.
+    pub waiting: usize,
+    /// The claims that are still to be taken back.
+    pub releases: usize,
+}
+
+impl<S: ObjectStore> ClaimLedger<S> {
+    /// Returns a ledger; [`Self::run_forever`] makes its calls.
+    #[must_use]
+    pub fn new(
+        store: Arc<S>,
+        node: NodeId,
+        options: ClaimOptions,
+        clock: ProcessClock,
+        metrics: ClaimMetrics,
+    ) -> Self {
+        // A random origin: a claim of this start is never taken for one of an earlier start.
+        let origin = rand::random();
+        let writer = ClaimWriter { node, origin };
+        Self {
+            store,
+            clock,
+            options,
+            state: Mutex::new(LedgerState {
+                batcher: ClaimBatcher::new(writer, options, clock.now()),
+                waiters: HashMap::new(),
+                counted: ClaimCounts::default(),
+            }),
+            changed: Notify::new(),
+            metrics,
+        }
+    }
+
+    /// Gets the options.
+    #[must_use]
+    pub const fn options(&self) -> &ClaimOptions {
+        &self.options
+    }
+
+    /// Tries to claim a key until `deadline`.
+    pub async fn claim(
+        &self,
+        key: ClaimKey,
+        fingerprint: ClaimFingerprint,
+        deadline: TimePoint,
+    ) -> ClaimVerdict {
+        let (sender, verdict) = oneshot::channel();
+        {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            let ticket = state.batcher.offer(key, fingerprint, deadline, now);
+            state.waiters.insert(ticket, sender);
+        }
+        self.changed.notify_one();
+        // The sender goes unused only where the process ends.
+        let verdict = verdict.await.unwrap_or(ClaimVerdict::Refused {
+            reason: ClaimRefusal::StoreDown,
+            retry_after: self.options.longest_pause,
+        });
+        self.metrics.observe_verdict(&verdict);
+        verdict
+    }
+
+    /// Takes a granted claim back. To be called only with evidence that the request did not run.
+    pub fn release(&self, ticket: ClaimTicket) {
+        self.lock().batcher.release(ticket);
+        self.metrics.releases.inc();
+        self.changed.notify_one();
+    }
+
+    /// Gets the state for the dump.
+    #[must_use]
+    pub fn report(&self) -> LedgerReport {
+        let state = self.lock();
+        LedgerReport {
+            counts: state.batcher.counts(),
+            waiting: state.batcher.waiting(),
+            releases: state.batcher.releases(),
+        }
+    }
+
+    /// Makes the calls to the store until the process ends.
+    pub async fn run_forever(self: Arc<Self>) {
+        let mut under_way = FuturesUnordered::new();
+        loop {
+            let (calls, wake) = self.step();
+            for call in calls {
+                under_way.push(self.call(call));
+            }
+            let wake = wake.map_or(Either::Left(futures::future::pending()), |point| {
+                let instant = time::Instant::from_std(self.clock.instant(point));
+                Either::Right(time::sleep_until(instant))
+            });
+            tokio::select! {
+                Some((slot, reply)) = under_way.next() => {
+                    let now = self.clock.now();
+                    self.lock().batcher.finish(slot, reply, now);
+                }
+                () = wake => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    /// Gets the calls that are to be made now, hands out verdicts, and says when to come again.
+    fn step(&self) -> (Vec<ClaimCall>, Option<TimePoint>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut calls = Vec::new();
+        while let Some(call) = state.batcher.poll(now) {
+            calls.push(call);
+        }
+        for (ticket, verdict) in state.batcher.take_verdicts() {
+            let unheard = state
+                .waiters
+                .remove(&ticket)
+                .and_then(|waiter| waiter.send(verdict).err());
+            // Nobody is left to dispatch for the claim, so nothing has run.
+            if let Some(ClaimVerdict::Granted(ticket)) = unheard {
+                state.batcher.release(ticket);
+            }
+        }
+        let counts = state.batcher.counts();
+        self.metrics.observe_counts(&state.counted, &counts);
+        state.counted = counts;
+        (calls, state.batcher.next_wake(now))
+    }
+
+    async fn call(&self, call: ClaimCall) -> (ClaimSlot, ClaimReply) {
+        let key = call.slot.object_key();
+        let reply = match call.action {
+            ClaimAction::Read => self.store.get(&key).await.map(ClaimReply::Bucket),
+            ClaimAction::Write { expected, body } => {
+                let write = ConditionalWrite {
+                    key,
+                    expected,
+                    write_id: uuid::Uuid::new_v4().to_string(),
+                    body: Some(body),
+                };
+                self.store.write(write).await.map(|outcome| match outcome {
+                    WriteOutcome::Written(version) => ClaimReply::Written(version),
+                    WriteOutcome::Conflict(object) => ClaimReply::Conflict(object),
+                })
+            }
+        };
+        (call.slot, reply_of(reply))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LedgerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn reply_of(reply: StoreResult<ClaimReply>) -> ClaimReply {
+    match reply {
+        Ok(reply) => reply,
+        Err(StoreError::NotDone { retry_after, .. }) => ClaimReply::NotDone { retry_after },
+        Err(StoreError::Unknown { .. }) => ClaimReply::Lost,
+    }
+}
--- /dev/null
+++ b/alderhaven-entry/src/claimed_runner.rs
@@ -0,0 +1,247 @@
+//! The running of requests that may run at most once: admit, claim, dispatch once, hold the answer.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::config_handle::{ConfigHandle, StoreContact};
+use alderhaven_platform::object_store::ObjectStore;
+use alderhaven_policy::claim_fingerprint::ClaimFingerprint;
+use alderhaven_policy::claim_key::ClaimKey;
+use alderhaven_policy::claim_slot::KeyAge;
+use alderhaven_policy::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
+use bon::Builder;
+use serde_json::{Value, json};
+use tokio::time;
+
+use crate::admission_desk::AdmissionDesk;
+use crate::admission_pass::AdmissionPass;
+use crate::answer::{ErrorAnswer, ErrorCode};
+use crate::caller_server;
+use crate::claim_ledger::ClaimLedger;
+use crate::claim_metrics::ClaimMetrics;
+use crate::held_answers::{HeldAnswers, HeldStart, OutcomeWatch, RunOutcome, RunningPlace};
+use crate::query_plan::QueryPlan;
+use crate::query_runner::QueryRunner;
+
+/// A `ClaimedRunner` runs non-idempotent requests, each at most once over all entries.
+#[derive(Builder, Debug)]
+pub struct ClaimedRunner<S> {
+    node: NodeId,
+    ledger: Arc<ClaimLedger<S>>,
+    held: Arc<HeldAnswers>,
+    desk: Arc<AdmissionDesk>,
+    runner: Arc<QueryRunner>,
+    config: ConfigHandle,
+    clock: ProcessClock,
+    metrics: ClaimMetrics,
+}
+
+/// A `RunEnd` is the outcome of a request, and whether it was dispatched here.
+enum RunEnd {
+    Dispatched(RunOutcome),
+    NotDispatched(ErrorAnswer),
+}
+
+impl<S: ObjectStore> ClaimedRunner<S> {
+    /// Gets the ledger, whose calls are made by [`ClaimLedger::run_forever`].
+    #[must_use]
+    pub const fn ledger(&self) -> &Arc<ClaimLedger<S>> {
+        &self.ledger
+    }
+
+    /// Gets the state for the dump.
+    #[must_use]
+    pub fn dump(&self) -> Value {
+        json!({ "ledger": self.ledger.report(), "held": self.held.report() })
+    }
+
+    /// Answers a request: from memory where it came before, else by claiming and running it.
+    ///
+    /// The request runs in a task of its own: a caller that hangs up does not stop it, and a resend
+    /// hears its outcome.
+    ///
+    /// # Errors
+    /// The answer for the caller where the request was refused, or its outcome is not known.
+    pub async fn answer(self: &Arc<Self>, key: ClaimKey, plan: QueryPlan) -> RunOutcome {
+        let fingerprint = ClaimFingerprint::of(&plan.fingerprint(), &plan.team.name);
+        let expires = time::Instant::from_std(plan.expires());
+        match self.held.start(key, fingerprint, self.clock.now()) {
+            HeldStart::Conflict => Err(key_conflict()),
+            HeldStart::Known(outcome) => self.replay(outcome, expires).await,
+            HeldStart::New(place) => {
+                let mut outcome = place.watch();
+                let runner = Arc::clone(self);
+                tokio::spawn(async move { runner.run(place, key, fingerprint, plan).await });
+                shown(&mut outcome).await
+            }
+        }
+    }
+
+    async fn replay(&self, mut outcome: OutcomeWatch, expires: time::Instant) -> RunOutcome {
+        let Ok(outcome) = time::timeout_at(expires, shown(&mut outcome)).await else {
+            return Err(unknown("the request still runs"));
+        };
+        self.metrics.replays.inc();
+        match outcome {
+            Ok(mut answer) => {
+                answer.replayed = true;
+                Ok(answer)
+            }
+            Err(mut answer) => {
+                answer.replayed = true;
+                Err(answer)
+            }
+        }
+    }
+
+    async fn run(
+        &self,
+        place: RunningPlace,
+        key: ClaimKey,
+        fingerprint: ClaimFingerprint,
+        plan: QueryPlan,
+    ) {
+        match self.admit_claim_run(key, fingerprint, &plan).await {
+            RunEnd::Dispatched(outcome) => place.hold(outcome, self.clock.now()),
+            RunEnd::NotDispatched(error) => place.forget(Err(error)),
+        }
+    }
+
+    /// Admission comes before the claim, so that a refusal for load costs the store nothing.
+    async fn admit_claim_run(
+        &self,
+        key: ClaimKey,
+        fingerprint: ClaimFingerprint,
+        plan: &QueryPlan,
+    ) -> RunEnd {
+        if let Some(error) = self.refusal(&key) {
+            return RunEnd::NotDispatched(error);
+        }
+        let mut pass = match self.desk.admit(plan).await {
+            Ok(pass) => pass,
+            Err(refusal) => return RunEnd::NotDispatched(caller_server::refused(refusal)),
+        };
+        let deadline = self.clock.point(plan.expires());
+        match self.ledger.claim(key, fingerprint, deadline).await {
+            ClaimVerdict::Granted(ticket) => self.dispatch(ticket, plan, &mut pass).await,
+            ClaimVerdict::Taken(holder) => RunEnd::NotDispatched(self.taken(&holder)),
+            ClaimVerdict::Conflict => RunEnd::NotDispatched(key_conflict()),
+            ClaimVerdict::TooOld => RunEnd::NotDispatched(too_old()),
+            ClaimVerdict::Refused {
+                reason,
+                retry_after,
+            } => RunEnd::NotDispatched(refused(reason, retry_after)),
+        }
+    }
+
+    /// Dispatches a granted request once, and takes the claim back where it certainly did not run.
+    ///
+    /// The process may have been paused since the claim: what is over its deadline by now is not
+    /// dispatched any more, since its caller has given up on it.
+    async fn dispatch(
+        &self,
+        ticket: ClaimTicket,
+        plan: &QueryPlan,
+        pass: &mut AdmissionPass,
+    ) -> RunEnd {
+        if self.clock.now() >= self.clock.point(plan.expires()) {
+            self.ledger.release(ticket);
+            let message = "the deadline had passed before the request could be sent";
+            return RunEnd::NotDispatched(ErrorAnswer::not_run(ErrorCode::Unavailable, message));
+        }
+        match self.runner.run(plan, pass).await {
+            Err(error) if error.error.not_run => {
+                self.ledger.release(ticket);
+                RunEnd::NotDispatched(error)
+            }
+            outcome => RunEnd::Dispatched(outcome),
+        }
+    }
+
+    /// Gets the refusal of a key that is outside the window, and of any while the store's past is
+    /// in doubt.
+    fn refusal(&self, key: &ClaimKey) -> Option<ErrorAnswer> {
+        if matches!(self.config.status().contact, StoreContact::Backwards { .. }) {
+            // A store that was restored from an older copy lacks claims that were granted.
+            return Some(unknown("the store went backwards; claims may be missing"));
+        }
+        match KeyAge::of(key, wall_millis()) {
+            KeyAge::Served => None,
+            KeyAge::TooOld => Some(too_old()),
+            KeyAge::TooNew => Some(ErrorAnswer::not_run(
+                ErrorCode::BadRequest,
+                "the time in the idempotency key is too far ahead",
+            )),
+        }
+    }
+
+    fn taken(&self, holder: &NodeId) -> ErrorAnswer {
+        let holder = if *holder == self.node {
+            "this entry, which does not hold the answer any more".to_owned()
+        } else {
+            format!("entry {holder}, which may hold the answer")
+        };
+        unknown(format!("the key was claimed at {holder}"))
+    }
+}
+
+/// Waits for the outcome of a request.
+async fn shown(outcome: &mut OutcomeWatch) -> RunOutcome {
+    match outcome.wait_for(Option::is_some).await {
+        Ok(shown) => shown.as_ref().map_or_else(
+            || Err(unknown("the request has no outcome")),
+            |outcome| RunOutcome::clone(outcome),
+        ),
+        Err(_) => Err(unknown("the request ended without an outcome")),
+    }
+}
+
+fn unknown(message: impl Into<String>) -> ErrorAnswer {
+    ErrorAnswer::may_have_run(ErrorCode::Unknown, message)
+}
+
+/// "Not run" would be a guess: the key may have run before the ledger forgot it.
+fn too_old() -> ErrorAnswer {
+    unknown("the idempotency key is too old: whether its request ran is not remembered")
+}
+
+fn key_conflict() -> ErrorAnswer {
+    ErrorAnswer::not_run(
+        ErrorCode::KeyConflict,
+        "the idempotency key was used for another template, team or parameters",
+    )
+}
+
+fn refused(reason: ClaimRefusal, retry_after: TimeSpan) -> ErrorAnswer {
+    let (code, message) = match reason {
+        ClaimRefusal::StoreDown => (
+            ErrorCode::Unavailable,
+            "the store is out of service, and the request can't be claimed",
+        ),
+        ClaimRefusal::StoreSlow => (
+            ErrorCode::Unavailable,
+            "the store did not answer in time, and the request was not claimed",
+        ),
+        ClaimRefusal::LedgerBroken => (
+            ErrorCode::Unavailable,
+            "the record of claims can't be trusted, and the request was not claimed",
+        ),
+        ClaimRefusal::BucketFull => (
+            ErrorCode::Overloaded,
+            "too many keys have the same time; use a new key",
+        ),
+        ClaimRefusal::Busy => (ErrorCode::Overloaded, "too many claims are under way"),
+    };
+    // Callers that were refused together must not come back together.
+    let spread = retry_after.mul_f64(1.0 + rand::random::<f64>());
+    ErrorAnswer::not_run(code, message).with_retry_after(spread)
+}
+
+fn wall_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| TimeSpan::from(elapsed).as_millis())
+}
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::claim_metrics::ClaimMetrics;
+
 /// The upper bounds of the latency histogram in seconds; 0.37 s is the two-year goal at p99.
 const LATENCY_BUCKETS: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.5, 1.0, 2.5, 5.0, 10.0,
@@ -56,6 +58,8 @@
     pub stray_replies: Counter,
     /// The queries that were restarted on a newer snapshot.
     pub snapshot_restarts: Counter,
+    /// What the claim ledger does.
+    pub claims: ClaimMetrics,
 }
 
 impl Default for EntryMetrics {
@@ -82,6 +86,7 @@
             retries: Counter::default(),
             stray_replies: Counter::default(),
             snapshot_restarts: Counter::default(),
+            claims: ClaimMetrics::default(),
         };
         registry.register(
             "queries_in_flight",
@@ -106,6 +111,7 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        metrics.claims.register(&mut registry);
         Self {
             registry,
             ..metrics
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -9,6 +9,7 @@
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
 use alderhaven_platform::target_watch::TargetWatch;
@@ -19,6 +20,9 @@
 use crate::admission_desk::AdmissionDesk;
 use crate::caller_server;
 use crate::caller_server::CallerService;
+use crate::claim_ledger::ClaimLedger;
+use crate::claimed_runner::ClaimedRunner;
+use crate::held_answers::HeldAnswers;
 use crate::metrics::EntryMetrics;
 use crate::query_runner::QueryRunner;
 use crate::relay_routes::RelayRoutes;
@@ -31,7 +35,7 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<EntryState>,
-    _tasks: [AbortOnDropHandle<()>; 5],
+    _tasks: [AbortOnDropHandle<()>; 6],
 }
 
 /// An `EntryState` is what the parts of an entry share, as operators see it.
@@ -47,6 +51,8 @@
     pub routes: Arc<RelayRoutes>,
     /// The targets that get no new work.
     pub watch: TargetWatch,
+    /// What runs the non-idempotent requests.
+    pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
@@ -73,30 +79,35 @@
         ));
         // Each host runs one entry and one relay, so the relays' number is the entries' number.
         desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
+        let runner = Arc::new(QueryRunner::new(
+            rand::random(),
+            Arc::clone(&routes),
+            config.clone(),
+            watch.clone(),
+            Arc::clone(&metrics),
+        ));
+        let claims = Arc::new(claimed_runner(&settings, &desk, &runner, &config, &metrics));
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
-            routes: Arc::clone(&routes),
+            routes,
             desk: Arc::clone(&desk),
             watch: watch.clone(),
+            claims: Arc::clone(&claims),
             metrics: Arc::clone(&metrics),
         });
         let service = CallerService {
             limits: settings.limits.clone(),
             desk: Arc::clone(&desk),
-            runner: QueryRunner::new(
-                rand::random(),
-                routes,
-                config.clone(),
-                watch.clone(),
-                Arc::clone(&metrics),
-            ),
+            runner,
+            claims,
             config,
             metrics,
         };
         let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
         let tasks = [
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
+            tokio::spawn(Arc::clone(state.claims.ledger()).run_forever()),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
             tokio::spawn(apply_configuration(desk, state.config.clone())),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
@@ -159,7 +170,8 @@
             .collect();
         let loads = self.desk.loads(&self.config.view());
         json!({ "status": self.status(), "services": loads,
-            "leaving_targets": *self.watch.names(), "relays": links })
+            "leaving_targets": *self.watch.names(), "relays": links,
+            "claims": self.claims.dump() })
     }
 
     fn status(&self) -> Value {
@@ -173,6 +185,39 @@
     fn drain(&self) {}
 }
 
+/// Makes what runs the non-idempotent requests; the ledger's calls are not begun yet.
+fn claimed_runner(
+    settings: &EntrySettings,
+    desk: &Arc<AdmissionDesk>,
+    runner: &Arc<QueryRunner>,
+    config: &ConfigHandle,
+    metrics: &EntryMetrics,
+) -> ClaimedRunner<HttpStore> {
+    let store = HttpStore::new(settings.platform, HttpStoreOptions::default());
+    let ledger = ClaimLedger::new(
+        Arc::new(store),
+        settings.node.clone(),
+        settings.claims,
+        desk.clock(),
+        metrics.claims.clone(),
+    );
+    let held = HeldAnswers::new(
+        settings.claims.held_bytes,
+        settings.claims.held_time,
+        metrics.claims.clone(),
+    );
+    ClaimedRunner::builder()
+        .node(settings.node.clone())
+        .ledger(Arc::new(ledger))
+        .held(Arc::new(held))
+        .desk(Arc::clone(desk))
+        .runner(Arc::clone(runner))
+        .config(config.clone())
+        .clock(desk.clock())
+        .metrics(metrics.claims.clone())
+        .build()
+}
+
 /// Takes over each change of the configuration until the process ends.
 async fn apply_configuration(desk: Arc<AdmissionDesk>, config: ConfigHandle) {
     let mut changed = config.changed();
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -355,6 +355,7 @@
                 slowest_target_us: self.slowest_target.as_micros(),
                 attempts: self.gather.attempt_count(),
             },
+            replayed: false,
         })
     }
 
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::admission::AdmissionOptions;
+use alderhaven_policy::claim_options::ClaimOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,9 @@
     /// The admission of queries.
     #[serde(default)]
     pub admission: AdmissionOptions,
+    /// The ledger of non-idempotent requests.
+    #[serde(default)]
+    pub claims: ClaimOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
@@ -101,6 +105,7 @@
                 "0us is refused: allowed is above 0",
             ));
         }
+        errors.extend(self.claims.check());
         errors
     }
 }
--- /dev/null
+++ b/alderhaven-entry/tests/at_most_once/scenarios.rs
@@ -0,0 +1,216 @@
+//! What threatens "at most once" and "not run", one failure a test.
+
+use alderhaven_standin::http_caller::HttpCaller;
+use alderhaven_standin::platform_faults::PlatformFaults;
+use alderhaven_standin::target_state::TargetFaults;
+use futures::future;
+use http::StatusCode;
+
+use crate::small_system::{Answer, SmallSystem, fresh_key, key_at, request, wait_until};
+
+const ISBN: &str = "9780000000002";
+const OTHER_ISBN: &str = "9780000000019";
+
+fn assert_unknown(answer: &Answer) {
+    assert_eq!(answer.code(), "unknown", "{answer:?}");
+    assert!(!answer.is_not_run(), "{answer:?}");
+}
+
+/// A publisher's connection breaks after the assignment ran, and its client sends the request
+/// again, to the same entry. It must get the same answer, and no second number is assigned.
+#[tokio::test]
+async fn at_most_once_resend_same_entry() {
+    let system = SmallSystem::start().await;
+    let key = fresh_key();
+    let first = system.assign(0, &key, ISBN).await;
+    let second = system.assign(0, &key, ISBN).await;
+    assert!(first.is_complete() && !first.is_replayed(), "{first:?}");
+    assert!(second.is_complete() && second.is_replayed(), "{second:?}");
+    assert_eq!(first.body["rows"], second.body["rows"]);
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// The client sends the request again to another entry, which never saw it. That entry can't know
+/// how it ended; it must say so and not run it.
+#[tokio::test]
+async fn at_most_once_resend_other_entry() {
+    let system = SmallSystem::start().await;
+    let key = fresh_key();
+    assert!(system.assign(0, &key, ISBN).await.is_complete());
+    assert_unknown(&system.assign(1, &key, ISBN).await);
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// A client sends the request to all entries at once, several times, as an impatient retry loop
+/// does. One of them runs it; whoever hears "complete" hears of that one run.
+#[tokio::test]
+async fn at_most_once_sent_everywhere_at_once() {
+    let system = SmallSystem::start().await;
+    let key = fresh_key();
+    let sends = (0..12).map(|number| system.assign(number % 2, &key, ISBN));
+    let answers = future::join_all(sends).await;
+    assert!(answers.iter().any(Answer::is_complete), "{answers:?}");
+    for answer in answers.iter().filter(|answer| !answer.is_complete()) {
+        assert_unknown(answer);
+    }
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// A client with a fault uses one key for two assignments. The second must be refused with a clear
+/// error at the entry that knows the first, and at one that finds it in the ledger.
+#[tokio::test]
+async fn at_most_once_other_parameters() {
+    let system = SmallSystem::start().await;
+    let key = fresh_key();
+    assert!(system.assign(0, &key, ISBN).await.is_complete());
+    for entry in 0..2 {
+        let answer = system.assign(entry, &key, OTHER_ISBN).await;
+        assert_eq!(answer.status, StatusCode::CONFLICT);
+        assert_eq!(answer.code(), "key_conflict");
+        assert!(answer.is_not_run());
+    }
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// The store takes the claim's write and the answer to it is lost. The entry must find its claim
+/// and run the request; a resend elsewhere must not run it again.
+#[tokio::test]
+async fn at_most_once_reply_lost_after_the_write() {
+    let system = SmallSystem::start().await;
+    let key = fresh_key();
+    system.set_platform(PlatformFaults {
+        lose_write_replies: 1,
+        ..PlatformFaults::default()
+    });
+    let first = system.assign(0, &key, ISBN).await;
+    assert!(first.is_complete(), "{first:?}");
+    assert_unknown(&system.assign(1, &key, ISBN).await);
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// The claim's write is late: it takes effect only after the client has sent its request to another
+/// entry, which ran it. The late write must not make the first entry run it as well.
+#[tokio::test]
+async fn at_most_once_write_late() {
+    let system = SmallSystem::start().await;
+    let key = fresh_key();
+    system.set_platform(PlatformFaults {
+        hold_writes: 1,
+        ..PlatformFaults::default()
+    });
+    let (first, second) =
+        future::join(system.assign(0, &key, ISBN), system.assign(1, &key, ISBN)).await;
+    system.store.release_held();
+    let third = system.assign(0, &key, ISBN).await;
+    let fourth = system.assign(1, &key, ISBN).await;
+    let answers = [first, second, third, fourth];
+    assert!(answers.iter().any(Answer::is_complete), "{answers:?}");
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// The client hangs up while the assignment runs, and asks again. The run must go on, and the
+/// client gets its answer.
+#[tokio::test]
+async fn at_most_once_caller_hangs_up() {
+    let system = SmallSystem::start().await;
+    system.set_targets(TargetFaults {
+        slow_factor: 1_000.0,
+        ..TargetFaults::default()
+    });
+    let key = fresh_key();
+    let mut caller = HttpCaller::connect(system.address(0)).await.unwrap();
+    let mut call = Box::pin(caller.call(request("assign", Some(&key), ISBN)));
+    tokio::select! {
+        biased;
+        () = wait_until("the request runs", || system.runs() == 1) => {}
+        _ = &mut call => panic!("the run is over too soon"),
+    }
+    drop(call);
+    drop(caller);
+    let answer = system.assign(0, &key, ISBN).await;
+    assert!(answer.is_complete() && answer.is_replayed(), "{answer:?}");
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// The entry that ran the assignment is replaced, with nothing kept, and the client asks the new
+/// one. It must not run the request again.
+#[tokio::test]
+async fn at_most_once_entry_restarted() {
+    let mut system = SmallSystem::start().await;
+    let key = fresh_key();
+    assert!(system.assign(0, &key, ISBN).await.is_complete());
+    system.restart(0).await;
+    assert_unknown(&system.assign(0, &key, ISBN).await);
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// The platform's store is out of service. A non-idempotent request must be refused as not run,
+/// with when to come back, and run once when it comes back; other queries go on meanwhile.
+#[tokio::test]
+async fn not_run_store_outage() {
+    let system = SmallSystem::start().await;
+    system.set_platform(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let key = fresh_key();
+    let refused = system.assign(0, &key, ISBN).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.is_not_run(), "{refused:?}");
+    assert!(refused.body["error"]["retry_after_ms"].as_u64().is_some());
+    assert_eq!(system.runs(), 0);
+    assert!(system.send(0, "look-up", None, ISBN).await.is_complete());
+    assert_eq!(system.runs(), 1);
+    system.set_platform(PlatformFaults::default());
+    let answer = system.assign(1, &key, ISBN).await;
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(system.runs(), 2);
+    system.stop().await;
+}
+
+/// All replicas shed the assignment: it was claimed and certainly did not run. The client is told
+/// so, and its resend through another entry must run, once.
+#[tokio::test]
+async fn not_run_shed_gives_the_key_back() {
+    let system = SmallSystem::start().await;
+    system.set_targets(TargetFaults {
+        shedding: true,
+        ..TargetFaults::default()
+    });
+    let key = fresh_key();
+    let refused = system.assign(0, &key, ISBN).await;
+    assert!(refused.is_not_run(), "{refused:?}");
+    assert_eq!(system.runs(), 0);
+    system.set_targets(TargetFaults::default());
+    system.wait_for_releases(0).await;
+    let answer = system.assign(1, &key, ISBN).await;
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_unknown(&system.assign(0, &key, ISBN).await);
+    assert_eq!(system.runs(), 1);
+    system.stop().await;
+}
+
+/// A client forgets the key, sends one of another kind, or one whose time is far off. It is told
+/// what is wrong; only of an old key can't it be said that the request never ran.
+#[tokio::test]
+async fn not_run_keys_that_are_refused() {
+    let system = SmallSystem::start().await;
+    let random = uuid::Uuid::new_v4().to_string();
+    let ahead = key_at(10 * 60 * 1_000);
+    for key in [None, Some(random.as_str()), Some(ahead.as_str())] {
+        let answer = system.send(0, "assign", key, ISBN).await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+        assert!(answer.is_not_run(), "{answer:?}");
+    }
+    assert_unknown(&system.assign(0, &key_at(-60 * 60 * 1_000), ISBN).await);
+    assert_eq!(system.runs(), 0);
+    system.stop().await;
+}
