--- a/alderhaven-entry/src/claim_ledger.rs
+++ b/alderhaven-entry/src/claim_ledger.rs
@@ -73,7 +73,7 @@
             clock,
             options,
             state: Mutex::new(LedgerState {
-                batcher: ClaimBatcher::new(writer, options, clock.now()),
+                batcher: ClaimBatcher::new(writer, options, rand::random(), clock.now()),
                 waiters: HashMap::new(),
                 counted: ClaimCounts::default(),
             }),
--- a/alderhaven-policy/src/claim_batcher.rs
+++ b/alderhaven-policy/src/claim_batcher.rs
@@ -7,12 +7,20 @@
 //! faster than the entry's share, the next one waits for its turn and takes along what has come
 //! meanwhile. The batch interval is thus zero at low load and grows to the inverse of the share.
 //!
+//! Several entries write the same bucket, since new keys all carry nearly the same time. Entries
+//! that began together would go on together: each write would find another one before it, and of
+//! eight that try again at once seven would fail again. Both the turns and the tries after a
+//! conflict are therefore spread at random, the latter over as many store calls as there may be
+//! writers.
+//!
 //! While the store is out of service, claims are refused at once instead of being held until their
 //! time is up; one claim after each pause finds out whether it is back.
 
 use std::collections::BTreeMap;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
 use crate::claim_bucket::ClaimWriter;
@@ -37,6 +45,7 @@
     options: ClaimOptions,
     lanes: BTreeMap<ClaimSlot, ClaimLane>,
     pacer: TokenBucket,
+    rng: StdRng,
     next_sequence: u64,
     /// The number of tries without a verdict.
     waiting: usize,
@@ -81,13 +90,15 @@
 }
 
 impl ClaimBatcher {
-    /// Returns a batcher; the writer's origin must be random, so that claims don't recur.
+    /// Returns a batcher; the writer's origin must be random, so that claims don't recur. The seed
+    /// only spreads calls over time.
     #[must_use]
-    pub fn new(writer: ClaimWriter, options: ClaimOptions, now: TimePoint) -> Self {
+    pub fn new(writer: ClaimWriter, options: ClaimOptions, seed: u64, now: TimePoint) -> Self {
         Self {
             writer,
             lanes: BTreeMap::new(),
             pacer: TokenBucket::new(options.writes, f64::from(options.burst), now),
+            rng: StdRng::seed_from_u64(seed),
             options,
             next_sequence: 1,
             waiting: 0,
@@ -159,7 +170,8 @@
         for (slot, lane) in &mut self.lanes {
             lane.give_up(now, retry, &mut self.verdicts);
             let need = lane.need(now, retry, &mut self.verdicts);
-            if need == LaneNeed::Nothing || is_paused || call.is_some() {
+            let is_held = is_paused || lane.is_on_hold(now);
+            if need == LaneNeed::Nothing || is_held || call.is_some() {
                 continue;
             }
             if !lane.has_turn() {
@@ -167,12 +179,13 @@
                     continue;
                 }
                 if let Err(wait) = self.pacer.take(now) {
-                    self.write_at = now + wait;
+                    let share = 1.0 + self.rng.random::<f64>();
+                    self.write_at = now + wait.mul_f64(share);
                     continue;
                 }
                 lane.give_turn();
             }
-            call = lane.begin(need, &self.writer).map(|action| ClaimCall {
+            call = lane.begin(need, &self.writer, now).map(|action| ClaimCall {
                 slot: *slot,
                 action,
             });
@@ -192,6 +205,10 @@
         };
         match lane.finish(reply, now, &mut self.verdicts) {
             LaneEnd::Answered => self.pause = None,
+            LaneEnd::Conflict => {
+                self.pause = None;
+                lane.hold(self.rng.random(), now);
+            }
             LaneEnd::Written => {
                 self.pause = None;
                 self.counts.written += 1;
@@ -246,9 +263,11 @@
             .min();
         let has_work = self.lanes.values().any(|lane| !lane.is_idle());
         let paused = self.pause.map(|pause| pause.until);
+        let held = self.lanes.values().map(ClaimLane::hold_until);
         let turn = [Some(self.write_at), paused]
             .into_iter()
             .flatten()
+            .chain(held)
             .filter(|point| has_work && *point > now)
             .min();
         [give_up, turn].into_iter().flatten().min()
--- a/alderhaven-policy/src/claim_lane.rs
+++ b/alderhaven-policy/src/claim_lane.rs
@@ -86,6 +86,12 @@
     must_read: bool,
     has_turn: bool,
     used: TimePoint,
+    /// When the call under way was begun.
+    began: TimePoint,
+    /// The conflicts since a write last took effect.
+    conflicts: u32,
+    /// The time before which no call is made, after a conflict.
+    hold_until: TimePoint,
 }
 
 impl LaneClaim {
@@ -120,6 +126,8 @@
     }
 }
 
+/// The most doublings of the wait after a conflict: 32 writers take their turns within it.
+const MAX_DOUBLINGS: u32 = 5;
 /// How long a bucket that was seen is taken as the newest. Other entries write the same bucket, and
 /// a read before the write costs less than a write that comes to nothing.
 const FRESH_FOR: TimeSpan = TimeSpan::from_millis(10);
@@ -149,6 +157,23 @@
         self.has_turn
     }
 
+    /// Returns true where the lane waits after a conflict.
+    pub(crate) fn is_on_hold(&self, now: TimePoint) -> bool {
+        now < self.hold_until
+    }
+
+    /// Gets the time until which the lane waits after a conflict.
+    pub(crate) const fn hold_until(&self) -> TimePoint {
+        self.hold_until
+    }
+
+    /// Waits a part of the time that the writers in conflict need one after the other.
+    pub(crate) fn hold(&mut self, share: f64, now: TimePoint) {
+        let turns = 1_u32 << self.conflicts.min(MAX_DOUBLINGS);
+        let span = now.since(self.began).mul_f64(f64::from(turns) * share);
+        self.hold_until = now + span;
+    }
+
     pub(crate) const fn give_turn(&mut self) {
         self.has_turn = true;
     }
@@ -228,8 +253,14 @@
     }
 
     /// Begins the call that [`Self::need`] wanted.
-    pub(crate) fn begin(&mut self, need: LaneNeed, writer: &ClaimWriter) -> Option<ClaimAction> {
+    pub(crate) fn begin(
+        &mut self,
+        need: LaneNeed,
+        writer: &ClaimWriter,
+        now: TimePoint,
+    ) -> Option<ClaimAction> {
         self.calls += 1;
+        self.began = now;
         let seen = match need {
             LaneNeed::Nothing => return None,
             LaneNeed::Read => None,
@@ -329,15 +360,20 @@
                         verdicts.push((claim.ticket, ClaimVerdict::Granted(claim.ticket)));
                     }
                 }
+                self.conflicts = 0;
                 LaneEnd::Written
             }
             ClaimReply::Conflict(object) => {
                 self.has_turn = true;
+                self.conflicts += 1;
                 self.releases.extend(releases);
                 for claim in claims {
                     self.put_back(claim);
                 }
-                self.observe(object, now)
+                match self.observe(object, now) {
+                    LaneEnd::Answered => LaneEnd::Conflict,
+                    end => end,
+                }
             }
             ClaimReply::NotDone { retry_after } => {
                 self.has_turn = true;
@@ -467,6 +503,8 @@
     Answered,
     /// The store took the write.
     Written,
+    /// Another writer was before.
+    Conflict,
     /// The call did nothing.
     NotDone(Option<TimeSpan>),
     /// The answer is lost.
--- a/alderhaven-policy/tests/claim_ledger/ledger_world.rs
+++ b/alderhaven-policy/tests/claim_ledger/ledger_world.rs
@@ -124,7 +124,7 @@
             node: "entry".parse().unwrap(),
             origin: self.starts,
         };
-        let batcher = ClaimBatcher::new(writer, ClaimOptions::default(), self.now);
+        let batcher = ClaimBatcher::new(writer, ClaimOptions::default(), self.starts, self.now);
         (self.starts, batcher)
     }
 
