--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -24,8 +24,9 @@
 use crate::claimed_runner::ClaimedRunner;
 use crate::held_answers::HeldAnswers;
 use crate::metrics::EntryMetrics;
-use crate::query_runner::QueryRunner;
+use crate::query_runner::{QueryRunner, RunnerParts};
 use crate::relay_routes::RelayRoutes;
+use crate::replica_board::ReplicaBoard;
 use crate::settings::EntrySettings;
 
 /// An `EntryNode` is a running entry; dropping it ends its tasks.
@@ -79,12 +80,21 @@
         ));
         // Each host runs one entry and one relay, so the relays' number is the entries' number.
         desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
+        let board = Arc::new(ReplicaBoard::new(
+            settings.policy,
+            settings.choices.clone(),
+            settings.domain.clone(),
+            clock,
+        ));
         let runner = Arc::new(QueryRunner::new(
             rand::random(),
-            Arc::clone(&routes),
-            config.clone(),
-            watch.clone(),
-            Arc::clone(&metrics),
+            RunnerParts {
+                routes: Arc::clone(&routes),
+                board: Arc::clone(&board),
+                watch: watch.clone(),
+                config: config.clone(),
+                metrics: Arc::clone(&metrics),
+            },
         ));
         let claims = Arc::new(claimed_runner(&settings, &desk, &runner, &config, &metrics));
         let state = Arc::new(EntryState {
@@ -109,7 +119,7 @@
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(state.claims.ledger()).run_forever()),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
-            tokio::spawn(apply_configuration(desk, state.config.clone())),
+            tokio::spawn(apply_configuration(desk, board, state.config.clone())),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
             tokio::spawn(operator_server::serve(
                 operator_listener,
@@ -219,10 +229,16 @@
 }
 
 /// Takes over each change of the configuration until the process ends.
-async fn apply_configuration(desk: Arc<AdmissionDesk>, config: ConfigHandle) {
+async fn apply_configuration(
+    desk: Arc<AdmissionDesk>,
+    board: Arc<ReplicaBoard>,
+    config: ConfigHandle,
+) {
     let mut changed = config.changed();
     loop {
-        desk.apply(&config.view());
+        let view = config.view();
+        desk.apply(&view);
+        board.apply(&view);
         if changed.changed().await.is_err() {
             return;
         }
--- a/alderhaven-policy/src/admission.rs
+++ b/alderhaven-policy/src/admission.rs
@@ -11,17 +11,21 @@
 //! - Whole queries are shed, before the fan-out. What is in flight per service is bounded by
 //!   [`crate::service_capacity::ServiceCapacity`], which is found from what ended queries report.
 //! - Waiting queries go by class, then fairly by team weight, then by key ([`crate::fair_queue`]).
-//! - A query whose estimated wait exceeds [`AdmissionOptions::wait_share`] of its time, or whose
-//!   wait and latency together exceed its time, is refused on arrival, with when to come back,
-//!   spread by jitter so that refused callers don't return together.
+//! - A query whose estimated wait exceeds its class's share of its time, or whose wait and latency
+//!   together exceed its time, is refused on arrival, with when to come back, spread by jitter so
+//!   that refused callers don't return together. One that waits for far longer than was estimated
+//!   is refused at half of its time.
 //! - One key may have no more in flight than one shard carries: the shards of its queries are
 //!   always the same ones.
 //! - A team or key above its share is given a later `order` ([`AdmitTicket::order_at`]), so that
 //!   the relays too prefer the others.
 //!
-//! Grounds for the figures: a quarter of the time for waiting leaves three quarters for the
-//! attempts and their hedges (370 ms: 92 and 278); beyond 2 s a caller is better served by a
-//! refusal. An order lag of 100 ms exceeds the wait that the capacity lets stand in the relays.
+//! Grounds for the figures: an urgent query is refused last, so it may wait for a third of its time
+//! (370 ms: 130) and still have its attempts and hedges. Lower classes may wait for an eighth (44
+//! ms), since urgent ones that arrive meanwhile go before them: at a quarter, one in ten was refused
+//! only after its wait in the overload test, at an eighth one in a thousand. Beyond 2 s a caller is
+//! better served by a refusal. An order lag of 100 ms exceeds the wait that the capacity lets stand
+//! in the relays.
 
 use std::collections::HashMap;
 
