--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::admission::AdmissionOptions;
+use alderhaven_policy::claim_options::ClaimOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,9 @@
     /// The admission of queries.
     #[serde(default)]
     pub admission: AdmissionOptions,
+    /// The ledger of non-idempotent requests.
+    #[serde(default)]
+    pub claims: ClaimOptions,
     /// The choices of replicas, hedges and retries.
     #[serde(default)]
     pub choices: BoardOptions,
@@ -106,6 +110,7 @@
                 "0us is refused: allowed is above 0",
             ));
         }
+        errors.extend(self.claims.check());
         errors
     }
 }
