--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -3,3 +3,5 @@
 #![warn(missing_docs)]
 
 pub mod config_registry;
+pub mod hashing;
+pub mod membership;
--- /dev/null
+++ b/alderhaven-policy/src/membership/group_membership.rs
@@ -0,0 +1,434 @@
+//! The aggregate of all that one process knows of the others.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use rand::{Rng, RngExt};
+
+use crate::hashing;
+use crate::membership::gossip_message::{MemberUpdate, OutgoingMessage, VIEW_BUCKETS};
+use crate::membership::member_entry::{self, MemberEntry, MemberView};
+use crate::membership::member_machine::MemberEvent;
+use crate::membership::member_record::{
+    ConfigDigest, LoadLevel, MemberRecord, MemberState, MemberVersion,
+};
+use crate::membership::membership_options::MembershipOptions;
+use crate::membership::probing::ProbeSchedule;
+use crate::membership::report_board::{self, ReportBoard};
+use crate::membership::state_sync::SyncSchedule;
+use crate::membership::update_queue::UpdateQueue;
+
+/// The most members whose death is remembered after their record was dropped.
+const MAX_GRAVES: usize = 1 << 12;
+
+/// A `GroupMembership` is one process's view of all others, and the rules by which it changes.
+///
+/// [`tick`](Self::tick) is called at least every 50 ms, [`receive`](Self::receive) with each
+/// message; both return what is to be sent.
+pub struct GroupMembership {
+    pub(super) options: MembershipOptions,
+    pub(super) record: MemberRecord,
+    pub(super) version: MemberVersion,
+    pub(super) own_state: MemberState,
+    pub(super) is_superseded: bool,
+    pub(super) load: LoadLevel,
+    pub(super) config: ConfigDigest,
+    pub(super) members: BTreeMap<NodeId, MemberEntry>,
+    pub(super) suspects: BTreeSet<NodeId>,
+    pub(super) graves: BTreeMap<NodeId, MemberVersion>,
+    pub(super) contacts: Vec<MemberContact>,
+    pub(super) queue: UpdateQueue,
+    pub(super) board: ReportBoard,
+    pub(super) buckets: [u64; VIEW_BUCKETS],
+    pub(super) probing: ProbeSchedule,
+    pub(super) syncing: SyncSchedule,
+    pub(super) is_urgent: bool,
+    pub(super) gossiped_at: TimePoint,
+    pub(super) changed_at: TimePoint,
+    pub(super) revision: u64,
+    pub(super) report_revision: u64,
+    name_hash: u64,
+    reported_at: TimePoint,
+    reconnect_at: TimePoint,
+    ticked_at: Option<TimePoint>,
+    resumed_at: TimePoint,
+    forgot_at: TimePoint,
+}
+
+/// A `MemberContact` is a member that messages go to: any but the dead.
+#[derive(Clone, Debug)]
+pub(super) struct MemberContact {
+    pub(super) node: NodeId,
+    pub(super) address: SocketAddr,
+}
+
+impl GroupMembership {
+    /// Returns the view of a process that has just started and knows nobody.
+    ///
+    /// The start number in `version` must be above that of the process's earlier runs; the time of
+    /// the start serves. Where it is not, the process learns so from the others and raises it.
+    #[must_use]
+    pub fn new(record: MemberRecord, version: MemberVersion, options: MembershipOptions) -> Self {
+        let mut membership = Self {
+            name_hash: hashing::hash_name(record.node.as_str()),
+            options,
+            record,
+            version,
+            own_state: MemberState::Alive,
+            is_superseded: false,
+            load: LoadLevel::default(),
+            config: ConfigDigest::default(),
+            members: BTreeMap::new(),
+            suspects: BTreeSet::new(),
+            graves: BTreeMap::new(),
+            contacts: Vec::new(),
+            queue: UpdateQueue::default(),
+            board: ReportBoard::default(),
+            buckets: [0; VIEW_BUCKETS],
+            probing: ProbeSchedule::default(),
+            syncing: SyncSchedule::default(),
+            is_urgent: false,
+            gossiped_at: TimePoint::START,
+            changed_at: TimePoint::START,
+            revision: 1,
+            report_revision: 1,
+            reported_at: TimePoint::START,
+            reconnect_at: TimePoint::START,
+            ticked_at: None,
+            resumed_at: TimePoint::START,
+            forgot_at: TimePoint::START,
+        };
+        membership.toggle_own_part();
+        membership.queue.push(membership.own_update(true));
+        membership
+    }
+
+    /// Does what is due; to be called at least every 50 ms.
+    pub fn tick(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<OutgoingMessage> {
+        let mut outgoing = Vec::new();
+        if self.own_state == MemberState::Dead {
+            return outgoing;
+        }
+        self.notice_pause(now);
+        self.end_suspicions(now);
+        self.report_config(now);
+        self.probe(now, rng, &mut outgoing);
+        self.sync(now, rng, &mut outgoing);
+        self.reconnect(now, rng, &mut outgoing);
+        self.forget(now);
+        self.gossip(now, rng, &mut outgoing);
+        outgoing
+    }
+
+    /// Announces that this process stops taking work, to many members at once.
+    pub fn announce_leaving(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<OutgoingMessage> {
+        if self.own_state != MemberState::Alive {
+            return Vec::new();
+        }
+        self.toggle_own_part();
+        self.own_state = MemberState::Leaving;
+        self.toggle_own_part();
+        self.queue.push(self.own_update(false));
+        self.note_change(now);
+        self.broadcast(now, rng)
+    }
+
+    /// Announces that this process is gone, to be called as the last thing before it ends.
+    pub fn announce_gone(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<OutgoingMessage> {
+        let mut outgoing = self.announce_leaving(now, rng);
+        self.own_state = MemberState::Dead;
+        self.queue.push(self.own_update(false));
+        outgoing.extend(self.broadcast(now, rng));
+        outgoing
+    }
+
+    /// Sets how busy this process is.
+    pub const fn set_load(&mut self, load: LoadLevel) {
+        self.load = load;
+    }
+
+    /// Sets the configuration that this process has in force.
+    pub const fn set_config(&mut self, config: ConfigDigest) {
+        self.config = config;
+    }
+
+    /// Gets this process's own record.
+    #[must_use]
+    pub const fn record(&self) -> &MemberRecord {
+        &self.record
+    }
+
+    /// Gets this process's own version.
+    #[must_use]
+    pub const fn version(&self) -> MemberVersion {
+        self.version
+    }
+
+    /// Gets the state that this process says it is in.
+    #[must_use]
+    pub const fn own_state(&self) -> MemberState {
+        self.own_state
+    }
+
+    /// Returns true where a newer process with this one's id runs at other addresses: this one was
+    /// replaced while it was paused and must stop.
+    #[must_use]
+    pub const fn is_superseded(&self) -> bool {
+        self.is_superseded
+    }
+
+    /// Returns true once the state of the group was taken over from another member.
+    #[must_use]
+    pub const fn is_joined(&self) -> bool {
+        self.syncing.is_joined
+    }
+
+    /// Gets the number of changes of members' states; it grows with each.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Gets the number of changes of members' configurations in force; it grows with each.
+    #[must_use]
+    pub const fn report_revision(&self) -> u64 {
+        self.report_revision
+    }
+
+    /// Gets the state of a member, this process included.
+    #[must_use]
+    pub fn state_of(&self, node: &NodeId) -> Option<MemberState> {
+        if *node == self.record.node {
+            return Some(self.own_state);
+        }
+        self.members.get(node).map(|member| member.machine.state())
+    }
+
+    /// Gets all members, this process first, the dead included until they are forgotten.
+    #[must_use]
+    pub fn members(&self) -> Vec<MemberView> {
+        let own = MemberView {
+            record: Arc::new(self.record.clone()),
+            state: self.own_state,
+            version: self.version,
+            load: self.load,
+            heard_at: None,
+            config: Some(self.config),
+        };
+        let others = self.members.values().map(|member| MemberView {
+            record: Arc::clone(&member.record),
+            state: member.machine.state(),
+            version: member.machine.version(),
+            load: member.load,
+            heard_at: member.heard_at,
+            config: self.board.get(member.fingerprint),
+        });
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// Gets the hash of the view; equal views have equal hashes.
+    #[must_use]
+    pub fn view_hash(&self) -> u64 {
+        self.buckets.iter().fold(0, |all, bucket| all ^ bucket)
+    }
+
+    /// Gets the number of members that are not dead, this process included.
+    pub(super) fn size(&self) -> usize {
+        self.contacts.len() + 1
+    }
+
+    pub(super) fn own_update(&self, with_record: bool) -> MemberUpdate {
+        MemberUpdate {
+            node: self.record.node.clone(),
+            state: self.own_state,
+            version: self.version,
+            record: with_record.then(|| self.record.clone()),
+        }
+    }
+
+    pub(super) fn own_fingerprint(&self) -> u32 {
+        report_board::fingerprint(&self.record.node, self.version.start)
+    }
+
+    /// Adds this process's part to the hashes of the view, or takes it out where it was in.
+    pub(super) fn toggle_own_part(&mut self) {
+        let (bucket, hash) = member_entry::view_part(
+            self.name_hash,
+            self.version,
+            self.own_state == MemberState::Leaving,
+        );
+        self.buckets[bucket] ^= hash;
+    }
+
+    pub(super) const fn note_change(&mut self, now: TimePoint) {
+        self.changed_at = now;
+        self.revision += 1;
+    }
+
+    /// Applies an event to a known member; where it changed something, passes the new state on.
+    pub(super) fn apply(&mut self, node: &NodeId, event: MemberEvent, now: TimePoint) -> bool {
+        let Some(member) = self.members.get_mut(node) else {
+            return false;
+        };
+        let (bucket, before) = member.view_part();
+        if !member.machine.handle(event) {
+            return false;
+        }
+        self.buckets[bucket] ^= before;
+        let (bucket, after) = member.view_part();
+        self.buckets[bucket] ^= after;
+        let update = member.update(false);
+        if update.state == MemberState::Suspect {
+            self.suspects.insert(node.clone());
+        } else {
+            self.suspects.remove(node);
+        }
+        self.is_urgent = true;
+        self.queue.push(update);
+        self.refresh_contacts();
+        self.note_change(now);
+        true
+    }
+
+    pub(super) fn refresh_contacts(&mut self) {
+        let live = self
+            .members
+            .values()
+            .filter(|member| member.machine.state() != MemberState::Dead);
+        self.contacts = live
+            .map(|member| MemberContact {
+                node: member.record.node.clone(),
+                address: member.record.gossip_address,
+            })
+            .collect();
+    }
+
+    /// Guards against judging others after this process itself was paused: answers that came
+    /// meanwhile are still unread, so a probe in flight would count as failed and suspicions as
+    /// lapsed, and a host that froze for seconds would declare everyone dead when it wakes. A late
+    /// tick shows the pause; the probe is then dropped and suspicions begin anew.
+    fn notice_pause(&mut self, now: TimePoint) {
+        let is_paused = self
+            .ticked_at
+            .is_some_and(|ticked_at| now.since(ticked_at) > self.options.probe_period);
+        if is_paused {
+            self.resumed_at = now;
+            self.probing.drop_current(now);
+        }
+        self.ticked_at = Some(now);
+    }
+
+    fn end_suspicions(&mut self, now: TimePoint) {
+        let suspicion = self.options.suspicion(self.size());
+        let is_lapsed = |node: &&NodeId| {
+            self.members.get(*node).is_some_and(|member| {
+                now.since(member.machine.since().max(self.resumed_at)) >= suspicion
+            })
+        };
+        let lapsed: Vec<NodeId> = self.suspects.iter().filter(is_lapsed).cloned().collect();
+        for node in lapsed {
+            self.apply(&node, MemberEvent::SuspicionLapsed { now }, now);
+        }
+    }
+
+    fn report_config(&mut self, now: TimePoint) {
+        if now.since(self.reported_at) < self.options.report_period {
+            return;
+        }
+        if self.board.hear(self.own_fingerprint(), self.config) {
+            self.reported_at = now;
+            self.report_revision += 1;
+        }
+    }
+
+    /// Tries to reach a member that is dead or a seed that is not known: after a split heals,
+    /// nobody else would speak across it again. The chance falls with the size, so that a dead
+    /// host is not called by the whole fleet.
+    fn reconnect(
+        &mut self,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if now < self.reconnect_at {
+            return;
+        }
+        self.reconnect_at = now + jittered(self.options.reconnect_period, rng);
+        let lost: Vec<(SocketAddr, Option<NodeId>)> = self.lost_contacts();
+        if lost.is_empty()
+            || !rng.random_bool((10.0 * lost.len() as f64 / self.size() as f64).min(1.0))
+        {
+            return;
+        }
+        match &lost[rng.random_range(0..lost.len())] {
+            (address, Some(node)) => outgoing.push(self.ping(*address, node)),
+            (address, None) => self.begin_sync(*address, now, outgoing),
+        }
+    }
+
+    fn lost_contacts(&self) -> Vec<(SocketAddr, Option<NodeId>)> {
+        let dead = self
+            .members
+            .values()
+            .filter(|member| member.machine.state() == MemberState::Dead)
+            .map(|member| {
+                (
+                    member.record.gossip_address,
+                    Some(member.record.node.clone()),
+                )
+            });
+        let is_known = |address: SocketAddr| {
+            address == self.record.gossip_address
+                || self
+                    .members
+                    .values()
+                    .any(|member| member.record.gossip_address == address)
+        };
+        let seeds = self.options.seeds.iter().filter(|seed| !is_known(**seed));
+        dead.chain(seeds.map(|seed| (*seed, None))).collect()
+    }
+
+    /// Drops the records of members that have been dead for long.
+    ///
+    /// Their versions are kept: a process that was frozen all the while still believes them alive
+    /// and says so when it wakes, which would bring them back into answers until a probe fails.
+    fn forget(&mut self, now: TimePoint) {
+        if now.since(self.forgot_at) < self.options.reconnect_period {
+            return;
+        }
+        self.forgot_at = now;
+        let forget_after = self.options.forget_after;
+        let old: Vec<NodeId> = self
+            .members
+            .values()
+            .filter(|member| member.machine.state() == MemberState::Dead)
+            .filter(|member| now.since(member.machine.since()) >= forget_after)
+            .map(|member| member.record.node.clone())
+            .collect();
+        for node in old {
+            if let Some(member) = self.members.remove(&node) {
+                self.graves.insert(node, member.machine.version());
+            }
+            self.revision += 1;
+        }
+        while self.graves.len() > MAX_GRAVES {
+            let oldest = self.graves.iter().min_by_key(|(_, version)| **version);
+            let Some(node) = oldest.map(|(node, _)| node.clone()) else {
+                break;
+            };
+            self.graves.remove(&node);
+        }
+        let mut known: BTreeSet<u32> = self.members.values().map(|m| m.fingerprint).collect();
+        known.insert(self.own_fingerprint());
+        self.board.retain(|member| known.contains(&member));
+    }
+}
+
+/// Spreads a period by a quarter to either side, so that processes that started together do not
+/// act together.
+pub(super) fn jittered(period: TimeSpan, rng: &mut impl Rng) -> TimeSpan {
+    period.mul_f64(rng.random_range(0.75..1.25))
+}
--- /dev/null
+++ b/alderhaven-policy/src/membership/member_entry.rs
@@ -0,0 +1,114 @@
+//! A member as it is kept, and as it is shown.
+
+use std::sync::Arc;
+
+use alderhaven_core::ids::IncarnationNumber;
+use alderhaven_core::time::TimePoint;
+use serde::{Serialize, Serializer};
+
+use crate::hashing;
+use crate::membership::gossip_message::{MemberUpdate, VIEW_BUCKETS};
+use crate::membership::member_machine::MemberMachine;
+use crate::membership::member_record::{
+    ConfigDigest, LoadLevel, MemberRecord, MemberState, MemberVersion,
+};
+use crate::membership::report_board;
+
+/// A `MemberEntry` is one other member with its lifecycle.
+pub(crate) struct MemberEntry {
+    pub(crate) record: Arc<MemberRecord>,
+    pub(crate) machine: MemberMachine,
+    pub(crate) fingerprint: u32,
+    /// The start of the process that the record is of.
+    pub(crate) record_start: IncarnationNumber,
+    pub(crate) load: LoadLevel,
+    /// When the member last spoke to this process itself.
+    pub(crate) heard_at: Option<TimePoint>,
+    name_hash: u64,
+}
+
+impl MemberEntry {
+    pub(crate) fn new(record: MemberRecord, machine: MemberMachine) -> Self {
+        let record_start = machine.version().start;
+        Self {
+            fingerprint: report_board::fingerprint(&record.node, record_start),
+            record_start,
+            name_hash: hashing::hash_name(record.node.as_str()),
+            record: Arc::new(record),
+            machine,
+            load: LoadLevel::default(),
+            heard_at: None,
+        }
+    }
+
+    /// Takes over the record of a restarted process.
+    pub(crate) fn replace_record(&mut self, record: MemberRecord) {
+        self.record_start = self.machine.version().start;
+        self.fingerprint = report_board::fingerprint(&record.node, self.record_start);
+        self.record = Arc::new(record);
+        self.heard_at = None;
+    }
+
+    /// Gets the bucket of a view's hashes that the member belongs to.
+    pub(crate) fn bucket(&self) -> usize {
+        bucket_of(self.name_hash)
+    }
+
+    /// Gets the bucket and the hash that the member adds to a view's hashes; the dead add nothing,
+    /// since they are forgotten at different times.
+    pub(crate) fn view_part(&self) -> (usize, u64) {
+        let state = self.machine.state();
+        if state == MemberState::Dead {
+            return (self.bucket(), 0);
+        }
+        let is_leaving = state == MemberState::Leaving;
+        view_part(self.name_hash, self.machine.version(), is_leaving)
+    }
+
+    /// Gets the member's state as news; with its record where receivers may not know it.
+    pub(crate) fn update(&self, with_record: bool) -> MemberUpdate {
+        MemberUpdate {
+            node: self.record.node.clone(),
+            state: self.machine.state(),
+            version: self.machine.version(),
+            record: with_record.then(|| MemberRecord::clone(&self.record)),
+        }
+    }
+}
+
+/// Gets the bucket and the hash that a member adds to a view's hashes.
+pub(crate) fn view_part(name_hash: u64, version: MemberVersion, is_leaving: bool) -> (usize, u64) {
+    let bucket = bucket_of(name_hash);
+    let numbers = hashing::mix(version.start.0, u64::from(version.refutation));
+    let hash = hashing::mix(hashing::mix(name_hash, numbers), u64::from(is_leaving));
+    (bucket, hash)
+}
+
+fn bucket_of(name_hash: u64) -> usize {
+    usize::try_from(name_hash % VIEW_BUCKETS as u64).unwrap_or(0)
+}
+
+/// A `MemberView` is a member as other parts of the process and operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberView {
+    /// The member's record.
+    #[serde(serialize_with = "serialize_record")]
+    pub record: Arc<MemberRecord>,
+    /// The member's state.
+    pub state: MemberState,
+    /// The version that the state is of.
+    pub version: MemberVersion,
+    /// The load that the member last said itself.
+    pub load: LoadLevel,
+    /// When the member last spoke to this process; none where it never did.
+    pub heard_at: Option<TimePoint>,
+    /// The configuration that the member has in force; none where it has not reported.
+    pub config: Option<ConfigDigest>,
+}
+
+fn serialize_record<S: Serializer>(
+    record: &Arc<MemberRecord>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    record.as_ref().serialize(serializer)
+}
--- /dev/null
+++ b/alderhaven-policy/src/membership/news.rs
@@ -0,0 +1,262 @@
+//! How news that arrives is judged.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::time::TimePoint;
+use rand::Rng;
+
+use crate::membership::gossip_message::{
+    GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, SenderHeader,
+};
+use crate::membership::group_membership::GroupMembership;
+use crate::membership::member_entry::MemberEntry;
+use crate::membership::member_machine::{MemberEvent, MemberMachine};
+use crate::membership::member_record::{MemberState, MemberVersion};
+use crate::membership::report_board;
+
+/// A `NewsSource` says how an update came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum NewsSource {
+    /// With a message, soon after it happened.
+    Gossip,
+    /// From a comparison of states, which may be old.
+    StateSync,
+}
+
+impl GroupMembership {
+    /// Takes a message that came from an address; returns what is to be sent.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        message: GossipMessage,
+        now: TimePoint,
+        rng: &mut impl Rng,
+    ) -> Vec<OutgoingMessage> {
+        let mut outgoing = Vec::new();
+        if self.own_state == MemberState::Dead {
+            return outgoing;
+        }
+        let source = match message.body {
+            GossipBody::SyncReply { .. } => NewsSource::StateSync,
+            _ => NewsSource::Gossip,
+        };
+        for update in message.updates {
+            self.hear_update(update, source, now, rng, &mut outgoing);
+        }
+        self.hear_header(from, &message.sender, now, &mut outgoing);
+        for group in message.reports {
+            for member in group.members {
+                self.report_revision += u64::from(self.board.hear(member, group.config));
+            }
+        }
+        self.hear_body(from, &message.body, now, &mut outgoing);
+        self.gossip_urgently(now, rng, &mut outgoing);
+        outgoing
+    }
+
+    fn hear_body(
+        &mut self,
+        from: SocketAddr,
+        body: &GossipBody,
+        now: TimePoint,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        match body {
+            GossipBody::News => {}
+            GossipBody::Ping { sequence, target } => {
+                self.answer_ping(from, *sequence, target, outgoing);
+            }
+            GossipBody::PingRequest {
+                sequence,
+                target,
+                address,
+            } => self.probe_for(from, *sequence, (target, *address), now, outgoing),
+            GossipBody::Ack { sequence } => self.hear_ack(*sequence, outgoing),
+            GossipBody::SyncRequest {
+                sequence,
+                after,
+                buckets,
+            } => self.answer_sync(from, *sequence, after.as_ref(), buckets, outgoing),
+            GossipBody::SyncReply { sequence, next } => {
+                self.hear_sync(*sequence, next.clone(), now, outgoing);
+            }
+        }
+    }
+
+    /// Takes what a sender says of itself, and tells it where it is believed suspect or dead.
+    fn hear_header(
+        &mut self,
+        from: SocketAddr,
+        sender: &SenderHeader,
+        now: TimePoint,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if sender.node == self.record.node {
+            return;
+        }
+        self.compare_views(from, sender.view, now, outgoing);
+        let Some(member) = self.members.get_mut(&sender.node) else {
+            return;
+        };
+        if member.record_start != sender.version.start {
+            return;
+        }
+        member.load = sender.load;
+        member.heard_at = Some(now);
+        let fingerprint = member.fingerprint;
+        self.report_revision += u64::from(self.board.hear(fingerprint, sender.config));
+        let state = if sender.leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        };
+        let version = sender.version;
+        let event = MemberEvent::Heard {
+            state,
+            version,
+            now,
+        };
+        self.apply(&sender.node, event, now);
+        // Guards against a frozen process that wakes and does not know that it was declared dead:
+        // it would go on serving while nobody sends it work. Whoever it speaks to tells it.
+        let told = self.members.get(&sender.node).filter(|member| {
+            matches!(
+                member.machine.state(),
+                MemberState::Suspect | MemberState::Dead
+            )
+        });
+        if let Some(update) = told.map(|member| member.update(false)) {
+            outgoing.push(self.outgoing_with(from, GossipBody::News, Some(update)));
+        }
+    }
+
+    fn hear_update(
+        &mut self,
+        update: MemberUpdate,
+        source: NewsSource,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if update.node == self.record.node {
+            self.hear_of_self(&update, now);
+            return;
+        }
+        let Some(member) = self.members.get(&update.node) else {
+            self.meet(update, source, now, rng);
+            return;
+        };
+        let known = member.machine.version();
+        let is_restart = update.version.start > member.record_start;
+        if is_restart && update.record.is_none() && update.state != MemberState::Dead {
+            // The old record may name old addresses; the new one comes with its own news or with
+            // the next comparison of views.
+            return;
+        }
+        let is_ill = matches!(update.state, MemberState::Suspect | MemberState::Dead);
+        let is_newer = (update.version, update.state) > (known, member.machine.state());
+        if source == NewsSource::StateSync && is_ill && is_newer {
+            // Guards against a split that heals: each side holds the other's members dead, and
+            // taking that over in bulk would make each side doubt itself. Only the member meant is
+            // told; it refutes, or probes will find it dead.
+            let address = member.record.gossip_address;
+            let update = MemberUpdate {
+                record: None,
+                ..update
+            };
+            outgoing.push(self.outgoing_with(address, GossipBody::News, Some(update)));
+            return;
+        }
+        let event = MemberEvent::Heard {
+            state: update.state,
+            version: update.version,
+            now,
+        };
+        if self.apply(&update.node, event, now) && is_restart {
+            self.take_restart(update, now, rng);
+        }
+    }
+
+    /// Takes the record of a member that restarted.
+    fn take_restart(&mut self, update: MemberUpdate, now: TimePoint, rng: &mut impl Rng) {
+        let Some(member) = self.members.get_mut(&update.node) else {
+            return;
+        };
+        let Some(record) = update.record else {
+            return;
+        };
+        member.replace_record(record);
+        let update = member.update(true);
+        self.probing.add(update.node.clone(), rng);
+        self.queue.push(update);
+        self.refresh_contacts();
+        self.note_change(now);
+    }
+
+    /// Takes in a member that was not known.
+    fn meet(
+        &mut self,
+        update: MemberUpdate,
+        source: NewsSource,
+        now: TimePoint,
+        rng: &mut impl Rng,
+    ) {
+        let grave = self.graves.get(&update.node);
+        let is_buried = grave.is_some_and(|version| *version >= update.version);
+        let Some(record) = update.record.filter(|_| !is_buried) else {
+            return;
+        };
+        if update.state == MemberState::Dead || record.node != update.node {
+            return;
+        }
+        let machine = MemberMachine::new(update.state, update.version, now);
+        if machine.state() == MemberState::Suspect {
+            self.suspects.insert(update.node.clone());
+        }
+        let member = MemberEntry::new(record, machine);
+        let (bucket, hash) = member.view_part();
+        self.buckets[bucket] ^= hash;
+        // What a joining process takes over is known to the others already.
+        if source == NewsSource::Gossip || self.syncing.is_joined {
+            self.queue.push(member.update(true));
+        }
+        self.graves.remove(&update.node);
+        self.members.insert(update.node.clone(), member);
+        self.probing.add(update.node, rng);
+        self.refresh_contacts();
+        self.note_change(now);
+    }
+
+    /// Refutes news of this process that is newer than what it says itself.
+    fn hear_of_self(&mut self, update: &MemberUpdate, now: TimePoint) {
+        let own = (self.version, self.own_state);
+        if self.is_superseded || (update.version, update.state) <= own {
+            return;
+        }
+        let is_moved = update
+            .record
+            .as_ref()
+            .is_some_and(|record| *record != self.record);
+        if is_moved && update.version.start > self.version.start {
+            self.is_superseded = true;
+            self.note_change(now);
+            return;
+        }
+        let is_restart = update.version.start > self.version.start;
+        self.toggle_own_part();
+        self.version = MemberVersion {
+            start: self.version.start.max(update.version.start),
+            refutation: update.version.refutation + 1,
+        };
+        self.toggle_own_part();
+        if is_restart {
+            self.board.hear(
+                report_board::fingerprint(&self.record.node, self.version.start),
+                self.config,
+            );
+        }
+        self.queue.push(self.own_update(is_restart));
+        self.is_urgent = true;
+        self.note_change(now);
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/membership/probing.rs
@@ -0,0 +1,238 @@
+//! Probes of other members, one a period.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::TimePoint;
+use rand::seq::SliceRandom;
+use rand::{Rng, RngExt};
+
+use crate::membership::gossip_message::{GossipBody, OutgoingMessage};
+use crate::membership::group_membership::GroupMembership;
+use crate::membership::member_machine::MemberEvent;
+use crate::membership::member_record::MemberState;
+
+/// The most probes that are run for others at a time.
+const MAX_RELAYED: usize = 1 << 10;
+
+/// A `ProbeSchedule` says who is probed next and what is awaited.
+///
+/// Members are probed in a random order that is drawn anew after each round, so that each is
+/// probed once a round and no two processes probe in the same order.
+#[derive(Debug, Default)]
+pub(super) struct ProbeSchedule {
+    ring: Vec<NodeId>,
+    next: usize,
+    period_ends: TimePoint,
+    current: Option<CurrentProbe>,
+    relayed: BTreeMap<u32, RelayedProbe>,
+    sequence: u32,
+}
+
+#[derive(Debug)]
+struct CurrentProbe {
+    node: NodeId,
+    sequence: u32,
+    sent_at: TimePoint,
+    is_indirect: bool,
+}
+
+#[derive(Debug)]
+struct RelayedProbe {
+    requester: SocketAddr,
+    sequence: u32,
+    expires: TimePoint,
+}
+
+impl ProbeSchedule {
+    pub(super) const fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    /// Adds a member at a random place of the running round.
+    pub(super) fn add(&mut self, node: NodeId, rng: &mut impl Rng) {
+        let place = rng.random_range(self.next.min(self.ring.len())..=self.ring.len());
+        self.ring.insert(place, node);
+    }
+
+    pub(super) fn drop_current(&mut self, now: TimePoint) {
+        self.current = None;
+        self.period_ends = now;
+    }
+}
+
+impl GroupMembership {
+    pub(super) fn probe(
+        &mut self,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        self.probe_indirectly(now, rng, outgoing);
+        if now < self.probing.period_ends {
+            return;
+        }
+        if let Some(probe) = self.probing.current.take() {
+            self.fail_probe(&probe.node, now, outgoing);
+        }
+        self.probing
+            .relayed
+            .retain(|_, relayed| relayed.expires > now);
+        // A first period of random length keeps processes that started together apart.
+        let first = self.probing.period_ends == TimePoint::START;
+        let period = if first {
+            self.options.probe_period.mul_f64(rng.random())
+        } else {
+            self.options.probe_period
+        };
+        self.probing.period_ends = now + period;
+        if !first && let Some(node) = self.next_probed(rng) {
+            self.begin_probe(node, now, outgoing);
+        }
+    }
+
+    pub(super) fn ping(&mut self, address: SocketAddr, node: &NodeId) -> OutgoingMessage {
+        let sequence = self.probing.next_sequence();
+        self.ping_with(sequence, address, node)
+    }
+
+    pub(super) fn answer_ping(
+        &mut self,
+        from: SocketAddr,
+        sequence: u32,
+        target: &NodeId,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if *target == self.record.node && !self.is_superseded {
+            outgoing.push(self.outgoing(from, GossipBody::Ack { sequence }));
+        }
+    }
+
+    pub(super) fn probe_for(
+        &mut self,
+        requester: SocketAddr,
+        sequence: u32,
+        (target, address): (&NodeId, SocketAddr),
+        now: TimePoint,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if self.probing.relayed.len() >= MAX_RELAYED {
+            return;
+        }
+        let own_sequence = self.probing.next_sequence();
+        let relayed = RelayedProbe {
+            requester,
+            sequence,
+            expires: now + self.options.probe_period,
+        };
+        self.probing.relayed.insert(own_sequence, relayed);
+        outgoing.push(self.ping_with(own_sequence, address, target));
+    }
+
+    pub(super) fn hear_ack(&mut self, sequence: u32, outgoing: &mut Vec<OutgoingMessage>) {
+        let is_current = self
+            .probing
+            .current
+            .as_ref()
+            .is_some_and(|probe| probe.sequence == sequence);
+        if is_current {
+            self.probing.current = None;
+        } else if let Some(relayed) = self.probing.relayed.remove(&sequence) {
+            let sequence = relayed.sequence;
+            outgoing.push(self.outgoing(relayed.requester, GossipBody::Ack { sequence }));
+        }
+    }
+
+    fn ping_with(&mut self, sequence: u32, address: SocketAddr, node: &NodeId) -> OutgoingMessage {
+        let body = GossipBody::Ping {
+            sequence,
+            target: node.clone(),
+        };
+        // A member that is suspected or believed dead is told so, and refutes it in its answer.
+        let told = self.members.get(node).filter(|member| {
+            matches!(
+                member.machine.state(),
+                MemberState::Suspect | MemberState::Dead
+            )
+        });
+        let told = told.map(|member| member.update(false));
+        self.outgoing_with(address, body, told)
+    }
+
+    fn next_probed(&mut self, rng: &mut impl Rng) -> Option<NodeId> {
+        // At most one new round: where nobody is left to probe, nobody is.
+        for _ in 0..2 {
+            while let Some(node) = self.probing.ring.get(self.probing.next) {
+                self.probing.next += 1;
+                let is_probed = self
+                    .members
+                    .get(node)
+                    .is_some_and(|member| member.machine.state() != MemberState::Dead);
+                if is_probed {
+                    return Some(node.clone());
+                }
+            }
+            self.probing.ring = self.contacts.iter().map(|c| c.node.clone()).collect();
+            self.probing.ring.shuffle(rng);
+            self.probing.next = 0;
+        }
+        None
+    }
+
+    fn begin_probe(&mut self, node: NodeId, now: TimePoint, outgoing: &mut Vec<OutgoingMessage>) {
+        let Some(member) = self.members.get(&node) else {
+            return;
+        };
+        let address = member.record.gossip_address;
+        let sequence = self.probing.next_sequence();
+        outgoing.push(self.ping_with(sequence, address, &node));
+        self.probing.current = Some(CurrentProbe {
+            node,
+            sequence,
+            sent_at: now,
+            is_indirect: false,
+        });
+    }
+
+    fn probe_indirectly(
+        &mut self,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        let direct_timeout = self.options.direct_timeout;
+        let Some(probe) = &mut self.probing.current else {
+            return;
+        };
+        if probe.is_indirect || now.since(probe.sent_at) < direct_timeout {
+            return;
+        }
+        probe.is_indirect = true;
+        let (target, sequence) = (probe.node.clone(), probe.sequence);
+        let Some(member) = self.members.get(&target) else {
+            return;
+        };
+        let address = member.record.gossip_address;
+        for helper in self.random_contacts(self.options.indirect_probes, Some(&target), rng) {
+            let body = GossipBody::PingRequest {
+                sequence,
+                target: target.clone(),
+                address,
+            };
+            outgoing.push(self.outgoing(helper, body));
+        }
+    }
+
+    fn fail_probe(&mut self, node: &NodeId, now: TimePoint, outgoing: &mut Vec<OutgoingMessage>) {
+        if !self.apply(node, MemberEvent::ProbeFailed { now }, now) {
+            return;
+        }
+        // The suspected member hears of it at once, so that it can refute it in time.
+        if let Some(member) = self.members.get(node) {
+            let (address, told) = (member.record.gossip_address, member.update(false));
+            outgoing.push(self.outgoing_with(address, GossipBody::News, Some(told)));
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/membership/report_board.rs
@@ -0,0 +1,144 @@
+//! Which configuration each member has in force.
+//!
+//! Load pattern: 3,100 changes a day, after each of which all members report. As updates with names
+//! these would be the largest part of all gossip. A report is therefore four bytes for a member in a
+//! group with the same configuration.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::ids::{IncarnationNumber, NodeId};
+
+use crate::membership::gossip_message::ReportGroup;
+use crate::membership::member_record::ConfigDigest;
+
+/// The most reports that are held, against members that are made up.
+const MAX_REPORTS: usize = 1 << 14;
+
+/// A `ReportBoard` holds the newest report of each process and passes new ones on.
+#[derive(Clone, Debug, Default)]
+pub struct ReportBoard {
+    reports: BTreeMap<u32, ConfigDigest>,
+    waiting: BTreeMap<u32, u32>,
+}
+
+/// Gets the number by which reports name a process; a restarted process has another one, so that a
+/// report from before the restart says nothing of it.
+///
+/// Two of 580 processes share a number with a chance of 4 in 100,000; one of them then appears to
+/// lag until either restarts.
+#[must_use]
+pub fn fingerprint(node: &NodeId, start: IncarnationNumber) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&start.0.to_be_bytes());
+    hasher.update(node.as_str().as_bytes());
+    let mut bytes = [0; 4];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
+    u32::from_be_bytes(bytes)
+}
+
+impl ReportBoard {
+    /// Takes a report; returns true where it is newer than what was known.
+    pub fn hear(&mut self, member: u32, config: ConfigDigest) -> bool {
+        let known = self.reports.get(&member).map(|known| known.progress);
+        let is_full = known.is_none() && self.reports.len() >= MAX_REPORTS;
+        if is_full || known >= Some(config.progress) {
+            return false;
+        }
+        self.reports.insert(member, config);
+        self.waiting.insert(member, 0);
+        true
+    }
+
+    /// Gets the newest report of a process.
+    #[must_use]
+    pub fn get(&self, member: u32) -> Option<ConfigDigest> {
+        self.reports.get(&member).copied()
+    }
+
+    /// Drops the reports of processes that are not known.
+    pub fn retain(&mut self, is_known: impl Fn(u32) -> bool) {
+        self.reports.retain(|member, _| is_known(*member));
+        self.waiting.retain(|member, _| is_known(*member));
+    }
+
+    /// Returns true where no report is to be sent.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes reports for one message of at most `bytes` bytes.
+    pub fn take(&mut self, bytes: usize, retransmissions: u32) -> Vec<ReportGroup> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut order: Vec<(u32, u32)> = self
+            .waiting
+            .iter()
+            .map(|(member, sent)| (*sent, *member))
+            .collect();
+        order.sort_unstable();
+        let mut groups = GroupBuilder::new(bytes);
+        for (sent, member) in order {
+            let Some(config) = self.get(member) else {
+                continue;
+            };
+            if !groups.add(member, config) {
+                break;
+            }
+            self.waiting.insert(member, sent + 1);
+        }
+        self.waiting.retain(|_, sent| *sent < retransmissions);
+        groups.groups
+    }
+
+    /// Gets the reports of the given processes as groups of at most `bytes` bytes together.
+    #[must_use]
+    pub fn groups_of(&self, members: &[u32], bytes: usize) -> Vec<ReportGroup> {
+        let mut groups = GroupBuilder::new(bytes);
+        for member in members {
+            if let Some(config) = self.get(*member)
+                && !groups.add(*member, config)
+            {
+                break;
+            }
+        }
+        groups.groups
+    }
+}
+
+/// A `GroupBuilder` collects reports into groups within a number of bytes.
+struct GroupBuilder {
+    groups: Vec<ReportGroup>,
+    left: usize,
+}
+
+impl GroupBuilder {
+    const fn new(bytes: usize) -> Self {
+        Self {
+            groups: Vec::new(),
+            left: bytes,
+        }
+    }
+
+    /// Adds a report; returns false where there is no room left.
+    fn add(&mut self, member: u32, config: ConfigDigest) -> bool {
+        let group = self.groups.iter().position(|group| group.config == config);
+        let size = match group {
+            Some(_) => ReportGroup::size_bound(1) - ReportGroup::size_bound(0),
+            None => ReportGroup::size_bound(1),
+        };
+        if size > self.left {
+            return false;
+        }
+        self.left -= size;
+        match group {
+            Some(index) => self.groups[index].members.push(member),
+            None => self.groups.push(ReportGroup {
+                config,
+                members: vec![member],
+            }),
+        }
+        true
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/membership/spreading.rs
@@ -0,0 +1,130 @@
+//! How messages are put together and whom news goes to.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::TimePoint;
+use rand::{Rng, RngExt};
+use smallvec::SmallVec;
+
+use crate::membership::gossip_message::{
+    ENVELOPE_BYTES, GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, SenderHeader,
+};
+use crate::membership::group_membership::GroupMembership;
+use crate::membership::member_record::MemberState;
+use crate::membership::membership_options::MembershipOptions;
+
+/// How many draws are made for each random contact that is wanted.
+const DRAWS_PER_CONTACT: usize = 4;
+
+impl GroupMembership {
+    /// Sends news to a few random members, where there is news and it is time.
+    pub(super) fn gossip(
+        &mut self,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        let period = if self.is_urgent {
+            self.options.urgent_period
+        } else {
+            self.options.gossip_period
+        };
+        let has_news = !self.queue.is_empty() || !self.board.is_empty();
+        if !has_news || now.since(self.gossiped_at) < period {
+            return;
+        }
+        self.gossiped_at = now;
+        self.is_urgent = false;
+        for address in self.random_contacts(self.options.gossip_fanout, None, rng) {
+            outgoing.push(self.outgoing(address, GossipBody::News));
+        }
+    }
+
+    /// Sends news on at once where it is urgent; in a burst it waits for the next tick.
+    pub(super) fn gossip_urgently(
+        &mut self,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if self.is_urgent {
+            self.gossip(now, rng, outgoing);
+        }
+    }
+
+    /// Sends news to many members at once.
+    pub(super) fn broadcast(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<OutgoingMessage> {
+        self.gossiped_at = now;
+        let fanout = MembershipOptions::leaving_fanout(self.size());
+        let addresses = self.random_contacts(fanout, None, rng);
+        addresses
+            .into_iter()
+            .map(|address| self.outgoing(address, GossipBody::News))
+            .collect()
+    }
+
+    pub(super) fn outgoing(&mut self, to: SocketAddr, body: GossipBody) -> OutgoingMessage {
+        self.outgoing_with(to, body, None)
+    }
+
+    /// Puts a message together: what the receiver must hear, then as much news as has room.
+    pub(super) fn outgoing_with(
+        &mut self,
+        to: SocketAddr,
+        body: GossipBody,
+        told: Option<MemberUpdate>,
+    ) -> OutgoingMessage {
+        let retransmissions = MembershipOptions::retransmissions(self.size());
+        let mut left = self
+            .options
+            .max_message_bytes
+            .saturating_sub(ENVELOPE_BYTES);
+        left = left.saturating_sub(told.as_ref().map_or(0, MemberUpdate::size_bound));
+        let mut updates: Vec<MemberUpdate> = told.into_iter().collect();
+        let news = self.queue.take(left, retransmissions);
+        left -= news.iter().map(MemberUpdate::size_bound).sum::<usize>();
+        updates.extend(news);
+        let reports = self.board.take(left, retransmissions);
+        let message = GossipMessage {
+            sender: self.header(),
+            body,
+            updates,
+            reports,
+        };
+        OutgoingMessage { to, message }
+    }
+
+    pub(super) fn header(&self) -> SenderHeader {
+        SenderHeader {
+            node: self.record.node.clone(),
+            version: self.version,
+            leaving: self.own_state == MemberState::Leaving,
+            load: self.load,
+            config: self.config,
+            view: self.view_hash(),
+        }
+    }
+
+    pub(super) fn random_contacts(
+        &self,
+        count: usize,
+        without: Option<&NodeId>,
+        rng: &mut impl Rng,
+    ) -> SmallVec<[SocketAddr; 4]> {
+        let mut chosen = SmallVec::new();
+        if self.contacts.is_empty() {
+            return chosen;
+        }
+        for _ in 0..count * DRAWS_PER_CONTACT {
+            let contact = &self.contacts[rng.random_range(0..self.contacts.len())];
+            if without != Some(&contact.node) && !chosen.contains(&contact.address) {
+                chosen.push(contact.address);
+            }
+            if chosen.len() == count {
+                break;
+            }
+        }
+        chosen
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/membership/update_queue.rs
@@ -0,0 +1,64 @@
+//! News that is still to be passed on.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::ids::NodeId;
+
+use crate::membership::gossip_message::MemberUpdate;
+
+/// An `UpdateQueue` holds the newest news of each member and how often it has been sent.
+///
+/// What was sent least goes first, so that in a burst each piece is soon known to somebody.
+#[derive(Clone, Debug, Default)]
+pub struct UpdateQueue {
+    updates: BTreeMap<NodeId, QueuedUpdate>,
+}
+
+#[derive(Clone, Debug)]
+struct QueuedUpdate {
+    update: MemberUpdate,
+    sent: u32,
+}
+
+impl UpdateQueue {
+    /// Adds news, which replaces older news of the same member.
+    pub fn push(&mut self, update: MemberUpdate) {
+        let node = update.node.clone();
+        self.updates.insert(node, QueuedUpdate { update, sent: 0 });
+    }
+
+    /// Returns true where nothing is to be sent.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.updates.is_empty()
+    }
+
+    /// Gets the number of members of whom there is news.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.updates.len()
+    }
+
+    /// Takes news for one message of at most `bytes` bytes, and drops what has now been sent
+    /// `retransmissions` times.
+    pub fn take(&mut self, bytes: usize, retransmissions: u32) -> Vec<MemberUpdate> {
+        if self.updates.is_empty() {
+            return Vec::new();
+        }
+        let mut waiting: Vec<&mut QueuedUpdate> = self.updates.values_mut().collect();
+        waiting.sort_by_key(|queued| queued.sent);
+        let mut left = bytes;
+        let mut taken = Vec::new();
+        for queued in waiting {
+            let size = queued.update.size_bound();
+            if size <= left {
+                left -= size;
+                queued.sent += 1;
+                taken.push(queued.update.clone());
+            }
+        }
+        self.updates
+            .retain(|_, queued| queued.sent < retransmissions);
+        taken
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/membership/fuzz.rs
@@ -0,0 +1,141 @@
+//! Random failures against a simple oracle.
+
+use std::collections::BTreeMap;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::membership::member_record::MemberVersion;
+use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_assert, prop_oneof, proptest};
+use proptest::test_runner::RngSeed;
+
+use crate::network::GossipNetwork;
+
+const COUNT: usize = 6;
+
+/// The bound within which all that can reach each other agree, once nothing fails any more.
+const AGREEMENT: TimeSpan = TimeSpan::from_secs(40);
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Run(u64),
+    Crash(usize),
+    Restart(usize),
+    Pause(usize),
+    Wake(usize),
+    Leave(usize),
+    Split(u8),
+    Loss(u8),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let node = 0..COUNT;
+    prop_oneof![
+        4 => (100_u64..15_000).prop_map(Fault::Run),
+        1 => node.clone().prop_map(Fault::Crash),
+        2 => node.clone().prop_map(Fault::Restart),
+        1 => node.clone().prop_map(Fault::Pause),
+        1 => node.clone().prop_map(Fault::Wake),
+        1 => node.prop_map(Fault::Leave),
+        1 => any::<u8>().prop_map(Fault::Split),
+        1 => Just(Fault::Split(0)),
+        1 => (0_u8..40).prop_map(Fault::Loss),
+    ]
+}
+
+fn apply(network: &mut GossipNetwork, fault: &Fault) {
+    match *fault {
+        Fault::Run(millis) => check_run(network, TimeSpan::from_millis(millis)),
+        Fault::Crash(index) => network.crash(index),
+        Fault::Restart(index) => network.restart(index),
+        Fault::Pause(index) => network.nodes[index].is_paused = true,
+        Fault::Wake(index) => network.nodes[index].is_paused = false,
+        Fault::Leave(index) => network.leave(index),
+        Fault::Split(sides) => {
+            for (index, node) in network.nodes.iter_mut().enumerate() {
+                node.side = (sides >> index) & 1;
+            }
+        }
+        Fault::Loss(percent) => {
+            network.loss = f64::from(percent) / 100.0;
+            network.duplicates = network.loss;
+            network.max_delay = TimeSpan::from_millis(3 + u64::from(percent) * 10);
+        }
+    }
+}
+
+/// The time after which nobody may choose a member that announced that it leaves.
+const LEFT_AFTER: TimeSpan = TimeSpan::from_secs(3);
+
+/// The time after which nobody may choose a member that died.
+const DEAD_AFTER: TimeSpan = TimeSpan::from_secs(5);
+
+/// Lets time pass and checks that nobody's knowledge of a member goes back to an older version.
+fn check_run(network: &mut GossipNetwork, span: TimeSpan) {
+    let seen = std::cell::RefCell::new(BTreeMap::<_, MemberVersion>::new());
+    network.run_until(span, |network| {
+        for (observer, node) in network.nodes.iter().enumerate() {
+            let Some(membership) = &node.membership else {
+                continue;
+            };
+            for member in membership.members() {
+                let key = (observer, member.record.node.clone());
+                let before = seen.borrow_mut().insert(key, member.version);
+                assert!(before <= Some(member.version), "{observer} goes back");
+            }
+        }
+        false
+    });
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x006d_656d),
+        cases: ProptestConfig::default().cases / 4,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn membership_agrees_after_random_faults(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec(fault(), 1..30),
+    ) {
+        let mut network = GossipNetwork::start(COUNT, seed);
+        network.run(TimeSpan::from_secs(3));
+        for fault in &faults {
+            apply(&mut network, fault);
+        }
+        apply(&mut network, &Fault::Split(0));
+        apply(&mut network, &Fault::Loss(0));
+        for node in &mut network.nodes {
+            node.is_paused = false;
+        }
+        let agreed = network.run_until(AGREEMENT, GossipNetwork::all_true);
+        assert!(agreed.is_some(), "they do not agree on the truth");
+    }
+
+    #[test]
+    fn membership_chooses_no_leaving_or_dead_member(
+        seed in any::<u64>(),
+        loss in 0_u8..10,
+        leaving in 0..COUNT,
+        dead in 0..COUNT,
+        restarted in 0..COUNT,
+    ) {
+        let mut network = GossipNetwork::start(COUNT, seed);
+        network.run(TimeSpan::from_secs(5));
+        apply(&mut network, &Fault::Loss(loss));
+        network.leave(leaving);
+        network.run(LEFT_AFTER);
+        prop_assert!(!network.is_chosen(leaving));
+        if dead != leaving {
+            network.crash(dead);
+            network.run(DEAD_AFTER);
+            prop_assert!(!network.is_chosen(dead));
+        }
+        if restarted != leaving && restarted != dead {
+            network.restart(restarted);
+            network.run(LEFT_AFTER);
+        }
+        prop_assert!(!network.is_chosen(leaving));
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/membership/main.rs
@@ -0,0 +1,7 @@
+//! Tests of membership over a small in-memory network with passed-in time.
+
+mod failures;
+mod fuzz;
+mod lifecycle;
+mod network;
+mod reports;
--- /dev/null
+++ b/alderhaven-policy/tests/membership/network.rs
@@ -0,0 +1,302 @@
+//! A network of memberships in memory: time is a number, and messages can be lost, doubled, delayed
+//! and reordered.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use alderhaven_core::ids::{IncarnationNumber, NodeId};
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::membership::gossip_message::{GossipMessage, MemberUpdate, OutgoingMessage};
+use alderhaven_policy::membership::group_membership::GroupMembership;
+use alderhaven_policy::membership::member_record::{
+    MemberRecord, MemberRole, MemberState, MemberVersion,
+};
+use alderhaven_policy::membership::membership_options::MembershipOptions;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// The step of time, which is how often a process ticks.
+const STEP: TimeSpan = TimeSpan::from_millis(50);
+
+/// The most messages that wait for a frozen process; a socket drops the rest.
+const MAX_WAITING: usize = 200;
+
+/// A `GossipNetwork` runs some memberships and carries their messages.
+pub struct GossipNetwork {
+    /// The processes by number.
+    pub nodes: Vec<FakeProcess>,
+    /// The time.
+    pub now: TimePoint,
+    /// The share of messages that are lost.
+    pub loss: f64,
+    /// The share of messages that arrive twice.
+    pub duplicates: f64,
+    /// The longest delay of a message.
+    pub max_delay: TimeSpan,
+    /// Two processes that can't reach each other.
+    pub cut: Option<(usize, usize)>,
+    /// Whether messages wait for a frozen process; else they are lost.
+    pub is_kept_while_paused: bool,
+    options: MembershipOptions,
+    rng: StdRng,
+    packets: BTreeMap<(TimePoint, u64), Packet>,
+    count: u64,
+    starts: u64,
+}
+
+/// A `FakeProcess` is one process, or the place where one was.
+pub struct FakeProcess {
+    /// The membership; none where the process does not run.
+    pub membership: Option<GroupMembership>,
+    /// Whether the process is frozen: it does nothing, and its messages wait.
+    pub is_paused: bool,
+    /// The side of a split that the process is on.
+    pub side: u8,
+    waiting: Vec<Packet>,
+}
+
+struct Packet {
+    from: usize,
+    to: usize,
+    message: GossipMessage,
+}
+
+/// Gets the id of a process.
+pub fn node_id(index: usize) -> NodeId {
+    format!("node-{index}").parse().expect("a valid id")
+}
+
+/// Gets the address of a process.
+pub fn address(index: usize) -> SocketAddr {
+    let index = u16::try_from(index).expect("a small number");
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + index))
+}
+
+impl GossipNetwork {
+    /// Starts `count` processes that join through the first two.
+    pub fn start(count: usize, seed: u64) -> Self {
+        let options = MembershipOptions {
+            seeds: vec![address(0), address(1)],
+            ..MembershipOptions::default()
+        };
+        Self::start_with(count, seed, options)
+    }
+
+    /// Starts `count` processes with the given settings.
+    pub fn start_with(count: usize, seed: u64, options: MembershipOptions) -> Self {
+        let mut network = Self {
+            options,
+            nodes: Vec::new(),
+            now: TimePoint::from_micros(1_000_000),
+            loss: 0.0,
+            duplicates: 0.0,
+            max_delay: TimeSpan::from_millis(3),
+            cut: None,
+            is_kept_while_paused: true,
+            rng: StdRng::seed_from_u64(seed),
+            packets: BTreeMap::new(),
+            count: 0,
+            starts: 0,
+        };
+        for index in 0..count {
+            network.nodes.push(FakeProcess {
+                membership: None,
+                is_paused: false,
+                side: 0,
+                waiting: Vec::new(),
+            });
+            network.restart(index);
+        }
+        network
+    }
+
+    /// Starts a process anew with nothing kept, as a clock that works numbers it.
+    pub fn restart(&mut self, index: usize) {
+        self.starts += 1;
+        self.restart_numbered(index, 1_000 + self.starts);
+    }
+
+    /// Starts a process anew with a given start number.
+    pub fn restart_numbered(&mut self, index: usize, start: u64) {
+        let record = MemberRecord::builder()
+            .node(node_id(index))
+            .role(MemberRole::Entry)
+            .host(format!("host-{index}").parse().expect("a valid id"))
+            .domain(format!("domain-{}", index % 3).parse().expect("a valid id"))
+            .gossip_address(address(index))
+            .peer_address(address(index))
+            .build();
+        let version = MemberVersion {
+            start: IncarnationNumber(start),
+            refutation: 0,
+        };
+        let options = self.options.clone();
+        let node = &mut self.nodes[index];
+        node.membership = Some(GroupMembership::new(record, version, options));
+        node.is_paused = false;
+    }
+
+    /// Ends a process without a word.
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].membership = None;
+    }
+
+    /// Lets a process announce that it leaves.
+    pub fn leave(&mut self, index: usize) {
+        if let Some(membership) = &mut self.nodes[index].membership {
+            let outgoing = membership.announce_leaving(self.now, &mut self.rng);
+            self.send(index, outgoing);
+        }
+    }
+
+    /// Gets what a process would say of a member that it knows.
+    pub fn message_about(&mut self, index: usize, member: usize) -> GossipMessage {
+        let membership = self.nodes[index].membership.as_mut().expect("it runs");
+        let view = membership
+            .members()
+            .into_iter()
+            .find(|view| view.record.node == node_id(member))
+            .expect("it knows the member");
+        let mut outgoing = membership.announce_leaving(self.now, &mut self.rng);
+        let mut message = outgoing.pop().expect("it speaks to others").message;
+        message.updates = vec![MemberUpdate {
+            node: view.record.node.clone(),
+            state: view.state,
+            version: view.version,
+            record: Some(MemberRecord::clone(&view.record)),
+        }];
+        message
+    }
+
+    /// Gives a message to a process; returns what it would send.
+    pub fn receive(
+        &mut self,
+        to: usize,
+        from: usize,
+        message: GossipMessage,
+    ) -> Vec<OutgoingMessage> {
+        let membership = self.nodes[to].membership.as_mut().expect("it runs");
+        membership.receive(address(from), message, self.now, &mut self.rng)
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: TimeSpan) {
+        self.run_until(span, |_| false);
+    }
+
+    /// Lets time pass until a condition holds, at most for `span`; returns how long it took.
+    pub fn run_until(
+        &mut self,
+        span: TimeSpan,
+        is_done: impl Fn(&Self) -> bool,
+    ) -> Option<TimeSpan> {
+        let start = self.now;
+        while self.now.since(start) < span {
+            if is_done(self) {
+                return Some(self.now.since(start));
+            }
+            self.step();
+        }
+        is_done(self).then(|| self.now.since(start))
+    }
+
+    /// Gets what one process believes of another; none where it does not know it.
+    pub fn believed(&self, observer: usize, member: usize) -> Option<MemberState> {
+        let membership = self.nodes[observer].membership.as_ref()?;
+        membership.state_of(&node_id(member))
+    }
+
+    /// Returns true where every running process believes the same of a member.
+    pub fn all_believe(&self, member: usize, states: &[Option<MemberState>]) -> bool {
+        (0..self.nodes.len())
+            .filter(|observer| self.nodes[*observer].membership.is_some())
+            .all(|observer| states.contains(&self.believed(observer, member)))
+    }
+
+    /// Returns true where any running process would send work to a member.
+    pub fn is_chosen(&self, member: usize) -> bool {
+        (0..self.nodes.len()).any(|observer| {
+            self.believed(observer, member)
+                .is_some_and(MemberState::takes_work)
+        })
+    }
+
+    /// Returns true where every running process believes the truth of every other one.
+    pub fn all_true(&self) -> bool {
+        (0..self.nodes.len()).all(|member| match &self.nodes[member].membership {
+            Some(membership) => self.all_believe(member, &[Some(membership.own_state())]),
+            None => self.all_believe(member, &[Some(MemberState::Dead), None]),
+        })
+    }
+
+    fn step(&mut self) {
+        let end = self.now + STEP;
+        while let Some((&(at, number), _)) = self.packets.first_key_value() {
+            if at > end {
+                break;
+            }
+            self.now = self.now.max(at);
+            if let Some(packet) = self.packets.remove(&(at, number)) {
+                self.deliver(packet);
+            }
+        }
+        self.now = end;
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.is_paused {
+                continue;
+            }
+            if let Some(membership) = &mut node.membership {
+                let outgoing = membership.tick(end, &mut self.rng);
+                self.send(index, outgoing);
+            }
+            // A process that wakes may tick before it reads what waits for it.
+            for packet in std::mem::take(&mut self.nodes[index].waiting) {
+                self.deliver(packet);
+            }
+        }
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        let node = &mut self.nodes[packet.to];
+        if node.is_paused {
+            if self.is_kept_while_paused && node.waiting.len() < MAX_WAITING {
+                node.waiting.push(packet);
+            }
+            return;
+        }
+        let Some(membership) = &mut node.membership else {
+            return;
+        };
+        let (from, to) = (address(packet.from), packet.to);
+        let outgoing = membership.receive(from, packet.message, self.now, &mut self.rng);
+        self.send(to, outgoing);
+    }
+
+    fn send(&mut self, from: usize, outgoing: Vec<OutgoingMessage>) {
+        for OutgoingMessage { to, message } in outgoing {
+            let to = usize::from(to.port() - 10_000);
+            let is_cut = self
+                .nodes
+                .get(to)
+                .is_none_or(|receiver| receiver.side != self.nodes[from].side)
+                || self.cut == Some((from, to))
+                || self.cut == Some((to, from));
+            if is_cut || self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let copies = 1 + usize::from(self.rng.random_bool(self.duplicates));
+            for _ in 0..copies {
+                let delay =
+                    TimeSpan::from_micros(self.rng.random_range(200..=self.max_delay.as_micros()));
+                self.count += 1;
+                let packet = Packet {
+                    from,
+                    to,
+                    message: message.clone(),
+                };
+                self.packets.insert((self.now + delay, self.count), packet);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/membership/reports.rs
@@ -0,0 +1,71 @@
+//! Reports of the configuration in force.
+
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::membership::member_record::ConfigDigest;
+
+use crate::network::GossipNetwork;
+
+fn digest(version: u64) -> ConfigDigest {
+    ConfigDigest {
+        highest: StoreVersion(version),
+        progress: version,
+        hash: version,
+    }
+}
+
+fn in_force(network: &GossipNetwork, observer: usize, config: ConfigDigest) -> usize {
+    let membership = network.nodes[observer]
+        .membership
+        .as_ref()
+        .expect("it runs");
+    let members = membership.members();
+    members
+        .iter()
+        .filter(|member| member.config == Some(config))
+        .count()
+}
+
+#[test]
+fn set_config_is_known_to_all() {
+    let mut network = GossipNetwork::start(32, 11);
+    network.run(TimeSpan::from_secs(10));
+    for node in &mut network.nodes {
+        node.membership
+            .as_mut()
+            .expect("it runs")
+            .set_config(digest(9));
+    }
+    let known = network.run_until(TimeSpan::from_secs(10), |network| {
+        (0..32).all(|observer| in_force(network, observer, digest(9)) == 32)
+    });
+    assert!(
+        known.is_some_and(|span| span <= TimeSpan::from_secs(3)),
+        "{known:?}"
+    );
+}
+
+#[test]
+fn set_config_is_not_claimed_for_a_restarted_process() {
+    // A process reports version 9 and restarts with nothing. An operator who waits for version 9
+    // must not be told that it is in force there, though old reports still go around.
+    let mut network = GossipNetwork::start(8, 12);
+    network.run(TimeSpan::from_secs(10));
+    for node in &mut network.nodes {
+        node.membership
+            .as_mut()
+            .expect("it runs")
+            .set_config(digest(9));
+    }
+    network.run(TimeSpan::from_secs(1));
+    network.crash(3);
+    network.restart(3);
+    let unclaimed = network.run_until(TimeSpan::from_secs(10), |network| {
+        (0..8).all(|observer| in_force(network, observer, digest(9)) == 7)
+    });
+    assert!(unclaimed.is_some());
+    network.run_until(TimeSpan::from_secs(5), |network| {
+        assert!((0..8).all(|observer| in_force(network, observer, digest(9)) == 7));
+        false
+    });
+}
