--- /dev/null
+++ b/alderhaven-entry/src/node.rs
@@ -0,0 +1,185 @@
+//! The entry as a whole: what it starts and what it answers operators.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_platform::http_client::ClientOptions;
+use alderhaven_platform::http_hosts::HttpHosts;
+use alderhaven_platform::operator_server;
+use alderhaven_platform::operator_server::OperatorSource;
+use alderhaven_platform::target_watch::TargetWatch;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::admission_desk::AdmissionDesk;
+use crate::caller_server;
+use crate::caller_server::CallerService;
+use crate::metrics::EntryMetrics;
+use crate::query_runner::QueryRunner;
+use crate::relay_routes::RelayRoutes;
+use crate::settings::EntrySettings;
+
+/// An `EntryNode` is a running entry; dropping it ends its tasks.
+#[derive(Debug)]
+pub struct EntryNode {
+    settings: EntrySettings,
+    caller_address: SocketAddr,
+    operator_address: SocketAddr,
+    state: Arc<EntryState>,
+    _tasks: [AbortOnDropHandle<()>; 5],
+}
+
+/// An `EntryState` is what the parts of an entry share, as operators see it.
+#[derive(Debug)]
+pub struct EntryState {
+    /// The entry's own id.
+    pub node: NodeId,
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// What admits queries.
+    pub desk: Arc<AdmissionDesk>,
+    /// The routes through relays.
+    pub routes: Arc<RelayRoutes>,
+    /// The targets that get no new work.
+    pub watch: TargetWatch,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
+}
+
+impl EntryNode {
+    /// Starts an entry on the current runtime; `config` is kept up to date by the caller.
+    ///
+    /// # Errors
+    /// An error of the operating system where an address can't be bound.
+    pub async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let caller_address = listener.local_addr()?;
+        let operator_listener = TcpListener::bind(settings.operator_listen).await?;
+        let operator_address = operator_listener.local_addr()?;
+        let routes = Arc::new(RelayRoutes::default());
+        routes.set_relays(&settings.relays);
+        let metrics = Arc::new(EntryMetrics::default());
+        let watch = TargetWatch::default();
+        let clock = ProcessClock::default();
+        let desk = Arc::new(AdmissionDesk::new(
+            settings.policy,
+            settings.admission.clone(),
+            clock,
+        ));
+        // Each host runs one entry and one relay, so the relays' number is the entries' number.
+        desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
+        let state = Arc::new(EntryState {
+            node: settings.node.clone(),
+            config: config.clone(),
+            routes: Arc::clone(&routes),
+            desk: Arc::clone(&desk),
+            watch: watch.clone(),
+            metrics: Arc::clone(&metrics),
+        });
+        let service = CallerService {
+            limits: settings.limits.clone(),
+            desk: Arc::clone(&desk),
+            runner: QueryRunner::new(
+                rand::random(),
+                routes,
+                config.clone(),
+                watch.clone(),
+                Arc::clone(&metrics),
+            ),
+            config,
+            metrics,
+        };
+        let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
+        let tasks = [
+            tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
+            tokio::spawn(Arc::clone(&desk).give_up_forever()),
+            tokio::spawn(apply_configuration(desk, state.config.clone())),
+            tokio::spawn(caller_server::serve(listener, Arc::new(service))),
+            tokio::spawn(operator_server::serve(
+                operator_listener,
+                Arc::clone(&state),
+            )),
+        ];
+        Ok(Self {
+            settings,
+            caller_address,
+            operator_address,
+            state,
+            _tasks: tasks.map(AbortOnDropHandle::new),
+        })
+    }
+
+    /// Gets the address for callers.
+    #[must_use]
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Gets the address for operators.
+    #[must_use]
+    pub const fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Gets the settings in force.
+    #[must_use]
+    pub const fn settings(&self) -> &EntrySettings {
+        &self.settings
+    }
+
+    /// Gets what the parts of the entry share.
+    #[must_use]
+    pub const fn state(&self) -> &Arc<EntryState> {
+        &self.state
+    }
+}
+
+impl OperatorSource for EntryState {
+    fn metrics(&self) -> String {
+        self.metrics.encode()
+    }
+
+    fn dump(&self) -> Value {
+        let links: Vec<Value> = self
+            .routes
+            .links()
+            .iter()
+            .map(|link| {
+                json!({
+                    "relay": link.address(),
+                    "usable": link.is_usable(),
+                    "awaited": link.awaited_count(),
+                })
+            })
+            .collect();
+        let loads = self.desk.loads(&self.config.view());
+        json!({ "status": self.status(), "services": loads,
+            "leaving_targets": *self.watch.names(), "relays": links })
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "node": self.node,
+            "role": "entry",
+            "config": self.config.status(),
+        })
+    }
+
+    fn drain(&self) {}
+}
+
+/// Takes over each change of the configuration until the process ends.
+async fn apply_configuration(desk: Arc<AdmissionDesk>, config: ConfigHandle) {
+    let mut changed = config.changed();
+    loop {
+        desk.apply(&config.view());
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/alderhaven-peer/src/frames.rs
+++ b/alderhaven-peer/src/frames.rs
@@ -4,6 +4,8 @@
 
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 
+use crate::exchange_messages::ExchangeFrame;
+
 /// The version of the protocol; a frame of another major version is refused.
 pub const PROTOCOL_VERSION: u32 = 1;
 
@@ -11,7 +13,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// The message; none where the sender is newer and the message is not known here.
-    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 20")]
     pub message: Option<PeerMessage>,
 }
 
@@ -33,6 +35,9 @@
     /// A relay stops: it takes no new attempts on this connection.
     #[prost(message, tag = "5")]
     Leaving(LeavingNotice),
+    /// Two nodes compare and pass on configuration.
+    #[prost(message, tag = "20")]
+    Exchange(ExchangeFrame),
 }
 
 /// A `Hello` says who speaks.
@@ -221,9 +226,20 @@
     /// The random half of the attempt ids.
     #[prost(uint64, tag = "1")]
     pub origin: u64,
-    /// The counting halves.
-    #[prost(uint64, repeated, tag = "2")]
-    pub sequences: Vec<u64>,
+    /// The attempts.
+    #[prost(message, repeated, tag = "2")]
+    pub attempts: Vec<CancelledAttempt>,
+}
+
+/// A `CancelledAttempt` is one attempt whose answer is no longer wanted.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CancelledAttempt {
+    /// The counting half of the attempt's id.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The target's id, by which the relay finds the attempt.
+    #[prost(string, tag = "2")]
+    pub target: String,
 }
 
 /// A `LeavingNotice` says that the sender stops.
--- /dev/null
+++ b/alderhaven-peer/src/peer_node.rs
@@ -0,0 +1,94 @@
+//! The start of gossip and exchange in a process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use alderhaven_core::ids::IncarnationNumber;
+use alderhaven_policy::exchange::object_exchange::ObjectExchange;
+use alderhaven_policy::membership::group_membership::GroupMembership;
+use alderhaven_policy::membership::member_record::{MemberRecord, MemberVersion};
+use arc_swap::ArcSwap;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+
+use crate::exchange_links::ExchangeLinks;
+use crate::frames::{Hello, PROTOCOL_VERSION};
+use crate::peer_driver::PeerDriver;
+use crate::peer_handle::{PeerHandle, PeerSnapshot, SharedPeers};
+use crate::peer_options::{ConfigAccess, PeerOptions};
+
+/// How many ports are tried until one is free for both UDP and TCP.
+const PORT_TRIES: usize = 16;
+
+/// The most link events that wait; beyond, connections are read more slowly.
+const MAX_EVENTS: usize = 256;
+
+/// A `PeerNode` starts a process's part in membership and exchange.
+#[derive(Debug)]
+pub struct PeerNode;
+
+impl PeerNode {
+    /// Binds the addresses and starts the task that drives membership and exchange.
+    ///
+    /// # Errors
+    /// An error of the operating system where an address can't be bound.
+    pub async fn start(options: PeerOptions, config: ConfigAccess) -> io::Result<PeerHandle> {
+        let (socket, listener) = bind(options.gossip_address).await?;
+        let gossip_address = socket.local_addr()?;
+        let record = MemberRecord {
+            node: options.node,
+            role: options.role,
+            host: options.host,
+            domain: options.domain,
+            gossip_address,
+            peer_address: options.peer_address,
+            caller_address: options.caller_address,
+        };
+        let hello = hello_of(&record, options.incarnation);
+        let version = MemberVersion {
+            start: options.incarnation,
+            refutation: 0,
+        };
+        let (command_sender, commands) = mpsc::unbounded_channel();
+        let (event_sender, events) = mpsc::channel(MAX_EVENTS);
+        let shared = Arc::new(SharedPeers {
+            snapshot: ArcSwap::from_pointee(PeerSnapshot::default()),
+            changed: watch::Sender::new(0),
+            commands: command_sender,
+            gossip_address,
+        });
+        let driver = PeerDriver::builder()
+            .membership(GroupMembership::new(record, version, options.membership))
+            .exchange(ObjectExchange::new(options.exchange))
+            .links(ExchangeLinks::new(hello, event_sender))
+            .socket(socket)
+            .config(config)
+            .shared(Arc::clone(&shared))
+            .build();
+        tokio::spawn(driver.run(listener, events, commands));
+        Ok(PeerHandle { shared })
+    }
+}
+
+fn hello_of(record: &MemberRecord, incarnation: IncarnationNumber) -> Hello {
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        node: record.node.to_string(),
+        incarnation: incarnation.0,
+    }
+}
+
+async fn bind(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut tries = PORT_TRIES;
+    loop {
+        let socket = UdpSocket::bind(address).await?;
+        tries -= 1;
+        match TcpListener::bind(socket.local_addr()?).await {
+            Ok(listener) => return Ok((socket, listener)),
+            // With port 0 the port that UDP got may be taken for TCP: another one is tried.
+            Err(error) if address.port() != 0 || tries == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-peer/tests/gossip_messages.rs
@@ -0,0 +1,184 @@
+//! Tests of the datagrams' form and size.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::{IncarnationNumber, NodeId, StoreVersion};
+use alderhaven_peer::gossip_messages;
+use alderhaven_peer::malformed_message::MalformedMessage;
+use alderhaven_policy::membership::gossip_message::{
+    ENVELOPE_BYTES, GossipBody, GossipMessage, MemberUpdate, ReportGroup, SenderHeader,
+    VIEW_BUCKETS,
+};
+use alderhaven_policy::membership::member_record::{
+    ConfigDigest, LoadLevel, MemberRecord, MemberRole, MemberState, MemberVersion,
+};
+use proptest::option;
+use proptest::prelude::{
+    Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest,
+};
+use proptest::test_runner::RngSeed;
+
+fn node() -> impl Strategy<Value = NodeId> {
+    prop_oneof!["[a-z0-9]{1,63}", "[a-z]{63}"].prop_map(|name| name.parse().expect("a valid id"))
+}
+
+fn address() -> impl Strategy<Value = SocketAddr> {
+    prop_oneof![
+        any::<([u8; 4], u16)>().prop_map(SocketAddr::from),
+        any::<([u16; 8], u16)>().prop_map(SocketAddr::from),
+    ]
+}
+
+fn version() -> impl Strategy<Value = MemberVersion> {
+    (any::<u64>(), any::<u32>()).prop_map(|(start, refutation)| MemberVersion {
+        start: IncarnationNumber(start),
+        refutation,
+    })
+}
+
+fn digest() -> impl Strategy<Value = ConfigDigest> {
+    any::<(u64, u64, u64)>().prop_map(|(highest, progress, hash)| ConfigDigest {
+        highest: StoreVersion(highest),
+        progress,
+        hash,
+    })
+}
+
+fn header() -> impl Strategy<Value = SenderHeader> {
+    let numbers = any::<(bool, u32, u64)>();
+    (node(), version(), digest(), numbers).prop_map(
+        |(node, version, config, (leaving, load, view))| SenderHeader {
+            node,
+            version,
+            leaving,
+            load: LoadLevel(load),
+            config,
+            view,
+        },
+    )
+}
+
+fn body() -> impl Strategy<Value = GossipBody> {
+    let buckets = any::<[u64; VIEW_BUCKETS]>();
+    prop_oneof![
+        Just(GossipBody::News),
+        (any::<u32>(), node()).prop_map(|(sequence, target)| GossipBody::Ping { sequence, target }),
+        (any::<u32>(), node(), address()).prop_map(|(sequence, target, address)| {
+            GossipBody::PingRequest {
+                sequence,
+                target,
+                address,
+            }
+        }),
+        any::<u32>().prop_map(|sequence| GossipBody::Ack { sequence }),
+        (any::<u32>(), option::of(node()), buckets).prop_map(|(sequence, after, buckets)| {
+            GossipBody::SyncRequest {
+                sequence,
+                after,
+                buckets: buckets.into(),
+            }
+        }),
+        (any::<u32>(), option::of(node()))
+            .prop_map(|(sequence, next)| GossipBody::SyncReply { sequence, next }),
+    ]
+}
+
+fn update() -> impl Strategy<Value = MemberUpdate> {
+    let state = prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Leaving),
+        Just(MemberState::Dead),
+    ];
+    let role = prop_oneof![Just(MemberRole::Entry), Just(MemberRole::Relay)];
+    let others = (option::of(address()), option::of(address()));
+    let record = option::of((role, node(), node(), address(), others));
+    (node(), state, version(), record).prop_map(|(node, state, version, record)| MemberUpdate {
+        state,
+        version,
+        record: record.map(
+            |(role, host, domain, gossip_address, others)| MemberRecord {
+                node: node.clone(),
+                role,
+                host: host.as_str().parse().expect("a valid id"),
+                domain: domain.as_str().parse().expect("a valid id"),
+                gossip_address,
+                peer_address: others.0,
+                caller_address: others.1,
+            },
+        ),
+        node,
+    })
+}
+
+fn report() -> impl Strategy<Value = ReportGroup> {
+    let members = proptest::collection::vec(any::<u32>(), 1..200);
+    (digest(), members).prop_map(|(config, members)| ReportGroup { config, members })
+}
+
+fn envelope() -> impl Strategy<Value = GossipMessage> {
+    (header(), body()).prop_map(|(sender, body)| GossipMessage {
+        sender,
+        body,
+        updates: Vec::new(),
+        reports: Vec::new(),
+    })
+}
+
+fn size(message: &GossipMessage) -> usize {
+    gossip_messages::encode(message.clone()).len()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x0067_6f73),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn encode_round_trips(
+        envelope in envelope(),
+        updates in proptest::collection::vec(update(), 0..5),
+        reports in proptest::collection::vec(report(), 0..3),
+    ) {
+        let message = GossipMessage { updates, reports, ..envelope };
+        let bytes = gossip_messages::encode(message.clone());
+        prop_assert_eq!(gossip_messages::decode(&bytes), Ok(message));
+    }
+
+    /// A message that were larger than its parts are reckoned would not fit one packet.
+    #[test]
+    fn encode_stays_within_the_bounds(
+        envelope in envelope(),
+        update in update(),
+        report in report(),
+    ) {
+        let bare = size(&envelope);
+        prop_assert!(bare <= ENVELOPE_BYTES, "{bare} bytes");
+        let update_bound = update.size_bound();
+        let report_bound = ReportGroup::size_bound(report.members.len());
+        let with_update = GossipMessage { updates: vec![update], ..envelope.clone() };
+        prop_assert!(size(&with_update) - bare <= update_bound);
+        let with_report = GossipMessage { reports: vec![report], ..envelope };
+        prop_assert!(size(&with_report) - bare <= report_bound);
+    }
+
+    #[test]
+    fn decode_survives_any_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        if let Ok(message) = gossip_messages::decode(&bytes) {
+            let again = gossip_messages::decode(&gossip_messages::encode(message.clone()));
+            prop_assert_eq!(again, Ok(message));
+        }
+    }
+
+    #[test]
+    fn decode_refuses_other_protocols(envelope in envelope()) {
+        let mut bytes = gossip_messages::encode(envelope);
+        // The first field is the protocol's version, a number of one byte.
+        prop_assert_eq!(bytes[0], 8);
+        bytes[1] = 99;
+        let refused = gossip_messages::decode(&bytes);
+        prop_assert_eq!(refused, Err(MalformedMessage::OtherProtocol(99)));
+    }
+}
--- a/alderhaven-policy/src/membership/gossip_message.rs
+++ b/alderhaven-policy/src/membership/gossip_message.rs
@@ -130,8 +130,8 @@
                 record.host.as_str(),
                 record.domain.as_str(),
             ];
-            let addresses = [record.gossip_address, record.peer_address]
-                .into_iter()
+            let addresses = std::iter::once(record.gossip_address)
+                .chain(record.peer_address)
                 .chain(record.caller_address);
             RECORD_BYTES
                 + names.iter().map(|name| name.len()).sum::<usize>()
--- a/alderhaven-policy/src/membership/group_membership.rs
+++ b/alderhaven-policy/src/membership/group_membership.rs
@@ -141,6 +141,7 @@
         let mut outgoing = self.announce_leaving(now, rng);
         self.own_state = MemberState::Dead;
         self.queue.push(self.own_update(false));
+        self.note_change(now);
         outgoing.extend(self.broadcast(now, rng));
         outgoing
     }
--- a/alderhaven-policy/src/membership/member_record.rs
+++ b/alderhaven-policy/src/membership/member_record.rs
@@ -27,10 +27,10 @@
     pub host: HostId,
     /// The failure domain of the host.
     pub domain: FailureDomain,
-    /// The address for gossip (UDP).
+    /// The address for gossip (UDP) and exchange (TCP).
     pub gossip_address: SocketAddr,
-    /// The address for frames between processes (TCP).
-    pub peer_address: SocketAddr,
+    /// The address for attempts (TCP); none for an entry.
+    pub peer_address: Option<SocketAddr>,
     /// The address for callers; none for a relay.
     pub caller_address: Option<SocketAddr>,
 }
--- a/alderhaven-policy/tests/entry_answer.rs
+++ b/alderhaven-policy/tests/entry_answer.rs
@@ -19,7 +19,6 @@
         .host(format!("host-{index}").parse().expect("a valid id"))
         .domain(domain.parse().expect("a valid id"))
         .gossip_address(address)
-        .peer_address(address)
         .caller_address(address)
         .build();
     MemberView {
--- a/alderhaven-policy/tests/membership/network.rs
+++ b/alderhaven-policy/tests/membership/network.rs
@@ -124,7 +124,6 @@
             .host(format!("host-{index}").parse().expect("a valid id"))
             .domain(format!("domain-{}", index % 3).parse().expect("a valid id"))
             .gossip_address(address(index))
-            .peer_address(address(index))
             .build();
         let version = MemberVersion {
             start: IncarnationNumber(start),
--- /dev/null
+++ b/alderhaven-relay/src/lane_table.rs
@@ -0,0 +1,131 @@
+//! The lanes of a relay by target.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::ids::TargetId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_peer::frames::ScatterAttempt;
+use alderhaven_platform::target_watch::TargetWatch;
+use arc_swap::ArcSwap;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
+
+use crate::lane_options::LaneOptions;
+use crate::metrics::AttemptCounters;
+use crate::target_connections::TargetConnections;
+use crate::target_lane::{LaneReport, LaneShared, TargetLane};
+
+/// The time between two looks for attempts whose time is up: little beside a deadline.
+const EXPIRY_TICK: Duration = Duration::from_millis(5);
+
+/// A `LaneTable` finds the lane of a target; reads take no lock.
+#[derive(Debug)]
+pub struct LaneTable {
+    options: LaneOptions,
+    clock: ProcessClock,
+    counters: AttemptCounters,
+    watch: TargetWatch,
+    lanes: ArcSwap<HashMap<TargetId, Arc<TargetLane>>>,
+    writing: Mutex<()>,
+}
+
+impl LaneTable {
+    /// Returns an empty table.
+    #[must_use]
+    pub fn new(options: LaneOptions, counters: AttemptCounters, watch: TargetWatch) -> Self {
+        Self {
+            options,
+            clock: ProcessClock::default(),
+            counters,
+            watch,
+            lanes: ArcSwap::default(),
+            writing: Mutex::new(()),
+        }
+    }
+
+    /// Gets the lane for an attempt, or makes it from what the attempt says of its target.
+    ///
+    /// Returns none where the attempt's target or address can't be read.
+    #[must_use]
+    pub fn lane_for(&self, attempt: &ScatterAttempt) -> Option<Arc<TargetLane>> {
+        let target: TargetId = attempt.target.parse().ok()?;
+        let address: SocketAddr = attempt.address.parse().ok()?;
+        if let Some(lane) = self.lanes.load().get(&target) {
+            return Some(Arc::clone(lane));
+        }
+        Some(self.add(target, address, attempt.slots))
+    }
+
+    /// Gets the lane of a target that has had attempts.
+    #[must_use]
+    pub fn lane_of(&self, target: &str) -> Option<Arc<TargetLane>> {
+        let target: TargetId = target.parse().ok()?;
+        self.lanes.load().get(&target).cloned()
+    }
+
+    /// Gets the clock that all lanes share.
+    #[must_use]
+    pub const fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    /// Answers, in all lanes, the waiting attempts whose time is up, until the process ends.
+    ///
+    /// An attempt that has been given up on gets its answer within one tick, not when the target
+    /// next frees a slot.
+    pub async fn expire_forever(self: Arc<Self>) {
+        let mut ticks = time::interval(EXPIRY_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            for lane in self.lanes.load().values() {
+                lane.expire();
+            }
+        }
+    }
+
+    /// Gets all lanes.
+    #[must_use]
+    pub fn all(&self) -> Vec<(TargetId, Arc<TargetLane>)> {
+        self.lanes
+            .load()
+            .iter()
+            .map(|(target, lane)| (target.clone(), Arc::clone(lane)))
+            .collect()
+    }
+
+    /// Gets the state of all lanes for the dump.
+    #[must_use]
+    pub fn reports(&self) -> HashMap<String, LaneReport> {
+        self.all()
+            .into_iter()
+            .map(|(target, lane)| (target.to_string(), lane.report()))
+            .collect()
+    }
+
+    fn add(&self, target: TargetId, address: SocketAddr, slots: u32) -> Arc<TargetLane> {
+        let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        // Another thread may have added the lane while this one waited.
+        if let Some(lane) = self.lanes.load().get(&target) {
+            return Arc::clone(lane);
+        }
+        let connections = TargetConnections::new(address, self.options.connect_timeout);
+        let shared = LaneShared {
+            target: target.clone(),
+            connections,
+            clock: self.clock,
+            counters: self.counters.clone(),
+            watch: self.watch.clone(),
+        };
+        let lane = Arc::new(TargetLane::new(shared, slots, &self.options));
+        let mut lanes = HashMap::clone(&self.lanes.load());
+        lanes.insert(target, Arc::clone(&lane));
+        let warmed = Arc::clone(&lane);
+        tokio::spawn(async move { warmed.warm().await });
+        self.lanes.store(Arc::new(lanes));
+        lane
+    }
+}
--- a/alderhaven-relay/src/lib.rs
+++ b/alderhaven-relay/src/lib.rs
@@ -1,3 +1,14 @@
-//! The alderhaven relay.
+//! The relay: it holds the connections to targets, with one queue and one limit a target.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod lane_attempt;
+pub mod lane_options;
+pub mod lane_table;
+pub mod metrics;
+pub mod node;
+pub mod peer_server;
+pub mod settings;
+pub mod target_call;
+pub mod target_connections;
+pub mod target_lane;
--- /dev/null
+++ b/alderhaven-relay/src/target_lane.rs
@@ -0,0 +1,339 @@
+//! The lane to one target: its queue, its limit and the attempts that run there.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::ids::{AttemptId, TargetId};
+use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_peer::frames::{AttemptReply, ReplyStatus};
+use alderhaven_platform::target_watch::TargetWatch;
+use alderhaven_policy::query_gather;
+use alderhaven_policy::relay_queue::{OfferOutcome, RelayQueue};
+use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit};
+use tokio::sync::Notify;
+use tokio::time;
+
+use crate::lane_attempt::LaneAttempt;
+use crate::lane_options::LaneOptions;
+use crate::metrics::AttemptCounters;
+use crate::target_call;
+use crate::target_call::CallVerdict;
+use crate::target_connections::TargetConnections;
+
+/// A `TargetLane` orders and runs the attempts at one target.
+#[derive(Debug)]
+pub struct TargetLane {
+    shared: LaneShared,
+    authority: String,
+    state: Mutex<LaneState>,
+    /// The number of waiting attempts, readable without the lock.
+    waiting: AtomicUsize,
+}
+
+/// A `LaneShared` is what a lane is given by its relay.
+#[derive(Debug)]
+pub struct LaneShared {
+    /// The target.
+    pub target: TargetId,
+    /// The connections to the target.
+    pub connections: TargetConnections,
+    /// The clock of all lanes.
+    pub clock: ProcessClock,
+    /// The counts of attempts.
+    pub counters: AttemptCounters,
+    /// The targets that get no new work.
+    pub watch: TargetWatch,
+}
+
+#[derive(Debug)]
+struct LaneState {
+    queue: RelayQueue,
+    limit: TargetLimit,
+    slots: u32,
+    waiting: HashMap<AttemptId, LaneAttempt>,
+    running: HashMap<AttemptId, Arc<Notify>>,
+}
+
+/// A `LaneReport` is the state of a lane for the dump.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct LaneReport {
+    /// The target's address.
+    pub address: String,
+    /// The attempts that wait.
+    pub queued: usize,
+    /// The attempts at the target.
+    pub in_flight: usize,
+    /// The most attempts at the target at a time, as adapted.
+    pub limit: u32,
+    /// The idle connections.
+    pub idle_connections: usize,
+    /// Whether the target gets no new work.
+    pub draining: bool,
+}
+
+/// An attempt that was given a slot, with the means to cancel it.
+struct ReadyAttempt {
+    attempt: LaneAttempt,
+    cancelled: Arc<Notify>,
+    waited: TimeSpan,
+    expected: TimeSpan,
+}
+
+impl TargetLane {
+    /// Returns a lane to a target with this many declared slots.
+    #[must_use]
+    pub fn new(shared: LaneShared, slots: u32, options: &LaneOptions) -> Self {
+        let slots = slots.max(1);
+        Self {
+            authority: shared.connections.address().to_string(),
+            shared,
+            state: Mutex::new(LaneState {
+                queue: RelayQueue::new(options.policy, options.queue.clone()),
+                limit: TargetLimit::new(options.policy, options.limit.clone(), slots),
+                slots,
+                waiting: HashMap::new(),
+                running: HashMap::new(),
+            }),
+            waiting: AtomicUsize::new(0),
+        }
+    }
+
+    /// Takes an attempt: it is run, queued or refused at once.
+    pub fn offer(self: &Arc<Self>, attempt: LaneAttempt) {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let refusal = if self.is_leaving() {
+            Some(NotRunReason::Draining)
+        } else {
+            let slots = state.limit.limit(now);
+            match state.queue.offer(attempt.job(), now, slots) {
+                OfferOutcome::Queued => None,
+                OfferOutcome::Refused(reason) => Some(reason),
+            }
+        };
+        if let Some(reason) = refusal {
+            let wait = state.wait_of(&attempt, now);
+            drop(state);
+            self.answer_not_run(&attempt, reason, wait);
+            return;
+        }
+        state.waiting.insert(attempt.id(), attempt);
+        drop(state);
+        self.run_ready();
+    }
+
+    /// Drops an attempt whose answer is no longer wanted; one at the target is cancelled there.
+    pub fn cancel(self: &Arc<Self>, id: AttemptId) {
+        let mut state = self.lock();
+        if let Some(cancelled) = state.running.get(&id) {
+            cancelled.notify_one();
+            return;
+        }
+        if state.queue.cancel(id)
+            && let Some(attempt) = state.waiting.remove(&id)
+        {
+            drop(state);
+            self.answer_not_run(&attempt, NotRunReason::Cancelled, TimeSpan::ZERO);
+            self.run_ready();
+        }
+    }
+
+    /// Answers the waiting attempts whose time is up.
+    pub fn expire(self: &Arc<Self>) {
+        if self.waiting.load(Ordering::Relaxed) > 0 {
+            self.run_ready();
+        }
+    }
+
+    /// Makes connections ahead of the first attempts, as many as the target has slots.
+    pub async fn warm(&self) {
+        let slots = self.lock().slots as usize;
+        while self.shared.connections.idle_count() < slots {
+            let Ok(sender) = self.shared.connections.connect().await else {
+                return;
+            };
+            self.shared.connections.give_back(sender);
+        }
+    }
+
+    /// Gets the number of attempts that wait or are at the target.
+    #[must_use]
+    pub fn unfinished(&self) -> usize {
+        let state = self.lock();
+        state.queue.waiting() + state.queue.running()
+    }
+
+    /// Gets the lane's state for the dump.
+    #[must_use]
+    pub fn report(&self) -> LaneReport {
+        let now = self.shared.clock.now();
+        let state = self.lock();
+        LaneReport {
+            address: self.authority.clone(),
+            queued: state.queue.waiting(),
+            in_flight: state.queue.running(),
+            limit: state.limit.limit(now),
+            idle_connections: self.shared.connections.idle_count(),
+            draining: self.is_leaving(),
+        }
+    }
+
+    /// Returns true where the target leaves: by its own word, the host list's or an operator's.
+    fn is_leaving(&self) -> bool {
+        self.shared.watch.is_leaving(self.shared.target.as_str())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LaneState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts queued attempts while the limit allows it and answers those that were dropped.
+    fn run_ready(self: &Arc<Self>) {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let mut ready = Vec::new();
+        if self.is_leaving() {
+            state.queue.drop_all(NotRunReason::Draining);
+        }
+        while let Some(attempt) = state.start_next(now) {
+            ready.push(attempt);
+        }
+        let dropped = state.take_dropped();
+        let waits: Vec<TimeSpan> = dropped
+            .iter()
+            .map(|(attempt, _)| state.wait_of(attempt, now))
+            .collect();
+        self.waiting.store(state.queue.waiting(), Ordering::Relaxed);
+        drop(state);
+        for ((attempt, reason), wait) in dropped.into_iter().zip(waits) {
+            self.answer_not_run(&attempt, reason, wait);
+        }
+        for attempt in ready {
+            let lane = Arc::clone(self);
+            tokio::spawn(async move {
+                lane.run(attempt).await;
+                lane.run_ready();
+            });
+        }
+    }
+
+    async fn run(&self, mut ready: ReadyAttempt) {
+        let started = self.shared.clock.now();
+        let attempt = &mut ready.attempt;
+        attempt.request.remaining = attempt.remaining(started);
+        let verdict = self.call_target(attempt, &ready.cancelled).await;
+        self.shared.counters.observe(verdict.outcome);
+        let now = self.shared.clock.now();
+        let service = now.since(started);
+        let wait = self.note_finished(attempt, &verdict, service, ready.expected, now);
+        let reply = AttemptReply {
+            sequence: attempt.id().sequence,
+            status: ReplyStatus::from(verdict.outcome).into(),
+            rows: verdict.rows,
+            snapshot: attempt.request.snapshot.0,
+            version: attempt.request.version.0,
+            queued_us: ready.waited.as_micros(),
+            service_us: service.as_micros(),
+            wait_us: wait.as_micros(),
+            ran: !query_gather::is_not_run(verdict.outcome),
+        };
+        attempt.reply(reply);
+    }
+
+    /// Calls the target until it replies or the attempt's time is up.
+    async fn call_target(&self, attempt: &LaneAttempt, cancelled: &Notify) -> CallVerdict {
+        let call = target_call::run(&self.shared.connections, &self.authority, &attempt.request);
+        let deadline = self.shared.clock.instant(attempt.deadline);
+        let bounded = time::timeout_at(deadline.into(), call);
+        tokio::pin!(bounded);
+        let replied = tokio::select! {
+            replied = &mut bounded => replied,
+            () = cancelled.notified() => {
+                // The target is asked to drop the attempt; its slot is free once it has replied.
+                target_call::cancel(&self.shared.connections, &self.authority, &attempt.request).await;
+                bounded.await
+            }
+        };
+        replied.unwrap_or_else(|_| CallVerdict::without_reply(AttemptOutcome::Unknown))
+    }
+
+    /// Frees the attempt's slot, learns from its verdict and returns the wait of the next one.
+    fn note_finished(
+        &self,
+        attempt: &LaneAttempt,
+        verdict: &CallVerdict,
+        service: TimeSpan,
+        expected: TimeSpan,
+        now: TimePoint,
+    ) -> TimeSpan {
+        let mut state = self.lock();
+        state.running.remove(&attempt.id());
+        let has_run = verdict.outcome == AttemptOutcome::Answered;
+        let measured = has_run.then_some(service);
+        state.queue.finished(attempt.id(), measured, now);
+        let signal = match verdict.outcome {
+            AttemptOutcome::Answered => AttemptSignal::Ran { service, expected },
+            AttemptOutcome::NotRun(NotRunReason::Shed) => AttemptSignal::Shed,
+            AttemptOutcome::NotRun(_)
+            | AttemptOutcome::Failed
+            | AttemptOutcome::VersionGone
+            | AttemptOutcome::Unknown => AttemptSignal::Nothing,
+        };
+        state.limit.finished(signal, now);
+        if let Some(free) = verdict.free_slots {
+            let used = state.slots.saturating_sub(free);
+            state.limit.reported(used, now);
+        }
+        if verdict.is_draining {
+            self.shared.watch.note_reply(&self.shared.target);
+            state.queue.drop_all(NotRunReason::Draining);
+        }
+        state.wait_of(attempt, now)
+    }
+
+    /// Answers an attempt that certainly did not run.
+    fn answer_not_run(&self, attempt: &LaneAttempt, reason: NotRunReason, wait: TimeSpan) {
+        let outcome = AttemptOutcome::NotRun(reason);
+        self.shared.counters.observe(outcome);
+        attempt.reply(AttemptReply {
+            sequence: attempt.id().sequence,
+            status: ReplyStatus::from(outcome).into(),
+            queued_us: self.shared.clock.now().since(attempt.arrived).as_micros(),
+            wait_us: wait.as_micros(),
+            ..AttemptReply::default()
+        });
+    }
+}
+
+impl LaneState {
+    fn start_next(&mut self, now: TimePoint) -> Option<ReadyAttempt> {
+        let slots = self.limit.in_flight() + self.limit.free(now);
+        let started = self.queue.start_next(now, slots)?;
+        let attempt = self.waiting.remove(&started.job.id)?;
+        self.limit.sent();
+        let cancelled = Arc::new(Notify::new());
+        self.running.insert(attempt.id(), Arc::clone(&cancelled));
+        Some(ReadyAttempt {
+            expected: self.queue.expected(&attempt.template),
+            attempt,
+            cancelled,
+            waited: started.waited,
+        })
+    }
+
+    fn take_dropped(&mut self) -> Vec<(LaneAttempt, NotRunReason)> {
+        self.queue
+            .take_dropped()
+            .into_iter()
+            .filter_map(|dropped| Some((self.waiting.remove(&dropped.id)?, dropped.reason)))
+            .collect()
+    }
+
+    fn wait_of(&self, attempt: &LaneAttempt, now: TimePoint) -> TimeSpan {
+        self.queue
+            .wait_of(attempt.class, now, self.limit.limit(now))
+    }
+}
