--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -50,6 +50,7 @@
             PeerMessage::Hello(_)
             | PeerMessage::Reply(_)
             | PeerMessage::Leaving(_)
+            | PeerMessage::Exchange(_)
             | PeerMessage::ClaimQuery(_)
             | PeerMessage::ClaimAnswer(_) => {}
         }
