Harden the callers' interface: one error form, request ids, one log line, limits

Cause: a connection beyond the limit stayed in the operating system's queue unseen; a JSON list was taken for a body (serde takes a struct's members in order); a parameter given twice took its last value; deadline_ms 0 ran into the deadline; no reply could be matched with a log line.

Change: a connection over the limit is answered 429 and closed, or closed at once where 64 others are being refused. Heads over the limit are 413 in the common form up to twice the limit, and hyper's bare 431 beyond. Bodies are objects; names given twice and more than 32 values are refused while they are read; deadline_ms must be 1 to 60000. Every reply carries x-request-id, and each request that is not answered logs one line with id, template, team, class, outcome and code, without its values. Errors are counted by code. The examples of docs/INTERFACE.md are sent to a running entry.

Seen to fail first: with the permit awaited before the refusal the connection test failed (the sixth request was served after 10 s); the list body was found by the test of bad bodies.

--- a/alderhaven-core/src/parameters.rs
+++ b/alderhaven-core/src/parameters.rs
@@ -3,16 +3,24 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::de;
+use serde::de::{MapAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::errors::{Error, Result};
 
+/// The most parameters that a template may have, and so the most values that a query may give.
+pub const MAX_PARAMETERS: usize = 32;
+
 /// The longest text, in bytes, that a parameter may hold when its specification sets no bound.
 pub const DEFAULT_MAX_LENGTH: usize = 1024;
 
 /// A `ParameterValue` is the value of one parameter.
 #[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize)]
-#[serde(untagged)]
+#[serde(
+    untagged,
+    expecting = "allowed is true or false, a whole number or a text"
+)]
 pub enum ParameterValue {
     /// True or false.
     Boolean(bool),
@@ -34,8 +42,9 @@
 
 /// A `ParameterSet` holds the values of a query by name, in name order.
 ///
-/// Two sets with the same values have the same canonical bytes.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Hash, Serialize, Deserialize)]
+/// Two sets with the same values have the same canonical bytes. A name that is given twice is refused
+/// when a set is read: which value was meant can't be told.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Hash, Serialize)]
 #[serde(transparent)]
 pub struct ParameterSet(pub BTreeMap<String, ParameterValue>);
 
@@ -53,6 +62,49 @@
     }
 }
 
+impl<'de> Deserialize<'de> for ParameterSet {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        deserializer.deserialize_map(SetVisitor)
+    }
+}
+
+/// Reads a set value by value, so that one with too many is given up early.
+struct SetVisitor;
+
+impl<'de> Visitor<'de> for SetVisitor {
+    type Value = ParameterSet;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("values by name")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(
+        self,
+        mut access: A,
+    ) -> std::result::Result<ParameterSet, A::Error> {
+        let mut values = BTreeMap::new();
+        while let Some(name) = access.next_key::<String>()? {
+            if values.contains_key(&name) {
+                return Err(de::Error::custom(Error::invalid(
+                    format!("parameters.{name}"),
+                    "is given twice",
+                )));
+            }
+            if values.len() == MAX_PARAMETERS {
+                return Err(de::Error::custom(Error::invalid(
+                    "parameters",
+                    format!("at most {MAX_PARAMETERS} are allowed"),
+                )));
+            }
+            let value = access
+                .next_value()
+                .map_err(|error| de::Error::custom(format!("parameters.{name}: {error}")))?;
+            values.insert(name, value);
+        }
+        Ok(ParameterSet(values))
+    }
+}
+
 /// A `ParameterKind` is the type of a parameter with its bounds.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
--- a/alderhaven-core/src/template.rs
+++ b/alderhaven-core/src/template.rs
@@ -7,12 +7,10 @@
 use crate::class::{AnswerPreference, QueryClass};
 use crate::errors::{Error, Result};
 use crate::ids::{ServiceName, ShardId, TeamId, TemplateName};
-use crate::parameters::{ParameterSet, ParameterSpec, ParameterValue};
+use crate::parameters::{MAX_PARAMETERS, ParameterSet, ParameterSpec, ParameterValue};
 use crate::quantities::Share;
 use crate::time::TimeSpan;
 
-/// The most parameters that a template may have.
-pub const MAX_PARAMETERS: usize = 32;
 /// The most shards that a template may list by number.
 pub const MAX_LISTED_SHARDS: usize = 4096;
 /// The most rows that a top-n merge may keep.
--- a/alderhaven-entry/src/answer.rs
+++ b/alderhaven-entry/src/answer.rs
@@ -5,6 +5,7 @@
 use alderhaven_core::outcome::QueryOutcome;
 use alderhaven_core::time::TimeSpan;
 use http::StatusCode;
+use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
 use serde_json::value::RawValue;
 
@@ -35,7 +36,7 @@
 }
 
 /// An `ErrorCode` is the closed set of errors that callers are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, EncodeLabelValue)]
 #[serde(rename_all = "snake_case")]
 pub enum ErrorCode {
     /// The request can't be read, or a parameter is out of its bounds.
@@ -48,7 +49,7 @@
     NotFound,
     /// The method is not allowed on the path.
     MethodNotAllowed,
-    /// The body is too large.
+    /// The head or the body is too large.
     TooLarge,
     /// The request is refused for now because of load; nothing ran.
     Overloaded,
--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -1,30 +1,49 @@
 //! The HTTP server for callers.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use alderhaven_core::quantities::ByteSize;
+use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time;
 
 use crate::admission_desk::AdmissionDesk;
 use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
 use crate::metrics::EntryMetrics;
 use crate::query_plan::{QueryPlan, QueryRequest};
 use crate::query_runner::QueryRunner;
+use crate::request_record::{REQUEST_ID_HEADER, RequestId, RequestRecord};
 use crate::settings::EntryLimits;
 
+/// The room for a head beyond its limit, within which a head that is too large is told so in the
+/// common form; hyper itself refuses a larger one.
+const HEAD_ROOM: usize = 2;
+/// The connections beyond the limit that are told so at a time.
+const MAX_REFUSALS: usize = 64;
+/// The time that telling a caller so may take.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// The most bytes of a refused caller that are read, so that it gets its answer.
+const MAX_UNREAD: u64 = 64 << 10;
+/// When a refused caller may come back; it should go to another entry before.
+const REFUSAL_RETRY: TimeSpan = TimeSpan::from_secs(1);
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The path below which templates are queried.
 const QUERY_PREFIX: &str = "/v1/query/";
 /// The path that says whether the entry serves.
@@ -46,23 +65,56 @@
 }
 
 /// Accepts connections from callers until the process ends.
+///
+/// A connection beyond the limit is answered with an error and closed, or closed at once while many
+/// others are being refused: a caller that waited unseen could not go to another entry.
 pub async fn serve(listener: TcpListener, caller_service: Arc<CallerService>) {
     let permits = Arc::new(Semaphore::new(caller_service.limits.caller_connections));
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
         let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors: later ones may be free again.
+            time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let caller_service = Arc::clone(&caller_service);
-        tokio::spawn(async move {
-            serve_connection(stream, caller_service).await;
-            drop(permit);
-        });
+        if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+            let caller_service = Arc::clone(&caller_service);
+            tokio::spawn(async move {
+                serve_connection(stream, caller_service).await;
+                drop(permit);
+            });
+            continue;
+        }
+        caller_service.metrics.refused_connections.inc();
+        if let Ok(refusal) = Arc::clone(&refusals).try_acquire_owned() {
+            tokio::spawn(async move {
+                let _ended = time::timeout(REFUSAL_TIME, refuse_connection(stream)).await;
+                drop(refusal);
+            });
+        }
     }
 }
 
+/// Tells a caller that there are too many connections.
+async fn refuse_connection(mut stream: TcpStream) -> io::Result<()> {
+    let answer = ErrorAnswer::not_run(ErrorCode::Overloaded, "too many connections are open")
+        .with_retry_after(REFUSAL_RETRY);
+    let status = answer.error.code.status();
+    let body = serde_json::to_string(&answer).unwrap_or_default();
+    let reply = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(reply.as_bytes()).await?;
+    stream.shutdown().await?;
+    // What the caller has sent is read: closing before would reset the connection, and the caller
+    // could lose the answer.
+    let mut unread = stream.take(MAX_UNREAD);
+    tokio::io::copy(&mut unread, &mut tokio::io::sink()).await?;
+    Ok(())
+}
+
 async fn serve_connection(stream: TcpStream, caller_service: Arc<CallerService>) {
     let _without_nagle = stream.set_nodelay(true);
     let limits = caller_service.limits.clone();
@@ -74,54 +126,69 @@
     let _ended = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.read_timeout.as_duration())
-        .max_buf_size(limits.head.as_bytes().max(8 << 10))
+        .max_buf_size((HEAD_ROOM * limits.head.as_bytes()).max(8 << 10))
         .serve_connection(TokioIo::new(stream), answering)
         .await;
 }
 
 impl CallerService {
+    /// Answers a request; every reply carries the request's id.
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut record = RequestRecord::new(RequestId::of_request(request.headers()));
+        let mut response = match self.route(request, &mut record).await {
+            Ok(response) => response,
+            Err(error) => {
+                self.metrics.observe_error(error.error.code);
+                record.log(&error);
+                error_response(&error)
+            }
+        };
+        let headers = response.headers_mut();
+        headers.insert(REQUEST_ID_HEADER, record.id.header_value());
+        response
+    }
+
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        record: &mut RequestRecord,
+    ) -> Result<Response<Full<Bytes>>, ErrorAnswer> {
+        if head_bytes(&request) > self.limits.head.as_bytes() {
+            return Err(ErrorAnswer::not_run(
+                ErrorCode::TooLarge,
+                format!("a head has at most {}", self.limits.head),
+            ));
+        }
         let path = request.uri().path().to_owned();
         if let Some(template) = path.strip_prefix(QUERY_PREFIX) {
-            if request.method() != Method::POST {
-                return error_response(&ErrorAnswer::not_run(
-                    ErrorCode::MethodNotAllowed,
-                    "queries are sent with POST",
-                ));
-            }
-            return match self.query(template, request).await {
-                Ok(body) => body,
-                Err(error) => error_response(&error),
-            };
+            check_method(&request, &Method::POST)?;
+            return self.query(template, request, record).await;
         }
-        match (request.method(), path.as_str()) {
-            (&Method::GET, HEALTH_PATH) => {
-                json_response(StatusCode::OK, &serde_json::json!({ "status": "serving" }))
-            }
-            _ => error_response(&ErrorAnswer::not_run(
-                ErrorCode::NotFound,
-                format!("there is no {path}"),
-            )),
+        if path == HEALTH_PATH {
+            check_method(&request, &Method::GET)?;
+            let health = serde_json::json!({ "status": "serving" });
+            return Ok(json_response(StatusCode::OK, &health));
         }
+        Err(ErrorAnswer::not_run(
+            ErrorCode::NotFound,
+            format!("there is no {path}"),
+        ))
     }
 
     async fn query(
         &self,
         template: &str,
         request: Request<Incoming>,
+        record: &mut RequestRecord,
     ) -> Result<Response<Full<Bytes>>, ErrorAnswer> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let body = self.read_body(body).await?;
-        let query: QueryRequest = serde_json::from_slice(&body).map_err(|error| {
-            ErrorAnswer::not_run(
-                ErrorCode::BadRequest,
-                format!("the body is refused: {error}"),
-            )
-        })?;
+        let query = QueryRequest::read(&body)?;
         let view = self.config.view();
         let token = bearer_token(&head.headers);
         let plan = QueryPlan::make(&view, template, query, token, arrived)?;
+        record.note_plan(&plan);
         if !plan.template.idempotent {
             return Err(ErrorAnswer::not_run(
                 ErrorCode::Unavailable,
@@ -147,13 +214,17 @@
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
         let limit = self.limits.body;
+        // A length that is told to be too large is refused before the body is read.
+        if body.size_hint().lower() > limit.as_bytes() as u64 {
+            return Err(too_large_body(limit));
+        }
         let reading = Limited::new(body, limit.as_bytes()).collect();
-        let read = tokio::time::timeout(self.limits.read_timeout.as_duration(), reading).await;
+        let read = time::timeout(self.limits.read_timeout.as_duration(), reading).await;
         match read {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(
-                ErrorAnswer::not_run(ErrorCode::TooLarge, format!("a body has at most {limit}")),
-            ),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(too_large_body(limit))
+            }
             Ok(Err(error)) => Err(ErrorAnswer::not_run(
                 ErrorCode::BadRequest,
                 format!("the body can't be read: {error}"),
@@ -176,16 +247,48 @@
     ErrorAnswer::not_run(ErrorCode::Overloaded, message).with_retry_after(refusal.retry_after)
 }
 
+fn too_large_body(limit: ByteSize) -> ErrorAnswer {
+    ErrorAnswer::not_run(ErrorCode::TooLarge, format!("a body has at most {limit}"))
+}
+
+fn check_method<B>(request: &Request<B>, allowed: &Method) -> Result<(), ErrorAnswer> {
+    if request.method() == allowed {
+        return Ok(());
+    }
+    Err(ErrorAnswer::not_run(
+        ErrorCode::MethodNotAllowed,
+        format!("{} is refused: allowed is {allowed}", request.method()),
+    ))
+}
+
+/// Gets the size of a head as it came in: its line and all headers with their separators.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    let headers = request.headers().iter();
+    let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let uri = request.uri();
+    let target = uri.path().len() + uri.query().map_or(0, |query| query.len() + 1);
+    request.method().as_str().len() + target + " HTTP/1.1\r\n\r\n ".len() + lines.sum::<usize>()
+}
+
+/// Gets the bearer token; none where there is none, or where there are several.
 fn bearer_token(headers: &HeaderMap) -> Option<&str> {
-    headers
-        .get(header::AUTHORIZATION)?
-        .to_str()
-        .ok()?
-        .strip_prefix("Bearer ")
+    let mut given = headers.get_all(header::AUTHORIZATION).iter();
+    let (value, None) = (given.next()?, given.next()) else {
+        return None;
+    };
+    let (scheme, token) = value.to_str().ok()?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("Bearer").then_some(token)
 }
 
 fn error_response(answer: &ErrorAnswer) -> Response<Full<Bytes>> {
-    json_response(answer.error.code.status(), answer)
+    let mut response = json_response(answer.error.code.status(), answer);
+    if answer.error.code == ErrorCode::Unauthorized {
+        let scheme = HeaderValue::from_static("Bearer");
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+    }
+    response
 }
 
 fn json_response<T: Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod query_runner;
 pub mod relay_link;
 pub mod relay_routes;
+pub mod request_record;
 pub mod settings;
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::answer::ErrorCode;
+
 /// The upper bounds of the latency histogram in seconds; 0.37 s is the two-year goal at p99.
 const LATENCY_BUCKETS: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.5, 1.0, 2.5, 5.0, 10.0,
@@ -38,12 +40,21 @@
     Unknown,
 }
 
+/// A `ErrorLabels` is the label set of the requests answered with an error; it is closed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ErrorLabels {
+    code: ErrorCode,
+}
+
 /// An `EntryMetrics` counts what an entry does.
 #[derive(Debug)]
 pub struct EntryMetrics {
     registry: Registry,
     queries: Family<QueryLabels, Counter>,
     latency: Family<QueryLabels, Histogram>,
+    errors: Family<ErrorLabels, Counter>,
+    /// The connections of callers that were refused because as many were open as may be.
+    pub refused_connections: Counter,
     /// The queries between arrival and answer.
     pub in_flight: Gauge,
     /// The attempts that were begun.
@@ -76,6 +87,8 @@
             registry: Registry::default(),
             queries,
             latency,
+            errors: Family::default(),
+            refused_connections: Counter::default(),
             in_flight: Gauge::default(),
             attempts: Counter::default(),
             hedges: Counter::default(),
@@ -88,7 +101,17 @@
             "Queries between arrival and answer",
             metrics.in_flight.clone(),
         );
+        registry.register(
+            "errors",
+            "Requests answered with an error, by its code",
+            metrics.errors.clone(),
+        );
         let counters = [
+            (
+                "refused_connections",
+                "Connections refused at the limit",
+                &metrics.refused_connections,
+            ),
             ("attempts", "Attempts begun", &metrics.attempts),
             ("hedges", "Attempts begun as hedges", &metrics.hedges),
             ("retries", "Attempts begun as retries", &metrics.retries),
@@ -124,6 +147,11 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Counts a request that was answered with an error.
+    pub fn observe_error(&self, code: ErrorCode) {
+        self.errors.get_or_create(&ErrorLabels { code }).inc();
+    }
+
     /// Gets the metrics in the `OpenMetrics` text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/alderhaven-entry/src/query_plan.rs
+++ b/alderhaven-entry/src/query_plan.rs
@@ -8,7 +8,7 @@
 use alderhaven_core::manifest::SnapshotManifest;
 use alderhaven_core::parameters::ParameterSet;
 use alderhaven_core::team::TeamPolicy;
-use alderhaven_core::template::QueryTemplate;
+use alderhaven_core::template::{MAX_DEADLINE, MIN_DEADLINE, QueryTemplate};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_registry::ConfigView;
 use bytes::Bytes;
@@ -30,6 +30,24 @@
     pub deadline_ms: Option<u64>,
 }
 
+impl QueryRequest {
+    /// Reads a body.
+    ///
+    /// # Errors
+    /// The answer for the caller, which names what is wrong and where.
+    pub fn read(body: &[u8]) -> Result<Self, ErrorAnswer> {
+        let refused = |reason: String| {
+            let message = format!("the body is refused: {reason}");
+            ErrorAnswer::not_run(ErrorCode::BadRequest, message)
+        };
+        // serde would also take a list with the members in their order.
+        if body.trim_ascii_start().starts_with(b"[") {
+            return Err(refused("allowed is an object with `team`".to_owned()));
+        }
+        serde_json::from_slice(body).map_err(|error| refused(error.to_string()))
+    }
+}
+
 /// A `QueryPlan` is a query that may be admitted.
 #[derive(Clone, Debug)]
 pub struct QueryPlan {
@@ -78,10 +96,10 @@
         let values = template
             .bind(&team.name, request.parameters)
             .map_err(|error| ErrorAnswer::not_run(ErrorCode::BadRequest, error.to_string()))?;
-        let deadline = request
-            .deadline_ms
-            .map_or(template.deadline, TimeSpan::from_millis)
-            .min(template.deadline);
+        let deadline = match request.deadline_ms {
+            Some(millis) => check_deadline(millis)?.min(template.deadline),
+            None => template.deadline,
+        };
         let manifest = find_manifest(view, &template)?;
         let positions = manifest
             .select(&template.shards, &values)
@@ -134,6 +152,18 @@
         .map_or(0, |elapsed| TimeSpan::from(elapsed).as_micros())
 }
 
+/// Checks a caller's deadline against the bounds of templates' deadlines.
+fn check_deadline(millis: u64) -> Result<TimeSpan, ErrorAnswer> {
+    let (least, most) = (MIN_DEADLINE.as_millis(), MAX_DEADLINE.as_millis());
+    if (least..=most).contains(&millis) {
+        return Ok(TimeSpan::from_millis(millis));
+    }
+    Err(ErrorAnswer::not_run(
+        ErrorCode::BadRequest,
+        format!("deadline_ms: {millis} is refused: allowed is {least} to {most}"),
+    ))
+}
+
 fn find_template(view: &ConfigView, name: &str) -> Result<Arc<QueryTemplate>, ErrorAnswer> {
     name.parse::<TemplateName>()
         .ok()
--- /dev/null
+++ b/alderhaven-entry/tests/caller_interface/support.rs
@@ -0,0 +1,187 @@
+//! A running entry over the platform's stand-in, and callers that send any bytes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use alderhaven_core::team;
+use alderhaven_entry::node::EntryNode;
+use alderhaven_platform::config_follower::{ConfigFollower, FollowerOptions};
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
+use alderhaven_standin::object_set::ObjectSet;
+use alderhaven_standin::platform_server::{PlatformOptions, PlatformServer};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+/// The token of the team `staff`.
+pub const TOKEN: &str = "staff-token";
+/// The time within which everything must come about; far above what a busy machine needs.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A `TestEntry` is a running entry without relays; what passes all checks is answered with 429.
+pub struct TestEntry {
+    pub node: EntryNode,
+    _platform: PlatformServer,
+}
+
+/// A `RawReply` is a reply as it came over the wire.
+#[derive(Debug)]
+pub struct RawReply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// Starts an entry with `limits` and waits for its configuration.
+pub async fn start(limits: Value) -> TestEntry {
+    let platform = PlatformServer::start(PlatformOptions {
+        objects: vec![objects()],
+        ..PlatformOptions::default()
+    })
+    .await
+    .unwrap();
+    let store = Arc::new(HttpStore::new(
+        platform.address(),
+        HttpStoreOptions::default(),
+    ));
+    let config = ConfigFollower::start(store, FollowerOptions::default(), CancellationToken::new());
+    let settings = json!({
+        "node": "entry-1", "host": "host-1", "domain": "domain-1", "limits": limits,
+        "listen": "127.0.0.1:0", "operator_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+        "platform": platform.address(),
+    });
+    let node = EntryNode::start(serde_json::from_value(settings).unwrap(), config)
+        .await
+        .unwrap();
+    let mut changed = node.state().config.changed();
+    time::timeout(LIMIT, async {
+        while node.state().config.view().manifests.is_empty() {
+            changed.changed().await.unwrap();
+        }
+    })
+    .await
+    .expect("the configuration comes in time");
+    TestEntry {
+        node,
+        _platform: platform,
+    }
+}
+
+fn objects() -> ObjectSet {
+    let parameters = json!({
+        "key": { "kind": { "type": "text", "max_length": 8 } },
+        "count": { "kind": { "type": "integer", "min": 1, "max": 9 }, "default": 1 },
+    });
+    let template = |name: &str, teams: Value| {
+        json!({ "name": name, "service": "sample", "parameters": parameters, "teams": teams,
+            "shards": { "select": "all" }, "merge": { "rule": "concatenate" },
+            "class": "urgent", "deadline": "2s" })
+    };
+    let replica = json!({ "target": "sample-0-0", "address": "127.0.0.1:1", "domain": "domain-1",
+        "slots": 1, "connections": 1 });
+    let set = json!({
+        "templates": [template("open", json!([])), template("closed", json!(["staff"]))],
+        "teams": [
+            { "name": "desk" },
+            { "name": "staff", "token_hash": team::hash_token(TOKEN) },
+        ],
+        "manifests": [{ "service": "sample", "snapshot": 1,
+            "shards": [{ "shard": 0, "version": 1, "replicas": [replica] }] }],
+    });
+    serde_json::from_value(set).unwrap()
+}
+
+impl TestEntry {
+    /// Gets the address for callers.
+    pub const fn address(&self) -> SocketAddr {
+        self.node.caller_address()
+    }
+
+    /// Sends bytes over a connection of their own and reads the reply.
+    pub async fn send(&self, bytes: &[u8]) -> RawReply {
+        let mut stream = TcpStream::connect(self.address()).await.unwrap();
+        exchange(&mut stream, bytes).await
+    }
+
+    /// Sends a query with further headers, each ended by a line break.
+    pub async fn query(&self, template: &str, headers: &str, body: &str) -> RawReply {
+        self.send(&query_bytes(template, headers, body)).await
+    }
+}
+
+/// Gets the bytes of a query.
+pub fn query_bytes(template: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "POST /v1/query/{template} HTTP/1.1\r\nhost: entry\r\n{headers}\
+         content-length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// Sends bytes and reads one reply.
+pub async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> RawReply {
+    // An entry that has refused may read no further.
+    let _refused_before = stream.write_all(bytes).await;
+    time::timeout(LIMIT, read_reply(stream))
+        .await
+        .expect("the reply comes in time")
+}
+
+async fn read_reply(stream: &mut TcpStream) -> RawReply {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(position) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break position + 4;
+        }
+        assert_ne!(stream.read_buf(&mut bytes).await.unwrap(), 0, "no reply");
+    };
+    let head = String::from_utf8(bytes[..head_end].to_vec()).unwrap();
+    let mut reply = RawReply {
+        status: head[9..12].parse().unwrap(),
+        body: String::new(),
+        head: head.to_ascii_lowercase(),
+    };
+    let length: usize = reply.header("content-length").unwrap().parse().unwrap();
+    while bytes.len() < head_end + length {
+        assert_ne!(stream.read_buf(&mut bytes).await.unwrap(), 0, "no body");
+    }
+    reply.body = String::from_utf8(bytes[head_end..head_end + length].to_vec()).unwrap();
+    reply
+}
+
+impl RawReply {
+    /// Gets a header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head
+            .lines()
+            .filter_map(|line| line.split_once(": "))
+            .find(|(header, _)| *header == name)
+            .map(|(_, value)| value)
+    }
+
+    /// Gets the body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body)
+            .unwrap_or_else(|error| panic!("{error}: {} {}", self.head, self.body))
+    }
+
+    /// Checks that the reply is an error of nothing that ran, and that its message names `part`.
+    #[track_caller]
+    pub fn assert_refused(&self, status: u16, code: &str, part: &str) {
+        let body = self.json();
+        let error = &body["error"];
+        assert_eq!(
+            (self.status, &error["code"]),
+            (status, &json!(code)),
+            "{body}"
+        );
+        assert_eq!(error["not_run"], json!(true), "{body}");
+        let message = error["message"].as_str().unwrap();
+        assert!(message.contains(part), "`{message}` does not name `{part}`");
+        assert_eq!(self.header("content-type"), Some("application/json"));
+    }
+}
--- /dev/null
+++ b/alderhaven-quickstart/tests/interface_examples.rs
@@ -0,0 +1,142 @@
+//! Runs the examples of docs/INTERFACE.md against a running entry.
+
+use std::net::SocketAddr;
+
+use alderhaven_entry::answer::ErrorCode;
+use alderhaven_quickstart::local_system::LocalSystem;
+use alderhaven_standin::http_caller::HttpCaller;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+/// The page.
+const PAGE: &str = include_str!("../../docs/INTERFACE.md");
+
+/// Gets the fenced blocks of a kind, in the page's order.
+fn blocks(kind: &str) -> Vec<String> {
+    let fence = format!("```{kind}\n");
+    let parts = PAGE.split(&fence).skip(1);
+    parts
+        .map(|part| part.split("```").next().unwrap().to_owned())
+        .collect()
+}
+
+/// Gets the JSON block that begins with a member.
+fn json_block(member: &str) -> Value {
+    let values = blocks("json")
+        .into_iter()
+        .map(|block| serde_json::from_str::<Value>(&block).unwrap());
+    let mut found = values.filter(|value| value.get(member).is_some());
+    found.next().expect("the page has the example")
+}
+
+/// Sends a block as it stands on the page.
+async fn send(entry: SocketAddr, block: &str) -> Response<Bytes> {
+    let (head, body) = block.split_once("\n\n").unwrap();
+    let mut lines = head.lines();
+    let mut words = lines.next().unwrap().split(' ');
+    let mut request = Request::builder()
+        .method(words.next().unwrap())
+        .uri(words.next().unwrap());
+    for line in lines {
+        let (name, value) = line.split_once(": ").unwrap();
+        request = request.header(name, value);
+    }
+    let mut caller = HttpCaller::connect(entry).await.unwrap();
+    let request = request.body(Full::from(body.to_owned())).unwrap();
+    caller.call(request).await.unwrap()
+}
+
+/// Checks that `actual` has the members of the example, with values of the same types, and no
+/// others unless `more` allows them.
+fn assert_shape(path: &str, example: &Value, actual: &Value, more: bool) {
+    match (example, actual) {
+        (Value::Object(example), Value::Object(actual)) => {
+            for (name, value) in example {
+                let found = actual.get(name).unwrap_or(&Value::Null);
+                assert_shape(&format!("{path}.{name}"), value, found, more);
+            }
+            for name in actual.keys() {
+                assert!(
+                    more || example.contains_key(name),
+                    "{path}.{name} is not told"
+                );
+            }
+        }
+        (Value::Array(example), Value::Array(actual)) => {
+            for value in actual {
+                assert_shape(&format!("{path}[]"), &example[0], value, more);
+            }
+        }
+        _ => {
+            let kinds = [example, actual].map(std::mem::discriminant);
+            assert_eq!(
+                kinds[0], kinds[1],
+                "{path}: {example} is told, {actual} came"
+            );
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn examples_are_answered_as_told() {
+    let system = LocalSystem::start(1, 7).await.unwrap();
+    let entry = system.entry_addresses()[0];
+    let [query, refused] = blocks("http").try_into().unwrap();
+
+    let reply = send(entry, &query).await;
+    let body: Value = serde_json::from_slice(reply.body()).unwrap();
+    assert_eq!(reply.status(), 200, "{body}");
+    assert_shape("answer", &json_block("outcome"), &body, false);
+    assert!(["complete", "partial"].contains(&body["outcome"].as_str().unwrap()));
+    assert_eq!(body["coverage"]["asked"], json!(30));
+    assert!(!body["rows"].as_array().unwrap().is_empty());
+
+    let reply = send(entry, &refused).await;
+    assert_eq!(reply.status(), 400);
+    assert_eq!(reply.headers()["x-request-id"], "counter-4711");
+    let told = blocks("json")
+        .into_iter()
+        .find(|block| block.contains("deadline_ms"));
+    let body = String::from_utf8(reply.into_body().to_vec()).unwrap();
+    assert_eq!(body, told.unwrap().trim_end());
+
+    let status = Request::get("/debug/status").body(Full::default()).unwrap();
+    for operator in system.operator_addresses() {
+        let mut caller = HttpCaller::connect(operator).await.unwrap();
+        let reply = caller.call(status.clone()).await.unwrap();
+        let body: Value = serde_json::from_slice(reply.body()).unwrap();
+        assert_shape("status", &json_block("node"), &body, true);
+    }
+    let health = Request::get("/v1/health").body(Full::default()).unwrap();
+    let mut caller = HttpCaller::connect(entry).await.unwrap();
+    let reply = caller.call(health).await.unwrap();
+    let body = std::str::from_utf8(reply.body()).unwrap();
+    assert!(PAGE.contains(&format!("{} `{body}`", reply.status().as_u16())));
+    system.stop().await;
+}
+
+#[test]
+fn codes_are_told_with_status_and_not_run() {
+    let codes = [
+        ErrorCode::BadRequest,
+        ErrorCode::Unauthorized,
+        ErrorCode::Forbidden,
+        ErrorCode::NotFound,
+        ErrorCode::MethodNotAllowed,
+        ErrorCode::KeyConflict,
+        ErrorCode::TooLarge,
+        ErrorCode::Quarantined,
+        ErrorCode::Overloaded,
+        ErrorCode::Failed,
+        ErrorCode::Unavailable,
+        ErrorCode::Unknown,
+    ];
+    for code in codes {
+        let name = json!(code).as_str().unwrap().to_owned();
+        let not_run = code.outcome().to_string() == "refused";
+        let row = format!("| `{name}` | {} | {not_run} |", code.status().as_u16());
+        assert!(PAGE.contains(&row), "the page has no row `{row}`");
+    }
+}
