Bound what peers and settings can do to a relay or an entry

Cause: a relay's connection beyond the limit stayed in the operating system's queue, looking open; a target that came back at another address was called at its old one for ever, since lanes were found by name alone; slots from a manifest bounded how many connections a relay warms, without a bound of their own; caller_connections beyond the semaphore's maximum would end the entry; shares of the admission and choices were not checked; wrong arguments ended with 1, not 2; a wrong address did not say what is allowed.

Change: connections beyond the limit are closed at once and counted; lanes are found by target and address, the old lane goes once it is empty; at most 8192 targets and 1024 slots; a malformed frame is logged with its peer; settings are checked by one ValueCheck. Tests send malformed, oversized and unknown frames beside a good link, and run both binaries over wrong files, keys, values and arguments.

Seen to fail first: with lanes found by name alone and the permit awaited, the address test and the connection test failed, the other three held.

--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod team;
 pub mod template;
 pub mod time;
+pub mod value_check;
--- a/alderhaven-core/src/manifest.rs
+++ b/alderhaven-core/src/manifest.rs
@@ -12,6 +12,8 @@
 
 /// The most shards that one manifest may have.
 pub const MAX_SHARDS: usize = 4096;
+/// The most slots that a target may declare; a relay may open as many connections to it.
+pub const MAX_SLOTS: u32 = 1024;
 
 /// A `SnapshotManifest` fixes, for one service, its shards, their versions and their replicas.
 ///
@@ -174,11 +176,11 @@
             ));
         }
         for replica in &self.replicas {
-            if replica.slots == 0 || replica.connections == 0 {
+            if !(1..=MAX_SLOTS).contains(&replica.slots) || replica.connections == 0 {
                 errors.push(Error::invalid(
                     "shards.replicas",
                     format!(
-                        "target {}: slots and connections are 1 or more",
+                        "target {}: allowed are 1 to {MAX_SLOTS} slots and 1 or more connections",
                         replica.target
                     ),
                 ));
--- a/alderhaven-core/src/program.rs
+++ b/alderhaven-core/src/program.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use argh::FromArgs;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -42,6 +43,23 @@
     }
 }
 
+/// Reads the command line of the binary `name`.
+///
+/// # Errors
+/// The exit code, after the help (0) or what is wrong (2) was printed.
+pub fn arguments<T: FromArgs>(name: &str) -> Result<T, ExitCode> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    T::from_args(&[name], &words).map_err(|exit| {
+        if exit.status.is_ok() {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        eprintln!("{}\nRun {name} --help for more information.", exit.output);
+        ExitCode::from(EXIT_BAD_SETTINGS)
+    })
+}
+
 /// Reads and checks the settings at `path`; returns them where the process is to run.
 ///
 /// # Errors
--- a/alderhaven-core/src/settings.rs
+++ b/alderhaven-core/src/settings.rs
@@ -1,8 +1,10 @@
 //! Reading of YAML settings files.
 
 use std::fs;
+use std::net::SocketAddr;
 
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, de};
 
 use crate::errors::{Error, Result};
 
@@ -32,3 +34,32 @@
 pub fn read_text<T: DeserializeOwned>(path: &str, text: &str) -> Result<T> {
     serde_saphyr::from_str(text).map_err(|error| Error::file(path, error))
 }
+
+/// Reads an address, for a field's `deserialize_with`.
+///
+/// # Errors
+/// The value and what is allowed; serde's own message names neither.
+pub fn address<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<SocketAddr, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_address(&text).map_err(de::Error::custom)
+}
+
+/// Reads a list of addresses, for a field's `deserialize_with`.
+///
+/// # Errors
+/// As for [`address`].
+pub fn addresses<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<Vec<SocketAddr>, D::Error> {
+    let texts = Vec::<String>::deserialize(deserializer)?;
+    let parsed: Result<Vec<SocketAddr>> = texts.iter().map(|text| parse_address(text)).collect();
+    parsed.map_err(de::Error::custom)
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr> {
+    let allowed = "an IP number and a port, for example 10.0.1.4:8080";
+    text.parse()
+        .map_err(|_| Error::parse("address", text, allowed))
+}
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod query_runner;
 pub mod relay_link;
 pub mod relay_routes;
-pub mod request_record;
 pub mod replica_board;
+pub mod request_record;
 pub mod running_query;
 pub mod settings;
--- a/alderhaven-entry/src/main.rs
+++ b/alderhaven-entry/src/main.rs
@@ -34,7 +34,10 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
+    let arguments: Arguments = match program::arguments("alder-entry") {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     let request = SettingsRequest::from_switches(arguments.check, arguments.print_settings);
     let settings: EntrySettings = match program::load(&arguments.settings, request) {
         Ok(settings) => settings,
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -1,12 +1,15 @@
 //! The settings of an entry.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
 use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::quantities::ByteSize;
+use alderhaven_core::settings;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_core::value_check::ValueCheck;
 use alderhaven_policy::admission::AdmissionOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
@@ -14,9 +17,15 @@
 use crate::replica_board::BoardOptions;
 
 /// The least and the greatest limit on a body.
-const BODY_RANGE: (ByteSize, ByteSize) = (ByteSize::from_kib(1), ByteSize::from_kib(1024));
+const BODY_RANGE: RangeInclusive<ByteSize> = ByteSize::from_kib(1)..=ByteSize::from_kib(1024);
 /// The least and the greatest limit on a head; hyper needs 8 KB at least.
-const HEAD_RANGE: (ByteSize, ByteSize) = (ByteSize::from_kib(8), ByteSize::from_kib(256));
+const HEAD_RANGE: RangeInclusive<ByteSize> = ByteSize::from_kib(8)..=ByteSize::from_kib(256);
+/// The most connections that may be allowed, as many as a process can have descriptors for.
+const MAX_CONNECTIONS: usize = 65_536;
+/// The most waiting queries that may be allowed; each holds a few kilobytes.
+const MAX_WAITING: usize = 65_536;
+/// The least and the greatest time that a setting may hold.
+const TIME_RANGE: RangeInclusive<TimeSpan> = TimeSpan::from_millis(1)..=TimeSpan::from_secs(60);
 
 /// An `EntrySettings` is the content of an entry's settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,18 +38,22 @@
     /// The failure domain of the host.
     pub domain: FailureDomain,
     /// The address for callers; port 0 takes a free one.
+    #[serde(deserialize_with = "settings::address")]
     pub listen: SocketAddr,
     /// The address for operators (metrics, dump).
+    #[serde(deserialize_with = "settings::address")]
     pub operator_listen: SocketAddr,
     /// The address for other processes of the system.
+    #[serde(deserialize_with = "settings::address")]
     pub peer_listen: SocketAddr,
     /// The platform's object API and host list.
+    #[serde(deserialize_with = "settings::address")]
     pub platform: SocketAddr,
     /// The relays that are known from the start.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "settings::addresses")]
     pub relays: Vec<SocketAddr>,
     /// Peers to learn from at the start.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "settings::addresses")]
     pub seeds: Vec<SocketAddr>,
     /// The limits.
     #[serde(default)]
@@ -75,38 +88,52 @@
 
 impl CheckedSettings for EntrySettings {
     fn check(&self) -> Vec<Error> {
-        let mut errors = Vec::new();
-        if !(BODY_RANGE.0..=BODY_RANGE.1).contains(&self.limits.body) {
-            errors.push(Error::invalid(
-                "limits.body",
-                format!(
-                    "{} is refused: allowed is {} to {}",
-                    self.limits.body, BODY_RANGE.0, BODY_RANGE.1
-                ),
-            ));
-        }
-        if !(HEAD_RANGE.0..=HEAD_RANGE.1).contains(&self.limits.head) {
-            errors.push(Error::invalid(
-                "limits.head",
-                format!(
-                    "{} is refused: allowed is {} to {}",
-                    self.limits.head, HEAD_RANGE.0, HEAD_RANGE.1
-                ),
-            ));
-        }
-        if self.limits.caller_connections == 0 {
-            errors.push(Error::invalid(
-                "limits.caller_connections",
-                "0 is refused: allowed is 1 or more",
-            ));
+        let mut check = ValueCheck::default();
+        let limits = &self.limits;
+        check.within("limits.body", &limits.body, &BODY_RANGE);
+        check.within("limits.head", &limits.head, &HEAD_RANGE);
+        check.within(
+            "limits.caller_connections",
+            &limits.caller_connections,
+            &(1..=MAX_CONNECTIONS),
+        );
+        check.within("limits.read_timeout", &limits.read_timeout, &TIME_RANGE);
+        self.check_admission(&mut check);
+        self.check_choices(&mut check);
+        check.finish()
+    }
+}
+
+impl EntrySettings {
+    fn check_admission(&self, check: &mut ValueCheck) {
+        let admission = &self.admission;
+        let shares = [
+            ("wait_share", admission.wait_share),
+            ("lower_wait_share", admission.lower_wait_share),
+            ("give_up_share", admission.give_up_share),
+        ];
+        for (name, share) in shares {
+            check.within(&format!("admission.{name}"), &share, &(0.0..=1.0));
         }
-        if self.limits.read_timeout == TimeSpan::ZERO {
-            errors.push(Error::invalid(
-                "limits.read_timeout",
-                "0us is refused: allowed is above 0",
-            ));
+        check.within("admission.max_wait", &admission.max_wait, &TIME_RANGE);
+        check.within(
+            "admission.max_waiting",
+            &admission.max_waiting,
+            &(1..=MAX_WAITING),
+        );
+    }
+
+    fn check_choices(&self, check: &mut ValueCheck) {
+        let hedging = &self.choices.hedging;
+        let shares = [
+            ("hedging.quantile", hedging.quantile),
+            ("hedging.budget", hedging.budget),
+            ("hedging.max_refused", hedging.max_refused),
+            ("retries.budget", self.choices.retries.budget),
+        ];
+        for (name, share) in shares {
+            check.within(&format!("choices.{name}"), &share, &(0.0..=1.0));
         }
-        errors
     }
 }
 
--- a/alderhaven-peer/src/connection.rs
+++ b/alderhaven-peer/src/connection.rs
@@ -1,10 +1,14 @@
 //! A connection between two processes: a reader of frames and a sender that writes in batches.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use alderhaven_core::logging;
 use bytes::BytesMut;
 use futures::StreamExt;
+use log::Level;
+use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -35,6 +39,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionClosed;
 
+/// A `ConnectionEvent` is what the log says of a connection.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum ConnectionEvent {
+    /// A frame was too long or malformed; its connection is closed.
+    MalformedFrame {
+        peer: Option<SocketAddr>,
+        reason: String,
+    },
+}
+
 /// A `FrameReader` yields the frames that come in on one connection.
 pub type FrameReader = FramedRead<OwnedReadHalf, FrameCodec>;
 
@@ -76,11 +91,26 @@
             })) => return Some(message),
             // A newer peer may send messages that are not known here; they are passed over.
             Some(Ok(PeerFrame { message: None })) => {}
-            Some(Err(_)) | None => return None,
+            Some(Err(error)) => {
+                log_malformed(reader, &error);
+                return None;
+            }
+            None => return None,
         }
     }
 }
 
+/// Logs a frame that can't be read; a connection that merely broke is an everyday event.
+fn log_malformed(reader: &FrameReader, error: &io::Error) {
+    if error.kind() == io::ErrorKind::InvalidData {
+        let event = ConnectionEvent::MalformedFrame {
+            peer: reader.get_ref().peer_addr().ok(),
+            reason: error.to_string(),
+        };
+        logging::emit(Level::Warn, &event);
+    }
+}
+
 async fn write_frames(
     mut write_half: OwnedWriteHalf,
     mut queue: mpsc::UnboundedReceiver<PeerMessage>,
--- /dev/null
+++ b/alderhaven-proof/tests/settings.rs
@@ -0,0 +1,285 @@
+//! Proofs that the binaries refuse wrong settings with exit code 2, and say what is wrong.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use alderhaven_proof::condition;
+
+/// The settings of an entry that are good.
+const GOOD_ENTRY: &str = "\
+node: entry-1
+host: host-1
+domain: accra-a
+listen: 127.0.0.1:0
+operator_listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+platform: 127.0.0.1:1
+";
+/// The settings of a relay that are good.
+const GOOD_RELAY: &str = "\
+node: relay-1
+host: host-1
+domain: accra-a
+operator_listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+platform: 127.0.0.1:1
+";
+
+/// A `WrongLine` is what makes good settings wrong, and the parts that the error must name.
+type WrongLine = (&'static str, &'static [&'static str]);
+
+/// What both binaries refuse.
+const WRONG_OF_BOTH: [WrongLine; 13] = [
+    ("colour: blue", &["colour", "expected one of node, host"]),
+    ("limits:\n  bodi: 1KB", &["bodi", "expected one of"]),
+    ("limits: 7", &["limits: 7"]),
+    ("log_level: LOUD", &["LOUD", "expected one of OFF, ERROR"]),
+    (
+        "policy: best",
+        &["best", "expected one of current, baseline"],
+    ),
+    ("node: other-1", &["duplicate", "node"]),
+    (
+        "seeds: [platform.example]",
+        &[
+            "seeds",
+            "`platform.example` is not a",
+            "an IP number and a port",
+        ],
+    ),
+    ("seeds: [127.0.0.1]", &["`127.0.0.1` is not a"]),
+    ("seeds: 127.0.0.1:1", &["seeds"]),
+    ("limits:\n  - 1", &["limits", "- 1"]),
+    ("{", &["line "]),
+    ("\tlimits: {}", &["limits"]),
+    ("\u{1}", &["wrong.yaml"]),
+];
+
+/// What an entry refuses.
+const WRONG_OF_ENTRY: [WrongLine; 13] = [
+    (
+        "limits:\n  body: 12",
+        &["body: 12", "`12` is not a size", "KB or MB"],
+    ),
+    (
+        "limits:\n  body: 1B",
+        &["limits.body", "1B is refused", "1KB to 1MB"],
+    ),
+    (
+        "limits:\n  body: 2MB",
+        &["limits.body", "2MB is refused", "1KB to 1MB"],
+    ),
+    (
+        "limits:\n  head: 1KB",
+        &["limits.head", "1KB is refused", "8KB to 256KB"],
+    ),
+    (
+        "limits:\n  caller_connections: 0",
+        &["limits.caller_connections", "0 is refused", "1 to 65536"],
+    ),
+    (
+        "limits:\n  caller_connections: 999999",
+        &["limits.caller_connections", "1 to 65536"],
+    ),
+    (
+        "limits:\n  caller_connections: -1",
+        &["caller_connections: -1"],
+    ),
+    (
+        "limits:\n  read_timeout: 10",
+        &["read_timeout: 10", "`10` is not a"],
+    ),
+    (
+        "limits:\n  read_timeout: 0s",
+        &["limits.read_timeout", "0us is refused", "1ms to 1m"],
+    ),
+    (
+        "admission:\n  wait_share: 1.5",
+        &["admission.wait_share", "1.5 is refused", "0 to 1"],
+    ),
+    (
+        "admission:\n  give_up_share: .nan",
+        &["admission.give_up_share", "NaN is refused"],
+    ),
+    (
+        "choices:\n  hedging:\n    budget: -0.1",
+        &["choices.hedging.budget", "-0.1 is refused"],
+    ),
+    ("relays: [10.0.0.1]", &["relays", "`10.0.0.1` is not a"]),
+];
+
+/// What a relay refuses.
+const WRONG_OF_RELAY: [WrongLine; 6] = [
+    (
+        "listen: 127.0.0.1:0",
+        &["listen", "expected one of node, host"],
+    ),
+    (
+        "limits:\n  peer_connections: 0",
+        &["limits.peer_connections", "0 is refused", "1 to 65536"],
+    ),
+    (
+        "limits:\n  connect_timeout: 2m",
+        &["limits.connect_timeout", "2m is refused", "1ms to 1m"],
+    ),
+    (
+        "queue:\n  max_jobs: 0",
+        &["queue.max_jobs", "0 is refused", "1 to 65536"],
+    ),
+    (
+        "queue:\n  aged_every: 0",
+        &["queue.aged_every", "0 is refused", "1 to 1000"],
+    ),
+    (
+        "limit:\n  fall_factor: 0.0",
+        &["limit.fall_factor", "0 is refused", "0.1 to 1"],
+    ),
+];
+
+/// A `RunResult` is what an ended binary left.
+struct RunResult {
+    code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+/// Runs a binary that must end by itself.
+async fn run(binary: &str, arguments: &[&str]) -> RunResult {
+    let mut child = Command::new(binary)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let ended = condition::until("the binary's end", async || Ok(child.try_wait()?)).await;
+    if ended.is_err() {
+        child.kill().unwrap();
+    }
+    let output = child.wait_with_output().unwrap();
+    ended.unwrap_or_else(|_| panic!("{binary} {arguments:?} goes on"));
+    RunResult {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn write(directory: &str, name: &str, content: &str) -> PathBuf {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(directory);
+    fs::create_dir_all(&directory).unwrap();
+    let path = directory.join(name);
+    fs::write(&path, content).unwrap();
+    path
+}
+
+async fn assert_all_refused(role: &str, binary: &str, good: &str, wrong: &[WrongLine]) {
+    for (line, parts) in wrong {
+        let path = write(role, "wrong.yaml", &format!("{good}{line}\n"));
+        let path = path.to_str().unwrap();
+        // Checked only, and started: both refuse alike.
+        for switches in [&["--check"][..], &[]] {
+            let arguments = [&["--settings", path][..], switches].concat();
+            let result = run(binary, &arguments).await;
+            assert_eq!(result.code, Some(2), "`{line}`: {}", result.stderr);
+            assert_eq!(result.stdout, "", "`{line}`");
+            for part in parts.iter().chain(&[path]) {
+                assert!(
+                    result.stderr.contains(part),
+                    "`{line}`: no `{part}` in {}",
+                    result.stderr
+                );
+            }
+            assert!(!result.stderr.contains("panicked"), "{}", result.stderr);
+        }
+    }
+}
+
+#[tokio::test]
+async fn entry_refuses_wrong_settings() {
+    let binary = env!("CARGO_BIN_EXE_proof-entry");
+    assert_all_refused("entry", binary, GOOD_ENTRY, &WRONG_OF_BOTH).await;
+    assert_all_refused("entry", binary, GOOD_ENTRY, &WRONG_OF_ENTRY).await;
+}
+
+#[tokio::test]
+async fn relay_refuses_wrong_settings() {
+    let binary = env!("CARGO_BIN_EXE_proof-relay");
+    assert_all_refused("relay", binary, GOOD_RELAY, &WRONG_OF_BOTH).await;
+    assert_all_refused("relay", binary, GOOD_RELAY, &WRONG_OF_RELAY).await;
+}
+
+#[tokio::test]
+async fn both_refuse_missing_files_keys_and_arguments() {
+    let binaries = [
+        ("alder-entry", env!("CARGO_BIN_EXE_proof-entry"), GOOD_ENTRY),
+        ("alder-relay", env!("CARGO_BIN_EXE_proof-relay"), GOOD_RELAY),
+    ];
+    for (name, binary, good) in binaries {
+        let directory = env!("CARGO_TARGET_TMPDIR");
+        let empty = write(name, "empty.yaml", "");
+        let large = write(name, "large.yaml", &"# a long comment\n".repeat(80_000));
+        let files = [
+            ("/nowhere/none.yaml", "No such file"),
+            (directory, "directory"),
+            (empty.to_str().unwrap(), "end of input"),
+            (large.to_str().unwrap(), "larger than 1048576 bytes"),
+        ];
+        for (path, part) in files {
+            let result = run(binary, &["--settings", path]).await;
+            assert_eq!(result.code, Some(2), "{path}: {}", result.stderr);
+            let named = result.stderr.contains(path) && result.stderr.contains(part);
+            assert!(named, "{path}: {}", result.stderr);
+        }
+        for line in good.lines() {
+            let key = line.split(':').next().unwrap();
+            let others = good.lines().filter(|other| *other != line);
+            let without = others.collect::<Vec<_>>().join("\n");
+            let path = write(name, "without.yaml", &without);
+            let result = run(binary, &["--settings", path.to_str().unwrap()]).await;
+            assert_eq!(result.code, Some(2), "{}", result.stderr);
+            let part = format!("missing field `{key}`");
+            assert!(result.stderr.contains(&part), "{}", result.stderr);
+        }
+        for arguments in [&[][..], &["--colour"], &["--settings"], &["more"]] {
+            let result = run(binary, arguments).await;
+            assert_eq!(result.code, Some(2), "{arguments:?}: {}", result.stderr);
+            let hint = format!("Run {name} --help");
+            assert!(result.stderr.contains(&hint), "{}", result.stderr);
+        }
+        let help = run(binary, &["--help"]).await;
+        assert_eq!(
+            (help.code, help.stdout.contains("--print-settings")),
+            (Some(0), true)
+        );
+    }
+}
+
+#[tokio::test]
+async fn both_print_settings_that_check() {
+    let binaries = [
+        ("alder-entry", env!("CARGO_BIN_EXE_proof-entry"), GOOD_ENTRY),
+        ("alder-relay", env!("CARGO_BIN_EXE_proof-relay"), GOOD_RELAY),
+    ];
+    for (name, binary, good) in binaries {
+        let path = write(name, "good.yaml", good);
+        let printed = run(
+            binary,
+            &["--settings", path.to_str().unwrap(), "--print-settings"],
+        )
+        .await;
+        assert_eq!((printed.code, printed.stderr.as_str()), (Some(0), ""));
+        assert!(printed.stdout.contains("limits:"), "{}", printed.stdout);
+        let path = write(name, "printed.yaml", &printed.stdout);
+        let path = path.to_str().unwrap();
+        let checked = run(binary, &["--settings", path, "--check"]).await;
+        assert_eq!(checked.code, Some(0), "{}", checked.stderr);
+        assert_eq!(
+            checked.stdout.trim_end(),
+            format!("{path}: the settings are good")
+        );
+        let again = run(binary, &["--settings", path, "--print-settings"]).await;
+        assert_eq!(again.stdout, printed.stdout);
+    }
+}
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -10,6 +10,7 @@
 use alderhaven_peer::frames::ScatterAttempt;
 use alderhaven_platform::target_watch::TargetWatch;
 use arc_swap::ArcSwap;
+use smallvec::SmallVec;
 use tokio::time;
 use tokio::time::MissedTickBehavior;
 
@@ -21,6 +22,14 @@
 /// The time between two looks for attempts whose time is up: little beside a deadline.
 const EXPIRY_TICK: Duration = Duration::from_millis(5);
 
+/// The most targets that a relay has lanes to, over twice the 3,400 servers of the two-year size.
+pub const MAX_TARGETS: usize = 8192;
+
+/// A `TargetLanes` is the lanes of one target, mostly one.
+pub type TargetLanes = SmallVec<[Arc<TargetLane>; 1]>;
+
+type LaneMap = HashMap<TargetId, TargetLanes>;
+
 /// A `LaneTable` finds the lane of a target; reads take no lock.
 #[derive(Debug)]
 pub struct LaneTable {
@@ -28,7 +37,7 @@
     clock: ProcessClock,
     counters: AttemptCounters,
     watch: TargetWatch,
-    lanes: ArcSwap<HashMap<TargetId, Arc<TargetLane>>>,
+    lanes: ArcSwap<LaneMap>,
     writing: Mutex<()>,
 }
 
@@ -48,22 +57,26 @@
 
     /// Gets the lane for an attempt, or makes it from what the attempt says of its target.
     ///
-    /// Returns none where the attempt's target or address can't be read.
+    /// A target that has come back at another address gets a lane of its own there; the old one goes
+    /// once nothing is left in it. Returns none where the attempt's target or address can't be read,
+    /// or where there are as many lanes as may be.
     #[must_use]
     pub fn lane_for(&self, attempt: &ScatterAttempt) -> Option<Arc<TargetLane>> {
         let target: TargetId = attempt.target.parse().ok()?;
         let address: SocketAddr = attempt.address.parse().ok()?;
-        if let Some(lane) = self.lanes.load().get(&target) {
-            return Some(Arc::clone(lane));
+        if let Some(lane) = find(&self.lanes.load(), &target, address) {
+            return Some(lane);
         }
-        Some(self.add(target, address, attempt.slots))
+        self.add(target, address, attempt.slots)
     }
 
-    /// Gets the lane of a target that has had attempts.
+    /// Gets the lanes of a target that has had attempts, one for each of its addresses.
     #[must_use]
-    pub fn lane_of(&self, target: &str) -> Option<Arc<TargetLane>> {
-        let target: TargetId = target.parse().ok()?;
-        self.lanes.load().get(&target).cloned()
+    pub fn lanes_of(&self, target: &str) -> TargetLanes {
+        let target: Option<TargetId> = target.parse().ok();
+        target
+            .and_then(|target| self.lanes.load().get(&target).cloned())
+            .unwrap_or_default()
     }
 
     /// Gets the clock that all lanes share.
@@ -81,7 +94,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            for lane in self.lanes.load().values() {
+            for lane in self.lanes.load().values().flatten() {
                 lane.expire();
             }
         }
@@ -93,7 +106,7 @@
         self.lanes
             .load()
             .iter()
-            .map(|(target, lane)| (target.clone(), Arc::clone(lane)))
+            .flat_map(|(target, lanes)| lanes.iter().map(|lane| (target.clone(), Arc::clone(lane))))
             .collect()
     }
 
@@ -106,11 +119,15 @@
             .collect()
     }
 
-    fn add(&self, target: TargetId, address: SocketAddr, slots: u32) -> Arc<TargetLane> {
+    fn add(&self, target: TargetId, address: SocketAddr, slots: u32) -> Option<Arc<TargetLane>> {
         let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lanes = HashMap::clone(&self.lanes.load());
         // Another thread may have added the lane while this one waited.
-        if let Some(lane) = self.lanes.load().get(&target) {
-            return Arc::clone(lane);
+        if let Some(lane) = find(&lanes, &target, address) {
+            return Some(lane);
+        }
+        if lanes.len() >= MAX_TARGETS && !lanes.contains_key(&target) {
+            return None;
         }
         let connections = TargetConnections::new(address, self.options.connect_timeout);
         let shared = LaneShared {
@@ -121,11 +138,18 @@
             watch: self.watch.clone(),
         };
         let lane = Arc::new(TargetLane::new(shared, slots, &self.options));
-        let mut lanes = HashMap::clone(&self.lanes.load());
-        lanes.insert(target, Arc::clone(&lane));
+        let of_target = lanes.entry(target).or_default();
+        of_target.retain(|earlier| earlier.unfinished() > 0);
+        of_target.push(Arc::clone(&lane));
         let warmed = Arc::clone(&lane);
         tokio::spawn(async move { warmed.warm().await });
         self.lanes.store(Arc::new(lanes));
-        lane
+        Some(lane)
     }
 }
+
+fn find(lanes: &LaneMap, target: &TargetId, address: SocketAddr) -> Option<Arc<TargetLane>> {
+    let of_target = lanes.get(target)?;
+    let found = of_target.iter().find(|lane| lane.address() == address);
+    found.cloned()
+}
--- a/alderhaven-relay/src/metrics.rs
+++ b/alderhaven-relay/src/metrics.rs
@@ -34,6 +34,8 @@
     registry: Registry,
     /// The attempts by outcome.
     pub attempts: AttemptCounters,
+    /// The connections from entries that were refused because as many were open as may be.
+    pub refused_connections: Counter,
 }
 
 impl AttemptCounters {
@@ -61,7 +63,17 @@
             "Attempts at targets by outcome",
             attempts.counters.clone(),
         );
-        Self { registry, attempts }
+        let refused_connections = Counter::default();
+        registry.register(
+            "refused_connections",
+            "Connections refused at the limit",
+            refused_connections.clone(),
+        );
+        Self {
+            registry,
+            attempts,
+            refused_connections,
+        }
     }
 }
 
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -63,6 +63,7 @@
             metrics.attempts.clone(),
             watch.clone(),
         ));
+        let refused = metrics.refused_connections.clone();
         let state = Arc::new(RelayState {
             node: settings.node.clone(),
             config,
@@ -77,6 +78,7 @@
                 listener,
                 table,
                 settings.limits.peer_connections,
+                refused,
             )),
             tokio::spawn(operator_server::serve(
                 operator_listener,
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! The relay's side of the connections from entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::class::QueryClass;
 use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId, TemplateName};
@@ -12,23 +13,38 @@
     AttemptReply, CancelAttempts, PeerMessage, ReplyStatus, ScatterAttempt, ScatterRequest,
 };
 use alderhaven_platform::dialect::TargetRequest;
+use prometheus_client::metrics::counter::Counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time;
 
 use crate::lane_attempt::LaneAttempt;
 use crate::lane_table::LaneTable;
 
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The longest remaining time that an entry may claim; it bounds how long an attempt is held.
 const MAX_REMAINING: TimeSpan = TimeSpan::from_secs(60);
 
 /// Accepts connections from entries until the process ends.
-pub async fn serve(listener: TcpListener, table: Arc<LaneTable>, connection_limit: usize) {
+///
+/// A connection beyond the limit is closed at once: an entry that waited in the operating system's
+/// queue would hold a link that looks open and send attempts into it.
+pub async fn serve(
+    listener: TcpListener,
+    table: Arc<LaneTable>,
+    connection_limit: usize,
+    refused: Counter,
+) {
     let permits = Arc::new(Semaphore::new(connection_limit));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
         let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors: later ones may be free again.
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            refused.inc();
             continue;
         };
         let table = Arc::clone(&table);
@@ -102,7 +118,7 @@
 
 fn cancel_attempts(table: &LaneTable, cancel: &CancelAttempts) {
     for attempt in &cancel.attempts {
-        if let Some(lane) = table.lane_of(&attempt.target) {
+        for lane in table.lanes_of(&attempt.target) {
             lane.cancel(AttemptId {
                 origin: cancel.origin,
                 sequence: attempt.sequence,
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -1,11 +1,14 @@
 //! The settings of a relay.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
 use alderhaven_core::program::CheckedSettings;
+use alderhaven_core::settings;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_core::value_check::ValueCheck;
 use alderhaven_policy::policy_kind::PolicyKind;
 use alderhaven_policy::relay_queue::RelayQueueOptions;
 use alderhaven_policy::target_limit::TargetLimitOptions;
@@ -13,6 +16,13 @@
 
 use crate::lane_options::LaneOptions;
 
+/// The most connections that may be allowed, as many as a process can have descriptors for.
+const MAX_CONNECTIONS: usize = 65_536;
+/// The most waiting attempts a target that may be allowed; each holds about a kilobyte.
+const MAX_JOBS: usize = 65_536;
+/// The least and the greatest time that a setting may hold.
+const TIME_RANGE: RangeInclusive<TimeSpan> = TimeSpan::from_millis(1)..=TimeSpan::from_secs(60);
+
 /// A `RelaySettings` is the content of a relay's settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,13 +34,16 @@
     /// The failure domain of the host.
     pub domain: FailureDomain,
     /// The address for other processes of the system; port 0 takes a free one.
+    #[serde(deserialize_with = "settings::address")]
     pub peer_listen: SocketAddr,
     /// The address for operators (metrics, dump).
+    #[serde(deserialize_with = "settings::address")]
     pub operator_listen: SocketAddr,
     /// The platform's object API and host list.
+    #[serde(deserialize_with = "settings::address")]
     pub platform: SocketAddr,
     /// Peers to learn from at the start.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "settings::addresses")]
     pub seeds: Vec<SocketAddr>,
     /// The limits.
     #[serde(default)]
@@ -74,20 +87,28 @@
 
 impl CheckedSettings for RelaySettings {
     fn check(&self) -> Vec<Error> {
-        let mut errors = Vec::new();
-        if self.limits.peer_connections == 0 {
-            errors.push(Error::invalid(
-                "limits.peer_connections",
-                "0 is refused: allowed is 1 or more",
-            ));
-        }
-        if self.limits.connect_timeout == TimeSpan::ZERO {
-            errors.push(Error::invalid(
-                "limits.connect_timeout",
-                "0us is refused: allowed is above 0",
-            ));
-        }
-        errors
+        let mut check = ValueCheck::default();
+        check.within(
+            "limits.peer_connections",
+            &self.limits.peer_connections,
+            &(1..=MAX_CONNECTIONS),
+        );
+        check.within(
+            "limits.connect_timeout",
+            &self.limits.connect_timeout,
+            &TIME_RANGE,
+        );
+        check.within("queue.max_wait", &self.queue.max_wait, &TIME_RANGE);
+        check.within("queue.max_jobs", &self.queue.max_jobs, &(1..=MAX_JOBS));
+        check.within("queue.aged_every", &self.queue.aged_every, &(1..=1_000));
+        check.within("queue.long_factor", &self.queue.long_factor, &(1.0..=1e3));
+        check.within("limit.fall_factor", &self.limit.fall_factor, &(0.1..=1.0));
+        check.within(
+            "limit.growth_factor",
+            &self.limit.growth_factor,
+            &(1.0..=1e3),
+        );
+        check.finish()
     }
 }
 
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -1,10 +1,12 @@
 //! The lane to one target: its queue, its limit and the attempts that run there.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::ids::{AttemptId, TargetId};
+use alderhaven_core::manifest::MAX_SLOTS;
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
@@ -86,7 +88,7 @@
     /// Returns a lane to a target with this many declared slots.
     #[must_use]
     pub fn new(shared: LaneShared, slots: u32, options: &LaneOptions) -> Self {
-        let slots = slots.max(1);
+        let slots = slots.clamp(1, MAX_SLOTS);
         Self {
             authority: shared.connections.address().to_string(),
             shared,
@@ -101,6 +103,12 @@
         }
     }
 
+    /// Gets the target's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.shared.connections.address()
+    }
+
     /// Takes an attempt: it is run, queued or refused at once.
     pub fn offer(self: &Arc<Self>, attempt: LaneAttempt) {
         let now = self.shared.clock.now();
--- /dev/null
+++ b/alderhaven-relay/tests/peer_frames.rs
@@ -0,0 +1,260 @@
+//! Tests of what a relay does with the bytes of its peers, good and bad.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use alderhaven_core::ids::{IndexVersion, ShardId};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_peer::codec::MAX_FRAME_BYTES;
+use alderhaven_peer::connection;
+use alderhaven_peer::connection::{FrameReader, FrameSender};
+use alderhaven_peer::frames::{
+    AttemptReply, CancelAttempts, CancelledAttempt, PeerMessage, ReplyStatus, ScatterAttempt,
+    ScatterRequest,
+};
+use alderhaven_platform::config_follower::{ConfigFollower, FollowerOptions};
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
+use alderhaven_relay::node::RelayNode;
+use alderhaven_standin::run_log::RunLog;
+use alderhaven_standin::service_time::ServiceTime;
+use alderhaven_standin::target_server::TargetServer;
+use alderhaven_standin::target_state::TargetSpec;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+/// The time within which everything must come about; far above what a busy machine needs.
+const LIMIT: Duration = Duration::from_secs(30);
+/// An address where nothing listens.
+const NOWHERE: &str = "127.0.0.1:1";
+
+/// A `PeerLink` is one connection of an entry.
+struct PeerLink {
+    sender: FrameSender,
+    reader: FrameReader,
+}
+
+async fn start_relay(peer_connections: usize) -> RelayNode {
+    let platform: SocketAddr = NOWHERE.parse().unwrap();
+    let store = Arc::new(HttpStore::new(platform, HttpStoreOptions::default()));
+    let config = ConfigFollower::start(store, FollowerOptions::default(), CancellationToken::new());
+    let settings = json!({
+        "node": "relay-1", "host": "host-1", "domain": "domain-1", "platform": platform,
+        "operator_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+        "limits": { "peer_connections": peer_connections },
+    });
+    RelayNode::start(serde_json::from_value(settings).unwrap(), config)
+        .await
+        .unwrap()
+}
+
+async fn start_target() -> TargetServer {
+    let spec = TargetSpec {
+        target: "sample-0-0".parse().unwrap(),
+        domain: "domain-1".parse().unwrap(),
+        service: "sample".parse().unwrap(),
+        shard: ShardId(0),
+        version: IndexVersion(1),
+        slots: 2,
+        connections: 25,
+        queue: 4,
+        connect_cost: TimeSpan::ZERO,
+        service_time: ServiceTime {
+            mean: TimeSpan::from_millis(1),
+            ..ServiceTime::default()
+        },
+        seed: 1,
+    };
+    TargetServer::start(spec, Arc::new(RunLog::default()))
+        .await
+        .unwrap()
+}
+
+fn scatter(sequence: u64, address: &impl ToString) -> ScatterRequest {
+    ScatterRequest {
+        origin: 7,
+        service: "sample".to_owned(),
+        template: "sweep".to_owned(),
+        parameters: r#"{"key":"a"}"#.into(),
+        snapshot: 1,
+        class: 1,
+        order: 1,
+        remaining_us: 20_000_000,
+        idempotent: true,
+        attempts: vec![ScatterAttempt {
+            sequence,
+            shard: 0,
+            version: 1,
+            target: "sample-0-0".to_owned(),
+            address: address.to_string(),
+            slots: 2,
+            connections: 25,
+        }],
+        hedge: false,
+    }
+}
+
+impl PeerLink {
+    async fn open(relay: &RelayNode) -> Self {
+        let stream = TcpStream::connect(relay.peer_address()).await.unwrap();
+        let (sender, reader) = connection::split(stream).unwrap();
+        Self { sender, reader }
+    }
+
+    /// Sends an attempt and gets its reply.
+    async fn ask(&mut self, request: ScatterRequest) -> AttemptReply {
+        let sequence = request.attempts[0].sequence;
+        self.sender.send(PeerMessage::Scatter(request)).unwrap();
+        let next = connection::next_message(&mut self.reader);
+        match time::timeout(LIMIT, next).await.expect("a reply comes") {
+            Some(PeerMessage::Reply(reply)) => {
+                assert_eq!(reply.sequence, sequence);
+                reply
+            }
+            other => panic!("{other:?} is no reply"),
+        }
+    }
+
+    async fn assert_answered(&mut self, request: ScatterRequest) {
+        let reply = self.ask(request).await;
+        assert_eq!(reply.status(), ReplyStatus::Answered, "{reply:?}");
+        assert!(!reply.rows.is_empty());
+    }
+}
+
+/// Sends bytes on a connection of their own and waits until the relay has closed it.
+async fn send_until_closed(relay: &RelayNode, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(relay.peer_address()).await.unwrap();
+    // The relay may close the connection before it has taken all bytes.
+    let _closed_before = stream.write_all(bytes).await;
+    let mut reply = Vec::new();
+    let ended = time::timeout(LIMIT, stream.read_to_end(&mut reply)).await;
+    let _end_or_reset = ended.expect("the relay closes the connection");
+    assert_eq!(reply, b"", "nothing is answered to {bytes:?}");
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len()).unwrap().to_be_bytes();
+    [&length, body].concat()
+}
+
+/// Something that is no entry connects to the relay: a scanner, a browser, a process of another
+/// system. Its connection is closed. Had the relay ended, or waited for a frame of gigabytes, all
+/// entries would lose it; the one that is connected sees nothing of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_outlives_malformed_frames() {
+    let target = start_target().await;
+    let relay = start_relay(8).await;
+    let mut link = PeerLink::open(&relay).await;
+    link.assert_answered(scatter(1, &target.address())).await;
+    let too_long = u32::try_from(MAX_FRAME_BYTES + 1).unwrap().to_be_bytes();
+    let malformed = [
+        b"GET / HTTP/1.1\r\nhost: relay\r\n\r\n".to_vec(),
+        vec![0xff; 4096],
+        too_long.to_vec(),
+        // A length beyond the frame's end, a wire type that does not exist, a text that is no UTF-8.
+        frame(&[0x12, 0x7f, 0x00]),
+        frame(&[0x17]),
+        frame(&[0x12, 0x03, 0x12, 0x01, 0xff]),
+    ];
+    for (sequence, bytes) in (2..).zip(malformed) {
+        send_until_closed(&relay, &bytes).await;
+        link.assert_answered(scatter(sequence, &target.address()))
+            .await;
+    }
+}
+
+/// A newer entry sends a message that this relay does not know. It is passed over, and the attempts
+/// after it on the same connection are answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_passes_over_unknown_messages() {
+    let target = start_target().await;
+    let relay = start_relay(8).await;
+    let mut stream = TcpStream::connect(relay.peer_address()).await.unwrap();
+    // An empty frame, then field 100 with two bytes, then an unknown field of a known message.
+    let unknown: [&[u8]; 3] = [
+        &[],
+        &[0xa2, 0x06, 0x02, 0x61, 0x62],
+        &[0x0a, 0x02, 0x78, 0x05],
+    ];
+    for body in unknown {
+        stream.write_all(&frame(body)).await.unwrap();
+    }
+    let (sender, reader) = connection::split(stream).unwrap();
+    let mut link = PeerLink { sender, reader };
+    link.assert_answered(scatter(1, &target.address())).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn scatter_survives_absurd_values() {
+    let target = start_target().await;
+    let relay = start_relay(8).await;
+    let mut link = PeerLink::open(&relay).await;
+    let mut unreadable = [
+        scatter(1, &"nowhere"),
+        scatter(2, &target.address()),
+        scatter(3, &target.address()),
+    ];
+    unreadable[1].attempts[0].target = "Not A Target".to_owned();
+    unreadable[2].template = String::new();
+    for request in unreadable {
+        let reply = link.ask(request).await;
+        assert_eq!(reply.status(), ReplyStatus::NoRoute, "{reply:?}");
+    }
+    let mut absurd = scatter(4, &target.address());
+    absurd.remaining_us = u64::MAX;
+    absurd.class = u32::MAX;
+    absurd.order = u64::MAX;
+    absurd.attempts[0].slots = u32::MAX;
+    absurd.attempts[0].connections = 0;
+    link.assert_answered(absurd).await;
+    let mut expired = scatter(5, &target.address());
+    expired.remaining_us = 0;
+    let reply = link.ask(expired).await;
+    assert_eq!(reply.status(), ReplyStatus::Expired, "{reply:?}");
+    let unknown = |sequence, target: &str| CancelledAttempt {
+        sequence,
+        target: target.to_owned(),
+    };
+    let cancel = CancelAttempts {
+        origin: 99,
+        attempts: vec![unknown(1, "sample-0-0"), unknown(2, "none"), unknown(3, "")],
+    };
+    link.sender.send(PeerMessage::Cancel(cancel)).unwrap();
+    link.assert_answered(scatter(6, &target.address())).await;
+}
+
+/// More entries connect than the relay takes. Left in the queue of the operating system, their
+/// links would look open and swallow attempts until the deadline; they are closed at once, and the
+/// entry that is connected goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_closes_connections_beyond_limit() {
+    let target = start_target().await;
+    let relay = start_relay(1).await;
+    let mut link = PeerLink::open(&relay).await;
+    link.assert_answered(scatter(1, &target.address())).await;
+    for _ in 0..3 {
+        send_until_closed(&relay, b"").await;
+    }
+    assert_eq!(relay.state().metrics.refused_connections.get(), 3);
+    link.assert_answered(scatter(2, &target.address())).await;
+}
+
+/// A target is started anew on another port, under its own name, and a new manifest tells its
+/// address. A relay that kept to the first address would send every attempt to a port where nothing
+/// listens, until it is restarted itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn lane_for_follows_a_target_to_its_new_address() {
+    let relay = start_relay(8).await;
+    let mut link = PeerLink::open(&relay).await;
+    let first = start_target().await;
+    link.assert_answered(scatter(1, &first.address())).await;
+    let second = start_target().await;
+    link.assert_answered(scatter(2, &second.address())).await;
+    let lanes = relay.state().table.all();
+    let addresses: Vec<SocketAddr> = lanes.iter().map(|(_, lane)| lane.address()).collect();
+    assert_eq!(addresses, [second.address()]);
+}
