--- a/alderhaven-core/src/outcome.rs
+++ b/alderhaven-core/src/outcome.rs
@@ -64,7 +64,7 @@
     QueueFull,
     /// The attempt was cancelled while it was queued.
     Cancelled,
-    /// The relay does not serve the target, or is leaving.
+    /// The relay does not serve the target, is leaving, or has heard that the target leaves.
     NoRoute,
     /// The request is quarantined because it crashed targets.
     Quarantined,
--- a/alderhaven-entry/src/replica_board.rs
+++ b/alderhaven-entry/src/replica_board.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::ids::FailureDomain;
+use alderhaven_core::manifest::ReplicaEntry;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_registry::ConfigView;
@@ -16,6 +17,8 @@
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 
+use crate::query_plan::QueryPlan;
+
 /// A `BoardOptions` holds the settings of the choices.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -66,10 +69,8 @@
             .flat_map(|manifest| &manifest.shards)
             .flat_map(|entry| &entry.replicas)
             .map(|replica| TargetListing {
-                target: replica.target.clone(),
-                domain: replica.domain.clone(),
-                slots: replica.slots,
                 is_draining: view.drains.contains(replica.target.as_str()),
+                ..listing_of(replica)
             });
         let table = ReplicaTable::build(&self.table.load(), listings, &self.domain);
         self.table.store(Arc::new(table));
@@ -81,6 +82,26 @@
         self.table.load_full()
     }
 
+    /// Gets the targets as they are now, with all those that a plan may ask.
+    ///
+    /// The configuration's view is ahead of the table for a moment after a manifest was published,
+    /// and behind it for a query that has waited for its admission meanwhile. Replicas that the
+    /// table does not list would never be chosen, and their shards be missing from the answer; such
+    /// a query gets a table of its own, which shares what is known of the others.
+    #[must_use]
+    pub fn table_for(&self, plan: &QueryPlan) -> Arc<ReplicaTable> {
+        let table = self.table();
+        let replicas = || {
+            let entries = plan.positions.iter().map(|at| &plan.manifest.shards[*at]);
+            entries.flat_map(|entry| &entry.replicas)
+        };
+        if replicas().all(|replica| table.index_of(&replica.target).is_some()) {
+            return table;
+        }
+        let listings = replicas().map(listing_of);
+        Arc::new(ReplicaTable::build(&table, listings, &self.domain))
+    }
+
     /// Gets the rules of the choice.
     #[must_use]
     pub const fn chooser(&self) -> &ReplicaChooser {
@@ -142,3 +163,12 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn listing_of(replica: &ReplicaEntry) -> TargetListing {
+    TargetListing {
+        target: replica.target.clone(),
+        domain: replica.domain.clone(),
+        slots: replica.slots,
+        is_draining: false,
+    }
+}
--- a/alderhaven-entry/src/running_query.rs
+++ b/alderhaven-entry/src/running_query.rs
@@ -86,7 +86,7 @@
             runner,
             plan,
             pass,
-            table: runner.board.table(),
+            table: runner.board.table_for(plan),
             expected: runner.board.expected_service(&group),
             group,
             gather: QueryGather::new(manifest, &plan.positions, is_idempotent),
--- a/alderhaven-proof/src/caller.rs
+++ b/alderhaven-proof/src/caller.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
+use alderhaven_core::manifest::SnapshotManifest;
 use alderhaven_standin::http_caller::HttpCaller;
+use alderhaven_standin::rows;
+use alderhaven_standin::rows::DerivedRow;
 use eyre::Result;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -61,6 +64,22 @@
         })
     }
 
+    /// Gets the rows that an answer of a manifest's snapshot must hold over `shards`.
+    #[must_use]
+    pub fn rows(&self, manifest: &SnapshotManifest, shards: &[u32]) -> Value {
+        let parameters = self.parameters();
+        let rows: Vec<DerivedRow> = manifest
+            .shards
+            .iter()
+            .filter(|entry| shards.contains(&entry.shard.0))
+            .flat_map(|entry| {
+                let service = &manifest.service;
+                rows::rows_for(service, entry.shard, entry.version, &parameters)
+            })
+            .collect();
+        json!(rows)
+    }
+
     /// Gets the canonical parameters, as they stand in the record of runs.
     #[must_use]
     pub fn parameters(&self) -> String {
--- a/alderhaven-proof/src/cluster.rs
+++ b/alderhaven-proof/src/cluster.rs
@@ -5,9 +5,8 @@
 use alderhaven_core::ids::{ShardId, SnapshotId};
 use alderhaven_core::manifest::{ReplicaEntry, ShardEntry, SnapshotManifest};
 use alderhaven_standin::object_set::ObjectSet;
-use alderhaven_standin::rows;
-use alderhaven_standin::rows::DerivedRow;
 use alderhaven_standin::run_log::RunRecord;
+use alderhaven_standin::service_layout::ServiceLayout;
 use eyre::{OptionExt, Result};
 use serde_json::{Value, json};
 
@@ -31,8 +30,10 @@
     pub entries: Vec<ChildProcess>,
     /// The manifest that was published.
     pub manifest: SnapshotManifest,
-    binaries: ProofBinaries,
-    files: ScratchFiles,
+    pub(crate) binaries: ProofBinaries,
+    pub(crate) files: ScratchFiles,
+    /// The file that the platform was started with.
+    pub(crate) loaded: String,
     revision: u64,
 }
 
@@ -43,8 +44,9 @@
     /// Where a process can't be started or is not ready in time.
     pub async fn start(binaries: ProofBinaries, options: &ClusterOptions) -> Result<Self> {
         let files = ScratchFiles::new(&binaries.scratch)?;
-        let targets = start_targets(&binaries, &files, options)?;
-        let manifest = manifest_of(&targets, options)?;
+        let layout = options.layout()?;
+        let targets = start_targets(&binaries, &files, options, &layout)?;
+        let manifest = manifest_of(&targets, 0, options, &layout, SnapshotId(1))?;
         let objects = ObjectSet {
             templates: options.templates()?,
             teams: vec![options.team()?],
@@ -52,7 +54,7 @@
         };
         let revision = objects.objects()?.len() as u64;
         let loaded = files.write("objects.yaml", &objects)?;
-        let arguments = ["platform".to_owned(), "--load".to_owned(), loaded];
+        let arguments = ["platform".to_owned(), "--load".to_owned(), loaded.clone()];
         let platform = ChildProcess::start("platform", &binaries.standin, &arguments)?;
         let mut cluster = Self {
             platform,
@@ -62,6 +64,7 @@
             manifest,
             binaries,
             files,
+            loaded,
             revision,
         };
         for _ in 0..options.relays {
@@ -207,18 +210,7 @@
     /// Gets the rows that a query's answer must hold over `shards`.
     #[must_use]
     pub fn rows_of(&self, query: &CallerQuery, shards: &[u32]) -> Value {
-        let parameters = query.parameters();
-        let rows: Vec<DerivedRow> = self
-            .manifest
-            .shards
-            .iter()
-            .filter(|entry| shards.contains(&entry.shard.0))
-            .flat_map(|entry| {
-                let service = &self.manifest.service;
-                rows::rows_for(service, entry.shard, entry.version, &parameters)
-            })
-            .collect();
-        json!(rows)
+        query.rows(&self.manifest, shards)
     }
 
     /// Gets the numbers of all shards.
@@ -250,30 +242,39 @@
     }
 }
 
-fn start_targets(
+/// Starts the processes of one version.
+pub(crate) fn start_targets(
     binaries: &ProofBinaries,
     files: &ScratchFiles,
     options: &ClusterOptions,
+    layout: &ServiceLayout,
 ) -> Result<Vec<ChildProcess>> {
-    let layout = files.write("layout.yaml", &[options.layout()?])?;
+    let file = files.write(&format!("layout-{}.yaml", layout.version), &[layout])?;
     (0..options.target_processes())
         .map(|number| {
             let arguments = [
                 "targets".to_owned(),
                 "--layout".to_owned(),
-                layout.clone(),
+                file.clone(),
                 "--seed".to_owned(),
                 number.to_string(),
             ];
-            ChildProcess::start(&format!("targets-{number}"), &binaries.standin, &arguments)
+            let name = format!("targets-{}-{number}", layout.version);
+            ChildProcess::start(&name, &binaries.standin, &arguments)
         })
         .collect()
 }
 
-/// Gets the manifest that takes each shard's replicas from the processes of its placement.
-fn manifest_of(targets: &[ChildProcess], options: &ClusterOptions) -> Result<SnapshotManifest> {
-    let layout = options.layout()?;
-    let own: Vec<SnapshotManifest> = targets
+/// Gets the manifest that takes each shard's replicas from the processes of its placement, counted
+/// from the process `first`.
+pub(crate) fn manifest_of(
+    targets: &[ChildProcess],
+    first: usize,
+    options: &ClusterOptions,
+    layout: &ServiceLayout,
+    snapshot: SnapshotId,
+) -> Result<SnapshotManifest> {
+    let own: Vec<SnapshotManifest> = targets[first..]
         .iter()
         .map(|process| {
             let manifests = process.ready()["manifests"].clone();
@@ -286,7 +287,7 @@
             let replica = &own[*process].shards[shard as usize].replicas[0];
             Ok(ReplicaEntry {
                 // Each process has a target of this name; the cluster needs a name for each.
-                target: layout.target(shard, u32::try_from(*process)?)?,
+                target: layout.target(shard, u32::try_from(first + process)?)?,
                 ..replica.clone()
             })
         });
@@ -299,7 +300,7 @@
     };
     Ok(SnapshotManifest {
         service: layout.service.clone(),
-        snapshot: SnapshotId(1),
+        snapshot,
         shards: (0..)
             .zip(&options.placement)
             .map(entry)
--- a/alderhaven-proof/src/cluster_options.rs
+++ b/alderhaven-proof/src/cluster_options.rs
@@ -30,6 +30,8 @@
     pub relay: PathBuf,
     /// The entry.
     pub entry: PathBuf,
+    /// The operators' tool.
+    pub alderctl: PathBuf,
     /// The directory for settings files.
     pub scratch: PathBuf,
 }
--- a/alderhaven-proof/src/condition.rs
+++ b/alderhaven-proof/src/condition.rs
@@ -15,8 +15,20 @@
 ///
 /// # Errors
 /// Where the limit passes; it names `what` and the last error.
-pub async fn until<T>(what: &str, mut probe: impl AsyncFnMut() -> Result<Option<T>>) -> Result<T> {
-    let limit = Instant::now() + CONDITION_LIMIT;
+pub async fn until<T>(what: &str, probe: impl AsyncFnMut() -> Result<Option<T>>) -> Result<T> {
+    within(CONDITION_LIMIT, what, probe).await
+}
+
+/// Waits until `probe` gives a value, for a promise that names its own time.
+///
+/// # Errors
+/// As for [`until`].
+pub async fn within<T>(
+    promise: Duration,
+    what: &str,
+    mut probe: impl AsyncFnMut() -> Result<Option<T>>,
+) -> Result<T> {
+    let limit = Instant::now() + promise;
     let mut last_error = String::from("none");
     loop {
         match time::timeout_at(limit, probe()).await {
@@ -26,7 +38,7 @@
             Err(_) => bail!("{what}: the probe hangs"),
         }
         if Instant::now() >= limit {
-            bail!("{what}: not within {CONDITION_LIMIT:?}; last error: {last_error}");
+            bail!("{what}: not within {promise:?}; last error: {last_error}");
         }
         time::sleep(POLL_PAUSE).await;
     }
--- a/alderhaven-proof/src/lib.rs
+++ b/alderhaven-proof/src/lib.rs
@@ -8,7 +8,10 @@
 pub mod caller;
 pub mod child_process;
 pub mod cluster;
+pub mod cluster_changes;
 pub mod cluster_options;
 pub mod condition;
+pub mod operator_tool;
 pub mod operator_view;
+pub mod platform_caller;
 pub mod scratch_files;
--- a/alderhaven-proof/src/operator_view.rs
+++ b/alderhaven-proof/src/operator_view.rs
@@ -14,6 +14,14 @@
 /// # Errors
 /// Where it can't be reached or answers otherwise than with 200 and JSON.
 pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T> {
+    Ok(serde_json::from_str(&text(address, path).await?)?)
+}
+
+/// Gets a text from a process.
+///
+/// # Errors
+/// Where it can't be reached or answers otherwise than with 200 and a text.
+pub async fn text(address: SocketAddr, path: &str) -> Result<String> {
     let mut caller = HttpCaller::connect(address).await?;
     let response = caller
         .call(Request::get(path).body(Full::default())?)
@@ -21,7 +29,7 @@
     if !response.status().is_success() {
         bail!("{path}: status {}", response.status());
     }
-    Ok(serde_json::from_slice(response.body())?)
+    Ok(String::from_utf8(response.into_body().to_vec())?)
 }
 
 /// Gets the revision of the configuration in force, none before the first.
--- /dev/null
+++ b/alderhaven-proof/src/platform_caller.rs
@@ -0,0 +1,92 @@
+//! Calls to the platform's stand-in: writes, the host list and the fault switches.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::config_object::{ObjectKey, StoredObject};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_platform::host_list::HostRecord;
+use alderhaven_platform::object_store::{IF_VERSION_HEADER, WRITE_ID_HEADER};
+use alderhaven_standin::http_caller::HttpCaller;
+use alderhaven_standin::platform_faults::PlatformFaults;
+use bytes::Bytes;
+use eyre::{Result, bail};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use uuid::Uuid;
+
+/// A `PlatformCaller` calls the platform, each call over a connection of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformCaller {
+    address: SocketAddr,
+}
+
+impl PlatformCaller {
+    /// Returns a caller of the platform at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Writes an object over whatever the store holds, and gets its version.
+    ///
+    /// # Errors
+    /// Where the platform can't be reached, refuses, or another writer comes between.
+    pub async fn put(&self, key: &ObjectKey, body: String) -> Result<StoreVersion> {
+        let path = format!("/objects/{}/{}", key.kind, key.name);
+        let expected = match self.call(Method::GET, &path, 0, Vec::new()).await? {
+            (StatusCode::OK, body) => serde_json::from_slice::<StoredObject>(&body)?.version.0,
+            _ => 0,
+        };
+        let (status, body) = self
+            .call(Method::PUT, &path, expected, body.into_bytes())
+            .await?;
+        if status != StatusCode::OK {
+            bail!("{key}: status {status}");
+        }
+        Ok(serde_json::from_slice::<StoredObject>(&body)?.version)
+    }
+
+    /// Writes a line of the host list.
+    ///
+    /// # Errors
+    /// Where the platform can't be reached or refuses.
+    pub async fn put_host(&self, host: &HostRecord) -> Result<()> {
+        let path = format!("/hosts/{}", host.host);
+        let body = serde_json::to_vec(host)?;
+        self.succeed(Method::PUT, &path, body).await
+    }
+
+    /// Replaces the fault switches.
+    ///
+    /// # Errors
+    /// Where the platform can't be reached or refuses.
+    pub async fn set_faults(&self, faults: &PlatformFaults) -> Result<()> {
+        let body = serde_json::to_vec(faults)?;
+        self.succeed(Method::POST, "/faults", body).await
+    }
+
+    async fn succeed(&self, method: Method, path: &str, body: Vec<u8>) -> Result<()> {
+        match self.call(method, path, 0, body).await? {
+            (StatusCode::OK, _) => Ok(()),
+            (status, _) => bail!("{path}: status {status}"),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        expected: u64,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes)> {
+        let mut caller = HttpCaller::connect(self.address).await?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(IF_VERSION_HEADER, expected)
+            .header(WRITE_ID_HEADER, Uuid::new_v4().to_string())
+            .body(Full::from(body))?;
+        let response = caller.call(request).await?;
+        Ok((response.status(), response.into_body()))
+    }
+}
--- a/alderhaven-proof/src/scratch_files.rs
+++ b/alderhaven-proof/src/scratch_files.rs
@@ -28,12 +28,21 @@
         Ok(Self { directory })
     }
 
+    /// Gets the path of a file.
+    #[must_use]
+    pub fn path(&self, name: &str) -> String {
+        self.directory.join(name).display().to_string()
+    }
+
     /// Writes a file as JSON, which YAML readers take, and gets its path.
     ///
+    /// The name may hold folders.
+    ///
     /// # Errors
     /// Where it can't be written.
     pub fn write(&self, name: &str, content: &impl Serialize) -> Result<String> {
         let path = self.directory.join(name);
+        fs::create_dir_all(path.parent().unwrap_or(&self.directory))?;
         fs::write(&path, serde_json::to_vec_pretty(content)?)?;
         Ok(path.display().to_string())
     }
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/leaving.rs
@@ -0,0 +1,177 @@
+//! Proofs that a leaving target gets no new work within 3 s, whoever says first that it leaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use alderhaven_platform::host_list::{HostRecord, HostRole, HostState};
+use alderhaven_proof::cluster::ProofCluster;
+use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
+use alderhaven_proof::{condition, operator_view};
+use alderhaven_standin::platform_faults::PlatformFaults;
+use serde_json::{Value, json};
+
+use crate::support;
+
+/// The time of the promise.
+const PROMISE: Duration = Duration::from_secs(3);
+/// The time within which a change is in force everywhere, and a target that stays used again.
+const IN_FORCE: Duration = Duration::from_secs(9);
+/// The most queries of the load that goes on meanwhile.
+const MAX_QUERIES: usize = 5_000;
+/// The queries at each entry that must not reach the target.
+const PROBES: usize = 40;
+/// The shard of the leaving target; its process is 0.
+const SHARD: usize = 1;
+
+/// A `SteadyLoad` sends one sweep after another to an entry and checks that each is complete.
+struct SteadyLoad {
+    stop: Arc<AtomicBool>,
+    callers: Vec<tokio::task::JoinHandle<usize>>,
+}
+
+impl SteadyLoad {
+    fn start(entries: &[SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = entries.iter().map(|entry| {
+            let (entry, stop) = (*entry, Arc::clone(&stop));
+            tokio::spawn(async move {
+                let mut sent = 0;
+                while sent < MAX_QUERIES && !stop.load(Ordering::Relaxed) {
+                    let query = support::query(SWEEP, "steady");
+                    let reply = query.send(entry).await.unwrap();
+                    assert_eq!(reply.word(), "complete", "{}", reply.body);
+                    sent += 1;
+                }
+                sent
+            })
+        });
+        Self {
+            callers: callers.collect(),
+            stop,
+        }
+    }
+
+    async fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            assert!(caller.await.unwrap() > 0);
+        }
+    }
+}
+
+async fn start() -> (ProofCluster, Vec<SocketAddr>) {
+    let options = ClusterOptions::builder().entries(2).build();
+    let cluster = support::start(options).await;
+    let entries = (0..2).map(|number| cluster.entry(number).unwrap());
+    let entries = entries.collect();
+    (cluster, entries)
+}
+
+/// Gets the number of runs at the leaving target so far.
+async fn runs_at_target(cluster: &ProofCluster) -> usize {
+    let query = support::query(SWEEP, "steady");
+    let runs = cluster.runs_at(0, &query).await.unwrap();
+    runs.iter()
+        .filter(|run| run.shard.0 as usize == SHARD)
+        .count()
+}
+
+async fn await_runs(cluster: &ProofCluster, more_than: usize) {
+    condition::within(IN_FORCE, "work at the target", async || {
+        Ok((runs_at_target(cluster).await > more_than).then_some(()))
+    })
+    .await
+    .unwrap();
+}
+
+/// Returns true where a node's dump says that the target leaves and nothing is in its lane.
+fn has_left(dump: &Value, target: &str) -> bool {
+    let leaving = dump["leaving_targets"].as_array();
+    let lane = &dump["lanes"][target];
+    let is_empty = lane.is_null() || (lane["in_flight"] == 0 && lane["queued"] == 0);
+    leaving.is_some_and(|names| names.contains(&json!(target))) && is_empty
+}
+
+/// Checks that within the promise all nodes leave the target alone, and that it gets no work from
+/// then on, while every query is answered completely by the other replica.
+async fn assert_left_alone(cluster: &ProofCluster, entries: &[SocketAddr], target: &str) {
+    let operators = cluster.operators().unwrap();
+    condition::within(PROMISE, "all nodes leave the target alone", async || {
+        for operator in &operators {
+            let dump: Value = operator_view::get(*operator, "/debug/dump").await?;
+            if !has_left(&dump, target) {
+                return Ok(None);
+            }
+        }
+        Ok(Some(()))
+    })
+    .await
+    .unwrap();
+    let before = runs_at_target(cluster).await;
+    for entry in entries {
+        for _ in 0..PROBES {
+            let reply = support::query(SWEEP, "steady").send(*entry).await.unwrap();
+            assert_eq!(reply.word(), "complete", "{}", reply.body);
+        }
+    }
+    assert_eq!(runs_at_target(cluster).await, before, "{target} got work");
+}
+
+/// A host is about to be taken away, and the platform's host list says so a second late. Callers at
+/// either entry see complete answers throughout, from the other replica, and the host runs nothing
+/// any more when it goes. With work still sent to it, that work would be cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_told_by_the_host_list() {
+    let (cluster, entries) = start().await;
+    let platform = cluster.platform_caller().unwrap();
+    let faults = PlatformFaults {
+        host_lag_ms: 1_000,
+        ..PlatformFaults::default()
+    };
+    platform.set_faults(&faults).await.unwrap();
+    let replica = cluster.manifest.shards[SHARD].replicas[0].clone();
+    let target = replica.target.to_string();
+    let load = SteadyLoad::start(&entries);
+    await_runs(&cluster, 0).await;
+    let leaving = HostRecord {
+        host: target.parse().unwrap(),
+        role: HostRole::Target,
+        domain: replica.domain,
+        address: replica.address,
+        state: HostState::Leaving,
+    };
+    platform.put_host(&leaving).await.unwrap();
+    assert_left_alone(&cluster, &entries, &target).await;
+    // The platform changes its mind, and the target is used again.
+    let stays = HostRecord {
+        state: HostState::Live,
+        ..leaving
+    };
+    platform.put_host(&stays).await.unwrap();
+    await_runs(&cluster, runs_at_target(&cluster).await).await;
+    load.stop().await;
+}
+
+/// An operator drains a target by `alderctl`, before any list knows of it, and ends the drain
+/// later. Callers see complete answers throughout; the target gets no work in between, and work
+/// again afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_published_by_an_operator() {
+    let (cluster, entries) = start().await;
+    let target = cluster.manifest.shards[SHARD].replicas[0]
+        .target
+        .to_string();
+    let load = SteadyLoad::start(&entries);
+    await_runs(&cluster, 0).await;
+    let words = ["drain", "--target", &target];
+    let drained = cluster.alderctl("ama", &words).await.unwrap();
+    assert_eq!(drained.code, Some(0), "{}", drained.report);
+    assert_left_alone(&cluster, &entries, &target).await;
+    let words = ["drain", "--target", &target, "--end"];
+    let ended = cluster.alderctl("ama", &words).await.unwrap();
+    assert_eq!(ended.code, Some(0), "{}", ended.report);
+    await_runs(&cluster, runs_at_target(&cluster).await).await;
+    load.stop().await;
+}
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/snapshot.rs
@@ -0,0 +1,208 @@
+//! Proofs that each answer is of one snapshot.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use alderhaven_core::ids::{IndexVersion, SnapshotId};
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_proof::caller::{CallerQuery, CallerReply};
+use alderhaven_proof::cluster::ProofCluster;
+use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
+use alderhaven_proof::condition;
+use alderhaven_standin::service_layout::ServiceLayout;
+use tokio::task::JoinHandle;
+
+use crate::support;
+
+/// The callers at each entry.
+const CALLERS: usize = 4;
+/// The most queries of a caller.
+const MAX_QUERIES: usize = 5_000;
+
+/// Checks that an answer holds the rows of one snapshot over the shards that it covers, all of them
+/// where it calls itself complete.
+fn assert_one_snapshot(query: &CallerQuery, reply: &CallerReply, manifests: &[SnapshotManifest]) {
+    let snapshot = reply.body["snapshot"].as_u64().unwrap();
+    let manifest = manifests
+        .iter()
+        .find(|manifest| manifest.snapshot == SnapshotId(snapshot))
+        .unwrap_or_else(|| panic!("snapshot {snapshot} was never published"));
+    let missing = reply.missing();
+    let covered: Vec<u32> = manifest
+        .shards
+        .iter()
+        .map(|entry| entry.shard.0)
+        .filter(|shard| !missing.contains(&u64::from(*shard)))
+        .collect();
+    let rows = query.rows(manifest, &covered);
+    assert_eq!(reply.body["rows"], rows, "{}", reply.body);
+    assert_eq!(
+        reply.word() == "complete",
+        missing.is_empty(),
+        "{}",
+        reply.body
+    );
+}
+
+/// Asks an entry one sweep after another until it is told to stop, and gets all replies.
+fn sweep_on(
+    entry: SocketAddr,
+    caller: usize,
+    stop: Arc<AtomicBool>,
+) -> JoinHandle<Vec<(CallerQuery, CallerReply)>> {
+    tokio::spawn(async move {
+        let mut replies = Vec::new();
+        while replies.len() < MAX_QUERIES && !stop.load(Ordering::Relaxed) {
+            let query = support::query(SWEEP, &format!("sweep-{caller}-{}", replies.len()));
+            let reply = query.send(entry).await.unwrap();
+            replies.push((query, reply));
+        }
+        replies
+    })
+}
+
+fn layout_of(options: &ClusterOptions, version: u64) -> ServiceLayout {
+    ServiceLayout {
+        version: IndexVersion(version),
+        ..options.layout().unwrap()
+    }
+}
+
+/// Waits until an entry answers a sweep completely for a snapshot.
+async fn await_snapshot(entry: SocketAddr, manifests: &[SnapshotManifest], snapshot: u64) {
+    condition::until(&format!("an answer of snapshot {snapshot}"), async || {
+        let query = support::query(SWEEP, "which");
+        let reply = query.send(entry).await?;
+        assert_one_snapshot(&query, &reply, manifests);
+        let found = reply.word() == "complete" && reply.body["snapshot"] == snapshot;
+        Ok(found.then_some(()))
+    })
+    .await
+    .unwrap();
+}
+
+/// An index is published anew while callers sweep all shards through two entries. The hosts of the
+/// older version end in the middle of it, with attempts under way. A caller must never see rows of
+/// both versions in one answer, whichever shards were asked again, and never an older snapshot from
+/// an entry that has answered for the newer one.
+#[tokio::test(flavor = "multi_thread")]
+async fn snapshot_published_while_queries_run() {
+    let options = ClusterOptions::builder()
+        .entries(2)
+        .run_time(TimeSpan::from_millis(30))
+        .spread(0.5)
+        .deadline(TimeSpan::from_secs(3))
+        .build();
+    let mut cluster = support::start(options.clone()).await;
+    let older = cluster.targets.len();
+    let layout = layout_of(&options, 2);
+    let next = cluster
+        .start_version(&options, &layout, SnapshotId(2))
+        .unwrap();
+    let manifests = [cluster.manifest.clone(), next];
+    let entries = [cluster.entry(0).unwrap(), cluster.entry(1).unwrap()];
+    for entry in entries {
+        await_snapshot(entry, &manifests, 1).await;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..2 * CALLERS)
+        .map(|caller| sweep_on(entries[caller % 2], caller, Arc::clone(&stop)))
+        .collect();
+    condition::until("each caller's fourth sweep", async || {
+        for caller in 0..callers.len() {
+            let query = support::query(SWEEP, &format!("sweep-{caller}-3"));
+            if cluster.runs(&query).await?.is_empty() {
+                return Ok(None);
+            }
+        }
+        Ok(Some(()))
+    })
+    .await
+    .unwrap();
+    cluster.publish_manifest(&manifests[1]).await.unwrap();
+    await_snapshot(entries[0], &manifests, 2).await;
+    for target in &mut cluster.targets[..older] {
+        target.kill().unwrap();
+    }
+    for entry in entries {
+        await_snapshot(entry, &manifests, 2).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        let mut newest = 0;
+        for (query, reply) in caller.await.unwrap() {
+            if !reply.status.is_success() {
+                assert_eq!(reply.word(), "failed", "{}", reply.body);
+                continue;
+            }
+            assert_one_snapshot(&query, &reply, &manifests);
+            let snapshot = reply.body["snapshot"].as_u64().unwrap();
+            assert!(snapshot >= newest, "{snapshot} after {newest}");
+            newest = snapshot;
+        }
+        assert_eq!(newest, 2, "the caller saw the newer snapshot");
+    }
+}
+
+/// A manifest is published whose versions some hosts don't hold (any more): half of the shards are
+/// found, half are gone. An answer from what is there would be of no snapshot that is whole. The
+/// query waits for a newer manifest, is run anew on it as a whole, and its answer holds rows of that
+/// one alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn snapshot_gone_everywhere_restarts_whole() {
+    let options = ClusterOptions::builder().build();
+    let mut cluster = support::start(options.clone()).await;
+    let entry = cluster.entry(0).unwrap();
+    let layout = layout_of(&options, 2);
+    let whole = cluster
+        .start_version(&options, &layout, SnapshotId(3))
+        .unwrap();
+    // Shards 0 and 1 are held in version 2; for 2 and 3 the manifest names hosts of version 1.
+    let mut torn = SnapshotManifest {
+        snapshot: SnapshotId(2),
+        ..whole.clone()
+    };
+    for shard in [2, 3] {
+        torn.shards[shard].replicas = cluster.manifest.shards[shard].replicas.clone();
+    }
+    let version = cluster.publish_manifest(&torn).await.unwrap();
+    cluster.await_in_force(version).await.unwrap();
+    let query = support::query(SWEEP, "restarted");
+    let asked = tokio::spawn({
+        let query = query.clone();
+        async move { query.send(entry).await }
+    });
+    // The shards that are held have answered for the torn snapshot before the whole one is there.
+    let found = cluster.targets.len() - 2..cluster.targets.len();
+    condition::until("answers for the torn snapshot", async || {
+        let mut runs = 0;
+        for process in found.clone() {
+            runs += cluster.runs_at(process, &query).await?.len();
+        }
+        Ok((runs >= 2).then_some(()))
+    })
+    .await
+    .unwrap();
+    cluster.publish_manifest(&whole).await.unwrap();
+    let reply = asked.await.unwrap().unwrap();
+    assert_eq!(reply.word(), "complete", "{}", reply.body);
+    assert_eq!(reply.body["snapshot"], 3);
+    assert_one_snapshot(&query, &reply, &[whole]);
+    let runs = cluster.runs(&query).await.unwrap();
+    let of_whole = runs.iter().filter(|run| run.snapshot == SnapshotId(3));
+    assert_eq!(of_whole.count(), 4, "each shard ran for the newer snapshot");
+    assert_eq!(restarts(&cluster).await, 1);
+}
+
+/// Gets the number of queries that the first entry restarted.
+async fn restarts(cluster: &ProofCluster) -> u64 {
+    let operator = cluster.entries[0].address("operator").unwrap();
+    let metrics = alderhaven_proof::operator_view::text(operator, "/metrics").await;
+    let metrics = metrics.unwrap();
+    let line = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("alderhaven_entry_snapshot_restarts_total "));
+    line.unwrap().parse().unwrap()
+}
--- a/alderhaven-proof/tests/proofs/support.rs
+++ b/alderhaven-proof/tests/proofs/support.rs
@@ -11,6 +11,7 @@
         standin: env!("CARGO_BIN_EXE_proof-standin").into(),
         relay: env!("CARGO_BIN_EXE_proof-relay").into(),
         entry: env!("CARGO_BIN_EXE_proof-entry").into(),
+        alderctl: env!("CARGO_BIN_EXE_proof-alderctl").into(),
         scratch: env!("CARGO_TARGET_TMPDIR").into(),
     };
     ProofCluster::start(binaries, &options)
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -113,8 +113,10 @@
     pub fn offer(self: &Arc<Self>, attempt: LaneAttempt) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
+        // `Draining` is the target's own word, which an entry holds on to for a while. What the host
+        // list or an operator says the entry hears itself, also when it is taken back.
         let refusal = if self.is_leaving() {
-            Some(NotRunReason::Draining)
+            Some(NotRunReason::NoRoute)
         } else {
             let slots = state.limit.limit(now);
             match state.queue.offer(attempt.job(), now, slots) {
@@ -204,7 +206,7 @@
         let mut state = self.lock();
         let mut ready = Vec::new();
         if self.is_leaving() {
-            state.queue.drop_all(NotRunReason::Draining);
+            state.queue.drop_all(NotRunReason::NoRoute);
         }
         while let Some(attempt) = state.start_next(now) {
             ready.push(attempt);
