--- a/alderhaven-proof/src/condition.rs
+++ b/alderhaven-proof/src/condition.rs
@@ -35,7 +35,7 @@
             Ok(Ok(Some(value))) => return Ok(value),
             Ok(Ok(None)) => {}
             Ok(Err(error)) => last_error = format!("{error:#}"),
-            Err(_) => bail!("{what}: the probe hangs"),
+            Err(_) => bail!("{what}: not within {promise:?}, and the last look hangs"),
         }
         if Instant::now() >= limit {
             bail!("{what}: not within {promise:?}; last error: {last_error}");
