--- a/alderhaven-proof/tests/proofs/snapshot.rs
+++ b/alderhaven-proof/tests/proofs/snapshot.rs
@@ -12,6 +12,7 @@
 use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
 use alderhaven_proof::condition;
 use alderhaven_standin::service_layout::ServiceLayout;
+use futures::future;
 use tokio::task::JoinHandle;
 
 use crate::support;
@@ -21,6 +22,9 @@
 /// The most queries of a caller.
 const MAX_QUERIES: usize = 5_000;
 
+/// The queries that wait for a manifest that is whole.
+const QUERIES: usize = 12;
+
 /// Checks that an answer holds the rows of one snapshot over the shards that it covers, all of them
 /// where it calls itself complete.
 fn assert_one_snapshot(query: &CallerQuery, reply: &CallerReply, manifests: &[SnapshotManifest]) {
@@ -91,7 +95,7 @@
 async fn snapshot_published_while_queries_run() {
     let options = ClusterOptions::builder()
         .entries(2)
-        .run_time(TimeSpan::from_millis(30))
+        .run_time(TimeSpan::from_millis(200))
         .spread(0.5)
         .deadline(TimeSpan::from_secs(3))
         .build();
@@ -121,8 +125,9 @@
     })
     .await
     .unwrap();
-    cluster.publish_manifest(&manifests[1]).await.unwrap();
-    await_snapshot(entries[0], &manifests, 2).await;
+    // The entries know the newer manifest while sweeps for the older one are still under way.
+    let version = cluster.publish_manifest(&manifests[1]).await.unwrap();
+    cluster.await_in_force(version).await.unwrap();
     for target in &mut cluster.targets[..older] {
         target.kill().unwrap();
     }
@@ -169,35 +174,40 @@
     }
     let version = cluster.publish_manifest(&torn).await.unwrap();
     cluster.await_in_force(version).await.unwrap();
-    let query = support::query(SWEEP, "restarted");
+    let queries: Vec<CallerQuery> = (0..QUERIES)
+        .map(|number| support::query(SWEEP, &format!("restarted-{number}")))
+        .collect();
     let asked = tokio::spawn({
-        let query = query.clone();
-        async move { query.send(entry).await }
+        let queries = queries.clone();
+        async move { future::join_all(queries.iter().map(|query| query.send(entry))).await }
     });
     // The shards that are held have answered for the torn snapshot before the whole one is there.
-    let found = cluster.targets.len() - 2..cluster.targets.len();
     condition::until("answers for the torn snapshot", async || {
-        let mut runs = 0;
-        for process in found.clone() {
-            runs += cluster.runs_at(process, &query).await?.len();
+        for query in &queries {
+            if cluster.runs(query).await?.len() < 2 {
+                return Ok(None);
+            }
         }
-        Ok((runs >= 2).then_some(()))
+        Ok(Some(()))
     })
     .await
     .unwrap();
     cluster.publish_manifest(&whole).await.unwrap();
-    let reply = asked.await.unwrap().unwrap();
-    assert_eq!(reply.word(), "complete", "{}", reply.body);
-    assert_eq!(reply.body["snapshot"], 3);
-    assert_one_snapshot(&query, &reply, &[whole]);
-    let runs = cluster.runs(&query).await.unwrap();
-    let of_whole = runs.iter().filter(|run| run.snapshot == SnapshotId(3));
-    assert_eq!(of_whole.count(), 4, "each shard ran for the newer snapshot");
-    assert_eq!(restarts(&cluster).await, 1);
+    let manifests = [whole];
+    for (query, reply) in queries.iter().zip(asked.await.unwrap()) {
+        let reply = reply.unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+        assert_eq!(reply.body["snapshot"], 3);
+        assert_one_snapshot(query, &reply, &manifests);
+        let runs = cluster.runs(query).await.unwrap();
+        let of_whole = runs.iter().filter(|run| run.snapshot == SnapshotId(3));
+        assert_eq!(of_whole.count(), 4, "each shard ran for the newer snapshot");
+    }
+    assert_eq!(restarts(&cluster).await, QUERIES);
 }
 
 /// Gets the number of queries that the first entry restarted.
-async fn restarts(cluster: &ProofCluster) -> u64 {
+async fn restarts(cluster: &ProofCluster) -> usize {
     let operator = cluster.entries[0].address("operator").unwrap();
     let metrics = alderhaven_proof::operator_view::text(operator, "/metrics").await;
     let metrics = metrics.unwrap();
