Entries and relays take part in the group, and stop as planned

Change: alderhaven-node starts gossip and exchange (gossip_listen, seeds) and drives the planned stop; entries route each target through its subset of relays, answer /v1/entries, and take the number of entries from the group; relays prepare the lanes of the targets they are first for, and tell entries on their connections that they leave. Queries are planned on a view that routes and replicas already know, and manifests that were replaced stay known for as long as a query may run. Cause of the last: a query restarted on a new manifest found no relay for its targets (snapshot_gone_everywhere_restarts_whole, partial in place of complete); the old order of tasks only hid it. Known: start_finds_the_others of the peer crate fails now and then; its cause is being sought.

--- /dev/null
+++ b/alderhaven-entry/src/applied_config.rs
@@ -0,0 +1,137 @@
+//! The configuration as queries read it: visible only once every part of the entry has taken it over.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use alderhaven_core::ids::{ServiceName, SnapshotId};
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::template::MAX_DEADLINE;
+use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_policy::config_registry::ConfigView;
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::admission_desk::AdmissionDesk;
+use crate::relay_routes::RelayRoutes;
+use crate::replica_board::ReplicaBoard;
+
+/// An `AppliedConfig` is the view that queries are planned on; its clones share it.
+///
+/// Were queries planned on the view that the store's watch has just brought, the first ones on a
+/// new manifest would find no relay for its targets yet and report its shards as unreachable.
+#[derive(Clone, Debug)]
+pub struct AppliedConfig {
+    view: Arc<ArcSwap<ConfigView>>,
+    changed: watch::Sender<u64>,
+}
+
+/// A `ConfigApplier` hands each change of the configuration to the parts of the entry.
+#[derive(Debug)]
+pub struct ConfigApplier {
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// What admits queries.
+    pub desk: Arc<AdmissionDesk>,
+    /// The routes through relays.
+    pub routes: Arc<RelayRoutes>,
+    /// What is known of the targets.
+    pub board: Arc<ReplicaBoard>,
+    /// What queries read.
+    pub applied: AppliedConfig,
+}
+
+/// A `RecentManifests` holds the manifests in force and those that running queries may be pinned to.
+#[derive(Debug, Default)]
+struct RecentManifests {
+    manifests: BTreeMap<(ServiceName, SnapshotId), RecentManifest>,
+}
+
+#[derive(Debug)]
+struct RecentManifest {
+    manifest: Arc<SnapshotManifest>,
+    replaced_at: Option<Instant>,
+}
+
+impl Default for AppliedConfig {
+    fn default() -> Self {
+        Self {
+            view: Arc::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+impl AppliedConfig {
+    /// Gets the view.
+    #[must_use]
+    pub fn view(&self) -> Arc<ConfigView> {
+        self.view.load_full()
+    }
+
+    /// Gets a channel that changes with each change of the view.
+    #[must_use]
+    pub fn changed(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn publish(&self, view: Arc<ConfigView>) {
+        self.view.store(view);
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
+
+impl ConfigApplier {
+    /// Takes over each change of the configuration until the task is ended.
+    pub async fn follow(self) {
+        let mut changed = self.config.changed();
+        let mut recent = RecentManifests::default();
+        loop {
+            changed.borrow_and_update();
+            let view = self.config.view();
+            recent.take(&view, Instant::now());
+            let manifests = recent.all();
+            self.desk.apply(&view);
+            self.routes.apply(&manifests);
+            self.board.apply(&manifests, &view);
+            self.applied.publish(view);
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl RecentManifests {
+    /// Takes over the manifests of a view; replaced ones stay for as long as a query may run.
+    fn take(&mut self, view: &ConfigView, now: Instant) {
+        for recent in self.manifests.values_mut() {
+            let manifest = &recent.manifest;
+            let current = view.manifests.get(&manifest.service);
+            if current.is_none_or(|current| current.snapshot != manifest.snapshot) {
+                recent.replaced_at.get_or_insert(now);
+            }
+        }
+        for manifest in view.manifests.values() {
+            let key = (manifest.service.clone(), manifest.snapshot);
+            let recent = RecentManifest {
+                manifest: Arc::clone(manifest),
+                replaced_at: None,
+            };
+            self.manifests.insert(key, recent);
+        }
+        let life = MAX_DEADLINE.as_duration();
+        self.manifests
+            .retain(|_, recent| recent.replaced_at.is_none_or(|at| now - at < life));
+    }
+
+    /// Gets all manifests, those in force first, so that what they say of a target counts.
+    fn all(&self) -> Vec<Arc<SnapshotManifest>> {
+        let mut recent: Vec<&RecentManifest> = self.manifests.values().collect();
+        recent.sort_by_key(|recent| recent.replaced_at.is_some());
+        recent
+            .into_iter()
+            .map(|recent| Arc::clone(&recent.manifest))
+            .collect()
+    }
+}
--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -7,6 +7,8 @@
 
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_node::node_group::NodeGroup;
+use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_store::HttpStore;
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
@@ -24,10 +26,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time;
+use tokio_util::task::TaskTracker;
 
 use crate::admission_desk::AdmissionDesk;
 use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
+use crate::applied_config::AppliedConfig;
 use crate::claimed_runner::ClaimedRunner;
+use crate::entry_directory::EntryDirectory;
 use crate::metrics::EntryMetrics;
 use crate::query_plan::{QueryPlan, QueryRequest};
 use crate::query_runner::QueryRunner;
@@ -51,6 +56,10 @@
 const QUERY_PREFIX: &str = "/v1/query/";
 /// The path that says whether the entry serves.
 const HEALTH_PATH: &str = "/v1/health";
+/// The path that says which entries to use.
+const ENTRIES_PATH: &str = "/v1/entries";
+/// The time after which a caller may ask a node again that does not know its configuration yet.
+const START_RETRY: TimeSpan = TimeSpan::from_millis(500);
 /// The header with the key of a non-idempotent request, a `UUIDv7`.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
@@ -61,6 +70,8 @@
     pub limits: EntryLimits,
     /// The configuration in force.
     pub config: ConfigHandle,
+    /// The configuration that queries are planned on.
+    pub applied: AppliedConfig,
     /// What admits the queries.
     pub desk: Arc<AdmissionDesk>,
     /// What runs the queries.
@@ -69,6 +80,14 @@
     pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
+    /// The group of entries and relays.
+    pub group: NodeGroup,
+    /// The planned stop of this entry.
+    pub stop: StopHandle,
+    /// The tasks of open connections.
+    pub connections: TaskTracker,
+    /// How callers are told which entries to use.
+    pub directory: EntryDirectory,
 }
 
 /// Accepts connections from callers until the process ends.
@@ -79,14 +98,19 @@
     let permits = Arc::new(Semaphore::new(caller_service.limits.caller_connections));
     let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = caller_service.stop.finishing() => return,
+        };
+        let Ok((stream, _)) = accepted else {
             // Out of file descriptors: later ones may be free again.
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+            let connections = caller_service.connections.clone();
             let caller_service = Arc::clone(&caller_service);
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 serve_connection(stream, caller_service).await;
                 drop(permit);
             });
@@ -125,22 +149,32 @@
 async fn serve_connection(stream: TcpStream, caller_service: Arc<CallerService>) {
     let _without_nagle = stream.set_nodelay(true);
     let limits = caller_service.limits.clone();
+    let stop = caller_service.stop.clone();
     let answering = service::service_fn(move |request| {
         let caller_service = Arc::clone(&caller_service);
         async move { Ok::<_, Infallible>(caller_service.answer(request).await) }
     });
-    // A malformed request is answered by hyper and ends this connection only.
-    let _ended = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.read_timeout.as_duration())
         .max_buf_size((HEAD_ROOM * limits.head.as_bytes()).max(8 << 10))
-        .serve_connection(TokioIo::new(stream), answering)
-        .await;
+        .serve_connection(TokioIo::new(stream), answering);
+    tokio::pin!(connection);
+    // A malformed request is answered by hyper and ends this connection only.
+    tokio::select! {
+        _ended = &mut connection => {}
+        () = stop.finishing() => {
+            // The request in flight is answered; only then is the connection closed.
+            connection.as_mut().graceful_shutdown();
+            let _ended = connection.await;
+        }
+    }
 }
 
 impl CallerService {
     /// Answers a request; every reply carries the request's id.
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let _in_flight = self.stop.begin_request();
         let mut record = RequestRecord::new(RequestId::of_request(request.headers()));
         let mut response = match self.route(request, &mut record).await {
             Ok(response) => response,
@@ -173,9 +207,14 @@
         }
         if path == HEALTH_PATH {
             check_method(&request, &Method::GET)?;
-            let health = serde_json::json!({ "status": "serving" });
+            let health = serde_json::json!({ "status": self.stop.state() });
             return Ok(json_response(StatusCode::OK, &health));
         }
+        if path == ENTRIES_PATH {
+            check_method(&request, &Method::GET)?;
+            let answer = self.directory.answer(&self.group, request.uri().query())?;
+            return Ok(json_response(StatusCode::OK, &answer));
+        }
         Err(ErrorAnswer::not_run(
             ErrorCode::NotFound,
             format!("there is no {path}"),
@@ -192,9 +231,10 @@
         let (head, body) = request.into_parts();
         let body = self.read_body(body).await?;
         let query = QueryRequest::read(&body)?;
-        let view = self.config.view();
+        let view = self.applied.view();
         let token = bearer_token(&head.headers);
-        let plan = QueryPlan::make(&view, template, query, token, arrived)?;
+        let plan = QueryPlan::make(&view, template, query, token, arrived)
+            .map_err(|error| self.explain_start(error))?;
         record.note_plan(&plan);
         let class = plan.template.class;
         let key = if plan.template.idempotent {
@@ -216,6 +256,19 @@
         Ok(json_response(StatusCode::OK, &answer?))
     }
 
+    /// Says that a name is not known yet, where the configuration is not complete.
+    ///
+    /// A node that starts while the store is down learns its configuration from its peers; until
+    /// then "there is no such template" would be untrue.
+    fn explain_start(&self, error: ErrorAnswer) -> ErrorAnswer {
+        let is_complete = self.config.complete_at().is_some() || self.group.is_complete();
+        if error.error.code != ErrorCode::NotFound || is_complete {
+            return error;
+        }
+        let message = "this entry does not know its configuration yet";
+        ErrorAnswer::not_run(ErrorCode::Unavailable, message).with_retry_after(START_RETRY)
+    }
+
     async fn admit_and_run(&self, plan: &QueryPlan) -> Result<QueryAnswer, ErrorAnswer> {
         let mut pass = self.desk.admit(plan).await.map_err(refused)?;
         self.runner.run(plan, &mut pass).await
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -5,11 +5,14 @@
 pub mod admission_desk;
 pub mod admission_pass;
 pub mod answer;
+pub mod applied_config;
 pub mod caller_server;
 pub mod claim_ledger;
 pub mod claim_metrics;
 pub mod claim_peers;
 pub mod claimed_runner;
+pub mod entry_directory;
+pub mod group_follower;
 pub mod held_answers;
 pub mod metrics;
 pub mod node;
--- a/alderhaven-entry/src/main.rs
+++ b/alderhaven-entry/src/main.rs
@@ -71,12 +71,17 @@
         "node": node.settings().node,
         "listen": node.caller_address(),
         "operator": node.operator_address(),
+        "gossip": node.gossip_address(),
     });
     println!("{ready}");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let report = loop {
+        tokio::select! {
+            _ = terminate.recv() => node.request_stop(),
+            _ = interrupt.recv() => node.request_stop(),
+            report = node.stopped() => break report,
+        }
+    };
+    logging::emit(log::Level::Info, &report);
     shutdown.cancel();
     Ok(())
 }
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -3,9 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_node::node_group::{GroupOptions, NodeGroup};
+use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
@@ -13,17 +16,24 @@
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
 use alderhaven_platform::target_watch::TargetWatch;
+use alderhaven_policy::drain::StopReport;
+use alderhaven_policy::membership::member_record::MemberRole;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio_util::task::AbortOnDropHandle;
+use tokio::time;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::admission_desk::AdmissionDesk;
+use crate::applied_config::{AppliedConfig, ConfigApplier};
 use crate::caller_server;
 use crate::caller_server::CallerService;
 use crate::claim_ledger::ClaimLedger;
 use crate::claim_peers;
 use crate::claim_peers::ClaimPeers;
 use crate::claimed_runner::ClaimedRunner;
+use crate::entry_directory::EntryDirectory;
+use crate::group_follower;
+use crate::group_follower::GroupFollower;
 use crate::held_answers::HeldAnswers;
 use crate::metrics::EntryMetrics;
 use crate::query_runner::{QueryRunner, RunnerParts};
@@ -31,6 +41,9 @@
 use crate::replica_board::ReplicaBoard;
 use crate::settings::EntrySettings;
 
+/// The time that the last answers have to be written out.
+const LAST_WRITES: Duration = Duration::from_secs(1);
+
 /// An `EntryNode` is a running entry; dropping it ends its tasks.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -38,7 +51,8 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<EntryState>,
-    _tasks: [AbortOnDropHandle<()>; 7],
+    connections: TaskTracker,
+    _tasks: [AbortOnDropHandle<()>; 9],
 }
 
 /// An `EntryState` is what the parts of an entry share, as operators see it.
@@ -58,6 +72,10 @@
     pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
+    /// The group of entries and relays.
+    pub group: NodeGroup,
+    /// The planned stop.
+    pub stop: StopHandle,
 }
 
 impl EntryNode {
@@ -66,40 +84,31 @@
     /// # Errors
     /// An error of the operating system where an address can't be bound.
     pub async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
-        let listener = TcpListener::bind(settings.listen).await?;
-        let caller_address = listener.local_addr()?;
-        let operator_listener = TcpListener::bind(settings.operator_listen).await?;
-        let operator_address = operator_listener.local_addr()?;
-        let peer_listener = TcpListener::bind(settings.peer_listen).await?;
-        let peer_address = peer_listener.local_addr()?;
+        let (listener, caller_address) = bind(settings.listen).await?;
+        let (operator_listener, operator_address) = bind(settings.operator_listen).await?;
+        let (peer_listener, peer_address) = bind(settings.peer_listen).await?;
         let routes = Arc::new(RelayRoutes::default());
-        routes.set_relays(&settings.relays);
         let metrics = Arc::new(EntryMetrics::default());
         let watch = TargetWatch::default();
         let clock = ProcessClock::default();
-        let desk = Arc::new(AdmissionDesk::new(
-            settings.policy,
-            settings.admission.clone(),
-            clock,
-        ));
-        // Each host runs one entry and one relay, so the relays' number is the entries' number.
-        desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
-        let board = Arc::new(ReplicaBoard::new(
-            settings.policy,
-            settings.choices.clone(),
-            settings.domain.clone(),
-            clock,
-        ));
-        let runner = Arc::new(QueryRunner::new(
-            rand::random(),
-            RunnerParts {
-                routes: Arc::clone(&routes),
-                board: Arc::clone(&board),
-                watch: watch.clone(),
-                config: config.clone(),
-                metrics: Arc::clone(&metrics),
-            },
-        ));
+        let desk = Arc::new(admission_desk(&settings, clock));
+        let board = Arc::new(replica_board(&settings, clock));
+        let applied = AppliedConfig::default();
+        let taking_over = ConfigApplier {
+            config: config.clone(),
+            desk: Arc::clone(&desk),
+            routes: Arc::clone(&routes),
+            board: Arc::clone(&board),
+            applied: applied.clone(),
+        };
+        let parts = RunnerParts {
+            routes: Arc::clone(&routes),
+            board,
+            watch: watch.clone(),
+            config: applied.clone(),
+            metrics: Arc::clone(&metrics),
+        };
+        let runner = Arc::new(QueryRunner::new(rand::random(), parts));
         let claims = Arc::new(claimed_runner(
             &settings,
             peer_address,
@@ -107,6 +116,17 @@
             &runner,
             &config,
         ));
+        let options = group_options(&settings, peer_address, caller_address);
+        let group = NodeGroup::start(options, &config).await?;
+        let follower = GroupFollower {
+            group: group.clone(),
+            routes: Arc::clone(&routes),
+            desk: Arc::clone(&desk),
+            named: group_follower::named_relays(&settings.relays, &settings.domain),
+        };
+        follower.apply();
+        let stop = StopHandle::default();
+        let connections = TaskTracker::new();
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
@@ -115,6 +135,8 @@
             watch: watch.clone(),
             claims: Arc::clone(&claims),
             metrics: Arc::clone(&metrics),
+            group: group.clone(),
+            stop: stop.clone(),
         });
         let service = CallerService {
             limits: settings.limits.clone(),
@@ -122,10 +144,18 @@
             runner,
             claims,
             config,
+            applied,
             metrics,
+            group: group.clone(),
+            stop: stop.clone(),
+            connections: connections.clone(),
+            directory: directory(&settings, caller_address),
         };
         let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
+        let requests = stop.clone();
         let tasks = [
+            tokio::spawn(follower.follow()),
+            tokio::spawn(stop.drive(settings.stop.clone(), group, move || requests.in_flight())),
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(state.claims.ledger()).run_forever()),
             tokio::spawn(claim_peers::serve(
@@ -134,7 +164,7 @@
                 clock,
             )),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
-            tokio::spawn(apply_configuration(desk, board, state.config.clone())),
+            tokio::spawn(taking_over.follow()),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
             tokio::spawn(operator_server::serve(
                 operator_listener,
@@ -146,6 +176,7 @@
             caller_address,
             operator_address,
             state,
+            connections,
             _tasks: tasks.map(AbortOnDropHandle::new),
         })
     }
@@ -162,6 +193,27 @@
         self.operator_address
     }
 
+    /// Gets the address for gossip, none where the entry takes no part in a group.
+    #[must_use]
+    pub fn gossip_address(&self) -> Option<SocketAddr> {
+        self.state.group.gossip_address()
+    }
+
+    /// Asks for the planned stop; a second time, to end at once.
+    pub fn request_stop(&self) {
+        self.state.stop.request();
+    }
+
+    /// Waits until the entry may end: all requests are answered, or the report says how many were
+    /// cut.
+    pub async fn stopped(&self) -> StopReport {
+        let report = self.state.stop.stopped().await;
+        self.connections.close();
+        // The last answers are written out; a caller that does not read is not waited for longer.
+        let _written = time::timeout(LAST_WRITES, self.connections.wait()).await;
+        report
+    }
+
     /// Gets the settings in force.
     #[must_use]
     pub const fn settings(&self) -> &EntrySettings {
@@ -196,18 +248,23 @@
         let loads = self.desk.loads(&self.config.view());
         json!({ "status": self.status(), "services": loads,
             "leaving_targets": *self.watch.names(), "relays": links,
-            "claims": self.claims.dump() })
+            "claims": self.claims.dump(), "members": self.group.members(),
+            "group": self.group.snapshot() })
     }
 
     fn status(&self) -> Value {
         json!({
             "node": self.node,
             "role": "entry",
+            "state": self.stop.state(),
+            "in_flight": self.stop.in_flight(),
             "config": self.config.status(),
         })
     }
 
-    fn drain(&self) {}
+    fn drain(&self) {
+        self.stop.request_once();
+    }
 }
 
 /// Makes what runs the non-idempotent requests; the ledger's calls are not begun yet.
@@ -246,19 +303,46 @@
         .build()
 }
 
-/// Takes over each change of the configuration until the process ends.
-async fn apply_configuration(
-    desk: Arc<AdmissionDesk>,
-    board: Arc<ReplicaBoard>,
-    config: ConfigHandle,
-) {
-    let mut changed = config.changed();
-    loop {
-        let view = config.view();
-        desk.apply(&view);
-        board.apply(&view);
-        if changed.changed().await.is_err() {
-            return;
-        }
+fn admission_desk(settings: &EntrySettings, clock: ProcessClock) -> AdmissionDesk {
+    AdmissionDesk::new(settings.policy, settings.admission.clone(), clock)
+}
+
+fn replica_board(settings: &EntrySettings, clock: ProcessClock) -> ReplicaBoard {
+    ReplicaBoard::new(
+        settings.policy,
+        settings.choices.clone(),
+        settings.domain.clone(),
+        clock,
+    )
+}
+
+async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
+
+fn directory(settings: &EntrySettings, address: SocketAddr) -> EntryDirectory {
+    EntryDirectory {
+        options: settings.answers.clone(),
+        domain: settings.domain.clone(),
+        address,
     }
 }
+
+fn group_options(
+    settings: &EntrySettings,
+    peer_address: SocketAddr,
+    caller_address: SocketAddr,
+) -> GroupOptions {
+    GroupOptions::builder()
+        .node(settings.node.clone())
+        .role(MemberRole::Entry)
+        .host(settings.host.clone())
+        .domain(settings.domain.clone())
+        .maybe_gossip_listen(settings.gossip_listen)
+        .seeds(settings.seeds.clone())
+        .peer_address(peer_address)
+        .caller_address(caller_address)
+        .build()
+}
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::target_watch::TargetWatch;
 use tokio::time;
 
 use crate::admission_pass::AdmissionPass;
 use crate::answer::{ErrorAnswer, QueryAnswer};
+use crate::applied_config::AppliedConfig;
 use crate::metrics::EntryMetrics;
 use crate::query_plan::QueryPlan;
 use crate::relay_routes::RelayRoutes;
@@ -28,7 +28,7 @@
     pub(crate) watch: TargetWatch,
     /// What is counted.
     pub(crate) metrics: Arc<EntryMetrics>,
-    config: ConfigHandle,
+    config: AppliedConfig,
 }
 
 /// A `RunnerParts` is what a runner shares with the rest of the entry.
@@ -40,8 +40,8 @@
     pub board: Arc<ReplicaBoard>,
     /// The targets that get no new work.
     pub watch: TargetWatch,
-    /// The configuration in force.
-    pub config: ConfigHandle,
+    /// The configuration that queries are planned on.
+    pub config: AppliedConfig,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
--- a/alderhaven-entry/src/relay_routes.rs
+++ b/alderhaven-entry/src/relay_routes.rs
@@ -1,37 +1,82 @@
 //! Which relay an attempt goes through.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use alderhaven_core::ids::TargetId;
+use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_policy::subset::{RelayCandidate, RelaySubsets, SubsetOptions, SubsetTarget};
 use arc_swap::ArcSwap;
+use smallvec::SmallVec;
 
 use crate::relay_link::RelayLink;
 
-/// A `RelayRoutes` holds the links to relays and picks one for a target by rendezvous hashing.
+/// A `KnownRelay` is a relay that takes work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownRelay {
+    /// The relay and its failure domain.
+    pub candidate: RelayCandidate,
+    /// Where it takes attempts.
+    pub address: SocketAddr,
+}
+
+type TargetLinks = SmallVec<[Arc<RelayLink>; 4]>;
+
+/// A `RelayRoutes` holds the links to relays, and for each target the relays that reach it.
 ///
-/// All entries pick alike, so that one relay sees all the work for a target and its few slots are
-/// shared out in one place.
+/// All entries choose alike, so that one relay sees all the work for a target and its few slots are
+/// shared out in one place. While entries disagree for a moment, a target is reached through two.
 #[derive(Debug, Default)]
 pub struct RelayRoutes {
+    options: SubsetOptions,
     links: ArcSwap<Vec<Arc<RelayLink>>>,
+    routes: ArcSwap<HashMap<TargetId, TargetLinks>>,
+    known: Mutex<KnownParts>,
+}
+
+#[derive(Debug, Default)]
+struct KnownParts {
+    relays: Vec<KnownRelay>,
+    targets: Vec<SubsetTarget>,
 }
 
 impl RelayRoutes {
-    /// Makes the links those to `relays`, keeping the ones that exist.
-    pub fn set_relays(&self, relays: &[SocketAddr]) {
-        let known = self.links.load_full();
-        let links = relays
+    /// Takes over the relays that take work; links to those that stay are kept.
+    pub fn set_relays(&self, relays: Vec<KnownRelay>) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.relays == relays {
+            return;
+        }
+        let before = self.links.load_full();
+        let links: Vec<Arc<RelayLink>> = relays
             .iter()
-            .map(|address| {
-                known
+            .map(|relay| {
+                before
                     .iter()
-                    .find(|link| link.address() == *address)
+                    .find(|link| link.address() == relay.address)
                     .cloned()
-                    .unwrap_or_else(|| Arc::new(RelayLink::start(*address)))
+                    .unwrap_or_else(|| Arc::new(RelayLink::start(relay.address)))
             })
             .collect();
+        known.relays = relays;
         self.links.store(Arc::new(links));
+        self.choose(&known);
+    }
+
+    /// Takes over the targets of manifests.
+    pub fn apply(&self, manifests: &[Arc<SnapshotManifest>]) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.targets = manifests
+            .iter()
+            .flat_map(|manifest| &manifest.shards)
+            .flat_map(|entry| &entry.replicas)
+            .map(|replica| SubsetTarget {
+                target: replica.target.clone(),
+                connections: replica.connections,
+            })
+            .collect();
+        self.choose(&known);
     }
 
     /// Gets the links.
@@ -40,21 +85,45 @@
         self.links.load_full()
     }
 
-    /// Picks the usable relay with the highest hash for a target.
+    /// Gets the first usable relay of a target.
+    ///
+    /// A target that no manifest of this entry names any more has no relay.
     #[must_use]
     pub fn route(&self, target: &TargetId) -> Option<Arc<RelayLink>> {
-        self.links
+        self.routes
             .load()
+            .get(target)?
             .iter()
-            .filter(|link| link.is_usable())
-            .max_by_key(|link| rendezvous_weight(target, link.address()))
+            .find(|link| link.is_usable())
             .cloned()
     }
-}
 
-fn rendezvous_weight(target: &TargetId, relay: SocketAddr) -> u64 {
-    let hash = blake3::hash(format!("{target}/{relay}").as_bytes());
-    let mut head = [0_u8; 8];
-    head.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(head)
+    fn choose(&self, known: &KnownParts) {
+        let candidates: Vec<RelayCandidate> = known
+            .relays
+            .iter()
+            .map(|relay| relay.candidate.clone())
+            .collect();
+        let subsets = RelaySubsets::choose(&known.targets, &candidates, &self.options);
+        let links = self.links.load();
+        let by_node: HashMap<_, _> = known
+            .relays
+            .iter()
+            .map(|relay| &relay.candidate.node)
+            .zip(links.iter())
+            .collect();
+        let routes = known
+            .targets
+            .iter()
+            .map(|target| {
+                let relays = subsets.relays_of(&target.target);
+                let links = relays
+                    .iter()
+                    .filter_map(|node| by_node.get(node).map(|link| Arc::clone(link)))
+                    .collect();
+                (target.target.clone(), links)
+            })
+            .collect();
+        self.routes.store(Arc::new(routes));
+    }
 }
--- a/alderhaven-entry/src/replica_board.rs
+++ b/alderhaven-entry/src/replica_board.rs
@@ -4,6 +4,7 @@
 
 use alderhaven_core::ids::FailureDomain;
 use alderhaven_core::manifest::ReplicaEntry;
+use alderhaven_core::manifest::SnapshotManifest;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_registry::ConfigView;
@@ -61,11 +62,10 @@
         }
     }
 
-    /// Takes over the targets of a configuration; what is known of those that stay is kept.
-    pub fn apply(&self, view: &ConfigView) {
-        let listings = view
-            .manifests
-            .values()
+    /// Takes over the targets of manifests; what is known of those that stay is kept.
+    pub fn apply(&self, manifests: &[Arc<SnapshotManifest>], view: &ConfigView) {
+        let listings = manifests
+            .iter()
             .flat_map(|manifest| &manifest.shards)
             .flat_map(|entry| &entry.replicas)
             .map(|replica| TargetListing {
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -12,6 +12,8 @@
 use alderhaven_core::value_check::ValueCheck;
 use alderhaven_policy::admission::AdmissionOptions;
 use alderhaven_policy::claim_options::ClaimOptions;
+use alderhaven_policy::drain::DrainOptions;
+use alderhaven_policy::entry_answer::AnswerOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
@@ -53,7 +55,11 @@
     /// The relays that are known from the start.
     #[serde(default, deserialize_with = "settings::addresses")]
     pub relays: Vec<SocketAddr>,
-    /// Peers to learn from at the start.
+    /// The address for gossip and exchange with the other processes; without it the entry knows
+    /// only the relays that the settings name.
+    #[serde(default)]
+    pub gossip_listen: Option<SocketAddr>,
+    /// The gossip addresses of peers to learn from at the start.
     #[serde(default, deserialize_with = "settings::addresses")]
     pub seeds: Vec<SocketAddr>,
     /// The limits.
@@ -65,6 +71,12 @@
     /// The ledger of non-idempotent requests.
     #[serde(default)]
     pub claims: ClaimOptions,
+    /// The answers that tell callers which entries to use.
+    #[serde(default)]
+    pub answers: AnswerOptions,
+    /// The planned stop.
+    #[serde(default)]
+    pub stop: DrainOptions,
     /// The choices of replicas, hedges and retries.
     #[serde(default)]
     pub choices: BoardOptions,
@@ -105,6 +117,15 @@
         self.check_admission(&mut check);
         self.check_choices(&mut check);
         let mut errors = check.finish();
+        if self.stop.address_life < self.answers.ttl {
+            errors.push(Error::invalid(
+                "stop.address_life",
+                format!(
+                    "{} is refused: allowed is answers.ttl ({}) or more, for callers keep an address that long",
+                    self.stop.address_life, self.answers.ttl
+                ),
+            ));
+        }
         errors.extend(self.claims.check());
         errors
     }
--- /dev/null
+++ b/alderhaven-node/src/stop_handle.rs
@@ -0,0 +1,163 @@
+//! The planned stop of a process: asked for by a signal, an operator or its owner.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_policy::drain::{DrainEvent, DrainOptions, DrainSequence, DrainState, StopReport};
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::node_group::NodeGroup;
+
+/// The time between two looks at the requests in flight.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A `StopHandle` asks for the stop of a process and follows it; its clones share it.
+#[derive(Clone, Debug)]
+pub struct StopHandle {
+    requests: watch::Sender<u32>,
+    state: watch::Sender<DrainState>,
+    report: watch::Sender<Option<StopReport>>,
+    in_flight: Arc<AtomicUsize>,
+}
+
+/// A `FlightGuard` counts one request in flight until it is dropped.
+#[derive(Debug)]
+pub struct FlightGuard {
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl Default for StopHandle {
+    fn default() -> Self {
+        Self {
+            requests: watch::Sender::new(0),
+            state: watch::Sender::new(DrainState::Serving),
+            report: watch::Sender::new(None),
+            in_flight: Arc::default(),
+        }
+    }
+}
+
+impl StopHandle {
+    /// Asks the process to stop; a second time, to end at once.
+    pub fn request(&self) {
+        self.requests.send_modify(|count| *count += 1);
+    }
+
+    /// Asks the process to stop, unless that was asked before.
+    pub fn request_once(&self) {
+        self.requests.send_if_modified(|count| {
+            let is_first = *count == 0;
+            *count = (*count).max(1);
+            is_first
+        });
+    }
+
+    /// Gets how far the stop has come.
+    #[must_use]
+    pub fn state(&self) -> DrainState {
+        *self.state.borrow()
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    #[must_use]
+    pub fn begin_request(&self) -> FlightGuard {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        FlightGuard {
+            in_flight: Arc::clone(&self.in_flight),
+        }
+    }
+
+    /// Gets the number of requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Waits until the process leaves, or has gone further.
+    pub async fn leaving(&self) {
+        self.reached(|state| state != DrainState::Serving).await;
+    }
+
+    /// Waits until the process takes nothing new.
+    pub async fn finishing(&self) {
+        self.reached(|state| matches!(state, DrainState::Finishing | DrainState::Stopped))
+            .await;
+    }
+
+    /// Waits until the process may end, and gets how the stop went.
+    pub async fn stopped(&self) -> StopReport {
+        let mut report = self.report.subscribe();
+        loop {
+            if let Some(done) = *report.borrow_and_update() {
+                return done;
+            }
+            if report.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Drives the stop from the first request for it to its end.
+    ///
+    /// `in_flight` counts what must not be cut.
+    pub async fn drive(
+        self,
+        options: DrainOptions,
+        group: NodeGroup,
+        in_flight: impl Fn() -> usize,
+    ) {
+        let clock = ProcessClock::default();
+        let mut sequence = DrainSequence::new(options);
+        let mut requests = self.requests.subscribe();
+        let mut handled = 0;
+        loop {
+            let now = clock.now();
+            let asked = *requests.borrow_and_update();
+            let in_flight = in_flight();
+            if handled < asked {
+                handled += 1;
+                sequence.handle(DrainEvent::StopRequested { now, in_flight });
+            } else {
+                sequence.handle(DrainEvent::Ticked { now, in_flight });
+            }
+            self.enter(sequence.state(), &group).await;
+            if let Some(report) = sequence.report() {
+                group.end().await;
+                self.report.send_replace(Some(report));
+                return;
+            }
+            if handled == 0 {
+                // Nothing is due before the first request.
+                let _handle_lives = requests.changed().await;
+            } else {
+                let _either = time::timeout(TICK, requests.changed()).await;
+            }
+        }
+    }
+
+    /// Announces a new state before anything acts on it.
+    async fn enter(&self, state: DrainState, group: &NodeGroup) {
+        if self.state() == state {
+            return;
+        }
+        if state == DrainState::Leaving {
+            group.announce_leaving().await;
+        }
+        self.state.send_replace(state);
+    }
+
+    async fn reached(&self, is_reached: impl Fn(DrainState) -> bool) {
+        let mut state = self.state.subscribe();
+        // The sender lives in this handle, so the wait ends only with the state.
+        let _reached = state.wait_for(|state| is_reached(*state)).await;
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use alderhaven_core::ids::TargetId;
+use alderhaven_core::manifest::ReplicaEntry;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_peer::frames::ScatterAttempt;
 use alderhaven_platform::target_watch::TargetWatch;
@@ -70,6 +71,24 @@
         self.add(target, address, attempt.slots)
     }
 
+    /// Makes the lane of a target ahead of its first attempt.
+    pub fn prepare(&self, replica: &ReplicaEntry) {
+        if find(&self.lanes.load(), &replica.target, replica.address).is_none() {
+            self.add(replica.target.clone(), replica.address, replica.slots);
+        }
+    }
+
+    /// Gets the number of attempts that wait or are at targets.
+    #[must_use]
+    pub fn unfinished(&self) -> usize {
+        self.lanes
+            .load()
+            .values()
+            .flatten()
+            .map(|lane| lane.unfinished())
+            .sum()
+    }
+
     /// Gets the lanes of a target that has had attempts, one for each of its addresses.
     #[must_use]
     pub fn lanes_of(&self, target: &str) -> TargetLanes {
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -3,16 +3,24 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
+use alderhaven_core::manifest::ReplicaEntry;
+use alderhaven_node::node_group::{GroupOptions, NodeGroup};
+use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
 use alderhaven_platform::target_watch::TargetWatch;
+use alderhaven_policy::drain::StopReport;
+use alderhaven_policy::membership::member_record::MemberRole;
+use alderhaven_policy::subset::{RelayCandidate, RelaySubsets, SubsetOptions, SubsetTarget};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::time;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::lane_table::LaneTable;
@@ -20,6 +28,9 @@
 use crate::peer_server;
 use crate::settings::RelaySettings;
 
+/// The time that the last replies have to be written out.
+const LAST_WRITES: Duration = Duration::from_millis(200);
+
 /// A `RelayNode` is a running relay; dropping it ends its tasks.
 #[derive(Debug)]
 pub struct RelayNode {
@@ -27,7 +38,7 @@
     peer_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<RelayState>,
-    _tasks: [AbortOnDropHandle<()>; 4],
+    _tasks: [AbortOnDropHandle<()>; 6],
 }
 
 /// A `RelayState` is what the parts of a relay share, as operators see it.
@@ -43,6 +54,10 @@
     pub watch: TargetWatch,
     /// What is counted.
     pub metrics: RelayMetrics,
+    /// The group of entries and relays.
+    pub group: NodeGroup,
+    /// The planned stop.
+    pub stop: StopHandle,
 }
 
 impl RelayNode {
@@ -64,19 +79,30 @@
             watch.clone(),
         ));
         let refused = metrics.refused_connections.clone();
+        let group = NodeGroup::start(group_options(&settings, peer_address), &config).await?;
+        let stop = StopHandle::default();
         let state = Arc::new(RelayState {
             node: settings.node.clone(),
             config,
             table: Arc::clone(&table),
             watch: watch.clone(),
             metrics,
+            group: group.clone(),
+            stop: stop.clone(),
         });
+        let lanes = Arc::clone(&table);
         let tasks = [
+            tokio::spawn(prepare_lanes(Arc::clone(&state))),
+            tokio::spawn(
+                stop.clone()
+                    .drive(settings.stop.clone(), group, move || lanes.unfinished()),
+            ),
             tokio::spawn(watch.clone().follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(&table).expire_forever()),
             tokio::spawn(peer_server::serve(
                 listener,
                 table,
+                stop,
                 settings.limits.peer_connections,
                 refused,
             )),
@@ -106,6 +132,26 @@
         self.operator_address
     }
 
+    /// Gets the address for gossip, none where the relay takes no part in a group.
+    #[must_use]
+    pub fn gossip_address(&self) -> Option<SocketAddr> {
+        self.state.group.gossip_address()
+    }
+
+    /// Asks for the planned stop; a second time, to end at once.
+    pub fn request_stop(&self) {
+        self.state.stop.request();
+    }
+
+    /// Waits until the relay may end: all attempts are answered, or the report says how many were
+    /// cut.
+    pub async fn stopped(&self) -> StopReport {
+        let report = self.state.stop.stopped().await;
+        // The last replies are in the senders' queues; they are written out within this time.
+        time::sleep(LAST_WRITES).await;
+        report
+    }
+
     /// Gets the settings in force.
     #[must_use]
     pub const fn settings(&self) -> &RelaySettings {
@@ -125,16 +171,85 @@
     }
 
     fn dump(&self) -> Value {
-        json!({ "status": self.status(), "lanes": self.table.reports(), "leaving_targets": *self.watch.names() })
+        json!({ "status": self.status(), "lanes": self.table.reports(), "leaving_targets": *self.watch.names(),
+            "members": self.group.members(), "group": self.group.snapshot() })
     }
 
     fn status(&self) -> Value {
         json!({
             "node": self.node,
             "role": "relay",
+            "state": self.stop.state(),
+            "in_flight": self.table.unfinished(),
             "config": self.config.status(),
         })
     }
 
-    fn drain(&self) {}
+    fn drain(&self) {
+        self.stop.request_once();
+    }
+}
+
+fn group_options(settings: &RelaySettings, peer_address: SocketAddr) -> GroupOptions {
+    GroupOptions::builder()
+        .node(settings.node.clone())
+        .role(MemberRole::Relay)
+        .host(settings.host.clone())
+        .domain(settings.domain.clone())
+        .maybe_gossip_listen(settings.gossip_listen)
+        .seeds(settings.seeds.clone())
+        .peer_address(peer_address)
+        .build()
+}
+
+/// Makes the lanes, with their connections, of the targets that this relay is the first for.
+///
+/// A new connection costs up to 6 ms, which the first queries after a hand-over would else pay.
+async fn prepare_lanes(state: Arc<RelayState>) {
+    let mut config_changed = state.config.changed();
+    let mut group_changed = state.group.changed();
+    loop {
+        config_changed.borrow_and_update();
+        group_changed.borrow_and_update();
+        prepare_own(&state);
+        let ended = tokio::select! {
+            changed = config_changed.changed() => changed.is_err(),
+            changed = group_changed.changed() => changed.is_err(),
+        };
+        if ended {
+            return;
+        }
+    }
+}
+
+fn prepare_own(state: &RelayState) {
+    let candidates: Vec<RelayCandidate> = state
+        .group
+        .working(MemberRole::Relay)
+        .into_iter()
+        .map(|member| RelayCandidate {
+            node: member.record.node.clone(),
+            domain: member.record.domain.clone(),
+        })
+        .collect();
+    let view = state.config.view();
+    let replicas: Vec<&ReplicaEntry> = view
+        .manifests
+        .values()
+        .flat_map(|manifest| &manifest.shards)
+        .flat_map(|entry| &entry.replicas)
+        .collect();
+    let targets: Vec<SubsetTarget> = replicas
+        .iter()
+        .map(|replica| SubsetTarget {
+            target: replica.target.clone(),
+            connections: replica.connections,
+        })
+        .collect();
+    let subsets = RelaySubsets::choose(&targets, &candidates, &SubsetOptions::default());
+    for replica in replicas {
+        if subsets.relays_of(&replica.target).first() == Some(&state.node) {
+            state.table.prepare(replica);
+        }
+    }
 }
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -7,10 +7,12 @@
 use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId, TemplateName};
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::time::TimeSpan;
+use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::connection;
 use alderhaven_peer::connection::FrameSender;
 use alderhaven_peer::frames::{
-    AttemptReply, CancelAttempts, PeerMessage, ReplyStatus, ScatterAttempt, ScatterRequest,
+    AttemptReply, CancelAttempts, LeavingNotice, PeerMessage, ReplyStatus, ScatterAttempt,
+    ScatterRequest,
 };
 use alderhaven_platform::dialect::TargetRequest;
 use prometheus_client::metrics::counter::Counter;
@@ -33,6 +35,7 @@
 pub async fn serve(
     listener: TcpListener,
     table: Arc<LaneTable>,
+    stop: StopHandle,
     connection_limit: usize,
     refused: Counter,
 ) {
@@ -48,31 +51,50 @@
             continue;
         };
         let table = Arc::clone(&table);
+        let stop = stop.clone();
         tokio::spawn(async move {
-            serve_entry(stream, &table).await;
+            serve_entry(stream, &table, &stop).await;
             drop(permit);
         });
     }
 }
 
-async fn serve_entry(stream: TcpStream, table: &LaneTable) {
+/// Serves one entry. When the relay leaves, the entry is told on this connection at once, so that
+/// it sends elsewhere before gossip has reached it; attempts that are on their way are still run.
+async fn serve_entry(stream: TcpStream, table: &LaneTable, stop: &StopHandle) {
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return;
     };
-    while let Some(message) = connection::next_message(&mut reader).await {
-        match message {
-            PeerMessage::Scatter(request) => scatter(table, &sender, &request),
-            PeerMessage::Cancel(cancel) => cancel_attempts(table, &cancel),
-            PeerMessage::Hello(_)
-            | PeerMessage::Reply(_)
-            | PeerMessage::Leaving(_)
-            | PeerMessage::Exchange(_)
-            | PeerMessage::ClaimQuery(_)
-            | PeerMessage::ClaimAnswer(_) => {}
+    let leaving = stop.leaving();
+    tokio::pin!(leaving);
+    let mut is_told = false;
+    loop {
+        tokio::select! {
+            message = connection::next_message(&mut reader) => match message {
+                Some(message) => handle(table, &sender, message),
+                None => return,
+            },
+            () = &mut leaving, if !is_told => {
+                is_told = true;
+                let _entry_gone = sender.send(PeerMessage::Leaving(LeavingNotice {}));
+            }
         }
     }
 }
 
+fn handle(table: &LaneTable, sender: &FrameSender, message: PeerMessage) {
+    match message {
+        PeerMessage::Scatter(request) => scatter(table, sender, &request),
+        PeerMessage::Cancel(cancel) => cancel_attempts(table, &cancel),
+        PeerMessage::Hello(_)
+        | PeerMessage::Reply(_)
+        | PeerMessage::Leaving(_)
+        | PeerMessage::Exchange(_)
+        | PeerMessage::ClaimQuery(_)
+        | PeerMessage::ClaimAnswer(_) => {}
+    }
+}
+
 fn scatter(table: &LaneTable, sender: &FrameSender, request: &ScatterRequest) {
     let arrived = table.clock().now();
     let remaining = TimeSpan::from_micros(request.remaining_us).min(MAX_REMAINING);
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -9,6 +9,7 @@
 use alderhaven_core::settings;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_core::value_check::ValueCheck;
+use alderhaven_policy::drain::DrainOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use alderhaven_policy::relay_queue::RelayQueueOptions;
 use alderhaven_policy::target_limit::TargetLimitOptions;
@@ -42,12 +43,19 @@
     /// The platform's object API and host list.
     #[serde(deserialize_with = "settings::address")]
     pub platform: SocketAddr,
-    /// Peers to learn from at the start.
+    /// The address for gossip and exchange with the other processes; without it the relay takes no
+    /// part in the group.
+    #[serde(default)]
+    pub gossip_listen: Option<SocketAddr>,
+    /// The gossip addresses of peers to learn from at the start.
     #[serde(default, deserialize_with = "settings::addresses")]
     pub seeds: Vec<SocketAddr>,
     /// The limits.
     #[serde(default)]
     pub limits: RelayLimits,
+    /// The planned stop.
+    #[serde(default = "default_stop")]
+    pub stop: DrainOptions,
     /// The queues before targets.
     #[serde(default)]
     pub queue: RelayQueueOptions,
@@ -124,3 +132,11 @@
 const fn default_log_level() -> log::LevelFilter {
     log::LevelFilter::Info
 }
+
+/// No answer names a relay, so it is not kept up for one.
+fn default_stop() -> DrainOptions {
+    DrainOptions {
+        address_life: TimeSpan::ZERO,
+        ..DrainOptions::default()
+    }
+}
