member-slopes: what membership and exchange cost a member, by the number of members

Runs members in one process with passed-in time and messages in their real form, or over real sockets on loopback. The aggregates' timed upkeep and fetching move into files of their own.

--- a/alderhaven-peer/examples/member-slopes/group_costs.rs
+++ b/alderhaven-peer/examples/member-slopes/group_costs.rs
@@ -3,12 +3,22 @@
 use serde::Serialize;
 
 /// A `GroupCosts` is one line of figures.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct GroupCosts {
     /// The number of members.
     pub members: usize,
     /// With nothing going on.
     pub rest: PhaseCosts,
+    /// The resident memory a member, in KB.
+    pub memory_kb: f64,
+    /// What events cost, where they were measured.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub events: Option<GroupEvents>,
+}
+
+/// A `GroupEvents` is what single events cost, and a day of them.
+#[derive(Debug, Serialize)]
+pub struct GroupEvents {
     /// One change of configuration, published where a few members watch.
     pub change: EventCosts,
     /// The time until every member knows that the change is in force on all.
@@ -21,8 +31,6 @@
     pub restart: EventCosts,
     /// The two halves lose each other for a minute and find each other again.
     pub heal: EventCosts,
-    /// The resident memory a member, in KB.
-    pub memory_kb: f64,
     /// The bytes a second a member over a day of 3,100 changes, 890 restarts and 6 deaths.
     pub day_bytes_per_s: f64,
     /// The share of a core a member over such a day.
--- a/alderhaven-peer/examples/member-slopes/loopback_group.rs
+++ b/alderhaven-peer/examples/member-slopes/loopback_group.rs
@@ -58,7 +58,7 @@
             members,
             rest,
             memory_kb,
-            ..GroupCosts::default()
+            events: None,
         }
     }
 
--- a/alderhaven-peer/examples/member-slopes/main.rs
+++ b/alderhaven-peer/examples/member-slopes/main.rs
@@ -51,35 +51,43 @@
         })
         .collect();
     print_slope("bytes/s a member at rest", &costs, |costs| {
-        costs.rest.bytes_per_s
+        Some(costs.rest.bytes_per_s)
     });
     print_slope("datagrams/s a member at rest", &costs, |costs| {
-        costs.rest.datagrams_per_s
+        Some(costs.rest.datagrams_per_s)
     });
     print_slope("share of a core a member at rest", &costs, |costs| {
-        costs.rest.core_share
+        Some(costs.rest.core_share)
+    });
+    print_slope("KB of memory a member", &costs, |costs| {
+        Some(costs.memory_kb)
+    });
+    print_slope("bytes/s a member over a day", &costs, |costs| {
+        costs.events.as_ref().map(|events| events.day_bytes_per_s)
+    });
+    print_slope("share of a core a member over a day", &costs, |costs| {
+        costs.events.as_ref().map(|events| events.day_core_share)
     });
-    print_slope("KB of memory a member", &costs, |costs| costs.memory_kb);
-    if !is_loopback {
-        print_slope("bytes/s a member over a day", &costs, |costs| {
-            costs.day_bytes_per_s
-        });
-        print_slope("share of a core a member over a day", &costs, |costs| {
-            costs.day_core_share
-        });
-    }
 }
 
-fn print_slope(slope: &'static str, costs: &[GroupCosts], cost: impl Fn(&GroupCosts) -> f64) {
-    let (Some(first), Some(last)) = (costs.first(), costs.last()) else {
+/// Prints a slope, where the cost was measured at two sizes.
+fn print_slope(
+    slope: &'static str,
+    costs: &[GroupCosts],
+    cost: impl Fn(&GroupCosts) -> Option<f64>,
+) {
+    let [first, .., last] = costs else {
+        return;
+    };
+    let (Some(at_smallest), Some(at_largest)) = (cost(first), cost(last)) else {
         return;
     };
-    let rise = cost(last) - cost(first);
+    let more = last.members as f64 - first.members as f64;
     print_line(&SlopeLine {
         slope,
-        at_smallest: cost(first),
-        at_largest: cost(last),
-        per_100_members: rise * 100.0 / (last.members - first.members) as f64,
+        at_smallest,
+        at_largest,
+        per_100_members: (at_largest - at_smallest) * 100.0 / more,
     });
 }
 
--- a/alderhaven-peer/examples/member-slopes/passed_time_group.rs
+++ b/alderhaven-peer/examples/member-slopes/passed_time_group.rs
@@ -23,7 +23,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::group_costs::{EventCosts, GroupCosts, PhaseCosts};
+use crate::group_costs::{EventCosts, GroupCosts, GroupEvents, PhaseCosts};
 use crate::process_usage;
 
 /// The time between two ticks, as the driver's.
@@ -170,42 +170,43 @@
         let mut group = Self::start(members);
         let memory_kb = (process_usage::resident_kb() - memory_before) / members as f64;
         let rest = group.measure_rest();
-        let (change, change_reported_s) = group.measure_change(&rest);
-        let gone = members - 1;
-        let death = {
-            group.processes[gone].is_running = false;
-            group.measure_event(&rest, |group| {
-                group.all_believe(gone, &[Some(MemberState::Dead)])
-            })
-        };
-        group.restart(gone);
-        group.run(EVENT);
-        let left = members - 2;
-        group.leave(left);
-        let leaving = group.measure_event(&rest, |group| {
-            group.all_believe(left, &[Some(MemberState::Leaving)])
-        });
-        group.restart(left);
-        let restart = group.measure_event(&rest, |group| {
-            group.all_believe(left, &[Some(MemberState::Alive)])
-        });
-        let heal = group.measure_heal(&rest);
-        let mut costs = GroupCosts {
+        let events = Some(group.measure_events(&rest));
+        GroupCosts {
             members,
             rest,
+            memory_kb,
+            events,
+        }
+    }
+
+    fn measure_events(&mut self, rest: &PhaseCosts) -> GroupEvents {
+        let (change, change_reported_s) = self.measure_change(rest);
+        let gone = self.processes.len() - 1;
+        self.processes[gone].is_running = false;
+        let death = self.measure_event(rest, |group| group.all_believe(gone, MemberState::Dead));
+        self.restart(gone);
+        self.run(EVENT);
+        let left = self.processes.len() - 2;
+        self.leave(left);
+        let leaving =
+            self.measure_event(rest, |group| group.all_believe(left, MemberState::Leaving));
+        self.restart(left);
+        let restart = self.measure_event(rest, |group| group.all_believe(left, MemberState::Alive));
+        let heal = self.measure_heal(rest);
+        let over_a_day = |cost: fn(&EventCosts) -> f64| {
+            let restarts = RESTARTS * (cost(&leaving) + cost(&restart));
+            (CHANGES * cost(&change) + restarts + DEATHS * cost(&death)) / DAY_S
+        };
+        GroupEvents {
+            day_bytes_per_s: rest.bytes_per_s + over_a_day(|event| event.bytes),
+            day_core_share: rest.core_share + over_a_day(|event| event.core_us / 1e6),
             change,
             change_reported_s,
             death,
             leaving,
             restart,
             heal,
-            memory_kb,
-            ..GroupCosts::default()
-        };
-        costs.day_bytes_per_s = costs.rest.bytes_per_s + over_a_day(&costs, |event| event.bytes);
-        costs.day_core_share =
-            costs.rest.core_share + over_a_day(&costs, |event| event.core_us / 1e6);
-        costs
+        }
     }
 
     /// Starts the members, a few at a time, and runs until all know all and hold everything.
@@ -229,9 +230,7 @@
             }
             group.run(STEP);
         }
-        for index in 0..OBJECTS {
-            group.publish(index);
-        }
+        group.publish(0..OBJECTS);
         let limit = TimeSpan::from_secs(300);
         let settled = group.run_until(limit, |group| group.all_agree() && group.all_in_force());
         assert!(
@@ -256,7 +255,7 @@
 
     fn measure_change(&mut self, rest: &PhaseCosts) -> (EventCosts, f64) {
         let (mark, start) = (self.mark(), self.now);
-        self.publish(0);
+        self.publish(0..1);
         let known = self.run_until(EVENT, Self::all_in_force);
         self.run_until(EVENT, Self::all_reported);
         let reported = self.now.since(start);
@@ -320,10 +319,22 @@
         )
     }
 
-    /// Writes a new version of an object and lets the watchers hear of it.
-    fn publish(&mut self, index: usize) {
+    /// Writes new versions of objects and lets the watchers hear of them.
+    fn publish(&mut self, indices: std::ops::Range<usize>) {
+        let objects: Vec<StoredObject> = indices.map(|index| self.new_version(index)).collect();
+        for watcher in 0..WATCHERS.min(self.processes.len()) {
+            let process = &mut self.processes[watcher];
+            process.exchange.complete();
+            let step = process
+                .exchange
+                .accept(objects.clone(), &process.peers, &mut self.rng);
+            self.carry_out(watcher, step);
+        }
+    }
+
+    fn new_version(&mut self, index: usize) -> StoredObject {
         self.versions += 1;
-        let object = StoredObject {
+        StoredObject {
             key: ObjectKey {
                 kind: ObjectKind::Drain,
                 name: format!("target-{index}"),
@@ -331,15 +342,6 @@
             version: StoreVersion(self.versions),
             write_id: self.versions.to_string(),
             body: Some("x".repeat(OBJECT_BYTES)),
-        };
-        for watcher in 0..WATCHERS.min(self.processes.len()) {
-            let process = &mut self.processes[watcher];
-            process.exchange.complete();
-            let objects = vec![object.clone()];
-            let step = process
-                .exchange
-                .accept(objects, &process.peers, &mut self.rng);
-            self.carry_out(watcher, step);
         }
     }
 
@@ -371,11 +373,11 @@
         views.len() == 1 && live[0].membership.members().len() >= live.len()
     }
 
-    fn all_believe(&self, member: usize, states: &[Option<MemberState>]) -> bool {
+    fn all_believe(&self, member: usize, state: MemberState) -> bool {
         let node = node_id(member);
         let live = self.processes.iter().filter(|process| process.is_running);
         live.map(|process| process.membership.state_of(&node))
-            .all(|state| states.contains(&state))
+            .all(|believed| believed == Some(state))
     }
 
     fn all_in_force(&self) -> bool {
@@ -536,10 +538,3 @@
             .push(Reverse((self.now + delay, order, packet)));
     }
 }
-
-/// Gets the mean a second of what the events of a day cost.
-fn over_a_day(costs: &GroupCosts, cost: impl Fn(&EventCosts) -> f64) -> f64 {
-    let restart = cost(&costs.leaving) + cost(&costs.restart);
-    let day = CHANGES * cost(&costs.change) + RESTARTS * restart + DEATHS * cost(&costs.death);
-    day / DAY_S
-}
--- a/alderhaven-policy/src/exchange.rs
+++ b/alderhaven-policy/src/exchange.rs
@@ -9,6 +9,7 @@
 
 pub mod exchange_message;
 pub mod exchange_options;
+mod fetching;
 pub mod object_exchange;
 pub mod object_index;
 pub mod watch_plan;
--- /dev/null
+++ b/alderhaven-policy/src/exchange/fetching.rs
@@ -0,0 +1,148 @@
+//! How objects that are known of are got from peers, one message at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use alderhaven_core::config_object::{ObjectKey, StoredObject};
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::TimePoint;
+use rand::Rng;
+
+use crate::exchange::exchange_message::{ExchangeMessage, ExchangeStep, ObjectStamp};
+use crate::exchange::object_exchange::{self, MissingObject, ObjectExchange};
+
+/// How often an object is asked for before it is left to the next comparison.
+const MAX_TRIES: u32 = 3;
+
+impl ObjectExchange {
+    /// Asks for what is newer than what the node holds.
+    pub(super) fn want(
+        &mut self,
+        from: &NodeId,
+        stamps: &[ObjectStamp],
+        hops: u32,
+        now: TimePoint,
+        step: &mut ExchangeStep,
+    ) {
+        for stamp in stamps {
+            let held = self.index.version(&stamp.key);
+            let asked = self.missing.get(&stamp.key).map(|missing| missing.version);
+            let is_known = held.max(asked) >= Some(stamp.version);
+            if is_known || !object_exchange::is_configuration(&stamp.key) {
+                continue;
+            }
+            let missing = MissingObject {
+                version: stamp.version,
+                source: from.clone(),
+                hops,
+                asked_at: now,
+                tries: 1,
+            };
+            self.missing.insert(stamp.key.clone(), missing);
+        }
+        self.fetch(from, now, step);
+    }
+
+    /// Asks a peer for the next of what it is to give, one message at a time.
+    fn fetch(&mut self, from: &NodeId, now: TimePoint, step: &mut ExchangeStep) {
+        if self.fetching.contains_key(from) {
+            return;
+        }
+        let wanted = self
+            .missing
+            .iter_mut()
+            .filter(|(_, missing)| missing.source == *from);
+        let keys: Vec<ObjectKey> = wanted
+            .take(self.options.max_stamps)
+            .map(|(key, missing)| {
+                missing.asked_at = now;
+                key.clone()
+            })
+            .collect();
+        if !keys.is_empty() {
+            self.fetching.insert(from.clone(), now);
+            step.send
+                .push((from.clone(), ExchangeMessage::Fetch { keys }));
+        }
+    }
+
+    pub(super) fn hear_objects(
+        &mut self,
+        from: &NodeId,
+        objects: Vec<StoredObject>,
+        peers: &[NodeId],
+        now: TimePoint,
+        rng: &mut impl Rng,
+        step: &mut ExchangeStep,
+    ) {
+        let mut by_hops: BTreeMap<u32, Vec<ObjectStamp>> = BTreeMap::new();
+        let missing_before = self.missing.len();
+        for object in objects {
+            let hops = self
+                .missing
+                .get(&object.key)
+                .map_or(0, |missing| missing.hops);
+            if let Some(stamp) = self.take(object, step) {
+                by_hops.entry(hops).or_default().push(stamp);
+            }
+        }
+        for (hops, stamps) in by_hops {
+            self.announce(&stamps, hops, Some(from), peers, rng, step);
+        }
+        // A full message leaves some out; they are asked for again at once. Where none came, the
+        // peer does not hold them, and they are asked for elsewhere in time.
+        self.fetching.remove(from);
+        if self.missing.len() < missing_before {
+            self.fetch(from, now, step);
+        }
+    }
+
+    /// Asks elsewhere for what was not answered.
+    pub(super) fn retry(
+        &mut self,
+        peers: &[NodeId],
+        now: TimePoint,
+        rng: &mut impl Rng,
+        step: &mut ExchangeStep,
+    ) {
+        let timeout = self.options.answer_timeout;
+        self.fetching
+            .retain(|_, asked_at| now.since(*asked_at) < timeout);
+        let mut sources: BTreeSet<NodeId> = BTreeSet::new();
+        let missing_before = self.missing.len();
+        self.missing.retain(|_, missing| {
+            if now.since(missing.asked_at) < timeout {
+                return true;
+            }
+            missing.tries += 1;
+            missing.asked_at = now;
+            let Some(peer) =
+                object_exchange::pick(peers, None, rng).filter(|_| missing.tries <= MAX_TRIES)
+            else {
+                return false;
+            };
+            missing.source = peer.clone();
+            sources.insert(peer);
+            true
+        });
+        if self.missing.len() < missing_before {
+            // Something was given up, so the open comparison must not count as complete.
+            self.comparison = None;
+        }
+        for peer in sources {
+            self.fetch(&peer, now, step);
+        }
+    }
+
+    pub(super) fn bounded(&self, objects: impl Iterator<Item = StoredObject>) -> Vec<StoredObject> {
+        let mut bytes = 0;
+        let mut taken = Vec::new();
+        for object in objects.take(self.options.max_stamps) {
+            bytes += object.body.as_ref().map_or(0, String::len);
+            if bytes > self.options.max_object_bytes.as_bytes() && !taken.is_empty() {
+                break;
+            }
+            taken.push(object);
+        }
+        taken
+    }
+}
--- a/alderhaven-policy/src/exchange/object_exchange.rs
+++ b/alderhaven-policy/src/exchange/object_exchange.rs
@@ -1,6 +1,6 @@
 //! The aggregate of one node's part in the exchange.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::{NodeId, StoreVersion};
@@ -13,37 +13,34 @@
 use crate::exchange::object_index::{INDEX_BUCKETS, ObjectIndex};
 use crate::membership::member_record::ConfigDigest;
 
-/// How often an object is asked for before it is left to the next comparison.
-const MAX_TRIES: u32 = 3;
-
 /// An `ObjectExchange` decides what to announce, what to ask for and what to put in force.
 ///
 /// It holds versions only; the objects themselves stay where they are in force, and are got by the
 /// caller's look-up when a peer wants them.
 #[derive(Clone, Debug)]
 pub struct ObjectExchange {
-    options: ExchangeOptions,
-    index: ObjectIndex,
-    missing: BTreeMap<ObjectKey, MissingObject>,
+    pub(super) options: ExchangeOptions,
+    pub(super) index: ObjectIndex,
+    pub(super) missing: BTreeMap<ObjectKey, MissingObject>,
     /// The peers with a fetch under way, and since when.
-    fetching: BTreeMap<NodeId, TimePoint>,
-    comparison: Option<OpenComparison>,
+    pub(super) fetching: BTreeMap<NodeId, TimePoint>,
+    pub(super) comparison: Option<OpenComparison>,
     differing: Option<NodeId>,
     compare_at: TimePoint,
     is_complete: bool,
 }
 
 #[derive(Clone, Debug)]
-struct MissingObject {
-    version: StoreVersion,
-    source: NodeId,
-    hops: u32,
-    asked_at: TimePoint,
-    tries: u32,
+pub(super) struct MissingObject {
+    pub(super) version: StoreVersion,
+    pub(super) source: NodeId,
+    pub(super) hops: u32,
+    pub(super) asked_at: TimePoint,
+    pub(super) tries: u32,
 }
 
 #[derive(Clone, Debug)]
-struct OpenComparison {
+pub(super) struct OpenComparison {
     peer: NodeId,
     asked_at: TimePoint,
     /// Whether the peer's answer ended with all that a complete node holds.
@@ -182,90 +179,12 @@
         step
     }
 
-    /// Asks for what is newer than what the node holds.
-    fn want(
-        &mut self,
-        from: &NodeId,
-        stamps: &[ObjectStamp],
-        hops: u32,
-        now: TimePoint,
-        step: &mut ExchangeStep,
-    ) {
-        for stamp in stamps {
-            let held = self.index.version(&stamp.key);
-            let asked = self.missing.get(&stamp.key).map(|missing| missing.version);
-            let is_known = held.max(asked) >= Some(stamp.version);
-            if is_known || !is_configuration(&stamp.key) {
-                continue;
-            }
-            let missing = MissingObject {
-                version: stamp.version,
-                source: from.clone(),
-                hops,
-                asked_at: now,
-                tries: 1,
-            };
-            self.missing.insert(stamp.key.clone(), missing);
-        }
-        self.fetch(from, now, step);
-    }
-
-    /// Asks a peer for the next of what it is to give, one message at a time.
-    fn fetch(&mut self, from: &NodeId, now: TimePoint, step: &mut ExchangeStep) {
-        if self.fetching.contains_key(from) {
-            return;
-        }
-        let wanted = self
-            .missing
-            .iter_mut()
-            .filter(|(_, missing)| missing.source == *from);
-        let keys: Vec<ObjectKey> = wanted
-            .take(self.options.max_stamps)
-            .map(|(key, missing)| {
-                missing.asked_at = now;
-                key.clone()
-            })
-            .collect();
-        if !keys.is_empty() {
-            self.fetching.insert(from.clone(), now);
-            step.send
-                .push((from.clone(), ExchangeMessage::Fetch { keys }));
-        }
-    }
-
-    fn hear_objects(
+    /// Takes one object where it is newer than what is held.
+    pub(super) fn take(
         &mut self,
-        from: &NodeId,
-        objects: Vec<StoredObject>,
-        peers: &[NodeId],
-        now: TimePoint,
-        rng: &mut impl Rng,
+        object: StoredObject,
         step: &mut ExchangeStep,
-    ) {
-        let mut by_hops: BTreeMap<u32, Vec<ObjectStamp>> = BTreeMap::new();
-        let missing_before = self.missing.len();
-        for object in objects {
-            let hops = self
-                .missing
-                .get(&object.key)
-                .map_or(0, |missing| missing.hops);
-            if let Some(stamp) = self.take(object, step) {
-                by_hops.entry(hops).or_default().push(stamp);
-            }
-        }
-        for (hops, stamps) in by_hops {
-            self.announce(&stamps, hops, Some(from), peers, rng, step);
-        }
-        // A full message leaves some out; they are asked for again at once. Where none came, the
-        // peer does not hold them, and they are asked for elsewhere in time.
-        self.fetching.remove(from);
-        if self.missing.len() < missing_before {
-            self.fetch(from, now, step);
-        }
-    }
-
-    /// Takes one object where it is newer than what is held.
-    fn take(&mut self, object: StoredObject, step: &mut ExchangeStep) -> Option<ObjectStamp> {
+    ) -> Option<ObjectStamp> {
         if !is_configuration(&object.key) || !self.index.insert(&object.key, object.version) {
             return None;
         }
@@ -281,7 +200,7 @@
         Some(stamp)
     }
 
-    fn announce(
+    pub(super) fn announce(
         &self,
         stamps: &[ObjectStamp],
         hops: u32,
@@ -390,61 +309,17 @@
             self.is_complete = true;
         }
     }
-
-    /// Asks elsewhere for what was not answered.
-    fn retry(
-        &mut self,
-        peers: &[NodeId],
-        now: TimePoint,
-        rng: &mut impl Rng,
-        step: &mut ExchangeStep,
-    ) {
-        let timeout = self.options.answer_timeout;
-        self.fetching
-            .retain(|_, asked_at| now.since(*asked_at) < timeout);
-        let mut sources: BTreeSet<NodeId> = BTreeSet::new();
-        let missing_before = self.missing.len();
-        self.missing.retain(|_, missing| {
-            if now.since(missing.asked_at) < timeout {
-                return true;
-            }
-            missing.tries += 1;
-            missing.asked_at = now;
-            let Some(peer) = pick(peers, None, rng).filter(|_| missing.tries <= MAX_TRIES) else {
-                return false;
-            };
-            missing.source = peer.clone();
-            sources.insert(peer);
-            true
-        });
-        if self.missing.len() < missing_before {
-            // Something was given up, so the open comparison must not count as complete.
-            self.comparison = None;
-        }
-        for peer in sources {
-            self.fetch(&peer, now, step);
-        }
-    }
-
-    fn bounded(&self, objects: impl Iterator<Item = StoredObject>) -> Vec<StoredObject> {
-        let mut bytes = 0;
-        let mut taken = Vec::new();
-        for object in objects.take(self.options.max_stamps) {
-            bytes += object.body.as_ref().map_or(0, String::len);
-            if bytes > self.options.max_object_bytes.as_bytes() && !taken.is_empty() {
-                break;
-            }
-            taken.push(object);
-        }
-        taken
-    }
 }
 
-fn is_configuration(key: &ObjectKey) -> bool {
+pub(super) fn is_configuration(key: &ObjectKey) -> bool {
     ObjectKind::CONFIGURATION.contains(&key.kind)
 }
 
-fn pick(peers: &[NodeId], without: Option<&NodeId>, rng: &mut impl Rng) -> Option<NodeId> {
+pub(super) fn pick(
+    peers: &[NodeId],
+    without: Option<&NodeId>,
+    rng: &mut impl Rng,
+) -> Option<NodeId> {
     if peers.is_empty() {
         return None;
     }
--- a/alderhaven-policy/src/membership.rs
+++ b/alderhaven-policy/src/membership.rs
@@ -22,3 +22,4 @@
 mod spreading;
 mod state_sync;
 pub mod update_queue;
+mod upkeep;
--- a/alderhaven-policy/src/membership/state_sync.rs
+++ b/alderhaven-policy/src/membership/state_sync.rs
@@ -15,7 +15,8 @@
 use crate::membership::gossip_message::{
     ENVELOPE_BYTES, GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, VIEW_BUCKETS,
 };
-use crate::membership::group_membership::{self, GroupMembership};
+use crate::membership::group_membership::GroupMembership;
+use crate::membership::upkeep;
 
 /// How often a chunk is asked for before the sync is given up.
 const MAX_TRIES: u32 = 3;
@@ -65,8 +66,7 @@
             && self.queue.is_empty()
             && let Some(peer) = self.syncing.differing.take()
         {
-            self.syncing.next_sync =
-                now + group_membership::jittered(self.options.sync_period, rng);
+            self.syncing.next_sync = now + upkeep::jittered(self.options.sync_period, rng);
             self.begin_sync(peer, now, outgoing);
         }
     }
@@ -195,8 +195,7 @@
             return;
         }
         if now >= self.syncing.next_join {
-            self.syncing.next_join =
-                now + group_membership::jittered(self.options.join_period, rng);
+            self.syncing.next_join = now + upkeep::jittered(self.options.join_period, rng);
             let seed = seeds[rng.random_range(0..seeds.len())];
             self.begin_sync(seed, now, outgoing);
         }
--- /dev/null
+++ b/alderhaven-policy/src/membership/upkeep.rs
@@ -0,0 +1,163 @@
+//! What a process does for its view from time to time, beside probing and spreading.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use rand::{Rng, RngExt};
+
+use crate::membership::gossip_message::OutgoingMessage;
+use crate::membership::group_membership::GroupMembership;
+use crate::membership::member_machine::MemberEvent;
+use crate::membership::member_record::MemberState;
+
+/// The most members whose death is remembered after their record was dropped.
+const MAX_GRAVES: usize = 1 << 12;
+
+/// How often a process asks a suspected member itself before it gives it up.
+const ASKS: u32 = 2;
+
+impl GroupMembership {
+    /// Guards against judging others after this process itself was paused: answers that came
+    /// meanwhile are still unread, so a probe in flight would count as failed and suspicions as
+    /// lapsed, and a host that froze for seconds would declare everyone dead when it wakes. A late
+    /// tick shows the pause; the probe is then dropped and suspicions begin anew.
+    pub(super) fn notice_pause(&mut self, now: TimePoint) {
+        let is_paused = self
+            .ticked_at
+            .is_some_and(|ticked_at| now.since(ticked_at) > self.options.probe_period);
+        if is_paused {
+            self.resumed_at = now;
+            self.probing.drop_current(now);
+        }
+        self.ticked_at = Some(now);
+    }
+
+    /// Ends suspicions that were not refuted in time.
+    ///
+    /// Guards against lossy paths: the refutation may miss this process, which would then give up
+    /// a member that all others know to be well. Each process therefore asks the member itself,
+    /// once after a third and once after two thirds of the time.
+    pub(super) fn end_suspicions(&mut self, now: TimePoint, outgoing: &mut Vec<OutgoingMessage>) {
+        let suspicion = self.options.suspicion(self.size());
+        let mut lapsed = Vec::new();
+        let mut asked = Vec::new();
+        for (node, asks) in &mut self.suspects {
+            let Some(member) = self.members.get(node) else {
+                continue;
+            };
+            let lasted = now.since(member.machine.since().max(self.resumed_at));
+            if lasted >= suspicion {
+                lapsed.push(node.clone());
+            } else if lasted >= suspicion.mul_f64(f64::from(*asks + 1) / f64::from(ASKS + 1)) {
+                *asks += 1;
+                asked.push((node.clone(), member.record.gossip_address));
+            }
+        }
+        for (node, address) in asked {
+            outgoing.push(self.ping(address, &node));
+        }
+        for node in lapsed {
+            self.apply(&node, MemberEvent::SuspicionLapsed { now }, now);
+        }
+    }
+
+    pub(super) fn report_config(&mut self, now: TimePoint) {
+        if now.since(self.reported_at) < self.options.report_period {
+            return;
+        }
+        if self.board.hear(self.own_fingerprint(), self.config) {
+            self.reported_at = now;
+            self.report_revision += 1;
+        }
+    }
+
+    /// Tries to reach a member that is dead or a seed that is not known: after a split heals,
+    /// nobody else would speak across it again. The chance falls with the size, so that a dead
+    /// host is not called by the whole fleet.
+    pub(super) fn reconnect(
+        &mut self,
+        now: TimePoint,
+        rng: &mut impl Rng,
+        outgoing: &mut Vec<OutgoingMessage>,
+    ) {
+        if now < self.reconnect_at {
+            return;
+        }
+        self.reconnect_at = now + jittered(self.options.reconnect_period, rng);
+        let lost: Vec<(SocketAddr, Option<NodeId>)> = self.lost_contacts();
+        if lost.is_empty()
+            || !rng.random_bool((10.0 * lost.len() as f64 / self.size() as f64).min(1.0))
+        {
+            return;
+        }
+        match &lost[rng.random_range(0..lost.len())] {
+            (address, Some(node)) => outgoing.push(self.ping(*address, node)),
+            (address, None) => self.begin_sync(*address, now, outgoing),
+        }
+    }
+
+    fn lost_contacts(&self) -> Vec<(SocketAddr, Option<NodeId>)> {
+        let dead = self
+            .members
+            .values()
+            .filter(|member| member.machine.state() == MemberState::Dead)
+            .map(|member| {
+                (
+                    member.record.gossip_address,
+                    Some(member.record.node.clone()),
+                )
+            });
+        let is_known = |address: SocketAddr| {
+            address == self.record.gossip_address
+                || self
+                    .members
+                    .values()
+                    .any(|member| member.record.gossip_address == address)
+        };
+        let seeds = self.options.seeds.iter().filter(|seed| !is_known(**seed));
+        dead.chain(seeds.map(|seed| (*seed, None))).collect()
+    }
+
+    /// Drops the records of members that have been dead for long.
+    ///
+    /// Their versions are kept: a process that was frozen all the while still believes them alive
+    /// and says so when it wakes, which would bring them back into answers until a probe fails.
+    pub(super) fn forget(&mut self, now: TimePoint) {
+        if now.since(self.forgot_at) < self.options.reconnect_period {
+            return;
+        }
+        self.forgot_at = now;
+        let forget_after = self.options.forget_after;
+        let old: Vec<NodeId> = self
+            .members
+            .values()
+            .filter(|member| member.machine.state() == MemberState::Dead)
+            .filter(|member| now.since(member.machine.since()) >= forget_after)
+            .map(|member| member.record.node.clone())
+            .collect();
+        for node in old {
+            if let Some(member) = self.members.remove(&node) {
+                self.graves.insert(node, member.machine.version());
+            }
+            self.revision += 1;
+        }
+        while self.graves.len() > MAX_GRAVES {
+            let oldest = self.graves.iter().min_by_key(|(_, version)| **version);
+            let Some(node) = oldest.map(|(node, _)| node.clone()) else {
+                break;
+            };
+            self.graves.remove(&node);
+        }
+        let mut known: BTreeSet<u32> = self.members.values().map(|m| m.fingerprint).collect();
+        known.insert(self.own_fingerprint());
+        self.board.retain(|member| known.contains(&member));
+    }
+}
+
+/// Spreads a period by a quarter to either side, so that processes that started together do not
+/// act together.
+pub(super) fn jittered(period: TimeSpan, rng: &mut impl Rng) -> TimeSpan {
+    period.mul_f64(rng.random_range(0.75..1.25))
+}
