--- a/alderhaven-peer/examples/member-slopes/loopback_group.rs
+++ b/alderhaven-peer/examples/member-slopes/loopback_group.rs
@@ -17,6 +17,8 @@
 
 /// The time for which rest is measured.
 const REST: Duration = Duration::from_secs(20);
+/// The time for each member that the news of so many starts goes on for.
+const SETTLE_PER_MEMBER: Duration = Duration::from_millis(150);
 /// The pause between two starts: 50 members start a second.
 const START_PAUSE: Duration = Duration::from_millis(20);
 /// The bytes of the IP and UDP headers of a datagram.
@@ -44,7 +46,7 @@
         let memory_before = process_usage::resident_kb();
         let group = Self::start(members).await;
         let memory_kb = (process_usage::resident_kb() - memory_before) / members as f64;
-        time::sleep(REST / 4).await;
+        time::sleep(REST / 4 + SETTLE_PER_MEMBER * u32::try_from(members).unwrap_or(0)).await;
         let (traffic, core_s) = (group.traffic(), process_usage::core_seconds());
         time::sleep(REST).await;
         let (datagrams, bytes) = group.traffic();
