--- a/alderhaven-peer/src/peer_driver.rs
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -206,7 +206,8 @@
             PeerCommand::End(sent) => {
                 let outgoing = self.membership.announce_gone(now, &mut self.rng);
                 self.send_all(outgoing).await;
-                self.publish();
+                // No later publication makes up for one that is put off here.
+                self.publish_now(now);
                 let _waiter_is_gone = sent.send(()).is_err();
                 return true;
             }
@@ -222,9 +223,13 @@
         } else {
             REPORT_PERIOD
         };
-        if now.since(self.published_at) < period {
-            return;
+        if now.since(self.published_at) >= period {
+            self.publish_now(now);
         }
+    }
+
+    fn publish_now(&mut self, now: TimePoint) {
+        let is_changed = self.revision != self.membership.revision();
         self.published_at = now;
         self.revision = self.membership.revision();
         let members = self.membership.members();
