--- a/alderhaven-policy/src/claim_batcher.rs
+++ b/alderhaven-policy/src/claim_batcher.rs
@@ -33,10 +33,11 @@
 use crate::claim_fingerprint::ClaimFingerprint;
 use crate::claim_id::ClaimId;
 use crate::claim_key::ClaimKey;
-use crate::claim_lane::{ClaimLane, LaneClaim, LaneEnd, LaneNeed, LaneVerdicts};
+use crate::claim_lane::{ClaimLane, LaneEnd, LaneNeed, LaneVerdicts};
 use crate::claim_options::ClaimOptions;
 use crate::claim_slot::ClaimSlot;
 use crate::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
+use crate::lane_claim::LaneClaim;
 use crate::token_bucket::TokenBucket;
 
 /// The most lanes that are kept though they have nothing to do: their buckets are likely to be
@@ -159,11 +160,10 @@
         let ticket = ClaimTicket { key, id };
         self.waiting += 1;
         if let Some((reason, retry_after)) = self.refusal(now) {
-            let verdict = ClaimVerdict::Refused {
-                reason,
-                retry_after,
-            };
-            self.verdicts.push((ticket, verdict));
+            let claim = LaneClaim::new(ticket, fingerprint, now);
+            let lane = self.lane(ClaimSlot::of(&key));
+            let verdict = lane.refuse(&claim, reason, retry_after);
+            self.verdicts.push(verdict);
             return ticket;
         }
         let claim_by = deadline.min(now + self.options.claim_timeout);
--- a/alderhaven-policy/src/claim_lane.rs
+++ b/alderhaven-policy/src/claim_lane.rs
@@ -19,32 +19,8 @@
 
 use crate::claim_bucket::{BucketVerdict, ClaimBucket, ClaimWriter};
 use crate::claim_call::{ClaimAction, ClaimReply};
-use crate::claim_fingerprint::ClaimFingerprint;
 use crate::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
-
-/// A `LaneClaim` is one try to claim a key.
-#[derive(Clone, Debug)]
-pub(crate) struct LaneClaim {
-    pub ticket: ClaimTicket,
-    pub fingerprint: ClaimFingerprint,
-    /// The time at which the try is given up on.
-    pub claim_by: TimePoint,
-    /// The number of the lane's last call before the try came.
-    offered: u64,
-    /// The version that a lost write of this claim expected; that write may still take effect as
-    /// long as the bucket has this version.
-    lost_at: Option<StoreVersion>,
-    /// Whether the try was refused while a write with it was under way.
-    is_abandoned: bool,
-}
-
-/// A `LaneRelease` is a claim that is to be taken out of the bucket.
-#[derive(Clone, Copy, Debug)]
-struct LaneRelease {
-    ticket: ClaimTicket,
-    /// The version past which no lost write can bring the claim in any more.
-    lost_at: Option<StoreVersion>,
-}
+use crate::lane_claim::{LaneClaim, LaneRelease};
 
 #[derive(Debug)]
 struct SeenBucket {
@@ -96,38 +72,6 @@
     hold_until: TimePoint,
 }
 
-impl LaneClaim {
-    pub(crate) const fn new(
-        ticket: ClaimTicket,
-        fingerprint: ClaimFingerprint,
-        claim_by: TimePoint,
-    ) -> Self {
-        Self {
-            ticket,
-            fingerprint,
-            claim_by,
-            offered: 0,
-            lost_at: None,
-            is_abandoned: false,
-        }
-    }
-
-    fn refuse(&self, reason: ClaimRefusal, retry_after: TimeSpan) -> (ClaimTicket, ClaimVerdict) {
-        let verdict = ClaimVerdict::Refused {
-            reason,
-            retry_after,
-        };
-        (self.ticket, verdict)
-    }
-
-    const fn release(&self) -> LaneRelease {
-        LaneRelease {
-            ticket: self.ticket,
-            lost_at: self.lost_at,
-        }
-    }
-}
-
 /// The most doublings of the wait after a conflict: 32 writers take their turns within it.
 const MAX_DOUBLINGS: u32 = 5;
 /// The longest wait after a conflict: a call that took seconds in an outage says nothing of how
@@ -218,19 +162,50 @@
             .partition(|claim| claim.claim_by <= now);
         self.waiting = waiting;
         for claim in over {
-            verdicts.push(claim.refuse(ClaimRefusal::StoreSlow, retry));
+            verdicts.push(self.refuse(&claim, ClaimRefusal::StoreSlow, retry));
             self.forget(&claim);
         }
         if let Some(LaneFlight::Write { claims, .. }) = &mut self.flight {
             for claim in claims {
                 if claim.claim_by <= now && !claim.is_abandoned {
                     claim.is_abandoned = true;
-                    verdicts.push(claim.refuse(ClaimRefusal::StoreSlow, retry));
+                    verdicts.push((
+                        claim.ticket,
+                        ClaimVerdict::Refused {
+                            reason: ClaimRefusal::StoreSlow,
+                            retry_after: retry,
+                        },
+                    ));
                 }
             }
         }
     }
 
+    /// Gets the verdict on a try that comes to nothing.
+    ///
+    /// "Refused" tells a caller that nothing ran. A resend must not hear that while the bucket, as
+    /// it was last seen, says that an earlier send claimed the key and may have run.
+    pub(crate) fn refuse(
+        &self,
+        claim: &LaneClaim,
+        reason: ClaimRefusal,
+        retry_after: TimeSpan,
+    ) -> (ClaimTicket, ClaimVerdict) {
+        let ticket = claim.ticket;
+        let judged = self
+            .seen
+            .as_ref()
+            .map(|seen| seen.bucket.judge(&ticket.key, claim.fingerprint, ticket.id));
+        let verdict = match judged {
+            Some(BucketVerdict::Taken(holder)) => ClaimVerdict::Taken(holder),
+            _ => ClaimVerdict::Refused {
+                reason,
+                retry_after,
+            },
+        };
+        (ticket, verdict)
+    }
+
     /// Refuses every try that waits.
     pub(crate) fn refuse_waiting(
         &mut self,
@@ -239,7 +214,7 @@
         verdicts: &mut LaneVerdicts,
     ) {
         for claim in mem::take(&mut self.waiting) {
-            verdicts.push(claim.refuse(reason, retry));
+            verdicts.push(self.refuse(&claim, reason, retry));
             self.forget(&claim);
         }
     }
@@ -490,7 +465,11 @@
                 }
                 BucketVerdict::Conflict => verdicts.push((ticket, ClaimVerdict::Conflict)),
                 BucketVerdict::Full => {
-                    verdicts.push(claim.refuse(ClaimRefusal::BucketFull, retry));
+                    let verdict = ClaimVerdict::Refused {
+                        reason: ClaimRefusal::BucketFull,
+                        retry_after: retry,
+                    };
+                    verdicts.push((ticket, verdict));
                 }
             }
         }
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod config_registry;
 pub mod fair_queue;
 pub mod hedging;
+mod lane_claim;
 pub mod latency_window;
 pub mod leaving_targets;
 pub mod load_meter;
