--- /dev/null
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -0,0 +1,267 @@
+//! The task that carries membership and exchange over the network.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use alderhaven_core::config_object::{ObjectKey, StoredObject};
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep};
+use alderhaven_policy::exchange::object_exchange::ObjectExchange;
+use alderhaven_policy::membership::gossip_message::OutgoingMessage;
+use alderhaven_policy::membership::group_membership::GroupMembership;
+use alderhaven_policy::membership::member_record::MemberState;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{self, MissedTickBehavior};
+
+use crate::exchange_links::{ExchangeLinks, LinkEvent};
+use crate::gossip_messages;
+use crate::peer_handle::{PeerCommand, PeerSnapshot, PeerTraffic, SharedPeers};
+use crate::peer_options::ConfigAccess;
+
+/// The time between two ticks.
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+
+/// The largest datagram that is read, in bytes; those of this protocol are smaller.
+const MAX_DATAGRAM_BYTES: usize = 2_048;
+
+/// The shortest time between two snapshots: in a burst of news each takes a copy of the view, and
+/// what is left out is published with the next tick.
+const PUBLISH_PERIOD: TimeSpan = TimeSpan::from_millis(10);
+
+/// The shortest time between two snapshots that differ only in reports, loads and counts.
+const REPORT_PERIOD: TimeSpan = TimeSpan::from_millis(500);
+
+/// A `PeerDriver` owns the state of one process's membership and exchange, so that no lock is held
+/// over them; others read its snapshots.
+#[derive(bon::Builder)]
+pub(crate) struct PeerDriver {
+    membership: GroupMembership,
+    exchange: ObjectExchange,
+    links: ExchangeLinks,
+    socket: UdpSocket,
+    config: ConfigAccess,
+    shared: Arc<SharedPeers>,
+    #[builder(default)]
+    clock: ProcessClock,
+    #[builder(default = StdRng::from_rng(&mut rand::rng()))]
+    rng: StdRng,
+    #[builder(default)]
+    traffic: PeerTraffic,
+    /// The peers of the exchange with their addresses; renewed with the membership's revision.
+    #[builder(default)]
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    #[builder(default)]
+    peers: Vec<NodeId>,
+    #[builder(default)]
+    revision: u64,
+    #[builder(default)]
+    published_at: TimePoint,
+}
+
+impl PeerDriver {
+    pub(crate) async fn run(
+        mut self,
+        listener: TcpListener,
+        mut events: mpsc::Receiver<LinkEvent>,
+        mut commands: mpsc::UnboundedReceiver<PeerCommand>,
+    ) {
+        let mut ticks = time::interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut datagram = [0; MAX_DATAGRAM_BYTES];
+        let mut changes = self.config.changed.clone();
+        self.read_config().await;
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                received = self.socket.recv_from(&mut datagram) => {
+                    self.receive(received, &datagram).await;
+                }
+                Some(event) = events.recv() => self.hear_link(event).await,
+                Ok((stream, _)) = listener.accept() => self.links.accept(stream),
+                () = next_change(&mut changes) => self.read_config().await,
+                command = commands.recv() => {
+                    let Some(command) = command else {
+                        return;
+                    };
+                    if self.obey(command).await {
+                        return;
+                    }
+                }
+            }
+            self.publish();
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.clock.now();
+        self.membership.set_config(self.exchange.digest());
+        let outgoing = self.membership.tick(now, &mut self.rng);
+        self.send_all(outgoing).await;
+        let step = self.exchange.tick(&self.peers, now, &mut self.rng);
+        self.carry_out(step);
+    }
+
+    async fn receive(&mut self, received: io::Result<(usize, SocketAddr)>, datagram: &[u8]) {
+        // An error here is the refusal of an earlier datagram by a host where nothing listens; the
+        // probe's own timeout deals with that.
+        let Ok((length, from)) = received else {
+            return;
+        };
+        self.traffic.datagrams_received += 1;
+        self.traffic.bytes_received += length as u64;
+        let Ok(message) = gossip_messages::decode(&datagram[..length]) else {
+            self.traffic.malformed += 1;
+            return;
+        };
+        self.exchange
+            .hear_digest(&message.sender.node, message.sender.config);
+        let now = self.clock.now();
+        let outgoing = self.membership.receive(from, message, now, &mut self.rng);
+        self.send_all(outgoing).await;
+    }
+
+    async fn hear_link(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened { peer, queue } => self.links.opened(peer, queue),
+            LinkEvent::Received { peer, message } => {
+                self.traffic.exchange_received += 1;
+                self.hear_exchange(&peer, message);
+            }
+        }
+        // Many events at a time must not keep the datagrams waiting.
+        tokio::task::yield_now().await;
+    }
+
+    fn hear_exchange(&mut self, peer: &NodeId, message: ExchangeMessage) {
+        let held = match &message {
+            ExchangeMessage::Fetch { keys } => objects_by_key((self.config.objects)(), keys),
+            _ => BTreeMap::new(),
+        };
+        let step = self.exchange.receive(
+            peer,
+            message,
+            |key| held.get(key).cloned(),
+            &self.peers,
+            self.clock.now(),
+            &mut self.rng,
+        );
+        self.carry_out(step);
+    }
+
+    /// Tells the exchange what the process holds.
+    async fn read_config(&mut self) {
+        let objects = (self.config.objects)();
+        let step = self.exchange.accept(objects, &self.peers, &mut self.rng);
+        // These objects are in force already.
+        let step = ExchangeStep {
+            accept: Vec::new(),
+            ..step
+        };
+        self.carry_out(step);
+        if (self.config.is_listed)() {
+            self.exchange.complete();
+        }
+        tokio::task::yield_now().await;
+    }
+
+    fn carry_out(&mut self, step: ExchangeStep) {
+        if !step.accept.is_empty() {
+            (self.config.accept)(step.accept);
+        }
+        for (peer, message) in step.send {
+            self.traffic.exchange_sent += 1;
+            let address = self.addresses.get(&peer).copied();
+            self.links.send(peer, address, message);
+        }
+    }
+
+    async fn send_all(&mut self, outgoing: Vec<OutgoingMessage>) {
+        for OutgoingMessage { to, message } in outgoing {
+            let bytes = gossip_messages::encode(message);
+            self.traffic.datagrams_sent += 1;
+            self.traffic.bytes_sent += bytes.len() as u64;
+            // A datagram that can't be sent is as good as lost, which the protocol allows for.
+            let _is_sent = self.socket.send_to(&bytes, to).await.is_ok();
+        }
+    }
+
+    /// Does what another part of the process asks; returns true where the task is to end.
+    async fn obey(&mut self, command: PeerCommand) -> bool {
+        let now = self.clock.now();
+        match command {
+            PeerCommand::SetLoad(load) => self.membership.set_load(load),
+            PeerCommand::Leave(sent) => {
+                let outgoing = self.membership.announce_leaving(now, &mut self.rng);
+                self.send_all(outgoing).await;
+                let _waiter_is_gone = sent.send(()).is_err();
+            }
+            PeerCommand::End(sent) => {
+                let outgoing = self.membership.announce_gone(now, &mut self.rng);
+                self.send_all(outgoing).await;
+                self.publish();
+                let _waiter_is_gone = sent.send(()).is_err();
+                return true;
+            }
+        }
+        false
+    }
+
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        let is_changed = self.revision != self.membership.revision();
+        let period = if is_changed {
+            PUBLISH_PERIOD
+        } else {
+            REPORT_PERIOD
+        };
+        if now.since(self.published_at) < period {
+            return;
+        }
+        self.published_at = now;
+        self.revision = self.membership.revision();
+        let members = self.membership.members();
+        if is_changed {
+            let others = members.iter().skip(1);
+            let live = others.filter(|member| member.state != MemberState::Dead);
+            self.addresses = live
+                .map(|member| (member.record.node.clone(), member.record.gossip_address))
+                .collect();
+            self.peers = self.addresses.keys().cloned().collect();
+        }
+        self.shared.snapshot.store(Arc::new(PeerSnapshot {
+            members,
+            is_joined: self.membership.is_joined(),
+            is_superseded: self.membership.is_superseded(),
+            is_complete: self.exchange.is_complete(),
+            config: self.exchange.digest(),
+            missing_objects: self.exchange.missing(),
+            traffic: self.traffic,
+        }));
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+}
+
+/// Waits for a change; for ever where the configuration's owner has ended.
+async fn next_change(changes: &mut watch::Receiver<u64>) {
+    if changes.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn objects_by_key(
+    objects: Vec<StoredObject>,
+    keys: &[ObjectKey],
+) -> BTreeMap<ObjectKey, StoredObject> {
+    let wanted = objects
+        .into_iter()
+        .filter(|object| keys.contains(&object.key));
+    wanted.map(|object| (object.key.clone(), object)).collect()
+}
--- /dev/null
+++ b/alderhaven-peer/src/peer_handle.rs
@@ -0,0 +1,134 @@
+//! What the other parts of a process see of its peers, and ask of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use alderhaven_policy::membership::member_entry::MemberView;
+use alderhaven_policy::membership::member_record::{ConfigDigest, LoadLevel, MemberState};
+use arc_swap::ArcSwap;
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// A `PeerHandle` reads what a process knows of its peers; its clones share it.
+#[derive(Clone, Debug)]
+pub struct PeerHandle {
+    pub(crate) shared: Arc<SharedPeers>,
+}
+
+#[derive(Debug)]
+pub(crate) struct SharedPeers {
+    pub(crate) snapshot: ArcSwap<PeerSnapshot>,
+    pub(crate) changed: watch::Sender<u64>,
+    pub(crate) commands: mpsc::UnboundedSender<PeerCommand>,
+    pub(crate) gossip_address: SocketAddr,
+}
+
+/// A `PeerSnapshot` is what is known of the peers at one time, also as part of a dump.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct PeerSnapshot {
+    /// All members, this process first.
+    pub members: Vec<MemberView>,
+    /// Whether the state of the group was taken over from another member.
+    pub is_joined: bool,
+    /// Whether a newer process with this one's id has replaced it.
+    pub is_superseded: bool,
+    /// Whether the configuration is complete, so that the process may serve.
+    pub is_complete: bool,
+    /// The configuration in force.
+    pub config: ConfigDigest,
+    /// The objects that are known of and not held yet.
+    pub missing_objects: usize,
+    /// The traffic of gossip and exchange.
+    pub traffic: PeerTraffic,
+}
+
+/// A `PeerTraffic` counts since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct PeerTraffic {
+    /// The datagrams sent.
+    pub datagrams_sent: u64,
+    /// The bytes of the datagrams sent.
+    pub bytes_sent: u64,
+    /// The datagrams received.
+    pub datagrams_received: u64,
+    /// The bytes of the datagrams received.
+    pub bytes_received: u64,
+    /// The datagrams that could not be read.
+    pub malformed: u64,
+    /// The exchange's messages sent.
+    pub exchange_sent: u64,
+    /// The exchange's messages received.
+    pub exchange_received: u64,
+}
+
+/// A `PeerCommand` is what other parts of the process ask.
+#[derive(Debug)]
+pub(crate) enum PeerCommand {
+    /// Announce that the process leaves, and say when that is sent.
+    Leave(oneshot::Sender<()>),
+    /// Announce that the process is gone, stop, and say when that is sent.
+    End(oneshot::Sender<()>),
+    /// Tell how busy the process is.
+    SetLoad(LoadLevel),
+}
+
+impl PeerSnapshot {
+    /// Gets the members whose configuration in force differs from this process's own, the dead
+    /// left out, and the number of members that are asked.
+    #[must_use]
+    pub fn lagging(&self) -> (Vec<&MemberView>, usize) {
+        let live = || {
+            self.members
+                .iter()
+                .filter(|member| member.state != MemberState::Dead)
+        };
+        let lagging = live().filter(|member| member.config != Some(self.config));
+        (lagging.collect(), live().count())
+    }
+}
+
+impl PeerHandle {
+    /// Gets what is known of the peers; cheap enough for the path of a request.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<PeerSnapshot> {
+        self.shared.snapshot.load_full()
+    }
+
+    /// Gets a channel that changes with each new snapshot.
+    #[must_use]
+    pub fn changed(&self) -> watch::Receiver<u64> {
+        self.shared.changed.subscribe()
+    }
+
+    /// Gets the address for gossip, with the port that was taken.
+    #[must_use]
+    pub fn gossip_address(&self) -> SocketAddr {
+        self.shared.gossip_address
+    }
+
+    /// Sets how busy this process is.
+    pub fn set_load(&self, load: LoadLevel) {
+        self.command(PeerCommand::SetLoad(load));
+    }
+
+    /// Announces that this process leaves; returns once that was sent.
+    pub async fn announce_leaving(&self) {
+        let (sent, is_sent) = oneshot::channel();
+        self.command(PeerCommand::Leave(sent));
+        // The task has ended where nobody answers; there is then nobody to tell.
+        let _ended = is_sent.await;
+    }
+
+    /// Announces that this process is gone and ends gossip and exchange; returns once that was
+    /// sent.
+    pub async fn end(&self) {
+        let (sent, is_sent) = oneshot::channel();
+        self.command(PeerCommand::End(sent));
+        let _ended = is_sent.await;
+    }
+
+    fn command(&self, command: PeerCommand) {
+        // Refused only where the task has ended, after which nothing is announced any more.
+        let _ended = self.shared.commands.send(command);
+    }
+}
--- /dev/null
+++ b/alderhaven-peer/tests/peer_node.rs
@@ -0,0 +1,164 @@
+//! Tests of processes that find each other over loopback.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::{IncarnationNumber, StoreVersion};
+use alderhaven_peer::peer_handle::{PeerHandle, PeerSnapshot};
+use alderhaven_peer::peer_node::PeerNode;
+use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
+use alderhaven_policy::membership::member_record::{MemberRole, MemberState};
+use alderhaven_policy::membership::membership_options::MembershipOptions;
+use tokio::sync::watch;
+use tokio::time;
+
+/// The bound of any wait, against a test that hangs.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A `FakeConfig` is a configuration in memory.
+#[derive(Clone)]
+struct FakeConfig {
+    objects: Arc<Mutex<BTreeMap<ObjectKey, StoredObject>>>,
+    is_listed: bool,
+    changed: watch::Sender<u64>,
+}
+
+impl FakeConfig {
+    fn new(is_listed: bool) -> Self {
+        Self {
+            objects: Arc::default(),
+            is_listed,
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    fn accept(&self, objects: Vec<StoredObject>) {
+        let mut held = self.objects.lock().expect("no test panics with it");
+        held.extend(
+            objects
+                .into_iter()
+                .map(|object| (object.key.clone(), object)),
+        );
+        drop(held);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn access(&self) -> ConfigAccess {
+        let (reader, writer, is_listed) = (self.clone(), self.clone(), self.is_listed);
+        ConfigAccess::builder()
+            .objects(move || reader.held())
+            .accept(move |objects| writer.accept(objects))
+            .is_listed(move || is_listed)
+            .changed(self.changed.subscribe())
+            .build()
+    }
+
+    fn held(&self) -> Vec<StoredObject> {
+        let held = self.objects.lock().expect("no test panics with it");
+        held.values().cloned().collect()
+    }
+}
+
+fn object(index: usize, version: u64) -> StoredObject {
+    StoredObject {
+        key: ObjectKey {
+            kind: ObjectKind::Drain,
+            name: format!("target-{index}"),
+        },
+        version: StoreVersion(version),
+        write_id: version.to_string(),
+        body: Some("x".repeat(10_000)),
+    }
+}
+
+async fn start(index: usize, seed: Option<&PeerHandle>, config: &FakeConfig) -> PeerHandle {
+    let options = PeerOptions::builder()
+        .node(format!("node-{index}").parse().expect("a valid id"))
+        .role(MemberRole::Relay)
+        .host(format!("host-{index}").parse().expect("a valid id"))
+        .domain("domain-0".parse().expect("a valid id"))
+        .gossip_address("127.0.0.1:0".parse().expect("a valid address"))
+        .incarnation(IncarnationNumber(1))
+        .membership(MembershipOptions {
+            seeds: seed.map(PeerHandle::gossip_address).into_iter().collect(),
+            ..MembershipOptions::default()
+        })
+        .build();
+    PeerNode::start(options, config.access())
+        .await
+        .expect("loopback can be bound")
+}
+
+async fn wait_for(handle: &PeerHandle, is_met: impl Fn(&PeerSnapshot) -> bool) {
+    let mut changed = handle.changed();
+    let waiting = async {
+        while !is_met(&handle.snapshot()) {
+            changed.changed().await.expect("the task runs");
+        }
+    };
+    time::timeout(PATIENCE, waiting)
+        .await
+        .expect("it comes about");
+}
+
+fn count(snapshot: &PeerSnapshot, state: MemberState) -> usize {
+    snapshot
+        .members
+        .iter()
+        .filter(|member| member.state == state)
+        .count()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn start_finds_the_others() {
+    let config = FakeConfig::new(true);
+    let first = start(0, None, &config).await;
+    let mut handles = vec![first];
+    for index in 1..5 {
+        let handle = start(index, handles.first(), &config).await;
+        handles.push(handle);
+    }
+    for handle in &handles {
+        wait_for(handle, |snapshot| count(snapshot, MemberState::Alive) == 5).await;
+    }
+    handles[3].announce_leaving().await;
+    for handle in &handles {
+        wait_for(handle, |snapshot| {
+            count(snapshot, MemberState::Leaving) == 1
+        })
+        .await;
+    }
+    handles[3].end().await;
+    for handle in &handles {
+        wait_for(handle, |snapshot| count(snapshot, MemberState::Dead) == 1).await;
+    }
+    assert!(
+        serde_json::to_string(&*handles[0].snapshot()).is_ok(),
+        "it can be dumped"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn start_takes_the_configuration_from_peers() {
+    // The store is down when a process starts. It must get all that its peers hold, here more than
+    // fits one message, must not count as complete before, and later changes must reach it too.
+    let (full, empty) = (FakeConfig::new(true), FakeConfig::new(false));
+    full.accept((0..100).map(|index| object(index, 1)).collect());
+    let first = start(0, None, &full).await;
+    let second = start(1, Some(&first), &empty).await;
+    wait_for(&second, |snapshot| snapshot.is_complete).await;
+    assert_eq!(empty.held(), full.held());
+    full.accept(vec![object(7, 2)]);
+    wait_for(&second, |snapshot| {
+        snapshot.config.highest == StoreVersion(2)
+    })
+    .await;
+    wait_for(&second, |snapshot| {
+        let (lagging, of) = snapshot.lagging();
+        lagging.is_empty() && of == 2
+    })
+    .await;
+    assert_eq!(empty.held(), full.held());
+}
