--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fair_queue;
 pub mod hashing;
 pub mod hedging;
+mod lane_claim;
 pub mod latency_window;
 pub mod leaving_targets;
 pub mod load_meter;
