--- /dev/null
+++ b/alderhaven-entry/tests/replica_board.rs
@@ -0,0 +1,72 @@
+//! Tests of what an entry knows of targets while the configuration changes.
+
+use std::time::Instant;
+
+use alderhaven_core::config_object::{ObjectKey, StoredObject};
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_entry::query_plan::{QueryPlan, QueryRequest};
+use alderhaven_entry::replica_board::{BoardOptions, ReplicaBoard};
+use alderhaven_policy::config_registry::{ConfigRegistry, ConfigView};
+use alderhaven_policy::policy_kind::PolicyKind;
+use serde_json::{Value, json};
+
+/// Gets a view whose only shard has one replica.
+fn view_of(target: &str) -> ConfigView {
+    let replica = json!({ "target": target, "address": "127.0.0.1:1", "domain": "domain-1",
+        "slots": 1, "connections": 1 });
+    let objects = [
+        (
+            "template/sweep",
+            json!({ "name": "sweep", "service": "sample", "shards": { "select": "all" },
+                "merge": { "rule": "concatenate" }, "deadline": "2s" }),
+        ),
+        ("team/desk", json!({ "name": "desk" })),
+        (
+            "manifest/sample",
+            json!({ "service": "sample", "snapshot": 1,
+                "shards": [{ "shard": 0, "version": 1, "replicas": [replica] }] }),
+        ),
+    ];
+    let mut registry = ConfigRegistry::default();
+    for (key, body) in objects {
+        let _in_force = registry.accept(StoredObject {
+            key: key.parse::<ObjectKey>().unwrap(),
+            version: StoreVersion(1),
+            write_id: String::from("test"),
+            body: Some(Value::to_string(&body)),
+        });
+    }
+    registry.view()
+}
+
+fn plan_of(view: &ConfigView) -> QueryPlan {
+    let request = QueryRequest::read(br#"{"team":"desk"}"#).unwrap();
+    QueryPlan::make(view, "sweep", request, None, Instant::now()).unwrap()
+}
+
+/// A manifest names new targets. The view that queries are planned by has it a moment before the
+/// board has taken it over, and a query that waited for its admission has an older one. Both must
+/// find their replicas: a shard whose replicas are unknown was called "unreachable", in an answer
+/// that was partial without need.
+#[test]
+fn table_for_lists_targets_that_the_board_does_not() {
+    let domain = "domain-1".parse().unwrap();
+    let board = ReplicaBoard::new(
+        PolicyKind::Current,
+        BoardOptions::default(),
+        domain,
+        ProcessClock::default(),
+    );
+    let [older, newer] = ["sample-0-0", "sample-0-1"].map(view_of);
+    for view in [&older, &newer, &older] {
+        let target = plan_of(view).manifest.shards[0].replicas[0].target.clone();
+        let before = board.table_for(&plan_of(view));
+        let index = before
+            .index_of(&target)
+            .expect("the table lists the target");
+        board.apply(view);
+        let after = board.table_for(&plan_of(view));
+        assert_eq!(after.index_of(&target), Some(index));
+    }
+}
