--- a/alderhaven-entry/src/answer.rs
+++ b/alderhaven-entry/src/answer.rs
@@ -6,11 +6,11 @@
 use alderhaven_core::time::TimeSpan;
 use http::StatusCode;
 use prometheus_client::encoding::EncodeLabelValue;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
 /// A `QueryAnswer` is the body of an answered query.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct QueryAnswer {
     /// Complete or partial.
     pub outcome: QueryOutcome,
@@ -22,10 +22,13 @@
     pub snapshot: SnapshotId,
     /// Where the time went.
     pub timing: AnswerTiming,
+    /// Whether this is the answer to an earlier send of the same request.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub replayed: bool,
 }
 
 /// An `AnswerTiming` says where the time of a query went.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct AnswerTiming {
     /// From the request's arrival to its answer, in microseconds.
     pub total_us: u64,
@@ -36,7 +39,7 @@
 }
 
 /// An `ErrorCode` is the closed set of errors that callers are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, EncodeLabelValue)]
 #[serde(rename_all = "snake_case")]
 pub enum ErrorCode {
     /// The request can't be read, or a parameter is out of its bounds.
@@ -99,17 +102,20 @@
 }
 
 /// An `ErrorAnswer` is the body of everything that is not an answer.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ErrorAnswer {
     /// The error.
     pub error: ErrorDetail,
     /// The coverage, where the query was scattered.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub coverage: Option<CoverageReport>,
+    /// Whether this is the answer to an earlier send of the same request.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub replayed: bool,
 }
 
 /// An `ErrorDetail` says what went wrong and what the caller may do.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ErrorDetail {
     /// The code.
     pub code: ErrorCode,
@@ -133,6 +139,7 @@
                 retry_after_ms: None,
             },
             coverage: None,
+            replayed: false,
         }
     }
 
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::answer::ErrorCode;
+use crate::claim_metrics::ClaimMetrics;
 
 /// The upper bounds of the latency histogram in seconds; 0.37 s is the two-year goal at p99.
 const LATENCY_BUCKETS: [f64; 14] = [
@@ -69,6 +70,8 @@
     pub stray_replies: Counter,
     /// The queries that were restarted on a newer snapshot.
     pub snapshot_restarts: Counter,
+    /// What the claim ledger does.
+    pub claims: ClaimMetrics,
 }
 
 impl Default for EntryMetrics {
@@ -98,6 +101,7 @@
             ejections: Counter::default(),
             stray_replies: Counter::default(),
             snapshot_restarts: Counter::default(),
+            claims: ClaimMetrics::default(),
         };
         registry.register(
             "queries_in_flight",
@@ -133,6 +137,7 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        metrics.claims.register(&mut registry);
         Self {
             registry,
             ..metrics
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -11,6 +11,7 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_core::value_check::ValueCheck;
 use alderhaven_policy::admission::AdmissionOptions;
+use alderhaven_policy::claim_options::ClaimOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +62,9 @@
     /// The admission of queries.
     #[serde(default)]
     pub admission: AdmissionOptions,
+    /// The ledger of non-idempotent requests.
+    #[serde(default)]
+    pub claims: ClaimOptions,
     /// The choices of replicas, hedges and retries.
     #[serde(default)]
     pub choices: BoardOptions,
@@ -100,7 +104,9 @@
         check.within("limits.read_timeout", &limits.read_timeout, &TIME_RANGE);
         self.check_admission(&mut check);
         self.check_choices(&mut check);
-        check.finish()
+        let mut errors = check.finish();
+        errors.extend(self.claims.check());
+        errors
     }
 }
 
--- /dev/null
+++ b/alderhaven-peer/src/exchange_links.rs
@@ -0,0 +1,179 @@
+//! Connections of the exchange: opened on demand, closed when idle.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_policy::exchange::exchange_message::ExchangeMessage;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::connection::{self, FrameReader, FrameSender};
+use crate::frames::{Hello, PROTOCOL_VERSION, PeerMessage};
+
+/// The time within which a connection must be open: a path that is cut drops packets in silence.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The time without messages after which a connection is closed. A link that went silent for good
+/// is given up with it; what was asked for on it is asked for elsewhere before.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The most messages that wait for a connection to open.
+const MAX_WAITING: usize = 64;
+
+/// The most connections that are open at a time.
+const MAX_LINKS: usize = 64;
+
+/// A `LinkEvent` is what a connection tells the task that drives the exchange.
+#[derive(Debug)]
+pub(crate) enum LinkEvent {
+    /// A peer connected; messages to it go over its connection.
+    Opened {
+        peer: NodeId,
+        queue: mpsc::Sender<PeerMessage>,
+    },
+    /// A message came.
+    Received {
+        peer: NodeId,
+        message: ExchangeMessage,
+    },
+}
+
+/// An `ExchangeLinks` holds the connections by peer.
+#[derive(Debug)]
+pub(crate) struct ExchangeLinks {
+    hello: Hello,
+    links: BTreeMap<NodeId, mpsc::Sender<PeerMessage>>,
+    events: mpsc::Sender<LinkEvent>,
+}
+
+impl ExchangeLinks {
+    pub(crate) fn new(hello: Hello, events: mpsc::Sender<LinkEvent>) -> Self {
+        Self {
+            hello,
+            links: BTreeMap::new(),
+            events,
+        }
+    }
+
+    /// Sends a message over the peer's connection, or opens one where the address is known. A
+    /// message that finds no room is dropped: the exchange asks again.
+    pub(crate) fn send(
+        &mut self,
+        peer: NodeId,
+        address: Option<SocketAddr>,
+        message: ExchangeMessage,
+    ) {
+        self.links.retain(|_, queue| !queue.is_closed());
+        let message = PeerMessage::Exchange(message.into());
+        if let Some(queue) = self.links.get(&peer) {
+            let _is_queued = queue.try_send(message).is_ok();
+            return;
+        }
+        let Some(address) = address.filter(|_| self.links.len() < MAX_LINKS) else {
+            return;
+        };
+        let (queue, waiting) = mpsc::channel(MAX_WAITING);
+        let _is_queued = queue.try_send(message).is_ok();
+        let link = PeerLink {
+            peer: peer.clone(),
+            waiting,
+            events: self.events.clone(),
+        };
+        self.links.insert(peer, queue);
+        tokio::spawn(open_link(address, self.hello.clone(), link));
+    }
+
+    /// Takes the connection that a peer opened.
+    pub(crate) fn opened(&mut self, peer: NodeId, queue: mpsc::Sender<PeerMessage>) {
+        if self.links.len() < MAX_LINKS {
+            self.links.insert(peer, queue);
+        }
+    }
+
+    /// Serves a connection that came in.
+    pub(crate) fn accept(&self, stream: TcpStream) {
+        tokio::spawn(accept_link(stream, self.events.clone()));
+    }
+}
+
+/// A `PeerLink` is one connection's end towards the exchange.
+struct PeerLink {
+    peer: NodeId,
+    waiting: mpsc::Receiver<PeerMessage>,
+    events: mpsc::Sender<LinkEvent>,
+}
+
+async fn open_link(address: SocketAddr, hello: Hello, link: PeerLink) {
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let Ok(Ok(stream)) = connecting.await else {
+        return;
+    };
+    let Ok((sender, reader)) = connection::split(stream) else {
+        return;
+    };
+    if sender.send(PeerMessage::Hello(hello)).is_ok() {
+        link.run(&sender, reader).await;
+    }
+}
+
+async fn accept_link(stream: TcpStream, events: mpsc::Sender<LinkEvent>) {
+    let Ok((sender, mut reader)) = connection::split(stream) else {
+        return;
+    };
+    let first = time::timeout(CONNECT_TIMEOUT, connection::next_message(&mut reader));
+    let Ok(Some(PeerMessage::Hello(hello))) = first.await else {
+        return;
+    };
+    let Ok(peer) = hello.node.parse::<NodeId>() else {
+        return;
+    };
+    if hello.protocol != PROTOCOL_VERSION {
+        return;
+    }
+    let (queue, waiting) = mpsc::channel(MAX_WAITING);
+    let opened = LinkEvent::Opened {
+        peer: peer.clone(),
+        queue,
+    };
+    if events.send(opened).await.is_ok() {
+        let link = PeerLink {
+            peer,
+            waiting,
+            events,
+        };
+        link.run(&sender, reader).await;
+    }
+}
+
+impl PeerLink {
+    async fn run(mut self, sender: &FrameSender, mut reader: FrameReader) {
+        loop {
+            let is_open = tokio::select! {
+                message = self.waiting.recv() => {
+                    message.is_some_and(|message| sender.send(message).is_ok())
+                }
+                message = connection::next_message(&mut reader) => self.pass_on(message).await,
+                () = time::sleep(IDLE_TIMEOUT) => false,
+            };
+            if !is_open {
+                return;
+            }
+        }
+    }
+
+    /// Passes a message on; returns false where the connection is to be closed.
+    async fn pass_on(&self, message: Option<PeerMessage>) -> bool {
+        let Some(PeerMessage::Exchange(frame)) = message else {
+            return message.is_some();
+        };
+        let Ok(message) = ExchangeMessage::try_from(frame) else {
+            return false;
+        };
+        let peer = self.peer.clone();
+        let received = LinkEvent::Received { peer, message };
+        self.events.send(received).await.is_ok()
+    }
+}
