--- a/alderhaven-quickstart/tests/interface_examples.rs
+++ b/alderhaven-quickstart/tests/interface_examples.rs
@@ -13,6 +13,9 @@
 /// The page.
 const PAGE: &str = include_str!("../../docs/INTERFACE.md");
 
+/// The page with the metrics.
+const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+
 /// Gets the fenced blocks of a kind, in the page's order.
 fn blocks(kind: &str) -> Vec<String> {
     let fence = format!("```{kind}\n");
@@ -117,6 +120,30 @@
     system.stop().await;
 }
 
+/// Operators must find every metric explained: what it means, and what to do when it moves.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_explained() {
+    let system = LocalSystem::start(1, 7).await.unwrap();
+    let mut named = 0;
+    for operator in system.operator_addresses() {
+        let request = Request::get("/metrics").body(Full::default()).unwrap();
+        let mut caller = HttpCaller::connect(operator).await.unwrap();
+        let reply = caller.call(request).await.unwrap();
+        let text = String::from_utf8(reply.into_body().to_vec()).unwrap();
+        for line in text.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
+            let name = line.split(' ').next().unwrap();
+            let is_told = OPERATING
+                .lines()
+                .filter_map(|row| row.strip_prefix("| ")?.split(" | ").next())
+                .any(|cell| cell.contains(&format!("`{name}`")));
+            assert!(is_told, "docs/OPERATING.md has no row for `{name}`");
+            named += 1;
+        }
+    }
+    assert!(named > 10, "{named} metrics");
+    system.stop().await;
+}
+
 #[test]
 fn codes_are_told_with_status_and_not_run() {
     let codes = [
