Prove the one log line of a refused request over the binaries

The connection test waits a little between its looks: it could end before a loaded entry had seen the places become free.

--- a/alderhaven-entry/tests/caller_interface/connections.rs
+++ b/alderhaven-entry/tests/caller_interface/connections.rs
@@ -1,10 +1,16 @@
 //! The limit on open connections.
 
+use std::time::Duration;
+
 use serde_json::json;
 use tokio::net::TcpStream;
+use tokio::time;
 
 use crate::support;
 
+/// The pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
 /// Callers hold as many connections as an entry takes, and another one comes. Left in the queue of
 /// the operating system it would hang unseen until others leave; it is told at once to go
 /// elsewhere, and the ones that are open go on.
@@ -34,7 +40,7 @@
         if entry.send(health).await.status == 200 {
             return;
         }
-        tokio::task::yield_now().await;
+        time::sleep(LOOK_PAUSE).await;
     }
     panic!("the places that became free are not given again");
 }
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/interface.rs
@@ -0,0 +1,48 @@
+//! Proofs of what a caller and the log are told of one request.
+
+use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
+use alderhaven_proof::condition;
+use alderhaven_standin::http_caller::HttpCaller;
+use http::Request;
+use http_body_util::Full;
+use serde_json::Value;
+
+use crate::support;
+
+/// A caller reports a refused request by the id of its reply. The operator finds exactly one line
+/// with that id in the log of the entry, and no lines of the many requests that were answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn interface_refusal_is_logged_once() {
+    let cluster = support::start(ClusterOptions::builder().build()).await;
+    let entry = cluster.entry(0).unwrap();
+    for number in 0..20 {
+        let query = support::query(SWEEP, &format!("answered-{number}"));
+        let reply = query.send(entry).await.unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+    }
+    let mut caller = HttpCaller::connect(entry).await.unwrap();
+    let request = Request::post(format!("/v1/query/{SWEEP}"))
+        .header("x-request-id", "reported-1")
+        .body(Full::from(
+            r#"{"team":"desk","parameters":{"colour":"blue"}}"#,
+        ))
+        .unwrap();
+    let reply = caller.call(request).await.unwrap();
+    assert_eq!(reply.status(), 400);
+    assert_eq!(reply.headers()["x-request-id"], "reported-1");
+    let lines = condition::until("a line of the refused request", async || {
+        let log = cluster.entries[0].log();
+        let lines = log.iter().map(|line| serde_json::from_str::<Value>(line));
+        let lines: Vec<Value> = lines.collect::<Result<_, _>>()?;
+        let of_requests = lines
+            .into_iter()
+            .filter(|line| line["event"] == "request_not_answered");
+        let of_requests: Vec<Value> = of_requests.collect();
+        Ok((!of_requests.is_empty()).then_some(of_requests))
+    })
+    .await
+    .unwrap();
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(lines[0]["request"], "reported-1");
+    assert_eq!(lines[0]["code"], "bad_request");
+}
--- a/alderhaven-proof/tests/proofs/main.rs
+++ b/alderhaven-proof/tests/proofs/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod coverage;
+mod interface;
 mod leaving;
 mod not_run;
 mod own_answer;
