Prove that a target's own word is enough; pass it on from relay to entry

Ruled out: the retry's decision and the choice, which treat both reasons alike.

Change: a relay refuses as "draining" where the target said so itself, else as "no route".

leaving_told_by_its_own_reply runs the target in the test's process, where it can be told to drain.

--- a/alderhaven-platform/src/target_watch.rs
+++ b/alderhaven-platform/src/target_watch.rs
@@ -63,6 +63,14 @@
         self.shared.names.load_full()
     }
 
+    /// Returns true where the target itself has said that it drains.
+    ///
+    /// What the list or an operator says every node hears; the target's own word is passed on.
+    #[must_use]
+    pub fn has_said(&self, target: &TargetId) -> bool {
+        self.lock().has_said(target)
+    }
+
     /// Notes that a reply of a target says that it drains.
     pub fn note_reply(&self, target: &TargetId) {
         if self.is_leaving(target.as_str()) {
--- a/alderhaven-policy/src/leaving_targets.rs
+++ b/alderhaven-policy/src/leaving_targets.rs
@@ -80,6 +80,12 @@
         self.replied.insert(target.to_string(), now);
     }
 
+    /// Returns true where the target itself has said that it drains.
+    #[must_use]
+    pub fn has_said(&self, target: &TargetId) -> bool {
+        self.replied.contains_key(target.as_str())
+    }
+
     /// Gets the names of all targets that get no new work.
     #[must_use]
     pub fn names(&self) -> BTreeSet<String> {
--- a/alderhaven-proof/tests/proofs/leaving.rs
+++ b/alderhaven-proof/tests/proofs/leaving.rs
@@ -5,11 +5,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use alderhaven_core::ids::SnapshotId;
+use alderhaven_core::time::TimeSpan;
 use alderhaven_platform::host_list::{HostRecord, HostRole, HostState};
 use alderhaven_proof::cluster::ProofCluster;
 use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
 use alderhaven_proof::{condition, operator_view};
 use alderhaven_standin::platform_faults::PlatformFaults;
+use alderhaven_standin::run_log::RunLog;
+use alderhaven_standin::service_time::ServiceTime;
+use alderhaven_standin::target_server::TargetServer;
+use alderhaven_standin::target_state::{TargetFaults, TargetSpec};
 use serde_json::{Value, json};
 
 use crate::support;
@@ -175,3 +181,65 @@
     await_runs(&cluster, runs_at_target(&cluster).await).await;
     load.stop().await;
 }
+
+/// A target is about to stop and says so in its replies, before any list or operator knows. Its
+/// refusals did not run, so callers see complete answers from the other replica, and from the first
+/// refusal on an entry leaves the target alone, though it would take work again at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_told_by_its_own_reply() {
+    let (cluster, entries) = start().await;
+    let mut manifest = cluster.manifest.clone();
+    let shard = &mut manifest.shards[SHARD];
+    let spec = TargetSpec {
+        target: "sample-1-9".parse().unwrap(),
+        domain: shard.replicas[0].domain.clone(),
+        service: manifest.service.clone(),
+        shard: shard.shard,
+        version: shard.version,
+        slots: 2,
+        connections: 25,
+        queue: 4,
+        connect_cost: TimeSpan::ZERO,
+        service_time: ServiceTime::default(),
+        seed: 1,
+    };
+    let runs = Arc::new(RunLog::default());
+    let target = TargetServer::start(spec, Arc::clone(&runs)).await.unwrap();
+    shard.replicas[0] = target.replica();
+    manifest.snapshot = SnapshotId(2);
+    let version = cluster.publish_manifest(&manifest).await.unwrap();
+    cluster.await_in_force(version).await.unwrap();
+    let load = SteadyLoad::start(&entries);
+    condition::within(IN_FORCE, "work at the target", async || {
+        Ok((!runs.records().is_empty()).then_some(()))
+    })
+    .await
+    .unwrap();
+    let draining = TargetFaults {
+        draining: true,
+        ..TargetFaults::default()
+    };
+    target.state().set_faults(draining);
+    let operators = cluster.operators().unwrap();
+    condition::within(PROMISE, "the entries leave the target alone", async || {
+        for operator in &operators[..entries.len()] {
+            let dump: Value = operator_view::get(*operator, "/debug/dump").await?;
+            if !has_left(&dump, "sample-1-9") {
+                return Ok(None);
+            }
+        }
+        Ok(Some(()))
+    })
+    .await
+    .unwrap();
+    target.state().set_faults(TargetFaults::default());
+    let before = runs.records().len();
+    for entry in &entries {
+        for _ in 0..PROBES {
+            let reply = support::query(SWEEP, "steady").send(*entry).await.unwrap();
+            assert_eq!(reply.word(), "complete", "{}", reply.body);
+        }
+    }
+    assert_eq!(runs.records().len(), before, "the target got work");
+    load.stop().await;
+}
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -113,10 +113,8 @@
     pub fn offer(self: &Arc<Self>, attempt: LaneAttempt) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
-        // `Draining` is the target's own word, which an entry holds on to for a while. What the host
-        // list or an operator says the entry hears itself, also when it is taken back.
         let refusal = if self.is_leaving() {
-            Some(NotRunReason::NoRoute)
+            Some(self.leaving_reason())
         } else {
             let slots = state.limit.limit(now);
             match state.queue.offer(attempt.job(), now, slots) {
@@ -196,6 +194,19 @@
         self.shared.watch.is_leaving(self.shared.target.as_str())
     }
 
+    /// Gets the reason with which attempts at a leaving target are refused.
+    ///
+    /// The target's own word is passed on, or each entry would go on to send a part of its attempts
+    /// here and use up its retries. What the host list or an operator says an entry hears itself,
+    /// also when it is taken back: passed on as the target's word it would be held on to.
+    fn leaving_reason(&self) -> NotRunReason {
+        if self.shared.watch.has_said(&self.shared.target) {
+            NotRunReason::Draining
+        } else {
+            NotRunReason::NoRoute
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, LaneState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -206,7 +217,7 @@
         let mut state = self.lock();
         let mut ready = Vec::new();
         if self.is_leaving() {
-            state.queue.drop_all(NotRunReason::NoRoute);
+            state.queue.drop_all(self.leaving_reason());
         }
         while let Some(attempt) = state.start_next(now) {
             ready.push(attempt);
