--- a/alderhaven-entry/tests/replica_board.rs
+++ b/alderhaven-entry/tests/replica_board.rs
@@ -65,7 +65,8 @@
         let index = before
             .index_of(&target)
             .expect("the table lists the target");
-        board.apply(view);
+        let manifests: Vec<_> = view.manifests.values().cloned().collect();
+        board.apply(&manifests, view);
         let after = board.table_for(&plan_of(view));
         assert_eq!(after.index_of(&target), Some(index));
     }
--- a/alderhaven-quickstart/tests/interface_examples.rs
+++ b/alderhaven-quickstart/tests/interface_examples.rs
@@ -112,6 +112,14 @@
         let body: Value = serde_json::from_slice(reply.body()).unwrap();
         assert_shape("status", &json_block("node"), &body, true);
     }
+    let request = Request::get("/v1/entries?domain=accra-1");
+    let request = request.body(Full::default()).unwrap();
+    let mut caller = HttpCaller::connect(entry).await.unwrap();
+    let reply = caller.call(request).await.unwrap();
+    let body: Value = serde_json::from_slice(reply.body()).unwrap();
+    assert_shape("entries", &json_block("entries"), &body, false);
+    assert!(!body["entries"].as_array().unwrap().is_empty());
+
     let health = Request::get("/v1/health").body(Full::default()).unwrap();
     let mut caller = HttpCaller::connect(entry).await.unwrap();
     let reply = caller.call(health).await.unwrap();
