Stand-in targets: crash on poison, silent connections, cold start, versions, leaving

The load tool's scenarios and the proofs over separate binaries need these faults, by method and by `POST /control` on the targets' control address. target_state and target_fleet are split by what they know: spec, switches, life, held indexes, services, control.

Seen to fail: with connections that outlive a crash the poison test hangs (its idle connection still answers; ended by a 60 s bound), and with the check of silence removed control_silence_spares_new_connections fails.

--- a/alderhaven-load/src/scenario.rs
+++ b/alderhaven-load/src/scenario.rs
@@ -5,9 +5,9 @@
 
 use alderhaven_core::errors::Error;
 use alderhaven_core::ids::{ServiceName, ShardId};
+use alderhaven_standin::target_faults::TargetFaults;
 use alderhaven_standin::target_fleet::TargetFleet;
 use alderhaven_standin::target_server::TargetServer;
-use alderhaven_standin::target_state::TargetFaults;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
--- /dev/null
+++ b/alderhaven-standin/src/fleet_services.rs
@@ -0,0 +1,276 @@
+//! The services of a fleet: their targets, what these hold now, and which of them leave.
+
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::errors::{Error, Result};
+use alderhaven_core::ids::{IndexVersion, ServiceName, ShardId, SnapshotId, TargetId};
+use alderhaven_core::manifest::{ShardEntry, SnapshotManifest};
+use alderhaven_platform::host_list::{HostRecord, HostRole, HostState};
+
+use crate::held_indexes::HeldIndex;
+use crate::run_log::RunLog;
+use crate::service_layout::ServiceLayout;
+use crate::target_server::TargetServer;
+use crate::target_spec::TargetSpec;
+
+/// A `FleetServices` is the set of a fleet's services.
+#[derive(Debug)]
+pub struct FleetServices {
+    services: Vec<RunningService>,
+    runs: Arc<RunLog>,
+    leavings: Mutex<Vec<LeavingRecord>>,
+}
+
+/// A `LeavingRecord` is the moment from which the host list called a target leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingRecord {
+    /// The target.
+    pub target: TargetId,
+    /// The moment, in microseconds since the run log began.
+    pub at_us: u64,
+}
+
+/// A `RunningService` is one service with its targets.
+#[derive(Debug)]
+struct RunningService {
+    layout: Mutex<ServiceLayout>,
+    /// The targets by their first shard and then by replica.
+    targets: Vec<TargetServer>,
+}
+
+impl FleetServices {
+    /// Starts the targets of all services.
+    ///
+    /// # Errors
+    /// `InvalidInput` for a layout that does not check, and the operating system's error where no
+    /// port can be bound.
+    pub async fn start(layouts: Vec<ServiceLayout>, seed: u64) -> io::Result<Self> {
+        let runs = Arc::new(RunLog::default());
+        let mut services = Vec::new();
+        for layout in layouts {
+            layout.check().map_err(invalid_input)?;
+            services.push(RunningService::start(layout, seed, &runs).await?);
+        }
+        Ok(Self {
+            services,
+            runs,
+            leavings: Mutex::default(),
+        })
+    }
+
+    /// Gets the manifests of all services as snapshot `snapshot`.
+    #[must_use]
+    pub fn manifests(&self, snapshot: SnapshotId) -> Vec<SnapshotManifest> {
+        self.services
+            .iter()
+            .map(|service| service.manifest(snapshot, &self.leavings()))
+            .collect()
+    }
+
+    /// Gets the manifest of a service as snapshot `snapshot`.
+    ///
+    /// # Errors
+    /// `Error::Invalid` where the fleet has no such service.
+    pub fn manifest(
+        &self,
+        service: &ServiceName,
+        snapshot: SnapshotId,
+    ) -> Result<SnapshotManifest> {
+        let service = self.service(service)?;
+        Ok(service.manifest(snapshot, &self.leavings()))
+    }
+
+    /// Gives a service's targets the next index version, with `shards` shards where that is given;
+    /// the former version stays for `grace`.
+    ///
+    /// The targets hold the new version when this returns, so that a manifest may name it.
+    ///
+    /// # Errors
+    /// `Error::Invalid` for a service that is not there or more shards than targets.
+    pub fn advance(
+        &self,
+        service: &ServiceName,
+        shards: Option<u32>,
+        grace: Duration,
+    ) -> Result<()> {
+        self.service(service)?.advance(shards, grace)
+    }
+
+    /// Gets the targets' lines of the host list, without those that stopped.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<HostRecord> {
+        self.targets()
+            .filter(|target| !target.is_stopping())
+            .filter_map(|target| self.host(target))
+            .collect()
+    }
+
+    /// Gets a target's line of the host list.
+    #[must_use]
+    pub fn host(&self, target: &TargetServer) -> Option<HostRecord> {
+        let replica = target.replica();
+        let is_leaving = is_leaving(&self.lock(), &replica.target);
+        Some(HostRecord {
+            host: replica.target.as_str().parse().ok()?,
+            role: HostRole::Target,
+            domain: replica.domain,
+            address: replica.address,
+            state: if is_leaving {
+                HostState::Leaving
+            } else {
+                HostState::Live
+            },
+        })
+    }
+
+    /// Notes that a target leaves from now on.
+    pub fn note_leaving(&self, target: &TargetId) {
+        let at_us = self.runs.now_us();
+        let mut leavings = self.lock();
+        if !is_leaving(&leavings, target) {
+            leavings.push(LeavingRecord {
+                target: target.clone(),
+                at_us,
+            });
+        }
+    }
+
+    /// Gets the targets that leave or left.
+    #[must_use]
+    pub fn leavings(&self) -> Vec<LeavingRecord> {
+        self.lock().clone()
+    }
+
+    /// Gets all targets, by service, shard and replica.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetServer> {
+        self.services.iter().flat_map(|service| &service.targets)
+    }
+
+    /// Gets a target by its name.
+    #[must_use]
+    pub fn target(&self, target: &TargetId) -> Option<&TargetServer> {
+        self.targets()
+            .find(|server| server.state().spec().target == *target)
+    }
+
+    /// Gets the record of runs.
+    #[must_use]
+    pub const fn runs(&self) -> &Arc<RunLog> {
+        &self.runs
+    }
+
+    fn service(&self, name: &ServiceName) -> Result<&RunningService> {
+        self.services
+            .iter()
+            .find(|service| service.layout().service == *name)
+            .ok_or_else(|| Error::invalid("service", format!("there is no `{name}`")))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<LeavingRecord>> {
+        self.leavings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl RunningService {
+    async fn start(layout: ServiceLayout, seed: u64, runs: &Arc<RunLog>) -> io::Result<Self> {
+        let mut targets = Vec::new();
+        for shard in 0..layout.shards {
+            for replica in 0..layout.replicas {
+                let spec = spec_of(&layout, shard, replica, seed).map_err(invalid_input)?;
+                targets.push(TargetServer::start(spec, Arc::clone(runs)).await?);
+            }
+        }
+        Ok(Self {
+            layout: Mutex::new(layout),
+            targets,
+        })
+    }
+
+    fn advance(&self, shards: Option<u32>, grace: Duration) -> Result<()> {
+        let mut layout = self.layout();
+        let mut next = layout.clone();
+        next.shards = shards.unwrap_or(layout.shards);
+        next.version = IndexVersion(layout.version.0 + 1);
+        next.check()?;
+        if next.shards as usize > self.targets.len() {
+            let reason = format!("{} is more than there are targets", next.shards);
+            return Err(Error::invalid("shards", reason));
+        }
+        for (position, target) in self.targets.iter().enumerate() {
+            // With as many shards as before each target keeps its own.
+            let shard = match shards {
+                Some(shards) => ShardId(u32::try_from(position).unwrap_or(0) % shards),
+                None => target.state().indexes().current().shard,
+            };
+            let index = HeldIndex {
+                shard,
+                version: next.version,
+            };
+            target.state().indexes().replace(index, grace);
+        }
+        *layout = next;
+        Ok(())
+    }
+
+    /// Gets the manifest; targets that leave are left out where others hold their shard.
+    fn manifest(&self, snapshot: SnapshotId, leavings: &[LeavingRecord]) -> SnapshotManifest {
+        let layout = self.layout();
+        let shards = (0..layout.shards).map(ShardId).map(|shard| {
+            let holders: Vec<&TargetServer> = self
+                .targets
+                .iter()
+                .filter(|target| target.state().indexes().current().shard == shard)
+                .collect();
+            let stays =
+                |target: &&&TargetServer| !is_leaving(leavings, &target.state().spec().target);
+            let staying: Vec<&TargetServer> = holders.iter().filter(stays).copied().collect();
+            let listed = if staying.is_empty() { holders } else { staying };
+            ShardEntry {
+                shard,
+                version: layout.version,
+                first_key: layout.first_key(shard),
+                replicas: listed.into_iter().map(TargetServer::replica).collect(),
+            }
+        });
+        SnapshotManifest {
+            service: layout.service.clone(),
+            snapshot,
+            shards: shards.collect(),
+        }
+    }
+
+    fn layout(&self) -> MutexGuard<'_, ServiceLayout> {
+        self.layout.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn is_leaving(leavings: &[LeavingRecord], target: &TargetId) -> bool {
+    leavings.iter().any(|leaving| leaving.target == *target)
+}
+
+fn spec_of(layout: &ServiceLayout, shard: u32, replica: u32, seed: u64) -> Result<TargetSpec> {
+    let target = layout.target(shard, replica)?;
+    // Each target has a seed of its own, or all replicas would be slow at the same run.
+    let mut head = [0_u8; 8];
+    let hash = blake3::hash(format!("{seed}/{target}").as_bytes());
+    head.copy_from_slice(&hash.as_bytes()[..8]);
+    Ok(TargetSpec {
+        target,
+        domain: layout.domain(shard, replica),
+        service: layout.service.clone(),
+        shard: ShardId(shard),
+        version: layout.version,
+        slots: layout.slots,
+        connections: layout.connections,
+        queue: layout.queue,
+        connect_cost: layout.connect_cost,
+        service_time: layout.service_time.clone(),
+        seed: u64::from_le_bytes(head),
+    })
+}
+
+fn invalid_input(error: Error) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, error)
+}
--- /dev/null
+++ b/alderhaven-standin/src/held_indexes.rs
@@ -0,0 +1,91 @@
+//! The indexes that a target holds: the current one, and older ones for a while.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::ids::{IndexVersion, ShardId};
+use tokio::time::Instant;
+
+/// A `HeldIndexes` is the set of indexes of a target.
+#[derive(Debug)]
+pub struct HeldIndexes {
+    held: Mutex<HeldState>,
+}
+
+#[derive(Debug)]
+struct HeldState {
+    current: HeldIndex,
+    /// The former indexes and when each was or will be given up.
+    former: Vec<(HeldIndex, Instant)>,
+}
+
+/// A `HeldIndex` is one version of one shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldIndex {
+    /// The shard.
+    pub shard: ShardId,
+    /// The version.
+    pub version: IndexVersion,
+}
+
+/// An `IndexState` says what a target knows of an index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IndexState {
+    /// The target can answer from it.
+    Held,
+    /// The target holds or held the shard, and not this version any more.
+    Gone,
+    /// The shard is not the target's.
+    Elsewhere,
+}
+
+impl HeldIndexes {
+    /// Returns a set with one index.
+    #[must_use]
+    pub const fn new(current: HeldIndex) -> Self {
+        Self {
+            held: Mutex::new(HeldState {
+                current,
+                former: Vec::new(),
+            }),
+        }
+    }
+
+    /// Gets the current index.
+    #[must_use]
+    pub fn current(&self) -> HeldIndex {
+        self.lock().current
+    }
+
+    /// Makes another index the current one; the former is kept for `grace`.
+    pub fn replace(&self, next: HeldIndex, grace: Duration) {
+        let mut held = self.lock();
+        let former = std::mem::replace(&mut held.current, next);
+        held.former.push((former, Instant::now() + grace));
+    }
+
+    /// Says whether an index is held now.
+    #[must_use]
+    pub fn state_of(&self, asked: HeldIndex) -> IndexState {
+        let held = self.lock();
+        let now = Instant::now();
+        let is_kept = |(former, until): &(HeldIndex, Instant)| *former == asked && now < *until;
+        if held.current == asked || held.former.iter().any(is_kept) {
+            return IndexState::Held;
+        }
+        let is_known = held.current.shard == asked.shard
+            || held
+                .former
+                .iter()
+                .any(|(former, _)| former.shard == asked.shard);
+        if is_known {
+            IndexState::Gone
+        } else {
+            IndexState::Elsewhere
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HeldState> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/alderhaven-standin/src/lib.rs
+++ b/alderhaven-standin/src/lib.rs
@@ -9,6 +9,9 @@
 
 pub mod attempt_head;
 pub mod fake_store;
+pub mod fleet_control;
+pub mod fleet_services;
+pub mod held_indexes;
 pub mod http_caller;
 pub mod http_server;
 pub mod object_set;
@@ -21,6 +24,9 @@
 pub mod run_log;
 pub mod service_layout;
 pub mod service_time;
+pub mod target_faults;
 pub mod target_fleet;
+pub mod target_life;
 pub mod target_server;
+pub mod target_spec;
 pub mod target_state;
--- a/alderhaven-standin/src/registration.rs
+++ b/alderhaven-standin/src/registration.rs
@@ -5,6 +5,7 @@
 use alderhaven_core::config_object::{ObjectKind, StoredObject};
 use alderhaven_core::ids::SnapshotId;
 use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_platform::host_list::HostRecord;
 use alderhaven_platform::object_store::{IF_VERSION_HEADER, WRITE_ID_HEADER};
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail};
@@ -21,21 +22,47 @@
 /// # Errors
 /// Where the platform can't be reached or refuses a write.
 pub async fn register(fleet: &TargetFleet, platform: SocketAddr) -> Result<Vec<SnapshotManifest>> {
-    let mut caller = HttpCaller::connect(platform)
-        .await
-        .wrap_err_with(|| format!("can't reach the platform at {platform}"))?;
+    let mut caller = connect(platform).await?;
     let mut written = Vec::new();
     for manifest in fleet.manifests(SnapshotId(1)) {
         written.push(put_manifest(&mut caller, manifest).await?);
     }
     for host in fleet.hosts() {
-        let path = format!("/hosts/{}", host.host);
-        let body = serde_json::to_vec(&host)?;
-        call(&mut caller, Method::PUT, &path, 0, body).await?;
+        write_host(&mut caller, &host).await?;
     }
     Ok(written)
 }
 
+/// Publishes a manifest under the snapshot that follows the one in the platform, and gets it as it
+/// was written.
+///
+/// # Errors
+/// Where the platform can't be reached or refuses the write.
+pub async fn publish(platform: SocketAddr, manifest: SnapshotManifest) -> Result<SnapshotManifest> {
+    put_manifest(&mut connect(platform).await?, manifest).await
+}
+
+/// Writes a line of the host list.
+///
+/// # Errors
+/// Where the platform can't be reached or refuses the write.
+pub async fn put_host(platform: SocketAddr, host: &HostRecord) -> Result<()> {
+    write_host(&mut connect(platform).await?, host).await
+}
+
+async fn connect(platform: SocketAddr) -> Result<HttpCaller> {
+    HttpCaller::connect(platform)
+        .await
+        .wrap_err_with(|| format!("can't reach the platform at {platform}"))
+}
+
+async fn write_host(caller: &mut HttpCaller, host: &HostRecord) -> Result<()> {
+    let path = format!("/hosts/{}", host.host);
+    let body = serde_json::to_vec(host)?;
+    call(caller, Method::PUT, &path, 0, body).await?;
+    Ok(())
+}
+
 async fn put_manifest(
     caller: &mut HttpCaller,
     mut manifest: SnapshotManifest,
--- a/alderhaven-standin/src/target_server.rs
+++ b/alderhaven-standin/src/target_server.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::manifest::ReplicaEntry;
 use alderhaven_platform::dialect;
@@ -16,7 +17,11 @@
 use crate::attempt_head::{AttemptHead, attempt_of};
 use crate::http_server::{self, ConnectionCut, HttpReply, read_body, text_reply};
 use crate::run_log::RunLog;
-use crate::target_state::{TargetSpec, TargetState};
+use crate::target_spec::TargetSpec;
+use crate::target_state::TargetState;
+
+/// The pause before another try to bind the address after a crash.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
 
 /// A `TargetServer` is a running target.
 #[derive(Debug)]
@@ -40,13 +45,14 @@
             stopping: CancellationToken::new(),
             tasks: TaskTracker::new(),
         };
-        let accepting = accept_all(
-            listener,
-            Arc::clone(&server.state),
-            server.stopping.clone(),
-            server.tasks.clone(),
-        );
-        server.tasks.spawn(accepting);
+        let parts = ServerParts {
+            state: Arc::clone(&server.state),
+            stopping: server.stopping.clone(),
+            tasks: server.tasks.clone(),
+        };
+        server
+            .tasks
+            .spawn(live_and_crash(listener, server.address, parts));
         Ok(server)
     }
 
@@ -75,6 +81,12 @@
         }
     }
 
+    /// Returns true where the target was told to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_cancelled()
+    }
+
     /// Stops taking connections and waits for the attempts in flight.
     pub async fn stop(&self) {
         self.stopping.cancel();
@@ -83,31 +95,88 @@
     }
 }
 
-async fn accept_all(
-    listener: TcpListener,
+/// A `ServerParts` is what the tasks of a target share.
+#[derive(Clone)]
+struct ServerParts {
     state: Arc<TargetState>,
     stopping: CancellationToken,
     tasks: TaskTracker,
-) {
-    let places = Arc::new(Semaphore::new(state.spec().connections as usize));
-    while let Some(stream) = http_server::accept(&listener, &stopping).await {
+}
+
+/// Serves until the stop; after a crash the target comes back on the same address.
+async fn live_and_crash(mut listener: TcpListener, address: SocketAddr, parts: ServerParts) {
+    loop {
+        let life = parts.state.life().begin();
+        tokio::select! {
+            biased;
+            () = life.cancelled() => {}
+            () = accept_all(&listener, &parts, &life) => return,
+        }
+        drop(listener);
+        let down = parts.state.life().down();
+        match parts
+            .stopping
+            .run_until_cancelled(come_back(address, down))
+            .await
+        {
+            Some(returned) => listener = returned,
+            None => return,
+        }
+    }
+}
+
+/// Binds the address anew after the time down, again and again where it is taken for a moment.
+async fn come_back(address: SocketAddr, down: Duration) -> TcpListener {
+    tokio::time::sleep(down).await;
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(REBIND_PAUSE).await;
+    }
+}
+
+async fn accept_all(listener: &TcpListener, parts: &ServerParts, life: &CancellationToken) {
+    let places = Arc::new(Semaphore::new(parts.state.spec().connections as usize));
+    while let Some(stream) = http_server::accept(listener, &parts.stopping).await {
         // A connection beyond the limit is closed at once.
         if let Ok(place) = Arc::clone(&places).try_acquire_owned() {
-            let connection = serve(stream, Arc::clone(&state), stopping.clone());
-            tasks.spawn(async move {
-                connection.await;
+            let connection = serve(stream, parts.clone());
+            let life = life.clone();
+            parts.tasks.spawn(async move {
+                life.run_until_cancelled(connection).await;
                 drop(place);
             });
         }
     }
 }
 
-async fn serve(stream: TcpStream, state: Arc<TargetState>, stopping: CancellationToken) {
-    tokio::time::sleep(state.spec().connect_cost.as_duration()).await;
-    let handler = move |request| handle(Arc::clone(&state), request);
+async fn serve(stream: TcpStream, parts: ServerParts) {
+    let silenced = parts.state.life().silenced();
+    tokio::time::sleep(parts.state.spec().connect_cost.as_duration()).await;
+    let stopping = parts.stopping.clone();
+    let handler = move |request| {
+        let (parts, silenced) = (parts.clone(), silenced.clone());
+        async move {
+            // A request on a silent connection doesn't reach the target, and a reply is lost.
+            if silenced.is_cancelled() {
+                return stay_silent(&parts.stopping).await;
+            }
+            let reply = handle(parts.state, request).await;
+            if silenced.is_cancelled() {
+                return stay_silent(&parts.stopping).await;
+            }
+            reply
+        }
+    };
     http_server::serve(stream, handler, stopping).await;
 }
 
+async fn stay_silent(stopping: &CancellationToken) -> Result<HttpReply, ConnectionCut> {
+    stopping.cancelled().await;
+    Err(ConnectionCut)
+}
+
 async fn handle(
     state: Arc<TargetState>,
     request: Request<Incoming>,
--- a/alderhaven-standin/src/target_state.rs
+++ b/alderhaven-standin/src/target_state.rs
@@ -4,10 +4,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use alderhaven_core::ids::{
-    AttemptId, FailureDomain, IndexVersion, ServiceName, ShardId, TargetId,
-};
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::ids::AttemptId;
 use alderhaven_platform::dialect;
 use http::StatusCode;
 use rand::SeedableRng;
@@ -17,58 +14,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt_head::{AttemptHead, not_run_reply, set_header};
+use crate::held_indexes::{HeldIndex, HeldIndexes, IndexState};
 use crate::http_server::{HttpReply, json_reply, text_reply};
 use crate::rows;
 use crate::run_log::{RunEnd, RunLog, RunRecord};
-use crate::service_time::ServiceTime;
-
-/// A `TargetSpec` is what a target is.
-#[derive(Clone, Debug)]
-pub struct TargetSpec {
-    /// The target.
-    pub target: TargetId,
-    /// The failure domain.
-    pub domain: FailureDomain,
-    /// The service.
-    pub service: ServiceName,
-    /// The shard.
-    pub shard: ShardId,
-    /// The index version that it holds.
-    pub version: IndexVersion,
-    /// The attempts that it runs at a time.
-    pub slots: u32,
-    /// The connections that it takes.
-    pub connections: u32,
-    /// The attempts that it lets wait for a slot.
-    pub queue: u32,
-    /// What a new connection costs before its first reply.
-    pub connect_cost: TimeSpan,
-    /// How long a run takes.
-    pub service_time: ServiceTime,
-    /// The seed of the run times.
-    pub seed: u64,
-}
-
-/// A `TargetFaults` is the set of fault switches of a target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TargetFaults {
-    /// The factor by which each run is slower.
-    pub slow_factor: f64,
-    /// The target refuses attempts because it drains.
-    pub draining: bool,
-    /// The target sheds every attempt.
-    pub shedding: bool,
-}
-
-impl Default for TargetFaults {
-    fn default() -> Self {
-        Self {
-            slow_factor: 1.0,
-            draining: false,
-            shedding: false,
-        }
-    }
-}
+use crate::target_faults::TargetFaults;
+use crate::target_life::TargetLife;
+use crate::target_spec::TargetSpec;
 
 /// A `TargetState` runs the attempts of one target, whatever connection they come by.
 #[derive(Debug)]
@@ -79,6 +31,8 @@
     rng: Mutex<StdRng>,
     faults: Mutex<TargetFaults>,
     cancels: Mutex<HashMap<AttemptId, CancellationToken>>,
+    indexes: HeldIndexes,
+    life: TargetLife,
     runs: Arc<RunLog>,
 }
 
@@ -92,6 +46,11 @@
             rng: Mutex::new(StdRng::seed_from_u64(spec.seed)),
             faults: Mutex::default(),
             cancels: Mutex::default(),
+            indexes: HeldIndexes::new(HeldIndex {
+                shard: spec.shard,
+                version: spec.version,
+            }),
+            life: TargetLife::default(),
             runs,
             spec,
         }
@@ -114,6 +73,18 @@
         *lock(&self.faults) = faults;
     }
 
+    /// Gets the indexes that the target holds.
+    #[must_use]
+    pub const fn indexes(&self) -> &HeldIndexes {
+        &self.indexes
+    }
+
+    /// Gets the target's starts and crashes.
+    #[must_use]
+    pub const fn life(&self) -> &TargetLife {
+        &self.life
+    }
+
     /// Drops an attempt, whether it waits or runs; returns false where it is not known.
     pub fn cancel(&self, attempt: AttemptId) -> bool {
         let cancel = lock(&self.cancels).get(&attempt).cloned();
@@ -144,13 +115,18 @@
             let reason = if faults.draining { "draining" } else { "shed" };
             return Some(not_run_reply(StatusCode::SERVICE_UNAVAILABLE, reason));
         }
-        if head.service != self.spec.service || head.shard != self.spec.shard {
-            return Some(text_reply(StatusCode::NOT_FOUND, "not held here"));
-        }
-        if head.version != self.spec.version {
-            return Some(not_run_reply(StatusCode::GONE, "the version is gone"));
+        let asked = HeldIndex {
+            shard: head.shard,
+            version: head.version,
+        };
+        match self.indexes.state_of(asked) {
+            _ if head.service != self.spec.service => {
+                Some(text_reply(StatusCode::NOT_FOUND, "not held here"))
+            }
+            IndexState::Elsewhere => Some(text_reply(StatusCode::NOT_FOUND, "not held here")),
+            IndexState::Gone => Some(not_run_reply(StatusCode::GONE, "the version is gone")),
+            IndexState::Held => None,
         }
-        None
     }
 
     async fn admit(&self, head: &AttemptHead, parameters: String) -> HttpReply {
@@ -184,11 +160,18 @@
         cancel: &CancellationToken,
     ) -> HttpReply {
         let guard = self.runs.begin(self.record(head, &parameters));
+        let faults = self.faults();
+        if let Some(down) = faults.crash_time(&parameters) {
+            self.life.crash(down);
+            // The crash ends the connection, and this run with it.
+            std::future::pending::<()>().await;
+        }
+        let (runs, age) = self.life.count_run();
         let span = self
             .spec
             .service_time
             .draw(&head.template, &mut *lock(&self.rng))
-            .mul_f64(self.faults().slow_factor);
+            .mul_f64(faults.run_factor(runs, age));
         tokio::select! {
             () = tokio::time::sleep(span.as_duration()) => {
                 guard.finish(RunEnd::Answered);
