--- a/alderhaven-load/src/caller_pool.rs
+++ b/alderhaven-load/src/caller_pool.rs
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Sends a request to the next entry and waits for the whole reply.
-    pub async fn post(&self, path: &str, body: Bytes) -> ReplyContent {
-        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+    /// Sends a request to an entry, the next one where none is named, and waits for the whole reply.
+    pub async fn post(&self, entry: Option<usize>, path: &str, body: Bytes) -> ReplyContent {
+        let turn = entry.unwrap_or_else(|| self.next.fetch_add(1, Ordering::Relaxed));
         self.entries[turn % self.entries.len()]
             .post(path, body)
             .await
--- /dev/null
+++ b/alderhaven-load/src/fault_script.rs
@@ -0,0 +1,234 @@
+//! The faults and changes of a run: those that hold from its start, and those at its event.
+
+use std::time::Duration;
+
+use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::ids::{ServiceName, ShardId, StoreVersion, TargetId};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform::object_store::{ConditionalWrite, ObjectStore, WriteOutcome};
+use alderhaven_standin::fleet_control::{self, ControlCall};
+use alderhaven_standin::platform_faults::PlatformFaults;
+use alderhaven_standin::target_faults::TargetFaults;
+use alderhaven_standin::target_server::TargetServer;
+use eyre::Result;
+use futures::future;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use tokio::time::{self, Instant};
+
+use crate::run_options::RunOptions;
+use crate::scenario::ScenarioKind;
+use crate::test_bed::TestBed;
+
+/// The share of the targets whose connections fall silent, that start anew or that leave.
+const STRUCK_SHARE: f64 = 0.1;
+/// The time down of a target that a request crashed, in milliseconds.
+const POISON_DOWN_MS: u64 = 500;
+/// The time down of a target that starts anew, in milliseconds.
+const RESTART_DOWN_MS: u64 = 200;
+/// How many times slower a cold target is, and for how many milliseconds.
+const COLD_START: (f64, u64) = (10.0, 1_500);
+/// The time for which targets keep a former version, in milliseconds: longer than any deadline of
+/// the urgent and ordinary templates.
+const VERSION_GRACE_MS: u64 = 2_500;
+/// The pause between the publications of two services.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
+/// The lag of the host list, in milliseconds.
+const HOST_LAG_MS: u64 = 1_000;
+/// The time between a target's place in the list and its stop, in milliseconds.
+const LEAVING_MS: u64 = 3_500;
+/// The time for which the platform is out of service.
+const OUTAGE: Duration = Duration::from_secs(2);
+/// The publications of a race, and the pause between two.
+const RACE: (u64, Duration) = (20, Duration::from_millis(100));
+
+/// A `FaultScript` does to a running system what a scenario says.
+#[derive(Debug)]
+pub struct FaultScript<'a> {
+    options: &'a RunOptions,
+    bed: &'a TestBed,
+}
+
+impl<'a> FaultScript<'a> {
+    /// Returns the script of a run.
+    #[must_use]
+    pub const fn new(options: &'a RunOptions, bed: &'a TestBed) -> Self {
+        Self { options, bed }
+    }
+
+    /// Switches on what holds during the whole run.
+    pub fn prepare(&self) {
+        let all = || self.bed.fleet().targets().collect::<Vec<_>>();
+        match self.options.scenario {
+            ScenarioKind::SlowTarget => {
+                let faults = TargetFaults {
+                    slow_factor: self.options.slow_factor,
+                    ..TargetFaults::default()
+                };
+                set_faults(&self.struck(self.options.slow_share), faults);
+            }
+            ScenarioKind::Poison => set_faults(
+                &all(),
+                TargetFaults {
+                    poison_down_ms: Some(POISON_DOWN_MS),
+                    ..TargetFaults::default()
+                },
+            ),
+            ScenarioKind::TargetLeaving => self.bed.store().set_faults(PlatformFaults {
+                host_lag_ms: HOST_LAG_MS,
+                ..PlatformFaults::default()
+            }),
+            _ => {}
+        }
+    }
+
+    /// Waits for the event of a run that began at `began`, and does what the scenario says.
+    ///
+    /// # Errors
+    /// Where the platform does not take a change.
+    pub async fn play(&self, began: Instant) -> Result<()> {
+        time::sleep_until(began + self.options.event_at().as_duration()).await;
+        let struck = self.struck(STRUCK_SHARE);
+        match self.options.scenario {
+            ScenarioKind::SilentConnections => {
+                for target in struck {
+                    target.state().life().silence();
+                }
+            }
+            ScenarioKind::ColdStart => {
+                let (cold_factor, cold_ms) = COLD_START;
+                let faults = TargetFaults {
+                    cold_factor,
+                    cold_ms,
+                    ..TargetFaults::default()
+                };
+                set_faults(&struck, faults);
+                for target in struck {
+                    let down = Duration::from_millis(RESTART_DOWN_MS);
+                    target.state().life().crash(down);
+                }
+            }
+            ScenarioKind::TargetLeaving => {
+                let call = ControlCall::Leave {
+                    targets: struck.into_iter().map(name_of).collect(),
+                    platform: self.bed.platform_address(),
+                    stop_after_ms: LEAVING_MS,
+                };
+                fleet_control::apply(self.bed.fleet().services(), call).await?;
+            }
+            ScenarioKind::SnapshotChange => self.change_snapshots().await?,
+            ScenarioKind::RelayCrash => self.bed.crash_relay(),
+            ScenarioKind::StoreOutage => {
+                self.bed.store().set_faults(PlatformFaults {
+                    outage: true,
+                    hosts_outage: true,
+                    ..PlatformFaults::default()
+                });
+                time::sleep(OUTAGE).await;
+                self.bed.store().set_faults(PlatformFaults::default());
+            }
+            ScenarioKind::PublishRace => self.race().await,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Publishes a next version of each service, and then another number of shards of the first.
+    async fn change_snapshots(&self) -> Result<()> {
+        let manifests = self.bed.manifests();
+        let mut changes: Vec<(ServiceName, Option<u32>)> = Vec::new();
+        for manifest in &manifests {
+            changes.push((manifest.service.clone(), None));
+        }
+        if let Some(first) = manifests.first() {
+            let shards = u32::try_from(first.shards.len()).unwrap_or(1);
+            changes.push((first.service.clone(), Some((shards / 2).max(1))));
+        }
+        for (service, shards) in changes {
+            let call = ControlCall::Publish {
+                service,
+                shards,
+                grace_ms: VERSION_GRACE_MS,
+                platform: Some(self.bed.platform_address()),
+            };
+            let reply = fleet_control::apply(self.bed.fleet().services(), call).await?;
+            self.bed.note_manifests(reply.manifest);
+            time::sleep(PUBLISH_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Lets two operators write the same template against the same version; one must lose.
+    async fn race(&self) {
+        let (rounds, pause) = RACE;
+        let Some(mut template) = self.bed.last_template() else {
+            return;
+        };
+        let key = ObjectKey {
+            kind: ObjectKind::Template,
+            name: template.name.to_string(),
+        };
+        for round in 0..rounds {
+            template.deadline = template.deadline + TimeSpan::from_millis(1);
+            let body = serde_json::to_string(&template).ok();
+            let table = self.bed.store().table();
+            let expected = table.get(&key).map_or(StoreVersion(0), |kept| kept.version);
+            let write = |operator: &str| ConditionalWrite {
+                key: key.clone(),
+                expected,
+                write_id: format!("{operator}-{round}"),
+                body: body.clone(),
+            };
+            let outcomes = future::join_all(
+                ["one", "two"].map(|operator| self.bed.store().write(write(operator))),
+            )
+            .await;
+            let won = outcomes
+                .iter()
+                .filter(|outcome| matches!(outcome, Ok(WriteOutcome::Written(_))));
+            self.bed.count_publications(won.count());
+            time::sleep(pause).await;
+        }
+    }
+
+    /// Picks a share of the targets, at most one replica of each shard.
+    ///
+    /// Where all replicas of a shard are struck no choice of replica can help. Equal seeds pick
+    /// equal targets.
+    fn struck(&self, share: f64) -> Vec<&'a TargetServer> {
+        let mut targets: Vec<&TargetServer> = self.bed.fleet().targets().collect();
+        let wanted = portion(targets.len(), share);
+        targets.shuffle(&mut StdRng::seed_from_u64(self.options.seed));
+        let mut places: Vec<(ServiceName, ShardId)> = Vec::new();
+        targets.retain(|target| {
+            let spec = target.state().spec();
+            let place = (spec.service.clone(), spec.shard);
+            let is_first = places.len() < wanted && !places.contains(&place);
+            if is_first {
+                places.push(place);
+            }
+            is_first
+        });
+        targets
+    }
+}
+
+fn set_faults(targets: &[&TargetServer], faults: TargetFaults) {
+    for target in targets {
+        target.state().set_faults(faults);
+    }
+}
+
+fn name_of(target: &TargetServer) -> TargetId {
+    target.state().spec().target.clone()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates, which is what a bound wants"
+)]
+fn portion(count: usize, share: f64) -> usize {
+    (count as f64 * share).round() as usize
+}
--- a/alderhaven-load/src/load_driver.rs
+++ b/alderhaven-load/src/load_driver.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Gets when the run began.
+    #[must_use]
+    pub const fn began(&self) -> Instant {
+        self.began
+    }
+
     /// Sends each query when it is due and returns all queries with their replies.
     pub async fn run(
         &self,
@@ -53,7 +59,7 @@
     let path = format!("/v1/query/{}", query.mixed.template.name);
     let body = json!({ "team": query.team, "parameters": query.parameters }).to_string();
     let limit = query.mixed.template.deadline.as_duration() + SILENCE_LIMIT;
-    let posting = pool.post(&path, Bytes::from(body));
+    let posting = pool.post(query.entry, &path, Bytes::from(body));
     let content = time::timeout(limit, posting)
         .await
         .unwrap_or(ReplyContent::Silent);
--- /dev/null
+++ b/alderhaven-load/src/load_plan.rs
@@ -0,0 +1,197 @@
+//! The queries of a run: the even load, and what a scenario adds to it.
+//!
+//! The even load is drawn alone, so that it is the same with and without the special queries.
+
+use std::sync::Arc;
+
+use alderhaven_core::errors::{Error, Result};
+use alderhaven_core::ids::TeamId;
+use alderhaven_core::parameters::ParameterValue;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_standin::service_layout::DeploymentKind;
+use alderhaven_standin::target_faults::POISON_MARKER;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::arrivals::{ArrivalSchedule, RatePhase};
+use crate::load_query::{LoadQuery, QueryGroup, QuerySource};
+use crate::run_options::RunOptions;
+use crate::scenario::ScenarioKind;
+use crate::workload::{MixedTemplate, Workload};
+
+/// The factor of a burst and its length.
+const BURST: (f64, TimeSpan) = (5.0, TimeSpan::from_secs(1));
+/// What a hot team offers beyond its share, as a multiple of that.
+const HOT_TEAM_EXTRA: f64 = 9.0;
+/// The load of a hot key, as a share of what its service can answer.
+const HOT_KEY_LOAD: f64 = 1.0;
+/// The requests that crash targets.
+const POISON_REQUESTS: u32 = 3;
+/// The pause between two such requests, and between two sendings of the same.
+const POISON_PAUSES: (TimeSpan, TimeSpan) = (TimeSpan::from_millis(800), TimeSpan::from_millis(50));
+
+/// Draws all queries of a run in the order of their times; equal options give equal queries.
+///
+/// # Errors
+/// Where the workload's templates don't take the parameters of its mix.
+pub fn queries_of(options: &RunOptions, workload: &Workload) -> Result<Vec<LoadQuery>> {
+    let mut plan = LoadPlan::new(options, workload);
+    let rate = options.load * workload.rate_at_full_load();
+    plan.draw(&workload.mix, rate, &base_phases(options), QueryGroup::Base)?;
+    if !options.without_specials {
+        plan.draw_specials()?;
+    }
+    plan.queries.sort_by_key(|query| query.due);
+    Ok(plan.queries)
+}
+
+/// Gets the team that is hot in `hot-team`: one that asks both urgent or ordinary queries and a
+/// service of few targets.
+///
+/// # Panics
+/// Never: the names here follow the rule for names.
+#[must_use]
+pub fn hot_team(deployment: DeploymentKind) -> TeamId {
+    let name = match deployment {
+        DeploymentKind::Volta => "libraries",
+        DeploymentKind::Lagerblik => "inspectorate",
+    };
+    name.parse().expect("the names here follow the rule")
+}
+
+/// Gets the time at which a burst ends.
+#[must_use]
+pub fn burst_end(options: &RunOptions) -> TimeSpan {
+    options.event_at() + BURST.1
+}
+
+/// Gets the even load's phases at a rate of 1.
+fn base_phases(options: &RunOptions) -> Vec<(TimeSpan, f64)> {
+    let whole = options.warm_up + options.measured;
+    if options.scenario != ScenarioKind::Burst {
+        return vec![(whole, 1.0)];
+    }
+    let (factor, length) = BURST;
+    let rest = whole.saturating_sub(options.event_at() + length);
+    vec![(options.event_at(), 1.0), (length, factor), (rest, 1.0)]
+}
+
+struct LoadPlan<'a> {
+    options: &'a RunOptions,
+    workload: &'a Workload,
+    source: QuerySource,
+    queries: Vec<LoadQuery>,
+}
+
+impl<'a> LoadPlan<'a> {
+    fn new(options: &'a RunOptions, workload: &'a Workload) -> Self {
+        Self {
+            options,
+            workload,
+            source: QuerySource::default(),
+            queries: Vec::new(),
+        }
+    }
+
+    /// Draws queries of a mix at `rate` by the factors of `phases`.
+    fn draw(
+        &mut self,
+        mix: &[MixedTemplate],
+        rate: f64,
+        phases: &[(TimeSpan, f64)],
+        group: QueryGroup,
+    ) -> Result<()> {
+        let seed = self.options.seed ^ (group as u64).wrapping_mul(0x9E37_79B9);
+        let phases = phases
+            .iter()
+            .map(|(span, factor)| RatePhase {
+                span: *span,
+                rate: rate * factor,
+            })
+            .collect();
+        let mix: Vec<Arc<MixedTemplate>> = mix.iter().cloned().map(Arc::new).collect();
+        let mut rng = StdRng::seed_from_u64(seed);
+        for due in ArrivalSchedule::new(seed.wrapping_add(1), phases) {
+            let query = self.source.draw(&mix, due, group, &mut rng)?;
+            self.queries.push(query);
+        }
+        Ok(())
+    }
+
+    fn draw_specials(&mut self) -> Result<()> {
+        match self.options.scenario {
+            ScenarioKind::HotTeam => self.draw_hot_team(),
+            ScenarioKind::HotKey => self.draw_hot_key(),
+            ScenarioKind::LongAmongShort => {
+                let mix = &self.workload.long_jobs;
+                let rate = mix.iter().map(MixedTemplate::rate_at_full_load).sum();
+                self.draw(mix, rate, &self.whole(), QueryGroup::Long)
+            }
+            ScenarioKind::Poison => self.draw_poison(),
+            _ => Ok(()),
+        }
+    }
+
+    fn whole(&self) -> Vec<(TimeSpan, f64)> {
+        vec![(self.options.warm_up + self.options.measured, 1.0)]
+    }
+
+    fn draw_hot_team(&mut self) -> Result<()> {
+        let team = hot_team(self.options.deployment);
+        let mut mix = Vec::new();
+        for mixed in &self.workload.mix {
+            let total: f64 = mixed.entry.teams.values().sum();
+            if let Some(part) = mixed.entry.teams.get(&team) {
+                let mut hot = mixed.clone();
+                hot.entry.share *= part / total;
+                hot.entry.teams = [(team.clone(), 1.0)].into_iter().collect();
+                mix.push(hot);
+            }
+        }
+        let rate: f64 = mix.iter().map(MixedTemplate::rate_at_full_load).sum();
+        let rate = rate * self.options.load * HOT_TEAM_EXTRA;
+        self.draw(&mix, rate, &self.whole(), QueryGroup::HotTeam)
+    }
+
+    fn draw_hot_key(&mut self) -> Result<()> {
+        let mixed = self.by_key()?;
+        let rate = mixed.rate_at_full_load() * HOT_KEY_LOAD;
+        let begin = self.queries.len();
+        self.draw(&[mixed], rate, &self.whole(), QueryGroup::HotKey)?;
+        for query in &mut self.queries[begin..] {
+            set_tag(query, "hot");
+        }
+        Ok(())
+    }
+
+    fn draw_poison(&mut self) -> Result<()> {
+        let mix = [Arc::new(self.by_key()?)];
+        let mut rng = StdRng::seed_from_u64(self.options.seed);
+        let (between, again) = POISON_PAUSES;
+        for request in 0..POISON_REQUESTS {
+            let first = self.options.event_at() + between.mul_f64(f64::from(request));
+            for entry in 0..self.options.nodes {
+                let due = first + again.mul_f64(entry as f64);
+                let mut query = self.source.draw(&mix, due, QueryGroup::Poison, &mut rng)?;
+                set_tag(&mut query, &format!("{POISON_MARKER}-{request}"));
+                query.entry = Some(entry);
+                self.queries.push(query);
+            }
+        }
+        Ok(())
+    }
+
+    /// Gets the first template that asks one shard.
+    fn by_key(&self) -> Result<MixedTemplate> {
+        let by_key = self.workload.mix.iter().find(|mixed| mixed.asked() == 1);
+        by_key
+            .cloned()
+            .ok_or_else(|| Error::invalid("mix", "has no template that asks one shard"))
+    }
+}
+
+fn set_tag(query: &mut LoadQuery, text: &str) {
+    let tag = query.mixed.entry.tag.clone();
+    let value = ParameterValue::Text(text.to_owned());
+    query.parameters.0.insert(tag, value);
+}
--- a/alderhaven-load/src/load_query.rs
+++ b/alderhaven-load/src/load_query.rs
@@ -8,7 +8,31 @@
 use alderhaven_core::time::TimeSpan;
 use rand::{Rng, RngExt};
 
-use crate::workload::{MixedTemplate, Workload};
+use crate::workload::MixedTemplate;
+
+/// A `QueryGroup` says to which part of a run's load a query belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum QueryGroup {
+    /// The even load.
+    Base,
+    /// What a hot team asks beyond its share.
+    HotTeam,
+    /// Queries of the hot key.
+    HotKey,
+    /// Long jobs.
+    Long,
+    /// Requests that crash targets.
+    Poison,
+}
+
+impl QueryGroup {
+    /// Returns true where several queries have the same parameters, so that the targets' runs can't
+    /// be told apart by query.
+    #[must_use]
+    pub const fn shares_parameters(self) -> bool {
+        matches!(self, Self::HotKey | Self::Poison)
+    }
+}
 
 /// A `LoadQuery` is one query of a run.
 #[derive(Clone, Debug)]
@@ -23,34 +47,32 @@
     pub team: TeamId,
     /// The parameters as the targets receive them.
     pub parameters: ParameterSet,
+    /// The part of the load.
+    pub group: QueryGroup,
+    /// The entry to ask; any where there is none.
+    pub entry: Option<usize>,
 }
 
-/// A `QuerySource` draws queries from a workload's mix.
-#[derive(Debug)]
+/// A `QuerySource` draws queries and numbers them.
+#[derive(Debug, Default)]
 pub struct QuerySource {
-    mix: Vec<Arc<MixedTemplate>>,
-    total: f64,
     next_number: u64,
 }
 
 impl QuerySource {
-    /// Returns a source that asks each template in proportion to its rate.
-    #[must_use]
-    pub fn new(workload: &Workload) -> Self {
-        Self {
-            mix: workload.mix.iter().cloned().map(Arc::new).collect(),
-            total: workload.rate_at_full_load(),
-            next_number: 0,
-        }
-    }
-
-    /// Draws the query that is due at `due`.
+    /// Draws the query that is due at `due`, each template of `mix` in proportion to its rate.
     ///
     /// # Errors
     /// `Error::Invalid` where the template does not take the parameters of the mix.
-    pub fn draw(&mut self, due: TimeSpan, rng: &mut impl Rng) -> Result<LoadQuery> {
-        let rates = self.mix.iter().map(|mixed| mixed.rate_at_full_load());
-        let mixed = Arc::clone(&self.mix[pick(rates, self.total, rng)]);
+    pub fn draw(
+        &mut self,
+        mix: &[Arc<MixedTemplate>],
+        due: TimeSpan,
+        group: QueryGroup,
+        rng: &mut impl Rng,
+    ) -> Result<LoadQuery> {
+        let rates = || mix.iter().map(|mixed| mixed.rate_at_full_load());
+        let mixed = Arc::clone(&mix[pick(rates(), rates().sum(), rng)]);
         let parts = mixed.entry.teams.values().copied();
         let position = pick(parts, mixed.entry.teams.values().sum(), rng);
         let team = mixed.entry.teams.keys().nth(position).cloned();
@@ -66,6 +88,8 @@
             parameters: mixed.template.bind(&team, given)?,
             mixed,
             team,
+            group,
+            entry: None,
         })
     }
 }
--- a/alderhaven-load/src/main.rs
+++ b/alderhaven-load/src/main.rs
@@ -6,6 +6,7 @@
 
 use alderhaven_core::errors::Error;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_load::report;
 use alderhaven_load::run_line::{RatioLine, RunLine};
 use alderhaven_load::run_options::RunOptions;
 use alderhaven_load::scenario::ScenarioKind;
@@ -37,6 +38,19 @@
 #[argh(subcommand)]
 enum LoadCommand {
     Run(RunArgs),
+    Report(ReportArgs),
+}
+
+/// Writes a Markdown page with tables and plots from saved result lines.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+struct ReportArgs {
+    /// the files with the lines that `run --json` printed
+    #[argh(positional)]
+    files: Vec<String>,
+    /// the directory of the page and its plots
+    #[argh(option)]
+    out: String,
 }
 
 /// Runs a scenario and prints a line of results for each policy.
@@ -46,7 +60,9 @@
     /// volta (default) or lagerblik
     #[argh(option, default = "DeploymentKind::Volta")]
     deployment: DeploymentKind,
-    /// steady, slow-target or overload
+    /// steady, slow-target, overload, burst, hot-team, hot-key, long-among-short, target-leaving,
+    /// snapshot-change, poison, silent-connections, cold-start, relay-crash, store-outage or
+    /// publish-race
     #[argh(option)]
     scenario: ScenarioKind,
     /// current, baseline or both (default): one after the other, then a line of ratios
@@ -111,15 +127,34 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: LoadArgs = argh::from_env();
-    let LoadCommand::Run(args) = args.command;
-    let options = match options_of(&args) {
+    match args.command {
+        LoadCommand::Run(args) => run_command(&args).await,
+        LoadCommand::Report(args) => report_command(&args),
+    }
+}
+
+fn report_command(args: &ReportArgs) -> ExitCode {
+    match report::write(&args.files, &args.out) {
+        Ok(page) => {
+            println!("{}", page.display());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("alder-load: {error:#}");
+            ExitCode::from(BAD_ARGUMENTS)
+        }
+    }
+}
+
+async fn run_command(args: &RunArgs) -> ExitCode {
+    let options = match options_of(args) {
         Ok(options) => options,
         Err(error) => {
             eprintln!("alder-load: {error:#}");
             return ExitCode::from(BAD_ARGUMENTS);
         }
     };
-    match run(&args, &options).await {
+    match run(args, &options).await {
         Ok(0) => ExitCode::SUCCESS,
         Ok(violations) => {
             eprintln!("alder-load: {violations} violations");
@@ -169,6 +204,7 @@
         nodes: args.nodes,
         slow_factor: args.slow_factor,
         slow_share: args.slow_share,
+        without_specials: false,
     })
 }
 
--- /dev/null
+++ b/alderhaven-load/src/report.rs
@@ -0,0 +1,44 @@
+//! The report: a Markdown page with tables and plots from saved result lines.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use eyre::{Result, WrapErr, bail};
+
+use crate::report_lines::ReportLines;
+use crate::report_page;
+use crate::report_plot::PlotKind;
+
+/// The name of the page.
+const PAGE: &str = "report.md";
+
+/// Reads the files and writes the report into `directory`; returns the page's path.
+///
+/// # Errors
+/// Where a file can't be read or written, or holds what is not a result line.
+pub fn write(files: &[String], directory: &str) -> Result<PathBuf> {
+    let mut lines = ReportLines::default();
+    for file in files {
+        let text = fs::read_to_string(file).wrap_err_with(|| format!("can't read {file}"))?;
+        lines.add(file, &text)?;
+    }
+    if lines.runs.is_empty() {
+        bail!("the files hold no results");
+    }
+    let directory = Path::new(directory);
+    fs::create_dir_all(directory)
+        .wrap_err_with(|| format!("can't make {}", directory.display()))?;
+    let mut plots = Vec::new();
+    for kind in PlotKind::ALL {
+        let svg = kind.draw(&kind.bars(&lines.runs))?;
+        save(&directory.join(kind.file()), &svg)?;
+        plots.push((kind, kind.file().to_owned()));
+    }
+    let page = directory.join(PAGE);
+    save(&page, &report_page::page(&lines, &plots))?;
+    Ok(page)
+}
+
+fn save(path: &Path, text: &str) -> Result<()> {
+    fs::write(path, text).wrap_err_with(|| format!("can't write {}", path.display()))
+}
--- /dev/null
+++ b/alderhaven-load/src/report_plot.rs
@@ -0,0 +1,152 @@
+//! The plots of a report: one figure for each scenario and policy, as bars in an SVG.
+
+use alderhaven_policy::policy_kind::PolicyKind;
+use eyre::{Result, eyre};
+use plotters::prelude::{
+    ChartBuilder, Color, IntoDrawingArea, IntoFont, RGBColor, Rectangle, SVGBackend, Text, WHITE,
+};
+
+use crate::run_line::{RunLine, rounded};
+
+/// The width of a plot, the height of a bar and what is above and below the bars, in pixels.
+const WIDTH: u32 = 800;
+const BAR_HEIGHT: usize = 24;
+const FRAME_HEIGHT: usize = 90;
+/// The share of a bar's row that the bar fills.
+const BAR_FILL: f64 = 0.8;
+/// The size of the labels and of the title, in pixels.
+const LABEL_SIZE: i32 = 13;
+const TITLE_SIZE: i32 = 18;
+/// The colours of the baseline and of the current policy.
+const BASELINE: RGBColor = RGBColor(200, 200, 200);
+const CURRENT: RGBColor = RGBColor(120, 170, 220);
+
+/// A `PlotKind` is a figure that is plotted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlotKind {
+    /// The latency that 99 in 100 keep.
+    TailLatency,
+    /// The share of urgent queries that were answered in time.
+    UrgentInTime,
+    /// The useful work as a share of capacity.
+    Goodput,
+}
+
+/// A `PlotBar` is the mean of a figure over the seeds of a scenario and a policy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlotBar {
+    /// Scenario, deployment and policy.
+    pub label: String,
+    /// The policy.
+    pub policy: PolicyKind,
+    /// The mean.
+    pub mean: f64,
+}
+
+impl PlotKind {
+    /// All plots of a report.
+    pub const ALL: [Self; 3] = [Self::TailLatency, Self::UrgentInTime, Self::Goodput];
+
+    /// Gets the title.
+    #[must_use]
+    pub const fn title(self) -> &'static str {
+        match self {
+            Self::TailLatency => "p99 latency, ms",
+            Self::UrgentInTime => "share of urgent queries in time",
+            Self::Goodput => "goodput, share of capacity",
+        }
+    }
+
+    /// Gets the name of the file.
+    #[must_use]
+    pub const fn file(self) -> &'static str {
+        match self {
+            Self::TailLatency => "p99.svg",
+            Self::UrgentInTime => "urgent-in-time.svg",
+            Self::Goodput => "goodput.svg",
+        }
+    }
+
+    const fn figure(self, line: &RunLine) -> Option<f64> {
+        match self {
+            Self::TailLatency => line.p99_ms,
+            Self::UrgentInTime => line.urgent_in_time,
+            Self::Goodput => Some(line.goodput),
+        }
+    }
+
+    /// Gets the bars in the order in which scenarios and policies first come.
+    #[must_use]
+    pub fn bars(self, lines: &[RunLine]) -> Vec<PlotBar> {
+        let mut sums: Vec<(PlotBar, f64)> = Vec::new();
+        for line in lines {
+            let Some(figure) = self.figure(line) else {
+                continue;
+            };
+            let label = format!("{} {} {}", line.scenario, line.deployment, line.policy);
+            let known = sums.iter().position(|(bar, _)| bar.label == label);
+            let position = known.unwrap_or(sums.len());
+            if known.is_none() {
+                let bar = PlotBar {
+                    label,
+                    policy: line.policy,
+                    mean: 0.0,
+                };
+                sums.push((bar, 0.0));
+            }
+            let (bar, count) = &mut sums[position];
+            *count += 1.0;
+            bar.mean += (figure - bar.mean) / *count;
+        }
+        sums.into_iter().map(|(bar, _)| bar).collect()
+    }
+
+    /// Draws the bars as the text of an SVG.
+    ///
+    /// # Errors
+    /// Where the drawing does not fit.
+    pub fn draw(self, bars: &[PlotBar]) -> Result<String> {
+        let mut svg = String::new();
+        let height = u32::try_from(FRAME_HEIGHT + BAR_HEIGHT * bars.len())?;
+        let area = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        area.fill(&WHITE).map_err(unfit)?;
+        let longest = bars.iter().map(|bar| bar.mean).fold(0.0, f64::max);
+        let end = if longest > 0.0 { longest * 1.05 } else { 1.0 };
+        let rows = bars.len().max(1) as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(self.title(), ("sans-serif", TITLE_SIZE).into_font())
+            .margin(10)
+            .x_label_area_size(30)
+            .build_cartesian_2d(0.0..end, 0.0..rows)
+            .map_err(unfit)?;
+        let mut mesh = chart.configure_mesh();
+        mesh.disable_y_mesh().disable_y_axis();
+        mesh.draw().map_err(unfit)?;
+        let rectangles = bars.iter().enumerate().map(|(position, bar)| {
+            // The first bar is drawn on top.
+            let bottom = rows - position as f64 - 1.0;
+            let color = match bar.policy {
+                PolicyKind::Baseline => BASELINE,
+                PolicyKind::Current => CURRENT,
+            };
+            let corners = [(0.0, bottom), (bar.mean, bottom + BAR_FILL)];
+            Rectangle::new(corners, color.filled())
+        });
+        chart.draw_series(rectangles).map_err(unfit)?;
+        let labels = bars.iter().enumerate().map(|(position, bar)| {
+            let top = rows - position as f64 - 1.0 + BAR_FILL;
+            let label = format!("{}: {}", bar.label, rounded(bar.mean));
+            let font = ("sans-serif", LABEL_SIZE).into_font();
+            Text::new(label, (end * 0.01, top), font)
+        });
+        chart.draw_series(labels).map_err(unfit)?;
+        drop(chart);
+        area.present().map_err(unfit)?;
+        drop(area);
+        Ok(svg)
+    }
+}
+
+fn unfit(error: impl std::fmt::Display) -> eyre::Report {
+    eyre!("the plot can't be drawn: {error}")
+}
--- a/alderhaven-load/src/run_line.rs
+++ b/alderhaven-load/src/run_line.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::scenario::ScenarioKind;
+use crate::scenario_figures::FigureMap;
 use crate::violations::ViolationCounts;
 
 /// A `RunLine` is the result of one run of one policy.
@@ -75,6 +76,9 @@
     pub cpu_share: f64,
     /// The share of the machine's cores that were busy: near 1 the machine limits the run.
     pub machine_busy: f64,
+    /// The figures of this scenario alone.
+    #[serde(default)]
+    pub figures: FigureMap,
 }
 
 /// A `RatioLine` gives the figures of the current policy over those of the baseline.
--- a/alderhaven-load/src/run_options.rs
+++ b/alderhaven-load/src/run_options.rs
@@ -29,6 +29,16 @@
     pub slow_factor: f64,
     /// The share of the targets that are slow.
     pub slow_share: f64,
+    /// Leaves out the special queries of the scenario: the run that it is compared with.
+    pub without_specials: bool,
+}
+
+impl RunOptions {
+    /// Gets when the faults and changes of the scenario come, since the run began.
+    #[must_use]
+    pub fn event_at(&self) -> TimeSpan {
+        self.warm_up + self.measured.mul_f64(0.25)
+    }
 }
 
 impl Default for RunOptions {
@@ -44,6 +54,7 @@
             nodes: 8,
             slow_factor: 10.0,
             slow_share: 0.1,
+            without_specials: false,
         }
     }
 }
--- a/alderhaven-load/src/run_tally.rs
+++ b/alderhaven-load/src/run_tally.rs
@@ -13,6 +13,7 @@
 use crate::query_reply::{AnswerBody, ErrorBody, QueryReply, ReadReply, ReplyContent};
 use crate::run_line::{RunLine, rounded};
 use crate::run_options::RunOptions;
+use crate::scenario_figures::FigureMap;
 use crate::violations::{ViolationCounts, ViolationKind};
 use crate::workload::Workload;
 
@@ -201,6 +202,7 @@
             send_lag_p99_ms: quantile_ms(&self.send_lags, 0.99),
             cpu_share: rounded(shares.process),
             machine_busy: rounded(shares.machine),
+            figures: FigureMap::new(),
         }
     }
 }
--- /dev/null
+++ b/alderhaven-load/src/scenario_figures.rs
@@ -0,0 +1,228 @@
+//! The figures that belong to single scenarios: what the others received, the way back to a steady
+//! tail, crashes, ejections.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use alderhaven_core::ids::{ServiceName, SnapshotId, TeamId};
+use alderhaven_core::time::TimeSpan;
+use alderhaven_standin::fleet_services::LeavingRecord;
+use alderhaven_standin::run_log::RunRecord;
+use alderhaven_standin::target_faults::POISON_MARKER;
+
+use crate::load_plan;
+use crate::load_query::{LoadQuery, QueryGroup};
+use crate::query_reply::{QueryReply, ReadReply};
+use crate::run_line::rounded;
+use crate::run_options::RunOptions;
+use crate::scenario::ScenarioKind;
+
+/// The length of the windows in which the tail is looked at on its way back, and their step.
+const WINDOW: (TimeSpan, TimeSpan) = (TimeSpan::from_secs(1), TimeSpan::from_millis(100));
+/// The factor of the steady tail within which a tail is called back.
+const BACK_FACTOR: f64 = 1.25;
+
+/// A `FigureMap` holds figures by their name; one that can't be told is `null`.
+pub type FigureMap = BTreeMap<String, Option<f64>>;
+
+/// A `FigureTally` gathers what the figures are worked out from.
+#[derive(Debug)]
+pub struct FigureTally<'a> {
+    options: &'a RunOptions,
+    hot_team: TeamId,
+    /// When the even load's answered queries were due, and their latencies.
+    answered: Vec<(TimeSpan, TimeSpan)>,
+    others: GroupTally,
+    longs: GroupTally,
+    snapshots: BTreeSet<(ServiceName, SnapshotId)>,
+}
+
+#[derive(Debug, Default)]
+struct GroupTally {
+    offered: u64,
+    answered: u64,
+    coverage: f64,
+    latencies: Vec<TimeSpan>,
+}
+
+impl<'a> FigureTally<'a> {
+    /// Returns an empty tally.
+    #[must_use]
+    pub fn new(options: &'a RunOptions) -> Self {
+        Self {
+            options,
+            hot_team: load_plan::hot_team(options.deployment),
+            answered: Vec::new(),
+            others: GroupTally::default(),
+            longs: GroupTally::default(),
+            snapshots: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a query with its reply; only those due in the measured time count.
+    pub fn add(&mut self, query: &LoadQuery, reply: &QueryReply) {
+        let begin = self.options.warm_up;
+        if !(begin..begin + self.options.measured).contains(&query.due) {
+            return;
+        }
+        let latency = reply.ended.saturating_sub(query.due);
+        let coverage = match reply.read() {
+            ReadReply::Answer(answer) => {
+                let service = query.mixed.template.service.clone();
+                self.snapshots.insert((service, answer.snapshot));
+                Some(answer.coverage.share())
+            }
+            ReadReply::Error(_) | ReadReply::Unreadable => None,
+        };
+        if query.group == QueryGroup::Base && coverage.is_some() {
+            self.answered.push((query.due, latency));
+        }
+        let is_hot = self.options.scenario == ScenarioKind::HotTeam && query.team == self.hot_team;
+        let group = match query.group {
+            QueryGroup::Base if !is_hot => &mut self.others,
+            QueryGroup::Long => &mut self.longs,
+            _ => return,
+        };
+        group.offered += 1;
+        if let Some(coverage) = coverage {
+            group.answered += 1;
+            group.coverage += coverage;
+            group.latencies.push(latency);
+        }
+    }
+
+    /// Works out the figures of the scenario.
+    #[must_use]
+    pub fn figures(&self, records: &[RunRecord], leavings: &[LeavingRecord]) -> FigureMap {
+        let mut figures = FigureMap::new();
+        match self.options.scenario {
+            ScenarioKind::Steady | ScenarioKind::SlowTarget | ScenarioKind::Overload => {}
+            ScenarioKind::HotTeam | ScenarioKind::HotKey => self.add_others(&mut figures),
+            ScenarioKind::LongAmongShort => {
+                self.add_others(&mut figures);
+                insert(&mut figures, "long_offered", self.longs.offered as f64);
+                insert(&mut figures, "long_answered", self.longs.answered as f64);
+            }
+            ScenarioKind::Poison => {
+                self.add_others(&mut figures);
+                add_crashes(&mut figures, records);
+            }
+            ScenarioKind::Burst => {
+                self.add_way_back(&mut figures, load_plan::burst_end(self.options));
+            }
+            ScenarioKind::TargetLeaving => {
+                self.add_way_back(&mut figures, self.options.event_at());
+                add_leavings(&mut figures, records, leavings);
+            }
+            ScenarioKind::SnapshotChange => {
+                self.add_way_back(&mut figures, self.options.event_at());
+                let count = self.snapshots.len() as f64;
+                insert(&mut figures, "snapshots_answered", count);
+            }
+            ScenarioKind::SilentConnections
+            | ScenarioKind::ColdStart
+            | ScenarioKind::RelayCrash
+            | ScenarioKind::StoreOutage
+            | ScenarioKind::PublishRace => {
+                self.add_way_back(&mut figures, self.options.event_at());
+            }
+        }
+        figures
+    }
+
+    fn add_others(&self, figures: &mut FigureMap) {
+        let others = &self.others;
+        let p99 = p99_ms(others.latencies.clone());
+        figures.insert("others_p99_ms".to_owned(), p99);
+        let share = others.answered as f64 / (others.offered.max(1) as f64);
+        insert(figures, "others_answered", share);
+        let coverage = others.coverage / (others.offered.max(1) as f64);
+        insert(figures, "others_coverage", coverage);
+    }
+
+    /// Adds the tail before the event, the worst tail of any second after `end`, and the time from
+    /// `end` until after that one the tail of a second is near the steady one again.
+    fn add_way_back(&self, figures: &mut FigureMap, end: TimeSpan) {
+        let steady = self.p99_between(self.options.warm_up, self.options.event_at());
+        let windows = self.windows_after(end);
+        // The first of the worst windows: a tail that stays bad never comes back.
+        let mut worst: Option<(TimeSpan, f64)> = None;
+        for (begin, p99) in &windows {
+            if worst.is_none_or(|(_, most)| *p99 > most) {
+                worst = Some((*begin, *p99));
+            }
+        }
+        let is_back = |(begin, p99): &&(TimeSpan, f64)| {
+            worst.is_some_and(|(at, _)| *begin >= at)
+                && steady.is_some_and(|steady| *p99 <= steady * BACK_FACTOR)
+        };
+        let back = windows.iter().find(is_back);
+        let back = back.map(|(begin, _)| rounded(begin.saturating_sub(end).as_secs_f64() * 1e3));
+        figures.insert("steady_p99_ms".to_owned(), steady);
+        figures.insert("worst_window_p99_ms".to_owned(), worst.map(|(_, p99)| p99));
+        figures.insert("back_to_steady_ms".to_owned(), back);
+    }
+
+    /// Gets the tails of the windows from `end` on, with their beginnings.
+    fn windows_after(&self, end: TimeSpan) -> Vec<(TimeSpan, f64)> {
+        let (length, step) = WINDOW;
+        let last = self.options.warm_up + self.options.measured;
+        let mut windows = Vec::new();
+        let mut begin = end;
+        while begin + length <= last {
+            windows.extend(
+                self.p99_between(begin, begin + length)
+                    .map(|p99| (begin, p99)),
+            );
+            begin = begin + step;
+        }
+        windows
+    }
+
+    fn p99_between(&self, begin: TimeSpan, end: TimeSpan) -> Option<f64> {
+        let due = self
+            .answered
+            .iter()
+            .filter(|(due, _)| (begin..end).contains(due));
+        p99_ms(due.map(|(_, latency)| *latency).collect())
+    }
+}
+
+fn add_crashes(figures: &mut FigureMap, records: &[RunRecord]) {
+    let mut crashes: BTreeMap<&str, u64> = BTreeMap::new();
+    for record in records {
+        if record.parameters.contains(POISON_MARKER) {
+            *crashes.entry(&record.parameters).or_default() += 1;
+        }
+    }
+    let most = crashes.values().max().copied().unwrap_or(0);
+    insert(figures, "poison_requests_run", crashes.len() as f64);
+    insert(figures, "crashes", crashes.values().sum::<u64>() as f64);
+    insert(figures, "most_crashes_per_poison", most as f64);
+}
+
+fn add_leavings(figures: &mut FigureMap, records: &[RunRecord], leavings: &[LeavingRecord]) {
+    let after = |record: &RunRecord| {
+        leavings
+            .iter()
+            .filter(|leaving| leaving.target == record.target)
+            .filter_map(|leaving| record.started_us.checked_sub(leaving.at_us))
+            .max()
+    };
+    let latest = records.iter().filter_map(after).max();
+    insert(figures, "leaving_targets", leavings.len() as f64);
+    let latest = latest.map(|span| rounded(span as f64 / 1e3));
+    figures.insert("last_run_after_leaving_ms".to_owned(), latest);
+}
+
+/// Adds a figure under its name.
+pub fn insert(figures: &mut FigureMap, name: &str, figure: f64) {
+    figures.insert(name.to_owned(), Some(rounded(figure)));
+}
+
+/// Gets the latency that 99 in 100 keep, in milliseconds.
+fn p99_ms(mut latencies: Vec<TimeSpan>) -> Option<f64> {
+    latencies.sort_unstable();
+    let rank = (latencies.len() * 99).div_ceil(100);
+    let latency = latencies.get(rank.checked_sub(1)?)?;
+    Some(rounded(latency.as_secs_f64() * 1e3))
+}
--- a/alderhaven-load/src/workload.rs
+++ b/alderhaven-load/src/workload.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use alderhaven_core::class::{AnswerPreference, QueryClass};
 use alderhaven_core::errors::{Error, Result};
 use alderhaven_core::ids::{TeamId, TemplateName};
 use alderhaven_core::settings;
@@ -16,6 +17,13 @@
 const VOLTA: &str = include_str!("../workloads/volta.yaml");
 const LAGERBLIK: &str = include_str!("../workloads/lagerblik.yaml");
 
+/// The mean run time of a long job, some thirty times that of a short query.
+const LONG_MEAN: TimeSpan = TimeSpan::from_secs(1);
+/// The deadline of a long job.
+const LONG_DEADLINE: TimeSpan = TimeSpan::from_secs(20);
+/// The part of a service's capacity that long jobs take.
+const LONG_SHARE: f64 = 0.2;
+
 /// A `WorkloadFile` is the content of a workload file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -64,6 +72,8 @@
     pub mix: Vec<MixedTemplate>,
     /// The services, with the run times of the mix.
     pub layouts: Vec<ServiceLayout>,
+    /// Long jobs, which are not part of the mix.
+    pub long_jobs: Vec<MixedTemplate>,
 }
 
 impl MixedTemplate {
@@ -133,9 +143,39 @@
             teams: file.teams,
             mix,
             layouts,
+            long_jobs: Vec::new(),
         })
     }
 
+    /// Adds long jobs at the services that urgent templates ask: bulk queries of the same teams.
+    ///
+    /// # Errors
+    /// `Error::Parse` where a name becomes too long.
+    pub fn add_long_jobs(&mut self) -> Result<()> {
+        let is_urgent = |mixed: &&MixedTemplate| mixed.template.class == QueryClass::Urgent;
+        let urgent: Vec<MixedTemplate> = self.mix.iter().filter(is_urgent).cloned().collect();
+        for mut mixed in urgent {
+            let name: TemplateName = format!("{}-long", mixed.template.name).parse()?;
+            mixed.template.name = name.clone();
+            mixed.template.class = QueryClass::Bulk;
+            mixed.template.preference = AnswerPreference::Coverage;
+            mixed.template.answer_by = None;
+            mixed.template.min_coverage = None;
+            mixed.template.deadline = LONG_DEADLINE;
+            mixed.entry.template = name.clone();
+            mixed.entry.mean = LONG_MEAN;
+            mixed.entry.share = LONG_SHARE;
+            for layout in &mut self.layouts {
+                if layout.service == mixed.template.service {
+                    let templates = &mut layout.service_time.templates;
+                    templates.insert(name.to_string(), LONG_MEAN);
+                }
+            }
+            self.long_jobs.push(mixed);
+        }
+        Ok(())
+    }
+
     /// Gets the objects to publish.
     #[must_use]
     pub fn objects(&self) -> ObjectSet {
@@ -143,6 +183,7 @@
             templates: self
                 .mix
                 .iter()
+                .chain(&self.long_jobs)
                 .map(|mixed| mixed.template.clone())
                 .collect(),
             teams: self.teams.clone(),
--- a/alderhaven-load/tests/common/mod.rs
+++ b/alderhaven-load/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use alderhaven_core::ids::{AttemptId, IndexVersion, ServiceName, ShardId, SnapshotId, TargetId};
 use alderhaven_core::manifest::{ReplicaEntry, ShardEntry, SnapshotManifest};
 use alderhaven_core::time::TimeSpan;
-use alderhaven_load::load_query::LoadQuery;
+use alderhaven_load::load_query::{LoadQuery, QueryGroup};
 use alderhaven_load::query_reply::{QueryReply, ReplyContent};
 use alderhaven_load::workload::Workload;
 use alderhaven_standin::rows::{DerivedRow, rows_for};
@@ -36,6 +36,8 @@
         team: "publishers".parse().unwrap(),
         parameters,
         mixed: Arc::new(mixed),
+        group: QueryGroup::Base,
+        entry: None,
     }
 }
 
--- a/alderhaven-load/tests/whole_run.rs
+++ b/alderhaven-load/tests/whole_run.rs
@@ -30,3 +30,33 @@
         assert_eq!(line.violations.total(), 0, "{:?}", line.violations);
     }
 }
+
+/// Targets crash, leave, fall silent and change their versions, a relay dies and the platform is
+/// away: whatever becomes of the queries, each has an outcome and no promise is broken.
+#[tokio::test(flavor = "multi_thread")]
+async fn run_faults_keep_promises() {
+    for scenario in [
+        ScenarioKind::SnapshotChange,
+        ScenarioKind::TargetLeaving,
+        ScenarioKind::Poison,
+        ScenarioKind::SilentConnections,
+        ScenarioKind::ColdStart,
+        ScenarioKind::RelayCrash,
+        ScenarioKind::PublishRace,
+    ] {
+        let options = RunOptions {
+            scenario,
+            load: 0.1,
+            measured: TimeSpan::from_millis(800),
+            warm_up: TimeSpan::from_millis(100),
+            nodes: 2,
+            ..RunOptions::default()
+        };
+        let line = test_run::run(&options).await.unwrap();
+        let ended =
+            line.complete + line.partial + line.refused_not_run + line.failed + line.unknown;
+        assert_eq!(ended, line.offered, "{scenario}");
+        let broken = line.violations.total();
+        assert_eq!(broken, 0, "{scenario}: {:?}", line.violations);
+    }
+}
