--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -2,6 +2,15 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod claim_messages;
 pub mod codec;
 pub mod connection;
+pub mod exchange_links;
+pub mod exchange_messages;
 pub mod frames;
+pub mod gossip_messages;
+pub mod malformed_message;
+pub mod peer_driver;
+pub mod peer_handle;
+pub mod peer_node;
+pub mod peer_options;
