--- a/alderhaven-load/src/fault_script.rs
+++ b/alderhaven-load/src/fault_script.rs
@@ -40,6 +40,8 @@
 const LEAVING_MS: u64 = 3_500;
 /// The time for which the platform is out of service.
 const OUTAGE: Duration = Duration::from_secs(2);
+/// The time for which a failure domain is lost.
+const DOMAIN_DOWN: Duration = Duration::from_secs(2);
 /// The publications of a race, and the pause between two.
 const RACE: (u64, Duration) = (20, Duration::from_millis(100));
 
@@ -118,6 +120,7 @@
                 fleet_control::apply(self.bed.fleet().services(), call).await?;
             }
             ScenarioKind::SnapshotChange => self.change_snapshots().await?,
+            ScenarioKind::DomainLoss => self.lose_domain(),
             ScenarioKind::RelayCrash => self.bed.crash_relay(),
             ScenarioKind::StoreOutage => {
                 self.bed.store().set_faults(PlatformFaults {
@@ -134,6 +137,17 @@
         Ok(())
     }
 
+    /// Takes the first failure domain's targets down.
+    fn lose_domain(&self) {
+        let domain = |target: &TargetServer| target.state().spec().domain.clone();
+        let lost = self.bed.fleet().targets().map(domain).min();
+        for target in self.bed.fleet().targets() {
+            if Some(domain(target)) == lost {
+                target.state().life().crash(DOMAIN_DOWN);
+            }
+        }
+    }
+
     /// Publishes a next version of each service, and then another number of shards of the first.
     async fn change_snapshots(&self) -> Result<()> {
         let manifests = self.bed.manifests();
--- a/alderhaven-load/src/main.rs
+++ b/alderhaven-load/src/main.rs
@@ -61,8 +61,8 @@
     #[argh(option, default = "DeploymentKind::Volta")]
     deployment: DeploymentKind,
     /// steady, slow-target, overload, burst, hot-team, hot-key, long-among-short, target-leaving,
-    /// snapshot-change, poison, silent-connections, cold-start, relay-crash, store-outage or
-    /// publish-race
+    /// snapshot-change, poison, silent-connections, cold-start, domain-loss, relay-crash,
+    /// store-outage or publish-race
     #[argh(option)]
     scenario: ScenarioKind,
     /// current, baseline or both (default): one after the other, then a line of ratios
--- a/alderhaven-load/src/scenario.rs
+++ b/alderhaven-load/src/scenario.rs
@@ -37,6 +37,8 @@
     SilentConnections,
     /// Some targets start anew and are slow at first.
     ColdStart,
+    /// All targets of a failure domain are down for a while.
+    DomainLoss,
     /// A relay dies.
     RelayCrash,
     /// The object API and the host list are out of service for a while.
@@ -47,7 +49,7 @@
 
 impl ScenarioKind {
     /// All scenarios.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Steady,
         Self::SlowTarget,
         Self::Overload,
@@ -60,6 +62,7 @@
         Self::Poison,
         Self::SilentConnections,
         Self::ColdStart,
+        Self::DomainLoss,
         Self::RelayCrash,
         Self::StoreOutage,
         Self::PublishRace,
@@ -98,6 +101,7 @@
             Self::Poison => "poison",
             Self::SilentConnections => "silent-connections",
             Self::ColdStart => "cold-start",
+            Self::DomainLoss => "domain-loss",
             Self::RelayCrash => "relay-crash",
             Self::StoreOutage => "store-outage",
             Self::PublishRace => "publish-race",
--- a/alderhaven-load/src/scenario_figures.rs
+++ b/alderhaven-load/src/scenario_figures.rs
@@ -120,6 +120,7 @@
             }
             ScenarioKind::SilentConnections
             | ScenarioKind::ColdStart
+            | ScenarioKind::DomainLoss
             | ScenarioKind::RelayCrash
             | ScenarioKind::StoreOutage
             | ScenarioKind::PublishRace => {
--- a/alderhaven-load/src/test_bed.rs
+++ b/alderhaven-load/src/test_bed.rs
@@ -234,6 +234,16 @@
         self.entries.iter().map(count).sum()
     }
 
+    /// Gets the fewest relays that any entry can use.
+    #[must_use]
+    pub fn usable_relays(&self) -> usize {
+        let usable = |entry: &EntryNode| {
+            let links = entry.state().routes.links();
+            links.iter().filter(|link| link.is_usable()).count()
+        };
+        self.entries.iter().map(usable).min().unwrap_or(0)
+    }
+
     /// Ends all tasks and connections of the first relay at once.
     pub fn crash_relay(&self) {
         lock(&self.doomed).take();
--- a/alderhaven-load/src/test_run.rs
+++ b/alderhaven-load/src/test_run.rs
@@ -95,6 +95,10 @@
     line.figures = figures.figures(&records, &leavings);
     let ejections = bed.ejections() as f64;
     scenario_figures::insert(&mut line.figures, "ejections", ejections);
+    if options.scenario == ScenarioKind::RelayCrash {
+        let usable = bed.usable_relays() as f64;
+        scenario_figures::insert(&mut line.figures, "usable_relays", usable);
+    }
     if options.scenario == ScenarioKind::PublishRace {
         let publications = bed.publications() as f64;
         scenario_figures::insert(&mut line.figures, "publications", publications);
--- a/alderhaven-load/tests/whole_run.rs
+++ b/alderhaven-load/tests/whole_run.rs
@@ -41,6 +41,7 @@
         ScenarioKind::Poison,
         ScenarioKind::SilentConnections,
         ScenarioKind::ColdStart,
+        ScenarioKind::DomainLoss,
         ScenarioKind::RelayCrash,
         ScenarioKind::PublishRace,
     ] {
@@ -58,5 +59,8 @@
         assert_eq!(ended, line.offered, "{scenario}");
         let broken = line.violations.total();
         assert_eq!(broken, 0, "{scenario}: {:?}", line.violations);
+        if scenario == ScenarioKind::RelayCrash {
+            assert_eq!(line.figures["usable_relays"], Some(1.0));
+        }
     }
 }
--- a/alderhaven-standin/src/target_state.rs
+++ b/alderhaven-standin/src/target_state.rs
@@ -18,9 +18,9 @@
 use crate::http_server::{HttpReply, json_reply, text_reply};
 use crate::rows;
 use crate::run_log::{RunEnd, RunLog, RunRecord};
-use crate::target_faults::TargetFaults;
+pub use crate::target_faults::TargetFaults;
 use crate::target_life::TargetLife;
-use crate::target_spec::TargetSpec;
+pub use crate::target_spec::TargetSpec;
 
 /// A `TargetState` runs the attempts of one target, whatever connection they come by.
 #[derive(Debug)]
