Quarantine and connection health as pure decisions

Change: a request is a suspect after one crash with it in flight and then runs with no other at its target; it is refused after strikes at two targets, at one of them alone. Strikes merge by union. A machine of three states tells silent connections from a target that is slow or down. Ruled out: refusing by the sum of shared strikes; two requests in flight together at two crashed targets look alike, and the innocent one would be refused. Faults seen: not asking for a strike alone (shared_strikes_never_refuse, refuses_on_grounds_only); no judgement of lost domains (lost_domain_blames_nobody); known strikes told as new (merges_alike); one request too many (is_bounded); an attempt judged silent by its time alone (slow_target_is_not_silent); a second probe while one is under way (every_edge).

--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -5,12 +5,16 @@
 pub mod admission;
 pub mod admit_decision;
 pub mod config_registry;
+pub mod connection_health;
+pub mod crash_strike;
 pub mod fair_queue;
+mod health_machine;
 pub mod hedging;
 pub mod latency_window;
 pub mod leaving_targets;
 pub mod load_meter;
 pub mod policy_kind;
+pub mod quarantine;
 pub mod query_gather;
 pub mod relay_queue;
 pub mod replica_choice;
--- /dev/null
+++ b/alderhaven-policy/src/quarantine.rs
@@ -0,0 +1,424 @@
+//! Quarantine: a request that crashes targets is refused for a while.
+//!
+//! Load pattern: a request makes the process of its target die. The caller sees a failure and sends
+//! it again, through another entry too, and retries and hedges bring it to further replicas.
+//!
+//! Without it: one request takes down every replica of its shard, and each resend does so again.
+//!
+//! The rules:
+//! - A *strike* is a crash of a target with the request in flight. Only the death of the process
+//!   counts, not a cut path: the caller of this module decides that.
+//! - A request with a strike is a *suspect*: it is run with no other request at its target, so that
+//!   the next crash has one cause. Of two requests that were in flight together, the innocent one
+//!   is answered then, and the guilty one is found with its second target.
+//! - A request is refused after strikes at two different targets, at one of them alone. Strikes
+//!   weigh nothing for a refusal while others were always in flight too.
+//! - An answer from a replica of the shard clears the strikes for that shard: replicas hold the same
+//!   data, so what one of them answers did not crash another.
+//! - Many targets of one failure domain lost at once are no request's doing; such strikes count for
+//!   nothing, until the request has lost targets in bulk in a second domain.
+//! - A refusal lapses. One more strike is then enough, and each refusal is twice as long.
+//!
+//! What it can't bound: the first wave of a query over many shards reaches several targets before
+//! the first crash is known; copies sent at the same moment do too; a request that crashes targets
+//! only now and then is cleared by its answers; and requests that each differ share no strikes.
+//!
+//! Strikes from several processes merge by union, in any order and any number of times, and every
+//! judgement is computed from the strikes alone, so all processes come to the same one.
+//!
+//! Grounds for the figures: two targets are the fewest that tell a request from a failing host. A
+//! crashed target is back within a minute or so, so 30 s spares it one more crash, and six refusals
+//! reach 16 minutes. Two crashes of different causes within 10 minutes with the same request alone
+//! are rare: at 890 restarts a day over 3,400 targets, 6 happen in that time, nearly all planned.
+//! Four targets of one domain within 2 s is far above that rate.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use alderhaven_core::fingerprint::RequestFingerprint;
+use alderhaven_core::ids::{FailureDomain, ShardId, TargetId};
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+use crate::crash_strike::{CrashStrike, StrikeNews, TargetCrash};
+use crate::policy_kind::PolicyKind;
+
+/// The most strikes that are kept of one request; the newest stay.
+const MAX_STRIKES: usize = 16;
+/// The most crashes that are remembered for the judgement of whole domains.
+const MAX_LOSSES: usize = 512;
+
+/// A `QuarantineOptions` holds the settings of the quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct QuarantineOptions {
+    /// Whether requests are refused at all.
+    pub enabled: bool,
+    /// The different targets after which a request is refused.
+    pub targets: usize,
+    /// The time within which those targets were lost.
+    pub window: TimeSpan,
+    /// How long the first refusal holds; each further one holds twice as long.
+    pub hold: TimeSpan,
+    /// The longest that a refusal holds.
+    pub max_hold: TimeSpan,
+    /// How long a strike is remembered.
+    pub memory: TimeSpan,
+    /// The targets of one domain whose loss at once is no request's doing.
+    pub domain_losses: usize,
+    /// What counts as at once.
+    pub domain_window: TimeSpan,
+    /// The most requests with strikes that are remembered.
+    pub max_requests: usize,
+}
+
+impl Default for QuarantineOptions {
+    fn default() -> Self {
+        Self {
+            enabled: true,
+            targets: 2,
+            window: TimeSpan::from_secs(600),
+            hold: TimeSpan::from_secs(30),
+            max_hold: TimeSpan::from_secs(960),
+            memory: TimeSpan::from_secs(3600),
+            domain_losses: 4,
+            domain_window: TimeSpan::from_secs(2),
+            max_requests: 256,
+        }
+    }
+}
+
+/// A `QuarantineEntry` is the state of one request for the dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct QuarantineEntry {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// How often it was refused.
+    pub refusals: u32,
+    /// How long it stays refused, in milliseconds; zero where it is a suspect only.
+    pub refused_ms: u64,
+    /// Its strikes.
+    pub strikes: Vec<CrashStrike>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct RequestRecord {
+    strikes: BTreeMap<u64, CrashStrike>,
+    refusals: u32,
+    until: TimePoint,
+}
+
+#[derive(Clone, Debug)]
+struct TargetLoss {
+    target: TargetId,
+    domain: FailureDomain,
+    at: TimePoint,
+}
+
+/// A `CrashQuarantine` judges requests by the crashes they were part of.
+#[derive(Clone, Debug)]
+pub struct CrashQuarantine {
+    options: QuarantineOptions,
+    requests: HashMap<RequestFingerprint, RequestRecord>,
+    losses: BTreeMap<u64, TargetLoss>,
+}
+
+impl CrashQuarantine {
+    /// Returns an empty quarantine; the baseline policy has none.
+    #[must_use]
+    pub fn new(policy: PolicyKind, mut options: QuarantineOptions) -> Self {
+        options.enabled &= policy == PolicyKind::Current;
+        Self {
+            options,
+            requests: HashMap::new(),
+            losses: BTreeMap::new(),
+        }
+    }
+
+    /// Notes a crash: one strike for each request that was in flight.
+    pub fn note_crash(&mut self, crash: &TargetCrash, now: TimePoint) -> Vec<StrikeNews> {
+        let different: BTreeSet<_> = crash.in_flight.iter().map(|(request, _)| request).collect();
+        let in_flight = u32::try_from(different.len()).unwrap_or(u32::MAX);
+        let news: Vec<StrikeNews> = crash
+            .in_flight
+            .iter()
+            .map(|(fingerprint, shard)| StrikeNews {
+                fingerprint: *fingerprint,
+                strike: CrashStrike {
+                    crash: crash.crash,
+                    target: crash.target.clone(),
+                    domain: crash.domain.clone(),
+                    shard: *shard,
+                    in_flight,
+                    at: now,
+                    cleared: false,
+                },
+                age: TimeSpan::ZERO,
+            })
+            .collect();
+        self.note_loss(crash.crash, &crash.target, &crash.domain, now);
+        self.merge(&news, now);
+        // A target that was lost idle tells of its domain.
+        self.judge_all();
+        news
+    }
+
+    /// Takes over strikes of another process; returns those that told something new.
+    pub fn merge(&mut self, news: &[StrikeNews], now: TimePoint) -> Vec<StrikeNews> {
+        if !self.options.enabled {
+            return Vec::new();
+        }
+        let mut fresh = Vec::new();
+        let memory = self.options.memory;
+        for item in news.iter().filter(|item| item.age < memory) {
+            let strike = CrashStrike {
+                at: now - item.age,
+                ..item.strike.clone()
+            };
+            self.note_loss(strike.crash, &strike.target, &strike.domain, strike.at);
+            if self.add(item.fingerprint, strike) {
+                fresh.push(item.clone());
+            }
+        }
+        if !fresh.is_empty() {
+            self.prune(now);
+            self.judge_all();
+        }
+        fresh
+    }
+
+    /// Notes an answer to a request by a replica of a shard; returns the strikes that it cleared.
+    pub fn answered(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        shard: ShardId,
+        now: TimePoint,
+    ) -> Vec<StrikeNews> {
+        let Some(record) = self.requests.get_mut(fingerprint) else {
+            return Vec::new();
+        };
+        let mut cleared = Vec::new();
+        for strike in record.strikes.values_mut() {
+            if strike.shard == shard && !strike.cleared {
+                strike.cleared = true;
+                cleared.push(news_of(*fingerprint, strike, now));
+            }
+        }
+        if !cleared.is_empty() {
+            self.judge_all();
+        }
+        cleared
+    }
+
+    /// Gets how long a request stays refused, or none where it is not.
+    #[must_use]
+    pub fn refused_for(
+        &self,
+        fingerprint: &RequestFingerprint,
+        now: TimePoint,
+    ) -> Option<TimeSpan> {
+        let record = self.requests.get(fingerprint)?;
+        (record.until > now).then(|| now.until(record.until))
+    }
+
+    /// Returns true where a request has a strike that counts still, so that it is run alone.
+    #[must_use]
+    pub fn is_suspect(&self, fingerprint: &RequestFingerprint, now: TimePoint) -> bool {
+        let window = self.options.window;
+        self.requests.get(fingerprint).is_some_and(|record| {
+            let counts =
+                |strike: &CrashStrike| record.refusals > 0 || now.since(strike.at) < window;
+            record
+                .strikes
+                .values()
+                .any(|strike| !strike.cleared && counts(strike))
+        })
+    }
+
+    /// Gets all strikes, for another process.
+    #[must_use]
+    pub fn strikes(&self, now: TimePoint) -> Vec<StrikeNews> {
+        let of_record = |(fingerprint, record): (&RequestFingerprint, &RequestRecord)| {
+            let fingerprint = *fingerprint;
+            record
+                .strikes
+                .values()
+                .map(move |strike| news_of(fingerprint, strike, now))
+                .collect::<Vec<_>>()
+        };
+        self.requests.iter().flat_map(of_record).collect()
+    }
+
+    /// Gets the number of requests with strikes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns true where no request has a strike.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Gets the state of all requests with strikes, for the dump.
+    #[must_use]
+    pub fn entries(&self, now: TimePoint) -> Vec<QuarantineEntry> {
+        self.requests
+            .iter()
+            .map(|(fingerprint, record)| QuarantineEntry {
+                fingerprint: *fingerprint,
+                refusals: record.refusals,
+                refused_ms: now.until(record.until).as_millis(),
+                strikes: record.strikes.values().cloned().collect(),
+            })
+            .collect()
+    }
+
+    fn note_loss(&mut self, crash: u64, target: &TargetId, domain: &FailureDomain, at: TimePoint) {
+        let loss = self.losses.entry(crash).or_insert_with(|| TargetLoss {
+            target: target.clone(),
+            domain: domain.clone(),
+            at,
+        });
+        loss.at = loss.at.min(at);
+        if self.losses.len() > MAX_LOSSES {
+            let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.at);
+            if let Some(oldest) = oldest.map(|(crash, _)| *crash) {
+                self.losses.remove(&oldest);
+            }
+        }
+    }
+
+    /// Adds a strike; returns true where that told something new.
+    fn add(&mut self, fingerprint: RequestFingerprint, strike: CrashStrike) -> bool {
+        let strikes = &mut self.requests.entry(fingerprint).or_default().strikes;
+        if let Some(known) = strikes.get_mut(&strike.crash) {
+            let was_cleared = known.cleared;
+            known.join(&strike);
+            // A time that is earlier by the delay of a message is not worth passing on.
+            return known.cleared != was_cleared;
+        }
+        strikes.insert(strike.crash, strike);
+        if strikes.len() > MAX_STRIKES {
+            let oldest = strikes
+                .values()
+                .min_by_key(|strike| (strike.at, strike.crash));
+            if let Some(oldest) = oldest.map(|strike| strike.crash) {
+                strikes.remove(&oldest);
+            }
+        }
+        true
+    }
+
+    /// Forgets old strikes and, beyond the bound, the requests that were struck longest ago.
+    fn prune(&mut self, now: TimePoint) {
+        let memory = self.options.memory;
+        self.losses.retain(|_, loss| now.since(loss.at) < memory);
+        self.requests.retain(|_, record| {
+            record
+                .strikes
+                .retain(|_, strike| now.since(strike.at) < memory);
+            !record.strikes.is_empty()
+        });
+        while self.requests.len() > self.options.max_requests {
+            let last_struck =
+                |record: &RequestRecord| record.strikes.values().map(|strike| strike.at).max();
+            let oldest = self
+                .requests
+                .iter()
+                .min_by_key(|(fingerprint, record)| (last_struck(record), **fingerprint));
+            let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.requests.remove(&oldest);
+        }
+    }
+
+    /// Judges all requests anew: a domain that turns out to be lost changes what older strikes say.
+    fn judge_all(&mut self) {
+        let mut requests = std::mem::take(&mut self.requests);
+        for record in requests.values_mut() {
+            (record.refusals, record.until) = self.judge(record);
+        }
+        self.requests = requests;
+    }
+
+    /// Walks through a request's strikes in their order, and counts the refusals they led to.
+    fn judge(&self, record: &RequestRecord) -> (u32, TimePoint) {
+        let mut strikes: Vec<&CrashStrike> = record
+            .strikes
+            .values()
+            .filter(|strike| !strike.cleared)
+            .collect();
+        strikes.sort_by_key(|strike| (strike.at, strike.crash));
+        let (mut refusals, mut until) = (0, TimePoint::START);
+        let mut counted: Vec<&CrashStrike> = Vec::new();
+        for strike in strikes {
+            // What was in flight as a refusal began belongs to the same wave.
+            if refusals > 0 && strike.at < until {
+                continue;
+            }
+            counted.retain(|earlier| strike.at.since(earlier.at) < self.options.window);
+            counted.push(strike);
+            if self.is_guilty(&counted, refusals) {
+                refusals += 1;
+                until = strike.at + self.hold(refusals);
+                counted.clear();
+            }
+        }
+        (refusals, until)
+    }
+
+    fn is_guilty(&self, strikes: &[&CrashStrike], refusals: u32) -> bool {
+        let (lost_at_once, single): (Vec<&CrashStrike>, Vec<&CrashStrike>) = strikes
+            .iter()
+            .partition(|strike| self.is_domain_lost(&strike.domain, strike.at));
+        let domains: BTreeSet<&FailureDomain> =
+            lost_at_once.iter().map(|strike| &strike.domain).collect();
+        let targets: BTreeSet<&TargetId> = single.iter().map(|strike| &strike.target).collect();
+        let bulk_counts = domains.len() > 1;
+        let places = targets.len() + if bulk_counts { domains.len() } else { 0 };
+        let needed = if refusals == 0 {
+            self.options.targets
+        } else {
+            1
+        };
+        let mut counted = single
+            .iter()
+            .chain(lost_at_once.iter().filter(|_| bulk_counts));
+        places >= needed && counted.any(|strike| strike.is_alone())
+    }
+
+    /// Returns true where many targets of the domain were lost around that time.
+    fn is_domain_lost(&self, domain: &FailureDomain, at: TimePoint) -> bool {
+        let window = self.options.domain_window;
+        let targets: BTreeSet<&TargetId> = self
+            .losses
+            .values()
+            .filter(|loss| loss.domain == *domain)
+            .filter(|loss| loss.at.since(at) < window && at.since(loss.at) < window)
+            .map(|loss| &loss.target)
+            .collect();
+        targets.len() >= self.options.domain_losses
+    }
+
+    fn hold(&self, refusals: u32) -> TimeSpan {
+        let doubled = 2_f64.powi(
+            i32::try_from(refusals.saturating_sub(1))
+                .unwrap_or(30)
+                .min(30),
+        );
+        self.options
+            .hold
+            .mul_f64(doubled)
+            .min(self.options.max_hold)
+    }
+}
+
+fn news_of(fingerprint: RequestFingerprint, strike: &CrashStrike, now: TimePoint) -> StrikeNews {
+    StrikeNews {
+        fingerprint,
+        strike: strike.clone(),
+        age: now.since(strike.at),
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/connection_health.rs
@@ -0,0 +1,101 @@
+//! Tests of connection health: every edge of its machine, and who is judged silent.
+
+mod common;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::connection_health::HealthAction::{Nothing, Probe, ReplaceOld};
+use alderhaven_policy::connection_health::HealthEvent::{
+    ProbeAnswered, ProbeRefused, ProbeSilent, Replied, Silent,
+};
+use alderhaven_policy::connection_health::HealthState::{Down, Probing, Trusted};
+use alderhaven_policy::connection_health::{
+    ConnectionHealth, HealthEvent, HealthOptions, HealthState, SilentAttempt,
+};
+use common::{at, ms};
+
+fn health() -> ConnectionHealth {
+    ConnectionHealth::new(HealthOptions::default())
+}
+
+fn health_in(state: HealthState) -> ConnectionHealth {
+    let mut health = health();
+    let path: &[HealthEvent] = match state {
+        Trusted => &[],
+        Probing => &[Silent],
+        Down => &[Silent, ProbeRefused],
+    };
+    for event in path {
+        health.handle(*event);
+    }
+    assert_eq!(health.state(), state);
+    health
+}
+
+#[test]
+fn health_every_edge() {
+    let edges = [
+        (Trusted, Silent, Probing, Probe),
+        (Trusted, Replied, Trusted, Nothing),
+        (Trusted, ProbeAnswered, Trusted, Nothing),
+        (Trusted, ProbeRefused, Down, Nothing),
+        (Trusted, ProbeSilent, Trusted, Nothing),
+        (Probing, Silent, Probing, Nothing),
+        (Probing, Replied, Trusted, Nothing),
+        (Probing, ProbeAnswered, Trusted, ReplaceOld),
+        (Probing, ProbeRefused, Down, Nothing),
+        (Probing, ProbeSilent, Down, Nothing),
+        (Down, Silent, Probing, Probe),
+        (Down, Replied, Trusted, Nothing),
+        (Down, ProbeAnswered, Trusted, ReplaceOld),
+        (Down, ProbeRefused, Down, Nothing),
+        (Down, ProbeSilent, Down, Nothing),
+    ];
+    for (from, event, to, action) in edges {
+        let mut health = health_in(from);
+        assert_eq!(health.handle(event), action, "{from:?} on {event:?}");
+        assert_eq!(health.state(), to, "{from:?} on {event:?}");
+        assert_eq!(health.may_reuse(), to == Trusted);
+    }
+}
+
+/// A target turns ten times as slow. Its attempts exceed the usual time, a probe is answered, and
+/// the connections look like lost ones. Ending the attempts would only add load to a slow target.
+#[test]
+fn health_slow_target_is_not_silent() {
+    let attempt = SilentAttempt {
+        idle_before: ms(1),
+        sent: at(100),
+        answered_sent: Some(at(90)),
+    };
+    assert!(!health().is_silent(&attempt));
+}
+
+/// The path forgets connections that were idle. The first attempt on one gets no reply, while
+/// attempts that were sent later on other connections are answered.
+#[test]
+fn health_overtaken_or_idle_connection_is_silent() {
+    let overtaken = SilentAttempt {
+        idle_before: ms(1),
+        sent: at(100),
+        answered_sent: Some(at(101)),
+    };
+    assert!(health().is_silent(&overtaken));
+    let idle = SilentAttempt {
+        idle_before: ms(60_000),
+        sent: at(100),
+        answered_sent: None,
+    };
+    assert!(health().is_silent(&idle));
+}
+
+#[test]
+fn health_bound_follows_the_expected_time() {
+    assert_eq!(health().silence_bound(ms(1)), Some(ms(200)));
+    assert_eq!(health().silence_bound(ms(100)), Some(ms(800)));
+    let options = HealthOptions {
+        enabled: false,
+        ..HealthOptions::default()
+    };
+    let disabled = ConnectionHealth::new(options);
+    assert_eq!(disabled.silence_bound(TimeSpan::ZERO), None);
+}
--- /dev/null
+++ b/alderhaven-policy/tests/quarantine.rs
@@ -0,0 +1,211 @@
+//! Tests of the quarantine, judged by how many targets a request takes down and who is refused.
+
+mod common;
+
+use alderhaven_core::fingerprint::RequestFingerprint;
+use alderhaven_core::ids::ShardId;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::crash_strike::TargetCrash;
+use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::quarantine::{CrashQuarantine, QuarantineOptions};
+use common::{at, cases};
+use proptest::collection;
+use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
+
+fn request(name: &str) -> RequestFingerprint {
+    RequestFingerprint::of_canonical(name, b"{}")
+}
+
+fn quarantine() -> CrashQuarantine {
+    CrashQuarantine::new(PolicyKind::Current, QuarantineOptions::default())
+}
+
+/// A crash of replica `replica` of shard 0, which lies in a domain of its own.
+fn crash(id: u64, replica: u32, names: &[&str]) -> TargetCrash {
+    crash_in(id, replica, &format!("domain-{replica}"), names)
+}
+
+fn crash_in(id: u64, target: u32, domain: &str, names: &[&str]) -> TargetCrash {
+    TargetCrash {
+        crash: id,
+        target: format!("stock-0-{target}").parse().expect("a name"),
+        domain: domain.parse().expect("a name"),
+        in_flight: names
+            .iter()
+            .map(|name| (request(name), ShardId(0)))
+            .collect(),
+    }
+}
+
+fn is_refused(quarantine: &CrashQuarantine, name: &str, now: TimePoint) -> bool {
+    quarantine.refused_for(&request(name), now).is_some()
+}
+
+/// A request kills its target while a harmless one runs beside it. Both are tried again. If both
+/// counted alike, the next crash would have the harmless one refused as well; run by itself it is
+/// answered, and only the guilty one loses a second target.
+#[test]
+fn quarantine_neighbour_is_not_refused() {
+    let mut quarantine = quarantine();
+    quarantine.note_crash(&crash(1, 0, &["poison", "harmless"]), at(0));
+    assert!(quarantine.is_suspect(&request("harmless"), at(1)));
+    assert!(!is_refused(&quarantine, "poison", at(1)));
+    let cleared = quarantine.answered(&request("harmless"), ShardId(0), at(2));
+    assert_eq!(cleared.len(), 1);
+    assert!(!quarantine.is_suspect(&request("harmless"), at(3)));
+    quarantine.note_crash(&crash(2, 1, &["poison"]), at(3));
+    assert!(is_refused(&quarantine, "poison", at(4)));
+    assert!(!is_refused(&quarantine, "harmless", at(4)));
+}
+
+/// A popular request is in flight wherever a target dies for reasons of its own, always beside
+/// others. It was never alone, so no number of crashes makes it the culprit.
+#[test]
+fn quarantine_shared_strikes_never_refuse() {
+    let mut quarantine = quarantine();
+    for id in 0..10 {
+        let other = format!("other-{id}");
+        let replica = u32::try_from(id).expect("small");
+        quarantine.note_crash(&crash(id, replica, &["popular", &other]), at(id * 5000));
+    }
+    assert!(!is_refused(&quarantine, "popular", at(50_000)));
+}
+
+#[test]
+fn quarantine_one_target_twice_is_not_enough() {
+    let mut quarantine = quarantine();
+    quarantine.note_crash(&crash(1, 0, &["poison"]), at(0));
+    quarantine.note_crash(&crash(2, 0, &["poison"]), at(100));
+    assert!(!is_refused(&quarantine, "poison", at(101)));
+}
+
+/// A failure domain loses power. Many requests lose several targets within a moment, some of them
+/// alone there. None of them did it, and callers must not be refused on top of the loss.
+#[test]
+fn quarantine_lost_domain_blames_nobody() {
+    let mut quarantine = quarantine();
+    for id in 0..4 {
+        let target = u32::try_from(id).expect("small");
+        quarantine.note_crash(&crash_in(id, target, "accra-a", &["search"]), at(id * 10));
+    }
+    assert!(!is_refused(&quarantine, "search", at(50)));
+    // The same in a second domain is more than chance.
+    for id in 4..8 {
+        let target = u32::try_from(id).expect("small");
+        quarantine.note_crash(
+            &crash_in(id, target, "accra-b", &["search"]),
+            at(60 + id * 10),
+        );
+    }
+    assert!(is_refused(&quarantine, "search", at(150)));
+}
+
+#[test]
+fn quarantine_lapses_and_grows() {
+    let mut quarantine = quarantine();
+    quarantine.note_crash(&crash(1, 0, &["poison"]), at(0));
+    quarantine.note_crash(&crash(2, 1, &["poison"]), at(0));
+    assert!(is_refused(&quarantine, "poison", at(29_999)));
+    assert!(!is_refused(&quarantine, "poison", at(30_000)));
+    quarantine.note_crash(&crash(3, 2, &["poison"]), at(40_000));
+    assert!(is_refused(&quarantine, "poison", at(99_999)));
+    assert!(!is_refused(&quarantine, "poison", at(100_000)));
+}
+
+#[test]
+fn quarantine_baseline_refuses_nothing() {
+    let mut quarantine = CrashQuarantine::new(PolicyKind::Baseline, QuarantineOptions::default());
+    quarantine.note_crash(&crash(1, 0, &["poison"]), at(0));
+    quarantine.note_crash(&crash(2, 1, &["poison"]), at(0));
+    assert!(!is_refused(&quarantine, "poison", at(1)));
+}
+
+/// The sizes of the drawn histories: crash number, target, two requests, milliseconds.
+type DrawnCrash = (u32, usize, usize, u64);
+
+const NAMES: [&str; 4] = ["one", "two", "three", "four"];
+
+fn noted(index: usize, drawn: &DrawnCrash) -> (TargetCrash, TimePoint) {
+    let (target, first, second, millis) = *drawn;
+    let names = [NAMES[first], NAMES[second]];
+    let shown = if first == second {
+        &names[..1]
+    } else {
+        &names[..]
+    };
+    (crash(index as u64, target, shown), at(millis))
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    /// Strikes that travel in any split, order and repetition lead all processes to one judgement.
+    #[test]
+    fn quarantine_merges_alike(
+        drawn in collection::vec((0..6_u32, 0..4_usize, 0..4_usize, 0..60_000_u64), 1..12),
+        swap in 0..12_usize,
+    ) {
+        let now = at(60_000);
+        let mut parts = [quarantine(), quarantine()];
+        for (index, item) in drawn.iter().enumerate() {
+            let (crash, time) = noted(index, item);
+            parts[usize::from(index % 3 == swap % 3)].note_crash(&crash, time);
+        }
+        let news: Vec<_> = parts.iter().flat_map(|part| part.strikes(now)).collect();
+        let mut forward = quarantine();
+        forward.merge(&news, now);
+        let mut backward = quarantine();
+        for item in news.iter().rev().chain(&news) {
+            backward.merge(std::slice::from_ref(item), now);
+        }
+        prop_assert!(forward.merge(&news, now).is_empty());
+        for name in NAMES {
+            let refused = forward.refused_for(&request(name), now);
+            prop_assert_eq!(refused, backward.refused_for(&request(name), now));
+        }
+    }
+
+    /// Who was never alone at a crashed target, or lost fewer than two targets, is not refused.
+    #[test]
+    fn quarantine_refuses_on_grounds_only(
+        drawn in collection::vec((0..6_u32, 0..4_usize, 0..4_usize, 0..60_000_u64), 1..12),
+    ) {
+        let mut quarantine = quarantine();
+        for (index, item) in drawn.iter().enumerate() {
+            let (crash, time) = noted(index, item);
+            quarantine.note_crash(&crash, time);
+        }
+        for entry in quarantine.entries(at(60_000)) {
+            let mut targets: Vec<_> = entry.strikes.iter().map(|strike| &strike.target).collect();
+            targets.sort();
+            targets.dedup();
+            let alone = entry.strikes.iter().any(|strike| strike.in_flight == 1);
+            prop_assert!(entry.refusals == 0 || (alone && targets.len() >= 2));
+        }
+    }
+
+    #[test]
+    fn quarantine_is_bounded(count in 1..200_usize) {
+        let options = QuarantineOptions { max_requests: 8, ..QuarantineOptions::default() };
+        let mut quarantine = CrashQuarantine::new(PolicyKind::Current, options);
+        for index in 0..count {
+            let name = format!("request-{index}");
+            let target = u32::try_from(index).expect("small");
+            quarantine.note_crash(&crash(index as u64, target, &[&name]), at(index as u64));
+        }
+        prop_assert!(quarantine.len() <= 8);
+        // The latest are the ones that stay.
+        let last = format!("request-{}", count - 1);
+        prop_assert!(quarantine.is_suspect(&request(&last), at(count as u64)));
+    }
+}
+
+#[test]
+fn quarantine_forgets_after_its_memory() {
+    let mut quarantine = quarantine();
+    quarantine.note_crash(&crash(1, 0, &["old"]), at(0));
+    let later = TimePoint::START + TimeSpan::from_secs(3601);
+    quarantine.note_crash(&crash(2, 1, &["new"]), later);
+    assert_eq!(quarantine.len(), 1);
+    assert!(!quarantine.is_empty());
+}
