--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -141,6 +141,7 @@
     }
 
     async fn admit_and_run(&self, plan: &QueryPlan) -> Result<QueryAnswer, ErrorAnswer> {
+        self.runner.check_quarantine(plan)?;
         let mut pass = self.desk.admit(plan).await.map_err(refused)?;
         self.runner.run(plan, &mut pass).await
     }
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -56,6 +56,10 @@
     pub ejections: Counter,
     /// The replies that belonged to no attempt under way.
     pub stray_replies: Counter,
+    /// The queries that were refused because they crashed targets.
+    pub quarantined: Counter,
+    /// The links to relays that were replaced because they were silent.
+    pub silent_links: Counter,
     /// The queries that were restarted on a newer snapshot.
     pub snapshot_restarts: Counter,
 }
@@ -84,6 +88,8 @@
             retries: Counter::default(),
             ejections: Counter::default(),
             stray_replies: Counter::default(),
+            quarantined: Counter::default(),
+            silent_links: Counter::default(),
             snapshot_restarts: Counter::default(),
         };
         registry.register(
@@ -101,6 +107,16 @@
                 "Replies that belonged to no attempt under way",
                 &metrics.stray_replies,
             ),
+            (
+                "quarantined_queries",
+                "Queries refused because they crashed targets",
+                &metrics.quarantined,
+            ),
+            (
+                "silent_links",
+                "Links to relays replaced because they were silent",
+                &metrics.silent_links,
+            ),
             (
                 "snapshot_restarts",
                 "Queries restarted on a newer snapshot",
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -6,6 +6,7 @@
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
@@ -21,6 +22,7 @@
 use crate::caller_server::CallerService;
 use crate::metrics::EntryMetrics;
 use crate::query_runner::{QueryRunner, RunnerParts};
+use crate::relay_link::LinkParts;
 use crate::relay_routes::RelayRoutes;
 use crate::replica_board::ReplicaBoard;
 use crate::settings::EntrySettings;
@@ -48,6 +50,8 @@
     pub routes: Arc<RelayRoutes>,
     /// The targets that get no new work.
     pub watch: TargetWatch,
+    /// What is known of requests that crash targets.
+    pub strikes: Arc<StrikeBoard>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
@@ -62,11 +66,20 @@
         let caller_address = listener.local_addr()?;
         let operator_listener = TcpListener::bind(settings.operator_listen).await?;
         let operator_address = operator_listener.local_addr()?;
-        let routes = Arc::new(RelayRoutes::default());
-        routes.set_relays(&settings.relays);
         let metrics = Arc::new(EntryMetrics::default());
         let watch = TargetWatch::default();
         let clock = ProcessClock::default();
+        let strikes = Arc::new(StrikeBoard::new(
+            settings.policy,
+            settings.quarantine.clone(),
+            clock,
+        ));
+        let routes = Arc::new(RelayRoutes::new(LinkParts {
+            options: settings.link_options(),
+            strikes: Arc::clone(&strikes),
+            silent_links: metrics.silent_links.clone(),
+        }));
+        routes.set_relays(&settings.relays);
         let desk = Arc::new(AdmissionDesk::new(
             settings.policy,
             settings.admission.clone(),
@@ -86,6 +99,7 @@
             routes: Arc::clone(&routes),
             desk: Arc::clone(&desk),
             watch: watch.clone(),
+            strikes: Arc::clone(&strikes),
             metrics: Arc::clone(&metrics),
         });
         let service = CallerService {
@@ -97,6 +111,7 @@
                     routes,
                     board: Arc::clone(&board),
                     watch: watch.clone(),
+                    strikes,
                     config: config.clone(),
                     metrics: Arc::clone(&metrics),
                 },
@@ -169,7 +184,8 @@
             .collect();
         let loads = self.desk.loads(&self.config.view());
         json!({ "status": self.status(), "services": loads,
-            "leaving_targets": *self.watch.names(), "relays": links })
+            "leaving_targets": *self.watch.names(), "relays": links,
+            "quarantine": self.strikes.entries() })
     }
 
     fn status(&self) -> Value {
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use alderhaven_core::time::TimeSpan;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::target_watch::TargetWatch;
 use tokio::time;
 
 use crate::admission_pass::AdmissionPass;
-use crate::answer::{ErrorAnswer, QueryAnswer};
+use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
 use crate::metrics::EntryMetrics;
 use crate::query_plan::QueryPlan;
 use crate::relay_routes::RelayRoutes;
@@ -26,6 +28,8 @@
     pub(crate) board: Arc<ReplicaBoard>,
     /// The targets that get no new work.
     pub(crate) watch: TargetWatch,
+    /// What is known of requests that crash targets.
+    pub(crate) strikes: Arc<StrikeBoard>,
     /// What is counted.
     pub(crate) metrics: Arc<EntryMetrics>,
     config: ConfigHandle,
@@ -40,6 +44,8 @@
     pub board: Arc<ReplicaBoard>,
     /// The targets that get no new work.
     pub watch: TargetWatch,
+    /// What is known of requests that crash targets.
+    pub strikes: Arc<StrikeBoard>,
     /// The configuration in force.
     pub config: ConfigHandle,
     /// What is counted.
@@ -56,6 +62,7 @@
             routes: parts.routes,
             board: parts.board,
             watch: parts.watch,
+            strikes: parts.strikes,
             metrics: parts.metrics,
             config: parts.config,
         }
@@ -84,6 +91,8 @@
         plan: &QueryPlan,
         pass: &mut AdmissionPass,
     ) -> Result<QueryAnswer, ErrorAnswer> {
+        // A strike may have come in while the query waited for its turn.
+        self.check_quarantine(plan)?;
         let query = RunningQuery::run(self, plan, pass).await;
         if !query.needs_newer_snapshot() {
             return query.finish();
@@ -96,6 +105,18 @@
         RunningQuery::run(self, &newer, pass).await.finish()
     }
 
+    /// Refuses a query that crashed targets.
+    ///
+    /// # Errors
+    /// The answer for the caller, with when to come back: nothing ran.
+    pub fn check_quarantine(&self, plan: &QueryPlan) -> Result<(), ErrorAnswer> {
+        let Some(wait) = self.strikes.refused_for(&plan.fingerprint()) else {
+            return Ok(());
+        };
+        self.metrics.quarantined.inc();
+        Err(quarantined(wait))
+    }
+
     /// Waits for a manifest that is newer than the plan's, until the plan's time is up.
     async fn newer_plan(&self, plan: &QueryPlan) -> Option<QueryPlan> {
         let mut changed = self.config.changed();
@@ -118,3 +139,12 @@
         }
     }
 }
+
+/// Returns the answer to a request that crashed targets and is refused for `wait`.
+pub(crate) fn quarantined(wait: TimeSpan) -> ErrorAnswer {
+    ErrorAnswer::not_run(
+        ErrorCode::Quarantined,
+        "the request crashed targets and is refused for a while",
+    )
+    .with_retry_after(wait)
+}
--- a/alderhaven-entry/src/relay_link.rs
+++ b/alderhaven-entry/src/relay_link.rs
@@ -13,12 +13,17 @@
 use alderhaven_peer::frames::{
     AttemptReply, CancelAttempts, CancelledAttempt, PeerMessage, ScatterRequest,
 };
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_policy::query_gather::AttemptResult;
+use prometheus_client::metrics::counter::Counter;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::link_options::LinkOptions;
+use crate::link_watch::LinkWatch;
+
 /// The pause before a lost relay is tried again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// The time within which a connection to a relay is made.
@@ -39,6 +44,19 @@
     pub wait: TimeSpan,
     /// Whether the target ran the attempt.
     pub ran: bool,
+    /// Whether the reply was lost on the way, which says nothing of the target.
+    pub path_lost: bool,
+}
+
+/// A `LinkParts` is what all links of an entry share.
+#[derive(Clone, Debug)]
+pub struct LinkParts {
+    /// The settings.
+    pub options: LinkOptions,
+    /// What is known of requests that crash targets.
+    pub strikes: Arc<StrikeBoard>,
+    /// The links that were replaced because they were silent.
+    pub silent_links: Counter,
 }
 
 /// A `ReplySink` takes the replies of one query.
@@ -67,9 +85,9 @@
 impl RelayLink {
     /// Starts a link to the relay at `address`.
     #[must_use]
-    pub fn start(address: SocketAddr) -> Self {
+    pub fn start(address: SocketAddr, parts: LinkParts) -> Self {
         let shared = Arc::new(LinkShared::default());
-        let task = tokio::spawn(keep_connected(address, Arc::clone(&shared)));
+        let task = tokio::spawn(keep_connected(address, Arc::clone(&shared), parts));
         Self {
             address,
             shared,
@@ -141,15 +159,22 @@
     }
 
     fn connected(&self, sender: FrameSender) {
-        let mut state = self.lock();
-        state.sender = Some(sender);
-        state.leaving = false;
+        self.replace(Some(sender));
     }
 
-    /// Answers every awaited attempt with "unknown": its frame may have reached the relay.
     fn disconnected(&self) {
+        self.replace(None);
+    }
+
+    /// Takes over a new connection, or none, and answers every attempt that was awaited on the
+    /// former one with "unknown": its frame may have reached the relay.
+    ///
+    /// A silent connection is replaced in one step, so that the retries of these attempts find the
+    /// new one.
+    fn replace(&self, sender: Option<FrameSender>) {
         let mut state = self.lock();
-        state.sender = None;
+        state.sender = sender;
+        state.leaving = false;
         let awaited = std::mem::take(&mut state.awaited);
         drop(state);
         for (sequence, sink) in awaited {
@@ -191,6 +216,7 @@
             service: TimeSpan::ZERO,
             wait: TimeSpan::ZERO,
             ran,
+            path_lost: true,
         }
     }
 }
@@ -209,30 +235,62 @@
             service: TimeSpan::from_micros(reply.service_us),
             wait: TimeSpan::from_micros(reply.wait_us),
             ran: reply.ran,
+            path_lost: reply.path_lost,
         }
     }
 }
 
-async fn keep_connected(address: SocketAddr, shared: Arc<LinkShared>) {
+/// How a connection to a relay ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkEnd {
+    Closed,
+    Silent,
+}
+
+async fn keep_connected(address: SocketAddr, shared: Arc<LinkShared>, parts: LinkParts) {
     loop {
-        if let Ok(Ok(stream)) = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            read_replies(stream, &shared).await;
+        let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let end = match connecting.await {
+            Ok(Ok(stream)) => read_replies(stream, &shared, &parts).await,
+            Ok(Err(_)) | Err(_) => LinkEnd::Closed,
+        };
+        if end == LinkEnd::Closed {
             shared.disconnected();
+            time::sleep(RECONNECT_PAUSE).await;
         }
-        time::sleep(RECONNECT_PAUSE).await;
     }
 }
 
-async fn read_replies(stream: TcpStream, shared: &LinkShared) {
+/// Takes what the relay sends until the connection ends or is silent.
+async fn read_replies(stream: TcpStream, shared: &LinkShared, parts: &LinkParts) -> LinkEnd {
     let Ok((sender, mut reader)) = connection::split(stream) else {
-        return;
+        return LinkEnd::Closed;
     };
-    shared.connected(sender);
-    while let Some(message) = connection::next_message(&mut reader).await {
+    let _hears_of_strikes = parts.strikes.join(sender.clone());
+    shared.connected(sender.clone());
+    let mut watch = LinkWatch::new(sender, parts.options);
+    loop {
+        let message = tokio::select! {
+            message = connection::next_message(&mut reader) => message,
+            () = watch.silence() => {
+                parts.silent_links.inc();
+                return LinkEnd::Silent;
+            }
+        };
+        watch.heard(message.as_ref());
         match message {
-            PeerMessage::Reply(reply) => shared.deliver(reply),
-            PeerMessage::Leaving(_) => shared.lock().leaving = true,
-            PeerMessage::Hello(_) | PeerMessage::Scatter(_) | PeerMessage::Cancel(_) => {}
+            Some(PeerMessage::Reply(reply)) => shared.deliver(reply),
+            // It is passed on to all relays before the replies that come after it are taken.
+            Some(PeerMessage::Strikes(notice)) => parts.strikes.take(&notice),
+            Some(PeerMessage::Leaving(_)) => shared.lock().leaving = true,
+            Some(
+                PeerMessage::Hello(_)
+                | PeerMessage::Scatter(_)
+                | PeerMessage::Cancel(_)
+                | PeerMessage::Ping(_)
+                | PeerMessage::Pong(_),
+            ) => {}
+            None => return LinkEnd::Closed,
         }
     }
 }
--- a/alderhaven-entry/src/relay_routes.rs
+++ b/alderhaven-entry/src/relay_routes.rs
@@ -6,18 +6,28 @@
 use alderhaven_core::ids::TargetId;
 use arc_swap::ArcSwap;
 
-use crate::relay_link::RelayLink;
+use crate::relay_link::{LinkParts, RelayLink};
 
 /// A `RelayRoutes` holds the links to relays and picks one for a target by rendezvous hashing.
 ///
 /// All entries pick alike, so that one relay sees all the work for a target and its few slots are
 /// shared out in one place.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RelayRoutes {
     links: ArcSwap<Vec<Arc<RelayLink>>>,
+    parts: LinkParts,
 }
 
 impl RelayRoutes {
+    /// Returns routes without relays.
+    #[must_use]
+    pub fn new(parts: LinkParts) -> Self {
+        Self {
+            links: ArcSwap::default(),
+            parts,
+        }
+    }
+
     /// Makes the links those to `relays`, keeping the ones that exist.
     pub fn set_relays(&self, relays: &[SocketAddr]) {
         let known = self.links.load_full();
@@ -28,7 +38,7 @@
                     .iter()
                     .find(|link| link.address() == *address)
                     .cloned()
-                    .unwrap_or_else(|| Arc::new(RelayLink::start(*address)))
+                    .unwrap_or_else(|| Arc::new(RelayLink::start(*address, self.parts.clone())))
             })
             .collect();
         self.links.store(Arc::new(links));
--- a/alderhaven-entry/src/running_query.rs
+++ b/alderhaven-entry/src/running_query.rs
@@ -24,8 +24,10 @@
 use crate::admission_pass::AdmissionPass;
 use crate::answer::{AnswerTiming, ErrorAnswer, ErrorCode, QueryAnswer};
 use crate::query_plan::QueryPlan;
+use crate::query_runner;
 use crate::query_runner::QueryRunner;
 use crate::relay_link::{LinkReply, RelayLink, ReplySink};
+use crate::suspect_trial::SuspectTrial;
 
 type Indexes = SmallVec<[TargetIndex; 4]>;
 
@@ -41,6 +43,7 @@
     sink: ReplySink,
     placed: HashMap<u64, PlacedAttempt>,
     slowest_target: TimeSpan,
+    trial: SuspectTrial,
 }
 
 /// A `PlacedAttempt` is an attempt whose end has not been heard of.
@@ -93,6 +96,7 @@
             sink,
             placed: HashMap::with_capacity(plan.positions.len()),
             slowest_target: TimeSpan::ZERO,
+            trial: SuspectTrial::default(),
         };
         let slots: Vec<usize> = (0..plan.positions.len()).collect();
         runner
@@ -249,6 +253,7 @@
             address: replica.address.to_string(),
             slots: replica.slots,
             connections: replica.connections,
+            domain: replica.domain.to_string(),
         }
     }
 
@@ -304,7 +309,12 @@
     }
 
     /// Sends second attempts for the shards whose only attempt is still under way.
+    ///
+    /// A request that may crash targets is not hedged: the second target would be lost needlessly.
     fn hedge(&mut self) {
+        if self.runner.strikes.is_suspect(&self.plan.fingerprint()) {
+            return;
+        }
         let is_overloaded = self.pass.is_overloaded();
         let board = Arc::clone(&self.runner.board);
         let late: Vec<usize> = self
@@ -359,7 +369,27 @@
             GatherEvent::Stray => {
                 self.runner.metrics.stray_replies.inc();
             }
-            GatherEvent::ShardAnswered { .. } | GatherEvent::AttemptOver { .. } => {}
+            GatherEvent::ShardAnswered { slot } => self.trial.answered(slot),
+            GatherEvent::AttemptOver { .. } => {}
+        }
+        self.end_trial();
+    }
+
+    /// Goes on with the shards that waited for the trial of a suspect, once that is over.
+    ///
+    /// Where it was answered they are tried again at once. Where it cost another target the relays
+    /// refuse them, and the next one is on trial until then.
+    fn end_trial(&mut self) {
+        let Some(slot) = self.trial.slot() else {
+            return;
+        };
+        if self.gather.is_open(slot) && self.under_way_at(slot) > 0 {
+            return;
+        }
+        for (slot, outcome) in self.trial.end() {
+            if self.gather.is_open(slot) {
+                self.retry(slot, outcome);
+            }
         }
     }
 
@@ -379,7 +409,13 @@
                 service: reply.service,
                 expected: self.expected,
             },
-            AttemptOutcome::Failed | AttemptOutcome::Unknown => AttemptSample::Failed,
+            // What was lost on the way is not the target's failure.
+            _ if reply.path_lost => AttemptSample::NotRun,
+            // A target that takes no connection fails sooner than any other answers, so that it
+            // always looks free; unless it is ejected it is chosen again and again.
+            AttemptOutcome::Failed
+            | AttemptOutcome::Unknown
+            | AttemptOutcome::NotRun(NotRunReason::NotSent) => AttemptSample::Failed,
             AttemptOutcome::NotRun(_) | AttemptOutcome::VersionGone => AttemptSample::NotRun,
         };
         if outcome == AttemptOutcome::Answered {
@@ -400,6 +436,12 @@
 
     /// Tries another replica where that can do no harm and there is time and budget for it.
     fn retry(&mut self, slot: usize, outcome: AttemptOutcome) {
+        let strikes = &self.runner.strikes;
+        let is_suspect =
+            outcome == AttemptOutcome::Unknown && strikes.is_suspect(&self.plan.fingerprint());
+        if is_suspect && !self.trial.may_begin(slot, outcome) {
+            return;
+        }
         let tried = self.tried(slot).len();
         let retries = self.gather.attempts(slot).len().saturating_sub(1);
         let board = &self.runner.board;
@@ -427,8 +469,14 @@
     pub(crate) fn finish(self) -> Result<QueryAnswer, ErrorAnswer> {
         let coverage = self.gather.coverage();
         let outcome = self.gather.outcome();
+        let quarantined = self.runner.strikes.refused_for(&self.plan.fingerprint());
         let error = match outcome {
             QueryOutcome::Complete | QueryOutcome::Partial => None,
+            QueryOutcome::Refused | QueryOutcome::Failed if quarantined.is_some() => {
+                let mut error = query_runner::quarantined(quarantined.unwrap_or_default());
+                error.error.not_run = outcome == QueryOutcome::Refused;
+                Some(error)
+            }
             QueryOutcome::Refused => Some(
                 ErrorAnswer::not_run(ErrorCode::Overloaded, "no target took the query")
                     .with_retry_after(self.plan.deadline),
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -9,8 +9,10 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::admission::AdmissionOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::quarantine::QuarantineOptions;
 use serde::{Deserialize, Serialize};
 
+use crate::link_options::LinkOptions;
 use crate::replica_board::BoardOptions;
 
 /// The least and the greatest limit on a body.
@@ -51,6 +53,12 @@
     /// The choices of replicas, hedges and retries.
     #[serde(default)]
     pub choices: BoardOptions,
+    /// The refusal of requests that crash targets.
+    #[serde(default)]
+    pub quarantine: QuarantineOptions,
+    /// The links to relays.
+    #[serde(default)]
+    pub links: LinkOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
@@ -73,9 +81,23 @@
     pub read_timeout: TimeSpan,
 }
 
+impl EntrySettings {
+    /// Gets the settings of the links; the baseline policy replaces none.
+    #[must_use]
+    pub fn link_options(&self) -> LinkOptions {
+        match self.policy {
+            PolicyKind::Current => self.links,
+            PolicyKind::Baseline => LinkOptions {
+                max_silence: TimeSpan::ZERO,
+                ..self.links
+            },
+        }
+    }
+}
+
 impl CheckedSettings for EntrySettings {
     fn check(&self) -> Vec<Error> {
-        let mut errors = Vec::new();
+        let mut errors = self.quarantine.check();
         if !(BODY_RANGE.0..=BODY_RANGE.1).contains(&self.limits.body) {
             errors.push(Error::invalid(
                 "limits.body",
@@ -106,6 +128,12 @@
                 "0us is refused: allowed is above 0",
             ));
         }
+        if self.links.ping_every == TimeSpan::ZERO {
+            errors.push(Error::invalid(
+                "links.ping_every",
+                "0us is refused: allowed is above 0",
+            ));
+        }
         errors
     }
 }
--- /dev/null
+++ b/alderhaven-entry/tests/failures/quarantine.rs
@@ -0,0 +1,113 @@
+//! A request that crashes every target it runs at.
+
+use alderhaven_platform::operator_server::OperatorSource;
+use serde_json::json;
+
+use crate::system::{TestSystem, ask, metric, until};
+
+/// The resends of the poisonous request, several through each entry.
+const RESENDS: usize = 9;
+/// The harmless queries of each of the callers beside it.
+const HARMLESS: usize = 60;
+
+/// A caller sends a request that makes the process of its target die, gets no usable answer and
+/// sends it again through the next entry, while others go on with their work. Entries retry it at
+/// other replicas. Without a common memory of crashes every entry loses targets until none is left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn poison_takes_down_two_targets_at_most() {
+    let system = TestSystem::start(5, 3, &json!({})).await;
+    let mut others = Vec::new();
+    for caller in 0..6 {
+        let entry = system.entries[caller % 3].caller_address();
+        others.push(tokio::spawn(async move {
+            let mut incomplete = Vec::new();
+            for round in 0..HARMLESS {
+                let answer = ask(entry, &format!("book-{caller}-{}", round % 7)).await;
+                if answer["outcome"] != "complete" {
+                    incomplete.push(answer);
+                }
+            }
+            incomplete
+        }));
+    }
+    // The others' work is under way before the first crash.
+    until("first runs", || {
+        system.targets.iter().any(|target| target.runs() > 5)
+    })
+    .await;
+    let mut last = json!(null);
+    for resend in 0..RESENDS {
+        last = system.ask(resend % 3, "poison").await;
+    }
+    for other in others {
+        assert_eq!(other.await.unwrap(), Vec::<serde_json::Value>::new());
+    }
+    assert_eq!(system.dead_targets(), 2);
+    assert_eq!(last["error"]["code"], "quarantined", "{last}");
+    assert_eq!(last["error"]["not_run"], true);
+    assert!(last["error"]["retry_after_ms"].as_u64().unwrap() > 1000);
+    for entry in &system.entries {
+        let metrics = entry.state().metrics();
+        assert!(metric(&metrics, "alderhaven_entry_quarantined_queries_total") > 0);
+    }
+}
+
+/// The shards of the service in the test of a query over all shards.
+const SHARDS: usize = 6;
+
+/// A request that asks every shard kills a target of each before the first crash is known. If all
+/// lost shards were tried again at once, each would lose a second target, and each resend more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn poison_over_all_shards_goes_no_further_than_one_wave() {
+    let system = TestSystem::start_sharded(SHARDS, 3, 2, &json!({})).await;
+    for round in 0..RESENDS {
+        let answer = system.ask(round % 2, "poison").await;
+        assert_eq!(answer["error"]["code"], "quarantined", "{answer}");
+        assert_eq!(answer["error"]["not_run"], round > 0, "{answer}");
+    }
+    assert!(
+        system.dead_targets() <= SHARDS + 1,
+        "{}",
+        system.dead_targets()
+    );
+    let answer = system.ask(0, "book").await;
+    assert_eq!(answer["outcome"], "complete", "{answer}");
+}
+
+/// Two targets die one after the other for reasons of their own, each while the same harmless
+/// request is the only one there. It is tried again and answered each time, so it is innocent, and
+/// callers who send it later must not be refused at any entry.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crash_of_another_cause_refuses_nobody() {
+    let system = TestSystem::start(4, 2, &json!({})).await;
+    for kills in 1..=2 {
+        let entry = system.entries[0].caller_address();
+        let asking = tokio::spawn(ask(entry, "slow-book"));
+        let busy = || {
+            system
+                .targets
+                .iter()
+                .find(|target| target.running() > 0 && !target.is_dead())
+        };
+        until("an attempt under way", || busy().is_some()).await;
+        busy().unwrap().kill();
+        let answer = asking.await.unwrap();
+        assert_eq!(answer["outcome"], "complete", "{answer}");
+        assert_eq!(system.dead_targets(), kills);
+    }
+    let crashes: u64 = system
+        .relays
+        .iter()
+        .map(|relay| {
+            metric(
+                &relay.state().metrics(),
+                "alderhaven_relay_target_crashes_total",
+            )
+        })
+        .sum();
+    assert_eq!(crashes, 2);
+    for entry in [0, 1, 0, 1] {
+        let answer = system.ask(entry, "slow-book").await;
+        assert_eq!(answer["outcome"], "complete", "{answer}");
+    }
+}
--- /dev/null
+++ b/alderhaven-entry/tests/failures/silence.rs
@@ -0,0 +1,134 @@
+//! Connections that carry nothing any more while new ones work.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use alderhaven_platform::operator_server::OperatorSource;
+use alderhaven_policy::connection_health::HealthOptions;
+use serde_json::json;
+use tokio::io;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::system::{TestSystem, ask, metric, until};
+
+/// The path between a relay and its targets loses track of all kept connections. Attempts on them
+/// get no reply, and nothing says so. Callers used to wait for their deadline, and the targets
+/// were taken out of use although they were well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_target_connections_are_replaced() {
+    let more = json!({ "relay": { "health": { "idle_suspect": "0us" } } });
+    let system = TestSystem::start(3, 1, &more).await;
+    for round in 0..30 {
+        assert_eq!(
+            system.ask(0, &format!("a-{round}")).await["outcome"],
+            "complete"
+        );
+    }
+    for target in &system.targets {
+        target.silence();
+    }
+    let mut longest_silence = 0;
+    for round in 0..30 {
+        let answer = system.ask(0, &format!("b-{round}")).await;
+        assert_eq!(answer["outcome"], "complete", "{answer}");
+        let timing = |name: &str| answer["timing"][name].as_u64().unwrap();
+        let elsewhere = timing("total_us") - timing("slowest_target_us");
+        longest_silence = longest_silence.max(elsewhere);
+    }
+    // The silence is not counted as the target's time, or a healthy target would look slow.
+    let bound = HealthOptions::default().min_silence.as_micros();
+    assert!(longest_silence >= bound, "{longest_silence}");
+    let relay = system.relays[0].state().metrics();
+    assert!(metric(&relay, "alderhaven_relay_silent_connections_total") > 0);
+    assert_eq!(metric(&relay, "alderhaven_relay_target_crashes_total"), 0);
+    let entry = system.entries[0].state().metrics();
+    assert_eq!(metric(&entry, "alderhaven_entry_ejections_total"), 0);
+    assert_eq!(system.dead_targets(), 0);
+}
+
+/// The path from an entry to its relay loses track of the connection. The entry sends attempts
+/// that arrive nowhere, and without pings it would take minutes until the system says so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_relay_link_is_replaced() {
+    let mut system = TestSystem::start(2, 1, &json!({})).await;
+    let path = FrozenPath::start(system.relays[0].peer_address()).await;
+    // One failure would be enough to take a target out of use.
+    let settings = json!({
+        "links": { "ping_every": "20ms", "max_silence": "200ms" },
+        "choices": { "replicas": { "eject_after": 1 } },
+    });
+    system.add_entry(1, &[path.address], &settings).await;
+    assert_eq!(system.ask(1, "before").await["outcome"], "complete");
+    // The relay has answered a ping once its first answers are through.
+    path.freeze();
+    let entry = system.entries[1].caller_address();
+    let asking = (0..20).map(|round| async move { ask(entry, &format!("after-{round}")).await });
+    for answer in futures::future::join_all(asking).await {
+        assert_eq!(answer["outcome"], "complete", "{answer}");
+    }
+    let entry = system.entries[1].state();
+    // The targets have nothing to do with the entry's path to the relay.
+    assert_eq!(
+        metric(&entry.metrics(), "alderhaven_entry_ejections_total"),
+        0
+    );
+    until("a link counted", || {
+        metric(&entry.metrics(), "alderhaven_entry_silent_links_total") == 1
+    })
+    .await;
+}
+
+/// A path to a relay that can lose track of the connections on it.
+struct FrozenPath {
+    address: SocketAddr,
+    era: Arc<AtomicU64>,
+}
+
+impl FrozenPath {
+    async fn start(relay: SocketAddr) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let era = Arc::new(AtomicU64::new(0));
+        let shared = Arc::clone(&era);
+        tokio::spawn(async move {
+            while let Ok((entry, _)) = listener.accept().await {
+                let relay = TcpStream::connect(relay).await.unwrap();
+                tokio::spawn(carry(entry, relay, Arc::clone(&shared)));
+            }
+        });
+        Self { address, era }
+    }
+
+    fn freeze(&self) {
+        self.era.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Carries bytes both ways until the path is frozen, and then keeps both ends open.
+async fn carry(entry: TcpStream, relay: TcpStream, shared: Arc<AtomicU64>) {
+    let era = shared.load(Ordering::SeqCst);
+    let mut buffers = ([0_u8; 4096], [0_u8; 4096]);
+    loop {
+        let (from, to, count, buffer) = tokio::select! {
+            ready = entry.readable() => (ready, &relay, entry.try_read(&mut buffers.0), &buffers.0),
+            ready = relay.readable() => (ready, &entry, relay.try_read(&mut buffers.1), &buffers.1),
+        };
+        let is_frozen = shared.load(Ordering::SeqCst) != era;
+        match (from, count) {
+            (Ok(()), Ok(0)) | (Err(_), _) => return,
+            (Ok(()), Ok(count)) if !is_frozen => write_all(to, &buffer[..count]).await,
+            (Ok(()), Ok(_)) => {}
+            (Ok(()), Err(error)) if error.kind() == io::ErrorKind::WouldBlock => {}
+            (Ok(()), Err(_)) => return,
+        }
+    }
+}
+
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) {
+    while !bytes.is_empty() && stream.writable().await.is_ok() {
+        if let Ok(count) = stream.try_write(bytes) {
+            bytes = &bytes[count..];
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-entry/tests/failures/system.rs
@@ -0,0 +1,188 @@
+//! Entries and relays before small targets, all in one process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use alderhaven_core::config_object::StoredObject;
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_entry::node::EntryNode;
+use alderhaven_platform::config_handle::ConfigHandle;
+use alderhaven_relay::node::RelayNode;
+use alderhaven_standin::http_caller::HttpCaller;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use serde_json::{Value, json};
+use tokio::time;
+
+use crate::target::FakeTarget;
+
+/// The time within which a condition must come true; it fails the test, it measures nothing.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A running system.
+pub struct TestSystem {
+    replicas: usize,
+    pub targets: Vec<FakeTarget>,
+    pub relays: Vec<RelayNode>,
+    pub entries: Vec<EntryNode>,
+}
+
+impl TestSystem {
+    /// Starts a service of one shard with a replica in each domain.
+    pub async fn start(replicas: usize, nodes: usize, more: &Value) -> Self {
+        Self::start_sharded(1, replicas, nodes, more).await
+    }
+
+    /// Starts a service of several shards.
+    pub async fn start_sharded(shards: usize, replicas: usize, nodes: usize, more: &Value) -> Self {
+        let mut targets = Vec::new();
+        for _ in 0..shards * replicas {
+            targets.push(FakeTarget::start().await);
+        }
+        let config = config(&targets, replicas);
+        let mut relays = Vec::new();
+        for number in 0..nodes {
+            let settings = settings("relay", number, &more["relay"]);
+            let settings = serde_json::from_value(settings).unwrap();
+            relays.push(RelayNode::start(settings, config.clone()).await.unwrap());
+        }
+        let addresses: Vec<SocketAddr> = relays.iter().map(RelayNode::peer_address).collect();
+        let mut system = Self {
+            replicas,
+            targets,
+            relays,
+            entries: Vec::new(),
+        };
+        for number in 0..nodes {
+            system.add_entry(number, &addresses, &more["entry"]).await;
+        }
+        system
+    }
+
+    /// Starts an entry and waits until it reaches its relays.
+    pub async fn add_entry(&mut self, number: usize, relays: &[SocketAddr], more: &Value) {
+        let mut settings = settings("entry", number, more);
+        settings["listen"] = json!("127.0.0.1:0");
+        settings["relays"] = json!(relays);
+        let settings = serde_json::from_value(settings).unwrap();
+        let entry = EntryNode::start(settings, config(&self.targets, self.replicas)).await;
+        let entry = entry.unwrap();
+        until("links", || {
+            let links = entry.state().routes.links();
+            links.iter().all(|link| link.is_usable())
+        })
+        .await;
+        self.entries.push(entry);
+    }
+
+    /// Sends a query through an entry and gets the body of the answer.
+    pub async fn ask(&self, entry: usize, name: &str) -> Value {
+        ask(self.entries[entry].caller_address(), name).await
+    }
+
+    pub fn dead_targets(&self) -> usize {
+        self.targets
+            .iter()
+            .filter(|target| target.is_dead())
+            .count()
+    }
+}
+
+/// Sends a query and gets the body of the answer.
+pub async fn ask(entry: SocketAddr, name: &str) -> Value {
+    let body = json!({ "team": "desk", "parameters": { "name": name } }).to_string();
+    let request = Request::post("/v1/query/lookup")
+        .body(Full::new(Bytes::from(body)))
+        .unwrap();
+    let mut caller = HttpCaller::connect(entry).await.unwrap();
+    let answer = time::timeout(LIMIT, caller.call(request)).await.unwrap();
+    serde_json::from_slice(answer.unwrap().body()).unwrap()
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    time::timeout(LIMIT, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("{what}"));
+}
+
+/// Gets the value of a metric that has no labels.
+pub fn metric(text: &str, name: &str) -> u64 {
+    let line = text
+        .lines()
+        .find(|line| line.starts_with(&format!("{name} ")));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+        .unwrap_or_else(|| panic!("no metric {name} in {text}"))
+}
+
+fn settings(role: &str, number: usize, more: &Value) -> Value {
+    let mut settings = json!({
+        "node": format!("{role}-{number}"),
+        "host": format!("host-{number}"),
+        "domain": "accra-a",
+        "peer_listen": "127.0.0.1:0",
+        "operator_listen": "127.0.0.1:0",
+        // Nothing listens there; the configuration is handed in.
+        "platform": SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+    });
+    if let (Some(settings), Some(more)) = (settings.as_object_mut(), more.as_object()) {
+        settings.extend(more.clone());
+    }
+    settings
+}
+
+fn config(targets: &[FakeTarget], replicas: usize) -> ConfigHandle {
+    let entry = |shard: usize, targets: &[FakeTarget]| {
+        let replica = |(place, target): (usize, &FakeTarget)| {
+            json!({
+                "target": format!("stock-{shard}-{place}"), "address": target.address,
+                "domain": format!("domain-{place}"), "slots": 2, "connections": 25,
+            })
+        };
+        let replicas: Vec<Value> = targets.iter().enumerate().map(replica).collect();
+        json!({
+            "shard": shard, "version": 1, "first_key": shard.to_string(), "replicas": replicas,
+        })
+    };
+    let shards: Vec<Value> = targets
+        .chunks(replicas)
+        .enumerate()
+        .map(|(shard, targets)| entry(shard, targets))
+        .collect();
+    let config = ConfigHandle::default();
+    config.accept(vec![
+        object(
+            "template/lookup",
+            &json!({
+                "name": "lookup", "service": "stock",
+                "parameters": { "name": { "kind": { "type": "text" } } },
+                "shards": { "select": "all" }, "merge": { "rule": "concatenate" },
+                "class": "ordinary", "preference": "coverage", "deadline": "5s",
+            }),
+        ),
+        object("team/desk", &json!({ "name": "desk", "weight": 1 })),
+        object(
+            "manifest/stock",
+            &json!({
+                "service": "stock", "snapshot": 1, "shards": shards,
+            }),
+        ),
+    ]);
+    assert!(config.status().rejected.is_empty(), "{:?}", config.status());
+    config
+}
+
+fn object(key: &str, body: &Value) -> StoredObject {
+    StoredObject {
+        key: key.parse().unwrap(),
+        version: StoreVersion(1),
+        write_id: String::new(),
+        body: Some(body.to_string()),
+    }
+}
--- /dev/null
+++ b/alderhaven-entry/tests/failures/target.rs
@@ -0,0 +1,120 @@
+//! A small target whose process can die and whose old connections can fall silent.
+
+use std::future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use alderhaven_platform::dialect;
+use alderhaven_standin::attempt_head::AttemptHead;
+use alderhaven_standin::http_server::{
+    ConnectionCut, HttpReply, accept, json_reply, read_body, serve, text_reply,
+};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// The service time of an attempt.
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+
+/// A running target.
+pub struct FakeTarget {
+    pub address: SocketAddr,
+    state: Arc<FakeState>,
+}
+
+#[derive(Default)]
+struct FakeState {
+    /// Ends the process: the listener and all connections at once.
+    death: CancellationToken,
+    /// The connections made before the latest silence have a lower number.
+    era: AtomicU64,
+    runs: AtomicUsize,
+    running: AtomicUsize,
+}
+
+impl FakeTarget {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(FakeState::default());
+        tokio::spawn(run(listener, Arc::clone(&state)));
+        Self { address, state }
+    }
+
+    pub fn is_dead(&self) -> bool {
+        self.state.death.is_cancelled()
+    }
+
+    /// Makes all connections that exist now carry nothing any more, without an end.
+    pub fn silence(&self) {
+        self.state.era.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Ends the process.
+    pub fn kill(&self) {
+        self.state.death.cancel();
+    }
+
+    /// Gets the number of attempts that run.
+    pub fn running(&self) -> usize {
+        self.state.running.load(Ordering::SeqCst)
+    }
+
+    /// Gets the number of attempts that were begun.
+    pub fn runs(&self) -> usize {
+        self.state.runs.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for FakeTarget {
+    fn drop(&mut self) {
+        self.state.death.cancel();
+    }
+}
+
+async fn run(listener: TcpListener, state: Arc<FakeState>) {
+    while let Some(stream) = accept(&listener, &state.death).await {
+        let death = state.death.clone();
+        let connection = serve_one(stream, Arc::clone(&state));
+        tokio::spawn(death.run_until_cancelled_owned(connection));
+    }
+}
+
+async fn serve_one(stream: TcpStream, state: Arc<FakeState>) {
+    let era = state.era.load(Ordering::SeqCst);
+    let handler = move |request| answer(Arc::clone(&state), era, request);
+    serve(stream, handler, CancellationToken::new()).await;
+}
+
+async fn answer(
+    state: Arc<FakeState>,
+    era: u64,
+    request: Request<Incoming>,
+) -> Result<HttpReply, ConnectionCut> {
+    if state.era.load(Ordering::SeqCst) != era {
+        future::pending::<()>().await;
+    }
+    let (head, body) = request.into_parts();
+    if head.uri.path() == dialect::CANCEL_PATH {
+        return Ok(text_reply(StatusCode::NOT_FOUND, "not in flight"));
+    }
+    let body = read_body(body).await.map_err(|_| ConnectionCut)?;
+    let parameters = String::from_utf8_lossy(&body).into_owned();
+    state.runs.fetch_add(1, Ordering::SeqCst);
+    state.running.fetch_add(1, Ordering::SeqCst);
+    let slow = if parameters.contains("slow") { 25 } else { 1 };
+    tokio::time::sleep(SERVICE_TIME * slow).await;
+    state.running.fetch_sub(1, Ordering::SeqCst);
+    if parameters.contains("poison") {
+        state.death.cancel();
+        return Err(ConnectionCut);
+    }
+    let mut reply = json_reply(StatusCode::OK, &[1, 2, 3]);
+    AttemptHead::parse(&head.headers)
+        .map_err(|_| ConnectionCut)?
+        .echo(&mut reply);
+    Ok(reply)
+}
--- a/alderhaven-peer/src/frames.rs
+++ b/alderhaven-peer/src/frames.rs
@@ -4,6 +4,8 @@
 
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 
+use crate::strike_frames::StrikeNotice;
+
 /// The version of the protocol; a frame of another major version is refused.
 pub const PROTOCOL_VERSION: u32 = 1;
 
@@ -11,7 +13,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// The message; none where the sender is newer and the message is not known here.
-    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub message: Option<PeerMessage>,
 }
 
@@ -33,6 +35,15 @@
     /// A relay stops: it takes no new attempts on this connection.
     #[prost(message, tag = "5")]
     Leaving(LeavingNotice),
+    /// Requests were in flight at targets that crashed.
+    #[prost(message, tag = "6")]
+    Strikes(StrikeNotice),
+    /// An entry asks whether the connection still carries anything.
+    #[prost(message, tag = "7")]
+    Ping(PingProbe),
+    /// The answer to a `Ping`.
+    #[prost(message, tag = "8")]
+    Pong(PingProbe),
 }
 
 /// A `Hello` says who speaks.
@@ -111,6 +122,9 @@
     /// The target's declared connections.
     #[prost(uint32, tag = "7")]
     pub connections: u32,
+    /// The target's failure domain.
+    #[prost(string, tag = "8")]
+    pub domain: String,
 }
 
 /// An `AttemptReply` is what became of one attempt.
@@ -143,6 +157,9 @@
     /// Whether the attempt reached the target, so that it counts as load.
     #[prost(bool, tag = "9")]
     pub ran: bool,
+    /// Whether the reply was lost with a silent connection, which says nothing of the target.
+    #[prost(bool, tag = "10")]
+    pub path_lost: bool,
 }
 
 /// A `ReplyStatus` is the wire form of an attempt's outcome.
@@ -240,3 +257,11 @@
 /// A `LeavingNotice` says that the sender stops.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct LeavingNotice {}
+
+/// A `PingProbe` is a question, or its answer, on a connection that carries nothing else just now.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PingProbe {
+    /// The number of the question, which the answer repeats.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod codec;
 pub mod connection;
 pub mod frames;
+pub mod strike_board;
+pub mod strike_frames;
--- /dev/null
+++ b/alderhaven-peer/src/strike_frames.rs
@@ -0,0 +1,86 @@
+//! The wire form of strikes: which requests were in flight at targets that crashed.
+
+use alderhaven_core::ids::ShardId;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::crash_strike::{CrashStrike, StrikeNews};
+
+/// A `StrikeNotice` carries strikes to another process.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StrikeNotice {
+    /// The strikes.
+    #[prost(message, repeated, tag = "1")]
+    pub strikes: Vec<StrikeRecord>,
+}
+
+/// A `StrikeRecord` is one crash with one request in flight.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StrikeRecord {
+    /// The request's fingerprint, 32 hexadecimal digits.
+    #[prost(string, tag = "1")]
+    pub fingerprint: String,
+    /// The random number that names the crash.
+    #[prost(uint64, tag = "2")]
+    pub crash: u64,
+    /// The target's id.
+    #[prost(string, tag = "3")]
+    pub target: String,
+    /// The target's failure domain.
+    #[prost(string, tag = "4")]
+    pub domain: String,
+    /// The shard.
+    #[prost(uint32, tag = "5")]
+    pub shard: u32,
+    /// The number of different requests in flight at the target.
+    #[prost(uint32, tag = "6")]
+    pub in_flight: u32,
+    /// The time since the crash in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub age_us: u64,
+    /// Whether a replica of the shard answered the request afterwards.
+    #[prost(bool, tag = "8")]
+    pub cleared: bool,
+}
+
+impl StrikeNotice {
+    /// Gets the strikes; one that can't be read is left out.
+    #[must_use]
+    pub fn news(&self) -> Vec<StrikeNews> {
+        self.strikes.iter().filter_map(StrikeRecord::news).collect()
+    }
+}
+
+impl StrikeRecord {
+    fn news(&self) -> Option<StrikeNews> {
+        Some(StrikeNews {
+            fingerprint: self.fingerprint.parse().ok()?,
+            strike: CrashStrike {
+                crash: self.crash,
+                target: self.target.parse().ok()?,
+                domain: self.domain.parse().ok()?,
+                shard: ShardId(self.shard),
+                in_flight: self.in_flight,
+                at: TimePoint::START,
+                cleared: self.cleared,
+            },
+            age: TimeSpan::from_micros(self.age_us),
+        })
+    }
+}
+
+impl From<&[StrikeNews]> for StrikeNotice {
+    fn from(news: &[StrikeNews]) -> Self {
+        let record = |news: &StrikeNews| StrikeRecord {
+            fingerprint: news.fingerprint.to_string(),
+            crash: news.strike.crash,
+            target: news.strike.target.to_string(),
+            domain: news.strike.domain.to_string(),
+            shard: news.strike.shard.0,
+            in_flight: news.strike.in_flight,
+            age_us: news.age.as_micros(),
+            cleared: news.strike.cleared,
+        };
+        Self {
+            strikes: news.iter().map(record).collect(),
+        }
+    }
+}
--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -15,13 +15,18 @@
 //!   weigh nothing for a refusal while others were always in flight too.
 //! - An answer from a replica of the shard clears the strikes for that shard: replicas hold the same
 //!   data, so what one of them answers did not crash another.
-//! - Many targets of one failure domain lost at once are no request's doing; such strikes count for
-//!   nothing, until the request has lost targets in bulk in a second domain.
+//! - Targets of different shards that are lost at once count as one: they may have shared a host, and
+//!   a query over many shards is in flight at all of them. A second replica of one of the shards is
+//!   what tells; [`crate::crash_strike`] carries the shard for that.
+//! - Many targets of one failure domain lost at once are no request's doing: while a request has no
+//!   strike in another domain or at another time, it is not refused for them.
 //! - A refusal lapses. One more strike is then enough, and each refusal is twice as long.
 //!
 //! What it can't bound: the first wave of a query over many shards reaches several targets before
-//! the first crash is known; copies sent at the same moment do too; a request that crashes targets
-//! only now and then is cleared by its answers; and requests that each differ share no strikes.
+//! the first crash is known (the rest of it is refused in the queues, and one shard alone is tried
+//! again first, so that the wave costs one further target); copies sent at the same moment do too; a
+//! request that crashes targets only now and then is cleared by its answers; and requests that each
+//! differ share no strikes.
 //!
 //! Strikes from several processes merge by union, in any order and any number of times, and every
 //! judgement is computed from the strikes alone, so all processes come to the same one.
@@ -34,6 +39,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use alderhaven_core::errors::Error;
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{FailureDomain, ShardId, TargetId};
 use alderhaven_core::time::{TimePoint, TimeSpan};
@@ -87,6 +93,27 @@
     }
 }
 
+impl QuarantineOptions {
+    /// Checks the values; each error names its field below `quarantine`.
+    #[must_use]
+    pub fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        if self.targets < 2 {
+            errors.push(Error::invalid(
+                "quarantine.targets",
+                format!("{} is refused: allowed is 2 or more", self.targets),
+            ));
+        }
+        if self.max_requests == 0 {
+            errors.push(Error::invalid(
+                "quarantine.max_requests",
+                "0 is refused: allowed is 1 or more",
+            ));
+        }
+        errors
+    }
+}
+
 /// A `QuarantineEntry` is the state of one request for the dump.
 #[derive(Clone, Debug, Serialize)]
 pub struct QuarantineEntry {
@@ -134,7 +161,7 @@
         }
     }
 
-    /// Notes a crash: one strike for each request that was in flight.
+    /// Notes a crash: one strike for each request that was in flight. Returns the new strikes.
     pub fn note_crash(&mut self, crash: &TargetCrash, now: TimePoint) -> Vec<StrikeNews> {
         let different: BTreeSet<_> = crash.in_flight.iter().map(|(request, _)| request).collect();
         let in_flight = u32::try_from(different.len()).unwrap_or(u32::MAX);
@@ -156,10 +183,10 @@
             })
             .collect();
         self.note_loss(crash.crash, &crash.target, &crash.domain, now);
-        self.merge(&news, now);
+        let fresh = self.merge(&news, now);
         // A target that was lost idle tells of its domain.
         self.judge_all();
-        news
+        fresh
     }
 
     /// Takes over strikes of another process; returns those that told something new.
@@ -370,23 +397,46 @@
     }
 
     fn is_guilty(&self, strikes: &[&CrashStrike], refusals: u32) -> bool {
-        let (lost_at_once, single): (Vec<&CrashStrike>, Vec<&CrashStrike>) = strikes
-            .iter()
-            .partition(|strike| self.is_domain_lost(&strike.domain, strike.at));
         let domains: BTreeSet<&FailureDomain> =
-            lost_at_once.iter().map(|strike| &strike.domain).collect();
-        let targets: BTreeSet<&TargetId> = single.iter().map(|strike| &strike.target).collect();
-        let bulk_counts = domains.len() > 1;
-        let places = targets.len() + if bulk_counts { domains.len() } else { 0 };
+            strikes.iter().map(|strike| &strike.domain).collect();
+        let is_lost = |strike: &&CrashStrike| self.is_domain_lost(&strike.domain, strike.at);
+        if domains.len() == 1 && strikes.iter().all(is_lost) {
+            return false;
+        }
         let needed = if refusals == 0 {
             self.options.targets
         } else {
             1
         };
-        let mut counted = single
+        self.independent(strikes) >= needed && strikes.iter().any(|strike| strike.is_alone())
+    }
+
+    /// Counts the strikes that have no cause in common but the request.
+    ///
+    /// Targets that are lost at once may have shared a host, whatever is known of their domains. A
+    /// host holds a shard once, though, and a shard's replicas are tried one after the other.
+    fn independent(&self, strikes: &[&CrashStrike]) -> usize {
+        let window = self.options.domain_window;
+        let is_apart = |one: &CrashStrike, other: &CrashStrike| {
+            let is_later = one.at.since(other.at) >= window || other.at.since(one.at) >= window;
+            one.target != other.target && (one.shard == other.shard || is_later)
+        };
+        // The wave's first strike may be of another shard than the ones that tell, so each strike
+        // is tried as the first of those that count.
+        let count_from = |first: &CrashStrike| {
+            let mut counted = vec![first];
+            for strike in strikes {
+                if counted.iter().all(|other| is_apart(other, strike)) {
+                    counted.push(strike);
+                }
+            }
+            counted.len()
+        };
+        strikes
             .iter()
-            .chain(lost_at_once.iter().filter(|_| bulk_counts));
-        places >= needed && counted.any(|strike| strike.is_alone())
+            .map(|first| count_from(first))
+            .max()
+            .unwrap_or_default()
     }
 
     /// Returns true where many targets of the domain were lost around that time.
--- a/alderhaven-policy/tests/quarantine.rs
+++ b/alderhaven-policy/tests/quarantine.rs
@@ -100,6 +100,23 @@
     assert!(is_refused(&quarantine, "search", at(150)));
 }
 
+/// A host dies with a replica of each of two shards. A query over all shards is the only work at
+/// both. Blamed for two targets it was refused, and its caller lost the shards that another host
+/// could have answered.
+#[test]
+fn quarantine_lost_host_is_one_target() {
+    let mut quarantine = quarantine();
+    for shard in [1, 0] {
+        let mut lost = crash(u64::from(shard), shard, &["sweep"]);
+        lost.in_flight[0].1 = ShardId(shard);
+        quarantine.note_crash(&lost, at(u64::from(1 - shard)));
+    }
+    assert!(!is_refused(&quarantine, "sweep", at(2)));
+    // A replica of one of the shards, tried next, is another matter.
+    quarantine.note_crash(&crash(2, 2, &["sweep"]), at(20));
+    assert!(is_refused(&quarantine, "sweep", at(21)));
+}
+
 #[test]
 fn quarantine_lapses_and_grows() {
     let mut quarantine = quarantine();
--- a/alderhaven-relay/src/lane_attempt.rs
+++ b/alderhaven-relay/src/lane_attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt on its way through a lane.
 
 use alderhaven_core::class::QueryClass;
+use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{AttemptId, TemplateName};
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::connection::FrameSender;
@@ -15,6 +16,10 @@
     pub request: TargetRequest,
     /// The template, by which service times are remembered.
     pub template: TemplateName,
+    /// The fingerprint of template and parameters.
+    pub fingerprint: RequestFingerprint,
+    /// Whether the query may be repeated without harm.
+    pub is_idempotent: bool,
     /// The class of the query.
     pub class: QueryClass,
     /// The order within the class, the same at all relays of the query.
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use alderhaven_core::ids::TargetId;
+use alderhaven_core::ids::{FailureDomain, TargetId};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_peer::frames::ScatterAttempt;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::target_watch::TargetWatch;
 use arc_swap::ArcSwap;
 use tokio::time;
@@ -28,6 +29,7 @@
     clock: ProcessClock,
     counters: AttemptCounters,
     watch: TargetWatch,
+    strikes: Arc<StrikeBoard>,
     lanes: ArcSwap<HashMap<TargetId, Arc<TargetLane>>>,
     writing: Mutex<()>,
 }
@@ -35,12 +37,19 @@
 impl LaneTable {
     /// Returns an empty table.
     #[must_use]
-    pub fn new(options: LaneOptions, counters: AttemptCounters, watch: TargetWatch) -> Self {
+    pub fn new(
+        options: LaneOptions,
+        counters: AttemptCounters,
+        watch: TargetWatch,
+        strikes: Arc<StrikeBoard>,
+        clock: ProcessClock,
+    ) -> Self {
         Self {
             options,
-            clock: ProcessClock::default(),
+            clock,
             counters,
             watch,
+            strikes,
             lanes: ArcSwap::default(),
             writing: Mutex::new(()),
         }
@@ -56,7 +65,13 @@
         if let Some(lane) = self.lanes.load().get(&target) {
             return Some(Arc::clone(lane));
         }
-        Some(self.add(target, address, attempt.slots))
+        // An entry of an earlier release does not name the domain; the target then stands alone.
+        let domain = attempt
+            .domain
+            .parse()
+            .or_else(|_| attempt.target.parse())
+            .ok()?;
+        Some(self.add(target, address, domain, attempt.slots))
     }
 
     /// Gets the lane of a target that has had attempts.
@@ -66,6 +81,12 @@
         self.lanes.load().get(&target).cloned()
     }
 
+    /// Gets what is known of requests that crash targets.
+    #[must_use]
+    pub const fn strikes(&self) -> &Arc<StrikeBoard> {
+        &self.strikes
+    }
+
     /// Gets the clock that all lanes share.
     #[must_use]
     pub const fn clock(&self) -> ProcessClock {
@@ -106,19 +127,32 @@
             .collect()
     }
 
-    fn add(&self, target: TargetId, address: SocketAddr, slots: u32) -> Arc<TargetLane> {
+    fn add(
+        &self,
+        target: TargetId,
+        address: SocketAddr,
+        domain: FailureDomain,
+        slots: u32,
+    ) -> Arc<TargetLane> {
         let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
         // Another thread may have added the lane while this one waited.
         if let Some(lane) = self.lanes.load().get(&target) {
             return Arc::clone(lane);
         }
-        let connections = TargetConnections::new(address, self.options.connect_timeout);
+        let connections = TargetConnections::new(
+            address,
+            self.options.connect_timeout,
+            self.options.health.clone(),
+            self.clock,
+        );
         let shared = LaneShared {
             target: target.clone(),
+            domain,
             connections,
             clock: self.clock,
             counters: self.counters.clone(),
             watch: self.watch.clone(),
+            strikes: Arc::clone(&self.strikes),
         };
         let lane = Arc::new(TargetLane::new(shared, slots, &self.options));
         let mut lanes = HashMap::clone(&self.lanes.load());
--- a/alderhaven-relay/src/lib.rs
+++ b/alderhaven-relay/src/lib.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod connection_probe;
+pub mod crash_watch;
 pub mod lane_attempt;
 pub mod lane_options;
 pub mod lane_table;
--- a/alderhaven-relay/src/metrics.rs
+++ b/alderhaven-relay/src/metrics.rs
@@ -26,6 +26,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct AttemptCounters {
     counters: Family<AttemptLabels, Counter>,
+    /// The deaths of targets' processes with attempts in flight.
+    pub crashes: Counter,
+    /// The attempts whose connection was silent while a new one worked.
+    pub silent: Counter,
 }
 
 /// A `RelayMetrics` counts what a relay does.
@@ -61,6 +65,16 @@
             "Attempts at targets by outcome",
             attempts.counters.clone(),
         );
+        registry.register(
+            "target_crashes",
+            "Deaths of targets' processes with attempts in flight",
+            attempts.crashes.clone(),
+        );
+        registry.register(
+            "silent_connections",
+            "Attempts whose connection was silent while a new one worked",
+            attempts.silent.clone(),
+        );
         Self { registry, attempts }
     }
 }
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 
 use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
@@ -58,10 +60,18 @@
         let metrics = RelayMetrics::default();
         let watch = TargetWatch::default();
         let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
+        let clock = ProcessClock::default();
+        let strikes = Arc::new(StrikeBoard::new(
+            settings.policy,
+            settings.quarantine.clone(),
+            clock,
+        ));
         let table = Arc::new(LaneTable::new(
             settings.lane_options(),
             metrics.attempts.clone(),
             watch.clone(),
+            strikes,
+            clock,
         ));
         let state = Arc::new(RelayState {
             node: settings.node.clone(),
@@ -123,7 +133,8 @@
     }
 
     fn dump(&self) -> Value {
-        json!({ "status": self.status(), "lanes": self.table.reports(), "leaving_targets": *self.watch.names() })
+        json!({ "status": self.status(), "lanes": self.table.reports(),
+            "leaving_targets": *self.watch.names(), "quarantine": self.table.strikes().entries() })
     }
 
     fn status(&self) -> Value {
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -1,19 +1,22 @@
 //! The relay's side of the connections from entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::class::QueryClass;
+use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId, TemplateName};
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::connection;
-use alderhaven_peer::connection::FrameSender;
+use alderhaven_peer::connection::{FrameReader, FrameSender};
 use alderhaven_peer::frames::{
     AttemptReply, CancelAttempts, PeerMessage, ReplyStatus, ScatterAttempt, ScatterRequest,
 };
 use alderhaven_platform::dialect::TargetRequest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time;
 
 use crate::lane_attempt::LaneAttempt;
 use crate::lane_table::LaneTable;
@@ -21,6 +24,10 @@
 /// The longest remaining time that an entry may claim; it bounds how long an attempt is held.
 const MAX_REMAINING: TimeSpan = TimeSpan::from_secs(60);
 
+/// The silence after which the connection of an entry that sends pings is closed; entries give up a
+/// silent connection within seconds.
+const ENTRY_SILENCE: Duration = Duration::from_secs(10);
+
 /// Accepts connections from entries until the process ends.
 pub async fn serve(listener: TcpListener, table: Arc<LaneTable>, connection_limit: usize) {
     let permits = Arc::new(Semaphore::new(connection_limit));
@@ -43,20 +50,43 @@
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return;
     };
-    while let Some(message) = connection::next_message(&mut reader).await {
+    let _hears_of_strikes = table.strikes().join(sender.clone());
+    let mut has_pinged = false;
+    while let Some(message) = next_message(&mut reader, has_pinged).await {
         match message {
             PeerMessage::Scatter(request) => scatter(table, &sender, &request),
             PeerMessage::Cancel(cancel) => cancel_attempts(table, &cancel),
-            PeerMessage::Hello(_) | PeerMessage::Reply(_) | PeerMessage::Leaving(_) => {}
+            PeerMessage::Strikes(notice) => table.strikes().take(&notice),
+            PeerMessage::Ping(ping) => {
+                has_pinged = true;
+                let _entry_gone = sender.send(PeerMessage::Pong(ping));
+            }
+            PeerMessage::Hello(_)
+            | PeerMessage::Reply(_)
+            | PeerMessage::Leaving(_)
+            | PeerMessage::Pong(_) => {}
         }
     }
 }
 
+/// Reads the next message; one that sends pings and then nothing has a connection that is silent,
+/// which it has replaced by now.
+async fn next_message(reader: &mut FrameReader, has_pinged: bool) -> Option<PeerMessage> {
+    if !has_pinged {
+        return connection::next_message(reader).await;
+    }
+    time::timeout(ENTRY_SILENCE, connection::next_message(reader))
+        .await
+        .ok()
+        .flatten()
+}
+
 fn scatter(table: &LaneTable, sender: &FrameSender, request: &ScatterRequest) {
     let arrived = table.clock().now();
     let remaining = TimeSpan::from_micros(request.remaining_us).min(MAX_REMAINING);
     let class = QueryClass::from_rank(u8::try_from(request.class).unwrap_or(u8::MAX));
     let template: Option<TemplateName> = request.template.parse().ok();
+    let fingerprint = RequestFingerprint::of_canonical(&request.template, &request.parameters);
     for attempt in &request.attempts {
         let (Some(lane), Some(template)) = (table.lane_for(attempt), template.clone()) else {
             refuse(sender, attempt.sequence);
@@ -65,6 +95,8 @@
         lane.offer(LaneAttempt {
             request: target_request(request, attempt),
             template,
+            fingerprint,
+            is_idempotent: request.idempotent,
             class,
             order: request.order,
             hedge: request.hedge,
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -6,7 +6,9 @@
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
 use alderhaven_core::program::CheckedSettings;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::connection_health::HealthOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::quarantine::QuarantineOptions;
 use alderhaven_policy::relay_queue::RelayQueueOptions;
 use alderhaven_policy::target_limit::TargetLimitOptions;
 use serde::{Deserialize, Serialize};
@@ -41,6 +43,12 @@
     /// The limits of attempts at a time.
     #[serde(default)]
     pub limit: TargetLimitOptions,
+    /// The refusal of requests that crash targets.
+    #[serde(default)]
+    pub quarantine: QuarantineOptions,
+    /// The look-out for silent connections.
+    #[serde(default)]
+    pub health: HealthOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
@@ -67,6 +75,10 @@
             policy: self.policy,
             queue: self.queue.clone(),
             limit: self.limit.clone(),
+            health: HealthOptions {
+                enabled: self.health.enabled && self.policy == PolicyKind::Current,
+                ..self.health.clone()
+            },
             connect_timeout: self.limits.connect_timeout,
         }
     }
@@ -74,7 +86,7 @@
 
 impl CheckedSettings for RelaySettings {
     fn check(&self) -> Vec<Error> {
-        let mut errors = Vec::new();
+        let mut errors = self.quarantine.check();
         if self.limits.peer_connections == 0 {
             errors.push(Error::invalid(
                 "limits.peer_connections",
--- a/alderhaven-relay/src/target_call.rs
+++ b/alderhaven-relay/src/target_call.rs
@@ -1,14 +1,16 @@
 //! One call of a target over HTTP, and what can be said of it afterwards.
 
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_platform::dialect;
 use alderhaven_platform::dialect::TargetRequest;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use tokio::time;
 
-use crate::target_connections::{TargetConnections, TargetSender};
+use crate::target_connections::{TakenConnection, TargetConnections, TargetSender};
 
 /// The largest reply that is read from a target, in bytes; it must fit into one frame.
 const MAX_REPLY_BYTES: usize = 4 << 20;
@@ -24,6 +26,30 @@
     pub free_slots: Option<u32>,
     /// Whether the target says that it drains.
     pub is_draining: bool,
+    /// How the connection was lost before the reply was whole, where it was.
+    pub loss: Option<ConnectionLoss>,
+    /// When the attempt was sent once more, where it was; its time at the target counts from then.
+    pub resent_at: Option<TimePoint>,
+    /// Whether that was because its first connection was silent.
+    pub found_silence: bool,
+}
+
+/// A `ConnectionLoss` is how an attempt lost its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionLoss {
+    /// The connection was closed: the path was cut or the target's process died.
+    Closed,
+    /// The connection is silent while a new one works: the target is not to blame.
+    Silent,
+}
+
+/// A `CallPace` is how long an attempt may take before its silence is looked into.
+#[derive(Clone, Copy, Debug)]
+pub struct CallPace {
+    /// The mean time of such attempts at the target.
+    pub expected: TimeSpan,
+    /// Whether the attempt may be repeated, so that it is ended where its connection is silent.
+    pub is_idempotent: bool,
 }
 
 impl CallVerdict {
@@ -35,15 +61,28 @@
             rows: Bytes::new(),
             free_slots: None,
             is_draining: false,
+            loss: None,
+            resent_at: None,
+            found_silence: false,
         }
     }
 
+    const fn lost(loss: ConnectionLoss) -> Self {
+        let mut verdict = Self::without_reply(AttemptOutcome::Unknown);
+        verdict.loss = Some(loss);
+        verdict.found_silence = matches!(loss, ConnectionLoss::Silent);
+        verdict
+    }
+
     fn with_reply(outcome: AttemptOutcome, headers: &HeaderMap, rows: Bytes) -> Self {
         Self {
             outcome,
             rows,
             free_slots: dialect::free_slots(headers),
             is_draining: dialect::is_draining(headers),
+            loss: None,
+            resent_at: None,
+            found_silence: false,
         }
     }
 }
@@ -54,38 +93,59 @@
     /// No byte was written, and the request came back.
     NotSent,
     /// Bytes were written and no reply came: the target may have run the attempt.
-    Lost,
+    Lost(ConnectionLoss),
+}
+
+/// A call whose request is on its connection.
+struct SentCall {
+    outcome: SendOutcome,
+    sender: TargetSender,
+    is_kept: bool,
+    sent: TimePoint,
 }
 
 /// Runs an attempt at its target.
 ///
 /// A kept connection may have been closed by the target while it was idle. Nothing of the request
-/// was written then, so it is sent once more on a new connection.
+/// was written then, so it is sent once more on a new connection. So is one that may be repeated
+/// where the kept connection turned out to be silent.
 pub async fn run(
     connections: &TargetConnections,
     authority: &str,
     request: &TargetRequest,
+    pace: CallPace,
 ) -> CallVerdict {
     let not_sent = CallVerdict::without_reply(AttemptOutcome::NotRun(NotRunReason::NotSent));
     let Ok(kept) = connections.take().await else {
         return not_sent;
     };
-    match send(kept, authority, request).await {
-        (SendOutcome::NotSent, _) => {}
-        (outcome, sender) => return finish(connections, request, outcome, sender).await,
-    }
+    let call = send(connections, kept, authority, request, pace).await;
+    let on_failure = match call.outcome {
+        SendOutcome::NotSent => not_sent,
+        SendOutcome::Lost(ConnectionLoss::Silent) => CallVerdict::lost(ConnectionLoss::Silent),
+        SendOutcome::Replied(_) | SendOutcome::Lost(ConnectionLoss::Closed) => {
+            return finish(connections, request, call).await;
+        }
+    };
+    let resent_at = connections.clock().now();
     let Ok(new) = connections.connect().await else {
-        return not_sent;
+        return on_failure;
     };
-    let (outcome, sender) = send(new, authority, request).await;
-    finish(connections, request, outcome, sender).await
+    let call = send(connections, new, authority, request, pace).await;
+    if matches!(call.outcome, SendOutcome::NotSent) {
+        return on_failure;
+    }
+    let mut verdict = finish(connections, request, call).await;
+    verdict.resent_at = Some(resent_at);
+    verdict.found_silence = on_failure.loss.is_some();
+    verdict
 }
 
 /// Asks a target to drop an attempt whose answer is no longer wanted.
 ///
 /// It goes over a connection of its own: closing the attempt's connection would cost a new one.
 pub async fn cancel(connections: &TargetConnections, authority: &str, request: &TargetRequest) {
-    let Ok(mut sender) = connections.take().await else {
+    let Ok(TakenConnection { mut sender, .. }) = connections.take().await else {
         return;
     };
     let cancel = Request::post(dialect::CANCEL_PATH)
@@ -103,49 +163,100 @@
 }
 
 async fn send(
-    mut sender: TargetSender,
+    connections: &TargetConnections,
+    taken: TakenConnection,
     authority: &str,
     request: &TargetRequest,
-) -> (SendOutcome, TargetSender) {
-    let Ok(message) = request.to_http(authority) else {
-        return (SendOutcome::NotSent, sender);
+    pace: CallPace,
+) -> SentCall {
+    let mut sender = taken.sender;
+    let sent = connections.clock().now();
+    let outcome = match request.to_http(authority) {
+        Ok(message) => {
+            let idle_before = taken.idle_for.unwrap_or_default();
+            let replying = reply_of(&mut sender, message);
+            watch(connections, replying, pace, idle_before, sent).await
+        }
+        Err(_) => SendOutcome::NotSent,
     };
-    let outcome = match sender.try_send_request(message).await {
+    SentCall {
+        outcome,
+        sender,
+        is_kept: taken.idle_for.is_some(),
+        sent,
+    }
+}
+
+async fn reply_of(sender: &mut TargetSender, message: Request<Full<Bytes>>) -> SendOutcome {
+    match sender.try_send_request(message).await {
         Ok(response) => SendOutcome::Replied(response),
         // hyper hands a request back only where no byte of it was written; without that proof the
         // target may have run it.
         Err(mut error) => match error.take_message() {
             Some(_) => SendOutcome::NotSent,
-            None => SendOutcome::Lost,
+            None => SendOutcome::Lost(ConnectionLoss::Closed),
         },
+    }
+}
+
+/// Waits for the reply, and looks into its silence where it takes unusually long.
+async fn watch(
+    connections: &TargetConnections,
+    replying: impl Future<Output = SendOutcome>,
+    pace: CallPace,
+    idle_before: TimeSpan,
+    sent: TimePoint,
+) -> SendOutcome {
+    tokio::pin!(replying);
+    let Some(bound) = connections.silence_bound(pace.expected) else {
+        return replying.await;
     };
-    (outcome, sender)
+    let mut pause = bound;
+    loop {
+        let looking = async {
+            time::sleep(pause.as_duration()).await;
+            connections.is_silent(idle_before, sent).await
+        };
+        let is_silent = tokio::select! {
+            biased;
+            outcome = &mut replying => return outcome,
+            is_silent = looking => is_silent,
+        };
+        if is_silent && pace.is_idempotent {
+            return SendOutcome::Lost(ConnectionLoss::Silent);
+        }
+        // A target that is slow as a whole is asked more and more rarely.
+        pause = pause.mul_f64(2.0);
+    }
 }
 
 async fn finish(
     connections: &TargetConnections,
     request: &TargetRequest,
-    outcome: SendOutcome,
-    sender: TargetSender,
+    call: SentCall,
 ) -> CallVerdict {
-    let response = match outcome {
+    let response = match call.outcome {
         SendOutcome::Replied(response) => response,
         SendOutcome::NotSent => {
             return CallVerdict::without_reply(AttemptOutcome::NotRun(NotRunReason::NotSent));
         }
-        SendOutcome::Lost => return CallVerdict::without_reply(AttemptOutcome::Unknown),
+        SendOutcome::Lost(loss) => return CallVerdict::lost(loss),
     };
+    connections.note_replied(call.is_kept, call.sent);
     let (head, body) = response.into_parts();
     let judged = request.judge(head.status, &head.headers);
     match Limited::new(body, MAX_REPLY_BYTES).collect().await {
         Ok(rows) => {
-            connections.give_back(sender);
+            connections.give_back(call.sender);
             CallVerdict::with_reply(judged, &head.headers, rows.to_bytes())
         }
         // A truncated answer is no answer, though the target ran the attempt. The connection is
         // dropped: its next bytes could belong to this answer.
         Err(_) if judged == AttemptOutcome::Answered => {
-            CallVerdict::with_reply(AttemptOutcome::Unknown, &head.headers, Bytes::new())
+            let mut verdict =
+                CallVerdict::with_reply(AttemptOutcome::Unknown, &head.headers, Bytes::new());
+            verdict.loss = Some(ConnectionLoss::Closed);
+            verdict
         }
         Err(_) => CallVerdict::with_reply(judged, &head.headers, Bytes::new()),
     }
--- a/alderhaven-relay/src/target_connections.rs
+++ b/alderhaven-relay/src/target_connections.rs
@@ -1,10 +1,15 @@
-//! The kept connections to one target.
+//! The kept connections to one target, and how far they are trusted.
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::connection_health::{
+    ConnectionHealth, HealthAction, HealthEvent, HealthOptions, HealthState, SilentAttempt,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
@@ -13,29 +18,106 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::connection_probe;
+
+/// How often a target that closes new connections is asked whether its process still runs.
+const DEATH_LOOKS: usize = 20;
+/// The pause between two of those; a process that ends closes all it has within milliseconds.
+const DEATH_PAUSE: Duration = Duration::from_millis(5);
+
 /// A `TargetSender` is one connection that can carry one request at a time.
 pub type TargetSender = SendRequest<Full<Bytes>>;
 
+/// A `TakenConnection` is a connection that was taken for one request.
+#[derive(Debug)]
+pub struct TakenConnection {
+    /// The connection.
+    pub sender: TargetSender,
+    /// How long it had been idle; none where it is new.
+    pub idle_for: Option<TimeSpan>,
+}
+
 /// A `TargetConnections` keeps connections to one target open between attempts.
 ///
 /// A new connection costs up to 6 ms (the brief's table), more than many a query takes at the
 /// target, so a connection that has answered is kept. One whose attempt was not answered is never
 /// given back: a late answer on it would be read as the answer to the next attempt.
+///
+/// A path that lost track of old connections shows as silence on all that were idle then. While a
+/// probe looks into a silence no kept connection is taken, and once it is answered the ones that
+/// were idle before it are closed, so that no further attempt waits on them.
 #[derive(Debug)]
 pub struct TargetConnections {
     address: SocketAddr,
     connect_timeout: TimeSpan,
-    idle: Mutex<Vec<TargetSender>>,
+    clock: ProcessClock,
+    idle: Mutex<Vec<IdleConnection>>,
+    health: Mutex<PathHealth>,
+    /// Held while a probe is under way, so that there is one at a time.
+    probing: tokio::sync::Mutex<Option<ProbeResult>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: TargetSender,
+    since: TimePoint,
+}
+
+#[derive(Debug)]
+struct PathHealth {
+    health: ConnectionHealth,
+    /// When the latest attempt of those that were answered had been sent.
+    answered_sent: Option<TimePoint>,
+    probe_began: TimePoint,
+    replaced: u64,
+    probes: u64,
+}
+
+/// A `PathReport` is what is believed of a target's connections, for the dump.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub struct PathReport {
+    /// The state.
+    pub state: HealthState,
+    /// The probes that were sent.
+    pub probes: u64,
+    /// The connections that were closed as silent.
+    pub replaced: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ProbeResult {
+    ended: TimePoint,
+    is_answered: bool,
+}
+
+/// Ends a probe as silent where its attempt no longer waits for it.
+struct ProbeGuard<'a> {
+    connections: &'a TargetConnections,
+    is_over: bool,
 }
 
 impl TargetConnections {
     /// Returns an empty set of connections to `address`.
     #[must_use]
-    pub const fn new(address: SocketAddr, connect_timeout: TimeSpan) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        connect_timeout: TimeSpan,
+        options: HealthOptions,
+        clock: ProcessClock,
+    ) -> Self {
         Self {
             address,
             connect_timeout,
+            clock,
             idle: Mutex::new(Vec::new()),
+            health: Mutex::new(PathHealth {
+                health: ConnectionHealth::new(options),
+                answered_sent: None,
+                probe_began: TimePoint::START,
+                replaced: 0,
+                probes: 0,
+            }),
+            probing: tokio::sync::Mutex::new(None),
         }
     }
 
@@ -45,31 +127,53 @@
         self.address
     }
 
+    /// Gets the clock by which idle times are counted.
+    #[must_use]
+    pub const fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
     /// Gets the number of idle connections.
     #[must_use]
     pub fn idle_count(&self) -> usize {
-        self.lock().len()
+        self.idle().len()
+    }
+
+    /// Gets what is believed of the connections.
+    #[must_use]
+    pub fn report(&self) -> PathReport {
+        let path = self.path();
+        PathReport {
+            state: path.health.state(),
+            probes: path.probes,
+            replaced: path.replaced,
+        }
     }
 
-    /// Takes an idle connection, or makes a new one.
+    /// Takes an idle connection that is trusted, or makes a new one.
     ///
     /// # Errors
     /// An error of the operating system, or a time-out: no byte of a request was sent.
-    pub async fn take(&self) -> io::Result<TargetSender> {
-        loop {
-            let Some(sender) = self.lock().pop() else {
-                return self.connect().await;
+    pub async fn take(&self) -> io::Result<TakenConnection> {
+        while self.path().health.may_reuse() {
+            let Some(kept) = self.idle().pop() else {
+                break;
             };
-            if sender.is_ready() {
-                return Ok(sender);
+            if kept.sender.is_ready() {
+                return Ok(TakenConnection {
+                    sender: kept.sender,
+                    idle_for: Some(self.clock.now().since(kept.since)),
+                });
             }
         }
+        self.connect().await
     }
 
     /// Gives back a connection whose last request was answered in full.
     pub fn give_back(&self, sender: TargetSender) {
         if !sender.is_closed() {
-            self.lock().push(sender);
+            let since = self.clock.now();
+            self.idle().push(IdleConnection { sender, since });
         }
     }
 
@@ -77,7 +181,7 @@
     ///
     /// # Errors
     /// An error of the operating system, or a time-out.
-    pub async fn connect(&self) -> io::Result<TargetSender> {
+    pub async fn connect(&self) -> io::Result<TakenConnection> {
         let connecting = TcpStream::connect(self.address);
         let stream = time::timeout(self.connect_timeout.as_duration(), connecting).await??;
         stream.set_nodelay(true)?;
@@ -88,10 +192,139 @@
             // An error of the connection reaches the attempt on it through its sender.
             let _ended = connection.await;
         });
-        Ok(sender)
+        Ok(TakenConnection {
+            sender,
+            idle_for: None,
+        })
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<TargetSender>> {
+    /// Notes that an attempt that was sent at `sent` was answered.
+    pub fn note_replied(&self, is_kept: bool, sent: TimePoint) {
+        let mut path = self.path();
+        path.answered_sent = path.answered_sent.max(Some(sent));
+        if !path.health.may_reuse() {
+            drop(path);
+            // A reply on a new connection says of the old ones what a probe's reply says.
+            self.note(if is_kept {
+                HealthEvent::Replied
+            } else {
+                HealthEvent::ProbeAnswered
+            });
+        }
+    }
+
+    /// Gets the silence after which an attempt should lead to a probe.
+    #[must_use]
+    pub fn silence_bound(&self, expected: TimeSpan) -> Option<TimeSpan> {
+        self.path().health.silence_bound(expected)
+    }
+
+    /// Looks into the silence of an attempt; returns true where its connection is silent and the
+    /// target is not to blame.
+    pub async fn is_silent(&self, idle_before: TimeSpan, sent: TimePoint) -> bool {
+        if !self.probe().await {
+            return false;
+        }
+        let path = self.path();
+        path.health.is_silent(&SilentAttempt {
+            idle_before,
+            sent,
+            answered_sent: path.answered_sent,
+        })
+    }
+
+    /// Returns true where the target's process has died, seen after a connection to it was lost.
+    ///
+    /// A path that is cut leaves the process alive: a new connection works, or gets no answer at
+    /// all. Where a new one works, the process may have been started anew at once; then all other
+    /// connections went with the old one. A dying process may accept a connection and close it, so
+    /// that counts as no answer yet.
+    pub async fn is_process_dead(&self) -> bool {
+        let asked = self.clock.now();
+        let limit = self.path().health.options().probe_timeout.as_duration();
+        for _ in 0..DEATH_LOOKS {
+            match time::timeout(limit, connection_probe::send(self)).await {
+                Ok(Ok(())) => return self.are_all_closed(asked),
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+                Ok(Err(_)) => time::sleep(DEATH_PAUSE).await,
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    /// Returns true where there were other connections at `point` and all are closed now.
+    fn are_all_closed(&self, point: TimePoint) -> bool {
+        let idle = self.idle();
+        let mut others = idle.iter().filter(|kept| kept.since <= point).peekable();
+        others.peek().is_some() && others.all(|kept| kept.sender.is_closed())
+    }
+
+    /// Sends a probe, or waits for the one under way; returns true where it is answered.
+    async fn probe(&self) -> bool {
+        let asked = self.clock.now();
+        let mut last = self.probing.lock().await;
+        if let Some(result) = *last
+            && result.ended >= asked
+        {
+            return result.is_answered;
+        }
+        self.note(HealthEvent::Silent);
+        let mut guard = ProbeGuard {
+            connections: self,
+            is_over: false,
+        };
+        let limit = self.path().health.options().probe_timeout;
+        let probed = time::timeout(limit.as_duration(), connection_probe::send(self)).await;
+        let event = match probed {
+            Ok(Ok(())) => HealthEvent::ProbeAnswered,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                HealthEvent::ProbeRefused
+            }
+            Ok(Err(_)) | Err(_) => HealthEvent::ProbeSilent,
+        };
+        guard.is_over = true;
+        self.note(event);
+        let is_answered = event == HealthEvent::ProbeAnswered;
+        *last = Some(ProbeResult {
+            ended: self.clock.now(),
+            is_answered,
+        });
+        is_answered
+    }
+
+    /// Applies an event and does what follows from it.
+    fn note(&self, event: HealthEvent) {
+        let mut path = self.path();
+        match path.health.handle(event) {
+            HealthAction::Nothing => {}
+            HealthAction::Probe => {
+                path.probe_began = self.clock.now();
+                path.probes += 1;
+            }
+            HealthAction::ReplaceOld => {
+                let began = path.probe_began;
+                let mut idle = self.idle();
+                let before = idle.len();
+                idle.retain(|kept| kept.since >= began);
+                path.replaced += (before - idle.len()) as u64;
+            }
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn path(&self) -> MutexGuard<'_, PathHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for ProbeGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.connections.note(HealthEvent::ProbeSilent);
+        }
+    }
 }
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -4,24 +4,27 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use alderhaven_core::ids::{AttemptId, TargetId};
+use alderhaven_core::ids::{AttemptId, FailureDomain, TargetId};
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::frames::{AttemptReply, ReplyStatus};
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::target_watch::TargetWatch;
+use alderhaven_policy::crash_strike::TargetCrash;
 use alderhaven_policy::query_gather;
 use alderhaven_policy::relay_queue::{OfferOutcome, RelayQueue};
 use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit};
 use tokio::sync::Notify;
 use tokio::time;
 
+use crate::crash_watch::CrashWatch;
 use crate::lane_attempt::LaneAttempt;
 use crate::lane_options::LaneOptions;
 use crate::metrics::AttemptCounters;
 use crate::target_call;
-use crate::target_call::CallVerdict;
-use crate::target_connections::TargetConnections;
+use crate::target_call::{CallPace, CallVerdict, ConnectionLoss};
+use crate::target_connections::{PathReport, TargetConnections};
 
 /// A `TargetLane` orders and runs the attempts at one target.
 #[derive(Debug)]
@@ -38,6 +41,8 @@
 pub struct LaneShared {
     /// The target.
     pub target: TargetId,
+    /// The target's failure domain.
+    pub domain: FailureDomain,
     /// The connections to the target.
     pub connections: TargetConnections,
     /// The clock of all lanes.
@@ -46,6 +51,8 @@
     pub counters: AttemptCounters,
     /// The targets that get no new work.
     pub watch: TargetWatch,
+    /// What is known of requests that crash targets.
+    pub strikes: Arc<StrikeBoard>,
 }
 
 #[derive(Debug)]
@@ -55,6 +62,11 @@
     slots: u32,
     waiting: HashMap<AttemptId, LaneAttempt>,
     running: HashMap<AttemptId, Arc<Notify>>,
+    /// A suspect that has a slot and waits until nothing else runs at the target.
+    held: Option<ReadyAttempt>,
+    /// Whether a suspect runs, with which nothing else is started.
+    is_reserved: bool,
+    crash: CrashWatch,
 }
 
 /// A `LaneReport` is the state of a lane for the dump.
@@ -70,11 +82,20 @@
     pub limit: u32,
     /// The idle connections.
     pub idle_connections: usize,
+    /// What is believed of the connections.
+    pub path: PathReport,
     /// Whether the target gets no new work.
     pub draining: bool,
 }
 
+/// What becomes of the attempt that is next.
+enum NextAttempt {
+    Run(ReadyAttempt),
+    Refuse(LaneAttempt, NotRunReason),
+}
+
 /// An attempt that was given a slot, with the means to cancel it.
+#[derive(Debug)]
 struct ReadyAttempt {
     attempt: LaneAttempt,
     cancelled: Arc<Notify>,
@@ -96,6 +117,9 @@
                 slots,
                 waiting: HashMap::new(),
                 running: HashMap::new(),
+                held: None,
+                is_reserved: false,
+                crash: CrashWatch::default(),
             }),
             waiting: AtomicUsize::new(0),
         }
@@ -107,6 +131,8 @@
         let mut state = self.lock();
         let refusal = if self.is_leaving() {
             Some(NotRunReason::Draining)
+        } else if self.is_refused(&attempt) {
+            Some(NotRunReason::Quarantined)
         } else {
             let slots = state.limit.limit(now);
             match state.queue.offer(attempt.job(), now, slots) {
@@ -132,6 +158,12 @@
             cancelled.notify_one();
             return;
         }
+        if let Some(held) = state.take_held(id, self.shared.clock.now()) {
+            drop(state);
+            self.answer_not_run(&held, NotRunReason::Cancelled, TimeSpan::ZERO);
+            self.run_ready();
+            return;
+        }
         if state.queue.cancel(id)
             && let Some(attempt) = state.waiting.remove(&id)
         {
@@ -152,10 +184,10 @@
     pub async fn warm(&self) {
         let slots = self.lock().slots as usize;
         while self.shared.connections.idle_count() < slots {
-            let Ok(sender) = self.shared.connections.connect().await else {
+            let Ok(new) = self.shared.connections.connect().await else {
                 return;
             };
-            self.shared.connections.give_back(sender);
+            self.shared.connections.give_back(new.sender);
         }
     }
 
@@ -177,6 +209,7 @@
             in_flight: state.queue.running(),
             limit: state.limit.limit(now),
             idle_connections: self.shared.connections.idle_count(),
+            path: self.shared.connections.report(),
             draining: self.is_leaving(),
         }
     }
@@ -186,6 +219,14 @@
         self.shared.watch.is_leaving(self.shared.target.as_str())
     }
 
+    /// Returns true where the request is refused because it crashed targets.
+    fn is_refused(&self, attempt: &LaneAttempt) -> bool {
+        self.shared
+            .strikes
+            .refused_for(&attempt.fingerprint)
+            .is_some()
+    }
+
     fn lock(&self) -> MutexGuard<'_, LaneState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -198,10 +239,15 @@
         if self.is_leaving() {
             state.queue.drop_all(NotRunReason::Draining);
         }
-        while let Some(attempt) = state.start_next(now) {
-            ready.push(attempt);
+        let mut refused = Vec::new();
+        while let Some(next) = state.start_next(now, &self.shared.strikes) {
+            match next {
+                NextAttempt::Run(attempt) => ready.push(attempt),
+                NextAttempt::Refuse(attempt, reason) => refused.push((attempt, reason)),
+            }
         }
-        let dropped = state.take_dropped();
+        let mut dropped = state.take_dropped();
+        dropped.append(&mut refused);
         let waits: Vec<TimeSpan> = dropped
             .iter()
             .map(|(attempt, _)| state.wait_of(attempt, now))
@@ -224,10 +270,15 @@
         let started = self.shared.clock.now();
         let attempt = &mut ready.attempt;
         attempt.request.remaining = attempt.remaining(started);
-        let verdict = self.call_target(attempt, &ready.cancelled).await;
+        let pace = CallPace {
+            expected: ready.expected,
+            is_idempotent: attempt.is_idempotent,
+        };
+        let verdict = self.call_target(attempt, pace, &ready.cancelled).await;
         self.shared.counters.observe(verdict.outcome);
+        self.look_for_crash(attempt, &verdict).await;
         let now = self.shared.clock.now();
-        let service = now.since(started);
+        let service = now.since(verdict.resent_at.unwrap_or(started));
         let wait = self.note_finished(attempt, &verdict, service, ready.expected, now);
         let reply = AttemptReply {
             sequence: attempt.id().sequence,
@@ -239,13 +290,53 @@
             service_us: service.as_micros(),
             wait_us: wait.as_micros(),
             ran: !query_gather::is_not_run(verdict.outcome),
+            path_lost: verdict.loss == Some(ConnectionLoss::Silent),
         };
         attempt.reply(reply);
     }
 
+    /// Tells everyone of a crash where the target's process died with the attempt in flight, before
+    /// the attempt is answered and retried.
+    async fn look_for_crash(&self, attempt: &LaneAttempt, verdict: &CallVerdict) {
+        let shared = &self.shared;
+        if verdict.found_silence {
+            shared.counters.silent.inc();
+        }
+        match verdict.loss {
+            Some(ConnectionLoss::Closed) => {}
+            Some(ConnectionLoss::Silent) => return,
+            None => {
+                if verdict.outcome == AttemptOutcome::Answered {
+                    let answered = attempt.request.shard;
+                    shared.strikes.answered(&attempt.fingerprint, answered);
+                }
+                return;
+            }
+        }
+        let incident = self.lock().crash.lost(attempt.id(), rand::random());
+        if !shared.connections.is_process_dead().await {
+            return;
+        }
+        let is_new = shared.strikes.note_crash(&TargetCrash {
+            crash: incident.number,
+            target: shared.target.clone(),
+            domain: shared.domain.clone(),
+            in_flight: incident.in_flight,
+        });
+        if is_new {
+            shared.counters.crashes.inc();
+        }
+    }
+
     /// Calls the target until it replies or the attempt's time is up.
-    async fn call_target(&self, attempt: &LaneAttempt, cancelled: &Notify) -> CallVerdict {
-        let call = target_call::run(&self.shared.connections, &self.authority, &attempt.request);
+    async fn call_target(
+        &self,
+        attempt: &LaneAttempt,
+        pace: CallPace,
+        cancelled: &Notify,
+    ) -> CallVerdict {
+        let connections = &self.shared.connections;
+        let call = target_call::run(connections, &self.authority, &attempt.request, pace);
         let deadline = self.shared.clock.instant(attempt.deadline);
         let bounded = time::timeout_at(deadline.into(), call);
         tokio::pin!(bounded);
@@ -271,6 +362,10 @@
     ) -> TimeSpan {
         let mut state = self.lock();
         state.running.remove(&attempt.id());
+        state.crash.ended(attempt.id());
+        if state.running.is_empty() {
+            state.is_reserved = false;
+        }
         let has_run = verdict.outcome == AttemptOutcome::Answered;
         let measured = has_run.then_some(service);
         state.queue.finished(attempt.id(), measured, now);
@@ -309,19 +404,77 @@
 }
 
 impl LaneState {
-    fn start_next(&mut self, now: TimePoint) -> Option<ReadyAttempt> {
+    /// Gives a slot to the next attempt, if one is free.
+    ///
+    /// A suspect runs with nothing else at the target: if that crashes, the cause is known, and the
+    /// requests that were beside it at the first crash are cleared by their answers. What runs is
+    /// awaited, and nothing is started meanwhile.
+    fn start_next(&mut self, now: TimePoint, strikes: &StrikeBoard) -> Option<NextAttempt> {
+        if self.is_reserved {
+            return None;
+        }
+        if self.held.is_some() {
+            return self.start_held(now, strikes);
+        }
         let slots = self.limit.in_flight() + self.limit.free(now);
         let started = self.queue.start_next(now, slots)?;
         let attempt = self.waiting.remove(&started.job.id)?;
         self.limit.sent();
-        let cancelled = Arc::new(Notify::new());
-        self.running.insert(attempt.id(), Arc::clone(&cancelled));
-        Some(ReadyAttempt {
+        let ready = ReadyAttempt {
             expected: self.queue.expected(&attempt.template),
             attempt,
-            cancelled,
+            cancelled: Arc::new(Notify::new()),
             waited: started.waited,
-        })
+        };
+        if strikes.refused_for(&ready.attempt.fingerprint).is_some() {
+            return Some(self.refuse(ready, NotRunReason::Quarantined, now));
+        }
+        if strikes.is_suspect(&ready.attempt.fingerprint) {
+            self.held = Some(ready);
+            return self.start_held(now, strikes);
+        }
+        Some(self.start(ready))
+    }
+
+    /// Starts the held suspect where nothing else runs any more.
+    fn start_held(&mut self, now: TimePoint, strikes: &StrikeBoard) -> Option<NextAttempt> {
+        if !self.running.is_empty() {
+            return None;
+        }
+        let held = self.held.take()?;
+        if strikes.refused_for(&held.attempt.fingerprint).is_some() {
+            return Some(self.refuse(held, NotRunReason::Quarantined, now));
+        }
+        if held.attempt.deadline <= now {
+            return Some(self.refuse(held, NotRunReason::Expired, now));
+        }
+        self.is_reserved = true;
+        Some(self.start(held))
+    }
+
+    fn start(&mut self, ready: ReadyAttempt) -> NextAttempt {
+        let attempt = &ready.attempt;
+        self.running
+            .insert(attempt.id(), Arc::clone(&ready.cancelled));
+        self.crash
+            .started(attempt.id(), attempt.fingerprint, attempt.request.shard);
+        NextAttempt::Run(ready)
+    }
+
+    /// Gives back the slot of an attempt that will not run.
+    fn refuse(&mut self, ready: ReadyAttempt, reason: NotRunReason, now: TimePoint) -> NextAttempt {
+        self.queue.finished(ready.attempt.id(), None, now);
+        self.limit.finished(AttemptSignal::Nothing, now);
+        NextAttempt::Refuse(ready.attempt, reason)
+    }
+
+    /// Takes the held suspect out where it is the named attempt.
+    fn take_held(&mut self, id: AttemptId, now: TimePoint) -> Option<LaneAttempt> {
+        let held = self.held.take_if(|held| held.attempt.id() == id)?;
+        match self.refuse(held, NotRunReason::Cancelled, now) {
+            NextAttempt::Run(ready) => Some(ready.attempt),
+            NextAttempt::Refuse(attempt, _) => Some(attempt),
+        }
     }
 
     fn take_dropped(&mut self) -> Vec<(LaneAttempt, NotRunReason)> {
