--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -10,6 +10,7 @@
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
+use alderhaven_platform::http_store::{HttpStore, HttpStoreOptions};
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
 use alderhaven_platform::target_watch::TargetWatch;
@@ -20,6 +21,11 @@
 use crate::admission_desk::AdmissionDesk;
 use crate::caller_server;
 use crate::caller_server::CallerService;
+use crate::claim_ledger::ClaimLedger;
+use crate::claim_peers;
+use crate::claim_peers::ClaimPeers;
+use crate::claimed_runner::ClaimedRunner;
+use crate::held_answers::HeldAnswers;
 use crate::metrics::EntryMetrics;
 use crate::query_runner::{QueryRunner, RunnerParts};
 use crate::relay_link::LinkParts;
@@ -34,7 +40,7 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<EntryState>,
-    _tasks: [AbortOnDropHandle<()>; 5],
+    _tasks: [AbortOnDropHandle<()>; 7],
 }
 
 /// An `EntryState` is what the parts of an entry share, as operators see it.
@@ -52,6 +58,8 @@
     pub watch: TargetWatch,
     /// What is known of requests that crash targets.
     pub strikes: Arc<StrikeBoard>,
+    /// What runs the non-idempotent requests.
+    pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
@@ -66,6 +74,8 @@
         let caller_address = listener.local_addr()?;
         let operator_listener = TcpListener::bind(settings.operator_listen).await?;
         let operator_address = operator_listener.local_addr()?;
+        let peer_listener = TcpListener::bind(settings.peer_listen).await?;
+        let peer_address = peer_listener.local_addr()?;
         let metrics = Arc::new(EntryMetrics::default());
         let watch = TargetWatch::default();
         let clock = ProcessClock::default();
@@ -93,35 +103,51 @@
             settings.domain.clone(),
             clock,
         ));
+        let runner = Arc::new(QueryRunner::new(
+            rand::random(),
+            RunnerParts {
+                routes: Arc::clone(&routes),
+                board: Arc::clone(&board),
+                watch: watch.clone(),
+                strikes: Arc::clone(&strikes),
+                config: config.clone(),
+                metrics: Arc::clone(&metrics),
+            },
+        ));
+        let claims = Arc::new(claimed_runner(
+            &settings,
+            peer_address,
+            &desk,
+            &runner,
+            &config,
+        ));
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
-            routes: Arc::clone(&routes),
+            routes,
             desk: Arc::clone(&desk),
             watch: watch.clone(),
-            strikes: Arc::clone(&strikes),
+            strikes,
+            claims: Arc::clone(&claims),
             metrics: Arc::clone(&metrics),
         });
         let service = CallerService {
             limits: settings.limits.clone(),
             desk: Arc::clone(&desk),
-            runner: QueryRunner::new(
-                rand::random(),
-                RunnerParts {
-                    routes,
-                    board: Arc::clone(&board),
-                    watch: watch.clone(),
-                    strikes,
-                    config: config.clone(),
-                    metrics: Arc::clone(&metrics),
-                },
-            ),
+            runner,
+            claims,
             config,
             metrics,
         };
         let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
         let tasks = [
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
+            tokio::spawn(Arc::clone(state.claims.ledger()).run_forever()),
+            tokio::spawn(claim_peers::serve(
+                peer_listener,
+                Arc::clone(state.claims.held()),
+                clock,
+            )),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
             tokio::spawn(apply_configuration(desk, board, state.config.clone())),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
@@ -185,7 +211,8 @@
         let loads = self.desk.loads(&self.config.view());
         json!({ "status": self.status(), "services": loads,
             "leaving_targets": *self.watch.names(), "relays": links,
-            "quarantine": self.strikes.entries() })
+            "quarantine": self.strikes.entries(),
+            "claims": self.claims.dump() })
     }
 
     fn status(&self) -> Value {
@@ -199,6 +226,42 @@
     fn drain(&self) {}
 }
 
+/// Makes what runs the non-idempotent requests; the ledger's calls are not begun yet.
+fn claimed_runner(
+    settings: &EntrySettings,
+    address: SocketAddr,
+    desk: &Arc<AdmissionDesk>,
+    runner: &Arc<QueryRunner>,
+    config: &ConfigHandle,
+) -> ClaimedRunner<HttpStore> {
+    let metrics = runner.metrics.claims.clone();
+    let store = HttpStore::new(settings.platform, HttpStoreOptions::default());
+    let ledger = ClaimLedger::new(
+        Arc::new(store),
+        settings.node.clone(),
+        address,
+        settings.claims,
+        desk.clock(),
+        metrics.clone(),
+    );
+    let held = HeldAnswers::new(
+        settings.claims.held_bytes,
+        settings.claims.held_time,
+        metrics.clone(),
+    );
+    ClaimedRunner::builder()
+        .node(settings.node.clone())
+        .ledger(Arc::new(ledger))
+        .held(Arc::new(held))
+        .peers(ClaimPeers::new(address))
+        .desk(Arc::clone(desk))
+        .runner(Arc::clone(runner))
+        .config(config.clone())
+        .clock(desk.clock())
+        .metrics(metrics)
+        .build()
+}
+
 /// Takes over each change of the configuration until the process ends.
 async fn apply_configuration(
     desk: Arc<AdmissionDesk>,
--- a/alderhaven-entry/src/relay_link.rs
+++ b/alderhaven-entry/src/relay_link.rs
@@ -288,7 +288,10 @@
                 | PeerMessage::Scatter(_)
                 | PeerMessage::Cancel(_)
                 | PeerMessage::Ping(_)
-                | PeerMessage::Pong(_),
+                | PeerMessage::Pong(_)
+                | PeerMessage::Exchange(_)
+                | PeerMessage::ClaimQuery(_)
+                | PeerMessage::ClaimAnswer(_),
             ) => {}
             None => return LinkEnd::Closed,
         }
--- a/alderhaven-entry/src/running_query.rs
+++ b/alderhaven-entry/src/running_query.rs
@@ -507,6 +507,7 @@
                 slowest_target_us: self.slowest_target.as_micros(),
                 attempts: self.gather.attempt_count(),
             },
+            replayed: false,
         })
     }
 
--- a/alderhaven-peer/src/frames.rs
+++ b/alderhaven-peer/src/frames.rs
@@ -4,6 +4,8 @@
 
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 
+use crate::claim_messages::{ClaimAnswer, ClaimQuery};
+use crate::exchange_messages::ExchangeFrame;
 use crate::strike_frames::StrikeNotice;
 
 /// The version of the protocol; a frame of another major version is refused.
@@ -13,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// The message; none where the sender is newer and the message is not known here.
-    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 20, 30, 31")]
     pub message: Option<PeerMessage>,
 }
 
@@ -44,6 +46,15 @@
     /// The answer to a `Ping`.
     #[prost(message, tag = "8")]
     Pong(PingProbe),
+    /// Two nodes compare and pass on configuration.
+    #[prost(message, tag = "20")]
+    Exchange(ExchangeFrame),
+    /// An entry asks another for the outcome of a claimed request.
+    #[prost(message, tag = "30")]
+    ClaimQuery(ClaimQuery),
+    /// An entry answers such a query.
+    #[prost(message, tag = "31")]
+    ClaimAnswer(ClaimAnswer),
 }
 
 /// A `Hello` says who speaks.
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -64,7 +64,10 @@
             PeerMessage::Hello(_)
             | PeerMessage::Reply(_)
             | PeerMessage::Leaving(_)
-            | PeerMessage::Pong(_) => {}
+            | PeerMessage::Pong(_)
+            | PeerMessage::Exchange(_)
+            | PeerMessage::ClaimQuery(_)
+            | PeerMessage::ClaimAnswer(_) => {}
         }
     }
 }
