--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod relay_link;
 pub mod relay_routes;
 pub mod replica_board;
+pub mod request_record;
 pub mod running_query;
 pub mod settings;
 pub mod suspect_trial;
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::answer::ErrorCode;
 use crate::claim_metrics::ClaimMetrics;
 
 /// The upper bounds of the latency histogram in seconds; 0.37 s is the two-year goal at p99.
@@ -40,12 +41,21 @@
     Unknown,
 }
 
+/// A `ErrorLabels` is the label set of the requests answered with an error; it is closed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ErrorLabels {
+    code: ErrorCode,
+}
+
 /// An `EntryMetrics` counts what an entry does.
 #[derive(Debug)]
 pub struct EntryMetrics {
     registry: Registry,
     queries: Family<QueryLabels, Counter>,
     latency: Family<QueryLabels, Histogram>,
+    errors: Family<ErrorLabels, Counter>,
+    /// The connections of callers that were refused because as many were open as may be.
+    pub refused_connections: Counter,
     /// The queries between arrival and answer.
     pub in_flight: Gauge,
     /// The attempts that were begun.
@@ -86,6 +96,8 @@
             registry: Registry::default(),
             queries,
             latency,
+            errors: Family::default(),
+            refused_connections: Counter::default(),
             in_flight: Gauge::default(),
             attempts: Counter::default(),
             hedges: Counter::default(),
@@ -102,7 +114,17 @@
             "Queries between arrival and answer",
             metrics.in_flight.clone(),
         );
+        registry.register(
+            "errors",
+            "Requests answered with an error, by its code",
+            metrics.errors.clone(),
+        );
         let counters = [
+            (
+                "refused_connections",
+                "Connections refused at the limit",
+                &metrics.refused_connections,
+            ),
             ("attempts", "Attempts begun", &metrics.attempts),
             ("hedges", "Attempts begun as hedges", &metrics.hedges),
             ("retries", "Attempts begun as retries", &metrics.retries),
@@ -150,6 +172,11 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Counts a request that was answered with an error.
+    pub fn observe_error(&self, code: ErrorCode) {
+        self.errors.get_or_create(&ErrorLabels { code }).inc();
+    }
+
     /// Gets the metrics in the `OpenMetrics` text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -39,10 +39,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use alderhaven_core::errors::Error;
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{FailureDomain, ShardId, TargetId};
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_core::value_check::ValueCheck;
 use serde::{Deserialize, Serialize};
 
 use crate::crash_strike::{CrashStrike, StrikeNews, TargetCrash};
@@ -53,6 +53,9 @@
 /// The most crashes that are remembered for the judgement of whole domains.
 const MAX_LOSSES: usize = 512;
 
+/// The most requests that may be allowed; each holds up to 3 KB of strikes.
+const MAX_REQUESTS: usize = 4096;
+
 /// A `QuarantineOptions` holds the settings of the quarantine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -94,23 +97,14 @@
 }
 
 impl QuarantineOptions {
-    /// Checks the values; each error names its field below `quarantine`.
-    #[must_use]
-    pub fn check(&self) -> Vec<Error> {
-        let mut errors = Vec::new();
-        if self.targets < 2 {
-            errors.push(Error::invalid(
-                "quarantine.targets",
-                format!("{} is refused: allowed is 2 or more", self.targets),
-            ));
-        }
-        if self.max_requests == 0 {
-            errors.push(Error::invalid(
-                "quarantine.max_requests",
-                "0 is refused: allowed is 1 or more",
-            ));
-        }
-        errors
+    /// Checks the values; fields are named below `quarantine`.
+    pub fn check(&self, check: &mut ValueCheck) {
+        check.within("quarantine.targets", &self.targets, &(2..=MAX_STRIKES));
+        check.within(
+            "quarantine.max_requests",
+            &self.max_requests,
+            &(1..=MAX_REQUESTS),
+        );
     }
 }
 
--- a/alderhaven-relay/src/metrics.rs
+++ b/alderhaven-relay/src/metrics.rs
@@ -38,6 +38,8 @@
     registry: Registry,
     /// The attempts by outcome.
     pub attempts: AttemptCounters,
+    /// The connections from entries that were refused because as many were open as may be.
+    pub refused_connections: Counter,
 }
 
 impl AttemptCounters {
@@ -75,7 +77,17 @@
             "Attempts whose connection was silent while a new one worked",
             attempts.silent.clone(),
         );
-        Self { registry, attempts }
+        let refused_connections = Counter::default();
+        registry.register(
+            "refused_connections",
+            "Connections refused at the limit",
+            refused_connections.clone(),
+        );
+        Self {
+            registry,
+            attempts,
+            refused_connections,
+        }
     }
 }
 
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -73,6 +73,7 @@
             strikes,
             clock,
         ));
+        let refused = metrics.refused_connections.clone();
         let state = Arc::new(RelayState {
             node: settings.node.clone(),
             config,
@@ -87,6 +88,7 @@
                 listener,
                 table,
                 settings.limits.peer_connections,
+                refused,
             )),
             tokio::spawn(operator_server::serve(
                 operator_listener,
