Quarantine: a lost domain is told by the targets where the request was not

Cause: snapshot_published_while_queries_run met a refusal: hosts of both domains were killed at once, and a query that was tried again at the second was blamed for a replica of the same shard. Change: strikes in a domain that lost many targets count for nothing where the request was not in flight at all of them; all strikes of a wide first wave are kept, so that it is not taken for that. Fault seen: no judgement of lost domains (lost_domain_blames_nobody).

--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -18,8 +18,8 @@
 //! - Targets of different shards that are lost at once count as one: they may have shared a host, and
 //!   a query over many shards is in flight at all of them. A second replica of one of the shards is
 //!   what tells; [`crate::crash_strike`] carries the shard for that.
-//! - Many targets of one failure domain lost at once are no request's doing: while a request has no
-//!   strike in another domain or at another time, it is not refused for them.
+//! - Many targets of one failure domain lost at once are no request's doing, where the request was
+//!   not in flight at all of them: such strikes count for nothing.
 //! - A refusal lapses. One more strike is then enough, and each refusal is twice as long.
 //!
 //! What it can't bound: the first wave of a query over many shards reaches several targets before
@@ -49,12 +49,14 @@
 use crate::policy_kind::PolicyKind;
 
 /// The most strikes that are kept of one request; the newest stay.
-const MAX_STRIKES: usize = 16;
+///
+/// It holds the first wave of a query over 130 shards, about 20 KB.
+const MAX_STRIKES: usize = 160;
 /// The most crashes that are remembered for the judgement of whole domains.
 const MAX_LOSSES: usize = 512;
 
-/// The most requests that may be allowed; each holds up to 3 KB of strikes.
-const MAX_REQUESTS: usize = 4096;
+/// The most requests that may be allowed; each holds up to 20 KB of strikes.
+const MAX_REQUESTS: usize = 1024;
 
 /// A `QuarantineOptions` holds the settings of the quarantine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -369,7 +371,7 @@
         let mut strikes: Vec<&CrashStrike> = record
             .strikes
             .values()
-            .filter(|strike| !strike.cleared)
+            .filter(|strike| !strike.cleared && !self.is_of_lost_domain(strike, record))
             .collect();
         strikes.sort_by_key(|strike| (strike.at, strike.crash));
         let (mut refusals, mut until) = (0, TimePoint::START);
@@ -390,13 +392,8 @@
         (refusals, until)
     }
 
+    /// Judges the newest of the strikes together with those before it.
     fn is_guilty(&self, strikes: &[&CrashStrike], refusals: u32) -> bool {
-        let domains: BTreeSet<&FailureDomain> =
-            strikes.iter().map(|strike| &strike.domain).collect();
-        let is_lost = |strike: &&CrashStrike| self.is_domain_lost(&strike.domain, strike.at);
-        if domains.len() == 1 && strikes.iter().all(is_lost) {
-            return false;
-        }
         let needed = if refusals == 0 {
             self.options.targets
         } else {
@@ -415,35 +412,31 @@
             let is_later = one.at.since(other.at) >= window || other.at.since(one.at) >= window;
             one.target != other.target && (one.shard == other.shard || is_later)
         };
-        // The wave's first strike may be of another shard than the ones that tell, so each strike
-        // is tried as the first of those that count.
-        let count_from = |first: &CrashStrike| {
-            let mut counted = vec![first];
-            for strike in strikes {
-                if counted.iter().all(|other| is_apart(other, strike)) {
-                    counted.push(strike);
-                }
+        // What did not tell without the newest strike does not tell now, so it is the first.
+        let mut counted: Vec<&CrashStrike> = Vec::new();
+        for strike in strikes.iter().rev() {
+            if counted.iter().all(|other| is_apart(other, strike)) {
+                counted.push(strike);
             }
-            counted.len()
-        };
-        strikes
-            .iter()
-            .map(|first| count_from(first))
-            .max()
-            .unwrap_or_default()
+        }
+        counted.len()
     }
 
-    /// Returns true where many targets of the domain were lost around that time.
-    fn is_domain_lost(&self, domain: &FailureDomain, at: TimePoint) -> bool {
+    /// Returns true where many targets of the strike's domain were lost around that time, also such
+    /// at which the request was not in flight: then it is not what they had in common.
+    fn is_of_lost_domain(&self, strike: &CrashStrike, record: &RequestRecord) -> bool {
         let window = self.options.domain_window;
-        let targets: BTreeSet<&TargetId> = self
+        let around: Vec<(&u64, &TargetLoss)> = self
             .losses
-            .values()
-            .filter(|loss| loss.domain == *domain)
-            .filter(|loss| loss.at.since(at) < window && at.since(loss.at) < window)
-            .map(|loss| &loss.target)
+            .iter()
+            .filter(|(_, loss)| loss.domain == strike.domain)
+            .filter(|(_, loss)| loss.at.since(strike.at) < window)
+            .filter(|(_, loss)| strike.at.since(loss.at) < window)
             .collect();
+        let targets: BTreeSet<&TargetId> = around.iter().map(|(_, loss)| &loss.target).collect();
+        let is_elsewhere = |crash: &u64| !record.strikes.contains_key(crash);
         targets.len() >= self.options.domain_losses
+            && around.iter().any(|(crash, _)| is_elsewhere(crash))
     }
 
     fn hold(&self, refusals: u32) -> TimeSpan {
