--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -3,9 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_node::node_group::{GroupOptions, NodeGroup};
+use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
@@ -14,17 +17,24 @@
 use alderhaven_platform::operator_server;
 use alderhaven_platform::operator_server::OperatorSource;
 use alderhaven_platform::target_watch::TargetWatch;
+use alderhaven_policy::drain::StopReport;
+use alderhaven_policy::membership::member_record::MemberRole;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio_util::task::AbortOnDropHandle;
+use tokio::time;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::admission_desk::AdmissionDesk;
+use crate::applied_config::{AppliedConfig, ConfigApplier};
 use crate::caller_server;
 use crate::caller_server::CallerService;
 use crate::claim_ledger::ClaimLedger;
 use crate::claim_peers;
 use crate::claim_peers::ClaimPeers;
 use crate::claimed_runner::ClaimedRunner;
+use crate::entry_directory::EntryDirectory;
+use crate::group_follower;
+use crate::group_follower::GroupFollower;
 use crate::held_answers::HeldAnswers;
 use crate::metrics::EntryMetrics;
 use crate::query_runner::{QueryRunner, RunnerParts};
@@ -33,6 +43,9 @@
 use crate::replica_board::ReplicaBoard;
 use crate::settings::EntrySettings;
 
+/// The time that the last answers have to be written out.
+const LAST_WRITES: Duration = Duration::from_secs(1);
+
 /// An `EntryNode` is a running entry; dropping it ends its tasks.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -40,7 +53,8 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<EntryState>,
-    _tasks: [AbortOnDropHandle<()>; 7],
+    connections: TaskTracker,
+    _tasks: [AbortOnDropHandle<()>; 9],
 }
 
 /// An `EntryState` is what the parts of an entry share, as operators see it.
@@ -62,6 +76,10 @@
     pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
+    /// The group of entries and relays.
+    pub group: NodeGroup,
+    /// The planned stop.
+    pub stop: StopHandle,
 }
 
 impl EntryNode {
@@ -70,50 +88,33 @@
     /// # Errors
     /// An error of the operating system where an address can't be bound.
     pub async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
-        let listener = TcpListener::bind(settings.listen).await?;
-        let caller_address = listener.local_addr()?;
-        let operator_listener = TcpListener::bind(settings.operator_listen).await?;
-        let operator_address = operator_listener.local_addr()?;
-        let peer_listener = TcpListener::bind(settings.peer_listen).await?;
-        let peer_address = peer_listener.local_addr()?;
+        let (listener, caller_address) = bind(settings.listen).await?;
+        let (operator_listener, operator_address) = bind(settings.operator_listen).await?;
+        let (peer_listener, peer_address) = bind(settings.peer_listen).await?;
         let metrics = Arc::new(EntryMetrics::default());
         let watch = TargetWatch::default();
         let clock = ProcessClock::default();
-        let strikes = Arc::new(StrikeBoard::new(
-            settings.policy,
-            settings.quarantine.clone(),
-            clock,
-        ));
-        let routes = Arc::new(RelayRoutes::new(LinkParts {
-            options: settings.link_options(),
+        let strikes = Arc::new(strike_board(&settings, clock));
+        let routes = Arc::new(relay_routes(&settings, &strikes, &metrics));
+        let desk = Arc::new(admission_desk(&settings, clock));
+        let board = Arc::new(replica_board(&settings, clock));
+        let applied = AppliedConfig::default();
+        let taking_over = ConfigApplier {
+            config: config.clone(),
+            desk: Arc::clone(&desk),
+            routes: Arc::clone(&routes),
+            board: Arc::clone(&board),
+            applied: applied.clone(),
+        };
+        let parts = RunnerParts {
+            routes: Arc::clone(&routes),
+            board,
+            watch: watch.clone(),
             strikes: Arc::clone(&strikes),
-            silent_links: metrics.silent_links.clone(),
-        }));
-        routes.set_relays(&settings.relays);
-        let desk = Arc::new(AdmissionDesk::new(
-            settings.policy,
-            settings.admission.clone(),
-            clock,
-        ));
-        // Each host runs one entry and one relay, so the relays' number is the entries' number.
-        desk.set_entries(u32::try_from(settings.relays.len()).unwrap_or(u32::MAX));
-        let board = Arc::new(ReplicaBoard::new(
-            settings.policy,
-            settings.choices.clone(),
-            settings.domain.clone(),
-            clock,
-        ));
-        let runner = Arc::new(QueryRunner::new(
-            rand::random(),
-            RunnerParts {
-                routes: Arc::clone(&routes),
-                board: Arc::clone(&board),
-                watch: watch.clone(),
-                strikes: Arc::clone(&strikes),
-                config: config.clone(),
-                metrics: Arc::clone(&metrics),
-            },
-        ));
+            config: applied.clone(),
+            metrics: Arc::clone(&metrics),
+        };
+        let runner = Arc::new(QueryRunner::new(rand::random(), parts));
         let claims = Arc::new(claimed_runner(
             &settings,
             peer_address,
@@ -121,6 +122,17 @@
             &runner,
             &config,
         ));
+        let options = group_options(&settings, peer_address, caller_address);
+        let group = NodeGroup::start(options, &config).await?;
+        let follower = GroupFollower {
+            group: group.clone(),
+            routes: Arc::clone(&routes),
+            desk: Arc::clone(&desk),
+            named: group_follower::named_relays(&settings.relays, &settings.domain),
+        };
+        follower.apply();
+        let stop = StopHandle::default();
+        let connections = TaskTracker::new();
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
@@ -130,6 +142,8 @@
             strikes,
             claims: Arc::clone(&claims),
             metrics: Arc::clone(&metrics),
+            group: group.clone(),
+            stop: stop.clone(),
         });
         let service = CallerService {
             limits: settings.limits.clone(),
@@ -137,10 +151,18 @@
             runner,
             claims,
             config,
+            applied,
             metrics,
+            group: group.clone(),
+            stop: stop.clone(),
+            connections: connections.clone(),
+            directory: directory(&settings, caller_address),
         };
         let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
+        let requests = stop.clone();
         let tasks = [
+            tokio::spawn(follower.follow()),
+            tokio::spawn(stop.drive(settings.stop.clone(), group, move || requests.in_flight())),
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(state.claims.ledger()).run_forever()),
             tokio::spawn(claim_peers::serve(
@@ -149,7 +171,7 @@
                 clock,
             )),
             tokio::spawn(Arc::clone(&desk).give_up_forever()),
-            tokio::spawn(apply_configuration(desk, board, state.config.clone())),
+            tokio::spawn(taking_over.follow()),
             tokio::spawn(caller_server::serve(listener, Arc::new(service))),
             tokio::spawn(operator_server::serve(
                 operator_listener,
@@ -161,6 +183,7 @@
             caller_address,
             operator_address,
             state,
+            connections,
             _tasks: tasks.map(AbortOnDropHandle::new),
         })
     }
@@ -177,6 +200,27 @@
         self.operator_address
     }
 
+    /// Gets the address for gossip, none where the entry takes no part in a group.
+    #[must_use]
+    pub fn gossip_address(&self) -> Option<SocketAddr> {
+        self.state.group.gossip_address()
+    }
+
+    /// Asks for the planned stop; a second time, to end at once.
+    pub fn request_stop(&self) {
+        self.state.stop.request();
+    }
+
+    /// Waits until the entry may end: all requests are answered, or the report says how many were
+    /// cut.
+    pub async fn stopped(&self) -> StopReport {
+        let report = self.state.stop.stopped().await;
+        self.connections.close();
+        // The last answers are written out; a caller that does not read is not waited for longer.
+        let _written = time::timeout(LAST_WRITES, self.connections.wait()).await;
+        report
+    }
+
     /// Gets the settings in force.
     #[must_use]
     pub const fn settings(&self) -> &EntrySettings {
@@ -190,6 +234,22 @@
     }
 }
 
+fn strike_board(settings: &EntrySettings, clock: ProcessClock) -> StrikeBoard {
+    StrikeBoard::new(settings.policy, settings.quarantine.clone(), clock)
+}
+
+fn relay_routes(
+    settings: &EntrySettings,
+    strikes: &Arc<StrikeBoard>,
+    metrics: &EntryMetrics,
+) -> RelayRoutes {
+    RelayRoutes::new(LinkParts {
+        options: settings.link_options(),
+        strikes: Arc::clone(strikes),
+        silent_links: metrics.silent_links.clone(),
+    })
+}
+
 impl OperatorSource for EntryState {
     fn metrics(&self) -> String {
         self.metrics.encode()
@@ -212,18 +272,23 @@
         json!({ "status": self.status(), "services": loads,
             "leaving_targets": *self.watch.names(), "relays": links,
             "quarantine": self.strikes.entries(),
-            "claims": self.claims.dump() })
+            "claims": self.claims.dump(), "members": self.group.members(),
+            "group": self.group.snapshot() })
     }
 
     fn status(&self) -> Value {
         json!({
             "node": self.node,
             "role": "entry",
+            "state": self.stop.state(),
+            "in_flight": self.stop.in_flight(),
             "config": self.config.status(),
         })
     }
 
-    fn drain(&self) {}
+    fn drain(&self) {
+        self.stop.request_once();
+    }
 }
 
 /// Makes what runs the non-idempotent requests; the ledger's calls are not begun yet.
@@ -262,19 +327,46 @@
         .build()
 }
 
-/// Takes over each change of the configuration until the process ends.
-async fn apply_configuration(
-    desk: Arc<AdmissionDesk>,
-    board: Arc<ReplicaBoard>,
-    config: ConfigHandle,
-) {
-    let mut changed = config.changed();
-    loop {
-        let view = config.view();
-        desk.apply(&view);
-        board.apply(&view);
-        if changed.changed().await.is_err() {
-            return;
-        }
+fn admission_desk(settings: &EntrySettings, clock: ProcessClock) -> AdmissionDesk {
+    AdmissionDesk::new(settings.policy, settings.admission.clone(), clock)
+}
+
+fn replica_board(settings: &EntrySettings, clock: ProcessClock) -> ReplicaBoard {
+    ReplicaBoard::new(
+        settings.policy,
+        settings.choices.clone(),
+        settings.domain.clone(),
+        clock,
+    )
+}
+
+async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
+
+fn directory(settings: &EntrySettings, address: SocketAddr) -> EntryDirectory {
+    EntryDirectory {
+        options: settings.answers.clone(),
+        domain: settings.domain.clone(),
+        address,
     }
 }
+
+fn group_options(
+    settings: &EntrySettings,
+    peer_address: SocketAddr,
+    caller_address: SocketAddr,
+) -> GroupOptions {
+    GroupOptions::builder()
+        .node(settings.node.clone())
+        .role(MemberRole::Entry)
+        .host(settings.host.clone())
+        .domain(settings.domain.clone())
+        .maybe_gossip_listen(settings.gossip_listen)
+        .seeds(settings.seeds.clone())
+        .peer_address(peer_address)
+        .caller_address(caller_address)
+        .build()
+}
--- a/alderhaven-entry/src/query_runner.rs
+++ b/alderhaven-entry/src/query_runner.rs
@@ -5,12 +5,12 @@
 
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::strike_board::StrikeBoard;
-use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::target_watch::TargetWatch;
 use tokio::time;
 
 use crate::admission_pass::AdmissionPass;
 use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
+use crate::applied_config::AppliedConfig;
 use crate::metrics::EntryMetrics;
 use crate::query_plan::QueryPlan;
 use crate::relay_routes::RelayRoutes;
@@ -32,7 +32,7 @@
     pub(crate) strikes: Arc<StrikeBoard>,
     /// What is counted.
     pub(crate) metrics: Arc<EntryMetrics>,
-    config: ConfigHandle,
+    config: AppliedConfig,
 }
 
 /// A `RunnerParts` is what a runner shares with the rest of the entry.
@@ -46,8 +46,8 @@
     pub watch: TargetWatch,
     /// What is known of requests that crash targets.
     pub strikes: Arc<StrikeBoard>,
-    /// The configuration in force.
-    pub config: ConfigHandle,
+    /// The configuration that queries are planned on.
+    pub config: AppliedConfig,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
 }
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -12,6 +12,8 @@
 use alderhaven_core::value_check::ValueCheck;
 use alderhaven_policy::admission::AdmissionOptions;
 use alderhaven_policy::claim_options::ClaimOptions;
+use alderhaven_policy::drain::DrainOptions;
+use alderhaven_policy::entry_answer::AnswerOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
 use alderhaven_policy::quarantine::QuarantineOptions;
 use serde::{Deserialize, Serialize};
@@ -55,7 +57,11 @@
     /// The relays that are known from the start.
     #[serde(default, deserialize_with = "settings::addresses")]
     pub relays: Vec<SocketAddr>,
-    /// Peers to learn from at the start.
+    /// The address for gossip and exchange with the other processes; without it the entry knows
+    /// only the relays that the settings name.
+    #[serde(default)]
+    pub gossip_listen: Option<SocketAddr>,
+    /// The gossip addresses of peers to learn from at the start.
     #[serde(default, deserialize_with = "settings::addresses")]
     pub seeds: Vec<SocketAddr>,
     /// The limits.
@@ -67,6 +73,12 @@
     /// The ledger of non-idempotent requests.
     #[serde(default)]
     pub claims: ClaimOptions,
+    /// The answers that tell callers which entries to use.
+    #[serde(default)]
+    pub answers: AnswerOptions,
+    /// The planned stop.
+    #[serde(default)]
+    pub stop: DrainOptions,
     /// The choices of replicas, hedges and retries.
     #[serde(default)]
     pub choices: BoardOptions,
@@ -129,6 +141,15 @@
         self.quarantine.check(&mut check);
         check.within("links.ping_every", &self.links.ping_every, &TIME_RANGE);
         let mut errors = check.finish();
+        if self.stop.address_life < self.answers.ttl {
+            errors.push(Error::invalid(
+                "stop.address_life",
+                format!(
+                    "{} is refused: allowed is answers.ttl ({}) or more, for callers keep an address that long",
+                    self.stop.address_life, self.answers.ttl
+                ),
+            ));
+        }
         errors.extend(self.claims.check());
         errors
     }
--- a/alderhaven-entry/tests/failures/system.rs
+++ b/alderhaven-entry/tests/failures/system.rs
@@ -70,9 +70,10 @@
         let entry = entry.unwrap();
         until("links", || {
             let links = entry.state().routes.links();
-            links.iter().all(|link| link.is_usable())
+            links.len() == relays.len() && links.iter().all(|link| link.is_usable())
         })
         .await;
+        until_complete(entry.caller_address()).await;
         self.entries.push(entry);
     }
 
@@ -100,6 +101,18 @@
     serde_json::from_slice(answer.unwrap().body()).unwrap()
 }
 
+/// Asks until an answer is complete: the entry has taken over its configuration.
+async fn until_complete(entry: SocketAddr) {
+    let waiting = async {
+        while ask(entry, "ready").await["outcome"] != "complete" {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    time::timeout(LIMIT, waiting)
+        .await
+        .expect("a complete answer");
+}
+
 /// Waits until a condition holds.
 pub async fn until(what: &str, holds: impl Fn() -> bool) {
     let waiting = async {
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod hashing;
 mod health_machine;
 pub mod hedging;
+mod lane_claim;
 pub mod latency_window;
 pub mod leaving_targets;
 pub mod load_meter;
