--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -9,6 +9,7 @@
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::stop_handle::StopHandle;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
@@ -37,6 +38,7 @@
 use crate::held_answers::HeldAnswers;
 use crate::metrics::EntryMetrics;
 use crate::query_runner::{QueryRunner, RunnerParts};
+use crate::relay_link::LinkParts;
 use crate::relay_routes::RelayRoutes;
 use crate::replica_board::ReplicaBoard;
 use crate::settings::EntrySettings;
@@ -68,6 +70,8 @@
     pub routes: Arc<RelayRoutes>,
     /// The targets that get no new work.
     pub watch: TargetWatch,
+    /// What is known of requests that crash targets.
+    pub strikes: Arc<StrikeBoard>,
     /// What runs the non-idempotent requests.
     pub claims: Arc<ClaimedRunner<HttpStore>>,
     /// What is counted.
@@ -87,10 +91,11 @@
         let (listener, caller_address) = bind(settings.listen).await?;
         let (operator_listener, operator_address) = bind(settings.operator_listen).await?;
         let (peer_listener, peer_address) = bind(settings.peer_listen).await?;
-        let routes = Arc::new(RelayRoutes::default());
         let metrics = Arc::new(EntryMetrics::default());
         let watch = TargetWatch::default();
         let clock = ProcessClock::default();
+        let strikes = Arc::new(strike_board(&settings, clock));
+        let routes = Arc::new(relay_routes(&settings, &strikes, &metrics));
         let desk = Arc::new(admission_desk(&settings, clock));
         let board = Arc::new(replica_board(&settings, clock));
         let applied = AppliedConfig::default();
@@ -105,6 +110,7 @@
             routes: Arc::clone(&routes),
             board,
             watch: watch.clone(),
+            strikes: Arc::clone(&strikes),
             config: applied.clone(),
             metrics: Arc::clone(&metrics),
         };
@@ -133,6 +139,7 @@
             routes,
             desk: Arc::clone(&desk),
             watch: watch.clone(),
+            strikes,
             claims: Arc::clone(&claims),
             metrics: Arc::clone(&metrics),
             group: group.clone(),
@@ -227,6 +234,22 @@
     }
 }
 
+fn strike_board(settings: &EntrySettings, clock: ProcessClock) -> StrikeBoard {
+    StrikeBoard::new(settings.policy, settings.quarantine.clone(), clock)
+}
+
+fn relay_routes(
+    settings: &EntrySettings,
+    strikes: &Arc<StrikeBoard>,
+    metrics: &EntryMetrics,
+) -> RelayRoutes {
+    RelayRoutes::new(LinkParts {
+        options: settings.link_options(),
+        strikes: Arc::clone(strikes),
+        silent_links: metrics.silent_links.clone(),
+    })
+}
+
 impl OperatorSource for EntryState {
     fn metrics(&self) -> String {
         self.metrics.encode()
@@ -248,6 +271,7 @@
         let loads = self.desk.loads(&self.config.view());
         json!({ "status": self.status(), "services": loads,
             "leaving_targets": *self.watch.names(), "relays": links,
+            "quarantine": self.strikes.entries(),
             "claims": self.claims.dump(), "members": self.group.members(),
             "group": self.group.snapshot() })
     }
--- a/alderhaven-entry/src/relay_routes.rs
+++ b/alderhaven-entry/src/relay_routes.rs
@@ -10,7 +10,7 @@
 use arc_swap::ArcSwap;
 use smallvec::SmallVec;
 
-use crate::relay_link::RelayLink;
+use crate::relay_link::{LinkParts, RelayLink};
 
 /// A `KnownRelay` is a relay that takes work.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,12 +27,13 @@
 ///
 /// All entries choose alike, so that one relay sees all the work for a target and its few slots are
 /// shared out in one place. While entries disagree for a moment, a target is reached through two.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RelayRoutes {
     options: SubsetOptions,
     links: ArcSwap<Vec<Arc<RelayLink>>>,
     routes: ArcSwap<HashMap<TargetId, TargetLinks>>,
     known: Mutex<KnownParts>,
+    parts: LinkParts,
 }
 
 #[derive(Debug, Default)]
@@ -42,6 +43,18 @@
 }
 
 impl RelayRoutes {
+    /// Returns routes without relays.
+    #[must_use]
+    pub fn new(parts: LinkParts) -> Self {
+        Self {
+            options: SubsetOptions::default(),
+            links: ArcSwap::default(),
+            routes: ArcSwap::default(),
+            known: Mutex::default(),
+            parts,
+        }
+    }
+
     /// Takes over the relays that take work; links to those that stay are kept.
     pub fn set_relays(&self, relays: Vec<KnownRelay>) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
@@ -56,7 +69,9 @@
                     .iter()
                     .find(|link| link.address() == relay.address)
                     .cloned()
-                    .unwrap_or_else(|| Arc::new(RelayLink::start(relay.address)))
+                    .unwrap_or_else(|| {
+                        Arc::new(RelayLink::start(relay.address, self.parts.clone()))
+                    })
             })
             .collect();
         known.relays = relays;
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -15,8 +15,10 @@
 use alderhaven_policy::drain::DrainOptions;
 use alderhaven_policy::entry_answer::AnswerOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::quarantine::QuarantineOptions;
 use serde::{Deserialize, Serialize};
 
+use crate::link_options::LinkOptions;
 use crate::replica_board::BoardOptions;
 
 /// The least and the greatest limit on a body.
@@ -80,6 +82,12 @@
     /// The choices of replicas, hedges and retries.
     #[serde(default)]
     pub choices: BoardOptions,
+    /// The refusal of requests that crash targets.
+    #[serde(default)]
+    pub quarantine: QuarantineOptions,
+    /// The links to relays.
+    #[serde(default)]
+    pub links: LinkOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
@@ -102,6 +110,20 @@
     pub read_timeout: TimeSpan,
 }
 
+impl EntrySettings {
+    /// Gets the settings of the links; the baseline policy replaces none.
+    #[must_use]
+    pub fn link_options(&self) -> LinkOptions {
+        match self.policy {
+            PolicyKind::Current => self.links,
+            PolicyKind::Baseline => LinkOptions {
+                max_silence: TimeSpan::ZERO,
+                ..self.links
+            },
+        }
+    }
+}
+
 impl CheckedSettings for EntrySettings {
     fn check(&self) -> Vec<Error> {
         let mut check = ValueCheck::default();
@@ -116,6 +138,8 @@
         check.within("limits.read_timeout", &limits.read_timeout, &TIME_RANGE);
         self.check_admission(&mut check);
         self.check_choices(&mut check);
+        self.quarantine.check(&mut check);
+        check.within("links.ping_every", &self.links.ping_every, &TIME_RANGE);
         let mut errors = check.finish();
         if self.stop.address_life < self.answers.ttl {
             errors.push(Error::invalid(
--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -14,3 +14,5 @@
 pub mod peer_handle;
 pub mod peer_node;
 pub mod peer_options;
+pub mod strike_board;
+pub mod strike_frames;
--- a/alderhaven-relay/src/lane_table.rs
+++ b/alderhaven-relay/src/lane_table.rs
@@ -5,10 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use alderhaven_core::ids::TargetId;
+use alderhaven_core::ids::{FailureDomain, TargetId};
 use alderhaven_core::manifest::ReplicaEntry;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_peer::frames::ScatterAttempt;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::target_watch::TargetWatch;
 use arc_swap::ArcSwap;
 use smallvec::SmallVec;
@@ -38,6 +39,7 @@
     clock: ProcessClock,
     counters: AttemptCounters,
     watch: TargetWatch,
+    strikes: Arc<StrikeBoard>,
     lanes: ArcSwap<LaneMap>,
     writing: Mutex<()>,
 }
@@ -45,12 +47,19 @@
 impl LaneTable {
     /// Returns an empty table.
     #[must_use]
-    pub fn new(options: LaneOptions, counters: AttemptCounters, watch: TargetWatch) -> Self {
+    pub fn new(
+        options: LaneOptions,
+        counters: AttemptCounters,
+        watch: TargetWatch,
+        strikes: Arc<StrikeBoard>,
+        clock: ProcessClock,
+    ) -> Self {
         Self {
             options,
-            clock: ProcessClock::default(),
+            clock,
             counters,
             watch,
+            strikes,
             lanes: ArcSwap::default(),
             writing: Mutex::new(()),
         }
@@ -68,13 +77,25 @@
         if let Some(lane) = find(&self.lanes.load(), &target, address) {
             return Some(lane);
         }
-        self.add(target, address, attempt.slots)
+        // An entry of an earlier release does not name the domain; the target then stands alone.
+        let domain = attempt
+            .domain
+            .parse()
+            .or_else(|_| attempt.target.parse())
+            .ok()?;
+        self.add(target, address, domain, attempt.slots)
     }
 
     /// Makes the lane of a target ahead of its first attempt.
     pub fn prepare(&self, replica: &ReplicaEntry) {
         if find(&self.lanes.load(), &replica.target, replica.address).is_none() {
-            self.add(replica.target.clone(), replica.address, replica.slots);
+            let domain = replica.domain.clone();
+            self.add(
+                replica.target.clone(),
+                replica.address,
+                domain,
+                replica.slots,
+            );
         }
     }
 
@@ -98,6 +119,12 @@
             .unwrap_or_default()
     }
 
+    /// Gets what is known of requests that crash targets.
+    #[must_use]
+    pub const fn strikes(&self) -> &Arc<StrikeBoard> {
+        &self.strikes
+    }
+
     /// Gets the clock that all lanes share.
     #[must_use]
     pub const fn clock(&self) -> ProcessClock {
@@ -138,7 +165,13 @@
             .collect()
     }
 
-    fn add(&self, target: TargetId, address: SocketAddr, slots: u32) -> Option<Arc<TargetLane>> {
+    fn add(
+        &self,
+        target: TargetId,
+        address: SocketAddr,
+        domain: FailureDomain,
+        slots: u32,
+    ) -> Option<Arc<TargetLane>> {
         let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
         let mut lanes = HashMap::clone(&self.lanes.load());
         // Another thread may have added the lane while this one waited.
@@ -148,13 +181,20 @@
         if lanes.len() >= MAX_TARGETS && !lanes.contains_key(&target) {
             return None;
         }
-        let connections = TargetConnections::new(address, self.options.connect_timeout);
+        let connections = TargetConnections::new(
+            address,
+            self.options.connect_timeout,
+            self.options.health.clone(),
+            self.clock,
+        );
         let shared = LaneShared {
             target: target.clone(),
+            domain,
             connections,
             clock: self.clock,
             counters: self.counters.clone(),
             watch: self.watch.clone(),
+            strikes: Arc::clone(&self.strikes),
         };
         let lane = Arc::new(TargetLane::new(shared, slots, &self.options));
         let of_target = lanes.entry(target).or_default();
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -7,8 +7,10 @@
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::manifest::ReplicaEntry;
+use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::stop_handle::StopHandle;
+use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
 use alderhaven_platform::http_client::ClientOptions;
 use alderhaven_platform::http_hosts::HttpHosts;
@@ -73,10 +75,18 @@
         let metrics = RelayMetrics::default();
         let watch = TargetWatch::default();
         let hosts = HttpHosts::new(settings.platform, ClientOptions::default());
+        let clock = ProcessClock::default();
+        let strikes = Arc::new(StrikeBoard::new(
+            settings.policy,
+            settings.quarantine.clone(),
+            clock,
+        ));
         let table = Arc::new(LaneTable::new(
             settings.lane_options(),
             metrics.attempts.clone(),
             watch.clone(),
+            strikes,
+            clock,
         ));
         let refused = metrics.refused_connections.clone();
         let group = NodeGroup::start(group_options(&settings, peer_address), &config).await?;
@@ -172,6 +182,7 @@
 
     fn dump(&self) -> Value {
         json!({ "status": self.status(), "lanes": self.table.reports(), "leaving_targets": *self.watch.names(),
+            "quarantine": self.table.strikes().entries(),
             "members": self.group.members(), "group": self.group.snapshot() })
     }
 
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use alderhaven_core::class::QueryClass;
+use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{AttemptId, IndexVersion, ShardId, SnapshotId, TemplateName};
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::connection;
-use alderhaven_peer::connection::FrameSender;
+use alderhaven_peer::connection::{FrameReader, FrameSender};
 use alderhaven_peer::frames::{
     AttemptReply, CancelAttempts, LeavingNotice, PeerMessage, ReplyStatus, ScatterAttempt,
     ScatterRequest,
@@ -28,6 +29,10 @@
 /// The longest remaining time that an entry may claim; it bounds how long an attempt is held.
 const MAX_REMAINING: TimeSpan = TimeSpan::from_secs(60);
 
+/// The silence after which the connection of an entry that sends pings is closed; entries give up a
+/// silent connection within seconds.
+const ENTRY_SILENCE: Duration = Duration::from_secs(10);
+
 /// Accepts connections from entries until the process ends.
 ///
 /// A connection beyond the limit is closed at once: an entry that waited in the operating system's
@@ -65,13 +70,18 @@
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return;
     };
+    let _hears_of_strikes = table.strikes().join(sender.clone());
+    let mut has_pinged = false;
     let leaving = stop.leaving();
     tokio::pin!(leaving);
     let mut is_told = false;
     loop {
         tokio::select! {
-            message = connection::next_message(&mut reader) => match message {
-                Some(message) => handle(table, &sender, message),
+            message = next_message(&mut reader, has_pinged) => match message {
+                Some(message) => {
+                    has_pinged |= matches!(message, PeerMessage::Ping(_));
+                    handle(table, &sender, message);
+                }
                 None => return,
             },
             () = &mut leaving, if !is_told => {
@@ -82,13 +92,30 @@
     }
 }
 
+/// Reads the next message; one that sends pings and then nothing has a connection that is silent,
+/// which it has replaced by now.
+async fn next_message(reader: &mut FrameReader, has_pinged: bool) -> Option<PeerMessage> {
+    if !has_pinged {
+        return connection::next_message(reader).await;
+    }
+    time::timeout(ENTRY_SILENCE, connection::next_message(reader))
+        .await
+        .ok()
+        .flatten()
+}
+
 fn handle(table: &LaneTable, sender: &FrameSender, message: PeerMessage) {
     match message {
         PeerMessage::Scatter(request) => scatter(table, sender, &request),
         PeerMessage::Cancel(cancel) => cancel_attempts(table, &cancel),
+        PeerMessage::Strikes(notice) => table.strikes().take(&notice),
+        PeerMessage::Ping(ping) => {
+            let _entry_gone = sender.send(PeerMessage::Pong(ping));
+        }
         PeerMessage::Hello(_)
         | PeerMessage::Reply(_)
         | PeerMessage::Leaving(_)
+        | PeerMessage::Pong(_)
         | PeerMessage::Exchange(_)
         | PeerMessage::ClaimQuery(_)
         | PeerMessage::ClaimAnswer(_) => {}
@@ -100,6 +127,7 @@
     let remaining = TimeSpan::from_micros(request.remaining_us).min(MAX_REMAINING);
     let class = QueryClass::from_rank(u8::try_from(request.class).unwrap_or(u8::MAX));
     let template: Option<TemplateName> = request.template.parse().ok();
+    let fingerprint = RequestFingerprint::of_canonical(&request.template, &request.parameters);
     for attempt in &request.attempts {
         let (Some(lane), Some(template)) = (table.lane_for(attempt), template.clone()) else {
             refuse(sender, attempt.sequence);
@@ -108,6 +136,8 @@
         lane.offer(LaneAttempt {
             request: target_request(request, attempt),
             template,
+            fingerprint,
+            is_idempotent: request.idempotent,
             class,
             order: request.order,
             hedge: request.hedge,
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -9,8 +9,10 @@
 use alderhaven_core::settings;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_core::value_check::ValueCheck;
+use alderhaven_policy::connection_health::HealthOptions;
 use alderhaven_policy::drain::DrainOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::quarantine::QuarantineOptions;
 use alderhaven_policy::relay_queue::RelayQueueOptions;
 use alderhaven_policy::target_limit::TargetLimitOptions;
 use serde::{Deserialize, Serialize};
@@ -62,6 +64,12 @@
     /// The limits of attempts at a time.
     #[serde(default)]
     pub limit: TargetLimitOptions,
+    /// The refusal of requests that crash targets.
+    #[serde(default)]
+    pub quarantine: QuarantineOptions,
+    /// The look-out for silent connections.
+    #[serde(default)]
+    pub health: HealthOptions,
     /// The decisions to run; `baseline` is for comparisons only.
     #[serde(default)]
     pub policy: PolicyKind,
@@ -88,6 +96,10 @@
             policy: self.policy,
             queue: self.queue.clone(),
             limit: self.limit.clone(),
+            health: HealthOptions {
+                enabled: self.health.enabled && self.policy == PolicyKind::Current,
+                ..self.health.clone()
+            },
             connect_timeout: self.limits.connect_timeout,
         }
     }
@@ -116,6 +128,14 @@
             &self.limit.growth_factor,
             &(1.0..=1e3),
         );
+        self.quarantine.check(&mut check);
+        check.within("health.factor", &self.health.factor, &(1.0..=1e3));
+        check.within("health.min_silence", &self.health.min_silence, &TIME_RANGE);
+        check.within(
+            "health.probe_timeout",
+            &self.health.probe_timeout,
+            &TIME_RANGE,
+        );
         check.finish()
     }
 }
--- a/alderhaven-relay/tests/peer_frames.rs
+++ b/alderhaven-relay/tests/peer_frames.rs
@@ -92,6 +92,7 @@
             address: address.to_string(),
             slots: 2,
             connections: 25,
+            domain: "accra-a".to_owned(),
         }],
         hedge: false,
     }
