Load tool: a tail that was never away is back at once

The way back was looked for from the worst second on even where that second was near the steady tail: store-outage showed 5,000 ms with a worst second of 358 ms beside 309 ms steady.

--- a/alderhaven-load/src/scenario_figures.rs
+++ b/alderhaven-load/src/scenario_figures.rs
@@ -152,9 +152,10 @@
                 worst = Some((*begin, *p99));
             }
         }
+        let is_near = |p99: f64| steady.is_some_and(|steady| p99 <= steady * BACK_FACTOR);
+        // A tail that was never away has no way back.
         let is_back = |(begin, p99): &&(TimeSpan, f64)| {
-            worst.is_some_and(|(at, _)| *begin >= at)
-                && steady.is_some_and(|steady| *p99 <= steady * BACK_FACTOR)
+            worst.is_some_and(|(at, most)| *begin >= at || is_near(most)) && is_near(*p99)
         };
         let back = windows.iter().find(is_back);
         let back = back.map(|(begin, _)| rounded(begin.saturating_sub(end).as_secs_f64() * 1e3));
--- a/alderhaven-load/tests/scenario_figures.rs
+++ b/alderhaven-load/tests/scenario_figures.rs
@@ -59,6 +59,20 @@
     assert_eq!(figures["back_to_steady_ms"], Some(1_100.0));
 }
 
+#[test]
+fn figures_never_away() {
+    // The slowest second comes late and is near the steady one: there was nothing to come back from.
+    let pairs: Vec<(LoadQuery, QueryReply)> = (0..160)
+        .map(|number| {
+            let due = 1_000 + number * 50;
+            answered(number, due, if due < 7_000 { 100 } else { 110 })
+        })
+        .collect();
+    let figures = figures(ScenarioKind::StoreOutage, &pairs, &[], &[]);
+    assert_eq!(figures["worst_window_p99_ms"], Some(110.0));
+    assert_eq!(figures["back_to_steady_ms"], Some(0.0));
+}
+
 #[test]
 fn figures_never_back() {
     let pairs: Vec<(LoadQuery, QueryReply)> = (0..160)
