Say that the configuration is not complete while what was learnt is not in use yet

Cause: a query that came between the watch's news and its use was told that there is no such template (query_checks_bearer_tokens failed once in three runs beside other work). Change: that answer is `unavailable` until the view in use is the view in force; the interface tests wait for the view that queries are planned on.

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -13,6 +13,7 @@
 use alderhaven_platform::http_store::HttpStore;
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
 use alderhaven_policy::claim_key::ClaimKey;
+use alderhaven_policy::config_registry::ConfigView;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -234,7 +235,7 @@
         let view = self.applied.view();
         let token = bearer_token(&head.headers);
         let plan = QueryPlan::make(&view, template, query, token, arrived)
-            .map_err(|error| self.explain_start(error))?;
+            .map_err(|error| self.explain_start(error, &view))?;
         record.note_plan(&plan);
         let class = plan.template.class;
         let key = if plan.template.idempotent {
@@ -258,10 +259,12 @@
 
     /// Says that a name is not known yet, where the configuration is not complete.
     ///
-    /// A node that starts while the store is down learns its configuration from its peers; until
-    /// then "there is no such template" would be untrue.
-    fn explain_start(&self, error: ErrorAnswer) -> ErrorAnswer {
-        let is_complete = self.config.complete_at().is_some() || self.group.is_complete();
+    /// A node that starts while the store is down learns its configuration from its peers, and what
+    /// it has learnt is in use a moment later; until then "there is no such template" would be
+    /// untrue.
+    fn explain_start(&self, error: ErrorAnswer, view: &Arc<ConfigView>) -> ErrorAnswer {
+        let is_known = self.config.complete_at().is_some() || self.group.is_complete();
+        let is_complete = is_known && Arc::ptr_eq(view, &self.config.view());
         if error.error.code != ErrorCode::NotFound || is_complete {
             return error;
         }
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -64,6 +64,8 @@
     pub node: NodeId,
     /// The configuration in force.
     pub config: ConfigHandle,
+    /// The configuration that queries are planned on.
+    pub applied: AppliedConfig,
     /// What admits queries.
     pub desk: Arc<AdmissionDesk>,
     /// The routes through relays.
@@ -124,18 +126,14 @@
         ));
         let options = group_options(&settings, peer_address, caller_address);
         let group = NodeGroup::start(options, &config).await?;
-        let follower = GroupFollower {
-            group: group.clone(),
-            routes: Arc::clone(&routes),
-            desk: Arc::clone(&desk),
-            named: group_follower::named_relays(&settings.relays, &settings.domain),
-        };
+        let follower = group_follower(&settings, &group, &routes, &desk);
         follower.apply();
         let stop = StopHandle::default();
         let connections = TaskTracker::new();
         let state = Arc::new(EntryState {
             node: settings.node.clone(),
             config: config.clone(),
+            applied: applied.clone(),
             routes,
             desk: Arc::clone(&desk),
             watch: watch.clone(),
@@ -327,6 +325,20 @@
         .build()
 }
 
+fn group_follower(
+    settings: &EntrySettings,
+    group: &NodeGroup,
+    routes: &Arc<RelayRoutes>,
+    desk: &Arc<AdmissionDesk>,
+) -> GroupFollower {
+    GroupFollower {
+        group: group.clone(),
+        routes: Arc::clone(routes),
+        desk: Arc::clone(desk),
+        named: group_follower::named_relays(&settings.relays, &settings.domain),
+    }
+}
+
 fn admission_desk(settings: &EntrySettings, clock: ProcessClock) -> AdmissionDesk {
     AdmissionDesk::new(settings.policy, settings.admission.clone(), clock)
 }
--- a/alderhaven-entry/tests/caller_interface/support.rs
+++ b/alderhaven-entry/tests/caller_interface/support.rs
@@ -56,9 +56,9 @@
     let node = EntryNode::start(serde_json::from_value(settings).unwrap(), config)
         .await
         .unwrap();
-    let mut changed = node.state().config.changed();
+    let mut changed = node.state().applied.changed();
     time::timeout(LIMIT, async {
-        while node.state().config.view().manifests.is_empty() {
+        while node.state().applied.view().manifests.is_empty() {
             changed.changed().await.unwrap();
         }
     })
