--- a/alderhaven-proof/src/cluster.rs
+++ b/alderhaven-proof/src/cluster.rs
@@ -17,6 +17,9 @@
 use crate::operator_view;
 use crate::scratch_files::ScratchFiles;
 
+/// The spans of a planned stop in a group, short so that a proof takes seconds.
+const STOP_SPAN: &str = "300ms";
+
 /// A `ProofCluster` is a running cluster; dropping it ends all its processes.
 #[derive(Debug)]
 pub struct ProofCluster {
@@ -35,6 +38,7 @@
     /// The file that the platform was started with.
     pub(crate) loaded: String,
     revision: u64,
+    is_group: bool,
 }
 
 impl ProofCluster {
@@ -66,6 +70,7 @@
             files,
             loaded,
             revision,
+            is_group: options.is_group,
         };
         for _ in 0..options.relays {
             cluster.start_relay()?;
@@ -102,7 +107,12 @@
             .map(|relay| relay.address("peer"))
             .collect();
         settings["listen"] = json!("127.0.0.1:0");
-        settings["relays"] = json!(relays?);
+        if self.is_group {
+            settings["answers"] = json!({ "ttl": STOP_SPAN });
+            settings["stop"]["address_life"] = json!(STOP_SPAN);
+        } else {
+            settings["relays"] = json!(relays?);
+        }
         let entry = self.start_node(&format!("entry-{number}"), &settings, false)?;
         self.entries.push(entry);
         Ok(number)
@@ -221,14 +231,22 @@
     }
 
     fn settings(&self, name: &str) -> Result<Value> {
-        Ok(json!({
+        let mut settings = json!({
             "node": name,
             "host": format!("host-of-{name}"),
             "domain": "domain-1",
             "peer_listen": "127.0.0.1:0",
             "operator_listen": "127.0.0.1:0",
             "platform": self.platform.address("address")?,
-        }))
+        });
+        if self.is_group {
+            let nodes = self.relays.iter().chain(&self.entries);
+            let seeds: Result<Vec<SocketAddr>> = nodes.map(|node| node.address("gossip")).collect();
+            settings["gossip_listen"] = json!("127.0.0.1:0");
+            settings["seeds"] = json!(seeds?);
+            settings["stop"] = json!({ "heard_within": STOP_SPAN, "address_life": "0ms" });
+        }
+        Ok(settings)
     }
 
     fn start_node(&self, name: &str, settings: &Value, is_relay: bool) -> Result<ChildProcess> {
--- a/alderhaven-proof/src/cluster_options.rs
+++ b/alderhaven-proof/src/cluster_options.rs
@@ -57,6 +57,9 @@
     /// The deadline of the templates.
     #[builder(default = TimeSpan::from_secs(20))]
     pub deadline: TimeSpan,
+    /// Whether the nodes form a group, in which entries find the relays by themselves.
+    #[builder(default)]
+    pub is_group: bool,
 }
 
 impl ClusterOptions {
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/group.rs
@@ -0,0 +1,89 @@
+//! Proofs of what nodes learn from each other.
+
+use alderhaven_proof::cluster::ProofCluster;
+use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
+use alderhaven_proof::condition;
+use alderhaven_proof::operator_view;
+use alderhaven_standin::platform_faults::PlatformFaults;
+use serde_json::Value;
+
+use crate::support;
+
+async fn start() -> ProofCluster {
+    let options = ClusterOptions::builder().entries(2).is_group(true).build();
+    support::start(options).await
+}
+
+/// Returns true where a dump says that a member is dead.
+fn is_dead(dump: &Value, name: &str) -> bool {
+    let mut members = dump["members"].as_array().into_iter().flatten();
+    members.any(|member| member["record"]["node"] == name && member["state"] == "dead")
+}
+
+/// A relay dies without a word. Callers see complete answers all along, and within seconds all
+/// others know it dead. Without the probes every query would go on trying it.
+#[tokio::test(flavor = "multi_thread")]
+async fn group_killed_relay_is_left() {
+    let mut cluster = start().await;
+    let entries = [0, 1].map(|number| cluster.entry(number).unwrap());
+    let name = cluster.relays[0].name().to_owned();
+    cluster.relays[0].kill().unwrap();
+    let operators = cluster.operators().unwrap();
+    let others = [operators[0], operators[1], operators[3]];
+    condition::until("all others know the relay dead", async || {
+        for entry in entries {
+            let query = support::query(SWEEP, "killed");
+            let reply = query.send(entry).await.unwrap();
+            assert_eq!(reply.word(), "complete", "{}", reply.body);
+            let all = cluster.all_shards();
+            assert_eq!(reply.body["rows"], cluster.rows_of(&query, &all));
+        }
+        for operator in others {
+            let dump: Value = operator_view::get(operator, "/debug/dump").await?;
+            if !is_dead(&dump, &name) {
+                return Ok(None);
+            }
+        }
+        Ok(Some(()))
+    })
+    .await
+    .unwrap();
+}
+
+/// An entry starts while the platform's store is out of service, and at first its peers don't answer
+/// either. Callers are told that it is unavailable, not that the template does not exist. Once its
+/// peers answer it serves queries from their configuration; the store is still out of service.
+#[tokio::test(flavor = "multi_thread")]
+async fn config_started_while_store_is_down() {
+    let mut cluster = start().await;
+    let outage = PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    };
+    let platform = cluster.platform_caller().unwrap();
+    platform.set_faults(&outage).await.unwrap();
+    for node in cluster.relays.iter().chain(&cluster.entries) {
+        node.freeze().unwrap();
+    }
+    let number = cluster.start_entry().unwrap();
+    let entry = cluster.entry(number).unwrap();
+    let early = support::query(SWEEP, "early").send(entry).await.unwrap();
+    assert_eq!(early.word(), "unavailable", "{}", early.body);
+    assert!(early.says_not_run(), "{}", early.body);
+    let peers = cluster.relays.iter().chain(&cluster.entries[..number]);
+    for node in peers {
+        node.resume().unwrap();
+    }
+    condition::until("a complete answer of the new entry", async || {
+        let query = support::query(SWEEP, "learnt");
+        let reply = query.send(entry).await?;
+        assert_ne!(reply.word(), "not_found", "{}", reply.body);
+        if reply.word() == "complete" {
+            let all = cluster.all_shards();
+            assert_eq!(reply.body["rows"], cluster.rows_of(&query, &all));
+        }
+        Ok((reply.word() == "complete").then_some(()))
+    })
+    .await
+    .unwrap();
+}
--- /dev/null
+++ b/alderhaven-proof/tests/proofs/stops.rs
@@ -0,0 +1,185 @@
+//! Proofs that a planned stop cuts no request.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_proof::caller::{CallerQuery, CallerReply, PARAMETER, TEAM};
+use alderhaven_proof::cluster::ProofCluster;
+use alderhaven_proof::cluster_options::{ClusterOptions, RESERVE, SWEEP};
+use alderhaven_proof::condition;
+use alderhaven_proof::operator_view;
+use alderhaven_standin::http_caller::HttpCaller;
+use eyre::Result;
+use futures::future;
+use http::Request;
+use http_body_util::Full;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+use uuid::Uuid;
+
+use crate::support;
+
+/// The callers whose queries are in flight when the stop is asked for.
+const CALLERS: usize = 4;
+/// A run time above the time for which a stopping entry still takes requests.
+const LONG_RUN: TimeSpan = TimeSpan::from_secs(1);
+
+async fn start(run_time: TimeSpan, entries: usize) -> ProofCluster {
+    let options = ClusterOptions::builder()
+        .run_time(run_time)
+        .entries(entries)
+        .is_group(true)
+        .build();
+    support::start(options).await
+}
+
+/// Asks over a connection that the caller keeps.
+async fn ask(caller: &mut HttpCaller, query: &CallerQuery) -> Result<CallerReply> {
+    let body = json!({ "team": TEAM, "parameters": { PARAMETER: query.key } });
+    let mut request = Request::post(format!("/v1/query/{}", query.template));
+    if let Some(key) = query.idempotency_key {
+        request = request.header("idempotency-key", key.to_string());
+    }
+    let response = caller
+        .call(request.body(Full::from(body.to_string()))?)
+        .await?;
+    Ok(CallerReply {
+        status: response.status(),
+        body: serde_json::from_slice(response.body())?,
+    })
+}
+
+/// Connects, uses the connection once, and asks over it from then on.
+async fn kept_connection(entry: SocketAddr) -> HttpCaller {
+    let mut caller = HttpCaller::connect(entry).await.unwrap();
+    let request = Request::get("/v1/health").body(Full::default()).unwrap();
+    let health = caller.call(request).await.unwrap();
+    assert!(health.status().is_success());
+    caller
+}
+
+/// Sends one query of each caller at once and waits until targets run all of them.
+async fn queries_in_flight(
+    cluster: &ProofCluster,
+    entry: SocketAddr,
+    query_of: impl Fn(usize) -> CallerQuery,
+) -> Vec<(CallerQuery, JoinHandle<Result<CallerReply>>)> {
+    let mut asked = Vec::new();
+    for number in 0..CALLERS {
+        let query = query_of(number);
+        let mut caller = kept_connection(entry).await;
+        let sent = query.clone();
+        let task = tokio::spawn(async move { ask(&mut caller, &sent).await });
+        asked.push((query, task));
+    }
+    for (query, _) in &asked {
+        condition::until("a run of each query", async || {
+            Ok((!cluster.runs(query).await?.is_empty()).then_some(()))
+        })
+        .await
+        .unwrap();
+    }
+    asked
+}
+
+fn assert_whole(cluster: &ProofCluster, query: &CallerQuery, reply: &CallerReply) {
+    assert_eq!(reply.word(), "complete", "{}", reply.body);
+    let all = cluster.all_shards();
+    assert_eq!(reply.body["rows"], cluster.rows_of(query, &all));
+}
+
+async fn named_entries(entry: SocketAddr) -> Result<Vec<SocketAddr>> {
+    let answer: Value = operator_view::get(entry, "/v1/entries").await?;
+    let entries = answer["entries"].as_array().into_iter().flatten();
+    entries
+        .map(|entry| Ok(serde_json::from_value(entry["address"].clone())?))
+        .collect()
+}
+
+/// An entry is restarted while callers wait for answers over kept connections. It vanishes from
+/// what the other entry tells callers, yet a caller that got its address before is still served.
+/// Every answer arrives whole, and only then does the process end. Ended at once, each of the
+/// callers would find its connection closed and not know what ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_entry_cuts_nothing() {
+    let mut cluster = start(LONG_RUN, 2).await;
+    let [leaving, staying] = [0, 1].map(|number| cluster.entry(number).unwrap());
+    condition::until("both entries are named", async || {
+        let named = named_entries(staying).await?;
+        Ok((named.contains(&leaving) && named.contains(&staying)).then_some(()))
+    })
+    .await
+    .unwrap();
+    let mut late_caller = kept_connection(leaving).await;
+    let sweep = |number| support::query(SWEEP, &format!("in-flight-{number}"));
+    let asked = queries_in_flight(&cluster, leaving, sweep).await;
+    cluster.entries[0].terminate().unwrap();
+    condition::until("the leaving entry is not named", async || {
+        Ok((!named_entries(staying).await?.contains(&leaving)).then_some(()))
+    })
+    .await
+    .unwrap();
+    let late = support::query(SWEEP, "late");
+    let reply = ask(&mut late_caller, &late).await.unwrap();
+    assert_whole(&cluster, &late, &reply);
+    for (query, reply) in asked {
+        assert_whole(&cluster, &query, &reply.await.unwrap().unwrap());
+    }
+    let status = cluster.entries[0].ended().await.unwrap();
+    assert_eq!(status.code(), Some(0), "{:?}", cluster.entries[0].log());
+    let after = support::query(SWEEP, "after");
+    let reply = after.send(staying).await.unwrap();
+    assert_whole(&cluster, &after, &reply);
+}
+
+/// One of two relays is restarted while it holds attempts of callers' reservations, which nobody may send a
+/// second time, and sweeps go on. Every answer is complete, the process ends by itself, and then the
+/// targets that it served get work through the other relay. A relay that ended at once would leave
+/// reservations of unknown outcome.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_relay_cuts_nothing() {
+    let mut cluster = start(LONG_RUN, 1).await;
+    let entry = cluster.entry(0).unwrap();
+    let reserve = |number| {
+        CallerQuery::builder()
+            .template(RESERVE)
+            .key(format!("in-flight-{number}"))
+            .idempotency_key(Uuid::now_v7())
+            .build()
+    };
+    let asked = queries_in_flight(&cluster, entry, reserve).await;
+    let leaving = cluster.busy_relay().await.unwrap();
+    let handed_over = cluster.lanes(leaving).await.unwrap();
+    cluster.relays[leaving].terminate().unwrap();
+    for round in 0..2 {
+        let queries: Vec<CallerQuery> = (0..CALLERS)
+            .map(|caller| support::query(SWEEP, &format!("stop-{round}-{caller}")))
+            .collect();
+        let replies = future::join_all(queries.iter().map(|query| query.send(entry))).await;
+        for (query, reply) in queries.iter().zip(replies) {
+            assert_whole(&cluster, query, &reply.unwrap());
+        }
+    }
+    for (query, reply) in asked {
+        let reply = reply.await.unwrap().unwrap();
+        assert_eq!(reply.word(), "complete", "{}", reply.body);
+        let runs = cluster.runs(&query).await.unwrap();
+        assert_eq!(runs.len(), 1, "{runs:?}");
+        let rows = cluster.rows_of(&query, &[runs[0].shard.0]);
+        assert_eq!(reply.body["rows"], rows);
+    }
+    let status = cluster.relays[leaving].ended().await.unwrap();
+    let log = cluster.relays[leaving].log().join("\n");
+    assert_eq!(status.code(), Some(0), "{log}");
+    let after = support::query(SWEEP, "after");
+    let reply = after.send(entry).await.unwrap();
+    assert_whole(&cluster, &after, &reply);
+    condition::until("lanes to the targets handed over", async || {
+        let lanes = cluster.lanes(1 - leaving).await?;
+        let has_lane = |target| lanes.iter().any(|(known, _)| known == target);
+        let mut targets = handed_over.iter().map(|(target, _)| target);
+        Ok(targets.all(has_lane).then_some(()))
+    })
+    .await
+    .unwrap();
+}
