Say "not found" only on a configuration that is complete and taken over

Cause: an entry decided whether its configuration is complete after it had planned on an older view. Between the moment when peers' objects are in force and the moment when the parts of the entry have taken them over, a caller heard `not_found` for a template that exists. Change: `not_found` goes out only where the plan's view is the one in force, read after completeness; otherwise `unavailable` with a time to come back. The request path of known templates is unchanged. Seen: with the taking over slowed by hand by 500 ms config_started_while_store_is_down failed before (`not_found` from an entry whose peers had the template) and passes after.

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -13,6 +13,7 @@
 use alderhaven_platform::http_store::HttpStore;
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
 use alderhaven_policy::claim_key::ClaimKey;
+use alderhaven_policy::config_registry::ConfigView;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -234,7 +235,7 @@
         let view = self.applied.view();
         let token = bearer_token(&head.headers);
         let plan = QueryPlan::make(&view, template, query, token, arrived)
-            .map_err(|error| self.explain_start(error))?;
+            .map_err(|error| self.explain_start(error, &view))?;
         record.note_plan(&plan);
         let class = plan.template.class;
         let key = if plan.template.idempotent {
@@ -256,13 +257,18 @@
         Ok(json_response(StatusCode::OK, &answer?))
     }
 
-    /// Says that a name is not known yet, where the configuration is not complete.
+    /// Says that a name is not known yet, where the plan's view may lack it.
     ///
     /// A node that starts while the store is down learns its configuration from its peers; until
-    /// then "there is no such template" would be untrue.
-    fn explain_start(&self, error: ErrorAnswer) -> ErrorAnswer {
+    /// then "there is no such template" would be untrue. It would also be for as long as the parts
+    /// of the entry take over what has just been learnt, so the plan's view must be the one in force
+    /// after the configuration was known to be complete.
+    fn explain_start(&self, error: ErrorAnswer, planned_on: &Arc<ConfigView>) -> ErrorAnswer {
+        if error.error.code != ErrorCode::NotFound {
+            return error;
+        }
         let is_complete = self.config.complete_at().is_some() || self.group.is_complete();
-        if error.error.code != ErrorCode::NotFound || is_complete {
+        if is_complete && Arc::ptr_eq(planned_on, &self.config.view()) {
             return error;
         }
         let message = "this entry does not know its configuration yet";
