A leaving entry's replies say that their connection closes

Cause: an entry closed kept connections when it began to finish, and callers heard nothing before. A caller that sends its next request just as its idle connection is closed does not know whether it ran. Found by reading the stop for its proof; the instant itself was not met in a run. Change: from the announcement on each reply carries `connection: close`, so that active callers go elsewhere before the entry finishes. A connection that sends nothing between the announcement and the finish is closed untold, as before; an address is not to be used that long. Each reply now reads the stop's state, one more shared read lock on the request path; its cost was not measured. Seen: without the header stop_entry_cuts_nothing fails (no `connection` header while `leaving`).

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -14,6 +14,7 @@
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
 use alderhaven_policy::claim_key::ClaimKey;
 use alderhaven_policy::config_registry::ConfigView;
+use alderhaven_policy::drain::DrainState;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -187,6 +188,11 @@
         };
         let headers = response.headers_mut();
         headers.insert(REQUEST_ID_HEADER, record.id.header_value());
+        if self.stop.state() != DrainState::Serving {
+            // Guards against a request that is sent just as its kept connection is closed: the
+            // caller would not know whether it ran. Told here, the caller sends no other on it.
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         response
     }
 
--- a/alderhaven-proof/tests/proofs/stops.rs
+++ b/alderhaven-proof/tests/proofs/stops.rs
@@ -12,6 +12,7 @@
 use eyre::Result;
 use futures::future;
 use http::Request;
+use http::header::CONNECTION;
 use http_body_util::Full;
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
@@ -49,6 +50,24 @@
     })
 }
 
+/// Checks that the first reply of an entry that leaves says that the connection closes.
+async fn assert_told_to_close(caller: &mut HttpCaller) {
+    condition::until("a reply of the leaving entry", async || {
+        let request = Request::get("/v1/health").body(Full::default())?;
+        let response = caller.call(request).await.unwrap();
+        let health: Value = serde_json::from_slice(response.body())?;
+        if health["status"] == "serving" {
+            return Ok(None);
+        }
+        assert_eq!(health["status"], "leaving");
+        let connection = response.headers().get(CONNECTION);
+        assert_eq!(connection.unwrap(), "close");
+        Ok(Some(()))
+    })
+    .await
+    .unwrap();
+}
+
 /// Connects, uses the connection once, and asks over it from then on.
 async fn kept_connection(entry: SocketAddr) -> HttpCaller {
     let mut caller = HttpCaller::connect(entry).await.unwrap();
@@ -98,8 +117,9 @@
 
 /// An entry is restarted while callers wait for answers over kept connections. It vanishes from
 /// what the other entry tells callers, yet a caller that got its address before is still served.
-/// Every answer arrives whole, and only then does the process end. Ended at once, each of the
-/// callers would find its connection closed and not know what ran.
+/// Every answer arrives whole, and only then does the process end. Ended at once, callers would find
+/// their connections closed and not know what ran. Replies from the signal on say that the
+/// connection closes: untold, a caller could send its next request just as that happens.
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_entry_cuts_nothing() {
     let mut cluster = start(LONG_RUN, 2).await;
@@ -110,6 +130,7 @@
     })
     .await
     .unwrap();
+    let mut idle_caller = kept_connection(leaving).await;
     let mut late_caller = kept_connection(leaving).await;
     let sweep = |number| support::query(SWEEP, &format!("in-flight-{number}"));
     let asked = queries_in_flight(&cluster, leaving, sweep).await;
@@ -119,6 +140,7 @@
     })
     .await
     .unwrap();
+    assert_told_to_close(&mut idle_caller).await;
     let late = support::query(SWEEP, "late");
     let reply = ask(&mut late_caller, &late).await.unwrap();
     assert_whole(&cluster, &late, &reply);
