Ask whether the store was listed before reading the objects

Cause: a node read its objects, then asked whether the store was listed. A list that came in between made its exchange complete without the listed objects, and a peer that asked it at that moment could take a part for the whole. Found by reading; no test makes the instant happen, so this order is not seen to fail. Change: the question comes first. A list that comes in between is noted with the next change, which its own objects cause.

--- a/alderhaven-peer/src/peer_driver.rs
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -158,6 +158,8 @@
 
     /// Tells the exchange what the process holds.
     async fn read_config(&mut self) {
+        // Asked before the objects are read: a list that comes in between is not among them.
+        let is_listed = (self.config.is_listed)();
         let objects = (self.config.objects)();
         let step = self.exchange.accept(objects, &self.peers, &mut self.rng);
         // These objects are in force already.
@@ -166,7 +168,7 @@
             ..step
         };
         self.carry_out(step);
-        if (self.config.is_listed)() {
+        if is_listed {
             self.exchange.complete();
         }
         tokio::task::yield_now().await;
