--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -14,6 +14,7 @@
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
 use alderhaven_policy::claim_key::ClaimKey;
 use alderhaven_policy::config_registry::ConfigView;
+use alderhaven_policy::drain::DrainState;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -187,6 +188,11 @@
         };
         let headers = response.headers_mut();
         headers.insert(REQUEST_ID_HEADER, record.id.header_value());
+        if self.stop.state() != DrainState::Serving {
+            // Guards against a request that is sent just as its kept connection is closed: the
+            // caller would not know whether it ran. Told here, the caller sends no other on it.
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         response
     }
 
@@ -257,15 +263,18 @@
         Ok(json_response(StatusCode::OK, &answer?))
     }
 
-    /// Says that a name is not known yet, where the configuration is not complete.
+    /// Says that a name is not known yet, where the plan's view may lack it.
     ///
-    /// A node that starts while the store is down learns its configuration from its peers, and what
-    /// it has learnt is in use a moment later; until then "there is no such template" would be
-    /// untrue.
-    fn explain_start(&self, error: ErrorAnswer, view: &Arc<ConfigView>) -> ErrorAnswer {
-        let is_known = self.config.complete_at().is_some() || self.group.is_complete();
-        let is_complete = is_known && Arc::ptr_eq(view, &self.config.view());
-        if error.error.code != ErrorCode::NotFound || is_complete {
+    /// A node that starts while the store is down learns its configuration from its peers; until
+    /// then "there is no such template" would be untrue. It would also be for as long as the parts
+    /// of the entry take over what has just been learnt, so the plan's view must be the one in force
+    /// after the configuration was known to be complete.
+    fn explain_start(&self, error: ErrorAnswer, planned_on: &Arc<ConfigView>) -> ErrorAnswer {
+        if error.error.code != ErrorCode::NotFound {
+            return error;
+        }
+        let is_complete = self.config.complete_at().is_some() || self.group.is_complete();
+        if is_complete && Arc::ptr_eq(planned_on, &self.config.view()) {
             return error;
         }
         let message = "this entry does not know its configuration yet";
--- a/alderhaven-policy/src/retry.rs
+++ b/alderhaven-policy/src/retry.rs
@@ -10,6 +10,8 @@
 //! never at a replica that was tried, and never where the time left is below the expected service
 //! time. What expired in a relay's queue is judged by the time left like the rest: a slow target
 //! expires what another replica still runs in time.
+//!
+//! The budget is for retries that add load: those of attempts that never reached a target are free.
 
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::time::{TimePoint, TimeSpan};
@@ -71,12 +73,26 @@
     if attempt.untried == 0 || attempt.retries >= budget.options().max_per_shard {
         return RetryDecision::GiveUp(GiveUpReason::NoReplica);
     }
-    if !budget.take(now) {
+    if costs_a_target(attempt.outcome) && !budget.take(now) {
         return RetryDecision::GiveUp(GiveUpReason::NoBudget);
     }
     RetryDecision::Retry
 }
 
+/// Returns true where the retry comes on top of work, or of a refusal, at a target.
+///
+/// An attempt that never reached a target has cost none: sent elsewhere, it is the first one there.
+/// When a failure domain is lost, a quarter of all attempts end so until the targets are ejected,
+/// and a budget for them would leave shards uncovered that the other replicas can answer.
+const fn costs_a_target(outcome: AttemptOutcome) -> bool {
+    !matches!(
+        outcome,
+        AttemptOutcome::NotRun(
+            NotRunReason::NotSent | NotRunReason::NoRoute | NotRunReason::Draining
+        )
+    )
+}
+
 /// Gets why the outcome itself rules out a retry, if it does.
 fn forbids(attempt: EndedAttempt) -> Option<GiveUpReason> {
     match attempt.outcome {
--- a/alderhaven-policy/tests/retry.rs
+++ b/alderhaven-policy/tests/retry.rs
@@ -137,3 +137,20 @@
         }
     }
 }
+
+/// A failure domain is lost: its targets refuse connections, and until they are ejected a quarter of
+/// all attempts end before a byte was sent. Callers would get partial answers once the budget is
+/// spent, although the other replicas are idle enough; what was shed still counts.
+#[test]
+fn lost_domain_does_not_spend_the_budget() {
+    let mut budget = budget();
+    let not_sent = attempt(AttemptOutcome::NotRun(NotRunReason::NotSent));
+    for _ in 0..10_000 {
+        assert_eq!(decide(not_sent, &mut budget, at(0)), RetryDecision::Retry);
+    }
+    let shed = attempt(AttemptOutcome::NotRun(NotRunReason::Shed));
+    let retries = (0..10_000)
+        .filter(|_| decide(shed, &mut budget, at(0)) == RetryDecision::Retry)
+        .count();
+    assert_eq!(retries, 64);
+}
