--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
+use alderhaven_node::process_main::ProcessNode;
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
@@ -248,6 +249,32 @@
     })
 }
 
+impl ProcessNode for EntryNode {
+    type Settings = EntrySettings;
+
+    async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
+        Self::start(settings, config).await
+    }
+
+    fn ready_line(&self) -> Value {
+        json!({
+            "ready": true,
+            "node": self.state.node,
+            "listen": self.caller_address,
+            "operator": self.operator_address,
+            "gossip": self.gossip_address(),
+        })
+    }
+
+    fn request_stop(&self) {
+        Self::request_stop(self);
+    }
+
+    async fn stopped(&self) -> StopReport {
+        Self::stopped(self).await
+    }
+}
+
 impl OperatorSource for EntryState {
     fn metrics(&self) -> String {
         self.metrics.encode()
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -10,6 +10,7 @@
 use alderhaven_core::settings;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_core::value_check::ValueCheck;
+use alderhaven_node::process_main::ProcessSettings;
 use alderhaven_policy::admission::AdmissionOptions;
 use alderhaven_policy::claim_options::ClaimOptions;
 use alderhaven_policy::drain::DrainOptions;
@@ -124,6 +125,16 @@
     }
 }
 
+impl ProcessSettings for EntrySettings {
+    fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    fn log_level(&self) -> log::LevelFilter {
+        self.log_level
+    }
+}
+
 impl CheckedSettings for EntrySettings {
     fn check(&self) -> Vec<Error> {
         let mut check = ValueCheck::default();
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -9,6 +9,7 @@
 use alderhaven_core::manifest::ReplicaEntry;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
+use alderhaven_node::process_main::ProcessNode;
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_platform::config_handle::ConfigHandle;
@@ -175,6 +176,32 @@
     }
 }
 
+impl ProcessNode for RelayNode {
+    type Settings = RelaySettings;
+
+    async fn start(settings: RelaySettings, config: ConfigHandle) -> io::Result<Self> {
+        Self::start(settings, config).await
+    }
+
+    fn ready_line(&self) -> Value {
+        json!({
+            "ready": true,
+            "node": self.state.node,
+            "peer": self.peer_address,
+            "operator": self.operator_address,
+            "gossip": self.gossip_address(),
+        })
+    }
+
+    fn request_stop(&self) {
+        Self::request_stop(self);
+    }
+
+    async fn stopped(&self) -> StopReport {
+        Self::stopped(self).await
+    }
+}
+
 impl OperatorSource for RelayState {
     fn metrics(&self) -> String {
         self.metrics.encode()
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -9,6 +9,7 @@
 use alderhaven_core::settings;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_core::value_check::ValueCheck;
+use alderhaven_node::process_main::ProcessSettings;
 use alderhaven_policy::connection_health::HealthOptions;
 use alderhaven_policy::drain::DrainOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
@@ -105,6 +106,16 @@
     }
 }
 
+impl ProcessSettings for RelaySettings {
+    fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    fn log_level(&self) -> log::LevelFilter {
+        self.log_level
+    }
+}
+
 impl CheckedSettings for RelaySettings {
     fn check(&self) -> Vec<Error> {
         let mut check = ValueCheck::default();
