An attempt's future holds only its usual branch

Cause: a profile of the relay showed 7% in copying the futures of attempts as they are spawned, and much allocation; the future was as large as its rarest branches (connecting, probing, sending again). Change: these are boxed when they are needed.

--- a/alderhaven-relay/src/target_call.rs
+++ b/alderhaven-relay/src/target_call.rs
@@ -127,6 +127,25 @@
             return finish(connections, request, call).await;
         }
     };
+    // Boxed, since it is rare: else each attempt's own future would be of its size.
+    Box::pin(send_again(
+        connections,
+        authority,
+        request,
+        pace,
+        on_failure,
+    ))
+    .await
+}
+
+/// Sends an attempt once more, on a new connection; `on_failure` is what can be said without that.
+async fn send_again(
+    connections: &TargetConnections,
+    authority: &str,
+    request: &TargetRequest,
+    pace: CallPace,
+    on_failure: CallVerdict,
+) -> CallVerdict {
     let resent_at = connections.clock().now();
     let Ok(new) = connections.connect().await else {
         return on_failure;
@@ -215,7 +234,7 @@
     loop {
         let looking = async {
             time::sleep(pause.as_duration()).await;
-            connections.is_silent(idle_before, sent).await
+            Box::pin(connections.is_silent(idle_before, sent)).await
         };
         let is_silent = tokio::select! {
             biased;
--- a/alderhaven-relay/src/target_connections.rs
+++ b/alderhaven-relay/src/target_connections.rs
@@ -166,7 +166,9 @@
                 });
             }
         }
-        self.connect().await
+        // Boxed, as all that is rare in an attempt: the attempt's own future is moved and allocated
+        // for each one, and its size is that of its largest branch.
+        Box::pin(self.connect()).await
     }
 
     /// Gives back a connection whose last request was answered in full.
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -335,7 +335,7 @@
             }
         }
         let incident = self.lock().crash.lost(attempt.id(), rand::random());
-        if !shared.connections.is_process_dead().await {
+        if !Box::pin(shared.connections.is_process_dead()).await {
             return;
         }
         let is_new = shared.strikes.note_crash(&TargetCrash {
@@ -365,7 +365,8 @@
             replied = &mut bounded => replied,
             () = cancelled.notified() => {
                 // The target is asked to drop the attempt; its slot is free once it has replied.
-                target_call::cancel(&self.shared.connections, &self.authority, &attempt.request).await;
+                let connections = &self.shared.connections;
+                Box::pin(target_call::cancel(connections, &self.authority, &attempt.request)).await;
                 bounded.await
             }
         };
