A frozen relay is left: proven links, and replicas whose path was lost are asked again

Cause: coverage_relay_frozen_is_left, new, failed: a frozen relay's system takes new connections, so the replaced link led to it again until the shards' retries were used up (8 attempts, partial after 1.45 s of 20 s); and where both replicas of a shard were behind it, both counted as tried (3 of 4 shards). Ruled out: the other relay's lanes (they answered the other shards).

--- a/alderhaven-entry/src/relay_link.rs
+++ b/alderhaven-entry/src/relay_link.rs
@@ -9,9 +9,9 @@
 use alderhaven_core::outcome::{AttemptOutcome, NotRunReason};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::connection;
-use alderhaven_peer::connection::FrameSender;
+use alderhaven_peer::connection::{FrameReader, FrameSender};
 use alderhaven_peer::frames::{
-    AttemptReply, CancelAttempts, CancelledAttempt, PeerMessage, ScatterRequest,
+    AttemptReply, CancelAttempts, CancelledAttempt, PeerMessage, PingProbe, ScatterRequest,
 };
 use alderhaven_peer::strike_board::StrikeBoard;
 use alderhaven_policy::query_gather::AttemptResult;
@@ -26,6 +26,9 @@
 
 /// The pause before a lost relay is tried again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// The time within which a relay that was silent answers a ping on a new connection: many times a
+/// round trip between failure domains (1 to 2 ms), and a quarter of the silence that led to it.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
 /// The time within which a connection to a relay is made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -245,27 +248,50 @@
 enum LinkEnd {
     Closed,
     Silent,
+    /// A connection made after a silent one did not prove that the relay is there.
+    Unproven,
 }
 
 async fn keep_connected(address: SocketAddr, shared: Arc<LinkShared>, parts: LinkParts) {
+    let mut end = LinkEnd::Closed;
     loop {
+        let is_suspect = end != LinkEnd::Closed;
         let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let end = match connecting.await {
-            Ok(Ok(stream)) => read_replies(stream, &shared, &parts).await,
+        end = match connecting.await {
+            Ok(Ok(stream)) => read_replies(stream, &shared, &parts, is_suspect).await,
             Ok(Err(_)) | Err(_) => LinkEnd::Closed,
         };
-        if end == LinkEnd::Closed {
+        if end != LinkEnd::Silent {
             shared.disconnected();
             time::sleep(RECONNECT_PAUSE).await;
         }
     }
 }
 
+/// Waits for the answer to a ping on a new connection; returns false where none comes.
+///
+/// A frozen relay shows as silence, like a lost path, and yet its operating system takes new
+/// connections. Without the proof the retries of what was lost would go to it again, until the
+/// retries of their shards are used up; with it they go to the next relay of their target.
+async fn is_proven(sender: &FrameSender, reader: &mut FrameReader) -> bool {
+    let ping = PeerMessage::Ping(PingProbe { number: 0 });
+    let answer = connection::next_message(reader);
+    sender.send(ping).is_ok() && matches!(time::timeout(PROOF_TIMEOUT, answer).await, Ok(Some(_)))
+}
+
 /// Takes what the relay sends until the connection ends or is silent.
-async fn read_replies(stream: TcpStream, shared: &LinkShared, parts: &LinkParts) -> LinkEnd {
+async fn read_replies(
+    stream: TcpStream,
+    shared: &LinkShared,
+    parts: &LinkParts,
+    is_suspect: bool,
+) -> LinkEnd {
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return LinkEnd::Closed;
     };
+    if is_suspect && !is_proven(&sender, &mut reader).await {
+        return LinkEnd::Unproven;
+    }
     let _hears_of_strikes = parts.strikes.join(sender.clone());
     shared.connected(sender.clone());
     let mut watch = LinkWatch::new(sender, parts.options);
--- a/alderhaven-entry/src/running_query.rs
+++ b/alderhaven-entry/src/running_query.rs
@@ -42,6 +42,8 @@
     gather: QueryGather,
     sink: ReplySink,
     placed: HashMap<u64, PlacedAttempt>,
+    /// The attempts whose path was lost, so that their replicas may never have been asked.
+    lost_paths: SmallVec<[u64; 4]>,
     slowest_target: TimeSpan,
     trial: SuspectTrial,
 }
@@ -95,6 +97,7 @@
             gather: QueryGather::new(manifest, &plan.positions, is_idempotent),
             sink,
             placed: HashMap::with_capacity(plan.positions.len()),
+            lost_paths: SmallVec::new(),
             slowest_target: TimeSpan::ZERO,
             trial: SuspectTrial::default(),
         };
@@ -209,7 +212,9 @@
 
     /// Gets the replicas that a further attempt must not go to.
     ///
-    /// One that merely had no free slot for a hedge has not been tried.
+    /// One that merely had no free slot for a hedge has not been tried, and one whose path was lost
+    /// is still there to be asked in another way: when a relay freezes, both replicas of a shard may
+    /// be behind it.
     fn tried(&self, slot: usize) -> Indexes {
         let no_slot = Some(AttemptOutcome::NotRun(NotRunReason::QueueFull));
         self.gather
@@ -217,6 +222,7 @@
             .iter()
             .enumerate()
             .filter(|(place, attempt)| *place == 0 || attempt.outcome != no_slot)
+            .filter(|(_, attempt)| !self.lost_paths.contains(&attempt.sequence))
             .filter_map(|(_, attempt)| {
                 let target = &self.gather.entry(slot).replicas[attempt.replica].target;
                 self.table.index_of(target)
@@ -360,6 +366,9 @@
         self.slowest_target = self.slowest_target.max(reply.service);
         self.pass.note_reply(&reply);
         self.note_ended(&reply);
+        if reply.path_lost {
+            self.lost_paths.push(reply.sequence);
+        }
         match self.gather.accept(reply.sequence, reply.result) {
             GatherEvent::AttemptOver {
                 slot,
--- a/alderhaven-proof/src/cluster.rs
+++ b/alderhaven-proof/src/cluster.rs
@@ -4,6 +4,7 @@
 
 use alderhaven_core::ids::{ShardId, SnapshotId};
 use alderhaven_core::manifest::{ReplicaEntry, ShardEntry, SnapshotManifest};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_standin::object_set::ObjectSet;
 use alderhaven_standin::run_log::RunRecord;
 use alderhaven_standin::service_layout::ServiceLayout;
@@ -39,6 +40,7 @@
     pub(crate) loaded: String,
     revision: u64,
     is_group: bool,
+    link_silence: Option<TimeSpan>,
 }
 
 impl ProofCluster {
@@ -71,6 +73,7 @@
             loaded,
             revision,
             is_group: options.is_group,
+            link_silence: options.link_silence,
         };
         for _ in 0..options.relays {
             cluster.start_relay()?;
@@ -107,6 +110,9 @@
             .map(|relay| relay.address("peer"))
             .collect();
         settings["listen"] = json!("127.0.0.1:0");
+        if let Some(silence) = self.link_silence {
+            settings["links"] = json!({ "max_silence": silence });
+        }
         if self.is_group {
             settings["answers"] = json!({ "ttl": STOP_SPAN });
             settings["stop"]["address_life"] = json!(STOP_SPAN);
--- a/alderhaven-proof/src/cluster_options.rs
+++ b/alderhaven-proof/src/cluster_options.rs
@@ -57,6 +57,9 @@
     /// The deadline of the templates.
     #[builder(default = TimeSpan::from_secs(20))]
     pub deadline: TimeSpan,
+    /// The silence after which an entry replaces its link to a relay; none for the entry's default,
+    /// zero for never.
+    pub link_silence: Option<TimeSpan>,
     /// Whether the nodes form a group, in which entries find the relays by themselves.
     #[builder(default)]
     pub is_group: bool,
