A waiting query's caller is there before anyone can decide on it

Cause, found by reading: the desk put a query into the gate, gave up the lock, and only then noted who waits for it. Another thread's decision in between found nobody to tell, and the caller would have waited until it hung up. Change: the waiter is noted under the same lock. Each change of the gate and the decisions after it now take one lock and one reading of the clock instead of two, on the path of every reply; a place that a caller gives up is passed on at once.

--- a/alderhaven-entry/src/admission_desk.rs
+++ b/alderhaven-entry/src/admission_desk.rs
@@ -11,10 +11,11 @@
 use alderhaven_core::time::TimePoint;
 use alderhaven_policy::admission::{AdmissionGate, AdmissionOptions};
 use alderhaven_policy::admit_decision::{
-    AdmitDecision, AdmitRequest, AdmitTicket, ReadyQuery, Refusal,
+    AdmitDecision, AdmitRequest, AdmitTicket, ReadyQuery, Refusal, RefusalReason,
 };
 use alderhaven_policy::config_registry::ConfigView;
 use alderhaven_policy::policy_kind::PolicyKind;
+use alderhaven_policy::service_capacity::QueryReport;
 use alderhaven_policy::service_lane::ServiceLoad;
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
@@ -94,12 +95,23 @@
     pub async fn admit(self: &Arc<Self>, plan: &QueryPlan) -> Result<AdmissionPass, Refusal> {
         let request = self.request(plan);
         let now = self.clock.now();
-        let decision = self.lock().gate.offer(request.clone(), now);
-        let ticket = match decision {
-            AdmitDecision::Admit(ticket) => ticket,
-            AdmitDecision::Refuse(refusal) => return Err(refusal),
-            AdmitDecision::Queue => self.wait(request).await?,
+        // The waiter is there before the lock is given up: else another thread could decide on the
+        // query in between, find nobody to tell, and its caller would wait for ever.
+        let verdict = {
+            let mut state = self.lock();
+            match state.gate.offer(request.clone(), now) {
+                AdmitDecision::Admit(ticket) => {
+                    return Ok(AdmissionPass::new(Arc::clone(self), ticket));
+                }
+                AdmitDecision::Refuse(refusal) => return Err(refusal),
+                AdmitDecision::Queue => {
+                    let (sender, verdict) = oneshot::channel();
+                    state.waiters.insert(request.id, sender);
+                    verdict
+                }
+            }
         };
+        let ticket = self.wait(request, verdict).await?;
         Ok(AdmissionPass::new(Arc::clone(self), ticket))
     }
 
@@ -131,8 +143,11 @@
     /// Gives up on waiting queries when their time has come, until the process ends.
     pub async fn give_up_forever(self: Arc<Self>) {
         loop {
-            self.decide_ready();
-            let next = self.lock().gate.next_give_up();
+            let next = {
+                let mut state = self.lock();
+                state.decide_ready(self.clock.now());
+                state.gate.next_give_up()
+            };
             match next {
                 Some(point) => {
                     let wake = time::Instant::from_std(self.clock.instant(point));
@@ -149,8 +164,9 @@
     /// Runs a change of the gate and then decides on what waits.
     pub(crate) fn change(&self, change: impl FnOnce(&mut AdmissionGate, TimePoint)) {
         let now = self.clock.now();
-        change(&mut self.lock().gate, now);
-        self.decide_ready();
+        let mut state = self.lock();
+        change(&mut state.gate, now);
+        state.decide_ready(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, DeskState> {
@@ -170,33 +186,33 @@
         }
     }
 
-    async fn wait(&self, request: AdmitRequest) -> DeskVerdict {
-        let (sender, verdict) = oneshot::channel();
-        self.lock().waiters.insert(request.id, sender);
+    async fn wait(
+        &self,
+        request: AdmitRequest,
+        verdict: oneshot::Receiver<DeskVerdict>,
+    ) -> DeskVerdict {
         let mut place = WaitingPlace {
             desk: self,
             request,
             verdict,
         };
         self.queued.notify_one();
-        // The query may have become ready before its waiter was there.
-        self.decide_ready();
         let verdict = (&mut place.verdict).await;
         // A waiter is only dropped after it was answered.
         verdict.unwrap_or_else(|_| Err(place.dropped()))
     }
+}
 
+impl DeskState {
     /// Answers the waiting queries that are decided now.
-    fn decide_ready(&self) {
-        let now = self.clock.now();
-        let mut state = self.lock();
+    fn decide_ready(&mut self, now: TimePoint) {
         let mut unclaimed = Vec::new();
-        while let Some(ready) = state.gate.next_ready(now) {
+        while let Some(ready) = self.gate.next_ready(now) {
             let (id, verdict) = match ready {
                 ReadyQuery::Admit(ticket) => (ticket.request.id, Ok(ticket)),
                 ReadyQuery::Refuse { id, refusal } => (id, Err(refusal)),
             };
-            let verdict = match state.waiters.remove(&id) {
+            let verdict = match self.waiters.remove(&id) {
                 Some(waiter) => waiter.send(verdict),
                 None => Err(verdict),
             };
@@ -205,8 +221,7 @@
             }
         }
         for ticket in unclaimed {
-            let report = alderhaven_policy::service_capacity::QueryReport::default();
-            state.gate.finished(&ticket, report, now);
+            self.gate.finished(&ticket, QueryReport::default(), now);
         }
     }
 }
@@ -214,7 +229,7 @@
 impl WaitingPlace<'_> {
     fn dropped(&self) -> Refusal {
         Refusal {
-            reason: alderhaven_policy::admit_decision::RefusalReason::Overloaded,
+            reason: RefusalReason::Overloaded,
             retry_after: self.desk.clock.now().until(self.request.deadline),
         }
     }
@@ -228,8 +243,8 @@
         state.gate.cancel(&self.request.service, self.request.id);
         // The ticket may have been sent while the caller went away.
         if let Ok(Ok(ticket)) = self.verdict.try_recv() {
-            let report = alderhaven_policy::service_capacity::QueryReport::default();
-            state.gate.finished(&ticket, report, now);
+            state.gate.finished(&ticket, QueryReport::default(), now);
+            state.decide_ready(now);
         }
     }
 }
