--- a/alderhaven-front/src/caller_server.rs
+++ b/alderhaven-front/src/caller_server.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -55,12 +54,8 @@
     let _is_set = stream.set_nodelay(true);
     let limits = context.catalog.view().routing.as_ref().map(|routing| routing.limits.clone());
     let limits = limits.unwrap_or_default();
-    let is_first = AtomicBool::new(true);
     let stop = context.stop.clone();
-    let service = service_fn(|request| {
-        let is_first = is_first.swap(false, Ordering::Relaxed);
-        caller_service::serve(context.clone(), request, is_first)
-    });
+    let service = service_fn(|request| caller_service::serve(context.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library counts the time between two requests as part of the second one's head.
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -29,19 +29,18 @@
 /// What is added to it at random.
 const START_RETRY_SPREAD: TimeSpan = TimeSpan::from_millis(250);
 
-/// Answers one request of a caller; `is_first` is true for the first one on its connection.
+/// Answers one request of a caller.
 ///
 /// # Errors
 /// Never.
 pub async fn serve(
     context: FrontContext,
     request: Request<Incoming>,
-    is_first: bool,
 ) -> Result<Response<WholeBody>, Infallible> {
     let _flight = context.stop.begin_request();
     let arrived = context.clock.now();
     let (head, body) = request.into_parts();
-    let answer = answer(&context, head, body, arrived, is_first).await;
+    let answer = answer(&context, head, body, arrived).await;
     let mut response = context.dialect.caller_answer(answer);
     if context.stop.state() != DrainState::Serving {
         // The caller should ask for another front before its next request.
@@ -56,7 +55,6 @@
     head: Parts,
     body: Incoming,
     arrived: TimePoint,
-    is_first: bool,
 ) -> FrontAnswer {
     let CallerHead {
         request_id,
@@ -82,7 +80,6 @@
         request_id: Arc::from(request_id),
         arrived,
         time_left,
-        is_first,
     };
     QueryRun::answer(context, &view, &route, &call).await
 }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -49,8 +49,6 @@
     pub arrived: TimePoint,
     /// How long the caller waits, counted from its arrival.
     pub time_left: TimeSpan,
-    /// Whether it came on a connection that was opened for it, which took time as well.
-    pub is_first: bool,
 }
 
 /// A `QueryRun` carries one request to its answer.
@@ -89,10 +87,11 @@
         shards: Vec<ShardRun>,
     ) -> Self {
         let options = &context.options;
-        let ways = if call.is_first { 3.0 } else { 1.0 };
-        let reserve = options.caller_path.mul_f64(ways) + options.answer_work;
         let limit = call.time_left.min(route.rule.timeout);
         let target = route.rule.latency_target;
+        let waited = route.state.waited(call.time_left, target, call.arrived);
+        // The request's own way here counts as well as the answer's way back.
+        let reserve = options.caller_path + options.caller_path + options.answer_work + waited;
         Self {
             context,
             call,
--- a/alderhaven-front/src/route_state.rs
+++ b/alderhaven-front/src/route_state.rs
@@ -2,7 +2,8 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::caller_wait::CallerWait;
 use alderhaven_policy::latency_window::LatencyWindow;
 use alderhaven_policy::weighted_split::WeightedSplit;
 
@@ -21,6 +22,7 @@
 pub struct RouteState {
     times: Mutex<RouteTimes>,
     split: Mutex<WeightedSplit>,
+    wait: Mutex<CallerWait>,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +60,12 @@
         late.unwrap_or_else(|| target.mul_f64(2.0 * FIRST_USUAL_SHARE))
     }
 
+    /// Gets how long a caller has waited already that has `time_left`.
+    pub fn waited(&self, time_left: TimeSpan, target: TimeSpan, now: TimePoint) -> TimeSpan {
+        let mut wait = self.wait.lock().unwrap_or_else(PoisonError::into_inner);
+        wait.note(time_left, target, now)
+    }
+
     /// Deals the next request of a split.
     pub fn deal(&self, weights: &[f64]) -> Option<usize> {
         let mut split = self.split.lock().unwrap_or_else(PoisonError::into_inner);
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod admit_decision;
 pub mod answer_time;
+pub mod caller_wait;
 pub mod claim_batcher;
 pub mod claim_bucket;
 pub mod claim_call;
