--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -26,6 +26,10 @@
 /// When a caller should come back to a front without a configuration: a start takes some tenths of
 /// a second, and the other fronts are likely to have one.
 const START_RETRY_MIN: TimeSpan = TimeSpan::from_millis(150);
+/// The longest that a request waits for the first configuration. A front that starts has one within
+/// a tenth of a second or two where the store or a peer is reached, so that the request is served in
+/// time; a refusal would send its caller to fronts that start in the same moment.
+const START_WAIT: TimeSpan = TimeSpan::from_millis(350);
 /// What is added to it at random.
 const START_RETRY_SPREAD: TimeSpan = TimeSpan::from_millis(250);
 
@@ -60,7 +64,8 @@
         request_id,
         time_left,
     } = context.dialect.caller_head(&head);
-    let view = context.catalog.view();
+    let limit = time_left.unwrap_or(START_WAIT).min(START_WAIT);
+    let view = context.catalog.view_with_routing(limit).await;
     let Some(routing) = view.routing.clone() else {
         return refuse_start(request_id);
     };
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -11,7 +11,7 @@
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::{FailureDomain, NodeId, StoreVersion};
 use alderhaven_core::process_clock::ProcessClock;
-use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions};
 use alderhaven_policy::store_watch_plan::StoreContact;
 use arc_swap::ArcSwap;
@@ -37,6 +37,10 @@
 /// The connections to a target of a service of which the configuration says nothing.
 const DEFAULT_CONNECTIONS: usize = 8;
 
+/// The parts into which a target's cap of connections is divided: one for the nodes as they are, and
+/// one for the connections that a target still counts of nodes which lost power and are back.
+const CAP_PARTS: usize = 2;
+
 /// The body of the word of a node that reaches the store.
 const CONTACT_REACHED: &str = "reached";
 /// The body of the word of a node that does not.
@@ -93,6 +97,19 @@
         self.view.load_full()
     }
 
+    /// Gets what is in force, and waits up to `limit` for the first configuration.
+    pub async fn view_with_routing(&self, limit: TimeSpan) -> Arc<CatalogView> {
+        let view = self.view();
+        if view.routing.is_some() {
+            return view;
+        }
+        let mut changed = self.changed();
+        let has_routing = changed.wait_for(|_| self.view().routing.is_some());
+        // Where the time is up the view has none, which is what the caller looks for.
+        let _is_over = time::timeout(limit.as_duration(), has_routing).await;
+        self.view()
+    }
+
     /// Gets a receiver that sees each change.
     #[must_use]
     pub fn changed(&self) -> watch::Receiver<u64> {
@@ -342,7 +359,7 @@
         for (name, targets) in by_service {
             let rule = state.routing.as_ref().and_then(|routing| routing.services.get(&name));
             if let Some(rule) = rule {
-                let limit = (rule.max_connections / nodes).max(1);
+                let limit = connection_limit(rule.max_connections, nodes);
                 targets.iter().for_each(|target| target.pool.set_limit(limit));
             }
             let budget = state.budgets.entry(name.clone()).or_insert_with(|| {
@@ -401,6 +418,11 @@
     }
 }
 
+/// Gets the connections that one node may open to a target which accepts `most` from all of them.
+fn connection_limit(most: usize, nodes: usize) -> usize {
+    (most / (nodes * CAP_PARTS)).max(1)
+}
+
 /// Returns true where two registrations under one id are of the same process.
 fn is_same_process(known: &TargetEntry, entry: &TargetEntry) -> bool {
     let is_same_start = known.started == entry.started;
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -45,7 +45,7 @@
     fn default() -> Self {
         Self {
             caller_path: TimeSpan::from_millis(3),
-            answer_work: TimeSpan::from_millis(6),
+            answer_work: TimeSpan::from_millis(8),
             default_deadline: TimeSpan::from_secs(10),
             linger: TimeSpan::from_millis(400),
         }
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -29,8 +29,12 @@
 /// How often a node that does not watch looks whether it should.
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
 
-/// The time that a node which starts gives its peers to tell it all, before it asks the store.
-const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(600);
+/// The time that a node which starts gives its peers to tell it all, before it asks the store. Peers
+/// within a region answer in a few milliseconds; callers wait meanwhile.
+const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(120);
+
+/// How often a node that starts looks whether its peers have told it all.
+const PEER_LOOK: Duration = Duration::from_millis(10);
 
 /// The shortest time between two words of this node that it reaches the store.
 const CONTACT_PERIOD: TimeSpan = TimeSpan::from_millis(900);
@@ -117,7 +121,7 @@
                 self.catalog.set_listed();
                 return;
             }
-            time::sleep(Duration::from_millis(50)).await;
+            time::sleep(PEER_LOOK).await;
         }
     }
 
