--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one target, from its first byte to the last one of the reply.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
@@ -13,7 +14,8 @@
 use crate::front_answer::PassedReply;
 use crate::target_handle::TargetHandle;
 use crate::target_pool::PooledConnection;
-use crate::wire_dialect::{ReplyKind, WholeBody, WireDialect};
+use crate::query_call::QueryCall;
+use crate::wire_dialect::{ReplyKind, TargetCall, WholeBody, WireDialect};
 
 /// The largest reply that is read from a target, in bytes. Replies are held whole, and some dozens of
 /// them at a time must fit into a host of 160 MB.
@@ -51,10 +53,12 @@
     pub shard: usize,
     /// The target.
     pub target: Arc<TargetHandle>,
-    /// The request.
-    pub request: Request<WholeBody>,
-    /// The caller's id, which the reply must echo.
-    pub request_id: Arc<str>,
+    /// The caller's request.
+    pub call: Arc<QueryCall>,
+    /// When the time of the request is over.
+    pub ends_at: TimePoint,
+    /// Set once the request was answered: nothing more is sent for it then.
+    pub is_over: Arc<AtomicBool>,
     /// The usual time of such an attempt.
     pub usual: TimeSpan,
     /// The protocol.
@@ -128,13 +132,34 @@
         let Ok(mut taken) = self.target.pool.take().await else {
             return AttemptEnd::Unreachable;
         };
-        match send(&self.target, &mut taken, self.request).await {
+        // Built only now: the wait for a connection has used up some of the time that is left.
+        let Some(request) = self.request() else {
+            return AttemptEnd::Unreachable;
+        };
+        match send(&self.target, &mut taken, request).await {
             Ok(response) => {
-                read_reply(&self.target, taken, response, &self.request_id, &*self.dialect).await
+                let request_id = &self.call.request_id;
+                read_reply(&self.target, taken, response, request_id, &*self.dialect).await
             }
             Err(end) => end,
         }
     }
+
+    /// Builds the request; none where it is too late for it.
+    fn request(&self) -> Option<Request<WholeBody>> {
+        let now = self.clock.now();
+        if self.is_over.load(Ordering::Relaxed) || now >= self.ends_at {
+            return None;
+        }
+        let entry = self.target.entry();
+        let call = TargetCall {
+            head: &self.call.head,
+            body: &self.call.body,
+            target: &entry.id,
+            time_left: self.ends_at.since(now),
+        };
+        self.dialect.target_request(&call).ok()
+    }
 }
 
 async fn send(
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -18,7 +18,8 @@
 use crate::front_answer::{BadRequest, FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
 use crate::front_event::FrontEvent;
-use crate::query_run::{QueryCall, QueryRun};
+use crate::query_call::QueryCall;
+use crate::query_run::QueryRun;
 use crate::wire_dialect::{CallerHead, WholeBody};
 
 use alderhaven_policy::drain::DrainState;
@@ -79,13 +80,13 @@
         Ok(body) => body,
         Err(reason) => return refuse(request_id, reason, routing.version),
     };
-    let call = QueryCall {
+    let call = Arc::new(QueryCall {
         head,
         body,
         request_id: Arc::from(request_id),
         arrived,
         time_left,
-    };
+    });
     QueryRun::answer(context, &view, &route, &call).await
 }
 
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -420,7 +420,7 @@
 
 /// Gets the connections that one node may open to a target which accepts `most` from all of them.
 fn connection_limit(most: usize, nodes: usize) -> usize {
-    (most / (nodes * CAP_PARTS)).max(1)
+    most.div_ceil(nodes * CAP_PARTS)
 }
 
 /// Returns true where two registrations under one id are of the same process.
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front_event;
 pub mod front_node;
 pub mod front_options;
+pub mod query_call;
 pub mod query_run;
 pub mod route_destination;
 pub mod route_rule;
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -4,16 +4,15 @@
 //! the answer differs.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount};
 use alderhaven_policy::repeat_budget::RepeatReason;
 use alderhaven_policy::top_records;
-use bytes::Bytes;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
-use http::request::Parts;
 use log::Level;
 use rand::RngExt;
 use tokio::time;
@@ -23,10 +22,10 @@
 use crate::front_answer::{FrontAnswer, PassedReply, RefusalReason};
 use crate::front_context::{self, FrontContext};
 use crate::front_event::{FrontEvent, LostAttempt, RequestEnd};
+use crate::query_call::QueryCall;
 use crate::route_destination::RouteDestination;
 use crate::shard_run::ShardRun;
 use crate::target_handle::{TargetHandle, TargetStanding};
-use crate::wire_dialect::TargetCall;
 
 /// The shortest time after which a caller should come back: a pause of a target is over by then.
 const RETRY_AFTER_MIN: TimeSpan = TimeSpan::from_millis(60);
@@ -36,31 +35,17 @@
 /// The time that a hedge must have left to be worth sending, against the usual time.
 const HEDGE_ROOM: f64 = 1.3;
 
-/// A `QueryCall` is a caller's request as the front took it.
-#[derive(Debug)]
-pub struct QueryCall {
-    /// The head.
-    pub head: Parts,
-    /// The body.
-    pub body: Bytes,
-    /// The caller's id of this attempt.
-    pub request_id: Arc<str>,
-    /// When it arrived.
-    pub arrived: TimePoint,
-    /// How long the caller waits, counted from its arrival.
-    pub time_left: TimeSpan,
-}
-
 /// A `QueryRun` carries one request to its answer.
 pub struct QueryRun<'a> {
     context: &'a FrontContext,
-    call: &'a QueryCall,
+    call: &'a Arc<QueryCall>,
     route: &'a LiveRoute,
     time: AnswerTime,
     usual: TimeSpan,
     late: TimeSpan,
     shards: Vec<ShardRun>,
     attempts: FuturesUnordered<BoxFuture<'static, AttemptReport>>,
+    is_over: Arc<AtomicBool>,
     sent: usize,
     lost: Vec<LostAttempt>,
 }
@@ -71,7 +56,7 @@
         context: &'a FrontContext,
         view: &CatalogView,
         route: &'a LiveRoute,
-        call: &'a QueryCall,
+        call: &'a Arc<QueryCall>,
     ) -> FrontAnswer {
         let shards = shards_of(view, route);
         let mut run = Self::new(context, call, route, shards);
@@ -82,7 +67,7 @@
 
     fn new(
         context: &'a FrontContext,
-        call: &'a QueryCall,
+        call: &'a Arc<QueryCall>,
         route: &'a LiveRoute,
         shards: Vec<ShardRun>,
     ) -> Self {
@@ -101,6 +86,7 @@
             late: route.state.late(target),
             shards,
             attempts: FuturesUnordered::new(),
+            is_over: Arc::default(),
             sent: 0,
             lost: Vec::new(),
         }
@@ -242,9 +228,7 @@
         let Some(target) = service.choose(&run.tried, self.usual, now).cloned() else {
             return;
         };
-        let Some(plan) = self.plan(shard, &target, now) else {
-            return;
-        };
+        let plan = self.plan(shard, &target);
         let run = &mut self.shards[shard];
         run.tried.push(target);
         run.open += 1;
@@ -255,27 +239,21 @@
         self.attempts.push(Box::pin(plan.run()));
     }
 
-    fn plan(&self, shard: usize, target: &Arc<TargetHandle>, now: TimePoint) -> Option<AttemptPlan> {
-        let entry = target.entry();
-        let call = TargetCall {
-            head: &self.call.head,
-            body: &self.call.body,
-            target: &entry.id,
-            time_left: self.time.ends_at.since(now),
-        };
-        let request = self.context.dialect.target_request(&call).ok()?;
-        Some(AttemptPlan {
+    fn plan(&self, shard: usize, target: &Arc<TargetHandle>) -> AttemptPlan {
+        AttemptPlan {
             shard,
             target: Arc::clone(target),
-            request,
-            request_id: Arc::clone(&self.call.request_id),
+            call: Arc::clone(self.call),
+            ends_at: self.time.ends_at,
+            is_over: Arc::clone(&self.is_over),
             usual: self.usual,
             dialect: Arc::clone(&self.context.dialect),
             clock: self.context.clock,
-        })
+        }
     }
 
     fn finish(mut self, step: AnswerStep) -> FrontAnswer {
+        self.is_over.store(true, Ordering::Relaxed);
         self.let_linger();
         let answer = match step {
             AnswerStep::Answer | AnswerStep::Wait(_) => self.success(),
