--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -32,6 +32,9 @@
 /// What is added to it at random, so that callers who were refused together come back one by one.
 const RETRY_AFTER_SPREAD: TimeSpan = TimeSpan::from_millis(120);
 
+/// The time that is left to a hedge, against the time that few attempts exceed.
+const HEDGE_MARGIN: f64 = 2.0;
+
 /// The time that a hedge must have left to be worth sending, against the usual time.
 const HEDGE_ROOM: f64 = 1.3;
 
@@ -229,16 +232,25 @@
             return;
         };
         let plan = self.plan(shard, &target);
+        let hedge_at = self.hedge_at(now);
         let run = &mut self.shards[shard];
         run.tried.push(target);
         run.open += 1;
         run.ran += 1;
         let may_hedge = self.route.rule.is_idempotent && run.ran < self.route.rule.max_targets;
-        run.hedge_at = may_hedge.then(|| now + self.late);
+        run.hedge_at = may_hedge.then_some(hedge_at);
         self.sent += 1;
         self.attempts.push(Box::pin(plan.run()));
     }
 
+    /// Gets when an attempt that is sent now should be hedged: as late as an answer of the hedge is
+    /// still in time, so that only those are hedged which really need it.
+    fn hedge_at(&self, now: TimePoint) -> TimePoint {
+        let room = self.late.mul_f64(HEDGE_MARGIN);
+        let latest = self.time.partial_at.since(now).saturating_sub(room);
+        now + self.late.max(latest)
+    }
+
     fn plan(&self, shard: usize, target: &Arc<TargetHandle>) -> AttemptPlan {
         AttemptPlan {
             shard,
