--- a/alderhaven-entry/src/relay_link.rs
+++ b/alderhaven-entry/src/relay_link.rs
@@ -317,7 +317,10 @@
                 | PeerMessage::Pong(_)
                 | PeerMessage::Exchange(_)
                 | PeerMessage::ClaimQuery(_)
-                | PeerMessage::ClaimAnswer(_),
+                | PeerMessage::ClaimAnswer(_)
+        | PeerMessage::GroupAsk(_)
+        | PeerMessage::GroupReply(_)
+        | PeerMessage::GroupClose(_),
             ) => {}
             None => return LinkEnd::Closed,
         }
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -344,6 +344,7 @@
             routing: state.routing.clone(),
             routes: routes(state),
             services,
+            targets: state.targets.clone().into_iter().collect(),
         };
         self.view.store(Arc::new(view));
     }
--- a/alderhaven-front/src/catalog_view.rs
+++ b/alderhaven-front/src/catalog_view.rs
@@ -9,6 +9,7 @@
 use crate::route_state::RouteState;
 use crate::routing_config::RoutingConfig;
 use crate::service_targets::ServiceTargets;
+use crate::target_handle::TargetHandle;
 
 /// A `CatalogView` is the configuration with the targets as they are known.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +20,8 @@
     pub routes: HashMap<String, Vec<Arc<LiveRoute>>>,
     /// The services by name.
     pub services: HashMap<String, Arc<ServiceTargets>>,
+    /// The targets by id.
+    pub targets: HashMap<String, Arc<TargetHandle>>,
 }
 
 /// A `LiveRoute` is a route with what was learnt of it.
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::Catalog;
+use crate::group_links::GroupLinks;
 use crate::wire_dialect::WireDialect;
 
 /// A `FrontContext` is what a request needs of its process.
@@ -18,6 +19,8 @@
     pub catalog: Arc<Catalog>,
     /// The protocol.
     pub dialect: Arc<dyn WireDialect>,
+    /// The connections to other fronts.
+    pub links: GroupLinks,
     /// The planned stop.
     pub stop: StopHandle,
     /// The clock.
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -20,6 +20,8 @@
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
 use crate::front_options::FrontOptions;
+use crate::group_links::GroupLinks;
+use crate::group_server;
 use crate::store_follower::StoreFollower;
 use crate::wire_dialect::WireDialect;
 
@@ -57,6 +59,7 @@
         let context = FrontContext {
             catalog: Arc::clone(&catalog),
             dialect,
+            links: GroupLinks::new(group.clone(), clock),
             stop: StopHandle::default(),
             clock,
             options: options.requests,
@@ -104,6 +107,8 @@
         );
         let callers = caller_server::listen(options.caller_address)?;
         tokio::spawn(caller_server::serve_callers(callers, self.context.clone()));
+        let fronts = caller_server::listen(options.group_address)?;
+        tokio::spawn(group_server::serve(fronts, self.context.clone()));
         for address in [options.directory_address, options.ready_address] {
             let listener = caller_server::listen(address)?;
             let (context, directory) = (self.context.clone(), directory.clone());
@@ -131,9 +136,9 @@
         .role(MemberRole::Entry)
         .host(options.host.clone())
         .domain(options.domain.clone())
-        .gossip_listen(options.peer_address)
+        .gossip_listen(options.gossip_address)
         .seeds(options.seeds.clone())
-        .peer_address(options.peer_address)
+        .peer_address(options.group_address)
         .caller_address(options.caller_address)
         .build();
     let (objects, accept, listed) = (Arc::clone(catalog), Arc::clone(catalog), Arc::clone(catalog));
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -24,8 +24,10 @@
     pub directory_address: SocketAddr,
     /// Where the front says whether it is ready.
     pub ready_address: SocketAddr,
-    /// Where nodes talk to each other.
-    pub peer_address: SocketAddr,
+    /// Where nodes gossip and exchange what they know.
+    pub gossip_address: SocketAddr,
+    /// Where fronts of other failure domains ask for attempts at targets.
+    pub group_address: SocketAddr,
     /// Nodes to join by.
     pub seeds: Vec<SocketAddr>,
     /// The longest that a planned stop may take.
--- /dev/null
+++ b/alderhaven-front/src/group_links.rs
@@ -0,0 +1,256 @@
+//! The connections to fronts in other failure domains, and the asks that are open on them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::ids::FailureDomain;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_node::node_group::NodeGroup;
+use alderhaven_peer::connection::{self, FrameReader, FrameSender};
+use alderhaven_peer::frames::PeerMessage;
+use alderhaven_peer::group_messages::{GroupAsk, GroupClose, GroupReply};
+use alderhaven_policy::membership::member_record::MemberState;
+use rand::RngExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time;
+
+/// The time within which a connection to a front is made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a front that missed a flush is not asked: a frozen or silent one would cost each query
+/// its hedges, and asking the targets directly costs only bytes.
+const MISSED_PAUSE: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// A `GroupLinks` is shared by all requests of a process.
+#[derive(Clone, Debug)]
+pub struct GroupLinks {
+    group: NodeGroup,
+    clock: ProcessClock,
+    links: Arc<Mutex<BTreeMap<SocketAddr, Arc<GroupLink>>>>,
+}
+
+/// A `GroupLink` is the connection to one front.
+#[derive(Debug)]
+struct GroupLink {
+    clock: ProcessClock,
+    next: AtomicU64,
+    state: Mutex<LinkState>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    sender: Option<FrameSender>,
+    /// Counts the connections, so that the reader of one that was given up knows it.
+    epoch: u64,
+    is_connecting: bool,
+    paused_until: TimePoint,
+    awaited: HashMap<u64, mpsc::UnboundedSender<GroupNews>>,
+}
+
+/// A `GroupNews` is what is heard of an ask.
+#[derive(Debug)]
+pub enum GroupNews {
+    /// Ends of attempts.
+    Reply(GroupReply),
+    /// The connection is lost: the attempts may have run.
+    Lost,
+}
+
+/// A `GroupTicket` is an open ask; dropping it tells the other front that its caller has left.
+#[derive(Debug)]
+pub struct GroupTicket {
+    link: Arc<GroupLink>,
+    number: u64,
+    is_answered: bool,
+    /// What is heard.
+    pub news: mpsc::UnboundedReceiver<GroupNews>,
+}
+
+impl GroupLinks {
+    /// Returns links to the fronts of a group.
+    #[must_use]
+    pub fn new(group: NodeGroup, clock: ProcessClock) -> Self {
+        Self {
+            group,
+            clock,
+            links: Arc::default(),
+        }
+    }
+
+    /// Sends an ask to a front of a failure domain; none where no connection to one stands. A
+    /// connection is then opened for later asks.
+    #[must_use]
+    pub fn ask(&self, domain: &FailureDomain, ask: GroupAsk) -> Option<GroupTicket> {
+        let now = self.clock.now();
+        let fronts = self.fronts(domain);
+        let mut usable: Vec<Arc<GroupLink>> = Vec::new();
+        for address in fronts {
+            let link = self.link(address);
+            if link.is_usable(now) {
+                usable.push(link);
+            } else {
+                connect(address, link);
+            }
+        }
+        if usable.is_empty() {
+            return None;
+        }
+        let place = rand::rng().random_range(0..usable.len());
+        usable.swap_remove(place).ask(ask)
+    }
+
+    fn fronts(&self, domain: &FailureDomain) -> Vec<SocketAddr> {
+        let members = self.group.members();
+        let others = members.iter().skip(1);
+        others
+            .filter(|member| member.state == MemberState::Alive && member.record.domain == *domain)
+            .filter_map(|member| member.record.peer_address)
+            .collect()
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<GroupLink> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.entry(address).or_insert_with(|| {
+            Arc::new(GroupLink {
+                clock: self.clock,
+                next: AtomicU64::new(0),
+                state: Mutex::default(),
+            })
+        });
+        Arc::clone(link)
+    }
+}
+
+impl GroupLink {
+    fn is_usable(&self, now: TimePoint) -> bool {
+        let state = self.state();
+        let is_connected = state.sender.as_ref().is_some_and(|sender| !sender.is_closed());
+        is_connected && now >= state.paused_until
+    }
+
+    fn ask(self: Arc<Self>, mut ask: GroupAsk) -> Option<GroupTicket> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        ask.number = number;
+        ask.sent_us = self.clock.now().as_micros();
+        let (news_sender, news) = mpsc::unbounded_channel();
+        {
+            let mut state = self.state();
+            let sender = state.sender.clone()?;
+            sender.send(PeerMessage::GroupAsk(ask)).ok()?;
+            state.awaited.insert(number, news_sender);
+        }
+        Some(GroupTicket {
+            link: self,
+            number,
+            is_answered: false,
+            news,
+        })
+    }
+
+    fn hear(&self, reply: GroupReply) {
+        let state = self.state();
+        if let Some(sink) = state.awaited.get(&reply.number) {
+            // A query that was answered meanwhile no longer listens.
+            let _is_answered = sink.send(GroupNews::Reply(reply));
+        }
+    }
+
+    /// Takes over a connection that was opened, or rests where none could be.
+    fn connected(&self, opened: Option<(FrameSender, FrameReader)>) -> Option<(u64, FrameReader)> {
+        let mut state = self.state();
+        state.is_connecting = false;
+        let Some((sender, reader)) = opened else {
+            state.paused_until = self.clock.now() + MISSED_PAUSE;
+            return None;
+        };
+        state.sender = Some(sender);
+        Some((state.epoch, reader))
+    }
+
+    /// Forgets the connection; every open ask hears that it is lost.
+    fn lose(&self) {
+        let mut state = self.state();
+        state.sender = None;
+        state.epoch += 1;
+        for (_, sink) in state.awaited.drain() {
+            let _is_answered = sink.send(GroupNews::Lost);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GroupTicket {
+    /// Notes that the query was answered: the attempts may end by themselves.
+    pub const fn answered(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Notes that nothing came when it was due: the connection or the front is silent. Another
+    /// connection is made, since one may go silent for good without a reset.
+    pub fn missed(&self) {
+        self.link.state().paused_until = self.link.clock.now() + MISSED_PAUSE;
+        self.link.lose();
+    }
+}
+
+impl Drop for GroupTicket {
+    fn drop(&mut self) {
+        let mut state = self.link.state();
+        if state.awaited.remove(&self.number).is_none() {
+            return;
+        }
+        let close = GroupClose {
+            number: self.number,
+            is_abandoned: !self.is_answered,
+        };
+        if let Some(sender) = &state.sender {
+            // Where the connection is lost, the other front breaks the attempts off by itself.
+            let _is_lost = sender.send(PeerMessage::GroupClose(close));
+        }
+    }
+}
+
+/// Connects in the background, unless that is under way or the link rests.
+fn connect(address: SocketAddr, link: Arc<GroupLink>) {
+    {
+        let mut state = link.state();
+        let is_connected = state.sender.as_ref().is_some_and(|sender| !sender.is_closed());
+        if is_connected || state.is_connecting || link.clock.now() < state.paused_until {
+            return;
+        }
+        state.is_connecting = true;
+    }
+    tokio::spawn(async move {
+        let opened = open(address).await;
+        if let Some((epoch, reader)) = link.connected(opened) {
+            read(&link, epoch, reader).await;
+        }
+    });
+}
+
+async fn open(address: SocketAddr) -> Option<(FrameSender, FrameReader)> {
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    connection::split(connecting.await.ok()?.ok()?).ok()
+}
+
+async fn read(link: &GroupLink, epoch: u64, mut reader: FrameReader) {
+    while let Some(message) = connection::next_message(&mut reader).await {
+        if link.state().epoch != epoch {
+            return;
+        }
+        if let PeerMessage::GroupReply(reply) = message {
+            link.hear(reply);
+        }
+    }
+    if link.state().epoch == epoch {
+        link.lose();
+    }
+}
--- /dev/null
+++ b/alderhaven-front/src/group_server.rs
@@ -0,0 +1,248 @@
+//! Carries out what fronts of other failure domains ask: attempts at targets, with merged replies.
+//!
+//! Nothing is decided here: the asking front chose the targets, hedges and retries.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_peer::connection::{self, FrameSender};
+use alderhaven_peer::frames::PeerMessage;
+use alderhaven_peer::group_messages::{GroupAsk, GroupEnd, GroupOutcome, GroupReply};
+use alderhaven_policy::delivery_age::DeliveryAge;
+use alderhaven_policy::top_records;
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use http::request::Parts;
+use http::{HeaderName, HeaderValue, Request};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::attempt::{AttemptEnd, AttemptPlan, AttemptReport};
+use crate::front_context::{self, FrontContext};
+use crate::query_call::QueryCall;
+use crate::target_handle::TargetStanding;
+
+/// The pause after a failed accept, which is out of descriptors in nearly all cases.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+
+/// Serves other fronts for as long as the process runs.
+pub async fn serve(listener: TcpListener, context: FrontContext) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_front(stream, context.clone()));
+            }
+            Err(_) => time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// An ask that is carried out; dropping it breaks its attempts off.
+struct OpenAsk {
+    is_over: Arc<AtomicBool>,
+    task: AbortOnDropHandle<()>,
+}
+
+async fn serve_front(stream: TcpStream, context: FrontContext) -> io::Result<()> {
+    let (sender, mut reader) = connection::split(stream)?;
+    let mut asks: HashMap<u64, OpenAsk> = HashMap::new();
+    let mut age = DeliveryAge::default();
+    // The asks go with the connection: an asking front that is gone has no callers any more.
+    while let Some(message) = connection::next_message(&mut reader).await {
+        match message {
+            PeerMessage::GroupAsk(ask) => {
+                let now = context.clock.now();
+                let late_by = age.note(TimePoint::from_micros(ask.sent_us), now);
+                asks.retain(|_, open| !open.task.is_finished());
+                asks.insert(ask.number, begin(ask, late_by, &context, sender.clone()));
+            }
+            PeerMessage::GroupClose(close) => {
+                let Some(open) = asks.remove(&close.number) else {
+                    continue;
+                };
+                open.is_over.store(true, Ordering::Relaxed);
+                if !close.is_abandoned {
+                    tokio::spawn(linger(open, context.options.linger));
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// Lets the attempts of an ask end by themselves for a while, so that their connections are kept.
+async fn linger(open: OpenAsk, limit: TimeSpan) {
+    let _is_over = time::timeout(limit.as_duration(), open.task).await;
+}
+
+fn begin(ask: GroupAsk, late_by: TimeSpan, context: &FrontContext, sender: FrameSender) -> OpenAsk {
+    let is_over = Arc::new(AtomicBool::new(false));
+    let run = GroupRun::new(ask, late_by, context.clone(), sender, Arc::clone(&is_over));
+    OpenAsk {
+        is_over,
+        task: AbortOnDropHandle::new(tokio::spawn(run.run())),
+    }
+}
+
+struct GroupRun {
+    context: FrontContext,
+    sender: FrameSender,
+    ask: GroupAsk,
+    flush_at: TimePoint,
+    ends_at: TimePoint,
+    is_over: Arc<AtomicBool>,
+    ends: Vec<GroupEnd>,
+    parts: Vec<Bytes>,
+}
+
+impl GroupRun {
+    fn new(
+        ask: GroupAsk,
+        late_by: TimeSpan,
+        context: FrontContext,
+        sender: FrameSender,
+        is_over: Arc<AtomicBool>,
+    ) -> Self {
+        let now = context.clock.now();
+        let left = |micros: u64| TimeSpan::from_micros(micros).saturating_sub(late_by);
+        Self {
+            flush_at: now + left(ask.flush_us),
+            ends_at: now + left(ask.remaining_us),
+            context,
+            sender,
+            ask,
+            is_over,
+            ends: Vec::new(),
+            parts: Vec::new(),
+        }
+    }
+
+    async fn run(mut self) {
+        // A planned stop waits for it.
+        let _flight = self.context.stop.begin_request();
+        let mut attempts = self.attempts();
+        let mut is_flushed = false;
+        loop {
+            if attempts.is_empty() {
+                self.flush();
+                return;
+            }
+            tokio::select! {
+                biased;
+                Some(report) = attempts.next() => {
+                    self.note(report);
+                    if is_flushed {
+                        self.flush();
+                    }
+                }
+                () = front_context::sleep_until(self.context.clock, self.flush_at), if !is_flushed => {
+                    is_flushed = true;
+                    self.flush();
+                }
+            }
+        }
+    }
+
+    fn attempts(&mut self) -> FuturesUnordered<BoxFuture<'static, AttemptReport>> {
+        let attempts = FuturesUnordered::new();
+        let Some(call) = self.call() else {
+            return attempts;
+        };
+        let view = self.context.catalog.view();
+        for (place, id) in self.ask.targets.iter().enumerate() {
+            let target = view.targets.get(id);
+            let ready = target.filter(|target| target.standing() != TargetStanding::Leaving);
+            let Some(target) = ready else {
+                self.ends.push(end(place, GroupOutcome::NotRun, TimeSpan::ZERO));
+                continue;
+            };
+            let plan = AttemptPlan {
+                shard: place,
+                target: Arc::clone(target),
+                call: Arc::clone(&call),
+                ends_at: self.ends_at,
+                is_over: Arc::clone(&self.is_over),
+                usual: TimeSpan::from_micros(self.ask.usual_us),
+                dialect: Arc::clone(&self.context.dialect),
+                clock: self.context.clock,
+            };
+            attempts.push(Box::pin(plan.run()) as BoxFuture<'static, AttemptReport>);
+        }
+        attempts
+    }
+
+    /// Builds the caller's request again; none where the ask can't be read.
+    fn call(&self) -> Option<Arc<QueryCall>> {
+        let now = self.context.clock.now();
+        Some(Arc::new(QueryCall {
+            head: head_of(&self.ask)?,
+            body: self.ask.body.clone(),
+            request_id: Arc::from(self.ask.request_id.as_str()),
+            arrived: now,
+            time_left: self.ends_at.since(now),
+        }))
+    }
+
+    fn note(&mut self, report: AttemptReport) {
+        let outcome = match report.end {
+            AttemptEnd::Success(reply) => {
+                let mut answered = end(report.shard, GroupOutcome::Answered, report.took);
+                if let Some(proof) = reply.proof {
+                    answered.proof = Bytes::copy_from_slice(proof.as_bytes());
+                }
+                self.ends.push(answered);
+                self.parts.push(reply.reply.body);
+                return;
+            }
+            AttemptEnd::Failure(_) => GroupOutcome::Failed,
+            AttemptEnd::NotRun | AttemptEnd::Unreachable => GroupOutcome::NotRun,
+            AttemptEnd::WrongTarget => {
+                report.target.set_standing(TargetStanding::Leaving);
+                GroupOutcome::NotRun
+            }
+            AttemptEnd::Lost => GroupOutcome::Lost,
+        };
+        self.ends.push(end(report.shard, outcome, report.took));
+    }
+
+    fn flush(&mut self) {
+        let records = usize::try_from(self.ask.records).unwrap_or(usize::MAX);
+        let reply = GroupReply {
+            number: self.ask.number,
+            ends: std::mem::take(&mut self.ends),
+            records: top_records::greatest(&self.parts, records),
+        };
+        self.parts.clear();
+        // Where the connection is lost the asking front hears of it by itself.
+        let _is_lost = self.sender.send(PeerMessage::GroupReply(reply));
+    }
+}
+
+fn end(place: usize, outcome: GroupOutcome, took: TimeSpan) -> GroupEnd {
+    GroupEnd {
+        place: u32::try_from(place).unwrap_or(u32::MAX),
+        outcome: outcome.into(),
+        proof: Bytes::new(),
+        took_us: took.as_micros(),
+    }
+}
+
+fn head_of(ask: &GroupAsk) -> Option<Parts> {
+    let mut request = Request::builder()
+        .method(ask.method.as_str())
+        .uri(ask.path.as_str());
+    for field in &ask.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&field.value).ok()?;
+        request = request.header(name, value);
+    }
+    let (head, ()) = request.body(()).ok()?.into_parts();
+    Some(head)
+}
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -8,11 +8,15 @@
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount};
+use alderhaven_peer::group_messages::{GroupAsk, GroupEnd, GroupOutcome, GroupReply, HeaderField};
 use alderhaven_policy::repeat_budget::RepeatReason;
+use alderhaven_policy::replica_gauge::AttemptResult;
 use alderhaven_policy::top_records;
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
+use http::HeaderValue;
 use log::Level;
 use rand::RngExt;
 use tokio::time;
@@ -22,8 +26,11 @@
 use crate::front_answer::{FrontAnswer, PassedReply, RefusalReason};
 use crate::front_context::{self, FrontContext};
 use crate::front_event::{FrontEvent, LostAttempt, RequestEnd};
+use crate::group_links::{GroupNews, GroupTicket};
+use crate::group_plan::{self, ShardGroup};
 use crate::query_call::QueryCall;
 use crate::route_destination::RouteDestination;
+use crate::shard_part::ShardPart;
 use crate::shard_run::ShardRun;
 use crate::target_handle::{TargetHandle, TargetStanding};
 
@@ -32,6 +39,14 @@
 /// What is added to it at random, so that callers who were refused together come back one by one.
 const RETRY_AFTER_SPREAD: TimeSpan = TimeSpan::from_millis(120);
 
+/// How long before its hedges a query wants the replies of another front: the way between failure
+/// domains, and the work at both ends.
+const FLUSH_LEAD: TimeSpan = TimeSpan::from_millis(3);
+
+/// How long after its hedges a query takes the silence of another front for a lost one. Two such
+/// waits fit into the time after a hedge of the tightest routes.
+const FLUSH_LATE: TimeSpan = TimeSpan::from_millis(60);
+
 /// The time that is left to a hedge, against the time that few attempts exceed.
 const HEDGE_MARGIN: f64 = 2.0;
 
@@ -48,6 +63,8 @@
     late: TimeSpan,
     shards: Vec<ShardRun>,
     attempts: FuturesUnordered<BoxFuture<'static, AttemptReport>>,
+    asks: Vec<GroupQuery>,
+    blocks: Vec<Bytes>,
     is_over: Arc<AtomicBool>,
     sent: usize,
     lost: Vec<LostAttempt>,
@@ -89,6 +106,8 @@
             late: route.state.late(target),
             shards,
             attempts: FuturesUnordered::new(),
+            asks: Vec::new(),
+            blocks: Vec::new(),
             is_over: Arc::default(),
             sent: 0,
             lost: Vec::new(),
@@ -98,11 +117,70 @@
     /// Sends the first attempt of each shard.
     fn start(&mut self) {
         let now = self.context.clock.now();
+        if matches!(self.route.rule.destination, RouteDestination::Shards { .. }) {
+            for group in group_plan::group(&self.shards, self.usual, now) {
+                self.ask(group, now);
+            }
+        }
         for shard in 0..self.shards.len() {
             if let Some(service) = &self.shards[shard].service {
                 service.budget().note_request(now);
             }
-            self.send(shard, now);
+            if self.shards[shard].tried.is_empty() {
+                self.send(shard, now);
+            }
+        }
+    }
+
+    /// Asks a group of shards through a front of their targets' failure domain; where none is
+    /// connected they are left to be asked directly.
+    fn ask(&mut self, group: ShardGroup, now: TimePoint) {
+        let hedge_at = self.hedge_at(now);
+        let ask = self.group_ask(&group, hedge_at, now);
+        let Some(ticket) = self.context.links.ask(&group.domain, ask) else {
+            return;
+        };
+        let may_hedge = self.route.rule.max_targets > 1;
+        for (place, target) in &group.shards {
+            let shard = &mut self.shards[*place];
+            shard.tried.push(Arc::clone(target));
+            shard.open += 1;
+            shard.ran += 1;
+            shard.hedge_at = may_hedge.then_some(hedge_at);
+            self.sent += 1;
+        }
+        self.asks.push(GroupQuery {
+            ticket,
+            shards: group.shards.into_iter().map(Some).collect(),
+            sent: now,
+            due_at: hedge_at,
+        });
+    }
+
+    fn group_ask(&self, group: &ShardGroup, hedge_at: TimePoint, now: TimePoint) -> GroupAsk {
+        let RouteDestination::Shards { records, .. } = self.route.rule.destination else {
+            return GroupAsk::default();
+        };
+        let head = &self.call.head;
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let fields = head.headers.iter().map(|(name, value)| HeaderField {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        });
+        let targets = group.shards.iter().map(|(_, target)| target.entry().id.clone());
+        GroupAsk {
+            number: 0,
+            sent_us: 0,
+            method: head.method.as_str().to_owned(),
+            path: path.to_owned(),
+            headers: fields.collect(),
+            body: self.call.body.clone(),
+            request_id: self.call.request_id.to_string(),
+            targets: targets.collect(),
+            records: u32::try_from(records).unwrap_or(u32::MAX),
+            flush_us: hedge_at.since(now).saturating_sub(FLUSH_LEAD).as_micros(),
+            remaining_us: self.time.ends_at.since(now).as_micros(),
+            usual_us: self.usual.as_micros(),
         }
     }
 
@@ -113,12 +191,14 @@
                 AnswerStep::Wait(until) => until,
                 step => return step,
             };
+            self.give_up_silent_asks(now);
             self.hedge(now);
             let next_hedge = self.shards.iter().filter_map(|shard| shard.hedge_at).min();
             let until = next_hedge.map_or(until, |hedge_at| hedge_at.min(until));
             tokio::select! {
                 biased;
                 Some(report) = self.attempts.next() => self.take_report(report),
+                (place, news) = next_news(&mut self.asks) => self.take_news(place, news),
                 () = front_context::sleep_until(self.context.clock, until) => {}
             }
         }
@@ -140,6 +220,16 @@
         }
     }
 
+    /// Gives up the links whose fronts have said nothing although their flush is overdue.
+    fn give_up_silent_asks(&self, now: TimePoint) {
+        for ask in &self.asks {
+            let is_silent = ask.shards.iter().all(Option::is_some);
+            if is_silent && now >= ask.due_at + FLUSH_LATE {
+                ask.ticket.missed();
+            }
+        }
+    }
+
     /// Asks another replica of each shard whose attempt is late.
     fn hedge(&mut self, now: TimePoint) {
         for shard in 0..self.shards.len() {
@@ -161,7 +251,7 @@
             AttemptEnd::Success(reply) => {
                 self.route.state.note_time(report.took);
                 shard.hedge_at = None;
-                shard.part.get_or_insert(reply);
+                shard.part.get_or_insert(ShardPart::Own(reply));
                 return;
             }
             AttemptEnd::Failure(reply) => {
@@ -194,6 +284,103 @@
         }
     }
 
+    fn take_news(&mut self, place: usize, news: GroupNews) {
+        match news {
+            GroupNews::Reply(reply) => self.take_group_reply(place, reply),
+            GroupNews::Lost => self.lose_ask(place),
+        }
+    }
+
+    /// Takes over the ends of attempts that another front made, and the records that it merged.
+    fn take_group_reply(&mut self, place: usize, reply: GroupReply) {
+        let now = self.context.clock.now();
+        let ask = &mut self.asks[place];
+        let mut ended = Vec::with_capacity(reply.ends.len());
+        for end in reply.ends {
+            let slot = usize::try_from(end.place).unwrap_or(usize::MAX);
+            if let Some(shard) = ask.shards.get_mut(slot).and_then(Option::take) {
+                ended.push((shard, end));
+            }
+        }
+        ask.note_late(self.usual, now);
+        let answered = |end: &GroupEnd| end.outcome() == GroupOutcome::Answered;
+        // Records of a shard that is in another block already would count twice.
+        let is_doubled = ended.iter().any(|((shard, _), end)| {
+            let part = &self.shards[*shard].part;
+            answered(end) && matches!(part, Some(ShardPart::Merged { .. }))
+        });
+        let block = self.blocks.len();
+        if !is_doubled {
+            self.blocks.push(reply.records);
+        }
+        for ((shard, target), end) in ended {
+            self.shards[shard].open -= 1;
+            let took = TimeSpan::from_micros(end.took_us);
+            if !answered(&end) {
+                self.lose_attempt(shard, &target, end.outcome(), took, now);
+                continue;
+            }
+            let sent = TimePoint::START + now.since(TimePoint::START).saturating_sub(took);
+            target.gauge().end(sent, self.usual, AttemptResult::Answered, now);
+            self.route.state.note_time(took);
+            let proof = HeaderValue::from_maybe_shared(end.proof);
+            if let Ok(proof) = proof
+                && !is_doubled
+            {
+                self.shards[shard].hedge_at = None;
+                // The block holds the shard's records: a reply to a hedge gives way to it.
+                self.shards[shard].part = Some(ShardPart::Merged { block, proof });
+            }
+        }
+    }
+
+    /// Notes an attempt through another front that brought no answer.
+    fn lose_attempt(
+        &mut self,
+        place: usize,
+        target: &Arc<TargetHandle>,
+        outcome: GroupOutcome,
+        took: TimeSpan,
+        now: TimePoint,
+    ) {
+        let sent = TimePoint::START + now.since(TimePoint::START).saturating_sub(took);
+        target.gauge().end(sent, self.usual, AttemptResult::Failed, now);
+        let shard = &mut self.shards[place];
+        if outcome == GroupOutcome::NotRun {
+            shard.ran -= 1;
+        }
+        self.lost.push(LostAttempt {
+            target: target.entry().id.clone(),
+            fate: match outcome {
+                GroupOutcome::NotRun => "not_run",
+                GroupOutcome::Failed => "failed",
+                GroupOutcome::Lost | GroupOutcome::Answered => "lost",
+            },
+            age: took,
+        });
+        if shard.part.is_none() && shard.open == 0 {
+            self.repeat(place, RepeatReason::Retry, now);
+        }
+    }
+
+    /// Ends the attempts of an ask whose connection is lost.
+    fn lose_ask(&mut self, place: usize) {
+        let now = self.context.clock.now();
+        let shards: Vec<_> = self.asks[place].shards.iter_mut().filter_map(Option::take).collect();
+        for (shard, target) in shards {
+            self.shards[shard].open -= 1;
+            let run = &self.shards[shard];
+            self.lost.push(LostAttempt {
+                target: target.entry().id.clone(),
+                fate: "link_lost",
+                age: now.since(self.asks[place].sent),
+            });
+            if run.part.is_none() && run.open == 0 {
+                self.repeat(shard, RepeatReason::Retry, now);
+            }
+        }
+    }
+
     /// Asks one more replica of a shard, where route, budget and time allow it.
     fn repeat(&mut self, shard: usize, reason: RepeatReason, now: TimePoint) {
         let run = &self.shards[shard];
@@ -278,6 +465,9 @@
 
     /// Lets the attempts that are still out go on for a while, so that their connections are kept.
     fn let_linger(&mut self) {
+        for ask in &mut self.asks {
+            ask.ticket.answered();
+        }
         if self.attempts.is_empty() {
             return;
         }
@@ -299,21 +489,24 @@
     fn success(&mut self) -> FrontAnswer {
         let RouteDestination::Shards { records, .. } = self.route.rule.destination else {
             let part = self.shards.iter_mut().find_map(|shard| shard.part.take());
-            return part.map_or_else(
-                || FrontAnswer::Unknown { is_late: false },
-                |part| FrontAnswer::Passed(part.reply),
-            );
+            return match part {
+                Some(ShardPart::Own(part)) => FrontAnswer::Passed(part.reply),
+                Some(ShardPart::Merged { .. }) | None => FrontAnswer::Unknown { is_late: false },
+            };
         };
-        let parts: Vec<_> = self
+        let parts: Vec<&ShardPart> = self
             .shards
             .iter()
             .filter_map(|shard| shard.part.as_ref())
             .collect();
-        let bodies = parts.iter().map(|part| &part.reply.body);
+        let own = parts.iter().filter_map(|part| match part {
+            ShardPart::Own(reply) => Some(&reply.reply.body),
+            ShardPart::Merged { .. } => None,
+        });
         FrontAnswer::Gathered {
-            proofs: parts.iter().filter_map(|part| part.proof.clone()).collect(),
+            proofs: parts.iter().filter_map(|part| part.proof().cloned()).collect(),
             missing: self.shards.len() - parts.len(),
-            records: top_records::greatest(bodies, records),
+            records: top_records::greatest(own.chain(&self.blocks), records),
         }
     }
 
@@ -363,6 +556,38 @@
     }
 }
 
+/// An ask of a query that is open at another front.
+struct GroupQuery {
+    ticket: GroupTicket,
+    /// The shards with their targets; none where the attempt has ended.
+    shards: Vec<Option<(usize, Arc<TargetHandle>)>>,
+    sent: TimePoint,
+    /// When its first reply is due.
+    due_at: TimePoint,
+}
+
+impl GroupQuery {
+    /// Notes at the targets that have not answered how long they have been out.
+    fn note_late(&self, usual: TimeSpan, now: TimePoint) {
+        for (_, target) in self.shards.iter().flatten() {
+            target.gauge().end(self.sent, usual, AttemptResult::CalledOff, now);
+        }
+    }
+}
+
+/// Waits for what is heard of any ask; for ever where there is none.
+async fn next_news(asks: &mut [GroupQuery]) -> (usize, GroupNews) {
+    std::future::poll_fn(|context| {
+        for (place, ask) in asks.iter_mut().enumerate() {
+            if let std::task::Poll::Ready(Some(news)) = ask.ticket.news.poll_recv(context) {
+                return std::task::Poll::Ready((place, news));
+            }
+        }
+        std::task::Poll::Pending
+    })
+    .await
+}
+
 /// Gets when a caller that was refused should come back.
 #[must_use]
 pub fn retry_after() -> TimeSpan {
--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -5,6 +5,8 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::repeat_budget::RepeatBudget;
 
+use smallvec::SmallVec;
+
 use crate::target_handle::{TargetHandle, TargetStanding};
 
 /// What a target in another failure domain must be faster by to be chosen: the way there and back,
@@ -44,6 +46,15 @@
             .map(|(_, target)| target)
     }
 
+    /// Gets the targets that may be used now, with what an attempt at each is expected to cost.
+    #[must_use]
+    pub fn costs(&self, usual: TimeSpan, now: TimePoint) -> SmallVec<[(TimeSpan, &Arc<TargetHandle>); 4]> {
+        self.targets
+            .iter()
+            .filter_map(|target| Some((cost(target, usual, now)?, target)))
+            .collect()
+    }
+
     /// Returns true where a target may be used now.
     #[must_use]
     pub fn is_usable(&self, now: TimePoint) -> bool {
--- a/alderhaven-front/src/shard_run.rs
+++ b/alderhaven-front/src/shard_run.rs
@@ -7,6 +7,7 @@
 
 use crate::attempt::TargetReply;
 use crate::service_targets::ServiceTargets;
+use crate::shard_part::ShardPart;
 use crate::target_handle::TargetHandle;
 
 /// A `ShardRun` is the state of one shard, or of the one service of a query without shards.
@@ -23,7 +24,7 @@
     /// When another replica is asked too; none where that is not due any more.
     pub hedge_at: Option<TimePoint>,
     /// The answer.
-    pub part: Option<TargetReply>,
+    pub part: Option<ShardPart>,
     /// The latest failure that a target answered with.
     pub failure: Option<TargetReply>,
 }
--- a/alderhaven-peer/src/frames.rs
+++ b/alderhaven-peer/src/frames.rs
@@ -6,6 +6,7 @@
 
 use crate::claim_messages::{ClaimAnswer, ClaimQuery};
 use crate::exchange_messages::ExchangeFrame;
+use crate::group_messages::{GroupAsk, GroupClose, GroupReply};
 use crate::strike_frames::StrikeNotice;
 
 /// The version of the protocol; a frame of another major version is refused.
@@ -15,7 +16,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// The message; none where the sender is newer and the message is not known here.
-    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 20, 30, 31")]
+    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 20, 30, 31, 40, 41, 42")]
     pub message: Option<PeerMessage>,
 }
 
@@ -55,6 +56,15 @@
     /// An entry answers such a query.
     #[prost(message, tag = "31")]
     ClaimAnswer(ClaimAnswer),
+    /// A front asks another one for attempts in its failure domain.
+    #[prost(message, tag = "40")]
+    GroupAsk(GroupAsk),
+    /// Ends of such attempts.
+    #[prost(message, tag = "41")]
+    GroupReply(GroupReply),
+    /// No more replies are needed.
+    #[prost(message, tag = "42")]
+    GroupClose(GroupClose),
 }
 
 /// A `Hello` says who speaks.
--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exchange_messages;
 pub mod frames;
 pub mod gossip_messages;
+pub mod group_messages;
 pub mod malformed_message;
 pub mod peer_driver;
 pub mod peer_handle;
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config_registry;
 pub mod connection_health;
 pub mod crash_strike;
+pub mod delivery_age;
 pub mod drain;
 mod drain_lifecycle;
 pub mod entry_answer;
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -118,7 +118,10 @@
         | PeerMessage::Pong(_)
         | PeerMessage::Exchange(_)
         | PeerMessage::ClaimQuery(_)
-        | PeerMessage::ClaimAnswer(_) => {}
+        | PeerMessage::ClaimAnswer(_)
+        | PeerMessage::GroupAsk(_)
+        | PeerMessage::GroupReply(_)
+        | PeerMessage::GroupClose(_) => {}
     }
 }
 
