--- a/alderhaven-entry/src/claim_ledger.rs
+++ b/alderhaven-entry/src/claim_ledger.rs
@@ -7,9 +7,6 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimePoint;
-use alderhaven_store::object_store::{
-    ConditionalWrite, ObjectStore, StoreError, StoreResult, WriteOutcome,
-};
 use alderhaven_policy::claim_batcher::{ClaimBatcher, ClaimCounts};
 use alderhaven_policy::claim_bucket::ClaimWriter;
 use alderhaven_policy::claim_call::{ClaimAction, ClaimCall, ClaimReply};
@@ -18,6 +15,9 @@
 use alderhaven_policy::claim_options::ClaimOptions;
 use alderhaven_policy::claim_slot::ClaimSlot;
 use alderhaven_policy::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
+use alderhaven_store::object_store::{
+    ConditionalWrite, ObjectStore, StoreError, StoreResult, WriteOutcome,
+};
 use futures::future::Either;
 use futures::stream::{FuturesUnordered, StreamExt};
 use serde::Serialize;
--- a/alderhaven-entry/src/relay_link.rs
+++ b/alderhaven-entry/src/relay_link.rs
@@ -318,9 +318,9 @@
                 | PeerMessage::Exchange(_)
                 | PeerMessage::ClaimQuery(_)
                 | PeerMessage::ClaimAnswer(_)
-        | PeerMessage::GroupAsk(_)
-        | PeerMessage::GroupReply(_)
-        | PeerMessage::GroupClose(_),
+                | PeerMessage::GroupAsk(_)
+                | PeerMessage::GroupReply(_)
+                | PeerMessage::GroupClose(_),
             ) => {}
             None => return LinkEnd::Closed,
         }
--- a/alderhaven-entry/tests/caller_interface/support.rs
+++ b/alderhaven-entry/tests/caller_interface/support.rs
@@ -6,10 +6,10 @@
 
 use alderhaven_core::team;
 use alderhaven_entry::node::EntryNode;
-use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
-use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
 use alderhaven_standin::object_set::ObjectSet;
 use alderhaven_standin::platform_server::{PlatformOptions, PlatformServer};
+use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
+use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/alderhaven-entry/tests/failures/silence.rs
+++ b/alderhaven-entry/tests/failures/silence.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use alderhaven_store::operator_server::OperatorSource;
 use alderhaven_policy::connection_health::HealthOptions;
+use alderhaven_store::operator_server::OperatorSource;
 use serde_json::json;
 use tokio::io;
 use tokio::net::{TcpListener, TcpStream};
--- a/alderhaven-entry/tests/failures/target.rs
+++ b/alderhaven-entry/tests/failures/target.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use alderhaven_store::dialect;
 use alderhaven_standin::attempt_head::AttemptHead;
 use alderhaven_standin::http_server::{
     ConnectionCut, HttpReply, accept, json_reply, read_body, serve, text_reply,
 };
+use alderhaven_store::dialect;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use tokio::net::{TcpListener, TcpStream};
--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -12,9 +12,9 @@
 use hyper::body::Incoming;
 
 use crate::front_answer::PassedReply;
+use crate::query_call::QueryCall;
 use crate::target_handle::TargetHandle;
 use crate::target_pool::PooledConnection;
-use crate::query_call::QueryCall;
 use crate::wire_dialect::{ReplyKind, TargetCall, WholeBody, WireDialect};
 
 /// The largest reply that is read from a target, in bytes. Replies are held whole, and some dozens of
--- a/alderhaven-front/src/caller_server.rs
+++ b/alderhaven-front/src/caller_server.rs
@@ -52,7 +52,12 @@
 async fn serve_caller(stream: TcpStream, context: FrontContext) {
     // Without it small answers wait for the acknowledgement of the last; refused by no system.
     let _is_set = stream.set_nodelay(true);
-    let limits = context.catalog.view().routing.as_ref().map(|routing| routing.limits.clone());
+    let limits = context
+        .catalog
+        .view()
+        .routing
+        .as_ref()
+        .map(|routing| routing.limits.clone());
     let limits = limits.unwrap_or_default();
     let stop = context.stop.clone();
     let service = service_fn(|request| caller_service::serve(context.clone(), request));
@@ -72,7 +77,11 @@
 }
 
 /// Serves questions for fronts and for readiness, for as long as the process runs.
-pub async fn serve_questions(listener: TcpListener, context: FrontContext, directory: FrontDirectory) {
+pub async fn serve_questions(
+    listener: TcpListener,
+    context: FrontContext,
+    directory: FrontDirectory,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -80,7 +80,11 @@
 impl Catalog {
     /// Returns an empty catalog.
     #[must_use]
-    pub fn new(dialect: Arc<dyn WireDialect>, options: CatalogOptions, clock: ProcessClock) -> Self {
+    pub fn new(
+        dialect: Arc<dyn WireDialect>,
+        options: CatalogOptions,
+        clock: ProcessClock,
+    ) -> Self {
         Self {
             dialect,
             options,
@@ -331,13 +335,18 @@
     fn rebuild(&self, state: &mut CatalogState) {
         let now = self.clock.now();
         state.targets.retain(|id, target| {
-            let is_over = matches!(target.standing(), TargetStanding::Lapsed(until) if until <= now);
+            let is_over =
+                matches!(target.standing(), TargetStanding::Lapsed(until) if until <= now);
             let key = ObjectKey {
                 kind: ObjectKind::Target,
                 name: id.clone(),
             };
-            let is_gone = state.objects.get(&key).is_some_and(|object| object.body.is_none());
-            !is_over && !(is_gone && target.standing() == TargetStanding::Leaving)
+            let is_gone = state
+                .objects
+                .get(&key)
+                .is_some_and(|object| object.body.is_none());
+            let has_left = is_gone && target.standing() == TargetStanding::Leaving;
+            !is_over && !has_left
         });
         let services = self.services(state);
         let view = CatalogView {
@@ -353,19 +362,28 @@
         let mut by_service: HashMap<String, Vec<Arc<TargetHandle>>> = HashMap::new();
         for target in state.targets.values() {
             let service = target.entry().service.clone();
-            by_service.entry(service).or_default().push(Arc::clone(target));
+            by_service
+                .entry(service)
+                .or_default()
+                .push(Arc::clone(target));
         }
         let nodes = state.nodes.max(1);
         let mut services = HashMap::new();
         for (name, targets) in by_service {
-            let rule = state.routing.as_ref().and_then(|routing| routing.services.get(&name));
+            let rule = state
+                .routing
+                .as_ref()
+                .and_then(|routing| routing.services.get(&name));
             if let Some(rule) = rule {
                 let limit = connection_limit(rule.max_connections, nodes);
-                targets.iter().for_each(|target| target.pool.set_limit(limit));
+                for target in &targets {
+                    target.pool.set_limit(limit);
+                }
             }
-            let budget = state.budgets.entry(name.clone()).or_insert_with(|| {
-                Arc::new(Mutex::new(RepeatBudget::new(self.options.repeats)))
-            });
+            let budget = state
+                .budgets
+                .entry(name.clone())
+                .or_insert_with(|| Arc::new(Mutex::new(RepeatBudget::new(self.options.repeats))));
             let service = ServiceTargets {
                 name: name.clone(),
                 targets,
@@ -401,7 +419,10 @@
         let names = routes.flat_map(|route| route.rule.destination.services());
         let services = names.filter_map(|name| view.services.get(name));
         for target in services.flat_map(|service| &service.targets) {
-            if target.is_near && target.standing() == TargetStanding::Ready && target.start_warming() {
+            if target.is_near
+                && target.standing() == TargetStanding::Ready
+                && target.start_warming()
+            {
                 let target = Arc::clone(target);
                 tokio::spawn(async move { target.pool.warm().await });
             }
@@ -442,7 +463,10 @@
             version: routing.version,
             state: Arc::clone(learnt),
         };
-        routes.entry(rule.site.clone()).or_default().push(Arc::new(route));
+        routes
+            .entry(rule.site.clone())
+            .or_default()
+            .push(Arc::new(route));
     }
     for site in routes.values_mut() {
         site.sort_by_key(|route| std::cmp::Reverse(route.rule.path_prefix.len()));
--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -82,7 +82,9 @@
 
     fn offers(&self, site: &str, state: MemberState) -> Vec<FrontOffer> {
         let view = self.catalog.view();
-        let own = self.is_ready().then(|| (self.own.address, self.own.domain.clone()));
+        let own = self
+            .is_ready()
+            .then(|| (self.own.address, self.own.domain.clone()));
         let others = self.group.members().into_iter().skip(1);
         let others = others.filter_map(|member| {
             let has_config = member.config.is_none_or(|config| config.progress > 0);
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -68,8 +68,13 @@
         node.open_listeners(&options)?;
         for kind in [ObjectKind::Routing, ObjectKind::Target] {
             let (store, group) = (Arc::clone(&store), node.group.clone());
-            let follower =
-                StoreFollower::new(store, Arc::clone(&catalog), group, options.node.clone(), kind);
+            let follower = StoreFollower::new(
+                store,
+                Arc::clone(&catalog),
+                group,
+                options.node.clone(),
+                kind,
+            );
             tokio::spawn(follower.run());
         }
         tokio::spawn(Arc::clone(&catalog).keep_up());
@@ -141,7 +146,11 @@
         .peer_address(options.group_address)
         .caller_address(options.caller_address)
         .build();
-    let (objects, accept, listed) = (Arc::clone(catalog), Arc::clone(catalog), Arc::clone(catalog));
+    let (objects, accept, listed) = (
+        Arc::clone(catalog),
+        Arc::clone(catalog),
+        Arc::clone(catalog),
+    );
     let access = ConfigAccess::builder()
         .objects(move || objects.objects())
         .accept(move |news| accept.accept(news))
--- a/alderhaven-front/src/group_links.rs
+++ b/alderhaven-front/src/group_links.rs
@@ -129,7 +129,10 @@
 impl GroupLink {
     fn is_usable(&self, now: TimePoint) -> bool {
         let state = self.state();
-        let is_connected = state.sender.as_ref().is_some_and(|sender| !sender.is_closed());
+        let is_connected = state
+            .sender
+            .as_ref()
+            .is_some_and(|sender| !sender.is_closed());
         is_connected && now >= state.paused_until
     }
 
@@ -222,7 +225,10 @@
 fn connect(address: SocketAddr, link: Arc<GroupLink>) {
     {
         let mut state = link.state();
-        let is_connected = state.sender.as_ref().is_some_and(|sender| !sender.is_closed());
+        let is_connected = state
+            .sender
+            .as_ref()
+            .is_some_and(|sender| !sender.is_closed());
         if is_connected || state.is_connecting || link.clock.now() < state.paused_until {
             return;
         }
--- a/alderhaven-front/src/group_plan.rs
+++ b/alderhaven-front/src/group_plan.rs
@@ -48,7 +48,10 @@
 }
 
 fn is_far(shard: &ShardRun, usual: TimeSpan, now: TimePoint) -> bool {
-    let best = shard.service.as_ref().and_then(|service| service.choose(&[], usual, now));
+    let best = shard
+        .service
+        .as_ref()
+        .and_then(|service| service.choose(&[], usual, now));
     best.is_some_and(|target| !target.is_near)
 }
 
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -160,7 +160,8 @@
             let target = view.targets.get(id);
             let ready = target.filter(|target| target.standing() != TargetStanding::Leaving);
             let Some(target) = ready else {
-                self.ends.push(end(place, GroupOutcome::NotRun, TimeSpan::ZERO));
+                self.ends
+                    .push(end(place, GroupOutcome::NotRun, TimeSpan::ZERO));
                 continue;
             };
             let plan = AttemptPlan {
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount};
 use alderhaven_peer::group_messages::{GroupAsk, GroupEnd, GroupOutcome, GroupReply, HeaderField};
+use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount};
 use alderhaven_policy::repeat_budget::RepeatReason;
 use alderhaven_policy::replica_gauge::AttemptResult;
 use alderhaven_policy::top_records;
@@ -167,7 +167,10 @@
             name: name.as_str().to_owned(),
             value: Bytes::copy_from_slice(value.as_bytes()),
         });
-        let targets = group.shards.iter().map(|(_, target)| target.entry().id.clone());
+        let targets = group
+            .shards
+            .iter()
+            .map(|(_, target)| target.entry().id.clone());
         GroupAsk {
             number: 0,
             sent_us: 0,
@@ -233,7 +236,10 @@
     /// Asks another replica of each shard whose attempt is late.
     fn hedge(&mut self, now: TimePoint) {
         for shard in 0..self.shards.len() {
-            if self.shards[shard].hedge_at.is_none_or(|hedge_at| hedge_at > now) {
+            if self.shards[shard]
+                .hedge_at
+                .is_none_or(|hedge_at| hedge_at > now)
+            {
                 continue;
             }
             self.shards[shard].hedge_at = None;
@@ -321,7 +327,9 @@
                 continue;
             }
             let sent = TimePoint::START + now.since(TimePoint::START).saturating_sub(took);
-            target.gauge().end(sent, self.usual, AttemptResult::Answered, now);
+            target
+                .gauge()
+                .end(sent, self.usual, AttemptResult::Answered, now);
             self.route.state.note_time(took);
             let proof = HeaderValue::from_maybe_shared(end.proof);
             if let Ok(proof) = proof
@@ -344,7 +352,9 @@
         now: TimePoint,
     ) {
         let sent = TimePoint::START + now.since(TimePoint::START).saturating_sub(took);
-        target.gauge().end(sent, self.usual, AttemptResult::Failed, now);
+        target
+            .gauge()
+            .end(sent, self.usual, AttemptResult::Failed, now);
         let shard = &mut self.shards[place];
         if outcome == GroupOutcome::NotRun {
             shard.ran -= 1;
@@ -366,7 +376,11 @@
     /// Ends the attempts of an ask whose connection is lost.
     fn lose_ask(&mut self, place: usize) {
         let now = self.context.clock.now();
-        let shards: Vec<_> = self.asks[place].shards.iter_mut().filter_map(Option::take).collect();
+        let shards: Vec<_> = self.asks[place]
+            .shards
+            .iter_mut()
+            .filter_map(Option::take)
+            .collect();
         for (shard, target) in shards {
             self.shards[shard].open -= 1;
             let run = &self.shards[shard];
@@ -504,7 +518,10 @@
             ShardPart::Merged { .. } => None,
         });
         FrontAnswer::Gathered {
-            proofs: parts.iter().filter_map(|part| part.proof().cloned()).collect(),
+            proofs: parts
+                .iter()
+                .filter_map(|part| part.proof().cloned())
+                .collect(),
             missing: self.shards.len() - parts.len(),
             records: top_records::greatest(own.chain(&self.blocks), records),
         }
@@ -524,7 +541,10 @@
             };
         }
         let is_gathered = matches!(self.route.rule.destination, RouteDestination::Shards { .. });
-        let failure = self.shards.iter_mut().find_map(|shard| shard.failure.take());
+        let failure = self
+            .shards
+            .iter_mut()
+            .find_map(|shard| shard.failure.take());
         match failure {
             Some(failure) if !is_gathered => FrontAnswer::Passed(failure.reply),
             _ => FrontAnswer::Unknown { is_late },
@@ -546,7 +566,12 @@
             route: self.route.rule.name.clone(),
             version: self.route.version,
             end,
-            took_ms: self.context.clock.now().since(self.call.arrived).as_millis(),
+            took_ms: self
+                .context
+                .clock
+                .now()
+                .since(self.call.arrived)
+                .as_millis(),
             shards: self.shards.len(),
             present: self.count().present,
             attempts: self.sent,
@@ -570,7 +595,9 @@
     /// Notes at the targets that have not answered how long they have been out.
     fn note_late(&self, usual: TimeSpan, now: TimePoint) {
         for (_, target) in self.shards.iter().flatten() {
-            target.gauge().end(self.sent, usual, AttemptResult::CalledOff, now);
+            target
+                .gauge()
+                .end(self.sent, usual, AttemptResult::CalledOff, now);
         }
     }
 }
--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -37,7 +37,8 @@
         usual: TimeSpan,
         now: TimePoint,
     ) -> Option<&Arc<TargetHandle>> {
-        let is_tried = |target: &Arc<TargetHandle>| tried.iter().any(|one| Arc::ptr_eq(one, target));
+        let is_tried =
+            |target: &Arc<TargetHandle>| tried.iter().any(|one| Arc::ptr_eq(one, target));
         self.targets
             .iter()
             .filter(|target| !is_tried(target))
@@ -48,7 +49,11 @@
 
     /// Gets the targets that may be used now, with what an attempt at each is expected to cost.
     #[must_use]
-    pub fn costs(&self, usual: TimeSpan, now: TimePoint) -> SmallVec<[(TimeSpan, &Arc<TargetHandle>); 4]> {
+    pub fn costs(
+        &self,
+        usual: TimeSpan,
+        now: TimePoint,
+    ) -> SmallVec<[(TimeSpan, &Arc<TargetHandle>); 4]> {
         self.targets
             .iter()
             .filter_map(|target| Some((cost(target, usual, now)?, target)))
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -143,7 +143,8 @@
         let Some(revision) = self.revision else {
             let list = self.store.list(&[self.kind]).await?;
             self.revision = Some(list.revision);
-            self.catalog.accept_list(self.kind, list.revision, list.objects);
+            self.catalog
+                .accept_list(self.kind, list.revision, list.objects);
             self.catalog.set_listed();
             return Ok(true);
         };
@@ -169,9 +170,13 @@
             FrontEvent::StoreBack.emit(Level::Info);
         }
         let now = self.clock.now();
-        if self.told_at.is_none_or(|told| now.since(told) >= CONTACT_PERIOD) {
+        if self
+            .told_at
+            .is_none_or(|told| now.since(told) >= CONTACT_PERIOD)
+        {
             self.told_at = Some(now);
-            self.catalog.publish_contact(&self.node, true, wall_millis());
+            self.catalog
+                .publish_contact(&self.node, true, wall_millis());
         }
     }
 
@@ -182,7 +187,8 @@
                 reason: error.to_string(),
             }
             .emit(Level::Warn);
-            self.catalog.publish_contact(&self.node, false, wall_millis());
+            self.catalog
+                .publish_contact(&self.node, false, wall_millis());
         }
     }
 }
--- a/alderhaven-node/src/node_group.rs
+++ b/alderhaven-node/src/node_group.rs
@@ -9,10 +9,10 @@
 use alderhaven_peer::peer_handle::{PeerHandle, PeerSnapshot};
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
-use alderhaven_store::config_handle::ConfigHandle;
 use alderhaven_policy::membership::member_entry::MemberView;
 use alderhaven_policy::membership::member_record::MemberRole;
 use alderhaven_policy::membership::membership_options::MembershipOptions;
+use alderhaven_store::config_handle::ConfigHandle;
 use tokio::sync::watch;
 
 /// A `GroupOptions` describes a process to the group.
--- a/alderhaven-node/src/process_main.rs
+++ b/alderhaven-node/src/process_main.rs
@@ -8,10 +8,10 @@
 
 use alderhaven_core::logging;
 use alderhaven_core::program::{self, CheckedSettings, SettingsRequest};
+use alderhaven_policy::drain::StopReport;
 use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
 use alderhaven_store::config_handle::ConfigHandle;
 use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
-use alderhaven_policy::drain::StopReport;
 use argh::FromArgs;
 use eyre::WrapErr;
 use log::{Level, LevelFilter};
--- a/alderhaven-peer/src/frames.rs
+++ b/alderhaven-peer/src/frames.rs
@@ -16,7 +16,10 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// The message; none where the sender is newer and the message is not known here.
-    #[prost(oneof = "PeerMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 20, 30, 31, 40, 41, 42")]
+    #[prost(
+        oneof = "PeerMessage",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 20, 30, 31, 40, 41, 42"
+    )]
     pub message: Option<PeerMessage>,
 }
 
--- a/alderhaven-policy/src/caller_wait.rs
+++ b/alderhaven-policy/src/caller_wait.rs
@@ -30,7 +30,11 @@
         let turn = now.as_micros() / TURN.as_micros();
         if turn != self.turn {
             let is_next = turn == self.turn + 1;
-            self.before = if is_next { self.longest } else { TimeSpan::ZERO };
+            self.before = if is_next {
+                self.longest
+            } else {
+                TimeSpan::ZERO
+            };
             self.longest = TimeSpan::ZERO;
             self.turn = turn;
         }
--- a/alderhaven-proof/src/platform_caller.rs
+++ b/alderhaven-proof/src/platform_caller.rs
@@ -4,10 +4,10 @@
 
 use alderhaven_core::config_object::{ObjectKey, StoredObject};
 use alderhaven_core::ids::StoreVersion;
-use alderhaven_store::host_list::HostRecord;
-use alderhaven_store::object_store::{IF_VERSION_HEADER, WRITE_ID_HEADER};
 use alderhaven_standin::http_caller::HttpCaller;
 use alderhaven_standin::platform_faults::PlatformFaults;
+use alderhaven_store::host_list::HostRecord;
+use alderhaven_store::object_store::{IF_VERSION_HEADER, WRITE_ID_HEADER};
 use bytes::Bytes;
 use eyre::{Result, bail};
 use http::{Method, Request, StatusCode};
--- a/alderhaven-proof/tests/proofs/leaving.rs
+++ b/alderhaven-proof/tests/proofs/leaving.rs
@@ -7,7 +7,6 @@
 
 use alderhaven_core::ids::SnapshotId;
 use alderhaven_core::time::TimeSpan;
-use alderhaven_store::host_list::{HostRecord, HostRole, HostState};
 use alderhaven_proof::cluster::ProofCluster;
 use alderhaven_proof::cluster_options::{ClusterOptions, SWEEP};
 use alderhaven_proof::{condition, operator_view};
@@ -16,6 +15,7 @@
 use alderhaven_standin::service_time::ServiceTime;
 use alderhaven_standin::target_server::TargetServer;
 use alderhaven_standin::target_state::{TargetFaults, TargetSpec};
+use alderhaven_store::host_list::{HostRecord, HostRole, HostState};
 use serde_json::{Value, json};
 
 use crate::support;
--- a/alderhaven-relay/src/lane_attempt.rs
+++ b/alderhaven-relay/src/lane_attempt.rs
@@ -6,8 +6,8 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::connection::FrameSender;
 use alderhaven_peer::frames::{AttemptReply, PeerMessage};
-use alderhaven_store::dialect::TargetRequest;
 use alderhaven_policy::relay_queue::QueueJob;
+use alderhaven_store::dialect::TargetRequest;
 
 /// A `LaneAttempt` is one attempt that a lane has taken.
 #[derive(Debug)]
--- a/alderhaven-relay/src/target_lane.rs
+++ b/alderhaven-relay/src/target_lane.rs
@@ -12,11 +12,11 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::frames::{AttemptReply, ReplyStatus};
 use alderhaven_peer::strike_board::StrikeBoard;
-use alderhaven_store::target_watch::TargetWatch;
 use alderhaven_policy::crash_strike::TargetCrash;
 use alderhaven_policy::query_gather;
 use alderhaven_policy::relay_queue::{OfferOutcome, RelayQueue};
 use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit};
+use alderhaven_store::target_watch::TargetWatch;
 use tokio::sync::Notify;
 use tokio::time;
 
--- a/alderhaven-relay/tests/peer_frames.rs
+++ b/alderhaven-relay/tests/peer_frames.rs
@@ -13,13 +13,13 @@
     AttemptReply, CancelAttempts, CancelledAttempt, PeerMessage, ReplyStatus, ScatterAttempt,
     ScatterRequest,
 };
-use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
-use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
 use alderhaven_relay::node::RelayNode;
 use alderhaven_standin::run_log::RunLog;
 use alderhaven_standin::service_time::ServiceTime;
 use alderhaven_standin::target_server::TargetServer;
 use alderhaven_standin::target_state::TargetSpec;
+use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
+use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/alderhaven-standin/tests/fake_store.rs
+++ b/alderhaven-standin/tests/fake_store.rs
@@ -3,12 +3,12 @@
 use alderhaven_core::config_object::{ObjectKey, ObjectKind};
 use alderhaven_core::ids::StoreVersion;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_standin::fake_store::FakeStore;
+use alderhaven_standin::platform_faults::PlatformFaults;
 use alderhaven_store::host_list::{HostRecord, HostRole, HostSource, HostState};
 use alderhaven_store::object_store::{
     ConditionalWrite, ObjectStore, StoreError, WatchOutcome, WriteOutcome,
 };
-use alderhaven_standin::fake_store::FakeStore;
-use alderhaven_standin::platform_faults::PlatformFaults;
 
 fn key() -> ObjectKey {
     ObjectKey {
--- a/alderhaven-standin/tests/object_table.rs
+++ b/alderhaven-standin/tests/object_table.rs
@@ -4,8 +4,8 @@
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind};
 use alderhaven_core::ids::StoreVersion;
-use alderhaven_store::object_store::{ConditionalWrite, WatchOutcome, WriteOutcome};
 use alderhaven_standin::object_table::ObjectTable;
+use alderhaven_store::object_store::{ConditionalWrite, WatchOutcome, WriteOutcome};
 use proptest::prelude::{ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest};
 use proptest::test_runner::RngSeed;
 
--- a/alderhaven-store/src/http_client.rs
+++ b/alderhaven-store/src/http_client.rs
@@ -63,14 +63,19 @@
 /// A `ClientAnswer` is the whole answer to a call.
 #[derive(Debug)]
 pub struct ClientAnswer {
+    /// The status.
     pub status: StatusCode,
+    /// The headers.
     pub headers: HeaderMap,
+    /// The body.
     pub body: Bytes,
 }
 
 type Connection = SendRequest<Full<Bytes>>;
 
 impl HttpClient {
+    /// Returns a client of the platform's API at `address`.
+    #[must_use]
     pub const fn new(address: SocketAddr, options: ClientOptions) -> Self {
         Self {
             address,
@@ -79,10 +84,14 @@
         }
     }
 
+    /// Gets the address.
+    #[must_use]
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Gets what calls name as their host.
+    #[must_use]
     pub fn host(&self) -> String {
         self.address.to_string()
     }
@@ -91,6 +100,9 @@
     ///
     /// A connection serves one call at a time and is kept only once the whole answer was read, so
     /// no answer can be taken for that of another call.
+    ///
+    /// # Errors
+    /// The call did nothing, or may have done something.
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
@@ -221,6 +233,10 @@
 }
 
 impl ClientAnswer {
+    /// Reads the body.
+    ///
+    /// # Errors
+    /// It is no JSON of that form; what the call did is unknown then.
     pub fn json<T: DeserializeOwned>(&self) -> StoreResult<T> {
         serde_json::from_slice(&self.body).map_err(StoreError::unknown)
     }
@@ -229,6 +245,8 @@
     ///
     /// A 4xx says that the call was refused as it stands; after any other status it may have taken
     /// effect.
+    /// Gets the error of a call whose answer has a status that means nothing for it.
+    #[must_use]
     pub fn unexpected(&self) -> StoreError {
         if self.status.is_client_error() {
             StoreError::not_done(self.status)
--- a/alderhaven-store/tests/http_store.rs
+++ b/alderhaven-store/tests/http_store.rs
@@ -7,12 +7,12 @@
 use alderhaven_core::config_object::{ObjectKey, ObjectKind};
 use alderhaven_core::ids::StoreVersion;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::store_budget::BudgetOptions;
 use alderhaven_store::http_client::ClientOptions;
 use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
 use alderhaven_store::object_store::{
     ConditionalWrite, ObjectStore, StoreError, StoreResult, WatchOutcome, WriteOutcome,
 };
-use alderhaven_policy::store_budget::BudgetOptions;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
