--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -34,6 +34,8 @@
     WrongTarget,
     /// The target could not be reached; nothing was sent.
     Unreachable,
+    /// The request was over before anything was sent.
+    Withdrawn,
     /// The request was sent and no whole reply to it came: it may have run.
     Lost,
 }
@@ -116,6 +118,8 @@
         let end = self.exchange().await;
         guard.result = match &end {
             AttemptEnd::Success(_) => AttemptResult::Answered,
+            AttemptEnd::Unreachable => AttemptResult::Unreachable,
+            AttemptEnd::Withdrawn => AttemptResult::CalledOff,
             _ => AttemptResult::Failed,
         };
         drop(guard);
@@ -134,7 +138,7 @@
         };
         // Built only now: the wait for a connection has used up some of the time that is left.
         let Some(request) = self.request() else {
-            return AttemptEnd::Unreachable;
+            return AttemptEnd::Withdrawn;
         };
         match send(&self.target, &mut taken, request).await {
             Ok(response) => {
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -203,7 +203,7 @@
                 return;
             }
             AttemptEnd::Failure(_) => GroupOutcome::Failed,
-            AttemptEnd::NotRun | AttemptEnd::Unreachable => GroupOutcome::NotRun,
+            AttemptEnd::NotRun | AttemptEnd::Unreachable | AttemptEnd::Withdrawn => GroupOutcome::NotRun,
             AttemptEnd::WrongTarget => {
                 report.target.set_standing(TargetStanding::Leaving);
                 GroupOutcome::NotRun
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -51,7 +51,13 @@
 const HEDGE_MARGIN: f64 = 2.0;
 
 /// The time that a hedge must have left to be worth sending, against the usual time.
-const HEDGE_ROOM: f64 = 1.3;
+const HEDGE_ROOM: f64 = 1.5;
+
+/// What is added to it: the work of sending it and of reading the reply on a part of a core.
+const HEDGE_WORK: TimeSpan = TimeSpan::from_millis(2);
+
+/// The least time before a hedge, against the usual time: half of all attempts answer by then.
+const HEDGE_LEAST: f64 = 1.2;
 
 /// A `QueryRun` carries one request to its answer.
 pub struct QueryRun<'a> {
@@ -274,7 +280,7 @@
                 report.target.set_standing(TargetStanding::Leaving);
                 "wrong_target"
             }
-            AttemptEnd::Unreachable => {
+            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
                 shard.ran -= 1;
                 "unreachable"
             }
@@ -405,10 +411,10 @@
         let Some(service) = &run.service else {
             return;
         };
-        if reason == RepeatReason::Hedge && !self.is_hedge_in_time(now) {
+        let Some(target) = service.choose(&run.tried, self.usual, now) else {
             return;
-        }
-        if service.choose(&run.tried, self.usual, now).is_none() {
+        };
+        if reason == RepeatReason::Hedge && !self.is_hedge_in_time(target, now) {
             return;
         }
         let nodes = self.context.catalog.nodes();
@@ -417,10 +423,11 @@
         }
     }
 
-    /// Returns true where a hedge that is sent now can be answered while it is worth something.
-    fn is_hedge_in_time(&self, now: TimePoint) -> bool {
-        let room = self.usual.mul_f64(HEDGE_ROOM);
-        now > self.time.partial_at || now + room < self.time.partial_at
+    /// Returns true where a hedge to this target can be answered while it is worth something: the
+    /// budget is for those.
+    fn is_hedge_in_time(&self, target: &TargetHandle, now: TimePoint) -> bool {
+        let expected = target.gauge().expected(self.usual, target.entry().slots, now);
+        now > self.time.partial_at || now + expected < self.time.partial_at
     }
 
     /// Sends an attempt of a shard to the best replica that was not asked yet.
@@ -447,9 +454,11 @@
     /// Gets when an attempt that is sent now should be hedged: as late as an answer of the hedge is
     /// still in time, so that only those are hedged which really need it.
     fn hedge_at(&self, now: TimePoint) -> TimePoint {
-        let room = self.late.mul_f64(HEDGE_MARGIN);
-        let latest = self.time.partial_at.since(now).saturating_sub(room);
-        now + self.late.max(latest)
+        let left = self.time.partial_at.since(now);
+        let latest = left.saturating_sub(self.late.mul_f64(HEDGE_MARGIN));
+        let last = left.saturating_sub(self.usual.mul_f64(HEDGE_ROOM) + HEDGE_WORK);
+        let least = self.usual.mul_f64(HEDGE_LEAST);
+        now + self.late.max(latest).min(last).max(least)
     }
 
     fn plan(&self, shard: usize, target: &Arc<TargetHandle>) -> AttemptPlan {
--- a/alderhaven-policy/src/repeat_budget.rs
+++ b/alderhaven-policy/src/repeat_budget.rs
@@ -27,7 +27,7 @@
 
 /// The share of the allowance that hedges leave to retries after failures: with one target in ten
 /// lost, a third of the hedges' share is what its requests need.
-const RETRY_RESERVE: f64 = 0.2;
+const RETRY_RESERVE: f64 = 0.1;
 
 /// A `RepeatOptions` holds the rule that all nodes keep together.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/alderhaven-policy/src/replica_gauge.rs
+++ b/alderhaven-policy/src/replica_gauge.rs
@@ -11,7 +11,10 @@
 //! - slowness is measured against the kind of request: the ratio of an attempt's time to the usual
 //!   time of its kind, averaged. It fades, so that a slow replica is tried again after some seconds;
 //! - an attempt that is out for much longer than usual says at once that the replica is stuck;
-//! - failures add to what is expected; some in a row set the replica aside for a time that doubles.
+//! - failures add to what is expected, so that a replica which fails or refuses a part of its
+//!   requests is second choice;
+//! - one that can't be reached some times in a row is set aside for a time that doubles. One that is
+//!   reached never is: half of its answers are better than none.
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
@@ -24,8 +27,9 @@
 const FADE: TimeSpan = TimeSpan::from_millis(2_500);
 /// The largest ratio that is kept, so that one lost answer does not shut a replica out for long.
 const MAX_RATIO: f64 = 40.0;
-/// The failures in a row after which a replica is set aside.
-const ASIDE_AFTER: u32 = 3;
+/// The attempts in a row that could not reach a replica after which it is set aside. One may be a
+/// connection above the replica's cap.
+const ASIDE_AFTER: u32 = 2;
 /// The first time for which a replica is set aside.
 const FIRST_ASIDE: TimeSpan = TimeSpan::from_millis(300);
 /// The longest time for which a replica is set aside; a process is restarted within seconds.
@@ -46,10 +50,10 @@
 pub enum AttemptResult {
     /// It answered.
     Answered,
-    /// It failed, refused, or could not be reached.
+    /// It failed or refused, though it was reached.
     Failed,
-    /// Nothing came within the time that was given to it.
-    Silent,
+    /// It could not be reached.
+    Unreachable,
     /// It was called off, which says nothing but how long it had been out.
     CalledOff,
 }
@@ -61,7 +65,7 @@
     failure: f64,
     changed: TimePoint,
     in_flight: SmallVec<[TimePoint; 8]>,
-    failures_in_row: u32,
+    unreachable_in_row: u32,
     aside_until: TimePoint,
 }
 
@@ -80,16 +84,15 @@
         match result {
             AttemptResult::Answered => {
                 self.learn(ratio, 0.0, now);
-                self.failures_in_row = 0;
-                self.aside_until = TimePoint::START;
+                self.is_reached();
             }
             AttemptResult::Failed => {
                 self.learn(self.faded_ratio(now), 1.0, now);
-                self.count_failure(now);
+                self.is_reached();
             }
-            AttemptResult::Silent => {
-                self.learn(ratio.max(2.0), 0.5, now);
-                self.count_failure(now);
+            AttemptResult::Unreachable => {
+                self.learn(self.faded_ratio(now), 1.0, now);
+                self.count_unreachable(now);
             }
             AttemptResult::CalledOff => {
                 if ratio > self.faded_ratio(now) {
@@ -139,9 +142,14 @@
         own + queue + failure + stuck
     }
 
-    fn count_failure(&mut self, now: TimePoint) {
-        self.failures_in_row += 1;
-        let Some(doublings) = self.failures_in_row.checked_sub(ASIDE_AFTER) else {
+    const fn is_reached(&mut self) {
+        self.unreachable_in_row = 0;
+        self.aside_until = TimePoint::START;
+    }
+
+    fn count_unreachable(&mut self, now: TimePoint) {
+        self.unreachable_in_row += 1;
+        let Some(doublings) = self.unreachable_in_row.checked_sub(ASIDE_AFTER) else {
             return;
         };
         let factor = f64::from(1_u32 << doublings.min(8));
