Requests that run once get fresh connections; nodes without a configuration ask again at once

Kept connections are bounded by the same limit as those in use: without that fresh ones piled up (Lagerblik 0.718 before, 0.694 with that fault).

--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -57,6 +57,8 @@
     pub target: Arc<TargetHandle>,
     /// The caller's request.
     pub call: Arc<QueryCall>,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
     /// When the time of the request is over.
     pub ends_at: TimePoint,
     /// Set once the request was answered: nothing more is sent for it then.
@@ -133,7 +135,7 @@
     }
 
     async fn exchange(self) -> AttemptEnd {
-        let Ok(mut taken) = self.target.pool.take().await else {
+        let Ok(mut taken) = self.target.pool.take(!self.is_idempotent).await else {
             return AttemptEnd::Unreachable;
         };
         // Built only now: the wait for a connection has used up some of the time that is left.
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -30,7 +30,11 @@
 /// The longest that a request waits for the first configuration. A front that starts has one within
 /// a tenth of a second or two where the store or a peer is reached, so that the request is served in
 /// time; a refusal would send its caller to fronts that start in the same moment.
-const START_WAIT: TimeSpan = TimeSpan::from_millis(350);
+const START_WAIT: TimeSpan = TimeSpan::from_millis(600);
+
+/// The share of the caller's patience that such a wait may take, so that enough is left for another
+/// front.
+const START_WAIT_SHARE: f64 = 0.4;
 /// What is added to it at random.
 const START_RETRY_SPREAD: TimeSpan = TimeSpan::from_millis(250);
 
@@ -65,7 +69,8 @@
         request_id,
         time_left,
     } = context.dialect.caller_head(&head);
-    let limit = time_left.unwrap_or(START_WAIT).min(START_WAIT);
+    let patience = time_left.unwrap_or(context.options.default_deadline);
+    let limit = patience.mul_f64(START_WAIT_SHARE).min(START_WAIT);
     let view = context.catalog.view_with_routing(limit).await;
     let Some(routing) = view.routing.clone() else {
         return refuse_start(request_id);
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -132,6 +132,14 @@
         self.state().is_listed
     }
 
+    /// Returns true where an object of the kind is known, or all objects are.
+    #[must_use]
+    pub fn is_listed_kind(&self, kind: ObjectKind) -> bool {
+        let state = self.state();
+        let is_any = state.objects.keys().any(|key| key.kind == kind);
+        is_any || state.is_listed
+    }
+
     /// Notes that all objects are known.
     pub fn set_listed(&self) {
         self.state().is_listed = true;
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -168,6 +168,7 @@
                 shard: place,
                 target: Arc::clone(target),
                 call: Arc::clone(&call),
+                is_idempotent: true,
                 ends_at: self.ends_at,
                 is_over: Arc::clone(&self.is_over),
                 usual: TimeSpan::from_micros(self.ask.usual_us),
@@ -203,7 +204,9 @@
                 return;
             }
             AttemptEnd::Failure(_) => GroupOutcome::Failed,
-            AttemptEnd::NotRun | AttemptEnd::Unreachable | AttemptEnd::Withdrawn => GroupOutcome::NotRun,
+            AttemptEnd::NotRun | AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
+                GroupOutcome::NotRun
+            }
             AttemptEnd::WrongTarget => {
                 report.target.set_standing(TargetStanding::Leaving);
                 GroupOutcome::NotRun
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -426,7 +426,9 @@
     /// Returns true where a hedge to this target can be answered while it is worth something: the
     /// budget is for those.
     fn is_hedge_in_time(&self, target: &TargetHandle, now: TimePoint) -> bool {
-        let expected = target.gauge().expected(self.usual, target.entry().slots, now);
+        let expected = target
+            .gauge()
+            .expected(self.usual, target.entry().slots, now);
         now > self.time.partial_at || now + expected < self.time.partial_at
     }
 
@@ -466,6 +468,7 @@
             shard,
             target: Arc::clone(target),
             call: Arc::clone(self.call),
+            is_idempotent: self.route.rule.is_idempotent,
             ends_at: self.time.ends_at,
             is_over: Arc::clone(&self.is_over),
             usual: self.usual,
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -33,6 +33,13 @@
 /// within a region answer in a few milliseconds; callers wait meanwhile.
 const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(120);
 
+/// The time that the store has for the first list. It answers in milliseconds; a call that it does not
+/// answer is given up early, since it may be back meanwhile.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// The pause between two tries of the first list.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
 /// How often a node that starts looks whether its peers have told it all.
 const PEER_LOOK: Duration = Duration::from_millis(10);
 
@@ -88,6 +95,7 @@
     /// Follows the store for as long as the process runs.
     pub async fn run(mut self) {
         self.wait_for_peers().await;
+        self.learn_first().await;
         let mut backoff = RetryBackoff::new(BACKOFF);
         loop {
             if !self.is_my_turn() {
@@ -125,6 +133,21 @@
         }
     }
 
+    /// Asks the store until something is known, at short intervals: until then each request is refused.
+    async fn learn_first(&mut self) {
+        while !self.catalog.is_listed_kind(self.kind) {
+            let asked = time::timeout(FIRST_TIMEOUT, self.step()).await;
+            match asked {
+                Ok(Ok(_)) => self.note_reached(),
+                Ok(Err(error)) => self.note_lost(&error),
+                Err(_) => self.note_lost(&StoreError::unknown("no answer in time")),
+            }
+            if self.revision.is_none() {
+                time::sleep(FIRST_PAUSE).await;
+            }
+        }
+    }
+
     fn is_my_turn(&self) -> bool {
         let members = self.group.members();
         let others: Vec<NodeId> = members
--- a/alderhaven-front/src/target_pool.rs
+++ b/alderhaven-front/src/target_pool.rs
@@ -114,16 +114,18 @@
         }
     }
 
-    /// Takes a connection, and waits while as many as allowed carry requests.
+    /// Takes a connection, and waits while as many as allowed carry requests. For a request that may
+    /// run once only, `is_fresh` asks for one that is opened now: a kept one may have gone silent or
+    /// may be closed at this moment, and what is sent on it is then lost without a trace.
     ///
     /// # Errors
     /// An error of the operating system, or a time-out: no byte of a request was sent.
-    pub async fn take(&self) -> io::Result<PooledConnection> {
+    pub async fn take(&self, is_fresh: bool) -> io::Result<PooledConnection> {
         let permit = Arc::clone(&self.permits)
             .acquire_owned()
             .await
             .map_err(io::Error::other)?;
-        if let Some(connection) = self.take_idle() {
+        if !is_fresh && let Some(connection) = self.take_idle() {
             return Ok(PooledConnection {
                 connection,
                 is_new: false,
@@ -158,7 +160,18 @@
             since: self.clock.now(),
             keep: keep.unwrap_or(DEFAULT_KEEP).mul_f64(KEPT_SHARE),
         };
-        self.idle().push(idle);
+        let mut kept = self.idle();
+        // Requests that want fresh connections leave theirs behind: all of them count at the target.
+        if kept.len() < self.most_idle() {
+            kept.push(idle);
+        }
+    }
+
+    /// Gets the most connections that are kept beside those in use.
+    fn most_idle(&self) -> usize {
+        let limit = *self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        // The connection that is given back still counts as in use.
+        self.permits.available_permits().min(limit) + 1
     }
 
     /// Opens a connection ahead of its first request, unless there is one.
