--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -53,6 +53,9 @@
 /// The time that a hedge must have left to be worth sending, against the usual time.
 const HEDGE_ROOM: f64 = 1.5;
 
+/// The part of the latency target beyond the moment of the answer for which attempts at shards go on.
+const PART_SPARE: f64 = 0.05;
+
 /// What is added to it: the work of sending it and of reading the reply on a part of a core.
 const HEDGE_WORK: TimeSpan = TimeSpan::from_millis(2);
 
@@ -188,7 +191,7 @@
             targets: targets.collect(),
             records: u32::try_from(records).unwrap_or(u32::MAX),
             flush_us: hedge_at.since(now).saturating_sub(FLUSH_LEAD).as_micros(),
-            remaining_us: self.time.ends_at.since(now).as_micros(),
+            remaining_us: self.part_ends_at().since(now).as_micros(),
             usual_us: self.usual.as_micros(),
         }
     }
@@ -463,13 +466,22 @@
         now + self.late.max(latest).min(last).max(least)
     }
 
+    /// Gets when an attempt at a shard is of no more use.
+    fn part_ends_at(&self) -> TimePoint {
+        if self.shards.len() < 2 || self.context.clock.now() >= self.time.partial_at {
+            return self.time.ends_at;
+        }
+        let spare = self.route.rule.latency_target.mul_f64(PART_SPARE);
+        (self.time.partial_at + spare).min(self.time.ends_at)
+    }
+
     fn plan(&self, shard: usize, target: &Arc<TargetHandle>) -> AttemptPlan {
         AttemptPlan {
             shard,
             target: Arc::clone(target),
             call: Arc::clone(self.call),
             is_idempotent: self.route.rule.is_idempotent,
-            ends_at: self.time.ends_at,
+            ends_at: self.part_ends_at(),
             is_over: Arc::clone(&self.is_over),
             usual: self.usual,
             dialect: Arc::clone(&self.context.dialect),
