--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -11,7 +11,7 @@
 
 /// What a target in another failure domain must be faster by to be chosen: the way there and back,
 /// and the price of the bytes that cross.
-const FAR_PENALTY: TimeSpan = TimeSpan::from_millis(4);
+const FAR_PENALTY: TimeSpan = TimeSpan::from_millis(8);
 
 /// What a target whose registration has lapsed must be faster by: it is used only where all others
 /// are stuck.
--- a/alderhaven-policy/src/replica_gauge.rs
+++ b/alderhaven-policy/src/replica_gauge.rs
@@ -19,9 +19,9 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-/// The weight of the newest ratio. A third: two slow answers in a row move the choice, and one
+/// The weight of the newest ratio: some slow answers in a row move the choice, and one
 /// attempt in a hundred that is long by nature does not for more than a few attempts.
-const NEWEST_WEIGHT: f64 = 0.35;
+const NEWEST_WEIGHT: f64 = 0.2;
 /// The time in which what is known of slowness and failures halves: a slow spell lasts seconds, and
 /// one attempt in some seconds is the price of noticing its end.
 const FADE: TimeSpan = TimeSpan::from_millis(2_500);
