--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -1,6 +1,7 @@
 //! A front as a process: its parts, their start and the planned stop.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use alderhaven_core::config_object::ObjectKind;
@@ -19,6 +20,7 @@
 use crate::front_context::FrontContext;
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
+use crate::front_listeners::{FrontAddresses, FrontListeners};
 use crate::front_options::FrontOptions;
 use crate::group_links::GroupLinks;
 use crate::group_server;
@@ -37,6 +39,7 @@
 pub struct FrontNode {
     context: FrontContext,
     group: NodeGroup,
+    addresses: FrontAddresses,
 }
 
 impl FrontNode {
@@ -50,12 +53,14 @@
         store: Arc<S>,
     ) -> io::Result<Self> {
         let clock = ProcessClock::default();
+        let listeners = FrontListeners::open(&options)?;
+        let addresses = listeners.addresses()?;
         let catalog_options = CatalogOptions {
             domain: options.domain.clone(),
             repeats: options.repeats,
         };
         let catalog = Arc::new(Catalog::new(Arc::clone(&dialect), catalog_options, clock));
-        let group = start_group(&options, &catalog).await?;
+        let group = start_group(&options, addresses, &catalog).await?;
         let context = FrontContext {
             catalog: Arc::clone(&catalog),
             dialect,
@@ -64,8 +69,12 @@
             clock,
             options: options.requests,
         };
-        let node = Self { context, group };
-        node.open_listeners(&options)?;
+        let node = Self {
+            context,
+            group,
+            addresses,
+        };
+        node.serve(listeners, &options);
         for kind in [ObjectKind::Routing, ObjectKind::Target] {
             let (store, group) = (Arc::clone(&store), node.group.clone());
             let follower = StoreFollower::new(
@@ -98,28 +107,38 @@
         self.context.stop.stopped().await
     }
 
-    fn open_listeners(&self, options: &FrontOptions) -> io::Result<()> {
+    /// Gets where the front is reached.
+    #[must_use]
+    pub const fn addresses(&self) -> FrontAddresses {
+        self.addresses
+    }
+
+    /// Gets where the front gossips.
+    #[must_use]
+    pub fn gossip_address(&self) -> Option<SocketAddr> {
+        self.group.gossip_address()
+    }
+
+    fn serve(&self, listeners: FrontListeners, options: &FrontOptions) {
+        let own = OwnFront {
+            address: self.addresses.callers,
+            domain: options.domain.clone(),
+        };
         let directory = FrontDirectory::new(
             Arc::clone(&self.context.catalog),
             self.group.clone(),
             self.context.stop.clone(),
-            OwnFront {
-                address: options.caller_address,
-                domain: options.domain.clone(),
-            },
+            own,
             options.directory_ttl,
             options.choice.clone(),
         );
-        let callers = caller_server::listen(options.caller_address)?;
-        tokio::spawn(caller_server::serve_callers(callers, self.context.clone()));
-        let fronts = caller_server::listen(options.group_address)?;
-        tokio::spawn(group_server::serve(fronts, self.context.clone()));
-        for address in [options.directory_address, options.ready_address] {
-            let listener = caller_server::listen(address)?;
-            let (context, directory) = (self.context.clone(), directory.clone());
-            tokio::spawn(caller_server::serve_questions(listener, context, directory));
+        let context = || self.context.clone();
+        tokio::spawn(caller_server::serve_callers(listeners.callers, context()));
+        tokio::spawn(group_server::serve(listeners.groups, context()));
+        for listener in [listeners.directory, listeners.ready] {
+            let serving = caller_server::serve_questions(listener, context(), directory.clone());
+            tokio::spawn(serving);
         }
-        Ok(())
     }
 
     fn drive_stop(&self, options: &FrontOptions) {
@@ -135,7 +154,11 @@
     }
 }
 
-async fn start_group(options: &FrontOptions, catalog: &Arc<Catalog>) -> io::Result<NodeGroup> {
+async fn start_group(
+    options: &FrontOptions,
+    addresses: FrontAddresses,
+    catalog: &Arc<Catalog>,
+) -> io::Result<NodeGroup> {
     let group = GroupOptions::builder()
         .node(options.node.clone())
         .role(MemberRole::Entry)
@@ -143,8 +166,8 @@
         .domain(options.domain.clone())
         .gossip_listen(options.gossip_address)
         .seeds(options.seeds.clone())
-        .peer_address(options.group_address)
-        .caller_address(options.caller_address)
+        .peer_address(addresses.groups)
+        .caller_address(addresses.callers)
         .build();
     let (objects, accept, listed) = (
         Arc::clone(catalog),
--- /dev/null
+++ b/alderhaven-policy/tests/answer_time.rs
@@ -0,0 +1,92 @@
+//! When a query over many shards is answered.
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount};
+use proptest::prelude::*;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_millis(millis)
+}
+
+/// A target of 100 ms of which 14 are needed for the way, and 1.5 s of patience.
+fn sweep() -> AnswerTime {
+    AnswerTime::new(
+        at(0),
+        TimeSpan::from_millis(100),
+        TimeSpan::from_millis(14),
+        TimeSpan::from_millis(1_500),
+    )
+}
+
+const fn count(present: usize, open: usize) -> ShardCount {
+    ShardCount {
+        all: 20,
+        present,
+        open,
+        least: 18,
+    }
+}
+
+/// Of twenty shards one server pauses for 120 ms. The caller is served best by 19 shards in time:
+/// without the rule all of its queries that meet a pause are late.
+#[test]
+fn paused_shard_is_left_out_when_the_target_is_near() {
+    let time = sweep();
+    assert_eq!(time.decide(count(19, 1), at(85)), AnswerStep::Wait(at(86)));
+    assert_eq!(time.decide(count(19, 1), at(86)), AnswerStep::Answer);
+}
+
+#[test]
+fn complete_answer_is_sent_at_once() {
+    assert_eq!(sweep().decide(count(20, 0), at(9)), AnswerStep::Answer);
+}
+
+/// Too many servers are slow. The target is missed, and the caller gets the answer at the moment at
+/// which enough shards are in, not at the end of its patience.
+#[test]
+fn late_answer_is_sent_when_enough_shards_are_in() {
+    let time = sweep();
+    assert_eq!(
+        time.decide(count(17, 3), at(300)),
+        AnswerStep::Wait(at(1_500))
+    );
+    assert_eq!(time.decide(count(18, 2), at(301)), AnswerStep::Answer);
+}
+
+/// Three shards have lost all their servers. No wait can help, so the caller hears it at once.
+#[test]
+fn lost_shards_end_the_query_at_once() {
+    assert_eq!(sweep().decide(count(10, 7), at(5)), AnswerStep::GiveUp);
+    assert_eq!(sweep().decide(count(17, 0), at(5)), AnswerStep::GiveUp);
+}
+
+#[test]
+fn patience_that_is_used_up_ends_the_query() {
+    assert_eq!(sweep().decide(count(17, 3), at(1_500)), AnswerStep::TimeUp);
+}
+
+#[test]
+fn target_shorter_than_its_reserve_uses_half_of_it() {
+    let second = TimeSpan::from_secs(1);
+    let time = AnswerTime::new(
+        at(0),
+        TimeSpan::from_millis(20),
+        TimeSpan::from_millis(30),
+        second,
+    );
+    assert_eq!(time.partial_at, at(10));
+}
+
+proptest! {
+    /// No wait is open-ended, and no answer has fewer shards than the route demands.
+    #[test]
+    fn any_step_is_bounded(present in 0usize..=20, open in 0usize..=20, now in 0u64..3_000) {
+        prop_assume!(present + open <= 20);
+        match sweep().decide(count(present, open), at(now)) {
+            AnswerStep::Wait(until) => prop_assert!(until > at(now) && until <= at(1_500)),
+            AnswerStep::Answer => prop_assert!(present >= 18),
+            AnswerStep::GiveUp => prop_assert!(present + open < 18),
+            AnswerStep::TimeUp => prop_assert!(now >= 1_500 && present < 18),
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/front_decisions.rs
@@ -0,0 +1,135 @@
+//! Small decisions of a front: splits by weight, waits that callers had, late deliveries, and which
+//! fronts a caller is told of.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::caller_wait::CallerWait;
+use alderhaven_policy::delivery_age::DeliveryAge;
+use alderhaven_policy::front_choice::{ChoiceOptions, FrontOffer, choose};
+use alderhaven_policy::weighted_split::WeightedSplit;
+use proptest::prelude::*;
+
+const fn millis(millis: u64) -> TimeSpan {
+    TimeSpan::from_millis(millis)
+}
+
+fn at(point: u64) -> TimePoint {
+    TimePoint::START + millis(point)
+}
+
+fn offer(port: u16, domain: &str, held_share: f64, size: f64) -> FrontOffer {
+    FrontOffer {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        domain: domain.parse().expect("a domain"),
+        held_share,
+        size,
+    }
+}
+
+proptest! {
+    /// An operator moves a part of the requests. After any number of them each service has its share
+    /// within one request for each part of the split.
+    #[test]
+    fn split_keeps_its_weights(weights in prop::collection::vec(1u32..50, 1..5), requests in 1u32..500) {
+        let weights: Vec<f64> = weights.into_iter().map(f64::from).collect();
+        let sum: f64 = weights.iter().sum();
+        let mut split = WeightedSplit::default();
+        let mut dealt = vec![0.0; weights.len()];
+        for _ in 0..requests {
+            dealt[split.next(&weights).expect("a service")] += 1.0;
+        }
+        for (dealt, weight) in dealt.iter().zip(&weights) {
+            let due = f64::from(requests) * weight / sum;
+            prop_assert!((dealt - due).abs() <= weights.len() as f64);
+        }
+    }
+}
+
+#[test]
+fn split_without_weights_deals_nothing() {
+    assert_eq!(WeightedSplit::default().next(&[0.0, 0.0]), None);
+    assert_eq!(WeightedSplit::default().next(&[]), None);
+}
+
+/// A caller asked for fronts and opened a connection before its first request, 23 ms in all. A front
+/// that counts from the request's arrival answers after the target, though it had enough in time.
+#[test]
+fn wait_before_the_arrival_is_known_from_what_is_left() {
+    let mut wait = CallerWait::default();
+    assert_eq!(wait.note(millis(800), millis(60), at(0)), TimeSpan::ZERO);
+    assert_eq!(wait.note(millis(777), millis(60), at(10)), millis(23));
+}
+
+#[test]
+fn wait_beyond_the_target_is_not_hurried() {
+    let mut wait = CallerWait::default();
+    wait.note(millis(800), millis(60), at(0));
+    assert_eq!(wait.note(millis(300), millis(60), at(10)), TimeSpan::ZERO);
+}
+
+#[test]
+fn wait_forgets_an_old_patience() {
+    let mut wait = CallerWait::default();
+    wait.note(millis(830), millis(60), at(0));
+    wait.note(millis(800), millis(60), at(12_000));
+    assert_eq!(
+        wait.note(millis(800), millis(60), at(25_000)),
+        TimeSpan::ZERO
+    );
+}
+
+/// A path between two fronts is cut for three seconds. The asks that were written into it arrive when
+/// it heals, and their callers have left: without their age they would be run with old deadlines.
+#[test]
+fn delivery_after_a_cut_shows_its_age() {
+    let mut age = DeliveryAge::default();
+    assert_eq!(age.note(at(5_000), at(100)), TimeSpan::ZERO);
+    assert_eq!(age.note(at(5_100), at(202)), millis(2));
+    assert_eq!(age.note(at(5_200), at(3_300)), millis(3_000));
+}
+
+/// Callers of a domain without replicas would have every part of their answers cross domains; they
+/// are sent where the replicas are, though it is farther.
+#[test]
+fn choice_prefers_domains_with_replicas() {
+    let offers = [
+        offer(1, "near", 0.0, 1.0),
+        offer(2, "held", 1.0, 1.0),
+        offer(3, "held", 1.0, 1.0),
+    ];
+    let near = "near".parse().ok();
+    let chosen = choose(&offers, near.as_ref(), &ChoiceOptions::default());
+    assert_eq!(chosen.as_slice(), [offers[1].address, offers[2].address]);
+}
+
+#[test]
+fn choice_prefers_the_own_domain_among_equals() {
+    let offers = [
+        offer(1, "far", 0.7, 1.0),
+        offer(2, "own", 0.7, 1.0),
+        offer(3, "own", 0.7, 1.0),
+    ];
+    let own = "own".parse().ok();
+    let chosen = choose(&offers, own.as_ref(), &ChoiceOptions::default());
+    assert_eq!(chosen.as_slice(), [offers[1].address, offers[2].address]);
+}
+
+/// Some hosts are much larger than others. Callers on a small one wait for its processor alone.
+#[test]
+fn choice_prefers_large_hosts() {
+    let offers = [
+        offer(1, "own", 0.7, 0.24),
+        offer(2, "far", 0.7, 1.0),
+        offer(3, "far", 0.7, 1.0),
+    ];
+    let own = "own".parse().ok();
+    let chosen = choose(&offers, own.as_ref(), &ChoiceOptions::default());
+    assert_eq!(chosen.as_slice(), [offers[1].address, offers[2].address]);
+}
+
+#[test]
+fn choice_names_the_last_front_that_lives() {
+    let offers = [offer(1, "far", 0.0, 0.1)];
+    assert_eq!(choose(&offers, None, &ChoiceOptions::default()).len(), 1);
+}
--- /dev/null
+++ b/alderhaven-policy/tests/repeat_budget.rs
@@ -0,0 +1,90 @@
+//! The budget of repeats that nodes keep together without asking each other.
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions, RepeatReason};
+use proptest::prelude::*;
+
+const OPTIONS: RepeatOptions = RepeatOptions {
+    ratio: 0.2,
+    extra: 56.0,
+    window: TimeSpan::from_secs(10),
+};
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_millis(millis)
+}
+
+/// A service's servers turn slow, so that all eight nodes want to hedge every request. What users
+/// would see without the budget: the service carries twice its load and all of its answers are late.
+#[test]
+fn slow_service_gets_no_more_than_the_rule_from_all_nodes() {
+    let nodes = 8;
+    let mut budgets: Vec<RepeatBudget> = vec![RepeatBudget::new(OPTIONS); nodes];
+    let mut repeats = 0;
+    let mut requests = 0;
+    for millis in 0..10_000 {
+        let budget = &mut budgets[usize::try_from(millis).unwrap_or_default() % nodes];
+        if millis % 10 == 0 {
+            budget.note_request(at(millis));
+            requests += 1;
+        }
+        repeats += u32::from(budget.take(RepeatReason::Hedge, nodes, at(millis)));
+    }
+    let allowed = f64::from(requests) * OPTIONS.ratio + OPTIONS.extra;
+    assert!(f64::from(repeats) <= allowed);
+    assert!(
+        f64::from(repeats) > allowed * 0.6,
+        "most of the rule is used"
+    );
+}
+
+/// Servers are slow and one of them crashes. Hedges have used what they may, and a retry after the
+/// crash is still sent: without the reserve its caller would get an answer without that shard.
+#[test]
+fn retry_after_hedges_is_still_sent() {
+    let mut budget = RepeatBudget::new(OPTIONS);
+    for millis in 0..500 {
+        budget.note_request(at(millis));
+    }
+    while budget.take(RepeatReason::Hedge, 1, at(500)) {}
+    assert!(budget.take(RepeatReason::Retry, 1, at(500)));
+}
+
+#[test]
+fn old_repeats_are_forgotten_after_the_window() {
+    let mut budget = RepeatBudget::new(OPTIONS);
+    while budget.take(RepeatReason::Retry, 1, at(0)) {}
+    assert!(!budget.take(RepeatReason::Retry, 1, at(9_000)));
+    assert!(budget.take(RepeatReason::Retry, 1, at(11_000)));
+}
+
+#[test]
+fn cut_off_node_keeps_the_part_of_the_largest_group() {
+    let mut budget = RepeatBudget::new(OPTIONS);
+    let taken = (0..100).filter(|_| budget.take(RepeatReason::Retry, 8, at(0)));
+    assert_eq!(taken.count(), 6, "nine tenths of an eighth of 56");
+}
+
+proptest! {
+    /// Whatever the order of requests and repeats, no window holds more repeats than the rule allows
+    /// for the requests in it and in the piece before it.
+    #[test]
+    fn any_window_keeps_the_rule(steps in prop::collection::vec((0u64..400, any::<bool>()), 1..400)) {
+        let mut budget = RepeatBudget::new(OPTIONS);
+        let mut now = 0;
+        let mut requests: Vec<u64> = Vec::new();
+        let mut repeats: Vec<u64> = Vec::new();
+        for (wait, is_request) in steps {
+            now += wait;
+            if is_request {
+                budget.note_request(at(now));
+                requests.push(now);
+            } else if budget.take(RepeatReason::Retry, 1, at(now)) {
+                repeats.push(now);
+            }
+            let within = |points: &[u64], span: u64| points.iter().filter(|point| **point + span > now).count();
+            let allowed = within(&requests, 10_500) as f64 * OPTIONS.ratio + OPTIONS.extra;
+            prop_assert!(within(&repeats, 10_000) as f64 <= allowed);
+        }
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/tests/replica_gauge.rs
@@ -0,0 +1,94 @@
+//! What a node has seen of a replica, and what it expects of the next attempt there.
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::replica_gauge::{AttemptResult, ReplicaGauge};
+
+const USUAL: TimeSpan = TimeSpan::from_millis(20);
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_millis(millis)
+}
+
+/// Makes attempts one after the other that take `took` milliseconds each; returns the end.
+fn attempts(
+    gauge: &mut ReplicaGauge,
+    start: u64,
+    count: u64,
+    took: u64,
+    result: AttemptResult,
+) -> u64 {
+    let mut now = start;
+    for _ in 0..count {
+        gauge.begin(at(now));
+        gauge.end(at(now), USUAL, result, at(now + took));
+        now += took;
+    }
+    now
+}
+
+/// One server in seven works seven times slower for some seconds. Its callers' first attempts must
+/// leave it after a few answers, and come back after the spell without being told.
+#[test]
+fn slow_replica_is_left_and_tried_again() {
+    let mut gauge = ReplicaGauge::default();
+    let end = attempts(&mut gauge, 0, 6, 140, AttemptResult::Answered);
+    assert!(gauge.expected(USUAL, 2, at(end)) > USUAL.mul_f64(3.0));
+    assert!(gauge.expected(USUAL, 2, at(end + 12_000)) < USUAL.mul_f64(1.3));
+}
+
+/// A server pauses for 200 ms with an attempt out. The next queries should begin at the other
+/// replica long before the pause has shown in any answer.
+#[test]
+fn paused_replica_is_avoided_while_its_attempt_is_out() {
+    let mut gauge = ReplicaGauge::default();
+    gauge.begin(at(0));
+    assert!(!gauge.is_stuck(USUAL, at(50)));
+    assert!(gauge.is_stuck(USUAL, at(70)));
+    assert!(gauge.expected(USUAL, 2, at(70)) > USUAL.mul_f64(3.0));
+    gauge.end(at(0), USUAL, AttemptResult::Answered, at(200));
+    assert!(!gauge.is_stuck(USUAL, at(201)));
+}
+
+/// A server refuses nearly half of its requests although its health check is good. It is second
+/// choice, and still a choice: where the other replica is paused, every second answer is better
+/// than none.
+#[test]
+fn refusing_replica_is_second_choice_but_never_aside() {
+    let mut gauge = ReplicaGauge::default();
+    let end = attempts(&mut gauge, 0, 10, 5, AttemptResult::Failed);
+    assert!(gauge.expected(USUAL, 2, at(end)) > USUAL + TimeSpan::from_millis(40));
+    assert!(!gauge.is_aside(at(end)));
+}
+
+/// A server's process is gone: connections are refused. It is set aside for longer each time, so
+/// that queries do not spend their budget on it, and is back with its first answer.
+#[test]
+fn unreachable_replica_is_aside_until_it_answers() {
+    let mut gauge = ReplicaGauge::default();
+    let end = attempts(&mut gauge, 0, 2, 1, AttemptResult::Unreachable);
+    assert!(gauge.is_aside(at(end + 100)));
+    assert!(!gauge.is_aside(at(end + 400)));
+    let end = attempts(&mut gauge, end + 400, 1, 1, AttemptResult::Unreachable);
+    assert!(gauge.is_aside(at(end + 400)));
+    let end = attempts(&mut gauge, end + 700, 1, 20, AttemptResult::Answered);
+    assert!(!gauge.is_aside(at(end)));
+}
+
+#[test]
+fn single_unreachable_attempt_leaves_the_replica_in_use() {
+    let mut gauge = ReplicaGauge::default();
+    let end = attempts(&mut gauge, 0, 1, 1, AttemptResult::Unreachable);
+    assert!(!gauge.is_aside(at(end)));
+}
+
+#[test]
+fn called_off_attempt_counts_only_what_it_has_shown() {
+    let mut gauge = ReplicaGauge::default();
+    gauge.begin(at(0));
+    gauge.end(at(0), USUAL, AttemptResult::CalledOff, at(5));
+    assert!(gauge.slowness(at(5)) <= 1.0);
+    gauge.begin(at(10));
+    gauge.end(at(10), USUAL, AttemptResult::CalledOff, at(210));
+    assert!(gauge.slowness(at(210)) > 1.5);
+    assert_eq!(gauge.in_flight(), 0);
+}
--- /dev/null
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -0,0 +1,92 @@
+//! Which nodes watch the platform's store.
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::store_watch_plan::{StoreContact, WatchOptions, should_watch};
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_millis(millis)
+}
+
+fn nodes(count: usize) -> Vec<NodeId> {
+    let names = (0..count).map(|number| format!("front-{number}"));
+    names.filter_map(|name| name.parse().ok()).collect()
+}
+
+fn contact(node: &NodeId, is_reached: bool, heard_at: TimePoint) -> StoreContact {
+    StoreContact {
+        node: node.clone(),
+        is_reached,
+        heard_at,
+    }
+}
+
+/// Gets the nodes that watch, where all know the same.
+fn watchers(nodes: &[NodeId], contacts: &[StoreContact], now: TimePoint) -> Vec<NodeId> {
+    let watches = |own: &&NodeId| {
+        let others: Vec<NodeId> = nodes.iter().filter(|node| node != own).cloned().collect();
+        should_watch(own, &others, contacts, &WatchOptions::default(), now)
+    };
+    nodes.iter().filter(watches).cloned().collect()
+}
+
+/// Sixty-five nodes with a watch each make thousands of calls a minute, all of them paid for. Three
+/// are enough, however many nodes there are.
+#[test]
+fn large_group_has_three_watchers() {
+    let nodes = nodes(65);
+    let contacts: Vec<_> = nodes[..2]
+        .iter()
+        .map(|node| contact(node, true, at(0)))
+        .collect();
+    assert_eq!(watchers(&nodes, &contacts, at(100)).len(), 3);
+}
+
+/// The store turns the three watchers away and serves the others. Each says so, and others take
+/// their places: without that no node would hear of a new configuration.
+#[test]
+fn watchers_that_are_turned_away_are_replaced() {
+    let nodes = nodes(8);
+    let healthy = contact(&nodes[0], true, at(0));
+    let first = watchers(&nodes, std::slice::from_ref(&healthy), at(0));
+    let mut contacts: Vec<_> = first
+        .iter()
+        .map(|node| contact(node, false, at(10)))
+        .collect();
+    let still_reached = nodes.iter().find(|node| !first.contains(node)).cloned();
+    contacts.extend(still_reached.iter().map(|node| contact(node, true, at(10))));
+    let second = watchers(&nodes, &contacts, at(20));
+    assert_eq!(second.len(), 3);
+    assert!(second.iter().all(|node| !first.contains(node)));
+}
+
+/// A node is cut off from its peers while its own path to the store is whole. After some seconds
+/// without any word it watches by itself, or it would go on with an old configuration.
+#[test]
+fn node_without_news_watches_itself() {
+    let nodes = nodes(65);
+    let contacts: Vec<_> = nodes[..3]
+        .iter()
+        .map(|node| contact(node, true, at(0)))
+        .collect();
+    assert_eq!(watchers(&nodes, &contacts, at(5_000)).len(), 65);
+}
+
+#[test]
+fn starting_group_asks_by_itself() {
+    let nodes = nodes(3);
+    assert_eq!(watchers(&nodes, &[], at(0)).len(), 3);
+}
+
+#[test]
+fn lost_node_is_asked_again_after_a_while() {
+    let nodes = nodes(8);
+    let healthy = contact(&nodes[0], true, at(0));
+    let first = watchers(&nodes, std::slice::from_ref(&healthy), at(0));
+    let lost = first.iter().map(|node| contact(node, false, at(0)));
+    let others = nodes.iter().filter(|node| !first.contains(node));
+    let contacts: Vec<_> = lost
+        .chain(others.map(|node| contact(node, true, at(5_500))))
+        .collect();
+    assert_eq!(watchers(&nodes, &contacts, at(6_000)), first);
+}
--- /dev/null
+++ b/alderhaven-policy/tests/top_records.rs
@@ -0,0 +1,49 @@
+//! The greatest records of many parts.
+
+use alderhaven_policy::top_records::{RECORD_BYTES, greatest};
+use bytes::Bytes;
+use proptest::prelude::*;
+
+#[test]
+fn greatest_equal_records_all_count() {
+    let part = Bytes::from(vec![7; 2 * RECORD_BYTES]);
+    assert_eq!(greatest([&part, &part], 3).len(), 3 * RECORD_BYTES);
+}
+
+#[test]
+fn greatest_of_a_broken_record_leaves_it_out() {
+    let part = Bytes::from(vec![1; RECORD_BYTES + 5]);
+    assert_eq!(greatest([&part], 9).len(), RECORD_BYTES);
+}
+
+#[test]
+fn greatest_none_is_empty() {
+    let part = Bytes::from(vec![1; RECORD_BYTES]);
+    assert!(greatest([&part], 0).is_empty());
+    assert!(greatest([], 5).is_empty());
+}
+
+proptest! {
+    /// Merged over any split into parts, and merged again from merged blocks, the records are the
+    /// same: a front may merge what another front has merged.
+    #[test]
+    fn greatest_of_blocks_is_greatest_of_parts(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..80), 0..12),
+        cut in 0usize..12,
+        count in 0usize..20,
+    ) {
+        let parts: Vec<Bytes> = parts.into_iter().map(Bytes::from).collect();
+        let cut = cut.min(parts.len());
+        let block = greatest(&parts[..cut], count);
+        let rest = parts[cut..].iter();
+        let merged = greatest(std::iter::once(&block).chain(rest), count);
+        prop_assert_eq!(&merged, &greatest(&parts, count));
+
+        let chunks = parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES));
+        let mut oracle: Vec<&[u8]> = chunks.collect();
+        oracle.sort_unstable();
+        oracle.reverse();
+        oracle.truncate(count);
+        prop_assert_eq!(merged.to_vec(), oracle.concat());
+    }
+}
