--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -110,7 +110,9 @@
         let mut changed = self.changed();
         let has_routing = changed.wait_for(|_| self.view().routing.is_some());
         // Where the time is up the view has none, which is what the caller looks for.
-        let _is_over = time::timeout(limit.as_duration(), has_routing).await;
+        let _is_over = time::timeout(limit.as_duration(), has_routing)
+            .await
+            .is_err();
         self.view()
     }
 
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::Catalog;
+use crate::front_metrics::FrontMetrics;
 use crate::group_links::GroupLinks;
 use crate::wire_dialect::WireDialect;
 
@@ -21,6 +22,8 @@
     pub dialect: Arc<dyn WireDialect>,
     /// The connections to other fronts.
     pub links: GroupLinks,
+    /// The metrics.
+    pub metrics: FrontMetrics,
     /// The planned stop.
     pub stop: StopHandle,
     /// The clock.
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -3,9 +3,11 @@
 use alderhaven_core::logging;
 use alderhaven_core::time::TimeSpan;
 use log::Level;
+use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
 
 use crate::front_answer::{BadRequest, RefusalReason};
+use crate::front_metrics::AttemptFate;
 
 /// A `FrontEvent` is one line of the log.
 #[derive(Clone, Debug, Serialize)]
@@ -97,9 +99,11 @@
 }
 
 /// A `RequestEnd` is how a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, Serialize, EncodeLabelValue)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestEnd {
+    /// It was answered whole.
+    Complete,
     /// Some shards are left out.
     Partial,
     /// A target's failure was passed on.
@@ -120,7 +124,7 @@
     /// The target.
     pub target: String,
     /// What became of it.
-    pub fate: &'static str,
+    pub fate: AttemptFate,
     /// How long it had been out.
     pub age: TimeSpan,
 }
--- /dev/null
+++ b/alderhaven-front/src/front_metrics.rs
@@ -0,0 +1,209 @@
+//! The metrics of a front.
+
+use alderhaven_core::time::TimeSpan;
+use prometheus_client::encoding::text;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::front_event::RequestEnd;
+
+/// The upper bounds of the latency buckets in seconds: from a lookup in the same domain to the longest
+/// patience of a caller.
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.02, 0.04, 0.06, 0.1, 0.15, 0.25, 0.5, 1.5, 6.0];
+
+/// A `FrontMetrics` counts what a front does; its clones share the counts.
+#[derive(Clone, Debug)]
+pub struct FrontMetrics {
+    requests: Family<EndLabels, Counter>,
+    seconds: Family<ShapeLabels, Histogram>,
+    attempts: Family<SendLabels, Counter>,
+    lost: Family<FateLabels, Counter>,
+    store_calls: Family<StoreLabels, Counter>,
+    /// The shards that answers left out.
+    pub missing_parts: Counter,
+    /// The repeats that the budget refused.
+    pub refused_repeats: Counter,
+    /// The asks of fronts of other failure domains that were carried out.
+    pub carried_asks: Counter,
+    /// The version of the configuration in force.
+    pub config_version: Gauge,
+    /// The nodes of the group that are alive.
+    pub nodes: Gauge,
+    /// The log lines that were left out because there were too many of their kind.
+    pub omitted_lines: Counter,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndLabels {
+    end: RequestEnd,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ShapeLabels {
+    shape: QueryShape,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SendLabels {
+    kind: SendKind,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct FateLabels {
+    fate: AttemptFate,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StoreLabels {
+    result: StoreResultLabel,
+}
+
+/// A `QueryShape` says how many services a request went to.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum QueryShape {
+    /// To one.
+    Single,
+    /// To one for each shard.
+    Gathered,
+}
+
+/// A `SendKind` says why an attempt was sent.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum SendKind {
+    /// It is the first for its shard.
+    First,
+    /// It is the first for its shard, through a front of another failure domain.
+    Relayed,
+    /// The first was late.
+    Hedge,
+    /// An attempt failed.
+    Retry,
+}
+
+/// An `AttemptFate` is what became of an attempt that brought no answer.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptFate {
+    /// The target ran it and failed.
+    Failed,
+    /// The target refused without running it.
+    NotRun,
+    /// Another target has the address.
+    WrongTarget,
+    /// The target could not be reached.
+    Unreachable,
+    /// It may have run, and no whole reply came.
+    Lost,
+    /// The connection to the front that carried it was lost.
+    LinkLost,
+}
+
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+enum StoreResultLabel {
+    Answered,
+    Failed,
+}
+
+impl Default for FrontMetrics {
+    fn default() -> Self {
+        Self {
+            requests: Family::default(),
+            seconds: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
+            attempts: Family::default(),
+            lost: Family::default(),
+            store_calls: Family::default(),
+            missing_parts: Counter::default(),
+            refused_repeats: Counter::default(),
+            carried_asks: Counter::default(),
+            config_version: Gauge::default(),
+            nodes: Gauge::default(),
+            omitted_lines: Counter::default(),
+        }
+    }
+}
+
+impl FrontMetrics {
+    /// Counts a request that ended.
+    pub fn observe_request(&self, shape: QueryShape, end: RequestEnd, took: TimeSpan) {
+        self.requests.get_or_create(&EndLabels { end }).inc();
+        let seconds = self.seconds.get_or_create(&ShapeLabels { shape });
+        seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt that was sent.
+    pub fn observe_send(&self, kind: SendKind) {
+        self.attempts.get_or_create(&SendLabels { kind }).inc();
+    }
+
+    /// Counts an attempt that brought no answer.
+    pub fn observe_lost(&self, fate: AttemptFate) {
+        self.lost.get_or_create(&FateLabels { fate }).inc();
+    }
+
+    /// Counts a call of the store.
+    pub fn observe_store_call(&self, is_answered: bool) {
+        let result = if is_answered {
+            StoreResultLabel::Answered
+        } else {
+            StoreResultLabel::Failed
+        };
+        self.store_calls
+            .get_or_create(&StoreLabels { result })
+            .inc();
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string can't fail.
+        let _written = text::encode(&mut text, &self.registry());
+        text
+    }
+
+    /// Registers all metrics. Done for each reading: that is rare, and the counts are shared.
+    fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("alderhaven_front");
+        let own = self.clone();
+        registry.register("requests", "Requests by their end", own.requests);
+        registry.register("request_seconds", "Time to the answer", own.seconds);
+        registry.register("attempts", "Attempts sent, by reason", own.attempts);
+        registry.register(
+            "lost_attempts",
+            "Attempts without answer, by fate",
+            own.lost,
+        );
+        registry.register(
+            "store_calls",
+            "Calls of the store by result",
+            own.store_calls,
+        );
+        registry.register(
+            "missing_parts",
+            "Shards left out of answers",
+            own.missing_parts,
+        );
+        registry.register(
+            "refused_repeats",
+            "Repeats above the budget",
+            own.refused_repeats,
+        );
+        registry.register(
+            "carried_asks",
+            "Asks of other fronts carried out",
+            own.carried_asks,
+        );
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            own.config_version,
+        );
+        registry.register("nodes", "Nodes of the group that are alive", own.nodes);
+        registry.register("omitted_log_lines", "Log lines left out", own.omitted_lines);
+        registry
+    }
+}
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -21,6 +21,7 @@
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
 use crate::front_listeners::{FrontAddresses, FrontListeners};
+use crate::front_metrics::FrontMetrics;
 use crate::front_options::FrontOptions;
 use crate::group_links::GroupLinks;
 use crate::group_server;
@@ -61,10 +62,12 @@
         };
         let catalog = Arc::new(Catalog::new(Arc::clone(&dialect), catalog_options, clock));
         let group = start_group(&options, addresses, &catalog).await?;
+        let metrics = FrontMetrics::default();
         let context = FrontContext {
             catalog: Arc::clone(&catalog),
             dialect,
             links: GroupLinks::new(group.clone(), clock),
+            metrics: metrics.clone(),
             stop: StopHandle::default(),
             clock,
             options: options.requests,
@@ -84,10 +87,11 @@
                 options.node.clone(),
                 kind,
             );
+            let follower = follower.with_metrics(metrics.clone());
             tokio::spawn(follower.run());
         }
         tokio::spawn(Arc::clone(&catalog).keep_up());
-        tokio::spawn(note_nodes(node.group.clone(), catalog));
+        tokio::spawn(note_nodes(node.group.clone(), catalog, metrics));
         node.drive_stop(&options);
         FrontEvent::Started {
             node: options.node.to_string(),
@@ -113,6 +117,12 @@
         self.addresses
     }
 
+    /// Gets how many asks of other fronts were carried out.
+    #[must_use]
+    pub fn carried_asks(&self) -> u64 {
+        self.context.metrics.carried_asks.get()
+    }
+
     /// Gets where the front gossips.
     #[must_use]
     pub fn gossip_address(&self) -> Option<SocketAddr> {
@@ -184,12 +194,19 @@
 }
 
 /// Keeps the catalog's number of nodes up to date.
-async fn note_nodes(group: NodeGroup, catalog: Arc<Catalog>) {
+async fn note_nodes(group: NodeGroup, catalog: Arc<Catalog>, metrics: FrontMetrics) {
     let mut changed = group.changed();
     loop {
         let members = group.members();
         let live = members.iter().filter(|member| member.state.takes_work());
-        catalog.note_nodes(live.count());
+        let live = live.count();
+        catalog.note_nodes(live);
+        metrics.nodes.set(i64::try_from(live).unwrap_or(i64::MAX));
+        let routing = catalog.view().routing.clone();
+        let version = routing.map_or(0, |routing| routing.version);
+        metrics
+            .config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
         if changed.changed().await.is_err() {
             return;
         }
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -127,6 +127,7 @@
     async fn run(mut self) {
         // A planned stop waits for it.
         let _flight = self.context.stop.begin_request();
+        self.context.metrics.carried_asks.inc();
         let mut attempts = self.attempts();
         let mut is_flushed = false;
         loop {
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod front_directory;
 pub mod front_event;
 pub mod front_listeners;
+pub mod front_metrics;
 pub mod front_node;
 pub mod front_options;
 pub mod group_links;
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -26,6 +26,7 @@
 use crate::front_answer::{FrontAnswer, PassedReply, RefusalReason};
 use crate::front_context::{self, FrontContext};
 use crate::front_event::{FrontEvent, LostAttempt, RequestEnd};
+use crate::front_metrics::{AttemptFate, QueryShape, SendKind};
 use crate::group_links::{GroupNews, GroupTicket};
 use crate::group_plan::{self, ShardGroup};
 use crate::query_call::QueryCall;
@@ -136,6 +137,7 @@
                 service.budget().note_request(now);
             }
             if self.shards[shard].tried.is_empty() {
+                self.context.metrics.observe_send(SendKind::First);
                 self.send(shard, now);
             }
         }
@@ -156,6 +158,7 @@
             shard.open += 1;
             shard.ran += 1;
             shard.hedge_at = may_hedge.then_some(hedge_at);
+            self.context.metrics.observe_send(SendKind::Relayed);
             self.sent += 1;
         }
         self.asks.push(GroupQuery {
@@ -271,25 +274,25 @@
             }
             AttemptEnd::Failure(reply) => {
                 shard.failure = Some(reply);
-                "failed"
+                AttemptFate::Failed
             }
             AttemptEnd::NotRun => {
                 shard.ran -= 1;
-                "not_run"
+                AttemptFate::NotRun
             }
             AttemptEnd::WrongTarget => {
                 shard.ran -= 1;
                 // The target's process has ended, and its address belongs to another one.
                 report.target.set_standing(TargetStanding::Leaving);
-                "wrong_target"
+                AttemptFate::WrongTarget
             }
             AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
                 shard.ran -= 1;
-                "unreachable"
+                AttemptFate::Unreachable
             }
-            AttemptEnd::Lost => "lost",
+            AttemptEnd::Lost => AttemptFate::Lost,
         };
-        self.lost.push(LostAttempt {
+        self.note_lost(LostAttempt {
             target: report.target.entry().id.clone(),
             fate,
             age: report.took,
@@ -368,20 +371,26 @@
         if outcome == GroupOutcome::NotRun {
             shard.ran -= 1;
         }
-        self.lost.push(LostAttempt {
+        self.note_lost(LostAttempt {
             target: target.entry().id.clone(),
             fate: match outcome {
-                GroupOutcome::NotRun => "not_run",
-                GroupOutcome::Failed => "failed",
-                GroupOutcome::Lost | GroupOutcome::Answered => "lost",
+                GroupOutcome::NotRun => AttemptFate::NotRun,
+                GroupOutcome::Failed => AttemptFate::Failed,
+                GroupOutcome::Lost | GroupOutcome::Answered => AttemptFate::Lost,
             },
             age: took,
         });
+        let shard = &self.shards[place];
         if shard.part.is_none() && shard.open == 0 {
             self.repeat(place, RepeatReason::Retry, now);
         }
     }
 
+    fn note_lost(&mut self, lost: LostAttempt) {
+        self.context.metrics.observe_lost(lost.fate);
+        self.lost.push(lost);
+    }
+
     /// Ends the attempts of an ask whose connection is lost.
     fn lose_ask(&mut self, place: usize) {
         let now = self.context.clock.now();
@@ -392,12 +401,12 @@
             .collect();
         for (shard, target) in shards {
             self.shards[shard].open -= 1;
-            let run = &self.shards[shard];
-            self.lost.push(LostAttempt {
+            self.note_lost(LostAttempt {
                 target: target.entry().id.clone(),
-                fate: "link_lost",
+                fate: AttemptFate::LinkLost,
                 age: now.since(self.asks[place].sent),
             });
+            let run = &self.shards[shard];
             if run.part.is_none() && run.open == 0 {
                 self.repeat(shard, RepeatReason::Retry, now);
             }
@@ -421,9 +430,16 @@
             return;
         }
         let nodes = self.context.catalog.nodes();
-        if service.budget().take(reason, nodes, now) {
-            self.send(shard, now);
+        let may_repeat = service.budget().take(reason, nodes, now);
+        if !may_repeat {
+            self.context.metrics.refused_repeats.inc();
+            return;
         }
+        self.context.metrics.observe_send(match reason {
+            RepeatReason::Hedge => SendKind::Hedge,
+            RepeatReason::Retry => SendKind::Retry,
+        });
+        self.send(shard, now);
     }
 
     /// Returns true where a hedge to this target can be answered while it is worth something: the
@@ -577,25 +593,34 @@
 
     fn report(&self, answer: &FrontAnswer) {
         let end = match answer {
-            FrontAnswer::Gathered { missing: 0, .. } => return,
-            FrontAnswer::Gathered { .. } => RequestEnd::Partial,
-            FrontAnswer::Passed(PassedReply { status, .. }) if status.is_success() => return,
+            FrontAnswer::Gathered { missing: 0, .. } => RequestEnd::Complete,
+            FrontAnswer::Gathered { missing, .. } => {
+                self.context.metrics.missing_parts.inc_by(*missing as u64);
+                RequestEnd::Partial
+            }
+            FrontAnswer::Passed(PassedReply { status, .. }) if status.is_success() => {
+                RequestEnd::Complete
+            }
             FrontAnswer::Passed(_) => RequestEnd::TargetFailed,
             FrontAnswer::NotRun { .. } => RequestEnd::NotRun,
             FrontAnswer::Unknown { is_late: true } => RequestEnd::TimeUp,
             FrontAnswer::Unknown { .. } | FrontAnswer::BadRequest(_) => RequestEnd::Unknown,
         };
+        let shape = match self.route.rule.destination {
+            RouteDestination::Shards { .. } => QueryShape::Gathered,
+            _ => QueryShape::Single,
+        };
+        let took = self.context.clock.now().since(self.call.arrived);
+        self.context.metrics.observe_request(shape, end, took);
+        if end == RequestEnd::Complete {
+            return;
+        }
         FrontEvent::RequestEnded {
             request: self.call.request_id.to_string(),
             route: self.route.rule.name.clone(),
             version: self.route.version,
             end,
-            took_ms: self
-                .context
-                .clock
-                .now()
-                .since(self.call.arrived)
-                .as_millis(),
+            took_ms: took.as_millis(),
             shards: self.shards.len(),
             present: self.count().present,
             attempts: self.sent,
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -17,6 +17,7 @@
 
 use crate::catalog::Catalog;
 use crate::front_event::FrontEvent;
+use crate::front_metrics::FrontMetrics;
 
 /// How long a watch waits for a change. A connection that went silent is noticed that much later,
 /// and a node that is in touch has some seconds to take a change over.
@@ -66,6 +67,7 @@
     revision: Option<StoreVersion>,
     is_lost: bool,
     told_at: Option<TimePoint>,
+    metrics: FrontMetrics,
 }
 
 impl<S: ObjectStore> StoreFollower<S> {
@@ -89,9 +91,17 @@
             revision: None,
             is_lost: false,
             told_at: None,
+            metrics: FrontMetrics::default(),
         }
     }
 
+    /// Counts its calls in these metrics.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: FrontMetrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     /// Follows the store for as long as the process runs.
     pub async fn run(mut self) {
         self.wait_for_peers().await;
@@ -187,6 +197,7 @@
     }
 
     fn note_reached(&mut self) {
+        self.metrics.observe_store_call(true);
         if self.is_lost {
             self.is_lost = false;
             self.told_at = None;
@@ -204,6 +215,7 @@
     }
 
     fn note_lost(&mut self, error: &StoreError) {
+        self.metrics.observe_store_call(false);
         if !self.is_lost {
             self.is_lost = true;
             FrontEvent::StoreLost {
