--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod errors;
 pub mod fingerprint;
 pub mod ids;
+pub mod log_queue;
 pub mod logging;
 pub mod manifest;
 pub mod outcome;
--- /dev/null
+++ b/alderhaven-core/src/log_queue.rs
@@ -0,0 +1,130 @@
+//! A queue between those who log and a slow reader: bounded, and never waited for.
+//!
+//! A process whose standard output is a pipe stops at the write once the pipe is full. A request must
+//! not: lines go into a queue, a thread writes them in batches, and what finds the queue full is left
+//! out and counted.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use std::time::Duration;
+
+/// The lines that may wait: at 300 bytes each about a megabyte.
+const MAX_WAITING: usize = 4_096;
+
+/// The bytes after which a batch is written.
+const BATCH_BYTES: usize = 32 << 10;
+
+/// How long the first line of a batch waits for others. Each write costs a system call and a wake-up,
+/// which on a small host are more than the line; an engineer who reads along notices nothing.
+const BATCH_WAIT: Duration = Duration::from_millis(250);
+
+/// How often the end of a process looks whether its last lines are written.
+const FINISH_LOOKS: u32 = 25;
+/// The pause between two of those.
+const FINISH_PAUSE: Duration = Duration::from_millis(20);
+
+/// A `LogQueue` takes whole lines; its clones share the queue.
+#[derive(Clone, Debug)]
+pub struct LogQueue {
+    lines: SyncSender<Vec<u8>>,
+    left_out: Arc<AtomicU64>,
+    waiting: Arc<AtomicU64>,
+    line: Vec<u8>,
+}
+
+impl LogQueue {
+    /// Starts a queue whose lines a thread writes to `output`.
+    ///
+    /// # Errors
+    /// The thread can't be started.
+    pub fn start(output: impl Write + Send + 'static) -> io::Result<Self> {
+        let (sender, receiver) = sync_channel(MAX_WAITING);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let waiting = Arc::new(AtomicU64::new(0));
+        let (counted, written) = (Arc::clone(&left_out), Arc::clone(&waiting));
+        let writer = move || write_batches(&receiver, output, &counted, &written);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(writer)?;
+        Ok(Self {
+            lines: sender,
+            left_out,
+            waiting,
+            line: Vec::new(),
+        })
+    }
+
+    /// Waits until all lines are written, for half a second at most: the end of a process must not
+    /// hang on the reader of its log.
+    pub fn finish(&self) {
+        for _ in 0..FINISH_LOOKS {
+            if self.waiting.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            thread::sleep(FINISH_PAUSE);
+        }
+    }
+
+    /// Gets the lines that were left out since the last ones that were written.
+    #[must_use]
+    pub fn left_out(&self) -> u64 {
+        self.left_out.load(Ordering::Relaxed)
+    }
+}
+
+impl Write for LogQueue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            let line = std::mem::take(&mut self.line);
+            self.waiting.fetch_add(1, Ordering::Relaxed);
+            if self.lines.try_send(line).is_err() {
+                self.waiting.fetch_sub(1, Ordering::Relaxed);
+                self.left_out.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes batches until the last queue is gone or the reader is.
+fn write_batches(
+    lines: &Receiver<Vec<u8>>,
+    mut output: impl Write,
+    left_out: &AtomicU64,
+    waiting: &AtomicU64,
+) {
+    while let Ok(first) = lines.recv() {
+        thread::sleep(BATCH_WAIT);
+        let mut batch = first;
+        let mut count = 1;
+        while batch.len() < BATCH_BYTES {
+            let Ok(line) = lines.try_recv() else {
+                break;
+            };
+            batch.extend_from_slice(&line);
+            count += 1;
+        }
+        let missing = left_out.swap(0, Ordering::Relaxed);
+        if missing > 0 {
+            let note = format!(
+                "{{\"event\":\"log_lines_left_out\",\"reason\":\"queue_full\",\"lines\":{missing}}}\n"
+            );
+            batch.extend_from_slice(note.as_bytes());
+        }
+        let written = output.write_all(&batch).and_then(|()| output.flush());
+        waiting.fetch_sub(count, Ordering::Relaxed);
+        // Without a reader there is nobody left to tell.
+        if written.is_err() {
+            return;
+        }
+    }
+}
--- a/alderhaven-core/src/logging.rs
+++ b/alderhaven-core/src/logging.rs
@@ -1,4 +1,5 @@
-//! The log: JSON lines on standard error, one typed event a line.
+//! The log: JSON lines, one typed event a line, on standard error or through a queue on standard
+//! output.
 //!
 //! simplelog has no JSON form of its own. Every prefix is therefore switched off and the message is
 //! the whole line: an event serialised by serde. Only our own crates pass the filter, since other
@@ -9,7 +10,9 @@
 
 use log::LevelFilter;
 use serde::Serialize;
-use simplelog::{ConfigBuilder, WriteLogger};
+use simplelog::{Config, ConfigBuilder, WriteLogger};
+
+use crate::log_queue::LogQueue;
 
 /// The prefix of the modules whose messages are logged.
 const OWN_CRATES: &str = "alderhaven";
@@ -24,18 +27,31 @@
     event: &'a E,
 }
 
-/// Starts the log at `level`; a second call in the same process changes nothing.
+/// Starts the log on standard error at `level`; a second call in the same process changes nothing.
 pub fn start(level: LevelFilter) {
-    let config = ConfigBuilder::new()
+    // A second logger in one process (the quickstart) is refused, and the first goes on.
+    let _already_started = WriteLogger::init(level, config(), io::stderr());
+}
+
+/// Starts the log on standard output at `level`, through a queue that no one waits for.
+///
+/// # Errors
+/// The thread that writes can't be started.
+pub fn start_queued(level: LevelFilter) -> io::Result<LogQueue> {
+    let queue = LogQueue::start(io::stdout())?;
+    let _already_started = WriteLogger::init(level, config(), queue.clone());
+    Ok(queue)
+}
+
+fn config() -> Config {
+    ConfigBuilder::new()
         .set_max_level(LevelFilter::Off)
         .set_time_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str(OWN_CRATES)
-        .build();
-    // A second logger in one process (the quickstart) is refused, and the first goes on.
-    let _already_started = WriteLogger::init(level, config, io::stderr());
+        .build()
 }
 
 /// Logs a typed event as one JSON line.
--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -10,8 +10,10 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use log::Level;
 
 use crate::front_answer::PassedReply;
+use crate::front_event::FrontEvent;
 use crate::query_call::QueryCall;
 use crate::target_handle::TargetHandle;
 use crate::target_pool::PooledConnection;
@@ -98,9 +100,20 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = self.clock.now();
-        self.target
-            .gauge()
-            .end(self.sent, self.usual, self.result, now);
+        let is_newly_aside = {
+            let mut gauge = self.target.gauge();
+            let was_aside = gauge.is_aside(now);
+            gauge.end(self.sent, self.usual, self.result, now);
+            gauge.is_aside(now) && !was_aside
+        };
+        if is_newly_aside {
+            let entry = self.target.entry();
+            FrontEvent::TargetAside {
+                target: entry.id.clone(),
+                service: entry.service.clone(),
+            }
+            .emit(Level::Warn);
+        }
     }
 }
 
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -75,6 +75,8 @@
     budgets: HashMap<String, Arc<Mutex<RepeatBudget>>>,
     contacts: BTreeMap<NodeId, StoreContact>,
     nodes: usize,
+    /// The rule for repeats where it has changed since the start.
+    repeats: Option<RepeatOptions>,
 }
 
 impl Catalog {
@@ -159,6 +161,16 @@
         self.state().nodes.max(1)
     }
 
+    /// Takes over a changed rule for repeats.
+    pub fn set_repeats(&self, repeats: RepeatOptions) {
+        let mut state = self.state();
+        state.repeats = Some(repeats);
+        for budget in state.budgets.values() {
+            let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+            budget.set_options(repeats);
+        }
+    }
+
     /// Notes how many nodes are known.
     pub fn note_nodes(&self, nodes: usize) {
         let mut state = self.state();
@@ -378,6 +390,7 @@
                 .push(Arc::clone(target));
         }
         let nodes = state.nodes.max(1);
+        let repeats = state.repeats.unwrap_or(self.options.repeats);
         let mut services = HashMap::new();
         for (name, targets) in by_service {
             let rule = state
@@ -393,7 +406,7 @@
             let budget = state
                 .budgets
                 .entry(name.clone())
-                .or_insert_with(|| Arc::new(Mutex::new(RepeatBudget::new(self.options.repeats))));
+                .or_insert_with(|| Arc::new(Mutex::new(RepeatBudget::new(repeats))));
             let service = ServiceTargets {
                 name: name.clone(),
                 targets,
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -1,11 +1,13 @@
 //! What a front writes to its log: one typed event a line.
 
-use alderhaven_core::logging;
+use std::net::SocketAddr;
+
 use alderhaven_core::time::TimeSpan;
 use log::Level;
 use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
 
+use crate::event_log;
 use crate::front_answer::{BadRequest, RefusalReason};
 use crate::front_metrics::AttemptFate;
 
@@ -20,6 +22,11 @@
     },
     /// The process was asked to stop.
     Stopping,
+    /// The settings file was read again.
+    Reloaded {
+        /// What of it can't be read, where that is so; nothing is changed then.
+        error: Option<String>,
+    },
     /// A configuration came into force.
     ConfigTaken {
         /// Its version.
@@ -52,6 +59,27 @@
         /// Whether it had said that it leaves.
         was_leaving: bool,
     },
+    /// A target could not be reached some times in a row, and gets no attempts for a while.
+    TargetAside {
+        /// The target.
+        target: String,
+        /// Its service.
+        service: String,
+    },
+    /// The connection to another front was lost or is silent.
+    LinkLost {
+        /// Where that front is asked.
+        front: SocketAddr,
+        /// The asks that were open.
+        open: usize,
+    },
+    /// The nodes that are alive have changed.
+    NodesChanged {
+        /// How many there are.
+        nodes: usize,
+        /// How many there were.
+        before: usize,
+    },
     /// The store can't be reached.
     StoreLost {
         /// What was seen.
@@ -130,8 +158,33 @@
 }
 
 impl FrontEvent {
-    /// Writes the line.
+    /// Writes the line, unless there are too many of its kind.
     pub fn emit(&self, level: Level) {
-        logging::emit(level, self);
+        event_log::write(level, self);
+    }
+
+    /// Gets the name of its kind.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Started { .. } => "started",
+            Self::Stopping => "stopping",
+            Self::Reloaded { .. } => "reloaded",
+            Self::ConfigTaken { .. } => "config_taken",
+            Self::ConfigRefused { .. } => "config_refused",
+            Self::TargetUnreadable { .. } => "target_unreadable",
+            Self::TargetGone { .. } => "target_gone",
+            Self::TargetAside { .. } => "target_aside",
+            Self::StoreLost { .. } => "store_lost",
+            Self::StoreBack => "store_back",
+            Self::LinkLost { .. } => "link_lost",
+            Self::NodesChanged { .. } => "nodes_changed",
+            Self::RequestEnded { end, .. } => match end {
+                RequestEnd::Partial => "request_partial",
+                _ => "request_ended",
+            },
+            Self::RequestRefused { .. } => "request_refused",
+            Self::RequestBad { .. } => "request_bad",
+        }
     }
 }
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -106,6 +106,19 @@
         self.context.stop.request();
     }
 
+    /// Takes over settings that were read again. What is bound to an address or told to peers stays as
+    /// it was started; what can't be read changes nothing.
+    pub fn reload(&self, options: Result<FrontOptions, String>) {
+        let error = match options {
+            Ok(options) => {
+                self.context.catalog.set_repeats(options.repeats);
+                None
+            }
+            Err(error) => Some(error),
+        };
+        FrontEvent::Reloaded { error }.emit(Level::Info);
+    }
+
     /// Waits until the process may end.
     pub async fn stopped(&self) -> StopReport {
         self.context.stop.stopped().await
@@ -196,11 +209,20 @@
 /// Keeps the catalog's number of nodes up to date.
 async fn note_nodes(group: NodeGroup, catalog: Arc<Catalog>, metrics: FrontMetrics) {
     let mut changed = group.changed();
+    let mut before = 0;
     loop {
         let members = group.members();
         let live = members.iter().filter(|member| member.state.takes_work());
         let live = live.count();
         catalog.note_nodes(live);
+        if live != before {
+            FrontEvent::NodesChanged {
+                nodes: live,
+                before,
+            }
+            .emit(Level::Info);
+            before = live;
+        }
         metrics.nodes.set(i64::try_from(live).unwrap_or(i64::MAX));
         let routing = catalog.view().routing.clone();
         let version = routing.map_or(0, |routing| routing.version);
--- a/alderhaven-front/src/group_links.rs
+++ b/alderhaven-front/src/group_links.rs
@@ -14,11 +14,14 @@
 use alderhaven_peer::frames::PeerMessage;
 use alderhaven_peer::group_messages::{GroupAsk, GroupClose, GroupReply};
 use alderhaven_policy::membership::member_record::MemberState;
+use log::Level;
 use rand::RngExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time;
 
+use crate::front_event::FrontEvent;
+
 /// The time within which a connection to a front is made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -37,6 +40,7 @@
 /// A `GroupLink` is the connection to one front.
 #[derive(Debug)]
 struct GroupLink {
+    address: SocketAddr,
     clock: ProcessClock,
     next: AtomicU64,
     state: Mutex<LinkState>,
@@ -117,6 +121,7 @@
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let link = links.entry(address).or_insert_with(|| {
             Arc::new(GroupLink {
+                address,
                 clock: self.clock,
                 next: AtomicU64::new(0),
                 state: Mutex::default(),
@@ -178,6 +183,11 @@
     /// Forgets the connection; every open ask hears that it is lost.
     fn lose(&self) {
         let mut state = self.state();
+        FrontEvent::LinkLost {
+            front: self.address,
+            open: state.awaited.len(),
+        }
+        .emit(Level::Warn);
         state.sender = None;
         state.epoch += 1;
         for (_, sink) in state.awaited.drain() {
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catalog;
 pub mod catalog_view;
 pub mod directory_service;
+pub mod event_log;
 pub mod front_answer;
 pub mod front_context;
 pub mod front_directory;
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -478,8 +478,8 @@
         let left = self.time.partial_at.since(now);
         let latest = left.saturating_sub(self.late.mul_f64(HEDGE_MARGIN));
         let last = left.saturating_sub(self.usual.mul_f64(HEDGE_ROOM) + HEDGE_WORK);
-        let least = self.usual.mul_f64(HEDGE_LEAST);
-        now + self.late.max(latest).min(last).max(least)
+        let soonest = self.usual.mul_f64(HEDGE_LEAST);
+        now + self.late.max(latest).min(last).max(soonest)
     }
 
     /// Gets when an attempt at a shard is of no more use.
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod latency_window;
 pub mod leaving_targets;
 pub mod load_meter;
+pub mod log_limit;
 pub mod membership;
 pub mod policy_kind;
 pub mod quarantine;
--- a/alderhaven-policy/src/repeat_budget.rs
+++ b/alderhaven-policy/src/repeat_budget.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Takes over a changed rule.
+    pub const fn set_options(&mut self, options: RepeatOptions) {
+        self.options = options;
+    }
+
     /// Notes a request for the service.
     pub fn note_request(&mut self, now: TimePoint) {
         self.piece(now).requests += 1;
