--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -12,6 +12,8 @@
 use alderhaven_core::ids::{FailureDomain, NodeId, StoreVersion};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::group_share::GroupShare;
+use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions};
 use alderhaven_policy::store_watch_plan::StoreContact;
 use arc_swap::ArcSwap;
@@ -39,7 +41,7 @@
 
 /// The parts into which a target's cap of connections is divided: one for the nodes as they are, and
 /// one for the connections that a target still counts of nodes which lost power and are back.
-const CAP_PARTS: usize = 2;
+const CAP_PARTS: f64 = 2.0;
 
 /// The body of the word of a node that reaches the store.
 const CONTACT_REACHED: &str = "reached";
@@ -61,11 +63,12 @@
 pub struct CatalogOptions {
     /// The failure domain of this process.
     pub domain: FailureDomain,
+    /// The processor time that this process may use.
+    pub capacity: CpuCapacity,
     /// The rule for repeats.
     pub repeats: RepeatOptions,
 }
 
-#[derive(Default)]
 struct CatalogState {
     objects: BTreeMap<ObjectKey, StoredObject>,
     is_listed: bool,
@@ -74,11 +77,27 @@
     targets: BTreeMap<String, Arc<TargetHandle>>,
     budgets: HashMap<String, Arc<Mutex<RepeatBudget>>>,
     contacts: BTreeMap<NodeId, StoreContact>,
-    nodes: usize,
+    share: GroupShare,
     /// The rule for repeats where it has changed since the start.
     repeats: Option<RepeatOptions>,
 }
 
+impl CatalogState {
+    fn new(share: GroupShare) -> Self {
+        Self {
+            objects: BTreeMap::new(),
+            is_listed: false,
+            routing: None,
+            route_states: HashMap::new(),
+            targets: BTreeMap::new(),
+            budgets: HashMap::new(),
+            contacts: BTreeMap::new(),
+            share,
+            repeats: None,
+        }
+    }
+}
+
 impl Catalog {
     /// Returns an empty catalog.
     #[must_use]
@@ -87,12 +106,13 @@
         options: CatalogOptions,
         clock: ProcessClock,
     ) -> Self {
+        let share = GroupShare::alone(options.capacity);
         Self {
             dialect,
             options,
             clock,
-            state: Mutex::default(),
-            view: ArcSwap::default(),
+            state: Mutex::new(CatalogState::new(share)),
+            view: ArcSwap::from_pointee(CatalogView::new(share)),
             changed: watch::Sender::new(0),
         }
     }
@@ -155,10 +175,10 @@
         self.state().contacts.values().cloned().collect()
     }
 
-    /// Gets the largest number of nodes that was known.
+    /// Gets how this node stands in its group.
     #[must_use]
-    pub fn nodes(&self) -> usize {
-        self.state().nodes.max(1)
+    pub fn share(&self) -> GroupShare {
+        self.view().share
     }
 
     /// Takes over a changed rule for repeats.
@@ -171,11 +191,10 @@
         }
     }
 
-    /// Notes how many nodes are known.
-    pub fn note_nodes(&self, nodes: usize) {
+    /// Notes the capacities of the nodes that are alive, this one's included.
+    pub fn note_nodes(&self, capacities: impl IntoIterator<Item = CpuCapacity>) {
         let mut state = self.state();
-        if nodes > state.nodes {
-            state.nodes = nodes;
+        if state.share.note(capacities) {
             self.rebuild(&mut state);
         }
     }
@@ -376,6 +395,7 @@
             routes: routes(state),
             services,
             targets: state.targets.clone().into_iter().collect(),
+            share: state.share,
         };
         self.view.store(Arc::new(view));
     }
@@ -389,7 +409,6 @@
                 .or_default()
                 .push(Arc::clone(target));
         }
-        let nodes = state.nodes.max(1);
         let repeats = state.repeats.unwrap_or(self.options.repeats);
         let mut services = HashMap::new();
         for (name, targets) in by_service {
@@ -398,7 +417,7 @@
                 .as_ref()
                 .and_then(|routing| routing.services.get(&name));
             if let Some(rule) = rule {
-                let limit = connection_limit(rule.max_connections, nodes);
+                let limit = state.share.connections(rule.max_connections, CAP_PARTS);
                 for target in &targets {
                     target.pool.set_limit(limit);
                 }
@@ -438,6 +457,9 @@
 
     fn warm_near_targets(&self) {
         let view = self.view();
+        if !view.share.is_large() {
+            return;
+        }
         let routes = view.routes.values().flatten();
         let names = routes.flat_map(|route| route.rule.destination.services());
         let services = names.filter_map(|name| view.services.get(name));
@@ -463,11 +485,6 @@
     }
 }
 
-/// Gets the connections that one node may open to a target which accepts `most` from all of them.
-fn connection_limit(most: usize, nodes: usize) -> usize {
-    most.div_ceil(nodes * CAP_PARTS)
-}
-
 /// Returns true where two registrations under one id are of the same process.
 fn is_same_process(known: &TargetEntry, entry: &TargetEntry) -> bool {
     let is_same_start = known.started == entry.started;
--- a/alderhaven-front/src/catalog_view.rs
+++ b/alderhaven-front/src/catalog_view.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use alderhaven_core::ids::FailureDomain;
+use alderhaven_policy::group_share::GroupShare;
 
 use crate::route_rule::RouteRule;
 use crate::route_state::RouteState;
@@ -12,7 +13,7 @@
 use crate::target_handle::TargetHandle;
 
 /// A `CatalogView` is the configuration with the targets as they are known.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CatalogView {
     /// The configuration, where one is known.
     pub routing: Option<Arc<RoutingConfig>>,
@@ -22,6 +23,8 @@
     pub services: HashMap<String, Arc<ServiceTargets>>,
     /// The targets by id.
     pub targets: HashMap<String, Arc<TargetHandle>>,
+    /// How this node stands in its group.
+    pub share: GroupShare,
 }
 
 /// A `LiveRoute` is a route with what was learnt of it.
@@ -36,6 +39,18 @@
 }
 
 impl CatalogView {
+    /// Returns a view without any configuration.
+    #[must_use]
+    pub fn new(share: GroupShare) -> Self {
+        Self {
+            routing: None,
+            routes: HashMap::new(),
+            services: HashMap::new(),
+            targets: HashMap::new(),
+            share,
+        }
+    }
+
     /// Finds the route of a request: the longest prefix that begins its path.
     #[must_use]
     pub fn find_route(&self, site: &str, path: &str) -> Option<&Arc<LiveRoute>> {
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -1,11 +1,12 @@
 //! What all requests of a process share.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use alderhaven_core::process_clock::ProcessClock;
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_node::stop_handle::StopHandle;
+use alderhaven_policy::wake_lag::WakeLag;
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::Catalog;
@@ -26,6 +27,8 @@
     pub metrics: FrontMetrics,
     /// The planned stop.
     pub stop: StopHandle,
+    /// How late the process wakes up.
+    pub lag: Arc<Mutex<WakeLag>>,
     /// The clock.
     pub clock: ProcessClock,
     /// The settings of requests.
@@ -51,15 +54,33 @@
     fn default() -> Self {
         Self {
             caller_path: TimeSpan::from_millis(3),
-            answer_work: TimeSpan::from_millis(8),
+            answer_work: TimeSpan::from_millis(6),
             default_deadline: TimeSpan::from_secs(10),
             linger: TimeSpan::from_millis(400),
         }
     }
 }
 
+impl FrontContext {
+    /// Notes a timer of this process that was due at `due`.
+    pub fn note_wake(&self, due: TimePoint) {
+        let now = self.clock.now();
+        let mut lag = self.lag.lock().unwrap_or_else(PoisonError::into_inner);
+        lag.note(due, now);
+    }
+
+    /// Gets how late the process wakes up.
+    #[must_use]
+    pub fn wake_lag(&self) -> TimeSpan {
+        self.lag
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get()
+    }
+}
+
 /// Sleeps until a point of the process's clock.
-pub async fn sleep_until(clock: ProcessClock, point: alderhaven_core::time::TimePoint) {
+pub async fn sleep_until(clock: ProcessClock, point: TimePoint) {
     let left: Duration = point.since(clock.now()).as_duration();
     tokio::time::sleep(left).await;
 }
--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -9,7 +9,7 @@
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_policy::drain::DrainState;
 use alderhaven_policy::front_choice::{self, ChoiceOptions, FrontOffer};
-use alderhaven_policy::membership::member_record::MemberState;
+use alderhaven_policy::membership::member_record::{CpuCapacity, MemberState};
 use smallvec::SmallVec;
 
 use crate::catalog::Catalog;
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: FailureDomain,
+    /// Its processor time.
+    pub capacity: CpuCapacity,
 }
 
 impl FrontDirectory {
@@ -84,21 +86,22 @@
         let view = self.catalog.view();
         let own = self
             .is_ready()
-            .then(|| (self.own.address, self.own.domain.clone()));
+            .then(|| (self.own.address, self.own.domain.clone(), self.own.capacity));
         let others = self.group.members().into_iter().skip(1);
         let others = others.filter_map(|member| {
             let has_config = member.config.is_none_or(|config| config.progress > 0);
             let address = member.record.caller_address?;
             let is_named = member.state == state && has_config;
-            is_named.then(|| (address, member.record.domain.clone()))
+            let record = &member.record;
+            is_named.then(|| (address, record.domain.clone(), record.capacity))
         });
         own.into_iter()
             .chain(others)
-            .map(|(address, domain)| FrontOffer {
+            .map(|(address, domain, capacity)| FrontOffer {
                 address,
                 held_share: view.held_share(site, &domain),
                 domain,
-                size: 1.0,
+                size: view.share.size(capacity),
             })
             .collect()
     }
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -11,7 +11,7 @@
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::peer_options::ConfigAccess;
 use alderhaven_policy::drain::{DrainOptions, StopReport};
-use alderhaven_policy::membership::member_record::MemberRole;
+use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_store::object_store::ObjectStore;
 use log::Level;
 
@@ -58,6 +58,7 @@
         let addresses = listeners.addresses()?;
         let catalog_options = CatalogOptions {
             domain: options.domain.clone(),
+            capacity: options.capacity,
             repeats: options.repeats,
         };
         let catalog = Arc::new(Catalog::new(Arc::clone(&dialect), catalog_options, clock));
@@ -68,6 +69,7 @@
             dialect,
             links: GroupLinks::new(group.clone(), clock),
             metrics: metrics.clone(),
+            lag: Arc::default(),
             stop: StopHandle::default(),
             clock,
             options: options.requests,
@@ -146,6 +148,7 @@
         let own = OwnFront {
             address: self.addresses.callers,
             domain: options.domain.clone(),
+            capacity: options.capacity,
         };
         let directory = FrontDirectory::new(
             Arc::clone(&self.context.catalog),
@@ -191,6 +194,7 @@
         .seeds(options.seeds.clone())
         .peer_address(addresses.groups)
         .caller_address(addresses.callers)
+        .capacity(options.capacity)
         .build();
     let (objects, accept, listed) = (
         Arc::clone(catalog),
@@ -213,8 +217,9 @@
     loop {
         let members = group.members();
         let live = members.iter().filter(|member| member.state.takes_work());
-        let live = live.count();
-        catalog.note_nodes(live);
+        let capacities: Vec<CpuCapacity> = live.map(|member| member.record.capacity).collect();
+        let live = capacities.len();
+        catalog.note_nodes(capacities);
         if live != before {
             FrontEvent::NodesChanged {
                 nodes: live,
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -5,6 +5,7 @@
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::front_choice::ChoiceOptions;
+use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::repeat_budget::RepeatOptions;
 
 use crate::front_context::RequestOptions;
@@ -28,6 +29,8 @@
     pub gossip_address: SocketAddr,
     /// Where fronts of other failure domains ask for attempts at targets.
     pub group_address: SocketAddr,
+    /// The processor time that the process may use.
+    pub capacity: CpuCapacity,
     /// Nodes to join by.
     pub seeds: Vec<SocketAddr>,
     /// The longest that a planned stop may take.
--- a/alderhaven-front/src/group_links.rs
+++ b/alderhaven-front/src/group_links.rs
@@ -13,6 +13,7 @@
 use alderhaven_peer::connection::{self, FrameReader, FrameSender};
 use alderhaven_peer::frames::PeerMessage;
 use alderhaven_peer::group_messages::{GroupAsk, GroupClose, GroupReply};
+use alderhaven_policy::membership::member_entry::MemberView;
 use alderhaven_policy::membership::member_record::MemberState;
 use log::Level;
 use rand::RngExt;
@@ -108,11 +109,16 @@
         usable.swap_remove(place).ask(ask)
     }
 
+    /// Gets the largest hosts' fronts of a failure domain: a small one would hold its answer up.
     fn fronts(&self, domain: &FailureDomain) -> Vec<SocketAddr> {
         let members = self.group.members();
         let others = members.iter().skip(1);
-        others
+        let near: Vec<&MemberView> = others
             .filter(|member| member.state == MemberState::Alive && member.record.domain == *domain)
+            .collect();
+        let largest = near.iter().map(|member| member.record.capacity).max();
+        near.into_iter()
+            .filter(|member| Some(member.record.capacity) == largest)
             .filter_map(|member| member.record.peer_address)
             .collect()
     }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -106,7 +106,10 @@
         let target = route.rule.latency_target;
         let waited = route.state.waited(call.time_left, target, call.arrived);
         // The request's own way here counts as well as the answer's way back.
-        let reserve = options.caller_path + options.caller_path + options.answer_work + waited;
+        let way = options.caller_path + options.caller_path;
+        // The request may have waited as long to be seen as the answer will wait to be sent.
+        let lag = context.wake_lag();
+        let reserve = way + options.answer_work + lag + lag + waited;
         Self {
             context,
             call,
@@ -214,7 +217,9 @@
                 biased;
                 Some(report) = self.attempts.next() => self.take_report(report),
                 (place, news) = next_news(&mut self.asks) => self.take_news(place, news),
-                () = front_context::sleep_until(self.context.clock, until) => {}
+                () = front_context::sleep_until(self.context.clock, until) => {
+                    self.context.note_wake(until);
+                }
             }
         }
     }
@@ -429,8 +434,8 @@
         if reason == RepeatReason::Hedge && !self.is_hedge_in_time(target, now) {
             return;
         }
-        let nodes = self.context.catalog.nodes();
-        let may_repeat = service.budget().take(reason, nodes, now);
+        let part = self.context.catalog.share().part();
+        let may_repeat = service.budget().take(reason, part, now);
         if !may_repeat {
             self.context.metrics.refused_repeats.inc();
             return;
--- a/alderhaven-node/src/node_group.rs
+++ b/alderhaven-node/src/node_group.rs
@@ -10,7 +10,7 @@
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
 use alderhaven_policy::membership::member_entry::MemberView;
-use alderhaven_policy::membership::member_record::MemberRole;
+use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
 use alderhaven_store::config_handle::ConfigHandle;
 use tokio::sync::watch;
@@ -35,6 +35,9 @@
     pub peer_address: SocketAddr,
     /// The address for callers; none for a relay.
     pub caller_address: Option<SocketAddr>,
+    /// The processor time that the process may use.
+    #[builder(default)]
+    pub capacity: CpuCapacity,
 }
 
 /// A `NodeGroup` is a process's view of the group; its clones share it.
@@ -74,6 +77,7 @@
             .gossip_address(gossip_address)
             .peer_address(options.peer_address)
             .maybe_caller_address(options.caller_address)
+            .capacity(options.capacity)
             .incarnation(incarnation_now())
             .membership(membership)
             .build();
--- a/alderhaven-peer/examples/member-slopes/passed_time_group.rs
+++ b/alderhaven-peer/examples/member-slopes/passed_time_group.rs
@@ -16,7 +16,7 @@
 use alderhaven_policy::membership::gossip_message::OutgoingMessage;
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::{
-    MemberRecord, MemberRole, MemberState, MemberVersion,
+    CpuCapacity, MemberRecord, MemberRole, MemberState, MemberVersion,
 };
 use alderhaven_policy::membership::membership_options::MembershipOptions;
 use prost::Message;
@@ -129,6 +129,7 @@
             gossip_address: address(index),
             peer_address: Some(address(index)),
             caller_address: None,
+            capacity: CpuCapacity::default(),
         };
         let version = MemberVersion {
             start: IncarnationNumber(start),
--- a/alderhaven-peer/src/gossip_messages.rs
+++ b/alderhaven-peer/src/gossip_messages.rs
@@ -10,7 +10,7 @@
     GossipBody, GossipMessage, MemberUpdate, ReportGroup, SenderHeader,
 };
 use alderhaven_policy::membership::member_record::{
-    ConfigDigest, LoadLevel, MemberRecord, MemberRole, MemberState, MemberVersion,
+    ConfigDigest, CpuCapacity, LoadLevel, MemberRecord, MemberRole, MemberState, MemberVersion,
 };
 use prost::Message;
 
@@ -141,6 +141,8 @@
     peer_address: Vec<u8>,
     #[prost(bytes = "vec", tag = "6")]
     caller_address: Vec<u8>,
+    #[prost(uint32, tag = "7")]
+    capacity: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -341,6 +343,7 @@
             .caller_address
             .map(address_to_wire)
             .unwrap_or_default(),
+        capacity: record.capacity.0,
     }
 }
 
@@ -359,6 +362,7 @@
         gossip_address: address_from_wire(&wire.gossip_address)?,
         peer_address: optional_address_from_wire(&wire.peer_address)?,
         caller_address: optional_address_from_wire(&wire.caller_address)?,
+        capacity: CpuCapacity(wire.capacity),
     })
 }
 
--- a/alderhaven-peer/src/peer_node.rs
+++ b/alderhaven-peer/src/peer_node.rs
@@ -44,6 +44,7 @@
             gossip_address,
             peer_address: options.peer_address,
             caller_address: options.caller_address,
+            capacity: options.capacity,
         };
         let hello = hello_of(&record, options.incarnation);
         let version = MemberVersion {
--- a/alderhaven-peer/src/peer_options.rs
+++ b/alderhaven-peer/src/peer_options.rs
@@ -6,7 +6,7 @@
 use alderhaven_core::config_object::StoredObject;
 use alderhaven_core::ids::{FailureDomain, HostId, IncarnationNumber, NodeId};
 use alderhaven_policy::exchange::exchange_options::ExchangeOptions;
-use alderhaven_policy::membership::member_record::MemberRole;
+use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
 use tokio::sync::watch;
 
@@ -28,6 +28,9 @@
     pub peer_address: Option<SocketAddr>,
     /// The address for callers; none for a relay.
     pub caller_address: Option<SocketAddr>,
+    /// The processor time that the process may use.
+    #[builder(default)]
+    pub capacity: CpuCapacity,
     /// A number above that of all earlier runs of this process, such as the milliseconds since the
     /// Unix epoch at its start.
     pub incarnation: IncarnationNumber,
--- a/alderhaven-policy/src/membership/gossip_message.rs
+++ b/alderhaven-policy/src/membership/gossip_message.rs
@@ -21,8 +21,9 @@
 /// name's length, a state and a version.
 const UPDATE_BYTES: usize = 26;
 
-/// The upper bound of a record's encoded form beside its names and addresses.
-const RECORD_BYTES: usize = 12;
+/// The upper bound of a record's encoded form beside its names and addresses: their lengths, a role and a
+/// capacity.
+const RECORD_BYTES: usize = 18;
 
 /// The bytes of an encoded address beside its IP number: tag, length and port.
 const ADDRESS_BYTES: usize = 4;
--- a/alderhaven-policy/src/membership/member_record.rs
+++ b/alderhaven-policy/src/membership/member_record.rs
@@ -33,6 +33,10 @@
     pub peer_address: Option<SocketAddr>,
     /// The address for callers; none for a relay.
     pub caller_address: Option<SocketAddr>,
+    /// The processor time that the member may use, in thousandths of a core; 0 where it is not known.
+    #[builder(default)]
+    #[serde(default)]
+    pub capacity: CpuCapacity,
 }
 
 /// A `MemberVersion` orders what is said of one member; the higher one is the newer.
@@ -89,3 +93,10 @@
 )]
 #[serde(transparent)]
 pub struct LoadLevel(pub u32);
+
+/// A `CpuCapacity` is processor time in thousandths of a core.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct CpuCapacity(pub u32);
--- a/alderhaven-policy/src/repeat_budget.rs
+++ b/alderhaven-policy/src/repeat_budget.rs
@@ -8,8 +8,8 @@
 //!
 //! The rule is counted in any window of a given length: repeats may be a share of the requests plus
 //! a fixed number. Each node keeps its repeats below that share of its own requests, and takes its
-//! equal part of the fixed number, so that the sum keeps the rule whatever the nodes know of each
-//! other. The part is by the largest group that was known, since a node that is cut off sees fewer.
+//! part of the fixed number ([`crate::group_share`]), so that the sum keeps the rule whatever the
+//! nodes know of each other.
 //!
 //! Hedges leave a reserve: a retry after a failure saves an answer, a hedge only saves time.
 
@@ -102,10 +102,10 @@
 
     /// Takes one repeat; returns false where it would break the rule.
     ///
-    /// `nodes` is the size of the largest group that was known.
-    pub fn take(&mut self, reason: RepeatReason, nodes: usize, now: TimePoint) -> bool {
+    /// `part` is the node's part of the fixed number of repeats.
+    pub fn take(&mut self, reason: RepeatReason, part: f64, now: TimePoint) -> bool {
         self.forget(now);
-        let allowed = self.allowed(nodes);
+        let allowed = self.allowed(part);
         let kept_back = match reason {
             RepeatReason::Hedge => allowed * RETRY_RESERVE,
             RepeatReason::Retry => 0.0,
@@ -120,16 +120,16 @@
 
     /// Gets the share of the allowance that is left, 0 to 1.
     #[must_use]
-    pub fn left(&self, nodes: usize) -> f64 {
-        let allowed = self.allowed(nodes);
+    pub fn left(&self, part: f64) -> f64 {
+        let allowed = self.allowed(part);
         if allowed < 1.0 {
             return 0.0;
         }
         (1.0 - f64::from(self.repeats) / allowed).clamp(0.0, 1.0)
     }
 
-    fn allowed(&self, nodes: usize) -> f64 {
-        let shared = self.options.extra / nodes.max(1) as f64;
+    fn allowed(&self, part: f64) -> f64 {
+        let shared = self.options.extra * part;
         (f64::from(self.requests) * self.options.ratio + shared) * USED_SHARE
     }
 
