--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -32,6 +32,9 @@
 /// of a second in which views are published.
 const HEARD_WITHIN: TimeSpan = TimeSpan::from_millis(400);
 
+/// The part of a planned stop that is kept for requests in flight: that of most routes' timeouts.
+const FINISH_WITHIN: TimeSpan = TimeSpan::from_millis(1_500);
+
 /// How many times the life of a directory's answer some callers keep it.
 const KEPT_LIVES: f64 = 3.0;
 
@@ -168,11 +171,7 @@
     }
 
     fn drive_stop(&self, options: &FrontOptions) {
-        let drain = DrainOptions {
-            heard_within: HEARD_WITHIN,
-            address_life: options.directory_ttl.mul_f64(KEPT_LIVES),
-            limit: options.stop_limit,
-        };
+        let drain = drain_options(options);
         let stop = self.context.stop.clone();
         let in_flight = self.context.stop.clone();
         let group = self.group.clone();
@@ -180,6 +179,20 @@
     }
 }
 
+/// Gets the spans of a planned stop. What is left of the limit after the callers' lists have lapsed is
+/// for the requests that were taken: without it the process ends in the midst of them, and their
+/// callers find their connections closed without an answer.
+#[must_use]
+pub fn drain_options(options: &FrontOptions) -> DrainOptions {
+    let reserved = FINISH_WITHIN + HEARD_WITHIN;
+    let most = options.stop_limit.saturating_sub(reserved);
+    DrainOptions {
+        heard_within: HEARD_WITHIN,
+        address_life: options.directory_ttl.mul_f64(KEPT_LIVES).min(most),
+        limit: options.stop_limit,
+    }
+}
+
 async fn start_group(
     options: &FrontOptions,
     addresses: FrontAddresses,
--- /dev/null
+++ b/alderhaven-front/tests/stop_spans.rs
@@ -0,0 +1,55 @@
+//! The spans of a front's planned stop.
+
+use std::net::SocketAddr;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_front::front_node;
+use alderhaven_front::front_options::FrontOptions;
+use alderhaven_policy::drain::{DrainEvent, DrainSequence, DrainState};
+use alderhaven_policy::membership::member_record::CpuCapacity;
+use alderhaven_policy::repeat_budget::RepeatOptions;
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn options(directory_ttl: TimeSpan, stop_limit: TimeSpan) -> FrontOptions {
+    FrontOptions::builder()
+        .node("front-1".parse().expect("a name"))
+        .host("host-1".parse().expect("a name"))
+        .domain("a".parse().expect("a name"))
+        .caller_address(ANY)
+        .directory_address(ANY)
+        .ready_address(ANY)
+        .gossip_address(ANY)
+        .group_address(ANY)
+        .capacity(CpuCapacity(250))
+        .seeds(Vec::new())
+        .stop_limit(stop_limit)
+        .directory_ttl(directory_ttl)
+        .repeats(RepeatOptions::default())
+        .build()
+}
+
+/// Callers keep an answer of the directory for twelve seconds, and the platform kills a process six
+/// seconds after it asked it to stop. A front that waited for all lists to lapse served new requests up
+/// to its limit and ended in the midst of them: their callers saw connections close without an answer.
+#[test]
+fn stop_with_long_lists_leaves_time_for_its_last_requests() {
+    let limit = TimeSpan::from_millis(5_500);
+    let spans = front_node::drain_options(&options(TimeSpan::from_secs(4), limit));
+    let mut sequence = DrainSequence::new(spans);
+    let mut now = TimePoint::START;
+    sequence.handle(DrainEvent::StopRequested { now, in_flight: 1 });
+    while sequence.takes_requests() {
+        now = now + TimeSpan::from_millis(10);
+        sequence.handle(DrainEvent::Ticked { now, in_flight: 1 });
+    }
+    assert_eq!(sequence.state(), DrainState::Finishing);
+    assert!(now + TimeSpan::from_secs(1) < TimePoint::START + limit);
+}
+
+#[test]
+fn stop_with_short_lists_waits_for_them() {
+    let limit = TimeSpan::from_millis(5_500);
+    let spans = front_node::drain_options(&options(TimeSpan::from_secs(1), limit));
+    assert_eq!(spans.address_life, TimeSpan::from_secs(3));
+}
