--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -6,7 +6,7 @@
 use alderhaven_core::config_object::ObjectKind;
 use alderhaven_core::ids::{NodeId, StoreVersion};
 use alderhaven_core::process_clock::ProcessClock;
-use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::NodeGroup;
 use alderhaven_policy::store_watch_plan::{self, WatchOptions};
 use alderhaven_store::object_store::{ObjectStore, StoreError, WatchOutcome};
@@ -23,9 +23,13 @@
 /// and a node that is in touch has some seconds to take a change over.
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
 
-/// The pause after a change before the watch goes on, so that one call brings all that follows it
-/// closely: targets register within a second of each other, and operators send changes in series.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+/// The pause after a change of the configuration before the watch goes on, so that one call brings all
+/// that follows it closely: operators send changes in series, and each is due within seconds.
+const CONFIG_PAUSE: Duration = Duration::from_millis(250);
+
+/// The same after a change of targets, which register and leave in series within a second or two. One
+/// that leaves serves for three seconds more.
+const TARGET_PAUSE: Duration = Duration::from_millis(500);
 
 /// How often a node that does not watch looks whether it should.
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
@@ -44,8 +48,9 @@
 /// How often a node that starts looks whether its peers have told it all.
 const PEER_LOOK: Duration = Duration::from_millis(10);
 
-/// The shortest time between two words of this node that it reaches the store.
-const CONTACT_PERIOD: TimeSpan = TimeSpan::from_millis(900);
+/// The time that a node which starts gives the first nodes of a group that starts with it: their tries
+/// of the store, and the way of what they learn.
+const GROUP_CHANCE: TimeSpan = TimeSpan::from_millis(500);
 
 /// The waits after failed calls: the second is long, since each call to a store that is down is paid
 /// for like any other.
@@ -66,7 +71,6 @@
     kind: ObjectKind,
     revision: Option<StoreVersion>,
     is_lost: bool,
-    told_at: Option<TimePoint>,
     metrics: FrontMetrics,
 }
 
@@ -90,7 +94,6 @@
             kind,
             revision: None,
             is_lost: false,
-            told_at: None,
             metrics: FrontMetrics::default(),
         }
     }
@@ -119,7 +122,7 @@
                     backoff.reset();
                     self.note_reached();
                     if is_changed {
-                        time::sleep(BATCH_PAUSE).await;
+                        time::sleep(self.batch_pause()).await;
                     }
                 }
                 Err(error) => {
@@ -131,14 +134,23 @@
         }
     }
 
-    /// Gives peers the chance to tell this node all, which costs the store nothing.
+    /// Gives peers the chance to tell this node all, which costs the store nothing. Of a group that
+    /// starts at once the first ones in the order ask the store, and the others wait for them.
     async fn wait_for_peers(&self) {
-        let limit = self.clock.now() + PEER_CHANCE;
-        while self.clock.now() < limit {
+        let started = self.clock.now();
+        loop {
             if self.group.is_complete() {
                 self.catalog.set_listed();
                 return;
             }
+            let waited = self.clock.now().since(started);
+            let others = self.others();
+            let is_first =
+                store_watch_plan::is_among_first(&self.node, &others, self.options.watchers);
+            let limit = if is_first { PEER_CHANCE } else { GROUP_CHANCE };
+            if waited >= limit {
+                return;
+            }
             time::sleep(PEER_LOOK).await;
         }
     }
@@ -159,18 +171,27 @@
     }
 
     fn is_my_turn(&self) -> bool {
-        let members = self.group.members();
-        let others: Vec<NodeId> = members
-            .iter()
-            .skip(1)
-            .filter(|member| member.state.takes_work())
-            .map(|member| member.record.node.clone())
-            .collect();
         let contacts = self.catalog.contacts();
         let now = self.clock.now();
+        let others = self.others();
         store_watch_plan::should_watch(&self.node, &others, &contacts, &self.options, now)
     }
 
+    /// Gets the other nodes that are alive.
+    fn others(&self) -> Vec<NodeId> {
+        let members = self.group.members();
+        let others = members.iter().skip(1);
+        let live = others.filter(|member| member.state.takes_work());
+        live.map(|member| member.record.node.clone()).collect()
+    }
+
+    const fn batch_pause(&self) -> Duration {
+        match self.kind {
+            ObjectKind::Target => TARGET_PAUSE,
+            _ => CONFIG_PAUSE,
+        }
+    }
+
     /// Makes one call; returns true where it brought a change.
     async fn step(&mut self) -> Result<bool, StoreError> {
         let Some(revision) = self.revision else {
@@ -200,15 +221,13 @@
         self.metrics.observe_store_call(true);
         if self.is_lost {
             self.is_lost = false;
-            self.told_at = None;
             FrontEvent::StoreBack.emit(Level::Info);
         }
+        let contacts = self.catalog.contacts();
         let now = self.clock.now();
-        if self
-            .told_at
-            .is_none_or(|told| now.since(told) >= CONTACT_PERIOD)
-        {
-            self.told_at = Some(now);
+        let own = contacts.iter().find(|contact| contact.node == self.node);
+        let was_lost = own.is_some_and(|contact| !contact.is_reached);
+        if was_lost || store_watch_plan::should_tell(&contacts, &self.options, now) {
             self.catalog
                 .publish_contact(&self.node, true, wall_millis());
         }
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -25,6 +25,9 @@
     /// The age of the latest contact after which a node watches itself: the longest that a watch
     /// waits and the time that its news takes, with as much again for one that is late.
     pub stale_after: TimeSpan,
+    /// The time within which no second node says that it reaches the store. A word costs some hundred
+    /// bytes for each node of the group; two of them fit into the age at which others watch themselves.
+    pub tell_period: TimeSpan,
     /// How long a node's word that it can't reach the store keeps it out of the order.
     pub lost_for: TimeSpan,
 }
@@ -33,7 +36,8 @@
     fn default() -> Self {
         Self {
             watchers: 3,
-            stale_after: TimeSpan::from_millis(4_500),
+            stale_after: TimeSpan::from_millis(5_500),
+            tell_period: TimeSpan::from_millis(1_500),
             lost_for: TimeSpan::from_secs(5),
         }
     }
@@ -77,12 +81,30 @@
     if is_lost(own) {
         return false;
     }
-    let own_place = order_of(own);
-    let before = nodes
+    let others: Vec<NodeId> = nodes
         .iter()
-        .filter(|node| !is_lost(node) && order_of(node) < own_place)
-        .count();
-    before < options.watchers
+        .filter(|node| !is_lost(node))
+        .cloned()
+        .collect();
+    is_among_first(own, &others, options.watchers)
+}
+
+/// Returns true where the node is among the first `count` in the order.
+#[must_use]
+pub fn is_among_first(own: &NodeId, nodes: &[NodeId], count: usize) -> bool {
+    let own_place = order_of(own);
+    let before = nodes.iter().filter(|node| order_of(node) < own_place);
+    before.count() < count
+}
+
+/// Returns true where a node that reaches the store should say so: each word goes to all nodes, so that
+/// one of any node is enough for a while.
+#[must_use]
+pub fn should_tell(contacts: &[StoreContact], options: &WatchOptions, now: TimePoint) -> bool {
+    let is_recent = |contact: &StoreContact| {
+        contact.is_reached && now.since(contact.heard_at) < options.tell_period
+    };
+    !contacts.iter().any(is_recent)
 }
 
 fn order_of(node: &NodeId) -> (u64, &NodeId) {
