--- a/alderhaven-front/src/caller_server.rs
+++ b/alderhaven-front/src/caller_server.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use http::{Request, Response};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -12,6 +14,7 @@
 use crate::directory_service;
 use crate::front_context::FrontContext;
 use crate::front_directory::FrontDirectory;
+use crate::wire_dialect::WholeBody;
 
 /// The connections that may wait to be accepted. Where that queue is full the system drops the
 /// packet, and the caller's next one comes a second later, after most deadlines.
@@ -82,17 +85,33 @@
     context: FrontContext,
     directory: FrontDirectory,
 ) {
+    let answer =
+        move |request: &Request<Incoming>| directory_service::answer(&context, &directory, request);
+    serve_with(listener, answer).await;
+}
+
+/// Serves the metrics, for as long as the process runs.
+pub async fn serve_metrics(listener: TcpListener, context: FrontContext) {
+    serve_with(listener, move |request: &Request<Incoming>| {
+        directory_service::metrics(&context, request)
+    })
+    .await;
+}
+
+async fn serve_with<A>(listener: TcpListener, answer: A)
+where
+    A: Fn(&Request<Incoming>) -> Response<WholeBody> + Clone + Send + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let (context, directory) = (context.clone(), directory.clone());
+        let answer = answer.clone();
         tokio::spawn(async move {
             let _is_set = stream.set_nodelay(true);
-            let service = service_fn(|request| {
-                let answer = directory_service::answer(&context, &directory, &request);
-                std::future::ready(Ok::<_, std::convert::Infallible>(answer))
+            let service = service_fn(move |request| {
+                std::future::ready(Ok::<_, std::convert::Infallible>(answer(&request)))
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // What the asker gets of it is up to the asker.
--- a/alderhaven-front/src/directory_service.rs
+++ b/alderhaven-front/src/directory_service.rs
@@ -33,6 +33,18 @@
     plain(StatusCode::NOT_FOUND)
 }
 
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers a question for the metrics.
+#[must_use]
+pub fn metrics(context: &FrontContext, request: &Request<Incoming>) -> Response<WholeBody> {
+    if request.uri().path() != METRICS_PATH {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    Response::new(WholeBody::from(context.metrics.encode()))
+}
+
 fn request_head(request: &Request<Incoming>) -> (http::request::Parts, ()) {
     let mut head = Request::new(());
     *head.uri_mut() = request.uri().clone();
--- a/alderhaven-front/src/front_listeners.rs
+++ b/alderhaven-front/src/front_listeners.rs
@@ -20,6 +20,8 @@
     pub ready: TcpListener,
     /// Towards fronts of other failure domains.
     pub groups: TcpListener,
+    /// Towards those who read the metrics, where that is asked for.
+    pub metrics: Option<TcpListener>,
 }
 
 /// A `FrontAddresses` says where a front is reached.
@@ -33,6 +35,8 @@
     pub ready: SocketAddr,
     /// Where fronts of other failure domains ask for attempts.
     pub groups: SocketAddr,
+    /// Where the metrics are read.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl FrontListeners {
@@ -46,6 +50,10 @@
             directory: caller_server::listen(options.directory_address)?,
             ready: caller_server::listen(options.ready_address)?,
             groups: caller_server::listen(options.group_address)?,
+            metrics: options
+                .metrics_address
+                .map(caller_server::listen)
+                .transpose()?,
         })
     }
 
@@ -59,6 +67,11 @@
             directory: self.directory.local_addr()?,
             ready: self.ready.local_addr()?,
             groups: self.groups.local_addr()?,
+            metrics: self
+                .metrics
+                .as_ref()
+                .map(TcpListener::local_addr)
+                .transpose()?,
         })
     }
 }
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -164,6 +164,9 @@
         let context = || self.context.clone();
         tokio::spawn(caller_server::serve_callers(listeners.callers, context()));
         tokio::spawn(group_server::serve(listeners.groups, context()));
+        if let Some(listener) = listeners.metrics {
+            tokio::spawn(caller_server::serve_metrics(listener, context()));
+        }
         for listener in [listeners.directory, listeners.ready] {
             let serving = caller_server::serve_questions(listener, context(), directory.clone());
             tokio::spawn(serving);
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -29,6 +29,8 @@
     pub gossip_address: SocketAddr,
     /// Where fronts of other failure domains ask for attempts at targets.
     pub group_address: SocketAddr,
+    /// Where the metrics are read, where they are served at all.
+    pub metrics_address: Option<SocketAddr>,
     /// The processor time that the process may use.
     pub capacity: CpuCapacity,
     /// Nodes to join by.
--- a/alderhaven-quickstart/tests/interface_examples.rs
+++ b/alderhaven-quickstart/tests/interface_examples.rs
@@ -14,7 +14,7 @@
 const PAGE: &str = include_str!("../../docs/INTERFACE.md");
 
 /// The page with the metrics.
-const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+const OPERATIONS: &str = include_str!("../../docs/OPERATIONS.md");
 
 /// Gets the fenced blocks of a kind, in the page's order.
 fn blocks(kind: &str) -> Vec<String> {
@@ -140,11 +140,11 @@
         let text = String::from_utf8(reply.into_body().to_vec()).unwrap();
         for line in text.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
             let name = line.split(' ').next().unwrap();
-            let is_told = OPERATING
+            let is_told = OPERATIONS
                 .lines()
                 .filter_map(|row| row.strip_prefix("| ")?.split(" | ").next())
                 .any(|cell| cell.contains(&format!("`{name}`")));
-            assert!(is_told, "docs/OPERATING.md has no row for `{name}`");
+            assert!(is_told, "docs/OPERATIONS.md has no row for `{name}`");
             named += 1;
         }
     }
