--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -4,7 +4,6 @@
 //! built whole and replaced at once, so that a request never sees half of a change, and the version
 //! of the configuration in it never goes back while the process runs.
 
-use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -14,18 +13,16 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::group_share::GroupShare;
 use alderhaven_policy::membership::member_record::CpuCapacity;
-use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions};
+use alderhaven_policy::repeat_budget::RepeatOptions;
 use alderhaven_policy::store_watch_plan::StoreContact;
 use arc_swap::ArcSwap;
 use log::Level;
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::catalog_view::{CatalogView, LiveRoute};
+use crate::catalog_state::CatalogState;
+use crate::catalog_view::CatalogView;
 use crate::front_event::FrontEvent;
-use crate::route_state::RouteState;
-use crate::routing_config::RoutingConfig;
-use crate::service_targets::ServiceTargets;
 use crate::target_entry::TargetEntry;
 use crate::target_handle::{TargetHandle, TargetStanding};
 use crate::target_pool::TargetPool;
@@ -39,10 +36,6 @@
 /// The connections to a target of a service of which the configuration says nothing.
 const DEFAULT_CONNECTIONS: usize = 8;
 
-/// The parts into which a target's cap of connections is divided: one for the nodes as they are, and
-/// one for the connections that a target still counts of nodes which lost power and are back.
-const CAP_PARTS: f64 = 2.0;
-
 /// The body of the word of a node that reaches the store.
 const CONTACT_REACHED: &str = "reached";
 /// The body of the word of a node that does not.
@@ -69,35 +62,6 @@
     pub repeats: RepeatOptions,
 }
 
-struct CatalogState {
-    objects: BTreeMap<ObjectKey, StoredObject>,
-    is_listed: bool,
-    routing: Option<Arc<RoutingConfig>>,
-    route_states: HashMap<String, Arc<RouteState>>,
-    targets: BTreeMap<String, Arc<TargetHandle>>,
-    budgets: HashMap<String, Arc<Mutex<RepeatBudget>>>,
-    contacts: BTreeMap<NodeId, StoreContact>,
-    share: GroupShare,
-    /// The rule for repeats where it has changed since the start.
-    repeats: Option<RepeatOptions>,
-}
-
-impl CatalogState {
-    fn new(share: GroupShare) -> Self {
-        Self {
-            objects: BTreeMap::new(),
-            is_listed: false,
-            routing: None,
-            route_states: HashMap::new(),
-            targets: BTreeMap::new(),
-            budgets: HashMap::new(),
-            contacts: BTreeMap::new(),
-            share,
-            repeats: None,
-        }
-    }
-}
-
 impl Catalog {
     /// Returns an empty catalog.
     #[must_use]
@@ -374,68 +338,10 @@
     }
 
     fn rebuild(&self, state: &mut CatalogState) {
-        let now = self.clock.now();
-        state.targets.retain(|id, target| {
-            let is_over =
-                matches!(target.standing(), TargetStanding::Lapsed(until) if until <= now);
-            let key = ObjectKey {
-                kind: ObjectKind::Target,
-                name: id.clone(),
-            };
-            let is_gone = state
-                .objects
-                .get(&key)
-                .is_some_and(|object| object.body.is_none());
-            let has_left = is_gone && target.standing() == TargetStanding::Leaving;
-            !is_over && !has_left
-        });
-        let services = self.services(state);
-        let view = CatalogView {
-            routing: state.routing.clone(),
-            routes: routes(state),
-            services,
-            targets: state.targets.clone().into_iter().collect(),
-            share: state.share,
-        };
+        let view = state.view(self.options.repeats, self.clock.now());
         self.view.store(Arc::new(view));
     }
 
-    fn services(&self, state: &mut CatalogState) -> HashMap<String, Arc<ServiceTargets>> {
-        let mut by_service: HashMap<String, Vec<Arc<TargetHandle>>> = HashMap::new();
-        for target in state.targets.values() {
-            let service = target.entry().service.clone();
-            by_service
-                .entry(service)
-                .or_default()
-                .push(Arc::clone(target));
-        }
-        let repeats = state.repeats.unwrap_or(self.options.repeats);
-        let mut services = HashMap::new();
-        for (name, targets) in by_service {
-            let rule = state
-                .routing
-                .as_ref()
-                .and_then(|routing| routing.services.get(&name));
-            if let Some(rule) = rule {
-                let limit = state.share.connections(rule.max_connections, CAP_PARTS);
-                for target in &targets {
-                    target.pool.set_limit(limit);
-                }
-            }
-            let budget = state
-                .budgets
-                .entry(name.clone())
-                .or_insert_with(|| Arc::new(Mutex::new(RepeatBudget::new(repeats))));
-            let service = ServiceTargets {
-                name: name.clone(),
-                targets,
-                budget: Arc::clone(budget),
-            };
-            services.insert(name, Arc::new(service));
-        }
-        services
-    }
-
     /// Opens connections ahead of requests, and drops targets whose time as a last resort is over.
     pub async fn keep_up(self: Arc<Self>) {
         let mut changed = self.changed();
@@ -490,26 +396,3 @@
     let is_same_start = known.started == entry.started;
     is_same_start && known.address == entry.address && known.service == entry.service
 }
-
-fn routes(state: &mut CatalogState) -> HashMap<String, Vec<Arc<LiveRoute>>> {
-    let Some(routing) = state.routing.clone() else {
-        return HashMap::new();
-    };
-    let mut routes: HashMap<String, Vec<Arc<LiveRoute>>> = HashMap::new();
-    for rule in &routing.routes {
-        let learnt = state.route_states.entry(rule.name.clone()).or_default();
-        let route = LiveRoute {
-            rule: rule.clone(),
-            version: routing.version,
-            state: Arc::clone(learnt),
-        };
-        routes
-            .entry(rule.site.clone())
-            .or_default()
-            .push(Arc::new(route));
-    }
-    for site in routes.values_mut() {
-        site.sort_by_key(|route| std::cmp::Reverse(route.rule.path_prefix.len()));
-    }
-    routes
-}
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_server;
 pub mod caller_service;
 pub mod catalog;
+mod catalog_state;
 pub mod catalog_view;
 pub mod directory_service;
 pub mod event_log;
--- /dev/null
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -0,0 +1,157 @@
+//! What a request is answered, and what is noted of it.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::answer_time::AnswerStep;
+use alderhaven_policy::top_records;
+use futures::StreamExt;
+use log::Level;
+use rand::RngExt;
+use tokio::time;
+
+use crate::attempt::AttemptEnd;
+use crate::front_answer::{FrontAnswer, PassedReply, RefusalReason};
+use crate::front_event::{FrontEvent, RequestEnd};
+use crate::front_metrics::QueryShape;
+use crate::query_run::QueryRun;
+use crate::route_destination::RouteDestination;
+use crate::shard_part::ShardPart;
+
+/// The shortest time after which a caller should come back: a pause of a target is over by then.
+const RETRY_AFTER_MIN: TimeSpan = TimeSpan::from_millis(60);
+/// What is added to it at random, so that callers who were refused together come back one by one.
+const RETRY_AFTER_SPREAD: TimeSpan = TimeSpan::from_millis(120);
+
+impl QueryRun<'_> {
+    pub(super) fn finish(mut self, step: AnswerStep) -> FrontAnswer {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.let_linger();
+        let answer = match step {
+            AnswerStep::Answer | AnswerStep::Wait(_) => self.success(),
+            AnswerStep::GiveUp => self.failure(false),
+            AnswerStep::TimeUp => self.failure(true),
+        };
+        self.report(&answer);
+        answer
+    }
+
+    /// Lets the attempts that are still out go on for a while, so that their connections are kept.
+    pub(super) fn let_linger(&mut self) {
+        for ask in &mut self.asks {
+            ask.ticket.answered();
+        }
+        if self.attempts.is_empty() {
+            return;
+        }
+        let mut attempts = std::mem::take(&mut self.attempts);
+        let linger = self.context.options.linger.as_duration();
+        let state = Arc::clone(&self.route.state);
+        tokio::spawn(async move {
+            let drain = async {
+                while let Some(report) = attempts.next().await {
+                    if matches!(report.end, AttemptEnd::Success(_)) {
+                        state.note_time(report.took);
+                    }
+                }
+            };
+            let _is_over = time::timeout(linger, drain).await;
+        });
+    }
+
+    pub(super) fn success(&mut self) -> FrontAnswer {
+        let RouteDestination::Shards { records, .. } = self.route.rule.destination else {
+            let part = self.shards.iter_mut().find_map(|shard| shard.part.take());
+            return match part {
+                Some(ShardPart::Own(part)) => FrontAnswer::Passed(part.reply),
+                Some(ShardPart::Merged { .. }) | None => FrontAnswer::Unknown { is_late: false },
+            };
+        };
+        let parts: Vec<&ShardPart> = self
+            .shards
+            .iter()
+            .filter_map(|shard| shard.part.as_ref())
+            .collect();
+        let own = parts.iter().filter_map(|part| match part {
+            ShardPart::Own(reply) => Some(&reply.reply.body),
+            ShardPart::Merged { .. } => None,
+        });
+        FrontAnswer::Gathered {
+            proofs: parts
+                .iter()
+                .filter_map(|part| part.proof().cloned())
+                .collect(),
+            missing: self.shards.len() - parts.len(),
+            records: top_records::greatest(own.chain(&self.blocks), records),
+        }
+    }
+
+    pub(super) fn failure(&mut self, is_late: bool) -> FrontAnswer {
+        let has_run = self.shards.iter().any(|shard| shard.ran > 0);
+        if !has_run {
+            let is_asked = self.shards.iter().any(|shard| !shard.tried.is_empty());
+            return FrontAnswer::NotRun {
+                reason: if is_asked {
+                    RefusalReason::Refused
+                } else {
+                    RefusalReason::NoTarget
+                },
+                retry_after: retry_after(),
+            };
+        }
+        let is_gathered = matches!(self.route.rule.destination, RouteDestination::Shards { .. });
+        let failure = self
+            .shards
+            .iter_mut()
+            .find_map(|shard| shard.failure.take());
+        match failure {
+            Some(failure) if !is_gathered => FrontAnswer::Passed(failure.reply),
+            _ => FrontAnswer::Unknown { is_late },
+        }
+    }
+
+    pub(super) fn report(&self, answer: &FrontAnswer) {
+        let end = match answer {
+            FrontAnswer::Gathered { missing: 0, .. } => RequestEnd::Complete,
+            FrontAnswer::Gathered { missing, .. } => {
+                self.context.metrics.missing_parts.inc_by(*missing as u64);
+                RequestEnd::Partial
+            }
+            FrontAnswer::Passed(PassedReply { status, .. }) if status.is_success() => {
+                RequestEnd::Complete
+            }
+            FrontAnswer::Passed(_) => RequestEnd::TargetFailed,
+            FrontAnswer::NotRun { .. } => RequestEnd::NotRun,
+            FrontAnswer::Unknown { is_late: true } => RequestEnd::TimeUp,
+            FrontAnswer::Unknown { .. } | FrontAnswer::BadRequest(_) => RequestEnd::Unknown,
+        };
+        let shape = match self.route.rule.destination {
+            RouteDestination::Shards { .. } => QueryShape::Gathered,
+            _ => QueryShape::Single,
+        };
+        let took = self.context.clock.now().since(self.call.arrived);
+        self.context.metrics.observe_request(shape, end, took);
+        if end == RequestEnd::Complete {
+            return;
+        }
+        FrontEvent::RequestEnded {
+            request: self.call.request_id.to_string(),
+            route: self.route.rule.name.clone(),
+            version: self.route.version,
+            end,
+            took_ms: took.as_millis(),
+            shards: self.shards.len(),
+            present: self.count().present,
+            attempts: self.sent,
+            lost: self.lost.clone(),
+        }
+        .emit(Level::Info);
+    }
+}
+
+/// Gets when a caller that was refused should come back.
+fn retry_after() -> TimeSpan {
+    let spread: f64 = rand::rng().random_range(0.0..1.0);
+    RETRY_AFTER_MIN + RETRY_AFTER_SPREAD.mul_f64(spread)
+}
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod group_share;
 pub mod hashing;
 mod health_machine;
+pub mod hedge_time;
 pub mod hedging;
 mod lane_claim;
 pub mod latency_window;
