--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -34,9 +34,10 @@
 /// How often a node that does not watch looks whether it should.
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
 
-/// The time that a node which starts gives its peers to tell it all, before it asks the store. Peers
-/// within a region answer in a few milliseconds; callers wait meanwhile.
-const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(120);
+/// The time that a node which starts gives its peers to tell it all, before it asks the store. Peers in
+/// the same failure domain answer within it; a longer wait is paid for by the callers of a group that
+/// starts as a whole: mean worth of days that end so, on Accra, 0.745 with 120 ms and 0.757 with 20 ms.
+const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(20);
 
 /// The time that the store has for the first list. It answers in milliseconds; a call that it does not
 /// answer is given up early, since it may be back meanwhile.
