Repeats choose their replica once, and code that nothing uses goes

A hedge or retry chose its target to judge it and then chose again to send; it now sends to the one that was judged. Gone: a use check, a budget reading, an address getter, a sent time, and two ends and reasons that nothing gave. No behaviour changes; the tests are as they were.

--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -80,8 +80,6 @@
     pub shard: usize,
     /// The target.
     pub target: Arc<TargetHandle>,
-    /// When it was sent.
-    pub sent: TimePoint,
     /// How long it took.
     pub took: TimeSpan,
     /// What it came to.
@@ -141,7 +139,6 @@
         AttemptReport {
             shard,
             target,
-            sent,
             took: clock.now().since(sent),
             end,
         }
--- a/alderhaven-front/src/directory_service.rs
+++ b/alderhaven-front/src/directory_service.rs
@@ -14,7 +14,7 @@
     directory: &FrontDirectory,
     request: &Request<Incoming>,
 ) -> Response<WholeBody> {
-    let (head, ()) = request_head(request);
+    let head = request_head(request);
     if let Some(question) = context.dialect.directory_question(&head) {
         let fronts = directory.fronts_for(&question);
         if fronts.is_empty() {
@@ -45,11 +45,11 @@
     Response::new(WholeBody::from(context.metrics.encode()))
 }
 
-fn request_head(request: &Request<Incoming>) -> (http::request::Parts, ()) {
+fn request_head(request: &Request<Incoming>) -> http::request::Parts {
     let mut head = Request::new(());
     *head.uri_mut() = request.uri().clone();
     *head.method_mut() = request.method().clone();
-    head.into_parts()
+    head.into_parts().0
 }
 
 fn plain(status: StatusCode) -> Response<WholeBody> {
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -55,8 +55,6 @@
     NoTarget,
     /// All targets that were asked refused.
     Refused,
-    /// The front carries as much as it can.
-    Overload,
 }
 
 /// A `BadRequest` is what is wrong with a request.
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -142,8 +142,6 @@
     Unknown,
     /// The time was up.
     TimeUp,
-    /// The caller left.
-    CallerLeft,
 }
 
 /// A `LostAttempt` is an attempt that brought no answer.
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -110,7 +110,7 @@
             }
             if self.shards[shard].tried.is_empty() {
                 self.context.metrics.observe_send(SendKind::First);
-                self.send(shard, now);
+                self.send_first(shard, now);
             }
         }
     }
@@ -225,10 +225,10 @@
         let Some(service) = &run.service else {
             return;
         };
-        let Some(target) = service.choose(&run.tried, self.usual, now) else {
+        let Some(target) = service.choose(&run.tried, self.usual, now).cloned() else {
             return;
         };
-        if reason == RepeatReason::Hedge && !self.is_in_time(target, now) {
+        if reason == RepeatReason::Hedge && !self.is_in_time(&target, now) {
             return;
         }
         let part = self.context.catalog.share().part();
@@ -241,18 +241,21 @@
             RepeatReason::Hedge => SendKind::Hedge,
             RepeatReason::Retry => SendKind::Retry,
         });
-        self.send(shard, now);
+        self.send(shard, target, now);
     }
 
-    /// Sends an attempt of a shard to the best replica that was not asked yet.
-    fn send(&mut self, shard: usize, now: TimePoint) {
+    /// Sends the first attempt of a shard, to the best replica.
+    fn send_first(&mut self, shard: usize, now: TimePoint) {
         let run = &self.shards[shard];
-        let Some(service) = &run.service else {
-            return;
-        };
-        let Some(target) = service.choose(&run.tried, self.usual, now).cloned() else {
-            return;
-        };
+        let service = run.service.as_ref();
+        let target = service.and_then(|service| service.choose(&run.tried, self.usual, now));
+        if let Some(target) = target.cloned() {
+            self.send(shard, target, now);
+        }
+    }
+
+    /// Sends an attempt of a shard.
+    fn send(&mut self, shard: usize, target: Arc<TargetHandle>, now: TimePoint) {
         let plan = self.plan(shard, &target);
         let hedge_at = self.hedge_time().hedge_at(now);
         let run = &mut self.shards[shard];
--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -60,14 +60,6 @@
             .collect()
     }
 
-    /// Returns true where a target may be used now.
-    #[must_use]
-    pub fn is_usable(&self, now: TimePoint) -> bool {
-        self.targets
-            .iter()
-            .any(|target| cost(target, TimeSpan::ZERO, now).is_some())
-    }
-
     /// Locks the budget of repeats.
     pub fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
--- a/alderhaven-front/src/target_pool.rs
+++ b/alderhaven-front/src/target_pool.rs
@@ -97,12 +97,6 @@
         }
     }
 
-    /// Gets the target's address.
-    #[must_use]
-    pub const fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Changes the most connections that are open.
     pub fn set_limit(&self, limit: usize) {
         let mut current = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
--- a/alderhaven-policy/src/repeat_budget.rs
+++ b/alderhaven-policy/src/repeat_budget.rs
@@ -118,16 +118,6 @@
         true
     }
 
-    /// Gets the share of the allowance that is left, 0 to 1.
-    #[must_use]
-    pub fn left(&self, part: f64) -> f64 {
-        let allowed = self.allowed(part);
-        if allowed < 1.0 {
-            return 0.0;
-        }
-        (1.0 - f64::from(self.repeats) / allowed).clamp(0.0, 1.0)
-    }
-
     fn allowed(&self, part: f64) -> f64 {
         let shared = self.options.extra * part;
         (f64::from(self.requests) * self.options.ratio + shared) * USED_SHARE
