--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -21,7 +21,10 @@
         node: String,
     },
     /// The process was asked to stop.
-    Stopping,
+    Stopping {
+        /// Whether it was asked before, and goes on as it is.
+        is_repeated: bool,
+    },
     /// The settings file was read again.
     Reloaded {
         /// What of it can't be read, where that is so; nothing is changed then.
@@ -166,7 +169,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::Started { .. } => "started",
-            Self::Stopping => "stopping",
+            Self::Stopping { .. } => "stopping",
             Self::Reloaded { .. } => "reloaded",
             Self::ConfigTaken { .. } => "config_taken",
             Self::ConfigRefused { .. } => "config_refused",
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -10,7 +10,7 @@
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_peer::peer_options::ConfigAccess;
-use alderhaven_policy::drain::{DrainOptions, StopReport};
+use alderhaven_policy::drain::{DrainOptions, DrainState, StopReport};
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_store::object_store::ObjectStore;
 use log::Level;
@@ -105,10 +105,14 @@
         Ok(node)
     }
 
-    /// Asks for the planned stop; a second time, to end at once.
+    /// Asks for the planned stop; asked again it goes on as it is.
+    ///
+    /// Rounds of planned work overlap, so that a platform may ask twice. A second word that ended the
+    /// process would cut the requests that the first one lets finish.
     pub fn request_stop(&self) {
-        FrontEvent::Stopping.emit(Level::Info);
-        self.context.stop.request();
+        let is_repeated = self.context.stop.state() != DrainState::Serving;
+        FrontEvent::Stopping { is_repeated }.emit(Level::Info);
+        self.context.stop.request_once();
     }
 
     /// Takes over settings that were read again. What is bound to an address or told to peers stays as
--- /dev/null
+++ b/alderhaven-soak/src/front_process.rs
@@ -0,0 +1,224 @@
+//! A front as a process of its own, with the signals for it; it starts again whenever it ends.
+
+use std::fs::File;
+use std::net::IpAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_platform_standin::front_settings::{FrontSettings, SETTINGS_VARIABLE};
+use eyre::{Result, WrapErr};
+use rustix::process::{Pid, Signal};
+use tokio::sync::mpsc;
+
+use crate::soak_history::{FrontLife, HistoryLog, TroubleSubject};
+
+/// How often the process is looked at.
+const TICK: Duration = Duration::from_millis(10);
+/// How long after its end a process is started again, as a supervisor does it.
+const RESTART_AFTER: TimeSpan = TimeSpan::from_millis(300);
+
+/// A `FrontOrder` is something that is done to the process of a front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrontOrder {
+    /// It is asked to stop (SIGTERM), and killed once its grace is over.
+    Stop,
+    /// It is killed (SIGKILL).
+    Kill,
+    /// It stands still for so long (SIGSTOP, SIGCONT).
+    Freeze(TimeSpan),
+    /// It is told to read its settings again (SIGHUP).
+    Reload,
+}
+
+/// A `FrontProcess` runs one front after the other on a host; dropping it kills the one that runs.
+#[derive(Debug)]
+pub struct FrontProcess {
+    settings: FrontSettings,
+    binary: PathBuf,
+    folder: PathBuf,
+    log: HistoryLog,
+    starts: usize,
+    child: Option<Child>,
+    restart_at: TimePoint,
+    kill_at: Option<TimePoint>,
+    frozen: Option<(TimePoint, usize)>,
+}
+
+impl FrontProcess {
+    /// Starts the first process; its settings and the output of all processes go to `folder`.
+    ///
+    /// # Errors
+    /// A file can't be written, or the program can't be started.
+    pub fn start(
+        settings: FrontSettings,
+        binary: &Path,
+        folder: &Path,
+        log: HistoryLog,
+    ) -> Result<Self> {
+        let path = folder.join(format!("{}.toml", settings.name));
+        std::fs::write(&path, settings.text())
+            .wrap_err_with(|| format!("{} can't be written", path.display()))?;
+        let mut process = Self {
+            settings,
+            binary: binary.to_owned(),
+            folder: folder.to_owned(),
+            log,
+            starts: 0,
+            child: None,
+            restart_at: TimePoint::START,
+            kill_at: None,
+            frozen: None,
+        };
+        process.start_child()?;
+        Ok(process)
+    }
+
+    /// Carries out orders until the sender is gone, and starts the process again whenever it ends.
+    ///
+    /// # Errors
+    /// The program can't be started again, or a signal can't be sent.
+    pub async fn run(mut self, mut orders: mpsc::UnboundedReceiver<FrontOrder>) -> Result<()> {
+        loop {
+            tokio::select! {
+                order = orders.recv() => match order {
+                    Some(order) => self.carry_out(order)?,
+                    None => return Ok(()),
+                },
+                () = tokio::time::sleep(TICK) => {}
+            }
+            self.keep_up()?;
+        }
+    }
+
+    const fn host(&self) -> IpAddr {
+        self.settings.ip
+    }
+
+    fn start_child(&mut self) -> Result<()> {
+        self.starts += 1;
+        let name = &self.settings.name;
+        let output = self.folder.join(format!("{name}.{}.log", self.starts));
+        let output = File::create(&output).wrap_err("the log can't be created")?;
+        let errors = output.try_clone().wrap_err("the log can't be shared")?;
+        let child = Command::new(&self.binary)
+            .env(SETTINGS_VARIABLE, self.folder.join(format!("{name}.toml")))
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .wrap_err_with(|| format!("{} can't be started", self.binary.display()))?;
+        self.child = Some(child);
+        let started = self.log.now();
+        self.log.lock().lives.push(FrontLife {
+            front: self.host(),
+            started,
+            asked_to_stop: None,
+            is_killed: false,
+            ended: None,
+        });
+        Ok(())
+    }
+
+    fn carry_out(&mut self, order: FrontOrder) -> Result<()> {
+        if self.child.is_none() {
+            return Ok(());
+        }
+        let now = self.log.now();
+        match order {
+            FrontOrder::Stop => {
+                self.change_life(|life| life.asked_to_stop = life.asked_to_stop.or(Some(now)));
+                let grace = TimeSpan::from_secs(self.settings.grace_s);
+                self.kill_at = self.kill_at.or(Some(now + grace));
+                self.signal(Signal::TERM)
+            }
+            FrontOrder::Kill => self.kill(),
+            FrontOrder::Freeze(span) => {
+                self.thaw()?;
+                let place = self
+                    .log
+                    .begin_trouble(TroubleSubject::Front(self.host()), "frozen");
+                self.frozen = Some((now + span, place));
+                self.signal(Signal::STOP)
+            }
+            FrontOrder::Reload => self.signal(Signal::HUP),
+        }
+    }
+
+    /// Does what is due by time, and notes where the process has ended.
+    fn keep_up(&mut self) -> Result<()> {
+        let now = self.log.now();
+        if self.frozen.is_some_and(|(until, _)| now >= until) {
+            self.thaw()?;
+        }
+        if self.kill_at.is_some_and(|at| now >= at) {
+            self.kill()?;
+        }
+        match &mut self.child {
+            Some(child) => {
+                if child.try_wait().wrap_err("no status")?.is_some() {
+                    self.note_end(now);
+                }
+                Ok(())
+            }
+            None if now >= self.restart_at => self.start_child(),
+            None => Ok(()),
+        }
+    }
+
+    fn note_end(&mut self, now: TimePoint) {
+        self.child = None;
+        self.kill_at = None;
+        if let Some((_, place)) = self.frozen.take() {
+            self.log.end_trouble(place);
+        }
+        self.restart_at = now + RESTART_AFTER;
+        self.change_life(|life| life.ended = Some(now));
+    }
+
+    fn kill(&mut self) -> Result<()> {
+        self.kill_at = None;
+        self.change_life(|life| life.is_killed = true);
+        self.log
+            .note_trouble(TroubleSubject::Front(self.host()), "killed");
+        self.signal(Signal::KILL)
+    }
+
+    fn thaw(&mut self) -> Result<()> {
+        let Some((_, place)) = self.frozen.take() else {
+            return Ok(());
+        };
+        self.log.end_trouble(place);
+        self.signal(Signal::CONT)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        // The child is waited for only by `keep_up` and `drop`, so its id is still its own.
+        rustix::process::kill_process(Pid::from_child(child), signal)
+            .wrap_err_with(|| format!("{signal:?} can't be sent to {}", self.settings.name))
+    }
+
+    fn change_life(&self, change: impl FnOnce(&mut FrontLife)) {
+        let host = self.host();
+        let mut history = self.log.lock();
+        let life = history.lives.iter_mut().rfind(|life| life.front == host);
+        if let Some(life) = life {
+            change(life);
+        }
+    }
+}
+
+impl Drop for FrontProcess {
+    fn drop(&mut self) {
+        let Some(child) = &mut self.child else {
+            return;
+        };
+        // A process that has ended already can't be killed again.
+        let _ended_before = child.kill();
+        let _status = child.wait();
+    }
+}
--- /dev/null
+++ b/alderhaven-soak/src/history_index.rs
@@ -0,0 +1,117 @@
+//! Questions to a history that several promises share.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+
+use crate::soak_history::{
+    ArrivalRecord, ConfigRecord, FrontLife, RequestRecord, SoakHistory, TroubleRecord,
+    TroubleSubject,
+};
+
+/// For how long after a disturbance what it touched is not held to promises with a time: connections
+/// are opened again, peers are heard, queues empty. The users' platform allows as much.
+pub const SETTLING: TimeSpan = TimeSpan::from_secs(4);
+
+/// A `HistoryIndex` is a history with what the checks look up in it.
+#[derive(Debug)]
+pub struct HistoryIndex<'h> {
+    /// The history.
+    pub history: &'h SoakHistory,
+    /// When it was looked at.
+    pub now: TimePoint,
+    arrivals: BTreeMap<&'h str, Vec<&'h ArrivalRecord>>,
+}
+
+impl<'h> HistoryIndex<'h> {
+    /// Returns the index of a history as of `now`.
+    #[must_use]
+    pub fn new(history: &'h SoakHistory, now: TimePoint) -> Self {
+        let mut arrivals: BTreeMap<&str, Vec<&ArrivalRecord>> = BTreeMap::new();
+        for arrival in &history.arrivals {
+            let of_request = arrivals.entry(&arrival.request_id).or_default();
+            of_request.push(arrival);
+        }
+        Self {
+            history,
+            now,
+            arrivals,
+        }
+    }
+
+    /// Gets the arrivals of a request.
+    #[must_use]
+    pub fn arrivals(&self, request_id: &str) -> &[&'h ArrivalRecord] {
+        self.arrivals.get(request_id).map_or(&[], Vec::as_slice)
+    }
+
+    /// Gets the request of an arrival.
+    #[must_use]
+    pub fn request(&self, arrival: &ArrivalRecord) -> Option<&'h RequestRecord> {
+        self.history.requests.get(&arrival.request_id)
+    }
+
+    /// Returns true where nothing disturbed the subject in that span, nor the machine.
+    #[must_use]
+    pub fn is_calm(&self, subject: &TroubleSubject, from: TimePoint, until: TimePoint) -> bool {
+        let touches = |trouble: &&TroubleRecord| {
+            trouble.subject == *subject || trouble.subject == TroubleSubject::Machine
+        };
+        let mut troubles = self.history.troubles.iter().filter(touches);
+        troubles
+            .all(|trouble| trouble.from > until || trouble.until.is_some_and(|ended| ended < from))
+    }
+
+    /// Returns true where a front was running and undisturbed for the whole span, and long enough
+    /// before it.
+    #[must_use]
+    pub fn is_front_calm(&self, front: IpAddr, from: TimePoint, until: TimePoint) -> bool {
+        let from = before(from, SETTLING);
+        let life = self.life(front, until);
+        life.is_some_and(|life| {
+            life.started <= from && life.asked_to_stop.is_none_or(|at| at > until)
+        }) && self.is_calm(&TroubleSubject::Front(front), from, until)
+    }
+
+    /// Returns true where the store was undisturbed for the whole span and long enough before it.
+    #[must_use]
+    pub fn is_store_calm(&self, from: TimePoint, until: TimePoint) -> bool {
+        self.is_calm(&TroubleSubject::Store, before(from, SETTLING), until)
+    }
+
+    /// Gets the process of a front that was the latest at a time.
+    #[must_use]
+    pub fn life(&self, front: IpAddr, at: TimePoint) -> Option<&'h FrontLife> {
+        let mut lives = self.history.lives.iter();
+        lives.rfind(|life| life.front == front && life.started <= at)
+    }
+
+    /// Gets the configurations that may be in force for a request that was sent and ended so, where
+    /// changes take `lag` at most; all of those that came before where no lag is promised.
+    #[must_use]
+    pub fn configs_in_force(
+        &self,
+        sent: TimePoint,
+        ended: TimePoint,
+        lag: Option<TimeSpan>,
+    ) -> Vec<&'h ConfigRecord> {
+        let configs = &self.history.configs;
+        let is_superseded = |place: usize| {
+            let next = configs.get(place + 1);
+            let lag = lag.unwrap_or(TimeSpan::from_secs(3_600));
+            next.is_some_and(|next| next.acked + lag < sent)
+        };
+        let known = configs.iter().enumerate();
+        known
+            .filter(|(place, config)| config.acked <= ended && !is_superseded(*place))
+            .map(|(_, config)| config)
+            .collect()
+    }
+}
+
+/// Gets the point that lies so long before another one.
+#[must_use]
+pub fn before(point: TimePoint, span: TimeSpan) -> TimePoint {
+    TimePoint::START + point.since(TimePoint::START).saturating_sub(span)
+}
--- /dev/null
+++ b/alderhaven-soak/src/lib.rs
@@ -0,0 +1,21 @@
+//! A fault soak: the real fronts as separate processes on loopback, faults from outside, callers that
+//! keep their connections, and checks of the promises on what callers and targets saw.
+#![forbid(unsafe_code)]
+
+pub mod front_process;
+pub mod history_index;
+pub mod link_proxy;
+pub mod machine_watch;
+pub mod promises;
+pub mod seed_cases;
+pub mod shard_records;
+pub mod soak_caller;
+pub mod soak_fault;
+pub mod soak_history;
+pub mod soak_operator;
+pub mod soak_options;
+pub mod soak_plan;
+pub mod soak_report;
+pub mod soak_run;
+pub mod soak_site;
+pub mod target_crew;
--- /dev/null
+++ b/alderhaven-soak/src/main.rs
@@ -0,0 +1,174 @@
+//! `alder-soak`: runs real fronts under faults from outside and checks the promises.
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use alderhaven_core::program;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_soak::seed_cases::{self, SeedCase};
+use alderhaven_soak::soak_options::{MOST_FRONTS, PromiseScope, SoakOptions};
+use alderhaven_soak::soak_run;
+use argh::FromArgs;
+use eyre::{OptionExt, Result, WrapErr, bail};
+
+/// The exit code where a promise was broken.
+const VIOLATED: u8 = 1;
+/// The exit code where a run could not be made.
+const NOT_RUN: u8 = 2;
+/// The shortest run, in seconds: the calm time at its end, and some faults before.
+const FEWEST_SECONDS: u64 = 10;
+/// The longest run, in seconds.
+const MOST_SECONDS: u64 = 3_600;
+
+/// Soak of alderhaven's fronts: real processes on loopback, faults from outside, promises checked.
+#[derive(FromArgs)]
+struct SoakArgs {
+    #[argh(subcommand)]
+    command: SoakCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SoakCommand {
+    Run(RunArgs),
+    Replay(ReplayArgs),
+}
+
+/// Runs the faults of one seed or of several, one after the other.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunArgs {
+    /// the first seed
+    #[argh(option)]
+    seed: u64,
+    /// the number of seeds (default 1)
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// the seconds of each run (default 25)
+    #[argh(option, default = "25")]
+    seconds: u64,
+    /// the fronts (default 4)
+    #[argh(option, default = "4")]
+    fronts: usize,
+    /// the callers (default 16)
+    #[argh(option, default = "16")]
+    callers: usize,
+    /// the program under test (default: alder-front beside this program)
+    #[argh(option)]
+    front: Option<PathBuf>,
+    /// where the logs of failed seeds are kept (default: target/soak)
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    logs: PathBuf,
+    /// print one JSON line a seed
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs a seed that once broke a promise as it was run then; without a seed, all of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct ReplayArgs {
+    /// the seed
+    #[argh(positional)]
+    seed: Option<u64>,
+    /// the program under test (default: alder-front beside this program)
+    #[argh(option)]
+    front: Option<PathBuf>,
+    /// where the logs of failed seeds are kept (default: target/soak)
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    logs: PathBuf,
+    /// print one JSON line a seed
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: SoakArgs = match program::arguments("alder-soak") {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let ended = match arguments.command {
+        SoakCommand::Run(arguments) => run(arguments),
+        SoakCommand::Replay(arguments) => replay(arguments),
+    };
+    match ended {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(VIOLATED),
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
+
+fn run(arguments: RunArgs) -> Result<bool> {
+    if !(FEWEST_SECONDS..=MOST_SECONDS).contains(&arguments.seconds) {
+        bail!("--seconds is not from {FEWEST_SECONDS} to {MOST_SECONDS}");
+    }
+    if !(1..=MOST_FRONTS).contains(&arguments.fronts) {
+        bail!("--fronts is not from 1 to {MOST_FRONTS}");
+    }
+    let front = front_binary(arguments.front)?;
+    let mut is_kept = true;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let options = SoakOptions::builder()
+            .seed(seed)
+            .span(TimeSpan::from_secs(arguments.seconds))
+            .fronts(arguments.fronts)
+            .callers(arguments.callers)
+            .front_binary(front.clone())
+            .logs(arguments.logs.clone())
+            .scope(PromiseScope::All)
+            .build();
+        is_kept &= run_one(&options, arguments.json)?;
+    }
+    Ok(is_kept)
+}
+
+fn replay(arguments: ReplayArgs) -> Result<bool> {
+    let front = front_binary(arguments.front)?;
+    let cases = seed_cases::read().map_err(|error| eyre::eyre!("{error}"))?;
+    let is_meant = |case: &SeedCase| arguments.seed.is_none_or(|seed| seed == case.seed);
+    let cases: Vec<SeedCase> = cases.into_iter().filter(is_meant).collect();
+    if cases.is_empty() {
+        bail!("no such seed is kept");
+    }
+    let mut is_kept = true;
+    for case in cases {
+        let options = SoakOptions::builder()
+            .seed(case.seed)
+            .span(TimeSpan::from_secs(case.seconds))
+            .fronts(case.fronts)
+            .callers(case.callers)
+            .front_binary(front.clone())
+            .logs(arguments.logs.clone())
+            .scope(PromiseScope::All)
+            .build();
+        is_kept &= run_one(&options, arguments.json)?;
+    }
+    Ok(is_kept)
+}
+
+fn run_one(options: &SoakOptions, is_json: bool) -> Result<bool> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("the runtime can't start")?;
+    let report = runtime.block_on(soak_run::run(options))?;
+    if is_json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(report.violations.is_empty())
+}
+
+fn front_binary(named: Option<PathBuf>) -> Result<PathBuf> {
+    if let Some(path) = named {
+        return Ok(path);
+    }
+    let own = std::env::current_exe().wrap_err("no path of this program")?;
+    let folder = own.parent().ok_or_eyre("this program lies in no folder")?;
+    Ok(folder.join("alder-front"))
+}
--- /dev/null
+++ b/alderhaven-soak/src/promises.rs
@@ -0,0 +1,97 @@
+//! The promises, held against what was seen.
+
+use serde::Serialize;
+
+use crate::history_index::HistoryIndex;
+use crate::soak_options::PromiseScope;
+
+pub mod answers;
+pub mod config;
+pub mod leaving;
+pub mod once;
+pub mod repeats;
+pub mod serving;
+pub mod stops;
+pub mod timely;
+
+/// A `PromiseKind` is one of the promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PromiseKind {
+    /// A caller gets the whole answer to its own request.
+    OwnAnswer,
+    /// A merged answer holds the parts that it names, from the shards of one configuration, and enough
+    /// of them.
+    TrueCoverage,
+    /// A proper request is not called wrong.
+    NotDenied,
+    /// A request that is not idempotent runs once at most, and no request on more targets than allowed.
+    AtMostOnce,
+    /// What is said not to have run has not, and never will.
+    NotRun,
+    /// A target gets only what callers sent, unchanged.
+    NothingInvented,
+    /// A target that leaves gets no work after some seconds.
+    LeavingLeftAlone,
+    /// An accepted configuration is in force within seconds.
+    ConfigInForce,
+    /// A process never goes back to an older configuration.
+    ConfigKept,
+    /// A front that serves or is asked to stop cuts no request that it has sent to a target.
+    NothingCut,
+    /// Repeats stay within the budget that all fronts share.
+    RepeatBudget,
+    /// A target is told no more time than the caller has.
+    TimeLeft,
+    /// Callers get a final answer in time.
+    AnswerInTime,
+    /// Nothing is sent for a caller that has gone.
+    CallerGone,
+    /// A process ends only where it is told to.
+    ProcessLives,
+    /// Once all faults are over callers are served.
+    Recovery,
+}
+
+/// A `Violation` is a promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// The promise.
+    pub promise: PromiseKind,
+    /// The request, target or front.
+    pub subject: String,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl Violation {
+    /// Returns a broken promise.
+    #[must_use]
+    pub fn new(promise: PromiseKind, subject: &str, seen: impl Into<String>) -> Self {
+        Self {
+            promise,
+            subject: subject.to_owned(),
+            seen: seen.into(),
+        }
+    }
+}
+
+/// Gets the promises that a history breaks; `is_over` says that the run has ended.
+#[must_use]
+pub fn check(index: &HistoryIndex, scope: PromiseScope, is_over: bool) -> Vec<Violation> {
+    let mut broken = answers::check(index);
+    broken.extend(once::check(index));
+    broken.extend(config::check_kept(index));
+    broken.extend(stops::check(index));
+    if scope == PromiseScope::Timeless {
+        return broken;
+    }
+    broken.extend(config::check_in_force(index));
+    broken.extend(leaving::check(index));
+    broken.extend(repeats::check(index));
+    broken.extend(timely::check(index));
+    if is_over {
+        broken.extend(serving::check(index));
+    }
+    broken
+}
--- /dev/null
+++ b/alderhaven-soak/src/promises/answers.rs
@@ -0,0 +1,112 @@
+//! Each caller its own whole answer, with true coverage.
+
+use std::collections::BTreeSet;
+
+use crate::history_index::HistoryIndex;
+use crate::promises::{PromiseKind, Violation};
+use crate::shard_records;
+use crate::soak_history::{AnswerRecord, RequestOutcome, RequestRecord};
+use crate::soak_site::{LEAST_SHARE, RECORDS, RequestKind};
+
+/// The status that a failing target answers with.
+const TARGET_FAILURE: u16 = 500;
+
+/// Checks the answers of all requests.
+#[must_use]
+pub fn check(index: &HistoryIndex) -> Vec<Violation> {
+    let requests = index.history.requests.iter();
+    requests
+        .filter_map(|(id, request)| check_request(index, id, request))
+        .collect()
+}
+
+fn check_request(index: &HistoryIndex, id: &str, request: &RequestRecord) -> Option<Violation> {
+    let end = request.end.as_ref()?;
+    let RequestOutcome::Answered(answer) = &end.outcome else {
+        return None;
+    };
+    let (promise, seen) = if !answer.is_success() {
+        check_failure(request, answer)?
+    } else if request.kind == RequestKind::Sweep {
+        let seen = check_merged(index, id, request, answer)?;
+        (PromiseKind::TrueCoverage, seen)
+    } else {
+        (PromiseKind::OwnAnswer, check_passed(id, request, answer)?)
+    };
+    Some(Violation::new(promise, id, seen))
+}
+
+fn check_failure(request: &RequestRecord, answer: &AnswerRecord) -> Option<(PromiseKind, String)> {
+    let status = answer.status;
+    let is_missing_mark = status == 404 && matches!(request.kind, RequestKind::Mark(_));
+    if (300..500).contains(&status) && !answer.is_refusal && !is_missing_mark {
+        return Some((
+            PromiseKind::NotDenied,
+            format!("{} got {status}", request.kind),
+        ));
+    }
+    let is_changed = !answer.proof.is_empty() && status != TARGET_FAILURE;
+    is_changed.then(|| {
+        let seen = format!("a target's failure came as {status}");
+        (PromiseKind::OwnAnswer, seen)
+    })
+}
+
+fn check_passed(id: &str, request: &RequestRecord, answer: &AnswerRecord) -> Option<String> {
+    let Some((service, answered)) = shard_records::read_proof(&answer.proof) else {
+        return Some(format!("a success with the digest `{}`", answer.proof));
+    };
+    if answered != id {
+        return Some(format!("the answer to {answered}"));
+    }
+    let allowed = request.kind.services(crate::soak_site::ShardSet::Old);
+    if !allowed.iter().any(|name| name == service) {
+        return Some(format!("an answer of {service} to a {}", request.kind));
+    }
+    let is_whole = answer.body == shard_records::body(service, id);
+    (!is_whole).then(|| format!("another body than that of {service}"))
+}
+
+fn check_merged(
+    index: &HistoryIndex,
+    id: &str,
+    request: &RequestRecord,
+    answer: &AnswerRecord,
+) -> Option<String> {
+    let proofs = answer.part_proofs.iter();
+    let parts: Option<Vec<(&str, &str)>> = proofs
+        .map(|proof| shard_records::read_proof(proof))
+        .collect();
+    let Some(parts) = parts else {
+        return Some(format!("no digest: {:?}", answer.part_proofs));
+    };
+    if let Some((service, foreign)) = parts.iter().find(|(_, answered)| *answered != id) {
+        return Some(format!("a part of {service} for {foreign}"));
+    }
+    let services: Vec<&str> = parts.iter().map(|(service, _)| *service).collect();
+    let distinct: BTreeSet<&str> = services.iter().copied().collect();
+    if distinct.len() != services.len() {
+        return Some(format!("a shard twice: {services:?}"));
+    }
+    let ended = request.end.as_ref()?.at;
+    let configs = index.configs_in_force(request.sent, ended, None);
+    let is_one_set = configs.iter().any(|config| {
+        let set = config.shards.services();
+        let holds_all = distinct
+            .iter()
+            .all(|part| set.iter().any(|name| name == part));
+        holds_all && set.len() == distinct.len() + answer.missing
+    });
+    if !is_one_set {
+        let missing = answer.missing;
+        return Some(format!(
+            "no configuration's shards: {services:?} and {missing} missing"
+        ));
+    }
+    let share = distinct.len() as f64 / (distinct.len() + answer.missing) as f64;
+    if share < LEAST_SHARE {
+        return Some(format!("only {share:.2} of the shards"));
+    }
+    let is_greatest = answer.body == shard_records::greatest(&services, id, RECORDS);
+    (!is_greatest).then(|| "other records than the greatest of the parts".to_owned())
+}
--- /dev/null
+++ b/alderhaven-soak/src/promises/once.rs
@@ -0,0 +1,84 @@
+//! Requests run as often as they may, and what did not run is called so.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::history_index::HistoryIndex;
+use crate::promises::{PromiseKind, Violation};
+use crate::soak_history::{ArrivalRecord, RequestOutcome, RequestRecord, TroubleSubject};
+use crate::soak_site::MOST_TARGETS;
+
+/// Checks the requests that reached targets.
+#[must_use]
+pub fn check(index: &HistoryIndex) -> Vec<Violation> {
+    let mut broken: Vec<Violation> = index
+        .history
+        .arrivals
+        .iter()
+        .filter_map(|arrival| check_arrival(index, arrival))
+        .collect();
+    for (id, request) in &index.history.requests {
+        let runs = index.arrivals(id).iter().filter(|arrival| arrival.is_run);
+        let runs: Vec<&ArrivalRecord> = runs.copied().collect();
+        broken.extend(check_runs(index, id, request, &runs));
+    }
+    broken
+}
+
+fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
+    let seen = match index.request(arrival) {
+        None => format!("no caller sent `{}`", arrival.request_id),
+        Some(request) if !is_unchanged(request, arrival) => format!(
+            "{} {} came as {} {}",
+            request.method, request.path, arrival.method, arrival.path
+        ),
+        Some(_) => return None,
+    };
+    Some(Violation::new(
+        PromiseKind::NothingInvented,
+        &arrival.target,
+        seen,
+    ))
+}
+
+fn is_unchanged(request: &RequestRecord, arrival: &ArrivalRecord) -> bool {
+    request.method == arrival.method && request.path == arrival.path && request.body == arrival.body
+}
+
+fn check_runs(
+    index: &HistoryIndex,
+    id: &str,
+    request: &RequestRecord,
+    runs: &[&ArrivalRecord],
+) -> Option<Violation> {
+    if request.kind.is_idempotent() {
+        return check_spread(index, id, runs);
+    }
+    if runs.len() > 1 {
+        let targets: Vec<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+        let seen = format!("ran on {targets:?}");
+        return Some(Violation::new(PromiseKind::AtMostOnce, id, seen));
+    }
+    let RequestOutcome::Answered(answer) = &request.end.as_ref()?.outcome else {
+        return None;
+    };
+    let run = runs.first().filter(|_| answer.is_refusal)?;
+    let seen = format!("got {} and ran on {}", answer.status, run.target);
+    Some(Violation::new(PromiseKind::NotRun, id, seen))
+}
+
+/// Checks that no shard ran the request on more targets than allowed; those that were disturbed may
+/// have been given up before.
+fn check_spread(index: &HistoryIndex, id: &str, runs: &[&ArrivalRecord]) -> Option<Violation> {
+    let mut targets: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for run in runs {
+        let subject = TroubleSubject::Target(run.target.clone());
+        if index.is_calm(&subject, run.at, index.now) {
+            targets.entry(&run.service).or_default().insert(&run.target);
+        }
+    }
+    let spread = targets
+        .values()
+        .find(|targets| targets.len() > MOST_TARGETS)?;
+    let seen = format!("ran on {spread:?}");
+    Some(Violation::new(PromiseKind::AtMostOnce, id, seen))
+}
--- /dev/null
+++ b/alderhaven-soak/src/promises/repeats.rs
@@ -0,0 +1,73 @@
+//! All fronts together keep to the budget for repeats.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+
+use crate::history_index::{self, HistoryIndex};
+use crate::promises::{PromiseKind, Violation};
+use crate::soak_site::{RequestKind, ShardSet};
+
+/// The window of the budget.
+const WINDOW: TimeSpan = TimeSpan::from_secs(10);
+/// The share of the requests for a service that it may get as repeats.
+const RATIO: f64 = 0.2;
+/// The repeats beyond that share in each window.
+pub const EXTRA: u64 = 30;
+
+/// Checks the arrivals at each service.
+#[must_use]
+pub fn check(index: &HistoryIndex) -> Vec<Violation> {
+    let mut repeats: BTreeMap<&str, Vec<TimePoint>> = BTreeMap::new();
+    let mut known = BTreeSet::new();
+    for arrival in &index.history.arrivals {
+        if !known.insert((&arrival.service, &arrival.request_id)) {
+            let times = repeats.entry(&arrival.service).or_default();
+            times.push(arrival.at);
+        }
+    }
+    let services = repeats.into_iter();
+    services
+        .filter_map(|(service, times)| check_service(index, service, &times))
+        .collect()
+}
+
+fn check_service(index: &HistoryIndex, service: &str, times: &[TimePoint]) -> Option<Violation> {
+    let sent: Vec<TimePoint> = index
+        .history
+        .requests
+        .values()
+        .filter(|request| is_for(request.kind, service))
+        .map(|request| request.sent)
+        .collect();
+    let over = times.iter().find_map(|end| {
+        let from = history_index::before(*end, WINDOW);
+        let count = count_within(times, from, *end);
+        let allowed = most_requests(&sent, *end) as f64 * RATIO + EXTRA as f64;
+        (count as f64 > allowed).then_some((count, allowed))
+    });
+    let (count, allowed) = over?;
+    let seen = format!("{count} repeats in a window, {allowed:.0} allowed");
+    Some(Violation::new(PromiseKind::RepeatBudget, service, seen))
+}
+
+/// Gets the most requests of the window that ends then, the one half a window earlier and the one
+/// before.
+fn most_requests(sent: &[TimePoint], end: TimePoint) -> usize {
+    let ends = [0.0, 0.5, 1.0].map(|windows| history_index::before(end, WINDOW.mul_f64(windows)));
+    let counts = ends.map(|end| count_within(sent, history_index::before(end, WINDOW), end));
+    counts.into_iter().max().unwrap_or_default()
+}
+
+fn count_within(times: &[TimePoint], from: TimePoint, until: TimePoint) -> usize {
+    times
+        .iter()
+        .filter(|at| **at >= from && **at <= until)
+        .count()
+}
+
+fn is_for(kind: RequestKind, service: &str) -> bool {
+    let sets = [ShardSet::Old, ShardSet::New];
+    let mut services = sets.into_iter().flat_map(|set| kind.services(set));
+    services.any(|name| name == service)
+}
--- /dev/null
+++ b/alderhaven-soak/src/promises/timely.rs
@@ -0,0 +1,61 @@
+//! Answers come in time, targets are told the time that is left, and nothing is sent for callers that
+//! have gone.
+
+use alderhaven_core::time::TimeSpan;
+
+use crate::history_index::HistoryIndex;
+use crate::promises::{PromiseKind, Violation};
+use crate::soak_history::{ArrivalRecord, RequestOutcome, RequestRecord, TroubleSubject};
+
+/// How much later than promised something may be: the ways there and back, and a busy moment.
+const SLACK: TimeSpan = TimeSpan::from_millis(500);
+
+/// Checks answers, and what reached targets.
+#[must_use]
+pub fn check(index: &HistoryIndex) -> Vec<Violation> {
+    let requests = index.history.requests.iter();
+    let late = requests.filter_map(|(id, request)| check_request(index, id, request));
+    let arrivals = index.history.arrivals.iter();
+    let arrivals = arrivals.filter_map(|arrival| check_arrival(index, arrival));
+    late.chain(arrivals).collect()
+}
+
+fn check_request(index: &HistoryIndex, id: &str, request: &RequestRecord) -> Option<Violation> {
+    let end = request.end.as_ref()?;
+    let took = end.at.since(request.sent);
+    let is_final = matches!(
+        end.outcome,
+        RequestOutcome::Answered(_) | RequestOutcome::Closed | RequestOutcome::Unanswered
+    );
+    let is_late = is_final && took > request.patience + SLACK;
+    let is_held = is_late && index.is_front_calm(request.front, request.sent, end.at);
+    is_held.then(|| {
+        let seen = format!("a {} took {took}", request.kind);
+        Violation::new(PromiseKind::AnswerInTime, id, seen)
+    })
+}
+
+fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
+    let request = index.request(arrival)?;
+    let subject = TroubleSubject::Target(arrival.target.clone());
+    let is_calm = index.is_front_calm(request.front, request.sent, arrival.at)
+        && index.is_calm(&subject, request.sent, arrival.at);
+    if !is_calm {
+        return None;
+    }
+    let id = &arrival.request_id;
+    let waited = arrival.at.since(request.sent);
+    let left = request.patience.saturating_sub(waited);
+    if arrival.time_left.is_none_or(|told| told > left + SLACK) {
+        let seen = format!("{:?} told, {left} left", arrival.time_left);
+        return Some(Violation::new(PromiseKind::TimeLeft, id, seen));
+    }
+    let end = request.end.as_ref()?;
+    let has_left = matches!(end.outcome, RequestOutcome::Left);
+    let is_after = has_left && arrival.at > end.at + SLACK;
+    is_after.then(|| {
+        let after = arrival.at.since(end.at);
+        let seen = format!("sent to {} {after} after its caller left", arrival.target);
+        Violation::new(PromiseKind::CallerGone, id, seen)
+    })
+}
--- /dev/null
+++ b/alderhaven-soak/src/soak_caller.rs
@@ -0,0 +1,198 @@
+//! A caller: it finds a front, keeps the connection until the front is gone, and sends one request
+//! after the other.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform_standin::caller_client::{self, CallerConnection, CallerRequest};
+use alderhaven_platform_standin::caller_reply::CallerReply;
+use alderhaven_platform_standin::front_settings::FrontSettings;
+use bytes::Bytes;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::time;
+
+use crate::soak_history::{AnswerRecord, HistoryLog, RequestEnd, RequestOutcome, RequestRecord};
+use crate::soak_site::{DOMAINS, RequestKind};
+
+/// How long a caller waits for a directory or a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// The pause after a directory or a front that could not be reached.
+const CONNECT_PAUSE: Duration = Duration::from_millis(30);
+/// How much longer than it says a caller waits for an answer, so that late ones are seen.
+const EXTRA_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// The share of the requests whose caller leaves early.
+const LEAVING_SHARE: f64 = 0.03;
+/// The longest pause between two requests, in milliseconds.
+const THINK_MS: u64 = 40;
+
+/// A `SoakCaller` is one caller.
+#[derive(Debug)]
+pub struct SoakCaller {
+    number: usize,
+    sent: usize,
+    log: HistoryLog,
+    fronts: Vec<FrontSettings>,
+    rng: StdRng,
+    open: Option<(IpAddr, CallerConnection)>,
+}
+
+impl SoakCaller {
+    /// Returns a caller that knows the directories of these fronts.
+    #[must_use]
+    pub const fn new(
+        number: usize,
+        log: HistoryLog,
+        fronts: Vec<FrontSettings>,
+        rng: StdRng,
+    ) -> Self {
+        Self {
+            number,
+            sent: 0,
+            log,
+            fronts,
+            rng,
+            open: None,
+        }
+    }
+
+    /// Sends requests until it is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let connected = match self.open.take() {
+                Some((front, connection)) if !connection.is_closed() => Some((front, connection)),
+                _ => self.connect().await,
+            };
+            match connected {
+                Some((front, connection)) => self.ask(front, connection).await,
+                None => time::sleep(CONNECT_PAUSE).await,
+            }
+            let think = Duration::from_millis(self.rng.random_range(0..THINK_MS));
+            time::sleep(think).await;
+        }
+    }
+
+    async fn connect(&mut self) -> Option<(IpAddr, CallerConnection)> {
+        let asked = self.rng.random_range(0..self.fronts.len());
+        let directory = self.fronts[asked].directory();
+        let domain = DOMAINS[self.rng.random_range(0..DOMAINS.len())];
+        let found = caller_client::find_fronts(directory, domain);
+        let found = time::timeout(CONNECT_LIMIT, found).await.ok()??;
+        if found.is_empty() {
+            return None;
+        }
+        let front = found[self.rng.random_range(0..found.len())];
+        let opened = time::timeout(CONNECT_LIMIT, CallerConnection::open(front));
+        Some((front.ip(), opened.await.ok()??))
+    }
+
+    /// Sends one request, and keeps the connection where it can be used again.
+    async fn ask(&mut self, front: IpAddr, mut connection: CallerConnection) {
+        let kind = self.draw_kind();
+        self.sent += 1;
+        let request_id = format!("q{}x{}", self.number, self.sent);
+        let request = self.begin(&request_id, kind, front);
+        let most = (kind.patience() + EXTRA_WAIT).as_duration();
+        let leaves = self.rng.random_bool(LEAVING_SHARE);
+        let limit = if leaves {
+            Duration::from_millis(self.rng.random_range(1..60))
+        } else {
+            most
+        };
+        let reply = time::timeout(limit, connection.send(&request)).await;
+        let outcome = match &reply {
+            Ok(Some(reply)) => RequestOutcome::Answered(record(reply)),
+            Ok(None) => RequestOutcome::Closed,
+            Err(_) if leaves => RequestOutcome::Left,
+            Err(_) => RequestOutcome::Unanswered,
+        };
+        let may_go_on = matches!(&reply, Ok(Some(reply)) if !reply.is_last());
+        if may_go_on {
+            self.open = Some((front, connection));
+        } else {
+            drop(connection);
+        }
+        self.end(&request_id, outcome);
+        if let Ok(Some(reply)) = &reply
+            && let Some(wait) = reply.retry_after()
+        {
+            time::sleep(wait).await;
+        }
+    }
+
+    fn draw_kind(&mut self) -> RequestKind {
+        match self.rng.random_range(0..100) {
+            0..45 => RequestKind::Sweep,
+            45..65 => RequestKind::Record,
+            65..85 => RequestKind::Order,
+            _ => self
+                .draw_mark()
+                .map_or(RequestKind::Record, RequestKind::Mark),
+        }
+    }
+
+    /// Draws the route of a version that was accepted lately, or that was taken away lately.
+    fn draw_mark(&mut self) -> Option<u64> {
+        let history = self.log.lock();
+        let mut marks: Vec<u64> = history
+            .configs
+            .iter()
+            .rev()
+            .take(3)
+            .flat_map(|config| config.marks.clone())
+            .collect();
+        drop(history);
+        marks.sort_unstable();
+        marks.dedup();
+        if marks.is_empty() {
+            return None;
+        }
+        Some(marks[self.rng.random_range(0..marks.len())])
+    }
+
+    fn begin(&self, request_id: &str, kind: RequestKind, front: IpAddr) -> CallerRequest {
+        let body = match kind {
+            RequestKind::Order => Bytes::from(format!("order {request_id}")),
+            _ => Bytes::new(),
+        };
+        let request = CallerRequest {
+            method: kind.method().to_owned(),
+            path: kind.path(request_id),
+            request_id: request_id.to_owned(),
+            patience: kind.patience().as_duration(),
+            body,
+        };
+        let record = RequestRecord {
+            kind,
+            front,
+            sent: self.log.now(),
+            patience: kind.patience(),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            body: request.body.clone(),
+            end: None,
+        };
+        let mut history = self.log.lock();
+        history.requests.insert(request_id.to_owned(), record);
+        request
+    }
+
+    fn end(&self, request_id: &str, outcome: RequestOutcome) {
+        let at = self.log.now();
+        if let Some(record) = self.log.lock().requests.get_mut(request_id) {
+            record.end = Some(RequestEnd { at, outcome });
+        }
+    }
+}
+
+fn record(reply: &CallerReply) -> AnswerRecord {
+    AnswerRecord {
+        status: reply.status.as_u16(),
+        is_refusal: reply.is_refusal(),
+        part_proofs: reply.proofs().into_iter().map(str::to_owned).collect(),
+        proof: reply.proof().to_owned(),
+        missing: reply.missing(),
+        body: reply.body.clone(),
+    }
+}
--- /dev/null
+++ b/alderhaven-soak/src/soak_history.rs
@@ -0,0 +1,230 @@
+//! What callers, targets and the operator of a run saw, in the order in which they saw it.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use bytes::Bytes;
+use serde::Serialize;
+
+use crate::soak_site::{RequestKind, ShardSet};
+
+/// A `SoakHistory` is all that was seen in a run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct SoakHistory {
+    /// Callers' requests by their ids.
+    pub requests: BTreeMap<String, RequestRecord>,
+    /// Requests that reached targets.
+    pub arrivals: Vec<ArrivalRecord>,
+    /// Configurations that the store accepted.
+    pub configs: Vec<ConfigRecord>,
+    /// Targets that said that they leave, with the time at which the store accepted it.
+    pub leavings: Vec<(String, TimePoint)>,
+    /// What was disturbed, and when.
+    pub troubles: Vec<TroubleRecord>,
+    /// The fronts' processes.
+    pub lives: Vec<FrontLife>,
+}
+
+/// A `RequestRecord` is a caller's request and what became of it.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RequestRecord {
+    /// What was asked.
+    pub kind: RequestKind,
+    /// The host of the front that was asked.
+    pub front: IpAddr,
+    /// When it was sent.
+    pub sent: TimePoint,
+    /// How long its caller waits.
+    pub patience: TimeSpan,
+    /// The method.
+    pub method: String,
+    /// The path.
+    pub path: String,
+    /// The body, which is left out of the logs.
+    #[serde(skip)]
+    pub body: Bytes,
+    /// Its end; none while it is under way.
+    pub end: Option<RequestEnd>,
+}
+
+/// A `RequestEnd` is when and how a request ended for its caller.
+#[derive(Clone, Debug, Serialize)]
+pub struct RequestEnd {
+    /// When.
+    pub at: TimePoint,
+    /// How.
+    pub outcome: RequestOutcome,
+}
+
+/// A `RequestOutcome` is what a caller saw at the end of a request.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestOutcome {
+    /// A whole answer.
+    Answered(AnswerRecord),
+    /// The connection ended without one.
+    Closed,
+    /// The caller closed the connection early.
+    Left,
+    /// Nothing came for longer than the caller waits.
+    Unanswered,
+}
+
+/// An `AnswerRecord` is a whole answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct AnswerRecord {
+    /// The status.
+    pub status: u16,
+    /// Whether it promises that the request has not run and never will.
+    pub is_refusal: bool,
+    /// The digests of the parts of a merged answer.
+    pub part_proofs: Vec<String>,
+    /// The digest of an answer that was passed through.
+    pub proof: String,
+    /// The shards that are left out.
+    pub missing: usize,
+    /// The body, which is left out of the logs.
+    #[serde(skip)]
+    pub body: Bytes,
+}
+
+impl AnswerRecord {
+    /// Returns true where it is a success.
+    #[must_use]
+    pub const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+}
+
+/// An `ArrivalRecord` is a request that reached a target.
+#[derive(Clone, Debug, Serialize)]
+pub struct ArrivalRecord {
+    /// When.
+    pub at: TimePoint,
+    /// The target.
+    pub target: String,
+    /// Its service.
+    pub service: String,
+    /// The caller's id.
+    pub request_id: String,
+    /// The method.
+    pub method: String,
+    /// The path.
+    pub path: String,
+    /// The body, which is left out of the logs.
+    #[serde(skip)]
+    pub body: Bytes,
+    /// How much longer the sender waits.
+    pub time_left: Option<TimeSpan>,
+    /// Whether the target ran it.
+    pub is_run: bool,
+    /// Whether the target answers it whole.
+    pub is_answered: bool,
+}
+
+/// A `ConfigRecord` is a configuration that the store accepted.
+#[derive(Clone, Debug, Serialize)]
+pub struct ConfigRecord {
+    /// Its version.
+    pub version: u64,
+    /// When it was accepted.
+    pub acked: TimePoint,
+    /// The shards that are asked.
+    pub shards: ShardSet,
+    /// The versions whose own routes it holds.
+    pub marks: Vec<u64>,
+}
+
+/// A `TroubleSubject` is what a disturbance touches.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TroubleSubject {
+    /// The process of a front, or its way to the store.
+    Front(IpAddr),
+    /// The store.
+    Store,
+    /// A target or the way to it.
+    Target(String),
+    /// The machine that runs all of this did not keep up.
+    Machine,
+}
+
+/// A `TroubleRecord` is one disturbance.
+#[derive(Clone, Debug, Serialize)]
+pub struct TroubleRecord {
+    /// What is disturbed.
+    pub subject: TroubleSubject,
+    /// What is done to it.
+    pub what: String,
+    /// From when.
+    pub from: TimePoint,
+    /// Until when; none while it goes on.
+    pub until: Option<TimePoint>,
+}
+
+/// A `FrontLife` is one process of a front.
+#[derive(Clone, Debug, Serialize)]
+pub struct FrontLife {
+    /// The host.
+    pub front: IpAddr,
+    /// When it was started.
+    pub started: TimePoint,
+    /// When it was asked to stop.
+    pub asked_to_stop: Option<TimePoint>,
+    /// Whether it was killed.
+    pub is_killed: bool,
+    /// When it ended.
+    pub ended: Option<TimePoint>,
+}
+
+/// A `HistoryLog` is the history of a run that goes on; its clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct HistoryLog {
+    clock: ProcessClock,
+    history: Arc<Mutex<SoakHistory>>,
+}
+
+impl HistoryLog {
+    /// Gets the time now.
+    #[must_use]
+    pub fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Gets the history so far, to read or to add to.
+    pub fn lock(&self) -> MutexGuard<'_, SoakHistory> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a disturbance begins; gets its place for [`Self::end_trouble`].
+    #[must_use]
+    pub fn begin_trouble(&self, subject: TroubleSubject, what: &str) -> usize {
+        let from = self.now();
+        let mut history = self.lock();
+        history.troubles.push(TroubleRecord {
+            subject,
+            what: what.to_owned(),
+            from,
+            until: None,
+        });
+        history.troubles.len() - 1
+    }
+
+    /// Notes that a disturbance is over.
+    pub fn end_trouble(&self, place: usize) {
+        let now = self.now();
+        if let Some(trouble) = self.lock().troubles.get_mut(place) {
+            trouble.until = Some(now);
+        }
+    }
+
+    /// Notes a disturbance of a moment.
+    pub fn note_trouble(&self, subject: TroubleSubject, what: &str) {
+        let place = self.begin_trouble(subject, what);
+        self.end_trouble(place);
+    }
+}
--- /dev/null
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -0,0 +1,114 @@
+//! Which faults come when: drawn from the seed alone.
+
+use std::time::Duration;
+
+use alderhaven_core::time::TimeSpan;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+
+use crate::link_proxy::LinkMode;
+use crate::soak_fault::{SoakFault, StoreTrouble, TargetTrouble};
+
+/// The calm time at the start: the fronts are ready, and callers have their connections.
+const LEAD: TimeSpan = TimeSpan::from_millis(1_000);
+/// The calm time at the end: everything has started again and settled, and what is served then is
+/// counted.
+pub const TAIL: TimeSpan = TimeSpan::from_millis(7_000);
+/// The longest pause between faults, in milliseconds. Most faults last longer, so that they overlap.
+const PAUSE_MS: u64 = 900;
+/// The shortest and the longest disturbance, in milliseconds: from less than a time-out to more than
+/// what peers take for a death.
+const LASTING_MS: std::ops::Range<u64> = 100..4_000;
+/// How likely a fault comes again at once, in the same place: what one has left behind meets the next.
+const AGAIN_SHARE: f64 = 0.2;
+
+/// A `SoakPlan` is the faults of a run in their order.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SoakPlan {
+    /// The faults.
+    pub steps: Vec<SoakStep>,
+    /// How long the run takes.
+    pub span: TimeSpan,
+}
+
+/// A `SoakStep` is one fault at its time.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SoakStep {
+    /// When, counted from the start of the callers.
+    pub at: TimeSpan,
+    /// What.
+    pub fault: SoakFault,
+}
+
+impl SoakPlan {
+    /// Returns the plan of a seed for a run of that length.
+    #[must_use]
+    pub fn new(seed: u64, span: TimeSpan) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let faults_end = span.saturating_sub(TAIL);
+        let mut steps: Vec<SoakStep> = Vec::new();
+        let mut at = LEAD;
+        while at < faults_end {
+            let last = steps.last().map(|step| step.fault);
+            let again = last.filter(|_| rng.random_bool(AGAIN_SHARE));
+            let fault = again.unwrap_or_else(|| draw_fault(&mut rng));
+            steps.push(SoakStep { at, fault });
+            at = at + TimeSpan::from_millis(rng.random_range(0..PAUSE_MS));
+        }
+        Self { steps, span }
+    }
+}
+
+fn draw_fault(rng: &mut StdRng) -> SoakFault {
+    let place = rng.random_range(0..usize::MAX >> 1);
+    let lasting = TimeSpan::from_millis(rng.random_range(LASTING_MS));
+    match rng.random_range(0..100) {
+        0..8 => SoakFault::StopFront(place),
+        8..10 => SoakFault::StopAll(TimeSpan::from_millis(rng.random_range(100..1_500))),
+        10..16 => SoakFault::KillFront(place),
+        16..18 => SoakFault::KillAll,
+        18..25 => SoakFault::FreezeFront(place, lasting),
+        25..29 => SoakFault::ReloadFront(place),
+        29..36 => SoakFault::StoreLink(place, draw_mode(rng), lasting),
+        36..42 => SoakFault::StoreFault(draw_store_trouble(rng), lasting),
+        42..45 => SoakFault::StoreForgets,
+        45..53 => SoakFault::CrashTarget(place, lasting),
+        53..61 => SoakFault::DrainTarget(place),
+        61..69 => SoakFault::TargetLink(place, draw_mode(rng), lasting),
+        69..83 => SoakFault::TargetFault(place, draw_target_trouble(rng), lasting),
+        83..96 => SoakFault::ChangeConfig,
+        _ => SoakFault::Reshard,
+    }
+}
+
+fn draw_mode(rng: &mut StdRng) -> LinkMode {
+    match rng.random_range(0..5) {
+        0 => LinkMode::Delayed(Duration::from_millis(rng.random_range(5..400))),
+        1 => LinkMode::CutForth,
+        2 => LinkMode::CutBack,
+        3 => LinkMode::Silent,
+        _ => LinkMode::Reset,
+    }
+}
+
+fn draw_store_trouble(rng: &mut StdRng) -> StoreTrouble {
+    match rng.random_range(0..4) {
+        0 => StoreTrouble::Silent,
+        1 => StoreTrouble::Down,
+        2 => StoreTrouble::Limited,
+        _ => StoreTrouble::Slow(Duration::from_millis(rng.random_range(20..800))),
+    }
+}
+
+fn draw_target_trouble(rng: &mut StdRng) -> TargetTrouble {
+    match rng.random_range(0..7) {
+        0 => TargetTrouble::Slow,
+        1 => TargetTrouble::Mute,
+        2 => TargetTrouble::Fails,
+        3 => TargetTrouble::Refuses,
+        4 => TargetTrouble::LosesAnswers,
+        5 => TargetTrouble::CutsAnswers,
+        _ => TargetTrouble::AnswersTwice,
+    }
+}
--- /dev/null
+++ b/alderhaven-soak/src/soak_report.rs
@@ -0,0 +1,101 @@
+//! What a run came to.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::promises::Violation;
+use crate::soak_history::{RequestOutcome, SoakHistory, TroubleSubject};
+
+/// The violations that are printed; the logs hold all.
+const MOST_SHOWN: usize = 10;
+
+/// A `SoakReport` is what a run came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct SoakReport {
+    /// The seed.
+    pub seed: u64,
+    /// How long it ran, in seconds.
+    pub seconds: f64,
+    /// The fronts.
+    pub fronts: usize,
+    /// The processes of fronts that were started.
+    pub processes: usize,
+    /// The requests by what became of them.
+    pub requests: BTreeMap<&'static str, usize>,
+    /// The requests that reached targets.
+    pub arrivals: usize,
+    /// The faults by kind.
+    pub faults: BTreeMap<&'static str, usize>,
+    /// The configurations.
+    pub configs: usize,
+    /// How often the machine did not keep up.
+    pub stalls: usize,
+    /// The broken promises.
+    pub violations: Vec<Violation>,
+    /// Where the logs are kept; none where nothing was broken.
+    pub logs: Option<String>,
+}
+
+/// Counts requests by what became of them.
+#[must_use]
+pub fn count_requests(history: &SoakHistory) -> BTreeMap<&'static str, usize> {
+    let mut counts = BTreeMap::new();
+    for request in history.requests.values() {
+        let outcome = request.end.as_ref().map(|end| &end.outcome);
+        let name = match outcome {
+            None => "open",
+            Some(RequestOutcome::Answered(answer)) if answer.is_success() => "served",
+            Some(RequestOutcome::Answered(answer)) if answer.is_refusal => "refused",
+            Some(RequestOutcome::Answered(answer)) if answer.status == 404 => "not_found",
+            Some(RequestOutcome::Answered(_)) => "failed",
+            Some(RequestOutcome::Closed) => "closed",
+            Some(RequestOutcome::Left) => "left",
+            Some(RequestOutcome::Unanswered) => "unanswered",
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+/// Counts how often the machine did not keep up.
+#[must_use]
+pub fn count_stalls(history: &SoakHistory) -> usize {
+    let troubles = history.troubles.iter();
+    troubles
+        .filter(|trouble| trouble.subject == TroubleSubject::Machine)
+        .count()
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (seed, seconds, fronts) = (self.seed, self.seconds, self.fronts);
+        write!(formatter, "seed {seed}: {seconds:.0} s, {fronts} fronts, ")?;
+        let (processes, stalls) = (self.processes, self.stalls);
+        write!(
+            formatter,
+            "{processes} processes, {stalls} stalls; requests"
+        )?;
+        for (outcome, count) in &self.requests {
+            write!(formatter, " {outcome} {count}")?;
+        }
+        write!(formatter, "; faults")?;
+        for (kind, count) in &self.faults {
+            write!(formatter, " {kind} {count}")?;
+        }
+        write!(formatter, "; violations {}", self.violations.len())?;
+        for violation in self.violations.iter().take(MOST_SHOWN) {
+            let Violation {
+                promise,
+                subject,
+                seen,
+            } = violation;
+            write!(formatter, "\n  {promise:?} {subject}: {seen}")?;
+        }
+        if let Some(logs) = &self.logs {
+            write!(formatter, "\n  logs: {logs}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/alderhaven-soak/src/soak_run.rs
@@ -0,0 +1,328 @@
+//! One run: it starts everything, plays the faults of the plan and holds the promises against what was
+//! seen.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_platform_standin::caller_client;
+use alderhaven_platform_standin::front_settings::FrontSettings;
+use alderhaven_platform_standin::store_fault::StoreFault;
+use alderhaven_platform_standin::store_standin::StoreStandin;
+use eyre::{Result, WrapErr, bail};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::front_process::{FrontOrder, FrontProcess};
+use crate::history_index::HistoryIndex;
+use crate::link_proxy::{LinkMode, LinkProxy};
+use crate::machine_watch;
+use crate::promises::{self, Violation, repeats};
+use crate::soak_caller::SoakCaller;
+use crate::soak_fault::{SoakFault, StoreTrouble};
+use crate::soak_history::{HistoryLog, TroubleSubject};
+use crate::soak_operator::SoakOperator;
+use crate::soak_options::SoakOptions;
+use crate::soak_plan::{SoakPlan, SoakStep};
+use crate::soak_report::{self, SoakReport};
+use crate::soak_site::DOMAINS;
+use crate::target_crew::TargetCrew;
+
+/// How long all fronts may take to be ready; far above what a busy machine needs.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// How often that is asked.
+const READY_PAUSE: Duration = Duration::from_millis(20);
+/// How often the promises are checked while the run goes on.
+const CHECK_PAUSE: Duration = Duration::from_secs(4);
+/// The fronts that a front knows at its start.
+const SEEDS: usize = 3;
+/// The time between SIGTERM and SIGKILL.
+const GRACE: TimeSpan = TimeSpan::from_secs(6);
+
+/// A `SoakRun` is a run that goes on.
+struct SoakRun {
+    log: HistoryLog,
+    store: StoreStandin,
+    crew: TargetCrew,
+    operator: SoakOperator,
+    fronts: Vec<RunningFront>,
+    faults: JoinSet<Result<()>>,
+    callers: Vec<AbortOnDropHandle<()>>,
+}
+
+struct RunningFront {
+    settings: FrontSettings,
+    link: LinkProxy,
+    orders: mpsc::UnboundedSender<FrontOrder>,
+    process: AbortOnDropHandle<Result<()>>,
+}
+
+/// Runs the faults of a seed, and gets what it came to.
+///
+/// # Errors
+/// Something of the run itself can't be started; a broken promise is in the report.
+pub async fn run(options: &SoakOptions) -> Result<SoakReport> {
+    let folder = folder_of(options)?;
+    let plan = SoakPlan::new(options.seed, options.span);
+    let mut run = SoakRun::start(options, &folder).await?;
+    let _watch = machine_watch::start(run.log.clone());
+    let violations = run.play(options, &plan).await?;
+    let history = run.log.lock().clone();
+    let logs = if violations.is_empty() {
+        std::fs::remove_dir_all(&folder).wrap_err("the logs can't be removed")?;
+        None
+    } else {
+        let path = folder.join("history.json");
+        let content = serde_json::to_vec(&(&plan, &history, &violations))?;
+        std::fs::write(path, content).wrap_err("the history can't be written")?;
+        Some(folder.display().to_string())
+    };
+    let mut faults = BTreeMap::new();
+    for step in &plan.steps {
+        *faults.entry(step.fault.kind()).or_default() += 1;
+    }
+    Ok(SoakReport {
+        seed: options.seed,
+        seconds: run.log.now().since(TimePoint::START).as_secs_f64(),
+        fronts: options.fronts,
+        processes: history.lives.len(),
+        requests: soak_report::count_requests(&history),
+        arrivals: history.arrivals.len(),
+        faults,
+        configs: history.configs.len(),
+        stalls: soak_report::count_stalls(&history),
+        violations,
+        logs,
+    })
+}
+
+fn folder_of(options: &SoakOptions) -> Result<PathBuf> {
+    let name = format!("seed-{}-{}", options.seed, std::process::id());
+    let folder = options.logs.join(name);
+    std::fs::create_dir_all(&folder)
+        .wrap_err_with(|| format!("{} can't be created", folder.display()))?;
+    Ok(folder)
+}
+
+/// Gets the loopback address of a host of this process's run: each process has its own, since all
+/// fronts listen on the same ports.
+fn host_address(place: usize) -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = u8::try_from(place + 1).unwrap_or(u8::MAX);
+    IpAddr::V4(Ipv4Addr::new(127, 128 | high, low, host))
+}
+
+impl SoakRun {
+    async fn start(options: &SoakOptions, folder: &std::path::Path) -> Result<Self> {
+        let log = HistoryLog::default();
+        let store = StoreStandin::start().await.wrap_err("no store")?;
+        let crew = TargetCrew::start(log.clone(), store.clone()).await?;
+        let operator = SoakOperator::start(log.clone(), store.clone());
+        let mut run = Self {
+            log,
+            store,
+            crew,
+            operator,
+            fronts: Vec::new(),
+            faults: JoinSet::new(),
+            callers: Vec::new(),
+        };
+        for place in 0..options.fronts {
+            let front = run.start_front(options, folder, place).await?;
+            run.fronts.push(front);
+        }
+        run.wait_until_ready().await?;
+        run.start_callers(options);
+        Ok(run)
+    }
+
+    async fn start_front(
+        &self,
+        options: &SoakOptions,
+        folder: &std::path::Path,
+        place: usize,
+    ) -> Result<RunningFront> {
+        let link = LinkProxy::start(self.store.address())
+            .await
+            .wrap_err("no link")?;
+        let settings = FrontSettings {
+            name: format!("front-{place}"),
+            ip: host_address(place),
+            domain: DOMAINS[place % DOMAINS.len()].to_owned(),
+            seeds: (0..SEEDS.min(options.fronts)).map(host_address).collect(),
+            store: link.address(),
+            grace_s: GRACE.as_millis() / 1_000,
+            repeat_extra: repeats::EXTRA,
+        };
+        let log = self.log.clone();
+        let process = FrontProcess::start(settings.clone(), &options.front_binary, folder, log)?;
+        let (orders, received) = mpsc::unbounded_channel();
+        Ok(RunningFront {
+            settings,
+            link,
+            orders,
+            process: AbortOnDropHandle::new(tokio::spawn(process.run(received))),
+        })
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        let waiting = async {
+            for front in &self.fronts {
+                while !caller_client::is_ready(front.settings.ready()).await {
+                    time::sleep(READY_PAUSE).await;
+                }
+            }
+        };
+        let in_time = time::timeout(READY_LIMIT, waiting).await;
+        in_time.wrap_err("the fronts are not ready")
+    }
+
+    fn start_callers(&mut self, options: &SoakOptions) {
+        let settings = self.fronts.iter().map(|front| front.settings.clone());
+        let settings: Vec<FrontSettings> = settings.collect();
+        self.callers = (0..options.callers)
+            .map(|number| {
+                let rng = StdRng::seed_from_u64(options.seed.wrapping_add(number as u64));
+                let caller = SoakCaller::new(number, self.log.clone(), settings.clone(), rng);
+                AbortOnDropHandle::new(tokio::spawn(caller.run()))
+            })
+            .collect();
+    }
+
+    /// Plays the plan to its end, or until a promise is broken.
+    async fn play(&mut self, options: &SoakOptions, plan: &SoakPlan) -> Result<Vec<Violation>> {
+        let start = time::Instant::now();
+        let mut next_check = start + CHECK_PAUSE;
+        for SoakStep { at, fault } in &plan.steps {
+            time::sleep_until(start + at.as_duration()).await;
+            self.begin(*fault);
+            if time::Instant::now() >= next_check {
+                next_check = time::Instant::now() + CHECK_PAUSE;
+                let broken = self.check(options, false);
+                if !broken.is_empty() {
+                    return Ok(broken);
+                }
+            }
+        }
+        while let Some(fault) = self.faults.join_next().await {
+            fault.wrap_err("a fault's task failed")??;
+        }
+        time::sleep_until(start + plan.span.as_duration()).await;
+        if let Some(front) = self.fronts.iter().find(|front| front.process.is_finished()) {
+            bail!("{} is not looked after any more", front.settings.name);
+        }
+        Ok(self.check(options, true))
+    }
+
+    fn check(&self, options: &SoakOptions, is_over: bool) -> Vec<Violation> {
+        let history = self.log.lock().clone();
+        let index = HistoryIndex::new(&history, self.log.now());
+        promises::check(&index, options.scope, is_over)
+    }
+
+    /// Begins a fault; what ends it goes on beside the run.
+    fn begin(&mut self, fault: SoakFault) {
+        let crew = self.crew.clone();
+        let target = |place: usize| place % crew.places();
+        match fault {
+            SoakFault::StopFront(place) => self.order(place, FrontOrder::Stop),
+            SoakFault::StopAll(pause) => self.stop_all(pause),
+            SoakFault::KillFront(place) => self.order(place, FrontOrder::Kill),
+            SoakFault::KillAll => (0..self.fronts.len()).for_each(|place| {
+                self.order(place, FrontOrder::Kill);
+            }),
+            SoakFault::FreezeFront(place, span) => self.order(place, FrontOrder::Freeze(span)),
+            SoakFault::ReloadFront(place) => self.order(place, FrontOrder::Reload),
+            SoakFault::StoreLink(place, mode, span) => self.disturb_store_link(place, mode, span),
+            SoakFault::StoreFault(trouble, span) => self.disturb_store(trouble, span),
+            SoakFault::StoreForgets => {
+                self.store.forget_history();
+                self.log.note_trouble(TroubleSubject::Store, "forgot");
+            }
+            SoakFault::CrashTarget(place, pause) => {
+                let place = target(place);
+                self.faults
+                    .spawn(async move { crew.crash(place, pause).await });
+            }
+            SoakFault::DrainTarget(place) => {
+                let place = target(place);
+                self.faults.spawn(async move { crew.drain(place).await });
+            }
+            SoakFault::TargetLink(place, mode, span) => {
+                let place = target(place);
+                self.faults.spawn(async move {
+                    crew.disturb_link(place, mode, span).await;
+                    Ok(())
+                });
+            }
+            SoakFault::TargetFault(place, trouble, span) => {
+                let place = target(place);
+                self.faults.spawn(async move {
+                    crew.disturb(place, trouble, span).await;
+                    Ok(())
+                });
+            }
+            SoakFault::ChangeConfig => self.operator.change(),
+            SoakFault::Reshard => self.operator.reshard(),
+        }
+    }
+
+    fn order(&self, place: usize, order: FrontOrder) {
+        let front = &self.fronts[place % self.fronts.len()];
+        // Its task is gone only where it failed, which the end of the run tells.
+        let _is_gone = front.orders.send(order);
+    }
+
+    fn stop_all(&mut self, pause: TimeSpan) {
+        let orders: Vec<_> = self
+            .fronts
+            .iter()
+            .map(|front| front.orders.clone())
+            .collect();
+        self.faults.spawn(async move {
+            for order in orders {
+                let _is_gone = order.send(FrontOrder::Stop);
+                time::sleep(pause.as_duration()).await;
+            }
+            Ok(())
+        });
+    }
+
+    fn disturb_store_link(&mut self, place: usize, mode: LinkMode, span: TimeSpan) {
+        let front = &self.fronts[place % self.fronts.len()];
+        let link = front.link.clone();
+        let log = self.log.clone();
+        let subject = TroubleSubject::Front(front.settings.ip);
+        self.faults.spawn(async move {
+            let trouble = log.begin_trouble(subject, "store link");
+            link.set_mode(mode);
+            time::sleep(span.as_duration()).await;
+            link.set_mode(LinkMode::Open);
+            log.end_trouble(trouble);
+            Ok(())
+        });
+    }
+
+    fn disturb_store(&mut self, trouble: StoreTrouble, span: TimeSpan) {
+        let (store, log) = (self.store.clone(), self.log.clone());
+        self.faults.spawn(async move {
+            let place = log.begin_trouble(TroubleSubject::Store, "failing");
+            store.set_fault(match trouble {
+                StoreTrouble::Silent => StoreFault::Silent,
+                StoreTrouble::Down => StoreFault::Down,
+                StoreTrouble::Limited => StoreFault::Limited,
+                StoreTrouble::Slow(wait) => StoreFault::Slow(wait),
+            });
+            time::sleep(span.as_duration()).await;
+            store.set_fault(StoreFault::None);
+            log.end_trouble(place);
+            Ok(())
+        });
+    }
+}
--- /dev/null
+++ b/alderhaven-soak/src/target_crew.rs
@@ -0,0 +1,263 @@
+//! The targets of a run: their lives, their registrations, the links to them and what they do.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_platform_standin::site_texts;
+use alderhaven_platform_standin::store_standin::StoreStandin;
+use alderhaven_platform_standin::target_act::TargetAct;
+use alderhaven_platform_standin::target_request::TargetRequest;
+use alderhaven_platform_standin::target_standin::TargetStandin;
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use rand::RngExt;
+
+use crate::link_proxy::{LinkMode, LinkProxy};
+use crate::shard_records;
+use crate::soak_fault::TargetTrouble;
+use crate::soak_history::{ArrivalRecord, HistoryLog, TroubleSubject};
+use crate::soak_site::{self, DOMAINS, RequestKind};
+
+/// How long a target serves after it has said that it leaves: the promise that it gets no more work by
+/// then, and a little.
+pub const DRAIN: TimeSpan = TimeSpan::from_millis(3_000);
+/// How much longer it serves, so that work that comes too late is seen.
+const DRAIN_MARGIN: TimeSpan = TimeSpan::from_millis(500);
+/// After how long the registration of a crashed target lapses: three missed heartbeats.
+const LAPSE: Duration = Duration::from_millis(1_500);
+/// How many times as long a slow target works.
+const SLOW_FACTOR: u32 = 20;
+/// The share of the requests that a failing target treats badly.
+const BAD_SHARE: f64 = 0.6;
+
+/// A `TargetCrew` is all targets of a run; its clones share them.
+#[derive(Clone, Debug)]
+pub struct TargetCrew {
+    log: HistoryLog,
+    store: StoreStandin,
+    posts: Arc<Mutex<Vec<TargetPost>>>,
+}
+
+/// A `TargetPost` is a place of a service, at which one target runs after the other.
+#[derive(Debug)]
+struct TargetPost {
+    service: String,
+    domain: &'static str,
+    lives: usize,
+    target: Option<RunningTarget>,
+}
+
+/// A `RunningTarget` is a target with the link to it.
+#[derive(Clone, Debug)]
+struct RunningTarget {
+    target: TargetStandin,
+    link: LinkProxy,
+    trouble: Arc<Mutex<Option<TargetTrouble>>>,
+}
+
+impl TargetCrew {
+    /// Starts and registers the targets of all services.
+    ///
+    /// # Errors
+    /// No port can be had.
+    pub async fn start(log: HistoryLog, store: StoreStandin) -> Result<Self> {
+        let mut posts = Vec::new();
+        for service in soak_site::services() {
+            posts.extend(DOMAINS.iter().map(|domain| TargetPost {
+                service: service.clone(),
+                domain,
+                lives: 0,
+                target: None,
+            }));
+        }
+        let count = posts.len();
+        let crew = Self {
+            log,
+            store,
+            posts: Arc::new(Mutex::new(posts)),
+        };
+        for place in 0..count {
+            crew.start_target(place).await?;
+        }
+        Ok(crew)
+    }
+
+    /// Crashes the target at a place; another one starts there after `pause`.
+    ///
+    /// # Errors
+    /// The other one can't be started.
+    pub async fn crash(&self, place: usize, pause: TimeSpan) -> Result<()> {
+        let Some(running) = self.take(place) else {
+            return Ok(());
+        };
+        let id = running.target.id.clone();
+        let trouble = self.begin_trouble(&id, "crashed");
+        running.target.crash();
+        tokio::time::sleep(LAPSE).await;
+        self.store.remove(site_texts::TARGETS, &id);
+        tokio::time::sleep(pause.as_duration()).await;
+        self.log.end_trouble(trouble);
+        self.start_target(place).await
+    }
+
+    /// Lets the target at a place leave; another one starts there first.
+    ///
+    /// # Errors
+    /// The other one can't be started.
+    pub async fn drain(&self, place: usize) -> Result<()> {
+        let Some(running) = self.take(place) else {
+            return Ok(());
+        };
+        self.start_target(place).await?;
+        let (service, domain) = self.place(place);
+        let id = running.target.id.clone();
+        let address = running.link.address();
+        let leaving = site_texts::registration(address, &service, domain, "draining");
+        self.store.put(site_texts::TARGETS, &id, leaving);
+        let now = self.log.now();
+        self.log.lock().leavings.push((id.clone(), now));
+        tokio::time::sleep((DRAIN + DRAIN_MARGIN).as_duration()).await;
+        self.store.remove(site_texts::TARGETS, &id);
+        running.target.crash();
+        Ok(())
+    }
+
+    /// Disturbs the link to the target at a place for a while.
+    pub async fn disturb_link(&self, place: usize, mode: LinkMode, span: TimeSpan) {
+        let Some(running) = self.running(place) else {
+            return;
+        };
+        let trouble = self.begin_trouble(&running.target.id, "link");
+        running.link.set_mode(mode);
+        tokio::time::sleep(span.as_duration()).await;
+        running.link.set_mode(LinkMode::Open);
+        self.log.end_trouble(trouble);
+    }
+
+    /// Lets the target at a place fail for a while.
+    pub async fn disturb(&self, place: usize, fault: TargetTrouble, span: TimeSpan) {
+        let Some(running) = self.running(place) else {
+            return;
+        };
+        let trouble = self.begin_trouble(&running.target.id, "failing");
+        running.set_trouble(Some(fault));
+        tokio::time::sleep(span.as_duration()).await;
+        running.set_trouble(None);
+        self.log.end_trouble(trouble);
+    }
+
+    async fn start_target(&self, place: usize) -> Result<()> {
+        let (service, domain) = self.place(place);
+        let id = {
+            let mut posts = self.posts();
+            let post = &mut posts[place];
+            post.lives += 1;
+            let life = post.lives;
+            format!("{service}.{domain}{life}")
+        };
+        let trouble = Arc::new(Mutex::new(None));
+        let log = self.log.clone();
+        let (own_id, own_service, own_trouble) =
+            (id.clone(), service.clone(), Arc::clone(&trouble));
+        let target = TargetStandin::start_scripted(&id, move |request| {
+            let trouble = *own_trouble.lock().unwrap_or_else(PoisonError::into_inner);
+            let act = act(&own_service, request, trouble);
+            note_arrival(&log, &own_id, &own_service, request, &act);
+            act
+        });
+        let target = target.await.wrap_err("no target")?;
+        let link = LinkProxy::start(target.address).await.wrap_err("no link")?;
+        let entry = site_texts::registration(link.address(), &service, domain, "ready");
+        self.store.put(site_texts::TARGETS, &id, entry);
+        self.posts()[place].target = Some(RunningTarget {
+            target,
+            link,
+            trouble,
+        });
+        Ok(())
+    }
+
+    fn begin_trouble(&self, id: &str, what: &str) -> usize {
+        self.log
+            .begin_trouble(TroubleSubject::Target(id.to_owned()), what)
+    }
+
+    fn place(&self, place: usize) -> (String, &'static str) {
+        let posts = self.posts();
+        let post = &posts[place % posts.len()];
+        (post.service.clone(), post.domain)
+    }
+
+    fn take(&self, place: usize) -> Option<RunningTarget> {
+        self.posts().get_mut(place)?.target.take()
+    }
+
+    fn running(&self, place: usize) -> Option<RunningTarget> {
+        self.posts().get(place)?.target.clone()
+    }
+
+    /// Gets the count of places.
+    #[must_use]
+    pub fn places(&self) -> usize {
+        self.posts().len()
+    }
+
+    fn posts(&self) -> MutexGuard<'_, Vec<TargetPost>> {
+        self.posts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl RunningTarget {
+    fn set_trouble(&self, trouble: Option<TargetTrouble>) {
+        let mut current = self.trouble.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = trouble;
+    }
+}
+
+fn act(service: &str, request: &TargetRequest, trouble: Option<TargetTrouble>) -> TargetAct {
+    let kind = if request.path.starts_with("/sweep/") {
+        RequestKind::Sweep
+    } else {
+        RequestKind::Record
+    };
+    let body = shard_records::body(service, &request.request_id);
+    let mut rng = rand::rng();
+    let work = kind.work().mul_f64(rng.random_range(0.5..2.0));
+    let trouble = trouble.filter(|_| rng.random_bool(BAD_SHARE));
+    match trouble {
+        None => TargetAct::AnswerAfter(work, body),
+        Some(TargetTrouble::Slow) => TargetAct::AnswerAfter(work * SLOW_FACTOR, body),
+        Some(TargetTrouble::Mute) => TargetAct::RunAndKeepSilent,
+        Some(TargetTrouble::Fails) => TargetAct::Fail,
+        Some(TargetTrouble::Refuses) => TargetAct::Refuse,
+        Some(TargetTrouble::LosesAnswers) => TargetAct::RunAndCut,
+        Some(TargetTrouble::CutsAnswers) => TargetAct::AnswerCutShort(body),
+        Some(TargetTrouble::AnswersTwice) => TargetAct::AnswerTwice(body),
+    }
+}
+
+fn note_arrival(
+    log: &HistoryLog,
+    target: &str,
+    service: &str,
+    request: &TargetRequest,
+    act: &TargetAct,
+) {
+    let at = log.now();
+    log.lock().arrivals.push(ArrivalRecord {
+        at,
+        target: target.to_owned(),
+        service: service.to_owned(),
+        request_id: request.request_id.clone(),
+        method: request.method.clone(),
+        path: request.path.clone(),
+        body: Bytes::copy_from_slice(&request.body),
+        time_left: request.time_left.map(TimeSpan::from),
+        is_run: act.is_run(),
+        is_answered: matches!(
+            act,
+            TargetAct::Answer(_) | TargetAct::AnswerAfter(..) | TargetAct::AnswerTwice(_)
+        ),
+    });
+}
--- /dev/null
+++ b/alderhaven-soak/tests/links.rs
@@ -0,0 +1,79 @@
+//! Tests of the link that disturbs connections, and of the plan.
+
+use std::time::Duration;
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_soak::link_proxy::{LinkMode, LinkProxy};
+use alderhaven_soak::soak_plan::{SoakPlan, TAIL};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// How long silence is waited for.
+const SILENCE: Duration = Duration::from_millis(50);
+
+/// A server that sends back what it gets, and a connection to it through a link.
+async fn echo_link() -> (LinkProxy, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let server = listener.local_addr().expect("its address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _is_broken = tokio::io::copy(&mut from, &mut to).await;
+            });
+        }
+    });
+    let link = LinkProxy::start(server).await.expect("a link");
+    let stream = TcpStream::connect(link.address())
+        .await
+        .expect("a connection");
+    (link, stream)
+}
+
+async fn read_byte(stream: &mut TcpStream) -> Option<u8> {
+    stream.read_u8().await.ok()
+}
+
+#[tokio::test]
+async fn link_open() {
+    let (_link, mut stream) = echo_link().await;
+    stream.write_u8(7).await.expect("it is open");
+    assert_eq!(read_byte(&mut stream).await, Some(7));
+}
+
+/// A cut holds bytes back, and delivers them once it has healed: nothing is lost.
+#[tokio::test]
+async fn link_cut_and_healed() {
+    let (link, mut stream) = echo_link().await;
+    for mode in [LinkMode::CutForth, LinkMode::CutBack, LinkMode::Silent] {
+        link.set_mode(mode);
+        stream.write_u8(8).await.expect("it is open");
+        let silent = tokio::time::timeout(SILENCE, stream.read_u8()).await;
+        assert!(silent.is_err(), "{mode:?}");
+        link.set_mode(LinkMode::Open);
+        assert_eq!(read_byte(&mut stream).await, Some(8));
+    }
+}
+
+/// A reset breaks open connections, and new ones at once.
+#[tokio::test]
+async fn link_reset() {
+    let (link, mut stream) = echo_link().await;
+    stream.write_u8(9).await.expect("it is open");
+    assert_eq!(read_byte(&mut stream).await, Some(9));
+    link.set_mode(LinkMode::Reset);
+    assert_eq!(read_byte(&mut stream).await, None);
+    let mut next = TcpStream::connect(link.address()).await.expect("a port");
+    assert_eq!(read_byte(&mut next).await, None);
+}
+
+#[test]
+fn plan_of_a_seed() {
+    let span = TimeSpan::from_secs(30);
+    let plan = SoakPlan::new(7, span);
+    assert_eq!(plan, SoakPlan::new(7, span));
+    assert_ne!(plan, SoakPlan::new(8, span));
+    assert!(plan.steps.len() > 20);
+    let last = plan.steps.last().expect("a fault").at;
+    assert!(last + TAIL <= span, "the end is calm");
+}
