A far replica must be faster by twice the usual time of an attempt

Cause: a debug count of sends by query (trial copy) showed 53 attempts in a hundred going to another failure domain on Lagerblik, where a third of the shards have no near replica: any queue of one at a near replica (10 ms) outweighed the fixed 8 ms.

--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -3,16 +3,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::far_cost;
 use alderhaven_policy::repeat_budget::RepeatBudget;
 
 use smallvec::SmallVec;
 
 use crate::target_handle::{TargetHandle, TargetStanding};
 
-/// What a target in another failure domain must be faster by to be chosen: the way there and back,
-/// and the price of the bytes that cross.
-const FAR_PENALTY: TimeSpan = TimeSpan::from_millis(8);
-
 /// What a target whose registration has lapsed must be faster by: it is used only where all others
 /// are stuck.
 const LAPSED_PENALTY: TimeSpan = TimeSpan::from_millis(200);
@@ -80,7 +77,7 @@
     let far = if target.is_near {
         TimeSpan::ZERO
     } else {
-        FAR_PENALTY
+        far_cost::far_cost(usual)
     };
     Some(gauge.expected(usual, target.entry().slots, now) + far + lapsed)
 }
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod entry_answer;
 pub mod exchange;
 pub mod fair_queue;
+pub mod far_cost;
 pub mod front_choice;
 pub mod group_share;
 pub mod hashing;
