A front that is late does not lose what others have just asked it

Cause, from request_ended and link_lost lines after a restart of all hosts during a store outage: one query that had heard nothing of another front for 60 ms gave up the connection, and all asks on it were lost at once, some sent 4 ms before. Their shards could not be asked again (few repeats right after a start), so queries ended with 502.

A connection that missed is now used for nothing new, and open asks on it may still be answered; each query gives up its own after 240 ms.

--- a/alderhaven-front/src/group_links.rs
+++ b/alderhaven-front/src/group_links.rs
@@ -30,6 +30,10 @@
 /// its hedges, and asking the targets directly costs only bytes.
 const MISSED_PAUSE: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// How often a connection on which nothing comes is looked at, whether it was given up. It costs a wake
+/// of the process, and a connection that stays open longer costs nothing.
+const LINK_LOOK: Duration = Duration::from_secs(4);
+
 /// A `GroupLinks` is shared by all requests of a process.
 #[derive(Clone, Debug)]
 pub struct GroupLinks {
@@ -50,11 +54,20 @@
 #[derive(Debug, Default)]
 struct LinkState {
     sender: Option<FrameSender>,
-    /// Counts the connections, so that the reader of one that was given up knows it.
+    /// Counts the connections, so that each open ask knows its own.
     epoch: u64,
     is_connecting: bool,
     paused_until: TimePoint,
-    awaited: HashMap<u64, mpsc::UnboundedSender<GroupNews>>,
+    awaited: HashMap<u64, AwaitedAsk>,
+}
+
+/// An `AwaitedAsk` is an ask to which replies may come.
+#[derive(Debug)]
+struct AwaitedAsk {
+    /// The connection that it was sent on.
+    epoch: u64,
+    sender: FrameSender,
+    sink: mpsc::UnboundedSender<GroupNews>,
 }
 
 /// A `GroupNews` is what is heard of an ask.
@@ -156,7 +169,12 @@
             let mut state = self.state();
             let sender = state.sender.clone()?;
             sender.send(PeerMessage::GroupAsk(ask)).ok()?;
-            state.awaited.insert(number, news_sender);
+            let awaited = AwaitedAsk {
+                epoch: state.epoch,
+                sender,
+                sink: news_sender,
+            };
+            state.awaited.insert(number, awaited);
         }
         Some(GroupTicket {
             link: self,
@@ -168,9 +186,9 @@
 
     fn hear(&self, reply: GroupReply) {
         let state = self.state();
-        if let Some(sink) = state.awaited.get(&reply.number) {
+        if let Some(awaited) = state.awaited.get(&reply.number) {
             // A query that was answered meanwhile no longer listens.
-            let _is_answered = sink.send(GroupNews::Reply(reply));
+            let _is_answered = awaited.sink.send(GroupNews::Reply(reply));
         }
     }
 
@@ -186,19 +204,55 @@
         Some((state.epoch, reader))
     }
 
-    /// Forgets the connection; every open ask hears that it is lost.
-    fn lose(&self) {
+    /// Forgets a connection that has ended; every ask that is open on it hears that it is lost.
+    fn lose(&self, epoch: u64) {
         let mut state = self.state();
-        FrontEvent::LinkLost {
-            front: self.address,
-            open: state.awaited.len(),
+        let lost: Vec<AwaitedAsk> = state
+            .awaited
+            .extract_if(|_, awaited| awaited.epoch == epoch)
+            .map(|(_, awaited)| awaited)
+            .collect();
+        let was_current = state.epoch == epoch;
+        if was_current {
+            state.sender = None;
+            state.epoch += 1;
         }
-        .emit(Level::Warn);
+        drop(state);
+        if was_current || !lost.is_empty() {
+            self.report_loss(lost.len());
+        }
+        for awaited in lost {
+            let _is_answered = awaited.sink.send(GroupNews::Lost);
+        }
+    }
+
+    /// Sends nothing more on the connection of an ask that heard nothing, and nothing to this front for
+    /// a while; what is open on it may still be answered.
+    fn retire(&self, number: u64) {
+        let mut state = self.state();
+        let epoch = state.awaited.get(&number).map(|awaited| awaited.epoch);
+        if epoch != Some(state.epoch) {
+            return;
+        }
+        state.paused_until = self.clock.now() + MISSED_PAUSE;
         state.sender = None;
         state.epoch += 1;
-        for (_, sink) in state.awaited.drain() {
-            let _is_answered = sink.send(GroupNews::Lost);
+        self.report_loss(state.awaited.len());
+    }
+
+    /// Returns true where a connection was given up and nothing is open on it.
+    fn is_done(&self, epoch: u64) -> bool {
+        let state = self.state();
+        let is_open = state.awaited.values().any(|awaited| awaited.epoch == epoch);
+        state.epoch != epoch && !is_open
+    }
+
+    fn report_loss(&self, open: usize) {
+        FrontEvent::LinkLost {
+            front: self.address,
+            open,
         }
+        .emit(Level::Warn);
     }
 
     fn state(&self) -> MutexGuard<'_, LinkState> {
@@ -212,28 +266,26 @@
         self.is_answered = true;
     }
 
-    /// Notes that nothing came when it was due: the connection or the front is silent. Another
-    /// connection is made, since one may go silent for good without a reset.
+    /// Notes that nothing came when it was due: the connection or the front is silent, or slow. Later
+    /// asks use another connection, since one may go silent for good without a reset. Those that are
+    /// open stay so: of a front that is only late they would all be lost at once, and with them
+    /// queries that had just been sent.
     pub fn missed(&self) {
-        self.link.state().paused_until = self.link.clock.now() + MISSED_PAUSE;
-        self.link.lose();
+        self.link.retire(self.number);
     }
 }
 
 impl Drop for GroupTicket {
     fn drop(&mut self) {
-        let mut state = self.link.state();
-        if state.awaited.remove(&self.number).is_none() {
+        let Some(awaited) = self.link.state().awaited.remove(&self.number) else {
             return;
-        }
+        };
         let close = GroupClose {
             number: self.number,
             is_abandoned: !self.is_answered,
         };
-        if let Some(sender) = &state.sender {
-            // Where the connection is lost, the other front breaks the attempts off by itself.
-            let _is_lost = sender.send(PeerMessage::GroupClose(close));
-        }
+        // Where the connection is lost, the other front breaks the attempts off by itself.
+        let _is_lost = awaited.sender.send(PeerMessage::GroupClose(close));
     }
 }
 
@@ -263,16 +315,27 @@
     connection::split(connecting.await.ok()?.ok()?).ok()
 }
 
+/// Hears replies until the connection ends, or until nothing is open on one that was given up.
 async fn read(link: &GroupLink, epoch: u64, mut reader: FrameReader) {
-    while let Some(message) = connection::next_message(&mut reader).await {
-        if link.state().epoch != epoch {
-            return;
-        }
+    while let Some(message) = next_message(link, epoch, &mut reader).await {
         if let PeerMessage::GroupReply(reply) = message {
             link.hear(reply);
         }
     }
-    if link.state().epoch == epoch {
-        link.lose();
+    link.lose(epoch);
+}
+
+async fn next_message(
+    link: &GroupLink,
+    epoch: u64,
+    reader: &mut FrameReader,
+) -> Option<PeerMessage> {
+    loop {
+        let next = time::timeout(LINK_LOOK, connection::next_message(reader)).await;
+        match next {
+            Ok(message) => return message,
+            Err(_) if link.is_done(epoch) => return None,
+            Err(_) => {}
+        }
     }
 }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -144,8 +144,10 @@
             };
             self.give_up_silent_asks(now);
             self.hedge(now);
-            let next_hedge = self.shards.iter().filter_map(|shard| shard.hedge_at).min();
-            let until = next_hedge.map_or(until, |hedge_at| hedge_at.min(until));
+            let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
+            let until = hedges
+                .chain(self.next_look(now))
+                .fold(until, TimePoint::min);
             tokio::select! {
                 biased;
                 Some(report) = self.attempts.next() => self.take_report(report),
--- a/alderhaven-front/src/query_run/groups.rs
+++ b/alderhaven-front/src/query_run/groups.rs
@@ -27,6 +27,11 @@
 /// waits fit into the time after a hedge of the tightest routes.
 const FLUSH_LATE: TimeSpan = TimeSpan::from_millis(60);
 
+/// How long after its hedges a query gives up an ask that has heard nothing: a front that is busy or
+/// paused has answered by then. Its shards can be asked again only as far as repeats are left, and
+/// one that can't makes the query fail where waiting might not.
+const ASK_LOST: TimeSpan = TimeSpan::from_millis(240);
+
 /// An ask of a query that is open at another front.
 pub(super) struct GroupQuery {
     pub(super) ticket: GroupTicket,
@@ -38,6 +43,16 @@
 }
 
 impl GroupQuery {
+    /// Returns true where nothing was heard yet.
+    fn is_silent(&self) -> bool {
+        self.shards.iter().all(Option::is_some)
+    }
+
+    /// Returns true where all its shards have ended or were given up.
+    fn is_given_up(&self) -> bool {
+        self.shards.iter().all(Option::is_none)
+    }
+
     /// Notes at the targets that have not answered how long they have been out.
     fn note_late(&self, usual: TimeSpan, now: TimePoint) {
         for (_, target) in self.shards.iter().flatten() {
@@ -121,16 +136,30 @@
         }
     }
 
-    /// Gives up the links whose fronts have said nothing although their flush is overdue.
-    pub(super) fn give_up_silent_asks(&self, now: TimePoint) {
-        for ask in &self.asks {
-            let is_silent = ask.shards.iter().all(Option::is_some);
-            if is_silent && now >= ask.due_at + FLUSH_LATE {
+    /// Gives up the links whose fronts have said nothing although their flush is overdue, and the asks
+    /// that are overdue for long.
+    pub(super) fn give_up_silent_asks(&mut self, now: TimePoint) {
+        for place in 0..self.asks.len() {
+            let ask = &self.asks[place];
+            if !ask.is_silent() {
+                continue;
+            }
+            if now >= ask.due_at + FLUSH_LATE {
                 ask.ticket.missed();
             }
+            if now >= ask.due_at + ASK_LOST {
+                self.lose_ask(place);
+            }
         }
     }
 
+    /// Gets when an ask that has heard nothing is to be looked at next.
+    pub(super) fn next_look(&self, now: TimePoint) -> Option<TimePoint> {
+        let silent = self.asks.iter().filter(|ask| ask.is_silent());
+        let looks = silent.flat_map(|ask| [ask.due_at + FLUSH_LATE, ask.due_at + ASK_LOST]);
+        looks.filter(|look| *look > now).min()
+    }
+
     pub(super) fn take_news(&mut self, place: usize, news: GroupNews) {
         match news {
             GroupNews::Reply(reply) => self.take_group_reply(place, reply),
@@ -142,6 +171,10 @@
     pub(super) fn take_group_reply(&mut self, place: usize, reply: GroupReply) {
         let now = self.context.clock.now();
         let ask = &mut self.asks[place];
+        if ask.is_given_up() {
+            // The block would hold records of shards that were asked again.
+            return;
+        }
         let mut ended = Vec::with_capacity(reply.ends.len());
         for end in reply.ends {
             let slot = usize::try_from(end.place).unwrap_or(usize::MAX);
