--- a/alderhaven-front/src/event_log.rs
+++ b/alderhaven-front/src/event_log.rs
@@ -1,13 +1,14 @@
 //! The way of a front's events into its log, with a bound for each kind.
 
-use std::sync::{LazyLock, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
 
 use alderhaven_core::logging;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::quantities::RatePerSecond;
 use alderhaven_policy::log_limit::LogLimit;
 use log::Level;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::front_event::FrontEvent;
 
@@ -18,24 +19,70 @@
 /// The lines of one kind that may come at once: one for each request that a short fault hits.
 const LINES_AT_ONCE: f64 = 40.0;
 
+/// `LogOptions` are the settings of the log of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogOptions {
+    /// The lines of one kind in a second.
+    pub rate: RatePerSecond,
+    /// The lines of one kind that may come at once.
+    pub burst: f64,
+    /// Of how many requests that were answered whole one gets a line; 0 where none does.
+    pub success_period: u64,
+}
+
+impl Default for LogOptions {
+    fn default() -> Self {
+        Self {
+            rate: RatePerSecond::new(LINES_PER_SECOND).unwrap_or_default(),
+            burst: LINES_AT_ONCE,
+            success_period: 0,
+        }
+    }
+}
+
 /// The limits are those of the process, like its log.
-static LIMITS: LazyLock<ProcessLimits> = LazyLock::new(ProcessLimits::default);
+static LIMITS: OnceLock<ProcessLimits> = OnceLock::new();
 
 struct ProcessLimits {
     clock: ProcessClock,
     limit: Mutex<LogLimit>,
+    success_period: u64,
+    successes: AtomicU64,
 }
 
-impl Default for ProcessLimits {
-    fn default() -> Self {
-        let rate = RatePerSecond::new(LINES_PER_SECOND).unwrap_or_default();
+impl ProcessLimits {
+    fn new(options: &LogOptions) -> Self {
         Self {
             clock: ProcessClock::default(),
-            limit: Mutex::new(LogLimit::new(rate, LINES_AT_ONCE)),
+            limit: Mutex::new(LogLimit::new(options.rate, options.burst)),
+            success_period: options.success_period,
+            successes: AtomicU64::new(0),
         }
     }
 }
 
+/// Sets the limits of the process; once something was written they stay as they are.
+pub fn configure(options: &LogOptions) {
+    // A second call would change limits that lines were counted by.
+    let _is_set = LIMITS.set(ProcessLimits::new(options));
+}
+
+fn limits() -> &'static ProcessLimits {
+    LIMITS.get_or_init(|| ProcessLimits::new(&LogOptions::default()))
+}
+
+/// Counts a request that was answered whole; returns true where it is one that gets a line.
+#[must_use]
+pub fn is_sampled() -> bool {
+    let limits = limits();
+    if limits.success_period == 0 {
+        return false;
+    }
+    let count = limits.successes.fetch_add(1, Ordering::Relaxed);
+    count.is_multiple_of(limits.success_period)
+}
+
 #[derive(Serialize)]
 struct CountedEvent<'a> {
     #[serde(flatten)]
@@ -50,9 +97,10 @@
     if level > log::max_level() {
         return;
     }
-    let now = LIMITS.clock.now();
+    let limits = limits();
+    let now = limits.clock.now();
     let taken = {
-        let mut limit = LIMITS.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut limit = limits.limit.lock().unwrap_or_else(PoisonError::into_inner);
         limit.take(event.kind(), now)
     };
     if let Some(left_out) = taken {
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -108,6 +108,8 @@
         present: usize,
         /// The attempts that were sent.
         attempts: usize,
+        /// Whether the request may run more than once.
+        is_idempotent: bool,
         /// What became of the attempts that brought no answer, those that are still out included.
         lost: Vec<LostAttempt>,
         /// The services of which no target could be asked.
@@ -158,6 +160,9 @@
     pub target: String,
     /// What became of it.
     pub fate: AttemptFate,
+    /// The status that the target answered with, where it failed and the answer came to this front.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub status: Option<u16>,
     /// How long it had been out.
     pub age: TimeSpan,
 }
@@ -185,6 +190,7 @@
             Self::LinkLost { .. } => "link_lost",
             Self::NodesChanged { .. } => "nodes_changed",
             Self::RequestEnded { end, .. } => match end {
+                RequestEnd::Complete => "request_complete",
                 RequestEnd::Partial => "request_partial",
                 _ => "request_ended",
             },
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -195,6 +195,7 @@
         let now = self.context.clock.now();
         let shard = &mut self.shards[report.shard];
         shard.open -= 1;
+        let mut status = None;
         let fate = match report.end {
             AttemptEnd::Success(reply) => {
                 self.route.state.note_time(report.took);
@@ -203,6 +204,7 @@
                 return;
             }
             AttemptEnd::Failure(reply) => {
+                status = Some(reply.reply.status.as_u16());
                 shard.failure = Some(reply);
                 AttemptFate::Failed
             }
@@ -225,6 +227,7 @@
         self.note_lost(LostAttempt {
             target: report.target.entry().id.clone(),
             fate,
+            status,
             age: report.took,
         });
         if self.shards[report.shard].part.is_none() && self.shards[report.shard].open == 0 {
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 
 use crate::attempt::AttemptEnd;
+use crate::event_log;
 use crate::front_answer::{FrontAnswer, PassedReply, RefusalReason};
 use crate::front_event::{FrontEvent, LostAttempt, RequestEnd};
 use crate::front_metrics::{AttemptFate, QueryShape};
@@ -138,7 +139,7 @@
         let now = self.context.clock.now();
         let took = now.since(self.call.arrived);
         self.context.metrics.observe_request(shape, end, took);
-        if end == RequestEnd::Complete {
+        if end == RequestEnd::Complete && !event_log::is_sampled() {
             return;
         }
         let mut lost = std::mem::take(&mut self.lost);
@@ -152,6 +153,7 @@
             shards: self.shards.len(),
             present: self.count().present,
             attempts: self.sent,
+            is_idempotent: self.route.rule.is_idempotent,
             lost,
             without_target: self.services_without_target(),
         }
@@ -165,6 +167,7 @@
         let open = tried.map(|(target, sent)| LostAttempt {
             target: target.entry().id.clone(),
             fate: AttemptFate::Open,
+            status: None,
             age: now.since(*sent),
         });
         open.filter(|open| lost.iter().all(|ended| ended.target != open.target))
--- a/alderhaven-front/src/query_run/groups.rs
+++ b/alderhaven-front/src/query_run/groups.rs
@@ -240,6 +240,7 @@
                 GroupOutcome::Failed => AttemptFate::Failed,
                 GroupOutcome::Lost | GroupOutcome::Answered => AttemptFate::Lost,
             },
+            status: None,
             age: took,
         });
         let shard = &self.shards[place];
@@ -261,6 +262,7 @@
             self.note_lost(LostAttempt {
                 target: target.entry().id.clone(),
                 fate: AttemptFate::LinkLost,
+                status: None,
                 age: now.since(self.asks[place].sent),
             });
             let run = &self.shards[shard];
