--- a/alderhaven-node/src/process_main.rs
+++ b/alderhaven-node/src/process_main.rs
@@ -71,14 +71,18 @@
 #[must_use]
 pub fn run<N: ProcessNode>(name: &str) -> ExitCode {
     match load::<N>(name) {
-        Ok(settings) => {
-            logging::start(settings.log_level());
-            report(serve::<N>(settings))
-        }
+        Ok(settings) => report(serve_logging::<N>(settings)),
         Err(code) => code,
     }
 }
 
+fn serve_logging<N: ProcessNode>(settings: N::Settings) -> eyre::Result<()> {
+    let log = logging::start_queued(settings.log_level()).wrap_err("the log can't start")?;
+    let ended = serve::<N>(settings);
+    log.finish();
+    ended
+}
+
 fn load<N: ProcessNode>(name: &str) -> Result<N::Settings, ExitCode> {
     let arguments: Arguments = program::arguments(name)?;
     let request = SettingsRequest::from_switches(arguments.check, arguments.print_settings);
--- a/alderhaven-proof/src/child_process.rs
+++ b/alderhaven-proof/src/child_process.rs
@@ -18,6 +18,9 @@
 /// The most log lines that are kept of a process.
 const KEPT_LINES: usize = 10_000;
 
+/// The field that every line of a log has, and the ready line has not.
+const LOG_FIELD: &str = "\"time_ms\"";
+
 /// A `ChildProcess` is a process that the proof started; it is killed on drop.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -44,7 +47,7 @@
         let stderr = child.stderr.take().ok_or_else(|| eyre!("no stderr"))?;
         keep_lines(stderr, Arc::clone(&log));
         let stdout = child.stdout.take().ok_or_else(|| eyre!("no stdout"))?;
-        let lines = first_line(stdout);
+        let lines = keep_log(stdout, Arc::clone(&log));
         let mut process = Self {
             name: name.to_owned(),
             child,
@@ -161,12 +164,17 @@
     }
 }
 
-fn first_line(stdout: impl Read + Send + 'static) -> Receiver<String> {
+/// Keeps the lines of the log, and hands on those that are not part of it: the ready line.
+fn keep_log(stdout: impl Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) -> Receiver<String> {
     let (sender, lines) = mpsc::channel();
     thread::spawn(move || {
         // The pipe is read to its end, so that the process never waits for a reader.
         for line in BufReader::new(stdout).lines().map_while(Result::ok) {
-            let _later_line = sender.send(line);
+            if line.contains(LOG_FIELD) {
+                keep_line(&log, line);
+            } else {
+                let _later_line = sender.send(line);
+            }
         }
     });
     lines
@@ -175,10 +183,14 @@
 fn keep_lines(stderr: impl Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) {
     thread::spawn(move || {
         for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-            let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
-            if log.len() < KEPT_LINES {
-                log.push(line);
-            }
+            keep_line(&log, line);
         }
     });
 }
+
+fn keep_line(log: &Mutex<Vec<String>>, line: String) {
+    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+    if log.len() < KEPT_LINES {
+        log.push(line);
+    }
+}
