Requests that crash targets are refused by all fronts

A front that leaves a shard unanswered after a lost attempt looks whether the target's process is gone (its host refuses connections), and tells the other fronts by the exchange; each judges by the same module and refuses with the time that is left. A shard that another replica answered clears its strikes, and is not looked into at all.

--- a/alderhaven-core/src/config_object.rs
+++ b/alderhaven-core/src/config_object.rs
@@ -33,6 +33,8 @@
     Target,
     /// A node's last word on whether it reaches the store.
     Contact,
+    /// What a node has seen of the crashes that one request was part of.
+    Strike,
 }
 
 impl ObjectKind {
@@ -49,7 +51,8 @@
             | Self::Drain
             | Self::Routing
             | Self::Target
-            | Self::Contact => true,
+            | Self::Contact
+            | Self::Strike => true,
             Self::Claims | Self::History => false,
         }
     }
@@ -67,6 +70,7 @@
             Self::Routing => "routing",
             Self::Target => "target",
             Self::Contact => "contact",
+            Self::Strike => "strike",
         }
     }
 }
@@ -91,10 +95,11 @@
             "routing" => Ok(Self::Routing),
             "target" => Ok(Self::Target),
             "contact" => Ok(Self::Contact),
+            "strike" => Ok(Self::Strike),
             _ => Err(Error::parse(
                 "object kind",
                 text,
-                "template, team, manifest, claims, drain, history, routing, target or contact",
+                "template, team, manifest, claims, drain, history, routing, target, contact or strike",
             )),
         }
     }
@@ -188,7 +193,8 @@
             | ObjectKind::History
             | ObjectKind::Routing
             | ObjectKind::Target
-            | ObjectKind::Contact => {
+            | ObjectKind::Contact
+            | ObjectKind::Strike => {
                 return Err(vec![Error::invalid(
                     key.to_string(),
                     "objects of this kind are not configuration of entries and relays",
--- a/alderhaven-ctl/src/change_plan.rs
+++ b/alderhaven-ctl/src/change_plan.rs
@@ -166,6 +166,7 @@
         | ObjectKind::History
         | ObjectKind::Routing
         | ObjectKind::Target
-        | ObjectKind::Contact => 3,
+        | ObjectKind::Contact
+        | ObjectKind::Strike => 3,
     }
 }
--- a/alderhaven-ctl/src/object_file.rs
+++ b/alderhaven-ctl/src/object_file.rs
@@ -83,7 +83,8 @@
             | ObjectKind::History
             | ObjectKind::Routing
             | ObjectKind::Target
-            | ObjectKind::Contact => {
+            | ObjectKind::Contact
+            | ObjectKind::Strike => {
                 return Err(unknown_folder(path));
             }
         };
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -92,9 +92,34 @@
         arrived,
         time_left,
     });
+    if let Some(wait) = crash_wait(context, &call) {
+        return refuse_crashing(&call, wait);
+    }
     QueryRun::answer(context, &view, &route, &call).await
 }
 
+/// Gets how long the request is refused because it crashes targets; none where it is not.
+fn crash_wait(context: &FrontContext, call: &QueryCall) -> Option<TimeSpan> {
+    let crashes = context.catalog.crashes();
+    if !crashes.has_strikes() {
+        return None;
+    }
+    crashes.refused_for(&call.fingerprint())
+}
+
+fn refuse_crashing(call: &QueryCall, wait: TimeSpan) -> FrontAnswer {
+    let reason = RefusalReason::Crashes;
+    FrontEvent::RequestRefused {
+        request: call.request_id.to_string(),
+        reason,
+    }
+    .emit(Level::Warn);
+    FrontAnswer::NotRun {
+        reason,
+        retry_after: wait,
+    }
+}
+
 fn refuse_start(request_id: String) -> FrontAnswer {
     let reason = RefusalReason::NoConfiguration;
     FrontEvent::RequestRefused {
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::config_object::{ObjectKind, StoredObject};
 use alderhaven_core::ids::{FailureDomain, NodeId, StoreVersion};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
@@ -22,12 +22,15 @@
 
 use crate::catalog_state::CatalogState;
 use crate::catalog_view::CatalogView;
+use crate::crash_board::CrashBoard;
 use crate::front_event::FrontEvent;
 use crate::target_entry::TargetEntry;
 use crate::target_handle::{TargetHandle, TargetStanding};
 use crate::target_pool::TargetPool;
 use crate::wire_dialect::WireDialect;
 
+mod words;
+
 /// How long a target whose registration has gone is kept as a last resort. Registrations lapse while
 /// the store is away although their targets live, and are back within two seconds of its return; a
 /// target that has left serves for at least three more.
@@ -36,11 +39,6 @@
 /// The connections to a target of a service of which the configuration says nothing.
 const DEFAULT_CONNECTIONS: usize = 8;
 
-/// The body of the word of a node that reaches the store.
-const CONTACT_REACHED: &str = "reached";
-/// The body of the word of a node that does not.
-const CONTACT_LOST: &str = "lost";
-
 /// A `Catalog` is shared by all parts of a process.
 pub struct Catalog {
     dialect: Arc<dyn WireDialect>,
@@ -49,11 +47,14 @@
     state: Mutex<CatalogState>,
     view: ArcSwap<CatalogView>,
     changed: watch::Sender<u64>,
+    crashes: CrashBoard,
 }
 
 /// `CatalogOptions` say where a process stands and what it may send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CatalogOptions {
+    /// This node.
+    pub node: NodeId,
     /// The failure domain of this process.
     pub domain: FailureDomain,
     /// The processor time that this process may use.
@@ -78,9 +79,16 @@
             state: Mutex::new(CatalogState::new(share)),
             view: ArcSwap::from_pointee(CatalogView::new(share)),
             changed: watch::Sender::new(0),
+            crashes: CrashBoard::new(clock),
         }
     }
 
+    /// Gets what is known of requests that crash targets.
+    #[must_use]
+    pub const fn crashes(&self) -> &CrashBoard {
+        &self.crashes
+    }
+
     /// Gets what is in force.
     #[must_use]
     pub fn view(&self) -> Arc<CatalogView> {
@@ -220,29 +228,6 @@
         self.state().listed_kinds.insert(kind);
     }
 
-    /// Tells all nodes whether this one reaches the store.
-    pub fn publish_contact(&self, node: &NodeId, is_reached: bool, wall_millis: u64) {
-        let key = ObjectKey {
-            kind: ObjectKind::Contact,
-            name: node.to_string(),
-        };
-        let known = self.state().objects.get(&key).map(|known| known.version.0);
-        // The time of day makes the word of a restarted process newer than its earlier ones; where
-        // the clock has gone back, the next number is taken.
-        let version = known.map_or(wall_millis, |known| wall_millis.max(known + 1));
-        let body = if is_reached {
-            CONTACT_REACHED
-        } else {
-            CONTACT_LOST
-        };
-        self.accept(vec![StoredObject {
-            key,
-            version: StoreVersion(version),
-            write_id: String::new(),
-            body: Some(body.to_owned()),
-        }]);
-    }
-
     /// Applies one object; returns true where the view changes.
     fn apply(&self, state: &mut CatalogState, object: &StoredObject) -> bool {
         match object.key.kind {
@@ -252,6 +237,10 @@
                 self.apply_contact(state, object);
                 false
             }
+            ObjectKind::Strike => {
+                self.apply_strikes(object);
+                false
+            }
             _ => false,
         }
     }
@@ -338,18 +327,6 @@
         .emit(Level::Info);
     }
 
-    fn apply_contact(&self, state: &mut CatalogState, object: &StoredObject) {
-        let Ok(node) = object.key.name.parse::<NodeId>() else {
-            return;
-        };
-        let contact = StoreContact {
-            node: node.clone(),
-            is_reached: object.body.as_deref() == Some(CONTACT_REACHED),
-            heard_at: self.clock.now(),
-        };
-        state.contacts.insert(node, contact);
-    }
-
     fn rebuild(&self, state: &mut CatalogState) {
         let view = state.view(self.options.repeats, self.clock.now());
         self.view.store(Arc::new(view));
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -55,6 +55,8 @@
     NoTarget,
     /// All targets that were asked refused.
     Refused,
+    /// It has crashed the targets that ran it.
+    Crashes,
 }
 
 /// A `BadRequest` is what is wrong with a request.
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -69,6 +69,22 @@
         /// Its service.
         service: String,
     },
+    /// What another node tells of crashes can't be read.
+    StrikesUnreadable {
+        /// The name of its word.
+        name: String,
+        /// What can't be read.
+        reason: String,
+    },
+    /// A request was part of crashes of targets.
+    TargetsCrashed {
+        /// The caller's id of this attempt.
+        request: String,
+        /// What makes requests the same, whoever sends them.
+        fingerprint: String,
+        /// The targets whose processes are gone.
+        targets: Vec<String>,
+    },
     /// The connection to another front was lost or is silent.
     LinkLost {
         /// Where that front is asked.
@@ -187,6 +203,8 @@
             Self::TargetAside { .. } => "target_aside",
             Self::StoreLost { .. } => "store_lost",
             Self::StoreBack => "store_back",
+            Self::StrikesUnreadable { .. } => "strikes_unreadable",
+            Self::TargetsCrashed { .. } => "targets_crashed",
             Self::LinkLost { .. } => "link_lost",
             Self::NodesChanged { .. } => "nodes_changed",
             Self::RequestEnded { end, .. } => match end {
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -60,6 +60,7 @@
         let listeners = FrontListeners::open(&options)?;
         let addresses = listeners.addresses()?;
         let catalog_options = CatalogOptions {
+            node: options.node.clone(),
             domain: options.domain.clone(),
             capacity: options.capacity,
             repeats: options.repeats,
@@ -145,6 +146,12 @@
         self.context.metrics.carried_asks.get()
     }
 
+    /// Gets the number of requests that were part of crashes of targets.
+    #[must_use]
+    pub fn suspect_requests(&self) -> usize {
+        self.context.catalog.crashes().len()
+    }
+
     /// Gets where the front gossips.
     #[must_use]
     pub fn gossip_address(&self) -> Option<SocketAddr> {
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -23,12 +23,14 @@
 use crate::front_metrics::{AttemptFate, SendKind};
 use crate::group_plan;
 use crate::query_call::QueryCall;
+use crate::query_run::crashes::CrashSuspect;
 use crate::query_run::groups::GroupQuery;
 use crate::route_destination::RouteDestination;
 use crate::shard_part::ShardPart;
 use crate::shard_run::ShardRun;
 use crate::target_handle::{TargetHandle, TargetStanding};
 
+mod crashes;
 mod ending;
 mod groups;
 
@@ -47,6 +49,7 @@
     is_over: Arc<AtomicBool>,
     sent: usize,
     lost: Vec<LostAttempt>,
+    suspects: Vec<CrashSuspect>,
     is_reported: bool,
 }
 
@@ -103,6 +106,7 @@
             is_over: Arc::default(),
             sent: 0,
             lost: Vec::new(),
+            suspects: Vec::new(),
             is_reported: false,
         }
     }
@@ -222,7 +226,10 @@
                 shard.ran -= 1;
                 AttemptFate::Unreachable
             }
-            AttemptEnd::Lost => AttemptFate::Lost,
+            AttemptEnd::Lost => {
+                self.suspect_crash(report.shard, &report.target);
+                AttemptFate::Lost
+            }
         };
         self.note_lost(LostAttempt {
             target: report.target.entry().id.clone(),
--- /dev/null
+++ b/alderhaven-front/src/query_run/crashes.rs
@@ -0,0 +1,143 @@
+//! Whether attempts were lost because their targets' processes died, and what follows from it.
+//!
+//! Most lost attempts have other causes: an answer that was lost on its way, a connection that was
+//! reset. Only a shard that stays unanswered is looked into, after its request has ended: a request
+//! that another replica answered has crashed nothing.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use alderhaven_core::fingerprint::RequestFingerprint;
+use alderhaven_core::ids::ShardId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::TimePoint;
+use alderhaven_policy::crash_strike::CrashStrike;
+use log::Level;
+use rand::RngExt;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::catalog::Catalog;
+use crate::front_event::FrontEvent;
+use crate::query_run::QueryRun;
+use crate::target_handle::TargetHandle;
+use crate::wall_clock;
+
+/// The lost attempts of a request that are looked into: two targets are enough for a judgement, and
+/// each look is a connection.
+const MOST_LOOKS: usize = 4;
+
+/// How long a look waits: a host whose process is gone refuses within a millisecond or two.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A `CrashSuspect` is a target that lost an attempt.
+pub(super) struct CrashSuspect {
+    shard: usize,
+    target: Arc<TargetHandle>,
+    /// The attempts of this process that were at the target.
+    in_flight: usize,
+    at: TimePoint,
+}
+
+impl QueryRun<'_> {
+    /// Notes that an attempt was sent and its connection ended without an answer.
+    pub(super) fn suspect_crash(&mut self, shard: usize, target: &Arc<TargetHandle>) {
+        if self.suspects.len() < MOST_LOOKS {
+            self.suspects.push(CrashSuspect {
+                shard,
+                target: Arc::clone(target),
+                in_flight: target.gauge().in_flight() + 1,
+                at: self.context.clock.now(),
+            });
+        }
+    }
+
+    /// Looks into the lost attempts of shards that stay unanswered, beside the answer's way.
+    pub(super) fn look_for_crashes(&mut self) {
+        let mut suspects = std::mem::take(&mut self.suspects);
+        suspects.retain(|suspect| self.shards[suspect.shard].part.is_none());
+        if suspects.is_empty() {
+            return;
+        }
+        let catalog = Arc::clone(&self.context.catalog);
+        let fingerprint = self.call.fingerprint();
+        let request = self.call.request_id.to_string();
+        let clock = self.context.clock;
+        tokio::spawn(async move {
+            let strikes = strikes_of(suspects, clock).await;
+            if !strikes.is_empty() {
+                tell(&catalog, request, fingerprint, strikes);
+            }
+        });
+    }
+
+    /// Clears the strikes of shards that have answered.
+    pub(super) fn clear_strikes(&self) {
+        let catalog = &self.context.catalog;
+        if !catalog.crashes().has_strikes() {
+            return;
+        }
+        let fingerprint = self.call.fingerprint();
+        let shards = self.shards.iter().zip(0..);
+        for (_, place) in shards.filter(|(shard, _)| shard.part.is_some()) {
+            let wall_millis = wall_clock::millis();
+            let board = catalog.crashes();
+            if let Some(body) = board.answered(&fingerprint, ShardId(place), wall_millis) {
+                catalog.publish_strikes(&fingerprint, body, wall_millis);
+            }
+        }
+    }
+}
+
+async fn strikes_of(suspects: Vec<CrashSuspect>, clock: ProcessClock) -> Vec<CrashStrike> {
+    let mut strikes = Vec::new();
+    for suspect in suspects {
+        if is_gone(&suspect.target).await {
+            strikes.extend(strike_of(&suspect, clock.now()));
+        }
+    }
+    strikes
+}
+
+/// Returns true where the target's host refuses connections: its process is gone.
+async fn is_gone(target: &TargetHandle) -> bool {
+    let connecting = TcpStream::connect(target.entry().address);
+    let looked = time::timeout(LOOK_TIMEOUT, connecting).await;
+    looked.is_ok_and(|opened| {
+        opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    })
+}
+
+/// Returns the strike; none where the target has a name or a domain that the product does not allow.
+fn strike_of(suspect: &CrashSuspect, now: TimePoint) -> Option<CrashStrike> {
+    let entry = suspect.target.entry();
+    Some(CrashStrike {
+        crash: rand::rng().random(),
+        target: entry.id.parse().ok()?,
+        domain: entry.domain.clone()?,
+        shard: ShardId(u32::try_from(suspect.shard).unwrap_or(u32::MAX)),
+        in_flight: u32::try_from(suspect.in_flight).unwrap_or(u32::MAX),
+        at: suspect.at.min(now),
+        cleared: false,
+    })
+}
+
+fn tell(
+    catalog: &Catalog,
+    request: String,
+    fingerprint: RequestFingerprint,
+    strikes: Vec<CrashStrike>,
+) {
+    let targets = strikes.iter().map(|strike| strike.target.to_string());
+    FrontEvent::TargetsCrashed {
+        request,
+        fingerprint: fingerprint.to_string(),
+        targets: targets.collect(),
+    }
+    .emit(Level::Warn);
+    let wall_millis = wall_clock::millis();
+    if let Some(body) = catalog.crashes().note(fingerprint, strikes, wall_millis) {
+        catalog.publish_strikes(&fingerprint, body, wall_millis);
+    }
+}
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -29,8 +29,12 @@
     pub(super) fn finish(mut self, step: AnswerStep) -> FrontAnswer {
         self.is_over.store(true, Ordering::Relaxed);
         self.let_linger();
+        self.look_for_crashes();
         let answer = match step {
-            AnswerStep::Answer | AnswerStep::Wait(_) => self.success(),
+            AnswerStep::Answer | AnswerStep::Wait(_) => {
+                self.clear_strikes();
+                self.success()
+            }
             AnswerStep::GiveUp => self.failure(false),
             AnswerStep::TimeUp => self.failure(true),
         };
--- a/alderhaven-front/src/query_run/groups.rs
+++ b/alderhaven-front/src/query_run/groups.rs
@@ -233,6 +233,9 @@
         if outcome == GroupOutcome::NotRun {
             shard.ran -= 1;
         }
+        if outcome == GroupOutcome::Lost {
+            self.suspect_crash(place, target);
+        }
         self.note_lost(LostAttempt {
             target: target.entry().id.clone(),
             fate: match outcome {
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's store, while it is this node's turn, and passes what it learns on.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use alderhaven_core::config_object::ObjectKind;
 use alderhaven_core::ids::{NodeId, StoreVersion};
@@ -18,6 +18,7 @@
 use crate::catalog::Catalog;
 use crate::front_event::FrontEvent;
 use crate::front_metrics::FrontMetrics;
+use crate::wall_clock;
 
 /// How long a watch waits for a change. A connection that went silent is noticed that much later,
 /// and a node that is in touch has some seconds to take a change over.
@@ -239,7 +240,7 @@
         let was_lost = own.is_some_and(|contact| !contact.is_reached);
         if was_lost || store_watch_plan::should_tell(&contacts, &self.options, now) {
             self.catalog
-                .publish_contact(&self.node, true, wall_millis());
+                .publish_contact(&self.node, true, wall_clock::millis());
         }
     }
 
@@ -252,14 +253,7 @@
             }
             .emit(Level::Warn);
             self.catalog
-                .publish_contact(&self.node, false, wall_millis());
+                .publish_contact(&self.node, false, wall_clock::millis());
         }
     }
 }
-
-fn wall_millis() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/alderhaven-policy/src/config_registry.rs
+++ b/alderhaven-policy/src/config_registry.rs
@@ -150,7 +150,8 @@
             | ObjectKind::History
             | ObjectKind::Routing
             | ObjectKind::Target
-            | ObjectKind::Contact => {}
+            | ObjectKind::Contact
+            | ObjectKind::Strike => {}
         }
     }
 }
