--- a/alderhaven-front/tests/group_links.rs
+++ b/alderhaven-front/tests/group_links.rs
@@ -75,6 +75,35 @@
     }
 }
 
+/// An `OpenLink` is a link to a front of another failure domain, with the first ask on it.
+struct OpenLink {
+    links: GroupLinks,
+    domain: FailureDomain,
+    first: GroupTicket,
+    end: OtherEnd,
+    _other: NodeGroup,
+}
+
+impl OpenLink {
+    async fn start() -> Self {
+        let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let own = member("a", LOOPBACK, Vec::new()).await;
+        let seeds = own.gossip_address().into_iter().collect();
+        let other = member("b", address, seeds).await;
+        let links = GroupLinks::new(own, ProcessClock::default());
+        let domain: FailureDomain = "b".parse().expect("a domain");
+        let (first, end) = tokio::join!(first_ask(&links, &domain), OtherEnd::accept(&listener));
+        Self {
+            links,
+            domain,
+            first,
+            end,
+            _other: other,
+        }
+    }
+}
+
 /// Asks until a connection stands.
 async fn first_ask(links: &GroupLinks, domain: &FailureDomain) -> GroupTicket {
     let asking = async {
@@ -94,14 +123,13 @@
 /// link that is given up as a whole would have lost it with all its shards.
 #[tokio::test]
 async fn late_front_still_answers_what_is_open() {
-    let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
-    let address = listener.local_addr().expect("its address");
-    let own = member("a", LOOPBACK, Vec::new()).await;
-    let seeds = own.gossip_address().into_iter().collect();
-    let _other = member("b", address, seeds).await;
-    let links = GroupLinks::new(own, ProcessClock::default());
-    let domain: FailureDomain = "b".parse().expect("a domain");
-    let (late, mut end) = tokio::join!(first_ask(&links, &domain), OtherEnd::accept(&listener));
+    let OpenLink {
+        links,
+        domain,
+        first: late,
+        mut end,
+        _other,
+    } = OpenLink::start().await;
     let mut recent = links.ask(&domain, GroupAsk::default()).expect("it is open");
     let _late_ask = end.next_ask().await;
     let recent_ask = end.next_ask().await;
@@ -115,14 +143,13 @@
 /// The connection to another front ends. Every query that waits for it hears so.
 #[tokio::test]
 async fn lost_link_is_told_to_all_who_wait() {
-    let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
-    let address = listener.local_addr().expect("its address");
-    let own = member("a", LOOPBACK, Vec::new()).await;
-    let seeds = own.gossip_address().into_iter().collect();
-    let _other = member("b", address, seeds).await;
-    let links = GroupLinks::new(own, ProcessClock::default());
-    let domain: FailureDomain = "b".parse().expect("a domain");
-    let (mut first, end) = tokio::join!(first_ask(&links, &domain), OtherEnd::accept(&listener));
+    let OpenLink {
+        links,
+        domain,
+        mut first,
+        end,
+        _other,
+    } = OpenLink::start().await;
     let mut second = links.ask(&domain, GroupAsk::default()).expect("it is open");
     drop(end);
     for ticket in [&mut first, &mut second] {
--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -109,25 +109,22 @@
     if !(1..=MOST_FRONTS).contains(&arguments.fronts) {
         bail!("--fronts is not from 1 to {MOST_FRONTS}");
     }
-    let front = front_binary(arguments.front)?;
+    let runner = SeedRunner::new(arguments.front, arguments.logs, arguments.json)?;
     let mut is_kept = true;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
-        let options = SoakOptions::builder()
-            .seed(seed)
-            .span(TimeSpan::from_secs(arguments.seconds))
-            .fronts(arguments.fronts)
-            .callers(arguments.callers)
-            .front_binary(front.clone())
-            .logs(arguments.logs.clone())
-            .scope(PromiseScope::All)
-            .build();
-        is_kept &= run_one(&options, arguments.json)?;
+        is_kept &= runner.run(&SeedCase {
+            seed,
+            seconds: arguments.seconds,
+            fronts: arguments.fronts,
+            callers: arguments.callers,
+            cause: String::new(),
+        })?;
     }
     Ok(is_kept)
 }
 
 fn replay(arguments: ReplayArgs) -> Result<bool> {
-    let front = front_binary(arguments.front)?;
+    let runner = SeedRunner::new(arguments.front, arguments.logs, arguments.json)?;
     let cases = seed_cases::read().map_err(|error| eyre::eyre!("{error}"))?;
     let is_meant = |case: &SeedCase| arguments.seed.is_none_or(|seed| seed == case.seed);
     let cases: Vec<SeedCase> = cases.into_iter().filter(is_meant).collect();
@@ -135,33 +132,51 @@
         bail!("no such seed is kept");
     }
     let mut is_kept = true;
-    for case in cases {
+    for case in &cases {
+        is_kept &= runner.run(case)?;
+    }
+    Ok(is_kept)
+}
+
+/// A `SeedRunner` runs seeds and prints what they came to.
+struct SeedRunner {
+    front: PathBuf,
+    logs: PathBuf,
+    is_json: bool,
+}
+
+impl SeedRunner {
+    fn new(front: Option<PathBuf>, logs: PathBuf, is_json: bool) -> Result<Self> {
+        Ok(Self {
+            front: front_binary(front)?,
+            logs,
+            is_json,
+        })
+    }
+
+    /// Runs one seed; returns true where every promise was kept.
+    fn run(&self, case: &SeedCase) -> Result<bool> {
         let options = SoakOptions::builder()
             .seed(case.seed)
             .span(TimeSpan::from_secs(case.seconds))
             .fronts(case.fronts)
             .callers(case.callers)
-            .front_binary(front.clone())
-            .logs(arguments.logs.clone())
+            .front_binary(self.front.clone())
+            .logs(self.logs.clone())
             .scope(PromiseScope::All)
             .build();
-        is_kept &= run_one(&options, arguments.json)?;
-    }
-    Ok(is_kept)
-}
-
-fn run_one(options: &SoakOptions, is_json: bool) -> Result<bool> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .wrap_err("the runtime can't start")?;
-    let report = runtime.block_on(soak_run::run(options))?;
-    if is_json {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        println!("{report}");
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()
+            .wrap_err("the runtime can't start")?;
+        let report = runtime.block_on(soak_run::run(&options))?;
+        if self.is_json {
+            println!("{}", serde_json::to_string(&report)?);
+        } else {
+            println!("{report}");
+        }
+        Ok(report.violations.is_empty())
     }
-    Ok(report.violations.is_empty())
 }
 
 fn front_binary(named: Option<PathBuf>) -> Result<PathBuf> {
--- a/alderhaven-soak/src/promises/answers.rs
+++ b/alderhaven-soak/src/promises/answers.rs
@@ -6,7 +6,7 @@
 use crate::promises::{PromiseKind, Violation};
 use crate::shard_records;
 use crate::soak_history::{AnswerRecord, RequestOutcome, RequestRecord};
-use crate::soak_site::{LEAST_SHARE, RECORDS, RequestKind};
+use crate::soak_site::{LEAST_SHARE, RECORDS, RequestKind, ShardSet};
 
 /// The status that a failing target answers with.
 const TARGET_FAILURE: u16 = 500;
@@ -59,7 +59,7 @@
     if answered != id {
         return Some(format!("the answer to {answered}"));
     }
-    let allowed = request.kind.services(crate::soak_site::ShardSet::Old);
+    let allowed = request.kind.services(ShardSet::Old);
     if !allowed.iter().any(|name| name == service) {
         return Some(format!("an answer of {service} to a {}", request.kind));
     }
