--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -8,9 +8,12 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_soak::seed_cases::{self, SeedCase};
 use alderhaven_soak::soak_options::{MOST_FRONTS, PromiseScope, SoakOptions};
+use alderhaven_soak::soak_report::SoakReport;
 use alderhaven_soak::soak_run;
 use argh::FromArgs;
 use eyre::{OptionExt, Result, WrapErr, bail};
+use tokio::signal::unix;
+use tokio::signal::unix::SignalKind;
 
 /// The exit code where a promise was broken.
 const VIOLATED: u8 = 1;
@@ -169,7 +172,7 @@
             .enable_all()
             .build()
             .wrap_err("the runtime can't start")?;
-        let report = runtime.block_on(soak_run::run(&options))?;
+        let report = runtime.block_on(run_until_signal(&options))?;
         if self.is_json {
             println!("{}", serde_json::to_string(&report)?);
         } else {
@@ -179,6 +182,19 @@
     }
 }
 
+/// Runs until the end, or until this process is told to stop: its fronts must not outlive it.
+async fn run_until_signal(options: &SoakOptions) -> Result<SoakReport> {
+    let mut terminate = unix::signal(SignalKind::terminate())?;
+    let mut interrupt = unix::signal(SignalKind::interrupt())?;
+    let mut hang_up = unix::signal(SignalKind::hangup())?;
+    tokio::select! {
+        report = soak_run::run(options) => report,
+        _ = terminate.recv() => bail!("stopped by a signal"),
+        _ = interrupt.recv() => bail!("stopped by a signal"),
+        _ = hang_up.recv() => bail!("stopped by a signal"),
+    }
+}
+
 fn front_binary(named: Option<PathBuf>) -> Result<PathBuf> {
     if let Some(path) = named {
         return Ok(path);
