A front is asked only once it has answered an empty ask

How long an ask was under way is told from the clocks' difference, which only earlier asks show; so the front passed on all the time that the caller had at first, 0.7 s too much.

Ruled out: the machine (no stall), the way to the target (its other attempts arrived in 0.5 ms).

--- a/alderhaven-front/src/group_links.rs
+++ b/alderhaven-front/src/group_links.rs
@@ -26,6 +26,12 @@
 /// The time within which a connection to a front is made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The longest time that the first ask on a connection, which is an empty one, may take there and back.
+/// By it the other front learns how the two clocks differ, as exactly as that time is short, and so
+/// notices how long later asks were under way. Half a second too much is what targets may be told;
+/// starting fronts take some tenths to answer.
+const FIRST_REPLY_LIMIT: Duration = Duration::from_millis(400);
+
 /// How long a front that missed a flush is not asked: a frozen or silent one would cost each query
 /// its hedges, and asking the targets directly costs only bytes.
 const MISSED_PAUSE: TimeSpan = TimeSpan::from_millis(1_500);
@@ -112,7 +118,7 @@
             if link.is_usable(now) {
                 usable.push(link);
             } else {
-                connect(address, link);
+                connect(link);
             }
         }
         if usable.is_empty() {
@@ -290,7 +296,7 @@
 }
 
 /// Connects in the background, unless that is under way or the link rests.
-fn connect(address: SocketAddr, link: Arc<GroupLink>) {
+fn connect(link: Arc<GroupLink>) {
     {
         let mut state = link.state();
         let is_connected = state
@@ -303,16 +309,31 @@
         state.is_connecting = true;
     }
     tokio::spawn(async move {
-        let opened = open(address).await;
+        let opened = open(&link).await;
         if let Some((epoch, reader)) = link.connected(opened) {
             read(&link, epoch, reader).await;
         }
     });
 }
 
-async fn open(address: SocketAddr) -> Option<(FrameSender, FrameReader)> {
-    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    connection::split(connecting.await.ok()?.ok()?).ok()
+/// Opens a connection; none where the front can't be reached, or is slow to answer.
+///
+/// Guards against a front that stands still when the first ask reaches it: it would take the ask up
+/// late, with all the time that its caller had at first, and pass that on to targets.
+async fn open(link: &GroupLink) -> Option<(FrameSender, FrameReader)> {
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(link.address));
+    let (sender, mut reader) = connection::split(connecting.await.ok()?.ok()?).ok()?;
+    let first = GroupAsk {
+        number: link.next.fetch_add(1, Ordering::Relaxed),
+        sent_us: link.clock.now().as_micros(),
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        ..GroupAsk::default()
+    };
+    sender.send(PeerMessage::GroupAsk(first)).ok()?;
+    let replied = time::timeout(FIRST_REPLY_LIMIT, connection::next_message(&mut reader));
+    replied.await.ok()??;
+    Some((sender, reader))
 }
 
 /// Hears replies until the connection ends, or until nothing is open on one that was given up.
--- a/alderhaven-front/tests/group_links.rs
+++ b/alderhaven-front/tests/group_links.rs
@@ -52,7 +52,11 @@
     async fn accept(listener: &TcpListener) -> Self {
         let (stream, _) = listener.accept().await.expect("a connection");
         let (sender, reader) = connection::split(stream).expect("its halves");
-        Self { sender, reader }
+        let mut end = Self { sender, reader };
+        // The first ask is empty: by it the two find out how their clocks differ.
+        let first = end.next_ask().await;
+        end.reply(&first);
+        end
     }
 
     async fn next_ask(&mut self) -> GroupAsk {
@@ -93,7 +97,7 @@
         let other = member("b", address, seeds).await;
         let links = GroupLinks::new(own, ProcessClock::default());
         let domain: FailureDomain = "b".parse().expect("a domain");
-        let (first, end) = tokio::join!(first_ask(&links, &domain), OtherEnd::accept(&listener));
+        let (first, end) = open(&links, &domain, &listener).await;
         Self {
             links,
             domain,
@@ -104,6 +108,22 @@
     }
 }
 
+/// Asks until a connection stands; where the machine is busy it may be the second one.
+async fn open(
+    links: &GroupLinks,
+    domain: &FailureDomain,
+    listener: &TcpListener,
+) -> (GroupTicket, OtherEnd) {
+    let mut end = None;
+    let mut asking = std::pin::pin!(first_ask(links, domain));
+    loop {
+        tokio::select! {
+            first = asking.as_mut() => return (first, end.expect("an open connection")),
+            accepted = OtherEnd::accept(listener) => end = Some(accepted),
+        }
+    }
+}
+
 /// Asks until a connection stands.
 async fn first_ask(links: &GroupLinks, domain: &FailureDomain) -> GroupTicket {
     let asking = async {
@@ -157,3 +177,36 @@
         assert!(matches!(news, Ok(Some(GroupNews::Lost))), "{news:?}");
     }
 }
+
+/// Another front stands still while the connection to it is made. Its first ask would be taken up late,
+/// with all the time that the caller had at first; it is sent nothing before it has answered.
+#[tokio::test]
+async fn front_that_stands_still_is_not_asked() {
+    let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let own = member("a", LOOPBACK, Vec::new()).await;
+    let seeds = own.gossip_address().into_iter().collect();
+    let _other = member("b", address, seeds).await;
+    let links = GroupLinks::new(own, ProcessClock::default());
+    let domain: FailureDomain = "b".parse().expect("a domain");
+    let accepting = async {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let (_sender, mut reader) = connection::split(stream).expect("its halves");
+        let mut asks = Vec::new();
+        while let Some(message) = connection::next_message(&mut reader).await {
+            asks.push(message);
+        }
+        asks
+    };
+    let asking = async {
+        loop {
+            assert!(links.ask(&domain, GroupAsk::default()).is_none());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let heard = tokio::select! {
+        heard = accepting => heard,
+        () = asking => Vec::new(),
+    };
+    assert_eq!(heard.len(), 1, "the empty ask alone, and then the end");
+}
