Attempts without a link count once, and sampled successes show their parts

Two lines said what was not so: where no front of a domain was connected, shards were counted as relayed and as first attempts both; and a sampled success to one service named its target as still open, since the answer had taken the part along.

What an attempt notes at its shard stood twice, for direct ones and for those through another front; it is one function. The event of a request that did not end whole is built only where its kind has a line left: most partial answers built one for nothing.

--- a/alderhaven-front/src/event_log.rs
+++ b/alderhaven-front/src/event_log.rs
@@ -94,18 +94,30 @@
 
 /// Writes an event, unless there are too many of its kind.
 pub fn write(level: Level, event: &FrontEvent) {
+    if let Some(left_out) = take(level, event.kind()) {
+        logging::emit(level, &CountedEvent { event, left_out });
+    }
+}
+
+/// Writes an event that is built only where there are not too many of its kind: a line names dozens of
+/// targets, and of a hundred partial answers a second ten have one.
+pub fn write_built(level: Level, kind: &'static str, build: impl FnOnce() -> FrontEvent) {
+    if let Some(left_out) = take(level, kind) {
+        let event = &build();
+        logging::emit(level, &CountedEvent { event, left_out });
+    }
+}
+
+/// Asks for a line of a kind; gets the number that were left out before it, or none where this one is
+/// left out too.
+fn take(level: Level, kind: &'static str) -> Option<u64> {
     if level > log::max_level() {
-        return;
+        return None;
     }
     let limits = limits();
     let now = limits.clock.now();
-    let taken = {
-        let mut limit = limits.limit.lock().unwrap_or_else(PoisonError::into_inner);
-        limit.take(event.kind(), now)
-    };
-    if let Some(left_out) = taken {
-        logging::emit(level, &CountedEvent { event, left_out });
-    }
+    let mut limit = limits.limit.lock().unwrap_or_else(PoisonError::into_inner);
+    limit.take(kind, now)
 }
 
 #[expect(
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -169,6 +169,18 @@
     CallerLeft,
 }
 
+impl RequestEnd {
+    /// Gets the kind of the lines of requests that ended so; each has its own limit.
+    #[must_use]
+    pub const fn kind(self) -> &'static str {
+        match self {
+            Self::Complete => "request_complete",
+            Self::Partial => "request_partial",
+            _ => "request_ended",
+        }
+    }
+}
+
 /// A `LostAttempt` is an attempt that brought no answer.
 #[derive(Clone, Debug, Serialize)]
 pub struct LostAttempt {
@@ -207,11 +219,7 @@
             Self::TargetsCrashed { .. } => "targets_crashed",
             Self::LinkLost { .. } => "link_lost",
             Self::NodesChanged { .. } => "nodes_changed",
-            Self::RequestEnded { end, .. } => match end {
-                RequestEnd::Complete => "request_complete",
-                RequestEnd::Partial => "request_partial",
-                _ => "request_ended",
-            },
+            Self::RequestEnded { end, .. } => end.kind(),
             Self::RequestRefused { .. } => "request_refused",
             Self::RequestBad { .. } => "request_bad",
         }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -121,9 +121,6 @@
             .collect();
         if matches!(self.route.rule.destination, RouteDestination::Shards { .. }) {
             for group in group_plan::group(&self.shards, &best, self.usual, now) {
-                for _ in &group.shards {
-                    self.context.metrics.observe_send(SendKind::Relayed);
-                }
                 // What can't be asked so is sent directly below.
                 let _direct = self.ask(group, AskKind::Firsts, now);
             }
@@ -302,12 +299,24 @@
     fn send(&mut self, shard: usize, target: Arc<TargetHandle>, now: TimePoint) {
         let plan = self.plan(shard, &target);
         let hedge_at = self.hedge_time().hedge_at(now);
+        self.note_sent(shard, target, hedge_at, now);
+        self.attempts.push(Box::pin(plan.run()));
+    }
+
+    /// Notes an attempt of a shard that is sent, by this front or through another one.
+    fn note_sent(
+        &mut self,
+        shard: usize,
+        target: Arc<TargetHandle>,
+        hedge_at: TimePoint,
+        now: TimePoint,
+    ) {
+        let rule = &self.route.rule;
         let run = &mut self.shards[shard];
         run.begin(target, now);
-        let may_hedge = self.route.rule.is_idempotent && run.ran < self.route.rule.max_targets;
+        let may_hedge = rule.is_idempotent && run.ran < rule.max_targets;
         run.hedge_at = may_hedge.then_some(hedge_at);
         self.sent += 1;
-        self.attempts.push(Box::pin(plan.run()));
     }
 
     fn is_in_time(&self, target: &TargetHandle, now: TimePoint) -> bool {
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -146,26 +146,35 @@
         if end == RequestEnd::Complete && !event_log::is_sampled() {
             return;
         }
-        let mut lost = std::mem::take(&mut self.lost);
-        lost.extend(self.unanswered(&lost, now));
+        let build = || self.ended_event(end, now);
+        event_log::write_built(Level::Info, end.kind(), build);
+    }
+
+    fn ended_event(&self, end: RequestEnd, now: TimePoint) -> FrontEvent {
+        let mut lost = self.lost.clone();
+        let mut present = self.shards.len();
+        // A whole answer has taken its parts along, and misses none.
+        if end != RequestEnd::Complete {
+            lost.extend(self.unanswered(now));
+            present = self.count().present;
+        }
         FrontEvent::RequestEnded {
             request: self.call.request_id.to_string(),
             route: self.route.rule.name.clone(),
             version: self.route.version,
             end,
-            took_ms: took.as_millis(),
+            took_ms: now.since(self.call.arrived).as_millis(),
             shards: self.shards.len(),
-            present: self.count().present,
+            present,
             attempts: self.sent,
             is_idempotent: self.route.rule.is_idempotent,
             lost,
             without_target: self.services_without_target(),
         }
-        .emit(Level::Info);
     }
 
     /// Gets the attempts of missing shards that are still out: their targets are slow or silent.
-    fn unanswered(&self, lost: &[LostAttempt], now: TimePoint) -> Vec<LostAttempt> {
+    fn unanswered(&self, now: TimePoint) -> Vec<LostAttempt> {
         let missing = self.shards.iter().filter(|shard| shard.part.is_none());
         let tried = missing.flat_map(|shard| shard.tried.iter().zip(&shard.sent));
         let open = tried.map(|(target, sent)| LostAttempt {
@@ -174,7 +183,7 @@
             status: None,
             age: now.since(*sent),
         });
-        open.filter(|open| lost.iter().all(|ended| ended.target != open.target))
+        open.filter(|open| self.lost.iter().all(|ended| ended.target != open.target))
             .collect()
     }
 
--- a/alderhaven-front/src/query_run/groups.rs
+++ b/alderhaven-front/src/query_run/groups.rs
@@ -10,7 +10,7 @@
 use http::HeaderValue;
 
 use crate::front_event::LostAttempt;
-use crate::front_metrics::AttemptFate;
+use crate::front_metrics::{AttemptFate, SendKind};
 use crate::group_links::{GroupNews, GroupTicket};
 use crate::group_plan::{ChosenShard, ShardGroup};
 use crate::query_run::QueryRun;
@@ -22,7 +22,7 @@
 /// domains, and the work at both ends.
 const FLUSH_LEAD: TimeSpan = TimeSpan::from_millis(3);
 
-/// How long after its hedges a query takes the silence of another front for a lost one. Two such
+/// How long after its hedges a query that has heard nothing sends no more on that connection. Two such
 /// waits fit into the time after a hedge of the tightest routes.
 const FLUSH_LATE: TimeSpan = TimeSpan::from_millis(60);
 
@@ -100,13 +100,11 @@
         let Some(ticket) = self.context.links.ask(&group.domain, ask) else {
             return group.shards;
         };
-        let rule = &self.route.rule;
         for (place, target) in &group.shards {
-            let shard = &mut self.shards[*place];
-            shard.begin(Arc::clone(target), now);
-            let may_hedge = rule.is_idempotent && shard.ran < rule.max_targets;
-            shard.hedge_at = may_hedge.then_some(hedge_at);
-            self.sent += 1;
+            self.note_sent(*place, Arc::clone(target), hedge_at, now);
+            if kind == AskKind::Firsts {
+                self.context.metrics.observe_send(SendKind::Relayed);
+            }
         }
         self.asks.push(GroupQuery {
             ticket,
