The members of a group are shared, not copied, by who reads them

Each ask through another front, each directory question and each look at the watch plan copied all members with their names and addresses; asks have become more frequent with hedges.

--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -297,7 +297,7 @@
         json!({ "status": self.status(), "services": loads,
             "leaving_targets": *self.watch.names(), "relays": links,
             "quarantine": self.strikes.entries(),
-            "claims": self.claims.dump(), "members": self.group.members(),
+            "claims": self.claims.dump(), "members": &*self.group.members(),
             "group": self.group.snapshot() })
     }
 
--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -87,8 +87,8 @@
         let own = self
             .is_ready()
             .then(|| (self.own.address, self.own.domain.clone(), self.own.capacity));
-        let others = self.group.members().into_iter().skip(1);
-        let others = others.filter_map(|member| {
+        let members = self.group.members();
+        let others = members.iter().skip(1).filter_map(|member| {
             let has_config = member.config.is_none_or(|config| config.progress > 0);
             let address = member.record.caller_address?;
             let is_named = member.state == state && has_config;
--- a/alderhaven-node/src/lib.rs
+++ b/alderhaven-node/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod member_list;
 pub mod node_group;
 pub mod process_main;
 pub mod stop_handle;
--- a/alderhaven-node/src/node_group.rs
+++ b/alderhaven-node/src/node_group.rs
@@ -15,6 +15,8 @@
 use alderhaven_store::config_handle::ConfigHandle;
 use tokio::sync::watch;
 
+use crate::member_list::MemberList;
+
 /// A `GroupOptions` describes a process to the group.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct GroupOptions {
@@ -105,11 +107,8 @@
 
     /// Gets the members, this process first; empty where it takes no part.
     #[must_use]
-    pub fn members(&self) -> Vec<MemberView> {
-        self.peers
-            .as_ref()
-            .map(|peers| peers.snapshot().members.clone())
-            .unwrap_or_default()
+    pub fn members(&self) -> MemberList {
+        MemberList::new(self.peers.as_ref().map(PeerHandle::snapshot))
     }
 
     /// Gets what is known of the group, for the dump.
@@ -123,9 +122,11 @@
     /// Gets the members of a role that take work.
     #[must_use]
     pub fn working(&self, role: MemberRole) -> Vec<MemberView> {
-        let mut members = self.members();
-        members.retain(|member| member.record.role == role && member.state.takes_work());
-        members
+        let members = self.members();
+        let working = members
+            .iter()
+            .filter(|member| member.record.role == role && member.state.takes_work());
+        working.cloned().collect()
     }
 
     /// Returns true where members, the configuration's peers included, are known to be complete.
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -210,7 +210,7 @@
     fn dump(&self) -> Value {
         json!({ "status": self.status(), "lanes": self.table.reports(), "leaving_targets": *self.watch.names(),
             "quarantine": self.table.strikes().entries(),
-            "members": self.group.members(), "group": self.group.snapshot() })
+            "members": &*self.group.members(), "group": self.group.snapshot() })
     }
 
     fn status(&self) -> Value {
