--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -79,8 +79,7 @@
     let Some(route) = view.find_route(&site, head.uri.path()).cloned() else {
         return refuse(request_id, BadRequest::NoRoute, routing.version);
     };
-    let time_left = time_left.unwrap_or(context.options.default_deadline);
-    let limit = time_left.min(route.rule.timeout).as_duration();
+    let limit = patience.min(route.rule.timeout).as_duration();
     let body = match read_body(body, routing.limits.max_body.as_bytes(), limit).await {
         Ok(body) => body,
         Err(reason) => return refuse(request_id, reason, routing.version),
@@ -90,7 +89,7 @@
         body,
         request_id: Arc::from(request_id),
         arrived,
-        time_left,
+        time_left: patience,
     });
     if let Some(wait) = crash_wait(context, &call) {
         return refuse_crashing(&call, wait);
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -4,10 +4,11 @@
 //! built whole and replaced at once, so that a request never sees half of a change, and the version
 //! of the configuration in it never goes back while the process runs.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use alderhaven_core::config_object::{ObjectKind, StoredObject};
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::{FailureDomain, NodeId, StoreVersion};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
@@ -210,12 +211,13 @@
     /// Takes over a whole list of a kind: what is known and not in it is gone.
     pub fn accept_list(&self, kind: ObjectKind, revision: StoreVersion, list: Vec<StoredObject>) {
         let missing: Vec<StoredObject> = {
+            let listed: BTreeSet<&ObjectKey> = list.iter().map(|object| &object.key).collect();
             let state = self.state();
             let known = state.objects.values();
             known
                 .filter(|object| object.key.kind == kind && object.body.is_some())
                 .filter(|object| object.version <= revision)
-                .filter(|object| list.iter().all(|listed| listed.key != object.key))
+                .filter(|object| !listed.contains(&object.key))
                 .map(|object| StoredObject {
                     version: revision,
                     body: None,
@@ -224,8 +226,9 @@
                 .collect()
         };
         self.accept(missing);
-        self.accept(list);
+        // Noted before the list tells those who wait for changes: they ask whether all is known.
         self.state().listed_kinds.insert(kind);
+        self.accept(list);
     }
 
     /// Applies one object; returns true where the view changes.
--- a/alderhaven-soak/src/soak_fault.rs
+++ b/alderhaven-soak/src/soak_fault.rs
@@ -1,8 +1,7 @@
 //! The faults of a run.
 
-use std::time::Duration;
-
 use alderhaven_core::time::TimeSpan;
+use alderhaven_platform_standin::store_fault::StoreFault;
 use serde::Serialize;
 
 use crate::link_proxy::LinkMode;
@@ -27,7 +26,7 @@
     /// The way of a front to the store is disturbed for a while.
     StoreLink(usize, LinkMode, TimeSpan),
     /// The store treats all calls so for a while.
-    StoreFault(StoreTrouble, TimeSpan),
+    StoreFault(StoreFault, TimeSpan),
     /// The store drops its history.
     StoreForgets,
     /// A target crashes; another starts after a while.
@@ -44,20 +43,6 @@
     Reshard,
 }
 
-/// A `StoreTrouble` is how the store fails.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum StoreTrouble {
-    /// It never answers.
-    Silent,
-    /// It says that it is down.
-    Down,
-    /// It says that there were too many calls.
-    Limited,
-    /// Its answers take this long.
-    Slow(Duration),
-}
-
 /// A `TargetTrouble` is how a target fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/alderhaven-soak/src/soak_plan.rs
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use alderhaven_core::time::TimeSpan;
+use alderhaven_platform_standin::store_fault::StoreFault;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
 use crate::link_proxy::LinkMode;
-use crate::soak_fault::{SoakFault, StoreTrouble, TargetTrouble};
+use crate::soak_fault::{SoakFault, TargetTrouble};
 
 /// The calm time at the start: the fronts are ready, and callers have their connections.
 const LEAD: TimeSpan = TimeSpan::from_millis(1_000);
@@ -71,7 +72,7 @@
         18..25 => SoakFault::FreezeFront(place, lasting),
         25..29 => SoakFault::ReloadFront(place),
         29..36 => SoakFault::StoreLink(place, draw_mode(rng), lasting),
-        36..42 => SoakFault::StoreFault(draw_store_trouble(rng), lasting),
+        36..42 => SoakFault::StoreFault(draw_store_fault(rng), lasting),
         42..45 => SoakFault::StoreForgets,
         45..53 => SoakFault::CrashTarget(place, lasting),
         53..61 => SoakFault::DrainTarget(place),
@@ -92,12 +93,12 @@
     }
 }
 
-fn draw_store_trouble(rng: &mut StdRng) -> StoreTrouble {
+fn draw_store_fault(rng: &mut StdRng) -> StoreFault {
     match rng.random_range(0..4) {
-        0 => StoreTrouble::Silent,
-        1 => StoreTrouble::Down,
-        2 => StoreTrouble::Limited,
-        _ => StoreTrouble::Slow(Duration::from_millis(rng.random_range(20..800))),
+        0 => StoreFault::Silent,
+        1 => StoreFault::Down,
+        2 => StoreFault::Limited,
+        _ => StoreFault::Slow(Duration::from_millis(rng.random_range(20..800))),
     }
 }
 
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -25,7 +25,7 @@
 use crate::machine_watch;
 use crate::promises::{self, Violation, repeats};
 use crate::soak_caller::SoakCaller;
-use crate::soak_fault::{SoakFault, StoreTrouble};
+use crate::soak_fault::SoakFault;
 use crate::soak_history::{HistoryLog, TroubleSubject};
 use crate::soak_operator::SoakOperator;
 use crate::soak_options::SoakOptions;
@@ -240,7 +240,7 @@
             SoakFault::FreezeFront(place, span) => self.order(place, FrontOrder::Freeze(span)),
             SoakFault::ReloadFront(place) => self.order(place, FrontOrder::Reload),
             SoakFault::StoreLink(place, mode, span) => self.disturb_store_link(place, mode, span),
-            SoakFault::StoreFault(trouble, span) => self.disturb_store(trouble, span),
+            SoakFault::StoreFault(fault, span) => self.disturb_store(fault, span),
             SoakFault::StoreForgets => {
                 self.store.forget_history();
                 self.log.note_trouble(TroubleSubject::Store, "forgot");
@@ -309,16 +309,11 @@
         });
     }
 
-    fn disturb_store(&mut self, trouble: StoreTrouble, span: TimeSpan) {
+    fn disturb_store(&mut self, fault: StoreFault, span: TimeSpan) {
         let (store, log) = (self.store.clone(), self.log.clone());
         self.faults.spawn(async move {
             let place = log.begin_trouble(TroubleSubject::Store, "failing");
-            store.set_fault(match trouble {
-                StoreTrouble::Silent => StoreFault::Silent,
-                StoreTrouble::Down => StoreFault::Down,
-                StoreTrouble::Limited => StoreFault::Limited,
-                StoreTrouble::Slow(wait) => StoreFault::Slow(wait),
-            });
+            store.set_fault(fault);
             time::sleep(span.as_duration()).await;
             store.set_fault(StoreFault::None);
             log.end_trouble(place);
