The quickstart is ready once its queries see the configuration

Cause: readiness looked at the view that the watch had brought; queries are planned on the one that all parts of the entry have taken over a moment later.

--- a/alderhaven-quickstart/src/local_system.rs
+++ b/alderhaven-quickstart/src/local_system.rs
@@ -157,10 +157,13 @@
         Ok(())
     }
 
-    /// Returns true where the entry has the whole configuration and reaches all relays.
+    /// Returns true where the entry plans on the whole configuration and reaches all relays.
+    ///
+    /// What its watch has brought is not enough: until all parts of the entry have taken that over, a
+    /// first query is refused because the configuration is not known yet.
     fn is_ready(&self, entry: &EntryNode) -> bool {
         let state = entry.state();
-        let view = state.config.view();
+        let view = state.applied.view();
         let links = state.routes.links();
         view.templates.len() == self.templates.len()
             && view.manifests.len() == self.manifests.len()
