--- a/alderhaven-soak/src/promises/once.rs
+++ b/alderhaven-soak/src/promises/once.rs
@@ -50,14 +50,26 @@
     request: &RequestRecord,
     runs: &[&ArrivalRecord],
 ) -> Option<Violation> {
-    if request.kind.is_idempotent() {
-        return check_spread(index, id, runs);
-    }
-    if runs.len() > 1 {
-        let targets: Vec<&str> = runs.iter().map(|run| run.target.as_str()).collect();
-        let seen = format!("ran on {targets:?}");
-        return Some(Violation::new(PromiseKind::AtMostOnce, id, seen));
+    let violation = if request.kind.is_idempotent() {
+        check_spread(index, id, runs)
+    } else {
+        check_single(id, runs)
+    };
+    violation.or_else(|| check_refusal(id, request, runs))
+}
+
+/// Checks that a request that may run once did.
+fn check_single(id: &str, runs: &[&ArrivalRecord]) -> Option<Violation> {
+    if runs.len() < 2 {
+        return None;
     }
+    let targets: Vec<&str> = runs.iter().map(|run| run.target.as_str()).collect();
+    let seen = format!("ran on {targets:?}");
+    Some(Violation::new(PromiseKind::AtMostOnce, id, seen))
+}
+
+/// Checks that a request that was refused has not run, whatever its kind: its caller sends it again.
+fn check_refusal(id: &str, request: &RequestRecord, runs: &[&ArrivalRecord]) -> Option<Violation> {
     let RequestOutcome::Answered(answer) = &request.end.as_ref()?.outcome else {
         return None;
     };
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -132,6 +132,20 @@
     assert_eq!(maker.broken(ALL), [PromiseKind::NotRun]);
 }
 
+/// A caller is told that its query over all shards has not run and when to come back, and a part of it had
+/// run: the refusal cost the targets work that nobody gets.
+#[test]
+fn check_false_refusal_of_a_query() {
+    let mut maker = HistoryMaker::sound();
+    maker.answer("sweep", |answer| {
+        answer.status = 503;
+        answer.is_refusal = true;
+        answer.proof = String::new();
+        answer.part_proofs.clear();
+    });
+    assert_eq!(maker.broken(ALL), [PromiseKind::NotRun]);
+}
+
 /// A target gets a request that no caller sent, and one whose path has changed.
 #[test]
 fn check_invented_request() {
@@ -266,6 +280,9 @@
             answer.proof = String::new();
         });
     }
+    // What is refused is sent nowhere.
+    let arrivals = &mut maker.history.arrivals;
+    arrivals.retain(|arrival| !arrival.request_id.starts_with("last"));
     let broken = maker.broken(ALL);
     assert_eq!(broken, [PromiseKind::Recovery]);
 }
