What callers have used up does not close the gate; where replicas lie does not choose fronts

Cause 1: the part of a query's time that the gate follows was reckoned against what its caller had left. Cause 2: the share of replicas in a front's domain was a part of the directory's choice since before asks went in groups. Parts of another domain now come as one block whichever front asks, so that the fronts of a domain without replicas stood idle for nothing.

The gate's decision names who makes way, in place of an out-parameter; refusals stand with the other endings.

--- a/alderhaven-front/src/catalog_view.rs
+++ b/alderhaven-front/src/catalog_view.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use alderhaven_core::ids::FailureDomain;
 use alderhaven_policy::group_share::GroupShare;
 
 use crate::route_rule::RouteRule;
@@ -62,21 +61,4 @@
             .iter()
             .find(|route| path.starts_with(&route.rule.path_prefix))
     }
-
-    /// Gets the share of a site's services that have a usable target in a failure domain.
-    #[must_use]
-    pub fn held_share(&self, site: &str, domain: &FailureDomain) -> f64 {
-        let routes = self.routes.get(site).into_iter().flatten();
-        let services = routes.flat_map(|route| route.rule.destination.services());
-        let (mut all, mut held) = (0_u32, 0_u32);
-        for service in services.filter_map(|name| self.services.get(name)) {
-            all += 1;
-            let is_held = service
-                .targets
-                .iter()
-                .any(|target| target.entry().domain.as_ref() == Some(domain));
-            held += u32::from(is_held);
-        }
-        f64::from(held) / f64::from(all.max(1))
-    }
 }
--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -73,16 +73,16 @@
     /// Chooses the fronts for a caller.
     #[must_use]
     pub fn fronts_for(&self, question: &DirectoryQuestion) -> SmallVec<[SocketAddr; 8]> {
-        let offers = self.offers(&question.site, MemberState::Alive);
+        let offers = self.offers(MemberState::Alive);
         let chosen = front_choice::choose(&offers, question.domain.as_ref(), &self.options);
         if !chosen.is_empty() {
             return chosen;
         }
-        let offers = self.offers(&question.site, MemberState::Suspect);
+        let offers = self.offers(MemberState::Suspect);
         front_choice::choose(&offers, question.domain.as_ref(), &self.options)
     }
 
-    fn offers(&self, site: &str, state: MemberState) -> Vec<FrontOffer> {
+    fn offers(&self, state: MemberState) -> Vec<FrontOffer> {
         let view = self.catalog.view();
         let own = self
             .is_ready()
@@ -99,7 +99,6 @@
             .chain(others)
             .map(|(address, domain, capacity)| FrontOffer {
                 address,
-                held_share: view.held_share(site, &domain),
                 domain,
                 size: view.share.size(capacity),
             })
--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::process_clock::ProcessClock;
-use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_core::time::TimePoint;
 use alderhaven_policy::caller_wait::CallerDelay;
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, GateRefusal, QueryGate};
 use alderhaven_policy::room_limit::QueryNeed;
@@ -74,7 +74,7 @@
             match state.offer(query, now) {
                 GateDecision::Admit => return Ok(self.pass(shards)),
                 GateDecision::Refuse(refusal) => return Err(refusal),
-                GateDecision::Wait(until) => {
+                GateDecision::Wait { until, .. } => {
                     let (sender, verdict) = oneshot::channel();
                     state.waiters.insert(query.id, sender);
                     (until, verdict)
@@ -117,9 +117,10 @@
 
 impl GateState {
     fn offer(&mut self, query: GateQuery, now: TimePoint) -> GateDecision {
-        let mut outranked = None;
-        let decision = self.gate.offer(query, now, &mut outranked);
-        if let Some(waiter) = outranked.and_then(|id| self.waiters.remove(&id)) {
+        let decision = self.gate.offer(query, now);
+        if let GateDecision::Wait { outranked, .. } = decision
+            && let Some(waiter) = outranked.and_then(|id| self.waiters.remove(&id))
+        {
             // A caller that has just gone needs no answer.
             let _is_gone = waiter.send(Err(self.gate.outranked(now)));
         }
@@ -133,7 +134,7 @@
             let is_told = waiter.is_some_and(|waiter| waiter.send(Ok(())).is_ok());
             if !is_told {
                 // Its caller left at this moment, and the room is free again.
-                self.gate.finished(TimeSpan::ZERO, QueryNeed::Unknown);
+                self.gate.take_back();
             }
         }
     }
@@ -188,7 +189,7 @@
             state.gate.cancel(self.id, now);
         }
         if let Ok(Ok(())) = self.verdict.try_recv() {
-            state.gate.finished(TimeSpan::ZERO, QueryNeed::Unknown);
+            state.gate.take_back();
             state.decide_ready(now);
         }
     }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -7,24 +7,22 @@
 use std::sync::atomic::AtomicBool;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount};
+use alderhaven_policy::answer_time::{self, AnswerStep, AnswerTime, ShardCount};
 use alderhaven_policy::caller_wait::CallerDelay;
 use alderhaven_policy::hedge_time::{self, HedgeTime};
-use alderhaven_policy::query_gate::{GateReason, GateRefusal};
+use alderhaven_policy::query_gate::GateRefusal;
 use alderhaven_policy::repeat_budget::RepeatReason;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
-use log::Level;
-use rand::RngExt;
 
 use crate::admission_pass::AdmissionPass;
 use crate::attempt::{AttemptEnd, AttemptPlan, AttemptReport};
 use crate::catalog_view::{CatalogView, LiveRoute};
-use crate::front_answer::{FrontAnswer, RefusalReason};
+use crate::front_answer::FrontAnswer;
 use crate::front_context::{self, FrontContext};
-use crate::front_event::{FrontEvent, LostAttempt, RequestEnd};
+use crate::front_event::{LostAttempt, RequestEnd};
 use crate::front_metrics::{AttemptFate, SendKind};
 use crate::group_plan;
 use crate::query_call::QueryCall;
@@ -35,10 +33,6 @@
 use crate::shard_run::ShardRun;
 use crate::target_handle::{TargetHandle, TargetStanding};
 
-/// What the time to come back is spread over, so that callers who were refused together come back one by
-/// one.
-const RETRY_SPREAD: std::ops::Range<f64> = 0.5..1.5;
-
 mod crashes;
 mod ending;
 mod groups;
@@ -62,6 +56,8 @@
     is_reported: bool,
     pass: Option<AdmissionPass>,
     started: TimePoint,
+    /// The time until the answer of a caller that had not waited before.
+    usable: TimeSpan,
     /// When enough shards were in.
     enough_at: Option<TimePoint>,
 }
@@ -86,7 +82,7 @@
         let delay = route.state.waited(call.time_left, call.arrived);
         let pass = match Self::admit(context, route, delay).await {
             Ok(pass) => pass,
-            Err(refusal) => return refuse(context, call, refusal),
+            Err(refusal) => return ending::refuse(context, call, refusal),
         };
         let shards = shards_of(view, route);
         let mut run = Self::new(context, call, route, shards, delay);
@@ -124,12 +120,12 @@
         let way = options.caller_path + options.caller_path;
         // The request may have waited as long to be seen as the answer will wait to be sent.
         let lag = context.wake_lag();
-        let reserve = way + options.answer_work + lag + lag + delay.used_up(target);
+        let reserve = way + options.answer_work + lag + lag;
         Self {
             context,
             call,
             route,
-            time: AnswerTime::new(call.arrived, target, reserve, limit),
+            time: AnswerTime::new(call.arrived, target, reserve + delay.used_up(target), limit),
             usual: route.state.usual(target),
             late: route.state.late(target),
             shards,
@@ -143,6 +139,7 @@
             is_reported: false,
             pass: None,
             started: context.clock.now(),
+            usable: answer_time::usable(target, reserve),
             enough_at: None,
         }
     }
@@ -398,25 +395,6 @@
     }
 }
 
-fn refuse(context: &FrontContext, call: &QueryCall, refusal: GateRefusal) -> FrontAnswer {
-    let reason = match refusal.reason {
-        GateReason::NoRoom => RefusalReason::NoRoom,
-        GateReason::Outranked => RefusalReason::Outranked,
-        GateReason::WaitOver => RefusalReason::WaitOver,
-    };
-    context.metrics.observe_refusal(reason);
-    FrontEvent::RequestRefused {
-        request: call.request_id.to_string(),
-        reason,
-    }
-    .emit(Level::Info);
-    let spread: f64 = rand::rng().random_range(RETRY_SPREAD);
-    FrontAnswer::NotRun {
-        reason,
-        retry_after: refusal.retry_after.mul_f64(spread),
-    }
-}
-
 fn shards_of(view: &CatalogView, route: &LiveRoute) -> Vec<ShardRun> {
     let shard = |service: &str| ShardRun::new(view.services.get(service).cloned());
     match &route.rule.destination {
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -5,6 +5,7 @@
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::answer_time::AnswerStep;
+use alderhaven_policy::query_gate::{GateReason, GateRefusal};
 use alderhaven_policy::room_limit::QueryNeed;
 use alderhaven_policy::top_records;
 use futures::StreamExt;
@@ -15,8 +16,10 @@
 use crate::attempt::AttemptEnd;
 use crate::event_log;
 use crate::front_answer::{FrontAnswer, PassedReply, RefusalReason};
+use crate::front_context::FrontContext;
 use crate::front_event::{FrontEvent, LostAttempt, RequestEnd};
 use crate::front_metrics::{AttemptFate, QueryShape};
+use crate::query_call::QueryCall;
 use crate::query_run::QueryRun;
 use crate::route_destination::RouteDestination;
 use crate::shard_part::ShardPart;
@@ -26,6 +29,10 @@
 /// What is added to it at random, so that callers who were refused together come back one by one.
 const RETRY_AFTER_SPREAD: TimeSpan = TimeSpan::from_millis(120);
 
+/// What the time to come back after a refusal for want of room is spread over, so that callers who were
+/// refused together come back one by one.
+const ROOM_SPREAD: std::ops::Range<f64> = 0.5..1.5;
+
 impl QueryRun<'_> {
     pub(super) fn finish(mut self, step: AnswerStep) -> FrontAnswer {
         self.is_over.store(true, Ordering::Relaxed);
@@ -161,7 +168,8 @@
     }
 
     fn need(&self) -> QueryNeed {
-        let time = self.time.partial_at.since(self.call.arrived).as_secs_f64();
+        // What a caller has used up before says nothing of the room, and must not close the gate.
+        let time = self.usable.as_secs_f64();
         if let Some(enough_at) = self.enough_at {
             let passed = enough_at.since(self.started).as_secs_f64();
             return QueryNeed::Met(passed / time.max(1e-3));
@@ -231,7 +239,31 @@
     }
 }
 
-/// Gets when a caller that was refused should come back.
+/// Refuses a query that is not admitted.
+pub(super) fn refuse(
+    context: &FrontContext,
+    call: &QueryCall,
+    refusal: GateRefusal,
+) -> FrontAnswer {
+    let reason = match refusal.reason {
+        GateReason::NoRoom => RefusalReason::NoRoom,
+        GateReason::Outranked => RefusalReason::Outranked,
+        GateReason::WaitOver => RefusalReason::WaitOver,
+    };
+    context.metrics.observe_refusal(reason);
+    FrontEvent::RequestRefused {
+        request: call.request_id.to_string(),
+        reason,
+    }
+    .emit(Level::Info);
+    let spread: f64 = rand::rng().random_range(ROOM_SPREAD);
+    FrontAnswer::NotRun {
+        reason,
+        retry_after: refusal.retry_after.mul_f64(spread),
+    }
+}
+
+/// Gets when a caller whose targets refused should come back.
 fn retry_after() -> TimeSpan {
     let spread: f64 = rand::rng().random_range(0.0..1.0);
     RETRY_AFTER_MIN + RETRY_AFTER_SPREAD.mul_f64(spread)
--- a/alderhaven-front/src/wire_dialect.rs
+++ b/alderhaven-front/src/wire_dialect.rs
@@ -31,8 +31,6 @@
 /// A `DirectoryQuestion` is a caller's question for fronts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryQuestion {
-    /// The site that the caller wants.
-    pub site: String,
     /// The caller's failure domain, where it names a usable one.
     pub domain: Option<FailureDomain>,
 }
--- a/alderhaven-policy/src/answer_time.rs
+++ b/alderhaven-policy/src/answer_time.rs
@@ -56,6 +56,14 @@
     TimeUp,
 }
 
+/// Gets the part of a latency target that a query may use where the answer needs `reserve` of it.
+#[must_use]
+pub fn usable(target: TimeSpan, reserve: TimeSpan) -> TimeSpan {
+    target
+        .saturating_sub(reserve)
+        .max(target.mul_f64(LEAST_USED))
+}
+
 impl AnswerTime {
     /// Returns the moments of a query that arrived at `arrived`.
     ///
@@ -64,9 +72,7 @@
     #[must_use]
     pub fn new(arrived: TimePoint, target: TimeSpan, reserve: TimeSpan, limit: TimeSpan) -> Self {
         let ends_at = arrived + limit;
-        let usable = target
-            .saturating_sub(reserve)
-            .max(target.mul_f64(LEAST_USED));
+        let usable = usable(target, reserve);
         Self {
             partial_at: (arrived + usable).min(ends_at),
             ends_at,
--- a/alderhaven-policy/src/front_choice.rs
+++ b/alderhaven-policy/src/front_choice.rs
@@ -1,15 +1,14 @@
 //! Which fronts a caller is told to connect to.
 //!
-//! Load pattern: callers keep an answer for a second or more and connect by themselves. Hosts differ
-//! in size, and the replicas of a shard lie in some failure domains only. A query is a hundred times
-//! larger between a front and its targets than between the front and its caller.
+//! Load pattern: callers keep an answer for some seconds and connect by themselves. Hosts differ in
+//! size.
 //!
-//! Without it: callers in a domain without replicas use its fronts, and every part crosses domains;
-//! small hosts take as many callers as large ones and are late.
+//! Without it: small hosts take as many callers as large ones and are late.
 //!
-//! The rules: a front is worth more the more of the replicas lie in its domain and the larger its
-//! host is; the caller's own domain is a bonus. The best group of fronts is named, large enough to
-//! carry the callers, and never empty while one front lives.
+//! The rules: a front is worth more the larger its host is; the caller's own domain is a bonus. Where
+//! the replicas lie does not count: parts of another domain come as one block, whichever front asks.
+//! The best group of fronts is named, large enough to carry the callers, and never empty while one
+//! front lives.
 
 use std::net::SocketAddr;
 
@@ -21,8 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ChoiceOptions {
-    /// The score of a front in the caller's domain, against 1 for a domain that holds a replica of
-    /// everything.
+    /// The score of a front in the caller's domain, against 1 for one on the largest host.
     pub near_bonus: f64,
     /// The fewest fronts that are named where there are as many: one that dies leaves others.
     pub fewest: usize,
@@ -50,8 +48,6 @@
     pub address: SocketAddr,
     /// The front's failure domain.
     pub domain: FailureDomain,
-    /// The share of the shards that have a replica in that domain.
-    pub held_share: f64,
     /// The size of the front's host against the largest one, 0 to 1.
     pub size: f64,
 }
@@ -65,7 +61,7 @@
 ) -> SmallVec<[SocketAddr; 8]> {
     let score = |offer: &FrontOffer| {
         let is_near = domain == Some(&offer.domain);
-        offer.held_share + offer.size + if is_near { options.near_bonus } else { 0.0 }
+        offer.size + if is_near { options.near_bonus } else { 0.0 }
     };
     let mut scored: Vec<(f64, &FrontOffer)> =
         offers.iter().map(|offer| (score(offer), offer)).collect();
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -88,8 +88,13 @@
 pub enum GateDecision {
     /// It goes now.
     Admit,
-    /// It waits, until this moment at the longest.
-    Wait(TimePoint),
+    /// It waits.
+    Wait {
+        /// Until when at the longest.
+        until: TimePoint,
+        /// The query that makes way for it, if any; it is refused.
+        outranked: Option<u64>,
+    },
     /// It is refused.
     Refuse(GateRefusal),
 }
@@ -118,13 +123,8 @@
 }
 
 impl QueryGate {
-    /// Decides on a query that arrives. `outranked` takes the number of one that has to make way.
-    pub fn offer(
-        &mut self,
-        query: GateQuery,
-        now: TimePoint,
-        outranked: &mut Option<u64>,
-    ) -> GateDecision {
+    /// Decides on a query that arrives.
+    pub fn offer(&mut self, query: GateQuery, now: TimePoint) -> GateDecision {
         self.rank_use(query.rank).offered.add(1.0, now);
         if self.waiting.is_empty() && self.fits(&query) {
             self.begin(query.rank, now);
@@ -137,8 +137,10 @@
             return GateDecision::Refuse(self.refusal(GateReason::NoRoom, now));
         }
         self.waiting.insert(place, newcomer);
-        self.drop_last(now, outranked);
-        GateDecision::Wait(now + longest)
+        GateDecision::Wait {
+            until: now + longest,
+            outranked: self.drop_last(now),
+        }
     }
 
     /// Gets the next waiting query that goes now; call it until there is none, after each end.
@@ -172,6 +174,11 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Takes back the turn of a query that was not sent, because its caller left at that moment.
+    pub const fn take_back(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     /// Gets the limit of queries in flight.
     #[must_use]
     pub const fn limit(&self) -> f64 {
@@ -209,8 +216,8 @@
             .count()
     }
 
-    /// Refuses the last in line where its wait has become too long by a newcomer.
-    fn drop_last(&mut self, now: TimePoint, outranked: &mut Option<u64>) {
+    /// Takes out the last in line where its wait has become too long by a newcomer before it.
+    fn drop_last(&mut self, now: TimePoint) -> Option<u64> {
         let last_place = self.waiting.len() - 1;
         let last = self.waiting[last_place];
         let left = last
@@ -218,10 +225,11 @@
             .target
             .mul_f64(WAIT_SHARE)
             .saturating_sub(now.since(last.since));
-        if self.expected_wait(&last.query, last_place) > left && last_place > 0 {
-            self.waiting.pop();
-            *outranked = Some(last.query.id);
+        if last_place == 0 || self.expected_wait(&last.query, last_place) <= left {
+            return None;
         }
+        self.waiting.pop();
+        Some(last.query.id)
     }
 
     /// Gets the order in which queries go: those that can be in time first, then ranks that are behind
