A proof allows second runs of a shard only as far as hedges were sent

Traced on the loaded machine (7 of 24 runs, eight at a time, printing runs and metrics): each second run was of a shard that had one already, and the entry counted at least as many hedges.

--- a/alderhaven-proof/tests/proofs/snapshot.rs
+++ b/alderhaven-proof/tests/proofs/snapshot.rs
@@ -1,5 +1,6 @@
 //! Proofs that each answer is of one snapshot.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -199,6 +200,7 @@
     .unwrap();
     cluster.publish_manifest(&whole).await.unwrap();
     let manifests = [whole];
+    let mut repeats = 0;
     for (query, reply) in queries.iter().zip(asked.await.unwrap()) {
         let reply = reply.unwrap();
         assert_eq!(reply.word(), "complete", "{}", reply.body);
@@ -206,18 +208,30 @@
         assert_one_snapshot(query, &reply, &manifests);
         let runs = cluster.runs(query).await.unwrap();
         let of_whole = runs.iter().filter(|run| run.snapshot == SnapshotId(3));
-        assert_eq!(of_whole.count(), 4, "each shard ran for the newer snapshot");
+        let shards: Vec<u32> = of_whole.map(|run| run.shard.0).collect();
+        let ran: BTreeSet<u32> = shards.iter().copied().collect();
+        assert_eq!(
+            ran,
+            BTreeSet::from([0, 1, 2, 3]),
+            "each shard ran for the newer snapshot"
+        );
+        repeats += shards.len() - ran.len();
     }
-    assert_eq!(restarts(&cluster).await, QUERIES);
+    // On a busy machine an attempt may be late and hedged: a second run at another replica is that hedge.
+    let hedges = counted(&cluster, "alderhaven_entry_hedges_total ").await;
+    assert!(
+        repeats <= hedges,
+        "{repeats} shards ran again for {hedges} hedges"
+    );
+    let restarts = counted(&cluster, "alderhaven_entry_snapshot_restarts_total ").await;
+    assert_eq!(restarts, QUERIES);
 }
 
-/// Gets the number of queries that the first entry restarted.
-async fn restarts(cluster: &ProofCluster) -> usize {
+/// Gets a count of the first entry's metrics by the beginning of its line.
+async fn counted(cluster: &ProofCluster, name: &str) -> usize {
     let operator = cluster.entries[0].address("operator").unwrap();
     let metrics = alderhaven_proof::operator_view::text(operator, "/metrics").await;
     let metrics = metrics.unwrap();
-    let line = metrics
-        .lines()
-        .find_map(|line| line.strip_prefix("alderhaven_entry_snapshot_restarts_total "));
+    let line = metrics.lines().find_map(|line| line.strip_prefix(name));
     line.unwrap().parse().unwrap()
 }
