An entry tells a revision in force only once its queries see it

Cause: the status told what the watch had brought; queries are planned on the view that all parts of the entry have taken over a moment later (the same gap as in the quickstart's readiness).

--- a/alderhaven-entry/src/applied_config.rs
+++ b/alderhaven-entry/src/applied_config.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use alderhaven_core::ids::{ServiceName, SnapshotId};
+use alderhaven_core::ids::{ServiceName, SnapshotId, StoreVersion};
 use alderhaven_core::manifest::SnapshotManifest;
 use alderhaven_core::template::MAX_DEADLINE;
 use alderhaven_policy::config_registry::ConfigView;
-use alderhaven_store::config_handle::ConfigHandle;
-use arc_swap::ArcSwap;
+use alderhaven_store::config_handle::{ConfigHandle, FollowerStatus};
+use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub struct AppliedConfig {
     view: Arc<ArcSwap<ConfigView>>,
+    /// The revision up to which the view holds every change.
+    revision: Arc<ArcSwapOption<StoreVersion>>,
     changed: watch::Sender<u64>,
 }
 
@@ -57,6 +59,7 @@
     fn default() -> Self {
         Self {
             view: Arc::default(),
+            revision: Arc::default(),
             changed: watch::Sender::new(0),
         }
     }
@@ -75,8 +78,26 @@
         self.changed.subscribe()
     }
 
-    fn publish(&self, view: Arc<ConfigView>) {
+    /// Gets the follower's state as queries see it: the revision is one whose changes they see.
+    ///
+    /// Failure: an operator waits until a template is in force, and a caller's next query is answered by
+    /// the one before, because the parts of the entry still take over what its watch has brought. The
+    /// follower's state is read first, so that a view which is taken over after it holds its changes.
+    #[must_use]
+    pub fn status(&self, config: &ConfigHandle) -> FollowerStatus {
+        let status = config.status();
+        let is_taken_over = Arc::ptr_eq(&self.view(), &config.view());
+        let revision = if is_taken_over {
+            status.revision
+        } else {
+            self.revision.load_full().map(|revision| *revision)
+        };
+        FollowerStatus { revision, ..status }
+    }
+
+    fn publish(&self, view: Arc<ConfigView>, revision: Option<StoreVersion>) {
         self.view.store(view);
+        self.revision.store(revision.map(Arc::new));
         self.changed.send_modify(|count| *count += 1);
     }
 }
@@ -88,13 +109,15 @@
         let mut recent = RecentManifests::default();
         loop {
             changed.borrow_and_update();
+            // Read before the view, which then holds every change up to it.
+            let revision = self.config.complete_at();
             let view = self.config.view();
             recent.take(&view, Instant::now());
             let manifests = recent.all();
             self.desk.apply(&view);
             self.routes.apply(&manifests);
             self.board.apply(&manifests, &view);
-            self.applied.publish(view);
+            self.applied.publish(view, revision);
             if changed.changed().await.is_err() {
                 return;
             }
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -307,7 +307,7 @@
             "role": "entry",
             "state": self.stop.state(),
             "in_flight": self.stop.in_flight(),
-            "config": self.config.status(),
+            "config": self.applied.status(&self.config),
         })
     }
 
