--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -179,18 +179,6 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Gets the limit of queries in flight.
-    #[must_use]
-    pub const fn limit(&self) -> f64 {
-        self.room.get()
-    }
-
-    /// Gets the number of queries in flight.
-    #[must_use]
-    pub const fn in_flight(&self) -> usize {
-        self.in_flight
-    }
-
     /// Returns true where nothing is in flight and nothing waits.
     #[must_use]
     pub const fn is_idle(&self) -> bool {
