--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -12,6 +12,7 @@
 use alderhaven_core::ids::{FailureDomain, NodeId, StoreVersion};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::exchange::exchange_message::ObjectStamp;
 use alderhaven_policy::group_share::GroupShare;
 use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::repeat_budget::RepeatOptions;
@@ -117,10 +118,17 @@
         self.changed.subscribe()
     }
 
-    /// Gets all objects, those that are gone too.
+    /// Gets the versions of all objects, those that are gone too.
     #[must_use]
-    pub fn objects(&self) -> Vec<StoredObject> {
-        self.state().objects.values().cloned().collect()
+    pub fn stamps(&self) -> Vec<ObjectStamp> {
+        let state = self.state();
+        state.objects.values().map(ObjectStamp::from).collect()
+    }
+
+    /// Gets one object.
+    #[must_use]
+    pub fn object(&self, key: &ObjectKey) -> Option<StoredObject> {
+        self.state().objects.get(key).cloned()
     }
 
     /// Returns true where all objects are known: the store has listed each kind that it keeps, or a
--- a/alderhaven-front/src/directory_service.rs
+++ b/alderhaven-front/src/directory_service.rs
@@ -42,7 +42,7 @@
     if request.uri().path() != METRICS_PATH {
         return plain(StatusCode::NOT_FOUND);
     }
-    Response::new(WholeBody::from(context.metrics.encode()))
+    Response::new(WholeBody::from(context.encode_metrics()))
 }
 
 fn request_head(request: &Request<Incoming>) -> http::request::Parts {
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -65,6 +65,15 @@
 }
 
 impl FrontContext {
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn encode_metrics(&self) -> String {
+        if let Some(traffic) = self.links.group().traffic() {
+            self.metrics.set_peer_traffic(&traffic);
+        }
+        self.metrics.encode()
+    }
+
     /// Notes a timer of this process that was due at `due`.
     pub fn note_wake(&self, due: TimePoint) {
         let now = self.clock.now();
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -1,6 +1,9 @@
 //! The metrics of a front.
 
+use std::sync::atomic::Ordering;
+
 use alderhaven_core::time::TimeSpan;
+use alderhaven_peer::peer_traffic::{MessageKind, PeerTraffic};
 use prometheus_client::encoding::text;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -25,6 +28,8 @@
     lost: Family<FateLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
+    peer_messages: Family<PeerLabels, Counter>,
+    peer_bytes: Family<PeerByteLabels, Counter>,
     /// The shards that answers left out.
     pub missing_parts: Counter,
     /// The repeats that the budget refused.
@@ -64,6 +69,24 @@
     reason: RefusalReason,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct PeerLabels {
+    kind: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct PeerByteLabels {
+    kind: String,
+    reach: PeerReach,
+}
+
+/// A `PeerReach` says whether a message to a peer stays in the failure domain.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+enum PeerReach {
+    Near,
+    Far,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct StoreLabels {
     result: StoreResultLabel,
@@ -126,6 +149,8 @@
             lost: Family::default(),
             store_calls: Family::default(),
             refusals: Family::default(),
+            peer_messages: Family::default(),
+            peer_bytes: Family::default(),
             missing_parts: Counter::default(),
             refused_repeats: Counter::default(),
             carried_asks: Counter::default(),
@@ -171,6 +196,30 @@
             .inc();
     }
 
+    /// Takes over what was sent to peers since the start of the process.
+    pub fn set_peer_traffic(&self, traffic: &PeerTraffic) {
+        for kind in MessageKind::ALL {
+            let count = traffic.sent_of(kind);
+            let labels = PeerLabels {
+                kind: kind.to_string(),
+            };
+            let messages = self.peer_messages.get_or_create(&labels);
+            messages.inner().store(count.messages, Ordering::Relaxed);
+            let by_reach = [
+                (PeerReach::Near, count.near_bytes),
+                (PeerReach::Far, count.far_bytes),
+            ];
+            for (reach, bytes) in by_reach {
+                let labels = PeerByteLabels {
+                    kind: kind.to_string(),
+                    reach,
+                };
+                let counter = self.peer_bytes.get_or_create(&labels);
+                counter.inner().store(bytes, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Writes all metrics in the text format.
     #[must_use]
     pub fn encode(&self) -> String {
@@ -202,6 +251,16 @@
             "Requests refused before any target was asked",
             own.refusals,
         );
+        registry.register(
+            "peer_messages",
+            "Messages sent to peers, by kind",
+            own.peer_messages,
+        );
+        registry.register(
+            "peer_bytes",
+            "Bytes sent to peers, by kind and by whether they stay in the failure domain",
+            own.peer_bytes,
+        );
         registry.register(
             "missing_parts",
             "Shards left out of answers",
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -233,14 +233,14 @@
         .peer_address(addresses.groups)
         .caller_address(addresses.callers)
         .capacity(options.capacity)
+        // Nobody asks a front for the others' configurations.
+        .is_reporting(false)
         .build();
-    let (objects, accept, listed) = (
-        Arc::clone(catalog),
-        Arc::clone(catalog),
-        Arc::clone(catalog),
-    );
+    let (stamps, objects) = (Arc::clone(catalog), Arc::clone(catalog));
+    let (accept, listed) = (Arc::clone(catalog), Arc::clone(catalog));
     let access = ConfigAccess::builder()
-        .objects(move || objects.objects())
+        .stamps(move || stamps.stamps())
+        .look_up(move |key| objects.object(key))
         .accept(move |news| accept.accept(news))
         .is_listed(move || listed.is_listed())
         .changed(catalog.changed())
--- a/alderhaven-front/src/group_links.rs
+++ b/alderhaven-front/src/group_links.rs
@@ -96,6 +96,12 @@
 }
 
 impl GroupLinks {
+    /// Gets the group.
+    #[must_use]
+    pub const fn group(&self) -> &NodeGroup {
+        &self.group
+    }
+
     /// Returns links to the fronts of a group.
     #[must_use]
     pub fn new(group: NodeGroup, clock: ProcessClock) -> Self {
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -9,7 +9,7 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::NodeGroup;
 use alderhaven_policy::group_start::GroupStart;
-use alderhaven_policy::store_watch_plan::{self, WatchOptions};
+use alderhaven_policy::store_watch_plan::{self, WatchOptions, WatchPlan};
 use alderhaven_store::object_store::{ObjectStore, StoreError, WatchOutcome};
 use alderhaven_store::retry_backoff::{BackoffOptions, RetryBackoff};
 use log::Level;
@@ -182,7 +182,14 @@
         let contacts = self.catalog.contacts();
         let now = self.clock.now();
         let others = self.others();
-        store_watch_plan::should_watch(&self.node, &others, &contacts, &self.options, now)
+        let answered = self.group.since_store_answer();
+        let plan = WatchPlan {
+            own: &self.node,
+            others: &others,
+            contacts: &contacts,
+            answered,
+        };
+        plan.should_watch(&self.options, now)
     }
 
     /// Gets the other nodes that are alive.
@@ -226,15 +233,14 @@
 
     fn note_reached(&mut self) {
         self.metrics.observe_store_call(true);
+        self.group.note_store_answer();
         if self.is_lost {
             self.is_lost = false;
             FrontEvent::StoreBack.emit(Level::Info);
         }
         let contacts = self.catalog.contacts();
-        let now = self.clock.now();
         let own = contacts.iter().find(|contact| contact.node == self.node);
-        let was_lost = own.is_some_and(|contact| !contact.is_reached);
-        if was_lost || store_watch_plan::should_tell(&contacts, &self.options, now) {
+        if own.is_some_and(|contact| !contact.is_reached) {
             self.catalog
                 .publish_contact(&self.node, true, wall_clock::millis());
         }
--- a/alderhaven-front/tests/group_links.rs
+++ b/alderhaven-front/tests/group_links.rs
@@ -33,7 +33,8 @@
         .peer_address(peer_address)
         .build();
     let access = ConfigAccess::builder()
-        .objects(Vec::new)
+        .stamps(Vec::new)
+        .look_up(|_| None)
         .accept(|_| {})
         .is_listed(|| true)
         .changed(watch::Sender::new(0).subscribe())
--- a/alderhaven-node/src/node_group.rs
+++ b/alderhaven-node/src/node_group.rs
@@ -6,9 +6,11 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use alderhaven_core::ids::{FailureDomain, HostId, IncarnationNumber, NodeId};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::peer_handle::{PeerHandle, PeerSnapshot};
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
+use alderhaven_peer::peer_traffic::PeerTraffic;
 use alderhaven_policy::membership::member_entry::MemberView;
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
@@ -40,6 +42,9 @@
     /// The processor time that the process may use.
     #[builder(default)]
     pub capacity: CpuCapacity,
+    /// Whether members report to all others which configuration they have in force.
+    #[builder(default = true)]
+    pub is_reporting: bool,
 }
 
 /// A `NodeGroup` is a process's view of the group; its clones share it.
@@ -69,6 +74,7 @@
         };
         let membership = MembershipOptions {
             seeds: options.seeds,
+            is_reporting: options.is_reporting,
             ..MembershipOptions::default()
         };
         let peer_options = PeerOptions::builder()
@@ -119,6 +125,12 @@
             .map(|peers| PeerSnapshot::clone(&peers.snapshot()))
     }
 
+    /// Gets what was sent to and heard from peers; none where the process takes no part.
+    #[must_use]
+    pub fn traffic(&self) -> Option<PeerTraffic> {
+        self.peers.as_ref().map(|peers| peers.snapshot().traffic)
+    }
+
     /// Gets the members of a role that take work.
     #[must_use]
     pub fn working(&self, role: MemberRole) -> Vec<MemberView> {
@@ -147,6 +159,19 @@
         }
     }
 
+    /// Tells the group that the store answered this process.
+    pub fn note_store_answer(&self) {
+        if let Some(peers) = &self.peers {
+            peers.note_store_answer();
+        }
+    }
+
+    /// Gets the time since the store last answered another member; none where nobody said so.
+    #[must_use]
+    pub fn since_store_answer(&self) -> Option<TimeSpan> {
+        self.peers.as_ref().and_then(PeerHandle::since_store_answer)
+    }
+
     /// Tells the group that this process leaves.
     pub async fn announce_leaving(&self) {
         if let Some(peers) = &self.peers {
@@ -171,9 +196,11 @@
 }
 
 fn config_access(config: &ConfigHandle) -> ConfigAccess {
-    let (objects, accept, listed) = (config.clone(), config.clone(), config.clone());
+    let (stamps, objects) = (config.clone(), config.clone());
+    let (accept, listed) = (config.clone(), config.clone());
     ConfigAccess::builder()
-        .objects(move || objects.objects())
+        .stamps(move || stamps.stamps())
+        .look_up(move |key| objects.object(key))
         .accept(move |news| accept.accept(news))
         .is_listed(move || listed.complete_at().is_some())
         .changed(config.changed())
--- a/alderhaven-peer/examples/member-slopes/loopback_group.rs
+++ b/alderhaven-peer/examples/member-slopes/loopback_group.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use alderhaven_core::ids::IncarnationNumber;
-use alderhaven_peer::peer_handle::{PeerHandle, PeerTraffic};
+use alderhaven_peer::peer_handle::PeerHandle;
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
+use alderhaven_peer::peer_traffic::{MessageKind, PeerTraffic};
 use alderhaven_policy::membership::member_record::{MemberRole, MemberState};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
 use tokio::runtime::Builder;
@@ -101,8 +102,12 @@
     fn traffic(&self) -> (u64, u64) {
         let traffic = self.handles.iter().map(|handle| handle.snapshot().traffic);
         traffic.fold((0, 0), |(datagrams, bytes), traffic: PeerTraffic| {
-            let count = traffic.datagrams_sent + traffic.datagrams_received;
-            let size = traffic.bytes_sent + traffic.bytes_received + count * HEADER_BYTES;
+            let kinds = [MessageKind::Probe, MessageKind::News, MessageKind::Sync];
+            let sent = kinds.map(|kind| traffic.sent_of(kind));
+            let messages: u64 = sent.iter().map(|count| count.messages).sum();
+            let sizes = sent.iter().map(|count| count.near_bytes + count.far_bytes);
+            let count = messages + traffic.datagrams_received;
+            let size = sizes.sum::<u64>() + traffic.bytes_received + count * HEADER_BYTES;
             (datagrams + count, bytes + size)
         })
     }
@@ -119,7 +124,8 @@
 
 fn no_config() -> ConfigAccess {
     ConfigAccess::builder()
-        .objects(Vec::new)
+        .stamps(Vec::new)
+        .look_up(|_| None)
         .accept(drop)
         .is_listed(|| true)
         .changed(watch::Sender::new(0).subscribe())
--- a/alderhaven-peer/examples/member-slopes/passed_time_group.rs
+++ b/alderhaven-peer/examples/member-slopes/passed_time_group.rs
@@ -10,9 +10,10 @@
 use alderhaven_peer::exchange_messages::ExchangeFrame;
 use alderhaven_peer::gossip_messages;
 use alderhaven_policy::config_registry::ConfigRegistry;
-use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep};
+use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep, ObjectStamp};
 use alderhaven_policy::exchange::exchange_options::ExchangeOptions;
 use alderhaven_policy::exchange::object_exchange::ObjectExchange;
+use alderhaven_policy::exchange::peer_set::PeerSet;
 use alderhaven_policy::membership::gossip_message::OutgoingMessage;
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::{
@@ -73,7 +74,7 @@
     is_running: bool,
     /// When the process ticks within a step; processes do not tick together.
     phase: TimeSpan,
-    peers: Vec<NodeId>,
+    peers: PeerSet,
     revision: u64,
 }
 
@@ -145,7 +146,7 @@
             registry: ConfigRegistry::default(),
             is_running: true,
             phase: TimeSpan::from_micros(rng.random_range(0..STEP.as_micros())),
-            peers: Vec::new(),
+            peers: PeerSet::default(),
             revision: 0,
         }
     }
@@ -156,11 +157,7 @@
             return;
         }
         self.revision = self.membership.revision();
-        let others = self.membership.members().into_iter().skip(1);
-        self.peers = others
-            .filter(|member| member.state != MemberState::Dead)
-            .map(|member| member.record.node.clone())
-            .collect();
+        self.peers = PeerSet::of_members(&self.membership.members());
     }
 }
 
@@ -326,9 +323,11 @@
         for watcher in 0..WATCHERS.min(self.processes.len()) {
             let process = &mut self.processes[watcher];
             process.exchange.complete();
-            let step = process
-                .exchange
-                .accept(objects.clone(), &process.peers, &mut self.rng);
+            for object in &objects {
+                process.registry.accept(object.clone());
+            }
+            let stamps = objects.iter().map(ObjectStamp::from).collect();
+            let step = process.exchange.hold(stamps, &process.peers, &mut self.rng);
             self.carry_out(watcher, step);
         }
     }
@@ -450,7 +449,13 @@
                 self.traffic.bytes += bytes.len() + HEADER_BYTES;
                 let message = gossip_messages::decode(&bytes).expect("it was encoded here");
                 let sender = &message.sender;
-                process.exchange.hear_digest(&sender.node, sender.config);
+                process.exchange.hear_digest(
+                    &sender.node,
+                    sender.config,
+                    &process.peers,
+                    self.now,
+                    &mut self.rng,
+                );
                 let from = address(packet.from);
                 let outgoing = process
                     .membership
@@ -466,12 +471,7 @@
                 let step = process.exchange.receive(
                     &node_id(packet.from),
                     message,
-                    |key| {
-                        registry
-                            .objects()
-                            .find(|object| object.key == *key)
-                            .cloned()
-                    },
+                    |key| registry.object(key).cloned(),
                     &process.peers,
                     self.now,
                     &mut self.rng,
--- a/alderhaven-peer/src/connection.rs
+++ b/alderhaven-peer/src/connection.rs
@@ -21,8 +21,10 @@
 
 /// The most messages that one write carries; enough for all attempts of a query.
 const WRITE_BATCH: usize = 256;
-/// The first capacity of the write buffer, in bytes.
+/// The most bytes that a write buffer keeps between two writes.
 const WRITE_BUFFER: usize = 64 << 10;
+/// The first capacity of the read buffer, in bytes.
+const READ_BUFFER: usize = 8 << 10;
 /// The time after which a peer that takes no bytes is given up.
 ///
 /// A connection whose path lost track of it accepts no more bytes once the kernel's buffer is full.
@@ -78,7 +80,7 @@
     let (read_half, write_half) = stream.into_split();
     let (sender, queue) = mpsc::unbounded_channel();
     tokio::spawn(write_frames(write_half, queue));
-    let reader = FramedRead::with_capacity(read_half, FrameCodec::default(), WRITE_BUFFER);
+    let reader = FramedRead::with_capacity(read_half, FrameCodec::default(), READ_BUFFER);
     Ok((FrameSender { queue: sender }, reader))
 }
 
@@ -111,16 +113,25 @@
     }
 }
 
+/// Empties a buffer, and gives back one that a large message has stretched: a node has dozens of
+/// connections, and a large configuration crosses each of them once.
+fn clear_buffer(buffer: &mut BytesMut) {
+    if buffer.capacity() > WRITE_BUFFER {
+        *buffer = BytesMut::new();
+    } else {
+        buffer.clear();
+    }
+}
+
 async fn write_frames(
     mut write_half: OwnedWriteHalf,
     mut queue: mpsc::UnboundedReceiver<PeerMessage>,
 ) {
     let mut messages = Vec::with_capacity(WRITE_BATCH);
-    let mut buffer = BytesMut::with_capacity(WRITE_BUFFER);
+    let mut buffer = BytesMut::new();
     let mut codec = FrameCodec::default();
     // All messages that wait go out in one write: under load a system call carries many frames.
     while queue.recv_many(&mut messages, WRITE_BATCH).await > 0 {
-        buffer.clear();
         for message in messages.drain(..) {
             if codec.encode(message, &mut buffer).is_err() {
                 return;
@@ -130,5 +141,6 @@
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return,
         }
+        clear_buffer(&mut buffer);
     }
 }
--- a/alderhaven-peer/src/exchange_links.rs
+++ b/alderhaven-peer/src/exchange_links.rs
@@ -71,15 +71,9 @@
 
     /// Sends a message over the peer's connection, or opens one where the address is known. A
     /// message that finds no room is dropped: the exchange asks again.
-    pub(crate) fn send(
-        &mut self,
-        peer: NodeId,
-        address: Option<SocketAddr>,
-        message: ExchangeMessage,
-    ) {
+    pub(crate) fn send(&mut self, peer: NodeId, address: Option<SocketAddr>, message: PeerMessage) {
         self.links.retain(|_, link| !link.queue.is_closed());
         self.touch(&peer);
-        let message = PeerMessage::Exchange(message.into());
         if let Some(link) = self.links.get(&peer) {
             let _is_queued = link.queue.try_send(message).is_ok();
             return;
--- a/alderhaven-peer/src/gossip_messages.rs
+++ b/alderhaven-peer/src/gossip_messages.rs
@@ -6,12 +6,14 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
 use alderhaven_core::ids::{IncarnationNumber, NodeId, StoreVersion};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::membership::gossip_message::{
     GossipBody, GossipMessage, MemberUpdate, ReportGroup, SenderHeader,
 };
 use alderhaven_policy::membership::member_record::{
     ConfigDigest, CpuCapacity, LoadLevel, MemberRecord, MemberRole, MemberState, MemberVersion,
 };
+use alderhaven_policy::membership::store_sighting::StoreSighting;
 use prost::Message;
 
 use crate::frames::PROTOCOL_VERSION;
@@ -48,6 +50,16 @@
     config: Option<DigestWire>,
     #[prost(fixed64, tag = "7")]
     view: u64,
+    #[prost(message, optional, tag = "8")]
+    sighting: Option<SightingWire>,
+}
+
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct SightingWire {
+    #[prost(fixed32, tag = "1")]
+    origin: u32,
+    #[prost(uint32, tag = "2")]
+    age_ms: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -216,6 +228,7 @@
         load: sender.load.0,
         config: Some(digest_to_wire(sender.config)),
         view: sender.view,
+        sighting: sender.sighting.map(sighting_to_wire),
     }
 }
 
@@ -227,9 +240,24 @@
         load: LoadLevel(wire.load),
         config: digest_from_wire(wire.config),
         view: wire.view,
+        sighting: wire.sighting.map(sighting_from_wire),
     })
 }
 
+fn sighting_to_wire(sighting: StoreSighting) -> SightingWire {
+    SightingWire {
+        origin: sighting.origin,
+        age_ms: u32::try_from(sighting.age.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn sighting_from_wire(wire: SightingWire) -> StoreSighting {
+    StoreSighting {
+        origin: wire.origin,
+        age: TimeSpan::from_millis(u64::from(wire.age_ms)),
+    }
+}
+
 fn body_to_wire(body: GossipBody) -> BodyWire {
     match body {
         GossipBody::News => BodyWire::News(NewsWire {}),
--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod peer_handle;
 pub mod peer_node;
 pub mod peer_options;
+pub mod peer_traffic;
 pub mod strike_board;
 pub mod strike_frames;
--- a/alderhaven-peer/src/peer_driver.rs
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -1,17 +1,18 @@
 //! The task that carries membership and exchange over the network.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use alderhaven_core::config_object::{ObjectKey, StoredObject};
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep};
 use alderhaven_policy::exchange::object_exchange::ObjectExchange;
+use alderhaven_policy::exchange::peer_set::PeerSet;
 use alderhaven_policy::membership::gossip_message::OutgoingMessage;
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::MemberState;
@@ -22,9 +23,11 @@
 use tokio::time::{self, MissedTickBehavior};
 
 use crate::exchange_links::{ExchangeLinks, LinkEvent};
+use crate::frames::PeerMessage;
 use crate::gossip_messages;
-use crate::peer_handle::{PeerCommand, PeerSnapshot, PeerTraffic, SharedPeers};
+use crate::peer_handle::{PeerCommand, PeerSnapshot, SharedPeers};
 use crate::peer_options::ConfigAccess;
+use crate::peer_traffic::{MessageKind, PeerTraffic};
 
 /// The time between two ticks.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
@@ -49,7 +52,6 @@
     socket: UdpSocket,
     config: ConfigAccess,
     shared: Arc<SharedPeers>,
-    #[builder(default)]
     clock: ProcessClock,
     #[builder(default = StdRng::from_rng(&mut rand::rng()))]
     rng: StdRng,
@@ -59,7 +61,10 @@
     #[builder(default)]
     addresses: BTreeMap<NodeId, SocketAddr>,
     #[builder(default)]
-    peers: Vec<NodeId>,
+    peers: PeerSet,
+    /// The addresses of the members in the process's own failure domain.
+    #[builder(default)]
+    near: BTreeSet<SocketAddr>,
     #[builder(default)]
     revision: u64,
     #[builder(default)]
@@ -121,10 +126,15 @@
             self.traffic.malformed += 1;
             return;
         };
-        self.exchange
-            .hear_digest(&message.sender.node, message.sender.config);
         let now = self.clock.now();
+        let (node, config) = (&message.sender.node, message.sender.config);
+        self.exchange
+            .hear_digest(node, config, &self.peers, now, &mut self.rng);
         let outgoing = self.membership.receive(from, message, now, &mut self.rng);
+        if let Some(answered_at) = self.membership.store_answered_other() {
+            let micros = answered_at.as_micros();
+            self.shared.store_answer.store(micros, Ordering::Relaxed);
+        }
         self.send_all(outgoing).await;
     }
 
@@ -142,14 +152,10 @@
     }
 
     fn hear_exchange(&mut self, peer: &NodeId, message: ExchangeMessage) {
-        let held = match &message {
-            ExchangeMessage::Fetch { keys } => objects_by_key((self.config.objects)(), keys),
-            _ => BTreeMap::new(),
-        };
         let step = self.exchange.receive(
             peer,
             message,
-            |key| held.get(key).cloned(),
+            &self.config.look_up,
             &self.peers,
             self.clock.now(),
             &mut self.rng,
@@ -159,15 +165,10 @@
 
     /// Tells the exchange what the process holds.
     async fn read_config(&mut self) {
-        // Asked before the objects are read: a list that comes in between is not among them.
+        // Asked before the versions are read: a list that comes in between is not among them.
         let is_listed = (self.config.is_listed)();
-        let objects = (self.config.objects)();
-        let step = self.exchange.accept(objects, &self.peers, &mut self.rng);
-        // These objects are in force already.
-        let step = ExchangeStep {
-            accept: Vec::new(),
-            ..step
-        };
+        let stamps = (self.config.stamps)();
+        let step = self.exchange.hold(stamps, &self.peers, &mut self.rng);
         self.carry_out(step);
         if is_listed {
             self.exchange.complete();
@@ -180,17 +181,21 @@
             (self.config.accept)(step.accept);
         }
         for (peer, message) in step.send {
-            self.traffic.exchange_sent += 1;
+            let kind = MessageKind::of_exchange(&message);
+            let message = PeerMessage::Exchange(message.into());
             let address = self.addresses.get(&peer).copied();
+            let is_near = address.is_some_and(|address| self.near.contains(&address));
+            self.traffic.count(kind, message.encoded_len(), is_near);
             self.links.send(peer, address, message);
         }
     }
 
     async fn send_all(&mut self, outgoing: Vec<OutgoingMessage>) {
         for OutgoingMessage { to, message } in outgoing {
+            let kind = MessageKind::of_gossip(&message.body);
             let bytes = gossip_messages::encode(message);
-            self.traffic.datagrams_sent += 1;
-            self.traffic.bytes_sent += bytes.len() as u64;
+            self.traffic
+                .count(kind, bytes.len(), self.near.contains(&to));
             // A datagram that can't be sent is as good as lost, which the protocol allows for.
             let _is_sent = self.socket.send_to(&bytes, to).await.is_ok();
         }
@@ -201,6 +206,7 @@
         let now = self.clock.now();
         match command {
             PeerCommand::SetLoad(load) => self.membership.set_load(load),
+            PeerCommand::NoteStoreAnswer => self.membership.note_store_answer(now),
             PeerCommand::Leave(sent) => {
                 let outgoing = self.membership.announce_leaving(now, &mut self.rng);
                 self.send_all(outgoing).await;
@@ -242,7 +248,10 @@
             self.addresses = live
                 .map(|member| (member.record.node.clone(), member.record.gossip_address))
                 .collect();
-            self.peers = self.addresses.keys().cloned().collect();
+            self.peers = PeerSet::of_members(&members);
+            let near = self.addresses.iter();
+            let near = near.filter(|(node, _)| self.peers.is_near(node));
+            self.near = near.map(|(_, address)| *address).collect();
         }
         self.shared.snapshot.store(Arc::new(PeerSnapshot {
             members,
@@ -263,13 +272,3 @@
         std::future::pending::<()>().await;
     }
 }
-
-fn objects_by_key(
-    objects: Vec<StoredObject>,
-    keys: &[ObjectKey],
-) -> BTreeMap<ObjectKey, StoredObject> {
-    let wanted = objects
-        .into_iter()
-        .filter(|object| keys.contains(&object.key));
-    wanted.map(|object| (object.key.clone(), object)).collect()
-}
--- a/alderhaven-peer/src/peer_handle.rs
+++ b/alderhaven-peer/src/peer_handle.rs
@@ -2,13 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::membership::member_entry::MemberView;
 use alderhaven_policy::membership::member_record::{ConfigDigest, LoadLevel, MemberState};
 use arc_swap::ArcSwap;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::peer_traffic::PeerTraffic;
+
 /// A `PeerHandle` reads what a process knows of its peers; its clones share it.
 #[derive(Clone, Debug)]
 pub struct PeerHandle {
@@ -21,6 +26,9 @@
     pub(crate) changed: watch::Sender<u64>,
     pub(crate) commands: mpsc::UnboundedSender<PeerCommand>,
     pub(crate) gossip_address: SocketAddr,
+    pub(crate) clock: ProcessClock,
+    /// When the store last answered another member, in microseconds of the clock; 0 for never.
+    pub(crate) store_answer: AtomicU64,
 }
 
 /// A `PeerSnapshot` is what is known of the peers at one time, also as part of a dump.
@@ -42,25 +50,6 @@
     pub traffic: PeerTraffic,
 }
 
-/// A `PeerTraffic` counts since the start of the process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct PeerTraffic {
-    /// The datagrams sent.
-    pub datagrams_sent: u64,
-    /// The bytes of the datagrams sent.
-    pub bytes_sent: u64,
-    /// The datagrams received.
-    pub datagrams_received: u64,
-    /// The bytes of the datagrams received.
-    pub bytes_received: u64,
-    /// The datagrams that could not be read.
-    pub malformed: u64,
-    /// The exchange's messages sent.
-    pub exchange_sent: u64,
-    /// The exchange's messages received.
-    pub exchange_received: u64,
-}
-
 /// A `PeerCommand` is what other parts of the process ask.
 #[derive(Debug)]
 pub(crate) enum PeerCommand {
@@ -70,6 +59,8 @@
     End(oneshot::Sender<()>),
     /// Tell how busy the process is.
     SetLoad(LoadLevel),
+    /// Tell that the store answered this process.
+    NoteStoreAnswer,
 }
 
 impl PeerSnapshot {
@@ -111,6 +102,19 @@
         self.command(PeerCommand::SetLoad(load));
     }
 
+    /// Tells the others that the store answered this process.
+    pub fn note_store_answer(&self) {
+        self.command(PeerCommand::NoteStoreAnswer);
+    }
+
+    /// Gets the time since the store last answered another member; none where nobody said so.
+    #[must_use]
+    pub fn since_store_answer(&self) -> Option<TimeSpan> {
+        let micros = self.shared.store_answer.load(Ordering::Relaxed);
+        let now = self.shared.clock.now();
+        (micros > 0).then(|| now.since(TimePoint::from_micros(micros)))
+    }
+
     /// Announces that this process leaves; returns once that was sent.
     pub async fn announce_leaving(&self) {
         let (sent, is_sent) = oneshot::channel();
--- a/alderhaven-peer/src/peer_node.rs
+++ b/alderhaven-peer/src/peer_node.rs
@@ -3,8 +3,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use alderhaven_core::ids::IncarnationNumber;
+use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_policy::exchange::object_exchange::ObjectExchange;
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::{MemberRecord, MemberVersion};
@@ -58,6 +60,8 @@
             changed: watch::Sender::new(0),
             commands: command_sender,
             gossip_address,
+            clock: ProcessClock::default(),
+            store_answer: AtomicU64::new(0),
         });
         let driver = PeerDriver::builder()
             .membership(GroupMembership::new(record, version, options.membership))
@@ -66,6 +70,7 @@
             .socket(socket)
             .config(config)
             .shared(Arc::clone(&shared))
+            .clock(shared.clock)
             .build();
         tokio::spawn(driver.run(listener, events, commands));
         Ok(PeerHandle { shared })
--- a/alderhaven-peer/src/peer_options.rs
+++ b/alderhaven-peer/src/peer_options.rs
@@ -3,8 +3,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use alderhaven_core::config_object::StoredObject;
+use alderhaven_core::config_object::{ObjectKey, StoredObject};
 use alderhaven_core::ids::{FailureDomain, HostId, IncarnationNumber, NodeId};
+use alderhaven_policy::exchange::exchange_message::ObjectStamp;
 use alderhaven_policy::exchange::exchange_options::ExchangeOptions;
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
@@ -42,12 +43,18 @@
     pub exchange: ExchangeOptions,
 }
 
+/// An `ObjectLookup` gets one object that the process holds.
+pub type ObjectLookup = Box<dyn Fn(&ObjectKey) -> Option<StoredObject> + Send>;
+
 /// A `ConfigAccess` is how the exchange reaches the configuration of its process.
 #[derive(bon::Builder)]
 pub struct ConfigAccess {
-    /// Gets all objects that the process knows, tombstones included.
-    #[builder(with = |objects: impl Fn() -> Vec<StoredObject> + Send + 'static| Box::new(objects))]
-    pub(crate) objects: Box<dyn Fn() -> Vec<StoredObject> + Send>,
+    /// Gets the versions of all objects that the process knows, tombstones included.
+    #[builder(with = |stamps: impl Fn() -> Vec<ObjectStamp> + Send + 'static| Box::new(stamps))]
+    pub(crate) stamps: Box<dyn Fn() -> Vec<ObjectStamp> + Send>,
+    /// Gets one object for a peer that wants it.
+    #[builder(with = |look_up: impl Fn(&ObjectKey) -> Option<StoredObject> + Send + 'static| Box::new(look_up))]
+    pub(crate) look_up: ObjectLookup,
     /// Puts objects that a peer sent in force.
     #[builder(with = |accept: impl Fn(Vec<StoredObject>) + Send + 'static| Box::new(accept))]
     pub(crate) accept: Box<dyn Fn(Vec<StoredObject>) + Send>,
--- a/alderhaven-peer/tests/gossip_messages.rs
+++ b/alderhaven-peer/tests/gossip_messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use alderhaven_core::ids::{IncarnationNumber, NodeId, StoreVersion};
+use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::gossip_messages;
 use alderhaven_peer::malformed_message::MalformedMessage;
 use alderhaven_policy::membership::gossip_message::{
@@ -12,6 +13,7 @@
 use alderhaven_policy::membership::member_record::{
     ConfigDigest, CpuCapacity, LoadLevel, MemberRecord, MemberRole, MemberState, MemberVersion,
 };
+use alderhaven_policy::membership::store_sighting::StoreSighting;
 use proptest::option;
 use proptest::prelude::{
     Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest,
@@ -45,15 +47,19 @@
 }
 
 fn header() -> impl Strategy<Value = SenderHeader> {
-    let numbers = any::<(bool, u32, u64)>();
+    let numbers = any::<(bool, u32, u64, Option<(u32, u32)>)>();
     (node(), version(), digest(), numbers).prop_map(
-        |(node, version, config, (leaving, load, view))| SenderHeader {
+        |(node, version, config, (leaving, load, view, sighting))| SenderHeader {
             node,
             version,
             leaving,
             load: LoadLevel(load),
             config,
             view,
+            sighting: sighting.map(|(origin, age)| StoreSighting {
+                origin,
+                age: TimeSpan::from_millis(u64::from(age)),
+            }),
         },
     )
 }
--- a/alderhaven-peer/tests/peer_node.rs
+++ b/alderhaven-peer/tests/peer_node.rs
@@ -11,7 +11,7 @@
 use alderhaven_peer::peer_handle::{PeerHandle, PeerSnapshot};
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
-use alderhaven_policy::exchange::exchange_message::ExchangeMessage;
+use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ObjectStamp};
 use alderhaven_policy::membership::member_record::{MemberRole, MemberState};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
 use tokio::net::TcpStream;
@@ -50,9 +50,11 @@
     }
 
     fn access(&self) -> ConfigAccess {
-        let (reader, writer, is_listed) = (self.clone(), self.clone(), self.is_listed);
+        let (stamps, objects) = (self.clone(), self.clone());
+        let (writer, is_listed) = (self.clone(), self.is_listed);
         ConfigAccess::builder()
-            .objects(move || reader.held())
+            .stamps(move || stamps.held().iter().map(ObjectStamp::from).collect())
+            .look_up(move |key| objects.held().into_iter().find(|held| held.key == *key))
             .accept(move |objects| writer.accept(objects))
             .is_listed(move || is_listed)
             .changed(self.changed.subscribe())
--- a/alderhaven-policy/src/config_registry.rs
+++ b/alderhaven-policy/src/config_registry.rs
@@ -101,6 +101,12 @@
         self.newest.values()
     }
 
+    /// Gets the newest version of an object, a tombstone included.
+    #[must_use]
+    pub fn object(&self, key: &ObjectKey) -> Option<&StoredObject> {
+        self.newest.get(key)
+    }
+
     /// Gets the objects that did not check, by key.
     #[must_use]
     pub const fn rejected(&self) -> &BTreeMap<ObjectKey, RejectedObject> {
--- a/alderhaven-policy/src/exchange.rs
+++ b/alderhaven-policy/src/exchange.rs
@@ -12,4 +12,5 @@
 mod fetching;
 pub mod object_exchange;
 pub mod object_index;
+pub mod peer_set;
 pub mod watch_plan;
--- a/alderhaven-policy/src/exchange/exchange_message.rs
+++ b/alderhaven-policy/src/exchange/exchange_message.rs
@@ -12,6 +12,15 @@
     pub version: StoreVersion,
 }
 
+impl From<&StoredObject> for ObjectStamp {
+    fn from(object: &StoredObject) -> Self {
+        Self {
+            key: object.key.clone(),
+            version: object.version,
+        }
+    }
+}
+
 /// An `ExchangeMessage` is the closed set of messages.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ExchangeMessage {
--- a/alderhaven-policy/src/exchange/fetching.rs
+++ b/alderhaven-policy/src/exchange/fetching.rs
@@ -9,6 +9,7 @@
 
 use crate::exchange::exchange_message::{ExchangeMessage, ExchangeStep, ObjectStamp};
 use crate::exchange::object_exchange::{self, MissingObject, ObjectExchange};
+use crate::exchange::peer_set::PeerSet;
 
 /// How often an object is asked for before it is left to the next comparison.
 const MAX_TRIES: u32 = 3;
@@ -69,7 +70,7 @@
         &mut self,
         from: &NodeId,
         objects: Vec<StoredObject>,
-        peers: &[NodeId],
+        peers: &PeerSet,
         now: TimePoint,
         rng: &mut impl Rng,
         step: &mut ExchangeStep,
@@ -99,7 +100,7 @@
     /// Asks elsewhere for what was not answered.
     pub(super) fn retry(
         &mut self,
-        peers: &[NodeId],
+        peers: &PeerSet,
         now: TimePoint,
         rng: &mut impl Rng,
         step: &mut ExchangeStep,
@@ -115,9 +116,8 @@
             }
             missing.tries += 1;
             missing.asked_at = now;
-            let Some(peer) =
-                object_exchange::pick(peers, None, rng).filter(|_| missing.tries <= MAX_TRIES)
-            else {
+            let peer = peers.pick(rng).filter(|_| missing.tries <= MAX_TRIES);
+            let Some(peer) = peer.cloned() else {
                 return false;
             };
             missing.source = peer.clone();
--- a/alderhaven-policy/src/exchange/object_exchange.rs
+++ b/alderhaven-policy/src/exchange/object_exchange.rs
@@ -5,12 +5,13 @@
 use alderhaven_core::config_object::{ObjectKey, StoredObject};
 use alderhaven_core::ids::{NodeId, StoreVersion};
 use alderhaven_core::time::TimePoint;
-use rand::{Rng, RngExt};
+use rand::Rng;
 use smallvec::SmallVec;
 
 use crate::exchange::exchange_message::{ExchangeMessage, ExchangeStep, ObjectStamp};
 use crate::exchange::exchange_options::ExchangeOptions;
 use crate::exchange::object_index::{INDEX_BUCKETS, ObjectIndex};
+use crate::exchange::peer_set::PeerSet;
 use crate::membership::member_record::ConfigDigest;
 
 /// An `ObjectExchange` decides what to announce, what to ask for and what to put in force.
@@ -26,6 +27,8 @@
     pub(super) fetching: BTreeMap<NodeId, TimePoint>,
     pub(super) comparison: Option<OpenComparison>,
     differing: Option<NodeId>,
+    /// Since when peers have been heard that hold more than this node.
+    behind_since: Option<TimePoint>,
     compare_at: TimePoint,
     is_complete: bool,
 }
@@ -58,6 +61,7 @@
             fetching: BTreeMap::new(),
             comparison: None,
             differing: None,
+            behind_since: None,
             compare_at: TimePoint::START,
             is_complete: false,
         }
@@ -76,7 +80,7 @@
         self.is_complete
     }
 
-    /// Notes that the store was listed, so that all it holds was given to [`accept`](Self::accept).
+    /// Notes that the store was listed, so that all it holds was given to [`hold`](Self::hold).
     pub const fn complete(&mut self) {
         self.is_complete = true;
     }
@@ -87,37 +91,48 @@
         self.missing.len()
     }
 
-    /// Takes objects that came from the store; returns those that are new, and their
-    /// announcements.
-    pub fn accept(
+    /// Takes the versions of the objects that the node holds by itself, which are in force already;
+    /// returns the announcements of those that are new.
+    pub fn hold(
         &mut self,
-        objects: Vec<StoredObject>,
-        peers: &[NodeId],
+        stamps: Vec<ObjectStamp>,
+        peers: &PeerSet,
         rng: &mut impl Rng,
     ) -> ExchangeStep {
         let mut step = ExchangeStep::default();
-        let mut stamps = Vec::new();
-        for object in objects {
-            if let Some(stamp) = self.take(object, &mut step) {
-                stamps.push(stamp);
-            }
-        }
+        let is_new = |stamp: &ObjectStamp| self.note_held(stamp);
+        let stamps: Vec<ObjectStamp> = stamps.into_iter().filter(is_new).collect();
         self.announce(&stamps, self.options.max_hops, None, peers, rng, &mut step);
         step
     }
 
     /// Takes the digest that a peer says it holds.
     ///
-    /// Only the one that is not ahead asks: it then is ahead in turn, and the other asks it.
-    pub fn hear_digest(&mut self, peer: &NodeId, digest: ConfigDigest) {
+    /// Only the one that is not ahead asks: it then is ahead in turn, and the other asks it. News comes
+    /// into a domain in a few copies and goes around there; a node that it has not reached after that
+    /// asks whoever has it.
+    pub fn hear_digest(
+        &mut self,
+        peer: &NodeId,
+        digest: ConfigDigest,
+        peers: &PeerSet,
+        now: TimePoint,
+        rng: &mut impl Rng,
+    ) {
         let own = self.digest();
-        if digest.hash != own.hash && digest.progress >= own.progress {
-            self.differing = Some(peer.clone());
+        if digest.hash == own.hash {
+            self.behind_since = None;
+        } else if digest.progress >= own.progress {
+            let since = *self.behind_since.get_or_insert(now);
+            let is_patient = now.since(since) < self.options.near_patience;
+            if !is_patient || peers.is_asked(peer, rng) {
+                self.differing = Some(peer.clone());
+            }
         }
     }
 
     /// Does what is due; to be called several times a second.
-    pub fn tick(&mut self, peers: &[NodeId], now: TimePoint, rng: &mut impl Rng) -> ExchangeStep {
+    pub fn tick(&mut self, peers: &PeerSet, now: TimePoint, rng: &mut impl Rng) -> ExchangeStep {
         let mut step = ExchangeStep::default();
         self.retry(peers, now, rng, &mut step);
         let timeout = self.options.answer_timeout;
@@ -130,7 +145,7 @@
         }
         let peer = match self.differing.take() {
             Some(peer) if peers.contains(&peer) => Some(peer),
-            _ if !self.is_complete => pick(peers, None, rng),
+            _ if !self.is_complete => peers.pick(rng).cloned(),
             _ => None,
         };
         if let Some(peer) = peer {
@@ -146,7 +161,7 @@
         from: &NodeId,
         message: ExchangeMessage,
         look_up: impl Fn(&ObjectKey) -> Option<StoredObject>,
-        peers: &[NodeId],
+        peers: &PeerSet,
         now: TimePoint,
         rng: &mut impl Rng,
     ) -> ExchangeStep {
@@ -163,7 +178,13 @@
                 next,
                 is_complete,
             } => {
-                self.want(from, &stamps, 0, now, &mut step);
+                // What comes from beyond is news to the own domain.
+                let hops = if peers.is_near(from) {
+                    0
+                } else {
+                    self.options.max_hops
+                };
+                self.want(from, &stamps, hops, now, &mut step);
                 self.hear_stamps(from, next, is_complete, now, &mut step);
             }
             ExchangeMessage::Fetch { keys } => {
@@ -185,40 +206,59 @@
         object: StoredObject,
         step: &mut ExchangeStep,
     ) -> Option<ObjectStamp> {
-        if !is_configuration(&object.key) || !self.index.insert(&object.key, object.version) {
+        let stamp = ObjectStamp::from(&object);
+        if !self.note_held(&stamp) {
             return None;
         }
-        let is_found = |missing: &MissingObject| missing.version <= object.version;
-        if self.missing.get(&object.key).is_some_and(is_found) {
-            self.missing.remove(&object.key);
-        }
-        let stamp = ObjectStamp {
-            key: object.key.clone(),
-            version: object.version,
-        };
         step.accept.push(object);
         Some(stamp)
     }
 
+    /// Notes that a version is held; returns true where it is newer than what was.
+    fn note_held(&mut self, stamp: &ObjectStamp) -> bool {
+        if !is_configuration(&stamp.key) || !self.index.insert(&stamp.key, stamp.version) {
+            return false;
+        }
+        self.behind_since = None;
+        let is_found = |missing: &MissingObject| missing.version <= stamp.version;
+        if self.missing.get(&stamp.key).is_some_and(is_found) {
+            self.missing.remove(&stamp.key);
+        }
+        true
+    }
+
     pub(super) fn announce(
         &self,
         stamps: &[ObjectStamp],
         hops: u32,
         without: Option<&NodeId>,
-        peers: &[NodeId],
+        peers: &PeerSet,
         rng: &mut impl Rng,
         step: &mut ExchangeStep,
     ) {
         if hops == 0 {
             return;
         }
-        let mut told: SmallVec<[NodeId; 4]> = SmallVec::new();
-        for _ in 0..self.options.fanout {
-            if let Some(peer) = pick(peers, without, rng)
-                && !told.contains(&peer)
+        let mut told: SmallVec<[NodeId; 6]> = SmallVec::new();
+        let mut tell = |peer: Option<&NodeId>| {
+            if let Some(peer) = peer
+                && without != Some(peer)
+                && !told.contains(peer)
             {
-                told.push(peer);
+                told.push(peer.clone());
             }
+        };
+        for _ in 0..self.options.fanout {
+            tell(peers.pick(rng));
+        }
+        // What comes from the store is new to all domains.
+        let far = if without.is_none() {
+            self.options.far_fanout
+        } else {
+            0
+        };
+        for _ in 0..far {
+            tell(peers.pick_far(rng));
         }
         for (peer, stamps) in told.iter().flat_map(|peer| {
             stamps
@@ -314,15 +354,3 @@
 pub(super) fn is_configuration(key: &ObjectKey) -> bool {
     key.kind.is_exchanged()
 }
-
-pub(super) fn pick(
-    peers: &[NodeId],
-    without: Option<&NodeId>,
-    rng: &mut impl Rng,
-) -> Option<NodeId> {
-    if peers.is_empty() {
-        return None;
-    }
-    let peer = &peers[rng.random_range(0..peers.len())];
-    (without != Some(peer)).then(|| peer.clone())
-}
--- /dev/null
+++ b/alderhaven-policy/src/exchange/peer_set.rs
@@ -0,0 +1,93 @@
+//! The peers of the exchange, by whether they are in the node's own failure domain.
+
+use alderhaven_core::ids::NodeId;
+use rand::{Rng, RngExt};
+
+use crate::domain_reach::DomainReach;
+use crate::membership::member_entry::MemberView;
+use crate::membership::member_record::MemberState;
+
+/// How many announcements a domain as a whole sends beyond for each that every node of it makes.
+const FAR_COPIES: f64 = 1.5;
+
+/// A `PeerSet` holds the peers that a node exchanges objects with.
+#[derive(Clone, Debug, Default)]
+pub struct PeerSet {
+    near: Vec<NodeId>,
+    far: Vec<NodeId>,
+}
+
+impl PeerSet {
+    /// Returns the set of the peers in the node's own failure domain and of all others.
+    #[must_use]
+    pub fn new(mut near: Vec<NodeId>, mut far: Vec<NodeId>) -> Self {
+        near.sort_unstable();
+        far.sort_unstable();
+        Self { near, far }
+    }
+
+    /// Returns the peers among a group's members, of which the first is the process itself.
+    #[must_use]
+    pub fn of_members(members: &[MemberView]) -> Self {
+        let Some((own, others)) = members.split_first() else {
+            return Self::default();
+        };
+        let live = others
+            .iter()
+            .filter(|member| member.state != MemberState::Dead);
+        let (near, far): (Vec<_>, Vec<_>) =
+            live.partition(|member| member.record.domain == own.record.domain);
+        let ids = |members: Vec<&MemberView>| {
+            let ids = members.into_iter().map(|member| member.record.node.clone());
+            ids.collect()
+        };
+        Self::new(ids(near), ids(far))
+    }
+
+    /// Returns true where the node is one of the peers.
+    #[must_use]
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.is_near(node) || self.far.binary_search(node).is_ok()
+    }
+
+    /// Draws a peer, mostly of the own domain.
+    pub fn pick(&self, rng: &mut impl Rng) -> Option<&NodeId> {
+        let peers = if self.reach().is_far(FAR_COPIES, rng) {
+            &self.far
+        } else {
+            &self.near
+        };
+        pick_of(peers, rng)
+    }
+
+    /// Draws a peer of another domain.
+    pub fn pick_far(&self, rng: &mut impl Rng) -> Option<&NodeId> {
+        pick_of(&self.far, rng)
+    }
+
+    /// Draws whether to ask a peer that holds more: one of the own domain always, and one beyond as
+    /// often as announcements go there, so that news comes into a domain in a few copies.
+    pub fn is_asked(&self, node: &NodeId, rng: &mut impl Rng) -> bool {
+        self.is_near(node) || self.reach().is_far(FAR_COPIES, rng)
+    }
+
+    /// Returns true where the node is a peer in the own domain.
+    #[must_use]
+    pub fn is_near(&self, node: &NodeId) -> bool {
+        self.near.binary_search(node).is_ok()
+    }
+
+    const fn reach(&self) -> DomainReach {
+        DomainReach {
+            near: self.near.len(),
+            far: self.far.len(),
+        }
+    }
+}
+
+fn pick_of<'a>(peers: &'a [NodeId], rng: &mut impl Rng) -> Option<&'a NodeId> {
+    if peers.is_empty() {
+        return None;
+    }
+    peers.get(rng.random_range(0..peers.len()))
+}
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod connection_health;
 pub mod crash_strike;
 pub mod delivery_age;
+pub mod domain_reach;
 pub mod drain;
 mod drain_lifecycle;
 pub mod entry_answer;
--- a/alderhaven-policy/src/membership.rs
+++ b/alderhaven-policy/src/membership.rs
@@ -9,6 +9,7 @@
 //!
 //! Membership only decides where work is sent. Nothing that must be agreed rests on it.
 
+mod contact_list;
 pub mod gossip_message;
 pub mod group_membership;
 pub mod member_entry;
@@ -21,5 +22,6 @@
 pub mod report_board;
 mod spreading;
 mod state_sync;
+pub mod store_sighting;
 pub mod update_queue;
 mod upkeep;
--- a/alderhaven-policy/src/membership/gossip_message.rs
+++ b/alderhaven-policy/src/membership/gossip_message.rs
@@ -8,6 +8,7 @@
 use crate::membership::member_record::{
     ConfigDigest, LoadLevel, MemberRecord, MemberState, MemberVersion,
 };
+use crate::membership::store_sighting::StoreSighting;
 
 /// The number of hashes that a view is split into for comparison.
 pub const VIEW_BUCKETS: usize = 16;
@@ -62,6 +63,8 @@
     pub config: ConfigDigest,
     /// The hash of the sender's view of the members.
     pub view: u64,
+    /// When the store last answered anyone, as far as the sender knows.
+    pub sighting: Option<StoreSighting>,
 }
 
 /// A `GossipBody` is the closed set of what a message asks or answers.
--- a/alderhaven-policy/src/membership/group_membership.rs
+++ b/alderhaven-policy/src/membership/group_membership.rs
@@ -1,7 +1,6 @@
 //! The aggregate of all that one process knows of the others.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use alderhaven_core::ids::NodeId;
@@ -9,6 +8,7 @@
 use rand::Rng;
 
 use crate::hashing;
+use crate::membership::contact_list::{ContactList, MemberContact};
 use crate::membership::gossip_message::{MemberUpdate, OutgoingMessage, VIEW_BUCKETS};
 use crate::membership::member_entry::{self, MemberEntry, MemberView};
 use crate::membership::member_machine::MemberEvent;
@@ -19,6 +19,7 @@
 use crate::membership::probing::ProbeSchedule;
 use crate::membership::report_board::{self, ReportBoard};
 use crate::membership::state_sync::SyncSchedule;
+use crate::membership::store_sighting::SightingBoard;
 use crate::membership::update_queue::UpdateQueue;
 
 /// A `GroupMembership` is one process's view of all others, and the rules by which it changes.
@@ -37,9 +38,10 @@
     /// The suspected members, with how often each was asked by this process itself.
     pub(super) suspects: BTreeMap<NodeId, u32>,
     pub(super) graves: BTreeMap<NodeId, MemberVersion>,
-    pub(super) contacts: Vec<MemberContact>,
+    pub(super) contacts: ContactList,
     pub(super) queue: UpdateQueue,
     pub(super) board: ReportBoard,
+    pub(super) sightings: SightingBoard,
     pub(super) buckets: [u64; VIEW_BUCKETS],
     pub(super) probing: ProbeSchedule,
     pub(super) syncing: SyncSchedule,
@@ -52,17 +54,12 @@
     pub(super) reported_at: TimePoint,
     pub(super) reconnect_at: TimePoint,
     pub(super) ticked_at: Option<TimePoint>,
+    /// The latest time that was passed in.
+    pub(super) clock_at: TimePoint,
     pub(super) resumed_at: TimePoint,
     pub(super) forgot_at: TimePoint,
 }
 
-/// A `MemberContact` is a member that messages go to: any but the dead.
-#[derive(Clone, Debug)]
-pub(super) struct MemberContact {
-    pub(super) node: NodeId,
-    pub(super) address: SocketAddr,
-}
-
 impl GroupMembership {
     /// Returns the view of a process that has just started and knows nobody.
     ///
@@ -82,9 +79,10 @@
             members: BTreeMap::new(),
             suspects: BTreeMap::new(),
             graves: BTreeMap::new(),
-            contacts: Vec::new(),
+            contacts: ContactList::default(),
             queue: UpdateQueue::default(),
             board: ReportBoard::default(),
+            sightings: SightingBoard::default(),
             buckets: [0; VIEW_BUCKETS],
             probing: ProbeSchedule::default(),
             syncing: SyncSchedule::default(),
@@ -96,6 +94,7 @@
             reported_at: TimePoint::START,
             reconnect_at: TimePoint::START,
             ticked_at: None,
+            clock_at: TimePoint::START,
             resumed_at: TimePoint::START,
             forgot_at: TimePoint::START,
         };
@@ -110,6 +109,7 @@
         if self.own_state == MemberState::Dead {
             return outgoing;
         }
+        self.clock_at = now;
         self.notice_pause(now);
         self.end_suspicions(now, &mut outgoing);
         self.report_config(now);
@@ -154,6 +154,17 @@
         self.config = config;
     }
 
+    /// Notes that the store answered this process.
+    pub fn note_store_answer(&mut self, now: TimePoint) {
+        self.sightings.note_own(now);
+    }
+
+    /// Gets when the store last answered another member.
+    #[must_use]
+    pub fn store_answered_other(&self) -> Option<TimePoint> {
+        self.sightings.other()
+    }
+
     /// Gets this process's own record.
     #[must_use]
     pub const fn record(&self) -> &MemberRecord {
@@ -286,34 +297,26 @@
         } else {
             self.suspects.remove(node);
         }
-        let (is_dead, address) = (
-            update.state == MemberState::Dead,
-            member.record.gossip_address,
-        );
+        let is_dead = update.state == MemberState::Dead;
+        let record = Arc::clone(&member.record);
         self.is_urgent = true;
         self.queue.push(update);
         if is_dead {
-            self.remove_contact(node);
+            self.contacts.remove(node);
         } else if was_dead {
-            self.add_contact(node.clone(), address);
+            self.add_contact(&record);
         }
         self.note_change(now);
         true
     }
 
     /// Adds a member to those that messages go to.
-    pub(super) fn add_contact(&mut self, node: NodeId, address: SocketAddr) {
-        self.remove_contact(&node);
-        self.contacts.push(MemberContact { node, address });
-    }
-
-    fn remove_contact(&mut self, node: &NodeId) {
-        let place = self
-            .contacts
-            .iter()
-            .position(|contact| contact.node == *node);
-        if let Some(place) = place {
-            self.contacts.swap_remove(place);
-        }
+    pub(super) fn add_contact(&mut self, record: &MemberRecord) {
+        let contact = MemberContact {
+            node: record.node.clone(),
+            address: record.gossip_address,
+        };
+        let is_near = record.domain == self.record.domain;
+        self.contacts.add(contact, is_near);
     }
 }
--- a/alderhaven-policy/src/membership/membership_options.rs
+++ b/alderhaven-policy/src/membership/membership_options.rs
@@ -46,6 +46,9 @@
     pub forget_after: TimeSpan,
     /// The shortest time between two reports of the configuration in force.
     pub report_period: TimeSpan,
+    /// Whether members report which configuration they have in force. Each change makes all of them
+    /// report to all others, which a group that nobody asks for it need not pay.
+    pub is_reporting: bool,
 }
 
 impl Default for MembershipOptions {
@@ -66,6 +69,7 @@
             reconnect_period: TimeSpan::from_secs(2),
             forget_after: TimeSpan::from_secs(3_600),
             report_period: TimeSpan::from_millis(200),
+            is_reporting: true,
         }
     }
 }
--- a/alderhaven-policy/src/membership/news.rs
+++ b/alderhaven-policy/src/membership/news.rs
@@ -1,12 +1,13 @@
 //! How news that arrives is judged.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use alderhaven_core::time::TimePoint;
 use rand::Rng;
 
 use crate::membership::gossip_message::{
-    GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, SenderHeader,
+    GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, ReportGroup, SenderHeader,
 };
 use crate::membership::group_membership::GroupMembership;
 use crate::membership::member_entry::MemberEntry;
@@ -36,6 +37,7 @@
         if self.own_state == MemberState::Dead {
             return outgoing;
         }
+        self.clock_at = now;
         let source = match message.body {
             GossipBody::SyncReply { .. } => NewsSource::StateSync,
             _ => NewsSource::Gossip,
@@ -43,17 +45,23 @@
         for update in message.updates {
             self.hear_update(update, source, now, rng, &mut outgoing);
         }
-        self.hear_header(from, &message.sender, now, &mut outgoing);
-        for group in message.reports {
-            for member in group.members {
-                self.report_revision += u64::from(self.board.hear(member, group.config));
-            }
+        self.hear_header(from, &message.sender, now, rng, &mut outgoing);
+        if self.options.is_reporting {
+            self.hear_reports(message.reports);
         }
         self.hear_body(from, &message.body, now, &mut outgoing);
         self.gossip_urgently(now, rng, &mut outgoing);
         outgoing
     }
 
+    fn hear_reports(&mut self, reports: Vec<ReportGroup>) {
+        for group in reports {
+            for member in group.members {
+                self.report_revision += u64::from(self.board.hear(member, group.config));
+            }
+        }
+    }
+
     fn hear_body(
         &mut self,
         from: SocketAddr,
@@ -89,12 +97,16 @@
         from: SocketAddr,
         sender: &SenderHeader,
         now: TimePoint,
+        rng: &mut impl Rng,
         outgoing: &mut Vec<OutgoingMessage>,
     ) {
         if sender.node == self.record.node {
             return;
         }
-        self.compare_views(from, sender.view, now, outgoing);
+        self.compare_views(from, sender, now, rng, outgoing);
+        if let Some(sighting) = sender.sighting {
+            self.sightings.hear(sighting, self.own_fingerprint(), now);
+        }
         let Some(member) = self.members.get_mut(&sender.node) else {
             return;
         };
@@ -104,7 +116,9 @@
         member.load = sender.load;
         member.heard_at = Some(now);
         let fingerprint = member.fingerprint;
-        self.report_revision += u64::from(self.board.hear(fingerprint, sender.config));
+        if self.options.is_reporting {
+            self.report_revision += u64::from(self.board.hear(fingerprint, sender.config));
+        }
         let state = if sender.leaving {
             MemberState::Leaving
         } else {
@@ -185,11 +199,11 @@
         let Some(record) = update.record else {
             return;
         };
-        let address = record.gossip_address;
         member.replace_record(record);
         let update = member.update(true);
+        let record = Arc::clone(&member.record);
         self.probing.add(update.node.clone(), rng);
-        self.add_contact(update.node.clone(), address);
+        self.add_contact(&record);
         self.queue.push(update);
         self.note_change(now);
     }
@@ -222,7 +236,7 @@
             self.queue.push(member.update(true));
         }
         self.graves.remove(&update.node);
-        self.add_contact(update.node.clone(), member.record.gossip_address);
+        self.add_contact(&member.record);
         self.members.insert(update.node.clone(), member);
         self.probing.add(update.node, rng);
         self.note_change(now);
@@ -250,7 +264,7 @@
             refutation: update.version.refutation + 1,
         };
         self.toggle_own_part();
-        if is_restart {
+        if is_restart && self.options.is_reporting {
             self.board.hear(
                 report_board::fingerprint(&self.record.node, self.version.start),
                 self.config,
--- a/alderhaven-policy/src/membership/probing.rs
+++ b/alderhaven-policy/src/membership/probing.rs
@@ -174,7 +174,7 @@
                     return Some(node.clone());
                 }
             }
-            self.probing.ring = self.contacts.iter().map(|c| c.node.clone()).collect();
+            self.probing.ring = self.contacts.nodes().cloned().collect();
             self.probing.ring.shuffle(rng);
             self.probing.next = 0;
         }
@@ -215,7 +215,10 @@
             return;
         };
         let address = member.record.gossip_address;
-        for helper in self.random_contacts(self.options.indirect_probes, Some(&target), rng) {
+        let helpers = self
+            .contacts
+            .draw_any(self.options.indirect_probes, Some(&target), rng);
+        for helper in helpers {
             let body = GossipBody::PingRequest {
                 sequence,
                 target: target.clone(),
--- a/alderhaven-policy/src/membership/spreading.rs
+++ b/alderhaven-policy/src/membership/spreading.rs
@@ -2,10 +2,8 @@
 
 use std::net::SocketAddr;
 
-use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::TimePoint;
-use rand::{Rng, RngExt};
-use smallvec::SmallVec;
+use rand::Rng;
 
 use crate::membership::gossip_message::{
     ENVELOPE_BYTES, GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, SenderHeader,
@@ -14,9 +12,6 @@
 use crate::membership::member_record::MemberState;
 use crate::membership::membership_options::MembershipOptions;
 
-/// How many draws are made for each random contact that is wanted.
-const DRAWS_PER_CONTACT: usize = 4;
-
 /// How many times as often as an update a report is told. An update that misses a member is noticed by
 /// the view's hash and asked for; a report that misses one is not. With the tellings of an update one
 /// change in three leaves a member of 32 uninformed until a direct message, with twice as many none in 30.
@@ -41,7 +36,8 @@
         }
         self.gossiped_at = now;
         self.is_urgent = false;
-        for address in self.random_contacts(self.options.gossip_fanout, None, rng) {
+        let addresses = self.contacts.draw_near(self.options.gossip_fanout, rng);
+        for address in addresses {
             outgoing.push(self.outgoing(address, GossipBody::News));
         }
     }
@@ -62,7 +58,7 @@
     pub(super) fn broadcast(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<OutgoingMessage> {
         self.gossiped_at = now;
         let fanout = MembershipOptions::leaving_fanout(self.size());
-        let addresses = self.random_contacts(fanout, None, rng);
+        let addresses = self.contacts.draw_any(fanout, None, rng);
         addresses
             .into_iter()
             .map(|address| self.outgoing(address, GossipBody::News))
@@ -87,7 +83,11 @@
             .saturating_sub(ENVELOPE_BYTES);
         left = left.saturating_sub(told.as_ref().map_or(0, MemberUpdate::size_bound));
         let mut updates: Vec<MemberUpdate> = told.into_iter().collect();
-        let news = self.queue.take(left, retransmissions);
+        let news = if self.is_bare_probe(to, &body) {
+            Vec::new()
+        } else {
+            self.queue.take(left, retransmissions)
+        };
         left -= news.iter().map(MemberUpdate::size_bound).sum::<usize>();
         updates.extend(news);
         let reports = self.board.take(left, retransmissions * REPORT_FACTOR);
@@ -100,6 +100,20 @@
         OutgoingMessage { to, message }
     }
 
+    /// Returns true for a probe or its answer to another domain, which carries no news along: probes go
+    /// to all domains alike, and news would cross between them as often.
+    fn is_bare_probe(&self, to: SocketAddr, body: &GossipBody) -> bool {
+        let is_probe = match body {
+            GossipBody::Ping { .. } | GossipBody::PingRequest { .. } | GossipBody::Ack { .. } => {
+                true
+            }
+            GossipBody::News | GossipBody::SyncRequest { .. } | GossipBody::SyncReply { .. } => {
+                false
+            }
+        };
+        is_probe && !self.queue.is_empty() && self.contacts.is_far(to)
+    }
+
     pub(super) fn header(&self) -> SenderHeader {
         SenderHeader {
             node: self.record.node.clone(),
@@ -108,28 +122,7 @@
             load: self.load,
             config: self.config,
             view: self.view_hash(),
+            sighting: self.sightings.latest(self.own_fingerprint(), self.clock_at),
         }
     }
-
-    pub(super) fn random_contacts(
-        &self,
-        count: usize,
-        without: Option<&NodeId>,
-        rng: &mut impl Rng,
-    ) -> SmallVec<[SocketAddr; 4]> {
-        let mut chosen = SmallVec::new();
-        if self.contacts.is_empty() {
-            return chosen;
-        }
-        for _ in 0..count * DRAWS_PER_CONTACT {
-            let contact = &self.contacts[rng.random_range(0..self.contacts.len())];
-            if without != Some(&contact.node) && !chosen.contains(&contact.address) {
-                chosen.push(contact.address);
-            }
-            if chosen.len() == count {
-                break;
-            }
-        }
-        chosen
-    }
 }
--- a/alderhaven-policy/src/membership/state_sync.rs
+++ b/alderhaven-policy/src/membership/state_sync.rs
@@ -13,7 +13,8 @@
 use smallvec::SmallVec;
 
 use crate::membership::gossip_message::{
-    ENVELOPE_BYTES, GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, VIEW_BUCKETS,
+    ENVELOPE_BYTES, GossipBody, GossipMessage, MemberUpdate, OutgoingMessage, SenderHeader,
+    VIEW_BUCKETS,
 };
 use crate::membership::group_membership::GroupMembership;
 use crate::membership::upkeep;
@@ -90,12 +91,14 @@
     pub(super) fn compare_views(
         &mut self,
         from: SocketAddr,
-        view: u64,
+        sender: &SenderHeader,
         now: TimePoint,
+        rng: &mut impl Rng,
         outgoing: &mut Vec<OutgoingMessage>,
     ) {
         let is_settled = now.since(self.changed_at) >= SETTLED_AFTER;
-        if is_settled && view != self.view_hash() {
+        let is_differing = is_settled && sender.view != self.view_hash();
+        if is_differing && self.contacts.is_asked(&sender.node, rng) {
             self.syncing.differing = Some(from);
         }
         let is_joining =
--- a/alderhaven-policy/src/membership/upkeep.rs
+++ b/alderhaven-policy/src/membership/upkeep.rs
@@ -64,7 +64,8 @@
     }
 
     pub(super) fn report_config(&mut self, now: TimePoint) {
-        if now.since(self.reported_at) < self.options.report_period {
+        let is_due = now.since(self.reported_at) >= self.options.report_period;
+        if !self.options.is_reporting || !is_due {
             return;
         }
         if self.board.hear(self.own_fingerprint(), self.config) {
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -25,9 +25,6 @@
     /// The age of the latest contact after which a node watches itself: the longest that a watch
     /// waits and the time that its news takes, with as much again for one that is late.
     pub stale_after: TimeSpan,
-    /// The time within which no second node says that it reaches the store. A word costs some hundred
-    /// bytes for each node of the group; two of them fit into the age at which others watch themselves.
-    pub tell_period: TimeSpan,
     /// How long a node's word that it can't reach the store keeps it out of the order.
     pub lost_for: TimeSpan,
 }
@@ -37,7 +34,6 @@
         Self {
             watchers: 3,
             stale_after: TimeSpan::from_millis(5_500),
-            tell_period: TimeSpan::from_millis(1_500),
             lost_for: TimeSpan::from_secs(5),
         }
     }
@@ -54,39 +50,54 @@
     pub heard_at: TimePoint,
 }
 
-/// Returns true where the node `own` should watch; `nodes` are the live nodes, without `own`.
-#[must_use]
-pub fn should_watch(
-    own: &NodeId,
-    nodes: &[NodeId],
-    contacts: &[StoreContact],
-    options: &WatchOptions,
-    now: TimePoint,
-) -> bool {
-    let is_fresh = contacts.iter().any(|contact| {
-        contact.is_reached
-            && contact.node != *own
-            && now.since(contact.heard_at) < options.stale_after
-    });
-    if !is_fresh {
-        return true;
+/// A `WatchPlan` is what a node knows when it decides whether it watches.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchPlan<'a> {
+    /// The node.
+    pub own: &'a NodeId,
+    /// The other live nodes.
+    pub others: &'a [NodeId],
+    /// The nodes' own words on their way to the store.
+    pub contacts: &'a [StoreContact],
+    /// The time since the store answered another node; none where nobody said so.
+    pub answered: Option<TimeSpan>,
+}
+
+impl WatchPlan<'_> {
+    /// Returns true where the node should watch.
+    #[must_use]
+    pub fn should_watch(&self, options: &WatchOptions, now: TimePoint) -> bool {
+        if !self.is_watched(options, now) {
+            return true;
+        }
+        if self.is_lost(self.own, options, now) {
+            return false;
+        }
+        let reaching = self.others.iter();
+        let reaching = reaching.filter(|node| !self.is_lost(node, options, now));
+        let others: Vec<NodeId> = reaching.cloned().collect();
+        is_among_first(self.own, &others, options.watchers)
     }
-    let is_lost = |node: &NodeId| {
-        contacts.iter().any(|contact| {
+
+    /// Returns true where another node was answered by the store not long ago.
+    fn is_watched(&self, options: &WatchOptions, now: TimePoint) -> bool {
+        let has_answered = self.answered.is_some_and(|age| age < options.stale_after);
+        let is_fresh = |contact: &StoreContact| {
+            contact.is_reached
+                && contact.node != *self.own
+                && now.since(contact.heard_at) < options.stale_after
+        };
+        has_answered || self.contacts.iter().any(is_fresh)
+    }
+
+    /// Returns true where the node has said not long ago that the store does not answer it.
+    fn is_lost(&self, node: &NodeId, options: &WatchOptions, now: TimePoint) -> bool {
+        self.contacts.iter().any(|contact| {
             contact.node == *node
                 && !contact.is_reached
                 && now.since(contact.heard_at) < options.lost_for
         })
-    };
-    if is_lost(own) {
-        return false;
     }
-    let others: Vec<NodeId> = nodes
-        .iter()
-        .filter(|node| !is_lost(node))
-        .cloned()
-        .collect();
-    is_among_first(own, &others, options.watchers)
 }
 
 /// Returns true where the node is among the first `count` in the order.
@@ -97,16 +108,6 @@
     before.count() < count
 }
 
-/// Returns true where a node that reaches the store should say so: each word goes to all nodes, so that
-/// one of any node is enough for a while.
-#[must_use]
-pub fn should_tell(contacts: &[StoreContact], options: &WatchOptions, now: TimePoint) -> bool {
-    let is_recent = |contact: &StoreContact| {
-        contact.is_reached && now.since(contact.heard_at) < options.tell_period
-    };
-    !contacts.iter().any(is_recent)
-}
-
 fn order_of(node: &NodeId) -> (u64, &NodeId) {
     (hashing::hash_name(node.as_str()), node)
 }
--- a/alderhaven-policy/tests/exchange/failures.rs
+++ b/alderhaven-policy/tests/exchange/failures.rs
@@ -6,6 +6,7 @@
 use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep, ObjectStamp};
 use alderhaven_policy::exchange::exchange_options::ExchangeOptions;
 use alderhaven_policy::exchange::object_exchange::ObjectExchange;
+use alderhaven_policy::exchange::peer_set::PeerSet;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -154,7 +155,7 @@
         version: StoreVersion(1),
     }];
     let announcement = ExchangeMessage::Announce { stamps, hops: 1 };
-    let peers = [other.clone()];
+    let peers = PeerSet::new(vec![other.clone()], Vec::new());
     let start = TimePoint::from_micros(1_000_000);
     let step = exchange.receive(&lost, announcement, |_| None, &peers, start, &mut rng);
     let fetch = ExchangeMessage::Fetch { keys: vec![key(0)] };
@@ -189,7 +190,7 @@
     let mut step = ExchangeStep::default();
     for message in [announcement, objects] {
         let now = TimePoint::from_micros(1_000_000);
-        step = exchange.receive(&peer, message, |_| None, &[], now, &mut rng);
+        step = exchange.receive(&peer, message, |_| None, &PeerSet::default(), now, &mut rng);
     }
     assert_eq!(step.accept.len(), 1);
     assert_eq!(
--- a/alderhaven-policy/tests/exchange/network.rs
+++ b/alderhaven-policy/tests/exchange/network.rs
@@ -1,14 +1,16 @@
 //! Nodes with a registry and an exchange, and a store that some of them watch.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::{NodeId, StoreVersion};
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::config_registry::ConfigRegistry;
-use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep};
+use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeStep, ObjectStamp};
 use alderhaven_policy::exchange::exchange_options::ExchangeOptions;
 use alderhaven_policy::exchange::object_exchange::ObjectExchange;
+use alderhaven_policy::exchange::peer_set::PeerSet;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -25,6 +27,10 @@
     pub loss: f64,
     pub max_delay: TimeSpan,
     pub watchers: usize,
+    domains: usize,
+    peers: Vec<Rc<PeerSet>>,
+    /// The bytes of objects' bodies that crossed between domains.
+    pub far_bytes: usize,
     rng: StdRng,
     packets: BTreeMap<(TimePoint, u64), (usize, usize, ExchangeMessage)>,
     count: u64,
@@ -89,6 +95,22 @@
     node.as_str()["node-".len()..].parse().expect("a number")
 }
 
+fn peers_of(index: usize, count: usize, domains: usize) -> PeerSet {
+    let others = (0..count).filter(|other| *other != index);
+    let is_near = |other: &usize| other % domains == index % domains;
+    let (near, far): (Vec<usize>, Vec<usize>) = others.partition(is_near);
+    let ids = |places: Vec<usize>| places.into_iter().map(node_id).collect();
+    PeerSet::new(ids(near), ids(far))
+}
+
+fn body_bytes(message: &ExchangeMessage) -> usize {
+    let ExchangeMessage::Objects { objects } = message else {
+        return 0;
+    };
+    let bodies = objects.iter().filter_map(|object| object.body.as_ref());
+    bodies.map(String::len).sum()
+}
+
 fn new_node() -> FakeNode {
     FakeNode {
         registry: ConfigRegistry::default(),
@@ -100,17 +122,22 @@
 
 impl ExchangeNetwork {
     pub fn new(count: usize, seed: u64) -> Self {
-        Self {
+        let mut network = Self {
             nodes: (0..count).map(|_| new_node()).collect(),
             store: FakeStore::default(),
             now: TimePoint::from_micros(1_000_000),
             loss: 0.0,
             max_delay: TimeSpan::from_millis(5),
             watchers: 2,
+            domains: 1,
+            peers: Vec::new(),
+            far_bytes: 0,
             rng: StdRng::seed_from_u64(seed),
             packets: BTreeMap::new(),
             count: 0,
-        }
+        };
+        network.split_into_domains(1);
+        network
     }
 
     /// Starts a node anew with nothing kept; it lists the store where that is up.
@@ -168,18 +195,27 @@
         is_done(self).then(|| self.now.since(start))
     }
 
-    fn peers(&self, index: usize) -> Vec<NodeId> {
-        (0..self.nodes.len())
-            .filter(|other| *other != index)
-            .map(node_id)
-            .collect()
+    /// Spreads the nodes over failure domains by turns.
+    pub fn split_into_domains(&mut self, domains: usize) {
+        self.domains = domains;
+        let count = self.nodes.len();
+        self.peers = (0..count)
+            .map(|index| Rc::new(peers_of(index, count, domains)))
+            .collect();
+    }
+
+    fn peers(&self, index: usize) -> Rc<PeerSet> {
+        Rc::clone(&self.peers[index])
     }
 
     fn accept(&mut self, index: usize, objects: Vec<StoredObject>) {
         let peers = self.peers(index);
-        let step = self.nodes[index]
-            .exchange
-            .accept(objects, &peers, &mut self.rng);
+        let stamps = objects.iter().map(ObjectStamp::from).collect();
+        let node = &mut self.nodes[index];
+        for object in objects {
+            node.registry.accept(object);
+        }
+        let step = node.exchange.hold(stamps, &peers, &mut self.rng);
         self.carry_out(index, step);
     }
 
@@ -193,6 +229,9 @@
             if is_cut || self.rng.random_bool(self.loss) {
                 continue;
             }
+            if to % self.domains != index % self.domains {
+                self.far_bytes += body_bytes(&message);
+            }
             let delay = self.rng.random_range(200..=self.max_delay.as_micros());
             self.count += 1;
             let at = self.now + TimeSpan::from_micros(delay);
@@ -227,10 +266,16 @@
         if is_digest_due && self.nodes.len() > 1 {
             let other = self.rng.random_range(0..self.nodes.len());
             let (digest, side) = (self.nodes[other].exchange.digest(), self.nodes[other].side);
-            if side == self.nodes[index].side {
-                self.nodes[index]
-                    .exchange
-                    .hear_digest(&node_id(other), digest);
+            let is_heard = side == self.nodes[index].side && !self.nodes[other].is_paused;
+            if is_heard {
+                let peers = self.peers(index);
+                self.nodes[index].exchange.hear_digest(
+                    &node_id(other),
+                    digest,
+                    &peers,
+                    self.now,
+                    &mut self.rng,
+                );
             }
         }
         let peers = self.peers(index);
@@ -247,12 +292,7 @@
         let peers = self.peers(to);
         let node = &mut self.nodes[to];
         let registry = &node.registry;
-        let look_up = |key: &ObjectKey| {
-            registry
-                .objects()
-                .find(|object| object.key == *key)
-                .cloned()
-        };
+        let look_up = |key: &ObjectKey| registry.object(key).cloned();
         let step = node.exchange.receive(
             &node_id(from),
             message,
--- /dev/null
+++ b/alderhaven-policy/tests/membership/domains.rs
@@ -0,0 +1,72 @@
+//! Membership among processes of several failure domains.
+
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::membership::member_record::MemberState;
+
+use crate::network::GossipNetwork;
+
+/// The processes and failure domains of a group.
+const MEMBERS: usize = 96;
+const DOMAINS: usize = 6;
+
+fn settled(seed: u64) -> GossipNetwork {
+    let mut network = GossipNetwork::start_in_domains(MEMBERS, DOMAINS, seed);
+    let joined = network.run_until(TimeSpan::from_secs(20), GossipNetwork::all_true);
+    assert!(joined.is_some(), "seed {seed}");
+    network.run(TimeSpan::from_secs(5));
+    network.far_updates = 0;
+    network
+}
+
+/// A process restarts every minute or two, and all others hear of it. Each of them told a dozen others
+/// drawn from all domains alike, so that nearly all that crossed between the domains was known there.
+#[test]
+fn gossip_crosses_between_domains_in_few_copies() {
+    for seed in 80..85 {
+        let mut network = settled(seed);
+        network.crash(7);
+        network.restart(7);
+        let known = network.run_until(TimeSpan::from_secs(3), GossipNetwork::all_true);
+        assert!(known.is_some(), "seed {seed}");
+        network.run(TimeSpan::from_secs(3));
+        // Drawn from all alike, five of six tellings cross: some 800.
+        assert!(
+            network.far_updates <= 200,
+            "{}, seed {seed}",
+            network.far_updates
+        );
+    }
+}
+
+/// A process of a domain of its own stops. Although news mostly stays within a domain, all others know
+/// in time for callers to be told of others.
+#[test]
+fn announce_leaving_reaches_all_domains() {
+    for seed in 90..95 {
+        let mut network = settled(seed);
+        network.leave(11);
+        let known = network.run_until(TimeSpan::from_millis(800), |network| {
+            network.all_believe(11, &[Some(MemberState::Leaving)])
+        });
+        assert!(known.is_some(), "seed {seed}");
+    }
+}
+
+/// A whole failure domain is cut off for a while and restarts meanwhile. Once it is back, all know all.
+#[test]
+fn receive_agrees_after_a_domain_was_cut_off_and_restarted() {
+    for seed in 100..103 {
+        let mut network = settled(seed);
+        let cut: Vec<usize> = (0..MEMBERS).filter(|index| index % DOMAINS == 2).collect();
+        for index in &cut {
+            network.nodes[*index].side = 1;
+        }
+        network.run(TimeSpan::from_secs(10));
+        for index in &cut {
+            network.restart(*index);
+            network.nodes[*index].side = 0;
+        }
+        let known = network.run_until(TimeSpan::from_secs(15), GossipNetwork::all_true);
+        assert!(known.is_some(), "seed {seed}");
+    }
+}
--- a/alderhaven-policy/tests/membership/main.rs
+++ b/alderhaven-policy/tests/membership/main.rs
@@ -1,7 +1,9 @@
 //! Tests of membership over a small in-memory network with passed-in time.
 
+mod domains;
 mod failures;
 mod fuzz;
 mod lifecycle;
 mod network;
 mod reports;
+mod sightings;
--- a/alderhaven-policy/tests/membership/network.rs
+++ b/alderhaven-policy/tests/membership/network.rs
@@ -6,7 +6,9 @@
 
 use alderhaven_core::ids::{IncarnationNumber, NodeId};
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::membership::gossip_message::{GossipMessage, MemberUpdate, OutgoingMessage};
+use alderhaven_policy::membership::gossip_message::{
+    GossipBody, GossipMessage, MemberUpdate, OutgoingMessage,
+};
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::{
     MemberRecord, MemberRole, MemberState, MemberVersion,
@@ -40,6 +42,11 @@
     options: MembershipOptions,
     rng: StdRng,
     packets: BTreeMap<(TimePoint, u64), Packet>,
+    /// The messages sent.
+    pub sent: u64,
+    /// The pieces of news of members that crossed between failure domains, but for comparisons.
+    pub far_updates: usize,
+    domains: usize,
     count: u64,
     starts: u64,
 }
@@ -84,7 +91,26 @@
 
     /// Starts `count` processes with the given settings.
     pub fn start_with(count: usize, seed: u64, options: MembershipOptions) -> Self {
-        let mut network = Self {
+        Self::empty(seed, options).started(count)
+    }
+
+    /// Starts `count` processes that are spread over failure domains by turns.
+    pub fn start_in_domains(count: usize, domains: usize, seed: u64) -> Self {
+        let options = MembershipOptions {
+            seeds: vec![address(0), address(1)],
+            ..MembershipOptions::default()
+        };
+        let network = Self {
+            domains,
+            ..Self::empty(seed, options)
+        };
+        network.started(count)
+    }
+
+    fn empty(seed: u64, options: MembershipOptions) -> Self {
+        Self {
+            domains: 3,
+            far_updates: 0,
             options,
             nodes: Vec::new(),
             now: TimePoint::from_micros(1_000_000),
@@ -95,19 +121,23 @@
             is_kept_while_paused: true,
             rng: StdRng::seed_from_u64(seed),
             packets: BTreeMap::new(),
+            sent: 0,
             count: 0,
             starts: 0,
-        };
+        }
+    }
+
+    fn started(mut self, count: usize) -> Self {
         for index in 0..count {
-            network.nodes.push(FakeProcess {
+            self.nodes.push(FakeProcess {
                 membership: None,
                 is_paused: false,
                 side: 0,
                 waiting: Vec::new(),
             });
-            network.restart(index);
+            self.restart(index);
         }
-        network
+        self
     }
 
     /// Starts a process anew with nothing kept, as a clock that works numbers it.
@@ -122,7 +152,11 @@
             .node(node_id(index))
             .role(MemberRole::Entry)
             .host(format!("host-{index}").parse().expect("a valid id"))
-            .domain(format!("domain-{}", index % 3).parse().expect("a valid id"))
+            .domain(
+                format!("domain-{}", index % self.domains)
+                    .parse()
+                    .expect("a valid id"),
+            )
             .gossip_address(address(index))
             .build();
         let version = MemberVersion {
@@ -273,8 +307,13 @@
     }
 
     fn send(&mut self, from: usize, outgoing: Vec<OutgoingMessage>) {
+        self.sent += outgoing.len() as u64;
         for OutgoingMessage { to, message } in outgoing {
             let to = usize::from(to.port() - 10_000);
+            let is_sync = matches!(message.body, GossipBody::SyncReply { .. });
+            if to % self.domains != from % self.domains && !is_sync {
+                self.far_updates += message.updates.len();
+            }
             let is_cut = self
                 .nodes
                 .get(to)
--- /dev/null
+++ b/alderhaven-policy/tests/membership/sightings.rs
@@ -0,0 +1,100 @@
+//! When the store last answered anyone, and what a group says at rest.
+
+use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::membership::group_membership::GroupMembership;
+use alderhaven_policy::membership::member_record::ConfigDigest;
+use alderhaven_policy::membership::membership_options::MembershipOptions;
+
+use crate::network::{GossipNetwork, address};
+
+/// The age after which a node that hears of no answer watches the store itself, less the longest that
+/// a watch waits.
+const KNOWN_WITHIN: TimeSpan = TimeSpan::from_millis(2_500);
+
+fn answered_ages(network: &GossipNetwork) -> Vec<Option<TimeSpan>> {
+    let running = network.nodes.iter().skip(1);
+    let memberships = running.filter_map(|node| node.membership.as_ref());
+    memberships
+        .map(GroupMembership::store_answered_other)
+        .map(|seen| seen.map(|seen_at| network.now.since(seen_at)))
+        .collect()
+}
+
+/// Three of 195 nodes watch the store. The others must hear within some seconds that it answers, or each
+/// of them asks it too; the word is to cost no message of its own.
+#[test]
+fn note_store_answer_is_known_to_all_in_time() {
+    let mut network = GossipNetwork::start(195, 21);
+    network.run(TimeSpan::from_secs(10));
+    let now = network.now;
+    let first = network.nodes[0].membership.as_mut().expect("it runs");
+    first.note_store_answer(now);
+    let known = network.run_until(TimeSpan::from_secs(5), |network| {
+        answered_ages(network).iter().all(Option::is_some)
+    });
+    assert!(known.is_some_and(|span| span <= KNOWN_WITHIN), "{known:?}");
+}
+
+/// A word that is passed on must not grow younger on its way: nodes would believe that the store is
+/// watched while nobody is answered.
+#[test]
+fn note_store_answer_never_looks_younger_than_it_is() {
+    let mut network = GossipNetwork::start(32, 22);
+    network.run(TimeSpan::from_secs(10));
+    let answered_at = network.now;
+    let first = network.nodes[0].membership.as_mut().expect("it runs");
+    first.note_store_answer(answered_at);
+    network.run(TimeSpan::from_secs(4));
+    let age = network.now.since(answered_at);
+    assert!(
+        answered_ages(&network)
+            .iter()
+            .flatten()
+            .all(|seen| *seen >= age)
+    );
+}
+
+/// The only node that reaches the store hears its own word back from the others. It must not take the
+/// echo for another watcher and stop watching.
+#[test]
+fn note_store_answer_is_not_heard_by_its_origin() {
+    let mut network = GossipNetwork::start(8, 23);
+    network.run(TimeSpan::from_secs(5));
+    let now = network.now;
+    let first = network.nodes[0].membership.as_mut().expect("it runs");
+    first.note_store_answer(now);
+    network.run(TimeSpan::from_secs(5));
+    let first = network.nodes[0].membership.as_ref().expect("it runs");
+    assert_eq!(first.store_answered_other(), None);
+}
+
+/// Fronts take a new configuration over every few seconds. Where each member reports so to all others, a
+/// group of hundreds sends little else; nobody asks fronts for it.
+#[test]
+fn set_config_costs_no_messages_without_reports() {
+    let sent_after_change = |is_reporting| {
+        let options = MembershipOptions {
+            seeds: vec![address(0), address(1)],
+            is_reporting,
+            ..MembershipOptions::default()
+        };
+        let mut network = GossipNetwork::start_with(64, 24, options);
+        network.run(TimeSpan::from_secs(10));
+        let sent = network.sent;
+        for node in &mut network.nodes {
+            let membership = node.membership.as_mut().expect("it runs");
+            membership.set_config(ConfigDigest {
+                highest: StoreVersion(9),
+                progress: 9,
+                hash: 9,
+            });
+        }
+        network.run(TimeSpan::from_secs(4));
+        network.sent - sent
+    };
+    // A probe a member and period, and its answer: 64 x 10 x 2 in four seconds.
+    let probes = 64 * 10 * 2;
+    assert!(sent_after_change(false) <= probes * 11 / 10);
+    assert!(sent_after_change(true) > probes * 3 / 2);
+}
--- a/alderhaven-policy/tests/store_watch_plan.rs
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -2,9 +2,7 @@
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::store_watch_plan::{
-    StoreContact, WatchOptions, is_among_first, should_tell, should_watch,
-};
+use alderhaven_policy::store_watch_plan::{StoreContact, WatchOptions, WatchPlan, is_among_first};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::START + TimeSpan::from_millis(millis)
@@ -27,7 +25,13 @@
 fn watchers(nodes: &[NodeId], contacts: &[StoreContact], now: TimePoint) -> Vec<NodeId> {
     let watches = |own: &&NodeId| {
         let others: Vec<NodeId> = nodes.iter().filter(|node| node != own).cloned().collect();
-        should_watch(own, &others, contacts, &WatchOptions::default(), now)
+        let plan = WatchPlan {
+            own,
+            others: &others,
+            contacts,
+            answered: None,
+        };
+        plan.should_watch(&WatchOptions::default(), now)
     };
     nodes.iter().filter(watches).cloned().collect()
 }
@@ -93,19 +97,25 @@
     assert_eq!(watchers(&nodes, &contacts, at(7_000)), first);
 }
 
-/// Three watchers of a group of 65 hear from the store several times a second. Each word that it is
-/// reached goes to all nodes: one in a while is enough, or these words are most of what crosses
-/// between failure domains at rest.
+/// The watchers say nothing while the store answers them; the others see by the headers of gossip that it
+/// does. Once nobody has said so for some seconds, each node watches itself.
 #[test]
-fn one_word_of_any_node_is_enough_for_a_while() {
-    let nodes = nodes(3);
-    let options = WatchOptions::default();
-    let told = [contact(&nodes[0], true, at(1_000))];
-    assert!(!should_tell(&told, &options, at(2_000)));
-    assert!(should_tell(&told, &options, at(2_600)));
-    let lost = [contact(&nodes[0], false, at(1_000))];
-    assert!(should_tell(&lost, &options, at(1_001)));
-    assert!(options.tell_period.mul_f64(2.0) < options.stale_after);
+fn store_that_answers_others_needs_no_further_watcher() {
+    let nodes = nodes(65);
+    let watches = |own: &NodeId, answered: Option<TimeSpan>| {
+        let others: Vec<NodeId> = nodes.iter().filter(|node| *node != own).cloned().collect();
+        let plan = WatchPlan {
+            own,
+            others: &others,
+            contacts: &[],
+            answered,
+        };
+        plan.should_watch(&WatchOptions::default(), at(60_000))
+    };
+    let count = |answered| nodes.iter().filter(|own| watches(own, answered)).count();
+    assert_eq!(count(Some(TimeSpan::from_millis(5_400))), 3);
+    assert_eq!(count(Some(TimeSpan::from_millis(5_500))), 65);
+    assert_eq!(count(None), 65);
 }
 
 /// A whole group loses power and starts at once. The first ones in the order ask the store, and all
--- a/alderhaven-store/src/config_handle.rs
+++ b/alderhaven-store/src/config_handle.rs
@@ -7,6 +7,7 @@
 use alderhaven_core::logging;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_registry::ConfigView;
+use alderhaven_policy::exchange::exchange_message::ObjectStamp;
 use arc_swap::ArcSwap;
 use log::Level;
 use serde::Serialize;
@@ -131,10 +132,17 @@
         self.publish(&state, &changed);
     }
 
-    /// Gets every object that is known, tombstones included, for peers.
+    /// Gets the versions of all objects that are known, tombstones included, for peers.
     #[must_use]
-    pub fn objects(&self) -> Vec<StoredObject> {
-        self.state().registry().objects().cloned().collect()
+    pub fn stamps(&self) -> Vec<ObjectStamp> {
+        let state = self.state();
+        state.registry().objects().map(ObjectStamp::from).collect()
+    }
+
+    /// Gets one object for a peer.
+    #[must_use]
+    pub fn object(&self, key: &ObjectKey) -> Option<StoredObject> {
+        self.state().registry().object(key).cloned()
     }
 
     /// Gets the revision up to which every change is known, none before the first list.
