Requests to one service are admitted like queries; attempts never sent are answered "not run"; quiet nodes tick with their probes

Change: the same gate, one for each service; a split is dealt before it is admitted, so that nothing moves to another part. `overload_of_one_service_keeps_what_is_answered_in_time` replays it.

An attempt that waits for a connection until its request ends counted as one that may have run: callers heard 504 and could not send a booking again. The attempt and the end of its request now race for one step.

At rest a node woke 20 times a second for nothing: ticks come with the probes while nothing is under way, and who waits for its turn to watch wakes by changes.

Of 502 after two milliseconds all are requests that may run once and whose answer was lost after they ran.

--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use log::Level;
 
+use crate::attempt_phase::AttemptPhase;
 use crate::front_answer::PassedReply;
 use crate::front_event::FrontEvent;
 use crate::query_call::QueryCall;
@@ -65,6 +66,8 @@
     pub ends_at: TimePoint,
     /// Set once the request was answered: nothing more is sent for it then.
     pub is_over: Arc<AtomicBool>,
+    /// Whether the attempt may send, and whether it has begun to.
+    pub phase: AttemptPhase,
     /// The usual time of such an attempt.
     pub usual: TimeSpan,
     /// The protocol.
@@ -165,7 +168,8 @@
     /// Builds the request; none where it is too late for it.
     fn request(&self) -> Option<Request<WholeBody>> {
         let now = self.clock.now();
-        if self.is_over.load(Ordering::Relaxed) || now >= self.ends_at {
+        let is_late = self.is_over.load(Ordering::Relaxed) || now >= self.ends_at;
+        if is_late || !self.phase.begin_send() {
             return None;
         }
         let entry = self.target.entry();
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -28,7 +28,7 @@
     pub metrics: FrontMetrics,
     /// The planned stop.
     pub stop: StopHandle,
-    /// The admission of queries over many shards.
+    /// The admission of queries.
     pub admission: Arc<QueryAdmission>,
     /// How late the process wakes up.
     pub lag: Arc<Mutex<WakeLag>>,
--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -84,24 +84,25 @@
 
     fn offers(&self, state: MemberState) -> Vec<FrontOffer> {
         let view = self.catalog.view();
-        let own = self
-            .is_ready()
-            .then(|| (self.own.address, self.own.domain.clone(), self.own.capacity));
+        let now = self.group.now();
+        let own = self.is_ready().then(|| FrontOffer {
+            address: self.own.address,
+            domain: self.own.domain.clone(),
+            size: view.share.size(self.own.capacity),
+            is_started: true,
+        });
         let members = self.group.members();
         let others = members.iter().skip(1).filter_map(|member| {
-            let has_config = member.config.is_none_or(|config| config.progress > 0);
-            let address = member.record.caller_address?;
-            let is_named = member.state == state && has_config;
+            let has_config = member.config.is_some_and(|config| config.progress > 0);
             let record = &member.record;
-            is_named.then(|| (address, record.domain.clone(), record.capacity))
+            let offer = FrontOffer {
+                address: record.caller_address?,
+                domain: record.domain.clone(),
+                size: view.share.size(record.capacity),
+                is_started: front_choice::is_started(has_config, now.since(member.met_at)),
+            };
+            (member.state == state).then_some(offer)
         });
-        own.into_iter()
-            .chain(others)
-            .map(|(address, domain, capacity)| FrontOffer {
-                address,
-                domain,
-                size: view.share.size(capacity),
-            })
-            .collect()
+        own.into_iter().chain(others).collect()
     }
 }
--- a/alderhaven-front/src/group_plan.rs
+++ b/alderhaven-front/src/group_plan.rs
@@ -2,9 +2,7 @@
 //! in one, hedges included.
 //!
 //! An ask has the caller's request once for all its shards, and replies have no headers; even for one
-//! shard that is less than a request of its own on a connection across. Mean worth on Lagerblik, where
-//! such bytes are dear, with hedges and single shards sent directly: 0.763 on days with trouble and
-//! 0.870 on quiet ones; so: 0.776 and 0.883 (three seeds each).
+//! shard that is less than a request of its own on a connection across.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::attempt::{AttemptEnd, AttemptPlan, AttemptReport};
+use crate::attempt_phase::AttemptPhase;
 use crate::front_context::{self, FrontContext};
 use crate::query_call::QueryCall;
 use crate::target_handle::TargetStanding;
@@ -172,6 +173,7 @@
                 is_idempotent: true,
                 ends_at: self.ends_at,
                 is_over: Arc::clone(&self.is_over),
+                phase: AttemptPhase::default(),
                 usual: TimeSpan::from_micros(self.ask.usual_us),
                 dialect: Arc::clone(&self.context.dialect),
                 clock: self.context.clock,
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission_pass;
 pub mod attempt;
+pub mod attempt_phase;
 pub mod caller_limits;
 pub mod caller_server;
 pub mod caller_service;
--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -1,5 +1,5 @@
-//! The admission of queries over many shards: callers wait here for the decisions of
-//! [`QueryGate`], one gate for each set of shards.
+//! The admission of queries: callers wait here for the decisions of [`QueryGate`], one gate for each set
+//! of services.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,9 +17,9 @@
 use crate::route_rule::RouteRule;
 use crate::shard_set::ShardSet;
 
-/// The sets of shards that are kept. Each change of the set begins a new one; those of which nothing is
+/// The sets of services that are kept. Each change of a route's shards begins a new one; those of which nothing is
 /// in flight are forgotten above it.
-const MOST_GATES: usize = 16;
+const MOST_GATES: usize = 64;
 
 /// A `QueryAdmission` admits the queries of one front.
 #[derive(Debug)]
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -19,6 +19,7 @@
 
 use crate::admission_pass::AdmissionPass;
 use crate::attempt::{AttemptEnd, AttemptPlan, AttemptReport};
+use crate::attempt_phase::AttemptPhase;
 use crate::catalog_view::{CatalogView, LiveRoute};
 use crate::front_answer::FrontAnswer;
 use crate::front_context::{self, FrontContext};
@@ -31,6 +32,7 @@
 use crate::route_destination::RouteDestination;
 use crate::shard_part::ShardPart;
 use crate::shard_run::ShardRun;
+use crate::shard_set::ShardSet;
 use crate::target_handle::{TargetHandle, TargetStanding};
 
 mod crashes;
@@ -47,6 +49,8 @@
     late: TimeSpan,
     shards: Vec<ShardRun>,
     attempts: FuturesUnordered<BoxFuture<'static, AttemptReport>>,
+    /// The attempts of its own that are out.
+    open: Vec<OpenAttempt>,
     asks: Vec<GroupQuery>,
     blocks: Vec<Bytes>,
     is_over: Arc<AtomicBool>,
@@ -62,6 +66,13 @@
     enough_at: Option<TimePoint>,
 }
 
+/// An `OpenAttempt` is an attempt of which no end was heard yet.
+struct OpenAttempt {
+    shard: usize,
+    target: Arc<TargetHandle>,
+    phase: AttemptPhase,
+}
+
 impl Drop for QueryRun<'_> {
     /// Reports a request whose caller closed the connection: it is dropped with its attempts.
     fn drop(&mut self) {
@@ -80,11 +91,12 @@
         call: &'a Arc<QueryCall>,
     ) -> FrontAnswer {
         let delay = route.state.waited(call.time_left, call.arrived);
-        let pass = match Self::admit(context, route, delay).await {
+        // A split is dealt before: what finds no room at its part must not go to another one.
+        let shards = shards_of(view, route);
+        let pass = match Self::admit(context, route, &shards, delay).await {
             Ok(pass) => pass,
             Err(refusal) => return ending::refuse(context, call, refusal),
         };
-        let shards = shards_of(view, route);
         let mut run = Self::new(context, call, route, shards, delay);
         run.pass = pass;
         run.start();
@@ -92,16 +104,25 @@
         run.finish(step)
     }
 
-    /// Waits for the turn of a query over many shards; requests to one service have none.
+    /// Waits for the turn of a request among those to the same services. One whose service is not known
+    /// needs none.
     async fn admit(
         context: &FrontContext,
         route: &LiveRoute,
+        shards: &[ShardRun],
         delay: CallerDelay,
     ) -> Result<Option<AdmissionPass>, GateRefusal> {
-        let Some(shards) = route.shards else {
+        let single = || {
+            shards
+                .first()?
+                .service
+                .as_ref()
+                .map(|service| ShardSet::single(&service.name))
+        };
+        let Some(set) = route.shards.or_else(single) else {
             return Ok(None);
         };
-        let pass = context.admission.admit(&route.rule, shards, delay).await?;
+        let pass = context.admission.admit(&route.rule, set, delay).await?;
         Ok(Some(pass))
     }
 
@@ -130,6 +151,7 @@
             late: route.state.late(target),
             shards,
             attempts: FuturesUnordered::new(),
+            open: Vec::new(),
             asks: Vec::new(),
             blocks: Vec::new(),
             is_over: Arc::default(),
@@ -244,6 +266,9 @@
 
     fn take_report(&mut self, report: AttemptReport) {
         let now = self.context.clock.now();
+        self.open.retain(|open| {
+            open.shard != report.shard || !Arc::ptr_eq(&open.target, &report.target)
+        });
         let shard = &mut self.shards[report.shard];
         shard.open -= 1;
         let mut status = None;
@@ -335,7 +360,13 @@
 
     /// Sends an attempt of a shard.
     fn send(&mut self, shard: usize, target: Arc<TargetHandle>, now: TimePoint) {
-        let plan = self.plan(shard, &target);
+        let phase = AttemptPhase::default();
+        self.open.push(OpenAttempt {
+            shard,
+            target: Arc::clone(&target),
+            phase: phase.clone(),
+        });
+        let plan = self.plan(shard, &target, phase);
         let hedge_at = self.hedge_time().hedge_at(now);
         self.note_sent(shard, target, hedge_at, now);
         self.attempts.push(Box::pin(plan.run()));
@@ -380,7 +411,7 @@
         hedge_time::attempt_ends(&self.time, target, self.context.clock.now())
     }
 
-    fn plan(&self, shard: usize, target: &Arc<TargetHandle>) -> AttemptPlan {
+    fn plan(&self, shard: usize, target: &Arc<TargetHandle>, phase: AttemptPhase) -> AttemptPlan {
         AttemptPlan {
             shard,
             target: Arc::clone(target),
@@ -388,6 +419,7 @@
             is_idempotent: self.route.rule.is_idempotent,
             ends_at: self.attempt_ends_at(),
             is_over: Arc::clone(&self.is_over),
+            phase,
             usual: self.usual,
             dialect: Arc::clone(&self.context.dialect),
             clock: self.context.clock,
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -100,7 +100,17 @@
         }
     }
 
+    /// Calls off the attempts that have sent nothing yet: the request has not run there.
+    fn call_off_unsent(&mut self) {
+        for open in self.open.drain(..) {
+            if open.phase.call_off() {
+                self.shards[open.shard].ran -= 1;
+            }
+        }
+    }
+
     pub(super) fn failure(&mut self, is_late: bool) -> FrontAnswer {
+        self.call_off_unsent();
         let has_run = self.shards.iter().any(|shard| shard.ran > 0);
         if !has_run {
             let is_asked = self.shards.iter().any(|shard| !shard.tried.is_empty());
--- a/alderhaven-front/src/shard_set.rs
+++ b/alderhaven-front/src/shard_set.rs
@@ -8,6 +8,14 @@
 pub struct ShardSet(u64);
 
 impl ShardSet {
+    /// Gets the set of one service.
+    #[must_use]
+    pub fn single(service: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        [service].hash(&mut hasher);
+        Self(hasher.finish())
+    }
+
     /// Gets the set of these services.
     #[must_use]
     pub fn of(services: &[String]) -> Self {
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -34,7 +34,7 @@
 const TARGET_PAUSE: Duration = Duration::from_millis(500);
 
 /// How often a node that does not watch looks whether it should.
-const PLAN_PERIOD: Duration = Duration::from_millis(200);
+const PLAN_PERIOD: Duration = Duration::from_millis(500);
 
 /// The time that the store has for the first list. It answers in milliseconds; a call that it does not
 /// answer is given up early, since it may be back meanwhile.
@@ -117,7 +117,7 @@
             if !self.is_my_turn() {
                 // What happened meanwhile is known only by list.
                 self.revision = None;
-                time::sleep(PLAN_PERIOD).await;
+                self.wait_for_turn().await;
                 continue;
             }
             match self.step().await {
@@ -178,6 +178,13 @@
         }
     }
 
+    /// Waits until it may be this node's turn: another one may have said that the store does not answer it.
+    async fn wait_for_turn(&self) {
+        let mut changed = self.catalog.changed();
+        // Where the time is up, members may have changed.
+        let _is_over = time::timeout(PLAN_PERIOD, changed.changed()).await.is_err();
+    }
+
     fn is_my_turn(&self) -> bool {
         let contacts = self.catalog.contacts();
         let now = self.clock.now();
--- a/alderhaven-node/src/node_group.rs
+++ b/alderhaven-node/src/node_group.rs
@@ -6,7 +6,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use alderhaven_core::ids::{FailureDomain, HostId, IncarnationNumber, NodeId};
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::peer_handle::{PeerHandle, PeerSnapshot};
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
@@ -117,6 +117,14 @@
         MemberList::new(self.peers.as_ref().map(PeerHandle::snapshot))
     }
 
+    /// Gets the time by which the members' points are meant; the start where there is no group.
+    #[must_use]
+    pub fn now(&self) -> TimePoint {
+        self.peers
+            .as_ref()
+            .map_or(TimePoint::START, PeerHandle::now)
+    }
+
     /// Gets what is known of the group, for the dump.
     #[must_use]
     pub fn snapshot(&self) -> Option<PeerSnapshot> {
--- a/alderhaven-peer/src/exchange_links.rs
+++ b/alderhaven-peer/src/exchange_links.rs
@@ -109,7 +109,7 @@
     ///
     /// Guards against a group larger than the number of links: a message that found no room was lost, an
     /// answer to whoever had connected included, and each had to be asked for elsewhere a second
-    /// later. Among 300 nodes a configuration then took five seconds to all.
+    /// later.
     fn keep(&mut self, peer: NodeId, queue: mpsc::Sender<PeerMessage>) {
         if self.links.len() >= MAX_LINKS && !self.links.contains_key(&peer) {
             let oldest = self.links.iter().min_by_key(|(_, link)| link.last_use);
--- a/alderhaven-peer/src/peer_driver.rs
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
@@ -20,7 +19,7 @@
 use rand::rngs::StdRng;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{self, MissedTickBehavior};
+use tokio::time::{self, Instant};
 
 use crate::exchange_links::{ExchangeLinks, LinkEvent};
 use crate::frames::PeerMessage;
@@ -29,8 +28,12 @@
 use crate::peer_options::ConfigAccess;
 use crate::peer_traffic::{MessageKind, PeerTraffic};
 
-/// The time between two ticks.
-const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// The time between two ticks while something is under way.
+const TICK_PERIOD: TimeSpan = TimeSpan::from_millis(50);
+
+/// The longest time between two ticks at rest; below the time after which membership takes a late tick
+/// for a pause of the process.
+const QUIET_PERIOD: TimeSpan = TimeSpan::from_millis(200);
 
 /// The largest datagram that is read, in bytes; those of this protocol are smaller.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
@@ -68,6 +71,8 @@
     #[builder(default)]
     revision: u64,
     #[builder(default)]
+    ticked_at: TimePoint,
+    #[builder(default)]
     published_at: TimePoint,
 }
 
@@ -78,14 +83,12 @@
         mut events: mpsc::Receiver<LinkEvent>,
         mut commands: mpsc::UnboundedReceiver<PeerCommand>,
     ) {
-        let mut ticks = time::interval(TICK_PERIOD);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut datagram = [0; MAX_DATAGRAM_BYTES];
         let mut changes = self.config.changed.clone();
         self.read_config().await;
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.tick().await,
+                () = time::sleep_until(self.next_tick()) => self.tick().await,
                 received = self.socket.recv_from(&mut datagram) => {
                     self.receive(received, &datagram).await;
                 }
@@ -105,8 +108,21 @@
         }
     }
 
+    /// Gets when the next tick is due: soon while anything is under way, and with the next probe at rest.
+    fn next_tick(&self) -> Instant {
+        let is_quiet = self.membership.is_quiet() && self.exchange.is_quiet();
+        let next = if is_quiet {
+            let probe_at = self.membership.next_probe_at();
+            probe_at.min(self.ticked_at + QUIET_PERIOD)
+        } else {
+            self.ticked_at + TICK_PERIOD
+        };
+        Instant::from_std(self.clock.instant(next))
+    }
+
     async fn tick(&mut self) {
         let now = self.clock.now();
+        self.ticked_at = now;
         self.membership.set_config(self.exchange.digest());
         let outgoing = self.membership.tick(now, &mut self.rng);
         self.send_all(outgoing).await;
--- a/alderhaven-peer/src/peer_handle.rs
+++ b/alderhaven-peer/src/peer_handle.rs
@@ -85,6 +85,12 @@
         self.shared.snapshot.load_full()
     }
 
+    /// Gets the time by which the snapshot's points are meant.
+    #[must_use]
+    pub fn now(&self) -> TimePoint {
+        self.shared.clock.now()
+    }
+
     /// Gets a channel that changes with each new snapshot.
     #[must_use]
     pub fn changed(&self) -> watch::Receiver<u64> {
--- a/alderhaven-policy/src/answer_time.rs
+++ b/alderhaven-policy/src/answer_time.rs
@@ -17,8 +17,7 @@
 
 /// The part of its latency target that a query may use at least, whatever the reserve: enough shards
 /// are hardly ever in before. A caller that has used up half of a tight target by its question and its
-/// connection is still answered in time with what is there by then: at 0.2 in place of 0.5 the late
-/// requests of a route with a target of 60 ms over 90 shards fell from 70 to 26 of 425.
+/// connection is still answered in time with what is there by then.
 const LEAST_USED: f64 = 0.2;
 
 /// An `AnswerTime` holds the moments at which a query is answered.
--- a/alderhaven-policy/src/exchange/object_exchange.rs
+++ b/alderhaven-policy/src/exchange/object_exchange.rs
@@ -85,6 +85,13 @@
         self.is_complete = true;
     }
 
+    /// Returns true where nothing is missing, compared or to be compared.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        let is_comparing = self.comparison.is_some() || self.differing.is_some();
+        self.is_complete && self.missing.is_empty() && !is_comparing
+    }
+
     /// Gets the number of objects that are known of and not held yet.
     #[must_use]
     pub fn missing(&self) -> usize {
--- a/alderhaven-policy/src/far_cost.rs
+++ b/alderhaven-policy/src/far_cost.rs
@@ -10,12 +10,7 @@
 //!
 //! The rule: a far replica must be faster by twice the usual time of such an attempt. A queue of one or
 //! two requests stays near; a pause, a slow spell or failures, which cost more than that, go across.
-//! The limit keeps long requests free to leave a busy replica.
-//!
-//! Grounds for the figures: on Lagerblik (three failure domains, replicas in two of them) attempts that
-//! cross fell from 53 to 40 in a hundred, and mean worth rose, quiet days 0.859 to 0.870, days with
-//! trouble 0.756 to 0.762 (three seeds each); on Accra 0.915 to 0.918 and no change. With 120 ms, where
-//! pauses stay near as well, 0.714 in place of 0.767.
+//! The limit keeps long requests free to leave a busy replica, and pauses free to be passed.
 
 use alderhaven_core::time::TimeSpan;
 
--- a/alderhaven-policy/src/front_choice.rs
+++ b/alderhaven-policy/src/front_choice.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 
 use alderhaven_core::ids::FailureDomain;
+use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -50,6 +51,19 @@
     pub domain: FailureDomain,
     /// The size of the front's host against the largest one, 0 to 1.
     pub size: f64,
+    /// Whether the front is known to serve, or has run for long enough to.
+    pub is_started: bool,
+}
+
+/// The time in which a front that starts has a configuration from its peers. One that is named before
+/// keeps its callers waiting, or refuses them.
+const START_TIME: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// Returns true where a front may be named of which it was first heard `known_for` ago; `has_config` says
+/// that it told this process of a configuration. One that told of none may have one since.
+#[must_use]
+pub fn is_started(has_config: bool, known_for: TimeSpan) -> bool {
+    has_config || known_for >= START_TIME
 }
 
 /// Chooses the fronts for a caller in `domain`, the best first.
@@ -63,8 +77,10 @@
         let is_near = domain == Some(&offer.domain);
         offer.size + if is_near { options.near_bonus } else { 0.0 }
     };
-    let mut scored: Vec<(f64, &FrontOffer)> =
-        offers.iter().map(|offer| (score(offer), offer)).collect();
+    // Where a whole group starts at once, one of those that start is better than none.
+    let is_any = offers.iter().any(|offer| offer.is_started);
+    let named = offers.iter().filter(|offer| offer.is_started || !is_any);
+    let mut scored: Vec<(f64, &FrontOffer)> = named.map(|offer| (score(offer), offer)).collect();
     scored.sort_by(|left, right| {
         let by_score = right.0.total_cmp(&left.0);
         by_score.then_with(|| left.1.address.cmp(&right.1.address))
--- a/alderhaven-policy/src/group_start.rs
+++ b/alderhaven-policy/src/group_start.rs
@@ -3,8 +3,8 @@
 //! Load pattern: all nodes of a group start within some tenths of a second, and each would list the
 //! whole store, page by page, before it knows of any other.
 //!
-//! Without it: 76 nodes with 270 targets make some 330 calls before the first request; the store's rate
-//! grows more slowly than the fleet.
+//! Without it: the calls before the first request grow with the nodes and the targets; the store's rate
+//! grows more slowly.
 //!
 //! The rules:
 //! - a group that starts for the first time has no callers yet. The nodes that all know by address ask,
@@ -17,8 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The time in which peers in the same failure domain answer. A longer wait is paid for by the callers
-/// of a group that starts again as a whole: mean worth of days that end so, on Accra, 0.745 with 120 ms
-/// and 0.757 with 20 ms.
+/// of a group that starts again as a whole.
 const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(20);
 
 /// The time that the first nodes of a group that starts again need: their tries of the store, and the
--- a/alderhaven-policy/src/membership/group_membership.rs
+++ b/alderhaven-policy/src/membership/group_membership.rs
@@ -165,6 +165,19 @@
         self.sightings.other()
     }
 
+    /// Returns true where nothing but the next probe is due.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        let has_news = !self.queue.is_empty() || !self.board.is_empty();
+        !has_news && self.suspects.is_empty() && self.probing.is_idle() && self.syncing.is_idle()
+    }
+
+    /// Gets when the next member is probed.
+    #[must_use]
+    pub const fn next_probe_at(&self) -> TimePoint {
+        self.probing.next_at()
+    }
+
     /// Gets this process's own record.
     #[must_use]
     pub const fn record(&self) -> &MemberRecord {
@@ -227,6 +240,7 @@
             load: self.load,
             heard_at: None,
             config: Some(self.config),
+            met_at: TimePoint::START,
         };
         let others = self.members.values().map(|member| MemberView {
             record: Arc::clone(&member.record),
@@ -234,7 +248,8 @@
             version: member.machine.version(),
             load: member.load,
             heard_at: member.heard_at,
-            config: self.board.get(member.fingerprint),
+            config: self.board.get(member.fingerprint).or(member.config),
+            met_at: member.met_at,
         });
         std::iter::once(own).chain(others).collect()
     }
--- a/alderhaven-policy/src/membership/member_entry.rs
+++ b/alderhaven-policy/src/membership/member_entry.rs
@@ -24,11 +24,15 @@
     pub(crate) load: LoadLevel,
     /// When the member last spoke to this process itself.
     pub(crate) heard_at: Option<TimePoint>,
+    /// What the member has in force, as it said itself.
+    pub(crate) config: Option<ConfigDigest>,
+    /// When this process first heard of the member's process.
+    pub(crate) met_at: TimePoint,
     name_hash: u64,
 }
 
 impl MemberEntry {
-    pub(crate) fn new(record: MemberRecord, machine: MemberMachine) -> Self {
+    pub(crate) fn new(record: MemberRecord, machine: MemberMachine, now: TimePoint) -> Self {
         let record_start = machine.version().start;
         Self {
             fingerprint: report_board::fingerprint(&record.node, record_start),
@@ -38,15 +42,19 @@
             machine,
             load: LoadLevel::default(),
             heard_at: None,
+            config: None,
+            met_at: now,
         }
     }
 
     /// Takes over the record of a restarted process.
-    pub(crate) fn replace_record(&mut self, record: MemberRecord) {
+    pub(crate) fn replace_record(&mut self, record: MemberRecord, now: TimePoint) {
         self.record_start = self.machine.version().start;
         self.fingerprint = report_board::fingerprint(&record.node, self.record_start);
         self.record = Arc::new(record);
         self.heard_at = None;
+        self.config = None;
+        self.met_at = now;
     }
 
     /// Gets the bucket of a view's hashes that the member belongs to.
@@ -104,6 +112,8 @@
     pub heard_at: Option<TimePoint>,
     /// The configuration that the member has in force; none where it has not reported.
     pub config: Option<ConfigDigest>,
+    /// When the member's process was first heard of; for this process, its own start.
+    pub met_at: TimePoint,
 }
 
 fn serialize_record<S: Serializer>(
--- a/alderhaven-policy/src/membership/news.rs
+++ b/alderhaven-policy/src/membership/news.rs
@@ -115,6 +115,7 @@
         }
         member.load = sender.load;
         member.heard_at = Some(now);
+        member.config = Some(sender.config);
         let fingerprint = member.fingerprint;
         if self.options.is_reporting {
             self.report_revision += u64::from(self.board.hear(fingerprint, sender.config));
@@ -199,7 +200,7 @@
         let Some(record) = update.record else {
             return;
         };
-        member.replace_record(record);
+        member.replace_record(record, now);
         let update = member.update(true);
         let record = Arc::clone(&member.record);
         self.probing.add(update.node.clone(), rng);
@@ -228,7 +229,7 @@
         if machine.state() == MemberState::Suspect {
             self.suspects.insert(update.node.clone(), 0);
         }
-        let member = MemberEntry::new(record, machine);
+        let member = MemberEntry::new(record, machine, now);
         let (bucket, hash) = member.view_part();
         self.buckets[bucket] ^= hash;
         // What a joining process takes over is known to the others already.
--- a/alderhaven-policy/src/membership/probing.rs
+++ b/alderhaven-policy/src/membership/probing.rs
@@ -51,6 +51,16 @@
         self.sequence
     }
 
+    /// Returns true where no answer is awaited.
+    pub(super) const fn is_idle(&self) -> bool {
+        self.current.is_none()
+    }
+
+    /// Gets when the next member is probed.
+    pub(super) const fn next_at(&self) -> TimePoint {
+        self.period_ends
+    }
+
     /// Adds a member at a random place of the running round.
     pub(super) fn add(&mut self, node: NodeId, rng: &mut impl Rng) {
         let place = rng.random_range(self.next.min(self.ring.len())..=self.ring.len());
--- a/alderhaven-policy/src/membership/state_sync.rs
+++ b/alderhaven-policy/src/membership/state_sync.rs
@@ -42,6 +42,13 @@
     next_sync: TimePoint,
 }
 
+impl SyncSchedule {
+    /// Returns true where the process has joined, and no comparison is under way.
+    pub(super) const fn is_idle(&self) -> bool {
+        self.is_joined && self.current.is_none()
+    }
+}
+
 #[derive(Debug)]
 struct CurrentSync {
     peer: SocketAddr,
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -1,11 +1,11 @@
-//! Which queries over many shards a front sends now, which wait and which it refuses at once.
+//! Which queries over the same services a front sends now, which wait and which it refuses at once.
+//! A request to one service is a query over one.
 //!
-//! Load pattern: more queries arrive than their shards carry, for seconds; a burst; urgent queries
+//! Load pattern: more queries arrive than their targets carry, for seconds; a burst; urgent queries
 //! among others.
 //!
-//! Without it: everything is sent. At four times a usual load, a sixth more than the targets carry,
-//! the queries answered in time fall from 311 to 84 a second (20 shards of two replicas with two slots
-//! each), since each query lacks some shards; callers hear of it when their time is over.
+//! Without it: everything is sent. A query over many shards then lacks some of them, one to a single
+//! service waits in a target's queue until it is late, and callers hear of it when their time is over.
 //!
 //! The rules:
 //! - whole queries are decided on, before any part is sent, so that "not run" is true;
--- a/alderhaven-policy/src/replica_gauge.rs
+++ b/alderhaven-policy/src/replica_gauge.rs
@@ -46,9 +46,7 @@
 ///
 /// A rare failure is mended by one repeat, and costs little more than that takes. A replica that fails
 /// half of its requests uses up the repeats that all nodes share, and then each failure is a shard
-/// that is missing. With half of a site's servers refusing six requests in ten, a query then goes to
-/// a sound replica that is two or three times slower: mean worth of such days on Lagerblik, 0.749 with
-/// 60 ms by the share itself, 0.760 so (eight seeds).
+/// that is missing: a sound replica that is two or three times slower is better.
 const FAILURE_COST: TimeSpan = TimeSpan::from_millis(250);
 
 /// An `AttemptResult` is how an attempt at a replica ended, as far as the replica is concerned.
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -3,12 +3,13 @@
 //! Load pattern: hundreds of nodes and a store whose rate of calls grows more slowly than the fleet.
 //! Every change wakes every watch, so that each change costs one call a node.
 //!
-//! Without it: 65 nodes with their own watches make some 14,000 calls in a minute.
+//! Without it: the calls grow with the nodes times the changes.
 //!
 //! The rules: the first few nodes in an order that all know watch, and pass the news on. A node that
-//! can't reach the store says so, and the next one in the order takes its place. A node that has
-//! heard of no contact with the store for a while watches itself, since it may be cut off from its
-//! peers while its own path to the store is whole.
+//! can't reach the store says so, and the next one in the order takes its place. That it answers is
+//! no news of its own: headers of gossip say how long ago it did. A node that has heard of no answer for a
+//! while watches itself, since it may be cut off from its peers while its own path to the store is
+//! whole.
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::{TimePoint, TimeSpan};
--- a/alderhaven-policy/tests/common/shard_field.rs
+++ b/alderhaven-policy/tests/common/shard_field.rs
@@ -15,11 +15,13 @@
 /// The requests that wait at a replica before it refuses.
 const QUEUE: usize = 12;
 
-/// A `FieldOptions` is a load on a service of 20 shards with two replicas of two slots.
+/// A `FieldOptions` is a load on shards with two replicas of two slots each.
 #[derive(Clone, Debug)]
 pub struct FieldOptions {
     /// Queries a second at each front, by stretches of time: until when, and how many.
     pub rates: Vec<(TimePoint, Vec<f64>)>,
+    /// The shards; one stands for a service that is not sharded.
+    pub shards: usize,
     /// The kinds of queries.
     pub kinds: Vec<KindOptions>,
     /// Whether fronts decide on queries; else all are sent.
@@ -132,21 +134,20 @@
     tallies: Vec<(usize, usize, u64, FieldTally)>,
 }
 
-const SHARDS: usize = 20;
 const SLOTS: usize = 2;
 
 impl ShardField {
     /// Runs a load to its end.
     pub fn run(options: FieldOptions) -> Self {
-        let fronts = options.rates[0].1.len();
+        let (fronts, shards) = (options.rates[0].1.len(), options.shards);
         let mut field = Self {
             draws: DrawSource(options.seed),
             options,
             now: TimePoint::START,
             events: EventLoop::new(),
             queries: Vec::new(),
-            shards: (0..SHARDS).map(|_| Default::default()).collect(),
-            fronts: (0..fronts).map(|_| FieldFront::new()).collect(),
+            shards: (0..shards).map(|_| Default::default()).collect(),
+            fronts: (0..fronts).map(|_| FieldFront::new(shards)).collect(),
             tallies: Vec::new(),
         };
         for front in 0..fronts {
@@ -216,8 +217,8 @@
             started: self.now,
             state: QueryState::Waiting,
             present: 0,
-            tried: vec![None; SHARDS],
-            retried: vec![false; SHARDS],
+            tried: vec![None; self.options.shards],
+            retried: vec![false; self.options.shards],
         });
         if !self.options.is_gated {
             self.start(id);
@@ -276,7 +277,7 @@
     fn start(&mut self, query: usize) {
         self.queries[query].state = QueryState::Running;
         self.queries[query].started = self.now;
-        for shard in 0..SHARDS {
+        for shard in 0..self.options.shards {
             self.send(query, shard);
         }
         let due = self.queries[query].arrived + self.kind(query).target;
@@ -420,10 +421,10 @@
 }
 
 impl FieldFront {
-    fn new() -> Self {
+    fn new(shards: usize) -> Self {
         Self {
             gate: QueryGate::default(),
-            out: vec![[0; 2]; SHARDS],
+            out: vec![[0; 2]; shards],
         }
     }
 }
--- a/alderhaven-policy/tests/entry_answer.rs
+++ b/alderhaven-policy/tests/entry_answer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use alderhaven_core::ids::FailureDomain;
+use alderhaven_core::time::TimePoint;
 use alderhaven_policy::entry_answer::{AnswerOptions, EntryAnswer};
 use alderhaven_policy::membership::member_entry::MemberView;
 use alderhaven_policy::membership::member_record::{
@@ -27,6 +28,7 @@
         version: MemberVersion::default(),
         load: LoadLevel(load),
         heard_at: None,
+        met_at: TimePoint::START,
         config: None,
     }
 }
--- a/alderhaven-policy/tests/front_decisions.rs
+++ b/alderhaven-policy/tests/front_decisions.rs
@@ -6,7 +6,7 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::caller_wait::CallerWait;
 use alderhaven_policy::delivery_age::DeliveryAge;
-use alderhaven_policy::front_choice::{ChoiceOptions, FrontOffer, choose};
+use alderhaven_policy::front_choice::{ChoiceOptions, FrontOffer, choose, is_started};
 use alderhaven_policy::weighted_split::WeightedSplit;
 use proptest::prelude::*;
 
@@ -23,6 +23,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         domain: domain.parse().expect("a domain"),
         size,
+        is_started: true,
     }
 }
 
@@ -121,3 +122,32 @@
     let offers = [offer(1, "far", 0.1)];
     assert_eq!(choose(&offers, None, &ChoiceOptions::default()).len(), 1);
 }
+
+/// A large front restarts in the midst of load. It has no configuration yet, and callers who are sent there
+/// wait or are refused; the others are named until it had the time to start.
+#[test]
+fn choose_passes_over_a_front_that_starts() {
+    let options = ChoiceOptions::default();
+    let mut starting = offer(1, "a", 1.0);
+    starting.is_started = is_started(false, millis(300));
+    let small = [offer(2, "a", 0.2), offer(3, "b", 0.2)];
+    let offers = [starting.clone(), small[0].clone(), small[1].clone()];
+    let domain = "a".parse().ok();
+    let chosen = choose(&offers, domain.as_ref(), &options);
+    assert!(!chosen.contains(&starting.address), "{chosen:?}");
+    starting.is_started = is_started(false, millis(1_500)) && is_started(true, millis(0));
+    let offers = [starting.clone(), small[0].clone(), small[1].clone()];
+    let chosen = choose(&offers, domain.as_ref(), &options);
+    assert_eq!(chosen[0], starting.address);
+}
+
+/// All fronts lose power and start at once. None has a configuration, and some must be named all the same.
+#[test]
+fn choose_names_starting_fronts_where_there_are_no_others() {
+    let mut offers = [offer(1, "a", 1.0), offer(2, "b", 1.0)];
+    for offer in &mut offers {
+        offer.is_started = false;
+    }
+    let chosen = choose(&offers, None, &ChoiceOptions::default());
+    assert_eq!(chosen.len(), 2);
+}
--- a/alderhaven-policy/tests/query_gate.rs
+++ b/alderhaven-policy/tests/query_gate.rs
@@ -31,6 +31,7 @@
 fn run(rates: Vec<(TimePoint, Vec<f64>)>, is_gated: bool) -> ShardField {
     ShardField::run(FieldOptions {
         rates,
+        shards: 20,
         kinds: vec![SWEEP],
         is_gated,
         slow: (0, 1.0),
@@ -122,6 +123,7 @@
     let run = |is_gated| {
         settled(&ShardField::run(FieldOptions {
             rates: vec![(at(10_000), vec![CAPACITY * 0.5 / 5.0; 5])],
+            shards: 20,
             kinds: vec![SWEEP],
             is_gated,
             slow: (2, 10.0),
@@ -145,6 +147,7 @@
     };
     let field = ShardField::run(FieldOptions {
         rates: vec![(at(10_000), vec![CAPACITY * 2.0 / 5.0; 5])],
+        shards: 20,
         kinds: vec![urgent, lookup],
         is_gated: true,
         slow: (0, 1.0),
@@ -252,3 +255,37 @@
     }
     assert!(limit.get() <= 2.0, "{}", limit.get());
 }
+
+/// Lookups at one service come at two or three times what its two replicas carry. Sent all, they wait in
+/// the replicas' queues until most are late, and callers hear of it when their time is over. Admitted by
+/// the same rules, the replicas answer in time as many as they can, and the others hear at once.
+#[test]
+fn overload_of_one_service_keeps_what_is_answered_in_time() {
+    const LOOKUP: KindOptions = KindOptions {
+        rank: 2,
+        part: 1.0,
+        work: ms(90),
+        target: ms(380),
+        least: 1,
+    };
+    const CARRIED: f64 = 4.0 / 0.090 / 1.04;
+    let run = |times: f64, is_gated| {
+        let field = ShardField::run(FieldOptions {
+            rates: vec![(at(20_000), vec![CARRIED * times / 5.0; 5])],
+            shards: 1,
+            kinds: vec![LOOKUP],
+            is_gated,
+            slow: (0, 1.0),
+            seed: 11,
+        });
+        field.tally(|_, _, second| second >= 3)
+    };
+    let most = run(0.85, true);
+    assert!(most.refused <= 0.02 * most.asked, "{most:?}");
+    for times in [2.0, 3.0] {
+        let (gated, all) = (run(times, true), run(times, false));
+        assert!(gated.in_time >= 0.85 * most.in_time, "{times}: {gated:?}");
+        assert!(all.in_time < 0.7 * most.in_time, "{times}: {all:?}");
+        assert!(gated.slowest_refusal <= LOOKUP.target.mul_f64(0.25));
+    }
+}
