First lists of targets may come from a copy of the store that is seconds old

Reads that may be stale cost the store a tenth and do not count towards its rate. Change: the first list of targets may be such a copy; the configuration is read new. What the copy lacks is brought by the watch from its revision and by peers; pages of different ages count by the oldest.

Weighed: peers alone instead of the store (in the model a domain that restarts as a whole is filled after 0.9 to 1.4 s, and callers wait that long); the configuration from a copy too (an accepted version could miss an outage that begins right then).

--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -10,7 +10,7 @@
 use alderhaven_node::node_group::NodeGroup;
 use alderhaven_policy::group_start::GroupStart;
 use alderhaven_policy::store_watch_plan::{self, WatchOptions, WatchPlan};
-use alderhaven_store::object_store::{ObjectStore, StoreError, WatchOutcome};
+use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError, WatchOutcome};
 use alderhaven_store::retry_backoff::{BackoffOptions, RetryBackoff};
 use log::Level;
 use rand::RngExt;
@@ -166,9 +166,9 @@
     /// Asks the store until something is known, at short intervals: until then each request is refused.
     async fn learn_first(&mut self) {
         while !self.catalog.is_listed_kind(self.kind) {
-            let asked = time::timeout(FIRST_TIMEOUT, self.step()).await;
+            let asked = time::timeout(FIRST_TIMEOUT, self.list_first()).await;
             match asked {
-                Ok(Ok(_)) => self.note_reached(),
+                Ok(Ok(())) => self.note_reached(),
                 Ok(Err(error)) => self.note_lost(&error),
                 Err(_) => self.note_lost(&StoreError::unknown("no answer in time")),
             }
@@ -214,13 +214,32 @@
         }
     }
 
+    /// Lists the kind for the first time.
+    ///
+    /// Where a whole group starts at once each node may list all targets, so that a copy of the store that
+    /// costs it less is as good: targets come and go within seconds in any case, and those who watch pass
+    /// on what the copy lacks. The configuration is one object, and the newest.
+    async fn list_first(&mut self) -> Result<(), StoreError> {
+        let kinds = [self.kind];
+        let list = match self.kind {
+            ObjectKind::Target => self.store.list_stale(&kinds).await?,
+            _ => self.store.list(&kinds).await?,
+        };
+        self.take_list(list);
+        Ok(())
+    }
+
+    fn take_list(&mut self, list: ObjectList) {
+        self.revision = Some(list.revision);
+        self.catalog
+            .accept_list(self.kind, list.revision, list.objects);
+    }
+
     /// Makes one call; returns true where it brought a change.
     async fn step(&mut self) -> Result<bool, StoreError> {
         let Some(revision) = self.revision else {
             let list = self.store.list(&[self.kind]).await?;
-            self.revision = Some(list.revision);
-            self.catalog
-                .accept_list(self.kind, list.revision, list.objects);
+            self.take_list(list);
             return Ok(true);
         };
         let watched = self.store.watch(&[self.kind], revision, WATCH_WAIT).await?;
--- a/alderhaven-store/src/object_store.rs
+++ b/alderhaven-store/src/object_store.rs
@@ -125,6 +125,15 @@
     /// Lists all objects of the kinds.
     fn list(&self, kinds: &[ObjectKind]) -> impl Future<Output = StoreResult<ObjectList>> + Send;
 
+    /// Lists all objects of the kinds from a copy that may be seconds old, where the store has one that
+    /// costs it less. A watch from the list's revision brings what the copy lacks.
+    fn list_stale(
+        &self,
+        kinds: &[ObjectKind],
+    ) -> impl Future<Output = StoreResult<ObjectList>> + Send {
+        self.list(kinds)
+    }
+
     /// Gets one object; none where it was never written.
     fn get(
         &self,
