--- a/alderhaven-front/src/shard_set.rs
+++ b/alderhaven-front/src/shard_set.rs
@@ -11,14 +11,12 @@
     /// Gets the set of one service.
     #[must_use]
     pub fn single(service: &str) -> Self {
-        let mut hasher = DefaultHasher::new();
-        [service].hash(&mut hasher);
-        Self(hasher.finish())
+        Self::of(&[service])
     }
 
     /// Gets the set of these services.
     #[must_use]
-    pub fn of(services: &[String]) -> Self {
+    pub fn of<S: Hash>(services: &[S]) -> Self {
         let mut hasher = DefaultHasher::new();
         services.hash(&mut hasher);
         Self(hasher.finish())
--- a/alderhaven-policy/src/membership/group_membership.rs
+++ b/alderhaven-policy/src/membership/group_membership.rs
@@ -168,8 +168,13 @@
     /// Returns true where nothing but the next probe is due.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
-        let has_news = !self.queue.is_empty() || !self.board.is_empty();
-        !has_news && self.suspects.is_empty() && self.probing.is_idle() && self.syncing.is_idle()
+        let is_awaiting = !self.probing.is_idle() || !self.syncing.is_idle();
+        !self.has_news() && self.suspects.is_empty() && !is_awaiting
+    }
+
+    /// Returns true where there is something to pass on.
+    pub(super) fn has_news(&self) -> bool {
+        !self.queue.is_empty() || !self.board.is_empty()
     }
 
     /// Gets when the next member is probed.
--- a/alderhaven-policy/src/membership/spreading.rs
+++ b/alderhaven-policy/src/membership/spreading.rs
@@ -30,8 +30,7 @@
         } else {
             self.options.gossip_period
         };
-        let has_news = !self.queue.is_empty() || !self.board.is_empty();
-        if !has_news || now.since(self.gossiped_at) < period {
+        if !self.has_news() || now.since(self.gossiped_at) < period {
             return;
         }
         self.gossiped_at = now;
