Evacuated failure domains get no new work, and cold targets what they tolerate

What a cold target tolerates was not read either.

Change: evacuations are a kind of object that is followed where the settings name a bound for them, passed on among nodes like registrations, and applied to the targets themselves: attempts that wait for a connection, views that requests have pinned and asks of other fronts see them at once. A target that is cold gets from two nodes on large hosts, which all compute alike, half of what it tolerates each; the other way, a part for each node by its size, leaves 63 nodes a fraction of a request each and adds up to a burst when they all use it. Log lines, a metric, /status.

--- a/alderhaven-core/src/config_object.rs
+++ b/alderhaven-core/src/config_object.rs
@@ -35,6 +35,8 @@
     Contact,
     /// What a node has seen of the crashes that one request was part of.
     Strike,
+    /// A failure domain whose targets get no new work until the object is removed; named after it.
+    Evacuation,
 }
 
 impl ObjectKind {
@@ -52,7 +54,8 @@
             | Self::Routing
             | Self::Target
             | Self::Contact
-            | Self::Strike => true,
+            | Self::Strike
+            | Self::Evacuation => true,
             Self::Claims | Self::History => false,
         }
     }
@@ -71,6 +74,7 @@
             Self::Target => "target",
             Self::Contact => "contact",
             Self::Strike => "strike",
+            Self::Evacuation => "evacuation",
         }
     }
 }
@@ -96,10 +100,11 @@
             "target" => Ok(Self::Target),
             "contact" => Ok(Self::Contact),
             "strike" => Ok(Self::Strike),
+            "evacuation" => Ok(Self::Evacuation),
             _ => Err(Error::parse(
                 "object kind",
                 text,
-                "template, team, manifest, claims, drain, history, routing, target, contact or strike",
+                "template, team, manifest, claims, drain, history, routing, target, contact, strike or evacuation",
             )),
         }
     }
@@ -194,7 +199,8 @@
             | ObjectKind::Routing
             | ObjectKind::Target
             | ObjectKind::Contact
-            | ObjectKind::Strike => {
+            | ObjectKind::Strike
+            | ObjectKind::Evacuation => {
                 return Err(vec![Error::invalid(
                     key.to_string(),
                     "objects of this kind are not configuration of entries and relays",
--- a/alderhaven-core/src/time.rs
+++ b/alderhaven-core/src/time.rs
@@ -40,13 +40,13 @@
     /// Returns a span of `millis` milliseconds.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Returns a span of `secs` seconds.
     #[must_use]
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000_000)
+        Self(secs.saturating_mul(1_000_000))
     }
 
     /// Gets the whole microseconds.
--- a/alderhaven-ctl/src/change_plan.rs
+++ b/alderhaven-ctl/src/change_plan.rs
@@ -167,6 +167,7 @@
         | ObjectKind::Routing
         | ObjectKind::Target
         | ObjectKind::Contact
-        | ObjectKind::Strike => 3,
+        | ObjectKind::Strike
+        | ObjectKind::Evacuation => 3,
     }
 }
--- a/alderhaven-ctl/src/object_file.rs
+++ b/alderhaven-ctl/src/object_file.rs
@@ -84,7 +84,8 @@
             | ObjectKind::Routing
             | ObjectKind::Target
             | ObjectKind::Contact
-            | ObjectKind::Strike => {
+            | ObjectKind::Strike
+            | ObjectKind::Evacuation => {
                 return Err(unknown_folder(path));
             }
         };
--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -37,7 +37,7 @@
     WrongTarget,
     /// The target could not be reached; nothing was sent.
     Unreachable,
-    /// The request was over before anything was sent.
+    /// The request was over, or the target closed, before anything was sent.
     Withdrawn,
     /// The request was sent and no whole reply to it came: it may have run.
     Lost,
@@ -165,11 +165,12 @@
         }
     }
 
-    /// Builds the request; none where it is too late for it.
+    /// Builds the request; none where it is no longer to be sent.
     fn request(&self) -> Option<Request<WholeBody>> {
         let now = self.clock.now();
         let is_late = self.is_over.load(Ordering::Relaxed) || now >= self.ends_at;
-        if is_late || !self.phase.begin_send() {
+        // The target may have been closed while the attempt waited for a connection.
+        if is_late || self.target.is_closed() || !self.phase.begin_send() {
             return None;
         }
         let entry = self.target.entry();
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -17,11 +17,13 @@
 use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::repeat_budget::RepeatOptions;
 use alderhaven_policy::store_watch_plan::StoreContact;
+use alderhaven_policy::warmup_limit::WarmupBound;
 use arc_swap::ArcSwap;
 use log::Level;
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::catalog_state;
 use crate::catalog_state::CatalogState;
 use crate::catalog_view::CatalogView;
 use crate::crash_board::CrashBoard;
@@ -31,6 +33,7 @@
 use crate::target_pool::TargetPool;
 use crate::wire_dialect::WireDialect;
 
+mod evacuations;
 mod words;
 
 /// How long a target whose registration has gone is kept as a last resort. Registrations lapse while
@@ -63,6 +66,10 @@
     pub capacity: CpuCapacity,
     /// The rule for repeats.
     pub repeats: RepeatOptions,
+    /// How far all nodes together may exceed what a cold target tolerates.
+    pub warmup: WarmupBound,
+    /// Whether operators evacuate failure domains through the store.
+    pub has_evacuations: bool,
 }
 
 impl Catalog {
@@ -74,11 +81,12 @@
         clock: ProcessClock,
     ) -> Self {
         let share = GroupShare::alone(options.capacity);
+        let store_kinds = catalog_state::store_kinds(options.has_evacuations);
         Self {
             dialect,
             options,
             clock,
-            state: Mutex::new(CatalogState::new(share)),
+            state: Mutex::new(CatalogState::new(share, store_kinds)),
             view: ArcSwap::from_pointee(CatalogView::new(share)),
             changed: watch::Sender::new(0),
             crashes: CrashBoard::new(clock),
@@ -184,10 +192,21 @@
         }
     }
 
-    /// Notes the capacities of the nodes that are alive, this one's included.
-    pub fn note_nodes(&self, capacities: impl IntoIterator<Item = CpuCapacity>) {
+    /// Notes the nodes that are alive with their capacities, this one included.
+    pub fn note_nodes(&self, nodes: &[(NodeId, CpuCapacity)]) {
         let mut state = self.state();
-        if state.share.note(capacities) {
+        let mut is_changed = state
+            .share
+            .note(nodes.iter().map(|(_, capacity)| *capacity));
+        let share = state.share;
+        let is_carrier = |capacity: CpuCapacity| share.is_large_host(capacity);
+        let carriers = nodes.iter().filter(|(_, capacity)| is_carrier(*capacity));
+        let carriers: Vec<NodeId> = carriers.map(|(node, _)| node.clone()).collect();
+        if carriers != state.carriers {
+            state.carriers = carriers;
+            is_changed = true;
+        }
+        if is_changed {
             self.rebuild(&mut state);
         }
     }
@@ -244,6 +263,10 @@
         match object.key.kind {
             ObjectKind::Routing => self.apply_routing(state, object),
             ObjectKind::Target => self.apply_target(state, object),
+            ObjectKind::Evacuation => {
+                self.apply_evacuation(state, object);
+                false
+            }
             ObjectKind::Contact => {
                 self.apply_contact(state, object);
                 false
@@ -308,16 +331,24 @@
     }
 
     fn take_target(&self, state: &mut CatalogState, entry: TargetEntry) {
+        let warmup_left = entry.warmup_left;
         if let Some(known) = state.targets.get(&entry.id)
             && is_same_process(&known.entry(), &entry)
         {
             known.update(entry);
+            known.warmup().note_cold(warmup_left, self.clock.now());
             return;
         }
         let is_near = entry.domain.as_ref() == Some(&self.options.domain);
         let pool = TargetPool::new(entry.address, DEFAULT_CONNECTIONS, self.clock);
         let id = entry.id.clone();
+        let is_evacuated = entry
+            .domain
+            .as_ref()
+            .is_some_and(|domain| state.evacuated.contains_key(domain));
         let handle = TargetHandle::new(entry, pool, is_near);
+        handle.set_evacuated(is_evacuated);
+        handle.warmup().note_cold(warmup_left, self.clock.now());
         state.targets.insert(id, Arc::new(handle));
     }
 
@@ -339,7 +370,7 @@
     }
 
     fn rebuild(&self, state: &mut CatalogState) {
-        let view = state.view(self.options.repeats, self.clock.now());
+        let view = state.view(&self.options, self.clock.now());
         self.view.store(Arc::new(view));
     }
 
@@ -373,6 +404,7 @@
         for target in services.flat_map(|service| &service.targets) {
             if target.is_near
                 && target.standing() == TargetStanding::Ready
+                && !target.is_evacuated()
                 && target.start_warming()
             {
                 let target = Arc::clone(target);
--- a/alderhaven-front/src/catalog_state.rs
+++ b/alderhaven-front/src/catalog_state.rs
@@ -4,15 +4,18 @@
 use std::sync::{Arc, Mutex};
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
-use alderhaven_core::ids::NodeId;
-use alderhaven_core::time::TimePoint;
+use alderhaven_core::ids::{FailureDomain, NodeId};
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::group_share::GroupShare;
 use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions};
 use alderhaven_policy::store_watch_plan::StoreContact;
+use alderhaven_policy::warmup_limit;
 
+use crate::catalog::CatalogOptions;
 use crate::catalog_view::{CatalogView, LiveRoute};
 use crate::route_state::RouteState;
 use crate::routing_config::RoutingConfig;
+use crate::service_rule::ServiceRule;
 use crate::service_targets::ServiceTargets;
 use crate::target_handle::{TargetHandle, TargetStanding};
 
@@ -20,8 +23,16 @@
 /// one for the connections that a target still counts of nodes which lost power and are back.
 const CAP_PARTS: f64 = 2.0;
 
-/// The kinds that the store keeps; words about contacts go among the nodes only.
-pub(crate) const STORE_KINDS: [ObjectKind; 2] = [ObjectKind::Routing, ObjectKind::Target];
+/// Gets the kinds that the store keeps; words about contacts go among the nodes only.
+pub(crate) const fn store_kinds(has_evacuations: bool) -> &'static [ObjectKind] {
+    const ALL: [ObjectKind; 3] = [
+        ObjectKind::Routing,
+        ObjectKind::Target,
+        ObjectKind::Evacuation,
+    ];
+    const USUAL: [ObjectKind; 2] = [ObjectKind::Routing, ObjectKind::Target];
+    if has_evacuations { &ALL } else { &USUAL }
+}
 
 /// A `CatalogState` is all that is known, behind the catalog's lock.
 pub(crate) struct CatalogState {
@@ -30,9 +41,15 @@
     pub(crate) is_told: bool,
     /// The kinds that the store has listed, empty or not.
     pub(crate) listed_kinds: BTreeSet<ObjectKind>,
+    /// The kinds that the store keeps.
+    pub(crate) store_kinds: &'static [ObjectKind],
     pub(crate) routing: Option<Arc<RoutingConfig>>,
     pub(crate) route_states: HashMap<String, Arc<RouteState>>,
     pub(crate) targets: BTreeMap<String, Arc<TargetHandle>>,
+    /// The failure domains that are evacuated, with when this node learnt it.
+    pub(crate) evacuated: BTreeMap<FailureDomain, TimePoint>,
+    /// The live nodes on large hosts, this one included where it is one.
+    pub(crate) carriers: Vec<NodeId>,
     pub(crate) budgets: HashMap<String, Arc<Mutex<RepeatBudget>>>,
     pub(crate) contacts: BTreeMap<NodeId, StoreContact>,
     pub(crate) share: GroupShare,
@@ -42,14 +59,17 @@
 
 impl CatalogState {
     /// Returns a state in which nothing is known.
-    pub(crate) fn new(share: GroupShare) -> Self {
+    pub(crate) fn new(share: GroupShare, store_kinds: &'static [ObjectKind]) -> Self {
         Self {
             objects: BTreeMap::new(),
             is_told: false,
             listed_kinds: BTreeSet::new(),
+            store_kinds,
             routing: None,
             route_states: HashMap::new(),
             targets: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
+            carriers: Vec::new(),
             budgets: HashMap::new(),
             contacts: BTreeMap::new(),
             share,
@@ -60,21 +80,27 @@
     /// Returns true where all objects are known.
     pub fn is_listed(&self) -> bool {
         let is_known = |kind| self.listed_kinds.contains(kind);
-        self.is_told || STORE_KINDS.iter().all(is_known)
+        self.is_told || self.store_kinds.iter().all(is_known)
     }
 
     /// Builds the view of what is known; targets whose time as a last resort is over are dropped.
-    pub fn view(&mut self, repeats: RepeatOptions, now: TimePoint) -> CatalogView {
+    pub fn view(&mut self, options: &CatalogOptions, now: TimePoint) -> CatalogView {
         self.drop_gone(now);
         CatalogView {
             routing: self.routing.clone(),
             routes: self.routes(),
-            services: self.services(repeats),
+            services: self.services(options),
             targets: self.targets.clone().into_iter().collect(),
             share: self.share,
         }
     }
 
+    /// Gets how long a cold target of a service stays so; none where it tolerates any load.
+    pub fn warmup_span(&self, service: &str) -> Option<TimeSpan> {
+        let routing = self.routing.as_ref()?;
+        Some(routing.services.get(service)?.warmup?.span)
+    }
+
     fn drop_gone(&mut self, now: TimePoint) {
         let objects = &self.objects;
         self.targets.retain(|id, target| {
@@ -92,7 +118,7 @@
         });
     }
 
-    fn services(&mut self, repeats: RepeatOptions) -> HashMap<String, Arc<ServiceTargets>> {
+    fn services(&mut self, options: &CatalogOptions) -> HashMap<String, Arc<ServiceTargets>> {
         let mut by_service: HashMap<String, Vec<Arc<TargetHandle>>> = HashMap::new();
         for target in self.targets.values() {
             let service = target.entry().service.clone();
@@ -101,7 +127,7 @@
                 .or_default()
                 .push(Arc::clone(target));
         }
-        let repeats = self.repeats.unwrap_or(repeats);
+        let repeats = self.repeats.unwrap_or(options.repeats);
         let mut services = HashMap::new();
         for (name, targets) in by_service {
             let rule = self
@@ -112,6 +138,8 @@
                 let limit = self.share.connections(rule.max_connections, CAP_PARTS);
                 for target in &targets {
                     target.pool.set_limit(limit);
+                    let allowance = self.warmup_allowance(rule, &target.entry().id, options);
+                    target.warmup().set_allowance(allowance);
                 }
             }
             let budget = self
@@ -128,6 +156,23 @@
         services
     }
 
+    /// Gets the requests a second that this node may send to a cold target; none where any number.
+    fn warmup_allowance(
+        &self,
+        rule: &ServiceRule,
+        target: &str,
+        options: &CatalogOptions,
+    ) -> Option<usize> {
+        let rate = rule.warmup?.rate;
+        Some(warmup_limit::allowance(
+            &options.node,
+            &self.carriers,
+            target,
+            rate,
+            options.warmup,
+        ))
+    }
+
     fn routes(&mut self) -> HashMap<String, Vec<Arc<LiveRoute>>> {
         let Some(routing) = self.routing.clone() else {
             return HashMap::new();
--- a/alderhaven-front/src/directory_service.rs
+++ b/alderhaven-front/src/directory_service.rs
@@ -5,6 +5,7 @@
 
 use crate::front_context::FrontContext;
 use crate::front_directory::FrontDirectory;
+use crate::front_status::FrontStatus;
 use crate::wire_dialect::WholeBody;
 
 /// Answers a question.
@@ -36,13 +37,24 @@
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Answers a question for the metrics.
+/// The path of the status.
+const STATUS_PATH: &str = "/status";
+
+/// Answers a question for the metrics or the status.
 #[must_use]
 pub fn metrics(context: &FrontContext, request: &Request<Incoming>) -> Response<WholeBody> {
-    if request.uri().path() != METRICS_PATH {
-        return plain(StatusCode::NOT_FOUND);
+    match request.uri().path() {
+        METRICS_PATH => Response::new(WholeBody::from(context.encode_metrics())),
+        STATUS_PATH => status(&FrontStatus::of(context)),
+        _ => plain(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(status: &FrontStatus) -> Response<WholeBody> {
+    match serde_json::to_vec(status) {
+        Ok(body) => Response::new(WholeBody::from(body)),
+        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
     }
-    Response::new(WholeBody::from(context.encode_metrics()))
 }
 
 fn request_head(request: &Request<Incoming>) -> http::request::Parts {
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -68,6 +68,10 @@
     /// Writes all metrics in the text format.
     #[must_use]
     pub fn encode_metrics(&self) -> String {
+        let evacuated = self.catalog.evacuated().len();
+        self.metrics
+            .evacuated_domains
+            .set(i64::try_from(evacuated).unwrap_or(i64::MAX));
         if let Some(traffic) = self.links.group().traffic() {
             self.metrics.set_peer_traffic(&traffic);
         }
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -69,6 +69,31 @@
         /// Its service.
         service: String,
     },
+    /// An operator evacuates a failure domain: its targets get no new work.
+    DomainEvacuated {
+        /// The failure domain.
+        domain: String,
+        /// The store's version of the object.
+        revision: u64,
+        /// The targets of it that are known.
+        targets: usize,
+    },
+    /// The evacuation of a failure domain was taken back.
+    DomainReturned {
+        /// The failure domain.
+        domain: String,
+        /// The store's version of the removal.
+        revision: u64,
+        /// How long it was evacuated, in milliseconds.
+        after_ms: u64,
+    },
+    /// An evacuation has a name that no failure domain can have.
+    EvacuationUnreadable {
+        /// The name.
+        name: String,
+        /// Why it can't be read.
+        reason: String,
+    },
     /// What another node tells of crashes can't be read.
     StrikesUnreadable {
         /// The name of its word.
@@ -213,6 +238,9 @@
             Self::TargetUnreadable { .. } => "target_unreadable",
             Self::TargetGone { .. } => "target_gone",
             Self::TargetAside { .. } => "target_aside",
+            Self::DomainEvacuated { .. } => "domain_evacuated",
+            Self::DomainReturned { .. } => "domain_returned",
+            Self::EvacuationUnreadable { .. } => "evacuation_unreadable",
             Self::StoreLost { .. } => "store_lost",
             Self::StoreBack => "store_back",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -40,6 +40,8 @@
     pub config_version: Gauge,
     /// The nodes of the group that are alive.
     pub nodes: Gauge,
+    /// The failure domains that are evacuated.
+    pub evacuated_domains: Gauge,
     /// The log lines that were left out because there were too many of their kind.
     pub omitted_lines: Counter,
 }
@@ -156,6 +158,7 @@
             carried_asks: Counter::default(),
             config_version: Gauge::default(),
             nodes: Gauge::default(),
+            evacuated_domains: Gauge::default(),
             omitted_lines: Counter::default(),
         }
     }
@@ -282,6 +285,11 @@
             own.config_version,
         );
         registry.register("nodes", "Nodes of the group that are alive", own.nodes);
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose targets get no new work",
+            own.evacuated_domains,
+        );
         registry.register("omitted_log_lines", "Log lines left out", own.omitted_lines);
         registry
     }
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
@@ -16,7 +17,7 @@
 
 use crate::caller_server;
 use crate::catalog::{Catalog, CatalogOptions};
-use crate::catalog_state::STORE_KINDS;
+use crate::catalog_state;
 use crate::front_context::FrontContext;
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
@@ -65,6 +66,8 @@
             domain: options.domain.clone(),
             capacity: options.capacity,
             repeats: options.repeats,
+            warmup: options.warmup,
+            has_evacuations: options.has_evacuations,
         };
         let catalog = Arc::new(Catalog::new(Arc::clone(&dialect), catalog_options, clock));
         let group = start_group(&options, addresses, &catalog).await?;
@@ -86,14 +89,14 @@
             addresses,
         };
         node.serve(listeners, &options);
-        for kind in STORE_KINDS {
+        for kind in catalog_state::store_kinds(options.has_evacuations) {
             let (store, group) = (Arc::clone(&store), node.group.clone());
             let follower = StoreFollower::new(
                 store,
                 Arc::clone(&catalog),
                 group,
                 options.node.clone(),
-                kind,
+                *kind,
             );
             let follower = follower.with_metrics(metrics.clone());
             let follower = follower.with_start(options.start);
@@ -255,9 +258,11 @@
     loop {
         let members = group.members();
         let live = members.iter().filter(|member| member.state.takes_work());
-        let capacities: Vec<CpuCapacity> = live.map(|member| member.record.capacity).collect();
-        let live = capacities.len();
-        catalog.note_nodes(capacities);
+        let nodes: Vec<(NodeId, CpuCapacity)> = live
+            .map(|member| (member.record.node.clone(), member.record.capacity))
+            .collect();
+        let live = nodes.len();
+        catalog.note_nodes(&nodes);
         if live != before {
             FrontEvent::NodesChanged {
                 nodes: live,
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -8,6 +8,7 @@
 use alderhaven_policy::group_start::GroupStart;
 use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::repeat_budget::RepeatOptions;
+use alderhaven_policy::warmup_limit::WarmupBound;
 
 use crate::front_context::RequestOptions;
 
@@ -45,6 +46,12 @@
     pub directory_ttl: TimeSpan,
     /// The rule for repeats.
     pub repeats: RepeatOptions,
+    /// How far all nodes together may exceed what a cold target tolerates.
+    #[builder(default)]
+    pub warmup: WarmupBound,
+    /// Whether operators evacuate failure domains through the store.
+    #[builder(default)]
+    pub has_evacuations: bool,
     /// The settings of requests.
     #[builder(default)]
     pub requests: RequestOptions,
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -160,7 +160,7 @@
         let view = self.context.catalog.view();
         for (place, id) in self.ask.targets.iter().enumerate() {
             let target = view.targets.get(id);
-            let ready = target.filter(|target| target.standing() != TargetStanding::Leaving);
+            let ready = target.filter(|target| !target.is_closed());
             let Some(target) = ready else {
                 self.ends
                     .push(end(place, GroupOutcome::NotRun, TimeSpan::ZERO));
--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -70,6 +70,9 @@
         TargetStanding::Lapsed(until) if now < until => LAPSED_PENALTY,
         TargetStanding::Lapsed(_) | TargetStanding::Leaving => return None,
     };
+    if target.is_evacuated() || !target.warmup().has_room(now) {
+        return None;
+    }
     let gauge = target.gauge();
     if gauge.is_aside(now) {
         return None;
--- a/alderhaven-front/src/shard_run.rs
+++ b/alderhaven-front/src/shard_run.rs
@@ -52,6 +52,7 @@
 
     /// Notes that a target is asked.
     pub fn begin(&mut self, target: Arc<TargetHandle>, now: TimePoint) {
+        target.warmup().note_sent(now);
         self.tried.push(target);
         self.sent.push(now);
         self.open += 1;
--- a/alderhaven-front/src/target_handle.rs
+++ b/alderhaven-front/src/target_handle.rs
@@ -5,6 +5,7 @@
 
 use alderhaven_core::time::TimePoint;
 use alderhaven_policy::replica_gauge::ReplicaGauge;
+use alderhaven_policy::warmup_limit::WarmupLimit;
 use arc_swap::ArcSwap;
 
 use crate::target_entry::TargetEntry;
@@ -21,6 +22,8 @@
     pub is_near: bool,
     gauge: Mutex<ReplicaGauge>,
     standing: Mutex<TargetStanding>,
+    warmup: Mutex<WarmupLimit>,
+    is_evacuated: AtomicBool,
     is_warmed: AtomicBool,
 }
 
@@ -50,6 +53,8 @@
             is_near,
             gauge: Mutex::default(),
             standing: Mutex::new(standing),
+            warmup: Mutex::default(),
+            is_evacuated: AtomicBool::new(false),
             is_warmed: AtomicBool::new(false),
         }
     }
@@ -81,6 +86,28 @@
         *self.lock_standing() = standing;
     }
 
+    /// Returns true where its failure domain is evacuated: it gets no new work.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Changes whether its failure domain is evacuated; returns whether it was.
+    pub fn set_evacuated(&self, is_evacuated: bool) -> bool {
+        self.is_evacuated.swap(is_evacuated, Ordering::Relaxed)
+    }
+
+    /// Returns true where it gets no new work, also from requests that have chosen it before.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.is_evacuated() || self.standing() == TargetStanding::Leaving
+    }
+
+    /// Locks what holds requests back while it is cold.
+    pub fn warmup(&self) -> MutexGuard<'_, WarmupLimit> {
+        self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns true the first time: its connections should be opened ahead of requests.
     pub fn start_warming(&self) -> bool {
         !self.is_warmed.swap(true, Ordering::Relaxed)
--- a/alderhaven-policy/src/config_registry.rs
+++ b/alderhaven-policy/src/config_registry.rs
@@ -157,7 +157,8 @@
             | ObjectKind::Routing
             | ObjectKind::Target
             | ObjectKind::Contact
-            | ObjectKind::Strike => {}
+            | ObjectKind::Strike
+            | ObjectKind::Evacuation => {}
         }
     }
 }
--- a/alderhaven-policy/src/group_share.rs
+++ b/alderhaven-policy/src/group_share.rs
@@ -65,6 +65,12 @@
         self.own >= self.largest * LARGE_PART
     }
 
+    /// Returns true where a node of this capacity is one of those that carry the load.
+    #[must_use]
+    pub fn is_large_host(&self, capacity: CpuCapacity) -> bool {
+        size_of(capacity) >= self.largest * LARGE_PART
+    }
+
     /// Gets the size of a node against the largest one that is alive.
     #[must_use]
     pub fn size(&self, capacity: CpuCapacity) -> f64 {
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -67,4 +67,5 @@
 pub mod token_bucket;
 pub mod top_records;
 pub mod wake_lag;
+pub mod warmup_limit;
 pub mod weighted_split;
