--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -10,6 +10,7 @@
 use alderhaven_policy::drain::DrainState;
 use alderhaven_policy::front_choice::{self, ChoiceOptions, FrontOffer};
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberState};
+use rand::RngExt;
 use smallvec::SmallVec;
 
 use crate::catalog::Catalog;
@@ -73,13 +74,15 @@
     /// Chooses the fronts for a caller.
     #[must_use]
     pub fn fronts_for(&self, question: &DirectoryQuestion) -> SmallVec<[SocketAddr; 8]> {
+        let turn = rand::rng().random_range(0..usize::from(u16::MAX));
         let offers = self.offers(MemberState::Alive);
-        let chosen = front_choice::choose(&offers, question.domain.as_ref(), &self.options);
+        let domain = question.domain.as_ref();
+        let chosen = front_choice::choose(&offers, domain, &self.options, turn);
         if !chosen.is_empty() {
             return chosen;
         }
         let offers = self.offers(MemberState::Suspect);
-        front_choice::choose(&offers, question.domain.as_ref(), &self.options)
+        front_choice::choose(&offers, domain, &self.options, turn)
     }
 
     fn offers(&self, state: MemberState) -> Vec<FrontOffer> {
--- a/alderhaven-policy/src/front_choice.rs
+++ b/alderhaven-policy/src/front_choice.rs
@@ -8,8 +8,10 @@
 //! The rules: a front is worth more the larger its host is; the caller's own domain is a bonus. Where
 //! the replicas lie does not count: parts of another domain come as one block, whichever front asks.
 //! The best group of fronts is named, large enough to carry the callers, and never empty while one
-//! front lives.
+//! front lives. Where a whole failure domain may be lost, fronts of other domains are named beside
+//! them, so that a caller whose domain is gone knows where to go before it can ask again.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use alderhaven_core::ids::FailureDomain;
@@ -29,6 +31,8 @@
     pub spread: f64,
     /// The most fronts that are named.
     pub most: usize,
+    /// The fewest failure domains whose fronts are named, where there are as many.
+    pub domains: usize,
 }
 
 impl Default for ChoiceOptions {
@@ -38,6 +42,7 @@
             fewest: 2,
             spread: 0.1,
             most: 64,
+            domains: 1,
         }
     }
 }
@@ -66,12 +71,14 @@
     has_config || known_for >= START_TIME
 }
 
-/// Chooses the fronts for a caller in `domain`, the best first.
+/// Chooses the fronts for a caller in `domain`, the best first. `turn` differs between answers, so that
+/// callers of one domain are spread over the others.
 #[must_use]
 pub fn choose(
     offers: &[FrontOffer],
     domain: Option<&FailureDomain>,
     options: &ChoiceOptions,
+    turn: usize,
 ) -> SmallVec<[SocketAddr; 8]> {
     let score = |offer: &FrontOffer| {
         let is_near = domain == Some(&offer.domain);
@@ -88,11 +95,45 @@
     let Some(best) = scored.first().map(|first| first.0) else {
         return SmallVec::new();
     };
-    scored
+    let mut chosen: SmallVec<[&FrontOffer; 8]> = scored
         .iter()
         .enumerate()
         .filter(|(place, (score, _))| *place < options.fewest || *score >= best - options.spread)
-        .take(options.most)
-        .map(|(_, (_, offer))| offer.address)
-        .collect()
+        .map(|(_, (_, offer))| *offer)
+        .collect();
+    add_domains(&mut chosen, &scored, options.domains, turn);
+    let addresses = chosen.iter().map(|offer| offer.address);
+    addresses.take(options.most).collect()
+}
+
+/// Adds fronts of other failure domains, as many of each as are named on average of those that are named
+/// already, until `domains` are named.
+fn add_domains<'a>(
+    chosen: &mut SmallVec<[&'a FrontOffer; 8]>,
+    scored: &[(f64, &'a FrontOffer)],
+    domains: usize,
+    turn: usize,
+) {
+    let is_named = |chosen: &[&FrontOffer], domain: &FailureDomain| {
+        chosen.iter().any(|offer| offer.domain == *domain)
+    };
+    let named: BTreeSet<&FailureDomain> = chosen.iter().map(|offer| &offer.domain).collect();
+    let each = chosen.len().div_ceil(named.len().max(1));
+    let mut others: Vec<&FailureDomain> = scored
+        .iter()
+        .map(|(_, offer)| &offer.domain)
+        .filter(|domain| !is_named(chosen, domain))
+        .collect::<BTreeSet<_>>()
+        .into_iter()
+        .collect();
+    let missing = domains.saturating_sub(named.len()).min(others.len());
+    if missing == 0 {
+        return;
+    }
+    let first = turn % others.len();
+    others.rotate_left(first);
+    for domain in &others[..missing] {
+        let of_domain = scored.iter().filter(|(_, offer)| offer.domain == **domain);
+        chosen.extend(of_domain.take(each).map(|(_, offer)| *offer));
+    }
 }
--- a/alderhaven-policy/tests/front_decisions.rs
+++ b/alderhaven-policy/tests/front_decisions.rs
@@ -100,7 +100,7 @@
         offer(3, "own", 1.0),
     ];
     let own = "own".parse().ok();
-    let chosen = choose(&offers, own.as_ref(), &ChoiceOptions::default());
+    let chosen = choose(&offers, own.as_ref(), &ChoiceOptions::default(), 0);
     assert_eq!(chosen.as_slice(), [offers[1].address, offers[2].address]);
 }
 
@@ -113,14 +113,14 @@
         offer(3, "far", 1.0),
     ];
     let own = "own".parse().ok();
-    let chosen = choose(&offers, own.as_ref(), &ChoiceOptions::default());
+    let chosen = choose(&offers, own.as_ref(), &ChoiceOptions::default(), 0);
     assert_eq!(chosen.as_slice(), [offers[1].address, offers[2].address]);
 }
 
 #[test]
 fn choice_names_the_last_front_that_lives() {
     let offers = [offer(1, "far", 0.1)];
-    assert_eq!(choose(&offers, None, &ChoiceOptions::default()).len(), 1);
+    assert_eq!(choose(&offers, None, &ChoiceOptions::default(), 0).len(), 1);
 }
 
 /// A large front restarts in the midst of load. It has no configuration yet, and callers who are sent there
@@ -133,11 +133,11 @@
     let small = [offer(2, "a", 0.2), offer(3, "b", 0.2)];
     let offers = [starting.clone(), small[0].clone(), small[1].clone()];
     let domain = "a".parse().ok();
-    let chosen = choose(&offers, domain.as_ref(), &options);
+    let chosen = choose(&offers, domain.as_ref(), &options, 0);
     assert!(!chosen.contains(&starting.address), "{chosen:?}");
     starting.is_started = is_started(false, millis(1_500)) && is_started(true, millis(0));
     let offers = [starting.clone(), small[0].clone(), small[1].clone()];
-    let chosen = choose(&offers, domain.as_ref(), &options);
+    let chosen = choose(&offers, domain.as_ref(), &options, 0);
     assert_eq!(chosen[0], starting.address);
 }
 
@@ -148,6 +148,50 @@
     for offer in &mut offers {
         offer.is_started = false;
     }
-    let chosen = choose(&offers, None, &ChoiceOptions::default());
+    let chosen = choose(&offers, None, &ChoiceOptions::default(), 0);
     assert_eq!(chosen.len(), 2);
 }
+
+/// Eight large fronts, two in each of four domains, and two small ones in each.
+fn four_domains() -> Vec<FrontOffer> {
+    let domains = ["a", "b", "c", "d"];
+    let sizes = [1.0, 1.0, 0.24, 0.24];
+    let fronts = domains.iter().zip(0_u16..).flat_map(|(domain, place)| {
+        let of_size = move |(size, number)| offer(place * 10 + number, domain, size);
+        sizes.into_iter().zip(0_u16..).map(of_size)
+    });
+    fronts.collect()
+}
+
+/// Guards against callers who know no front outside their own failure domain when that is lost.
+#[test]
+fn choice_names_fronts_of_another_domain() {
+    let options = ChoiceOptions {
+        domains: 2,
+        ..ChoiceOptions::default()
+    };
+    let own = "b".parse().ok();
+    let mut others = std::collections::BTreeSet::new();
+    for turn in 0..6 {
+        let chosen = choose(&four_domains(), own.as_ref(), &options, turn);
+        let ports: Vec<u16> = chosen.iter().map(SocketAddr::port).collect();
+        assert_eq!(ports.len(), 4, "two of each domain");
+        assert_eq!(ports[..2], [10, 11], "the own domain first");
+        assert!(ports.iter().all(|port| port % 10 < 2), "large hosts only");
+        others.insert(ports[2] / 10);
+    }
+    assert_eq!(others.len(), 3, "callers are spread over the other domains");
+}
+
+/// A deployment with one domain, or one of which only one is alive, names what there is.
+#[test]
+fn choice_of_more_domains_than_there_are() {
+    let options = ChoiceOptions {
+        domains: 3,
+        ..ChoiceOptions::default()
+    };
+    let offers: Vec<FrontOffer> = four_domains().into_iter().take(4).collect();
+    assert_eq!(choose(&offers, None, &options, 7).len(), 2);
+    let offers: Vec<FrontOffer> = four_domains().into_iter().take(8).collect();
+    assert_eq!(choose(&offers, None, &options, 7).len(), 4);
+}
