A store that is down, and a group that starts again, cost few calls

Cause: a node that has met nobody yet counted itself among the first; each kind of object asked by itself while the store was down; nodes beyond the first three asked as often as those.

Change: who knows of no other node waits 0.2 s for those that all know by address; one follower of a process asks again and the others wait for it; while the store answers nobody the group as a whole asks some ten times a second; two nodes in place of three watch targets and evacuations, and evacuations for 4.5 s at a time.

Two nodes beside three for the configuration was not tried: it has the tightest bound.

--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::Ordering;
 
+use alderhaven_core::config_object::ObjectKind;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::peer_traffic::{MessageKind, PeerTraffic};
 use prometheus_client::encoding::text;
@@ -91,6 +92,7 @@
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct StoreLabels {
+    kind: String,
     result: StoreResultLabel,
 }
 
@@ -132,6 +134,8 @@
     Lost,
     /// The connection to the front that carried it was lost.
     LinkLost,
+    /// It was given up since its target's failure domain is silent.
+    Silent,
     /// It was still out when the request ended.
     Open,
 }
@@ -187,16 +191,16 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
-    /// Counts a call of the store.
-    pub fn observe_store_call(&self, is_answered: bool) {
+    /// Counts a call of the store for objects of a kind.
+    pub fn observe_store_call(&self, kind: ObjectKind, is_answered: bool) {
         let result = if is_answered {
             StoreResultLabel::Answered
         } else {
             StoreResultLabel::Failed
         };
-        self.store_calls
-            .get_or_create(&StoreLabels { result })
-            .inc();
+        let kind = kind.to_string();
+        let labels = StoreLabels { kind, result };
+        self.store_calls.get_or_create(&labels).inc();
     }
 
     /// Takes over what was sent to peers since the start of the process.
@@ -246,7 +250,7 @@
         );
         registry.register(
             "store_calls",
-            "Calls of the store by result",
+            "Calls of the store by kind of object and result",
             own.store_calls,
         );
         registry.register(
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -28,6 +28,7 @@
 use crate::group_server;
 use crate::query_admission::QueryAdmission;
 use crate::store_follower::StoreFollower;
+use crate::store_reach::StoreReach;
 use crate::wire_dialect::WireDialect;
 
 /// The time until all nodes have heard that one leaves: two rounds of urgent gossip, and the tenth
@@ -89,6 +90,7 @@
             addresses,
         };
         node.serve(listeners, &options);
+        let reach = Arc::new(StoreReach::default());
         for kind in catalog_state::store_kinds(options.has_evacuations) {
             let (store, group) = (Arc::clone(&store), node.group.clone());
             let follower = StoreFollower::new(
@@ -100,6 +102,7 @@
             );
             let follower = follower.with_metrics(metrics.clone());
             let follower = follower.with_start(options.start);
+            let follower = follower.with_reach(Arc::clone(&reach));
             tokio::spawn(follower.run());
         }
         tokio::spawn(Arc::clone(&catalog).keep_up());
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod shard_run;
 pub mod shard_set;
 pub mod store_follower;
+pub mod store_reach;
 pub mod target_entry;
 pub mod target_handle;
 pub mod target_pool;
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -8,7 +8,8 @@
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::NodeGroup;
-use alderhaven_policy::group_start::GroupStart;
+use alderhaven_policy::group_start;
+use alderhaven_policy::group_start::{GroupStart, StartView};
 use alderhaven_policy::store_watch_plan::{self, WatchOptions, WatchPlan};
 use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError, WatchOutcome};
 use alderhaven_store::retry_backoff::{BackoffOptions, RetryBackoff};
@@ -19,12 +20,20 @@
 use crate::catalog::Catalog;
 use crate::front_event::FrontEvent;
 use crate::front_metrics::FrontMetrics;
+use crate::store_reach::StoreReach;
 use crate::wall_clock;
 
 /// How long a watch waits for a change. A connection that went silent is noticed that much later,
 /// and a node that is in touch has some seconds to take a change over.
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
 
+/// The same for evacuations, which are rare: the bound on them is longer than this.
+const EVACUATION_WAIT: TimeSpan = TimeSpan::from_millis(4_500);
+
+/// The nodes that watch other kinds than the configuration: a target that leaves serves on for seconds,
+/// in which another node takes the place of those that were lost.
+const OTHER_WATCHERS: usize = 2;
+
 /// The pause after a change of the configuration before the watch goes on, so that one call brings all
 /// that follows it closely: operators send changes in series, and each is due within seconds.
 const CONFIG_PAUSE: Duration = Duration::from_millis(250);
@@ -40,9 +49,6 @@
 /// answer is given up early, since it may be back meanwhile.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// The pause between two tries of the first list.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-
 /// How often a node that starts looks whether its peers have told it all.
 const PEER_LOOK: Duration = Duration::from_millis(10);
 
@@ -67,6 +73,18 @@
     is_lost: bool,
     metrics: FrontMetrics,
     start: GroupStart,
+    reach: Arc<StoreReach>,
+}
+
+/// Gets how many nodes watch a kind. A change of the configuration is due everywhere soonest, and must
+/// not be missed where two nodes are lost at once.
+fn watch_options(kind: ObjectKind) -> WatchOptions {
+    let usual = WatchOptions::default();
+    let watchers = match kind {
+        ObjectKind::Routing => usual.watchers,
+        _ => OTHER_WATCHERS,
+    };
+    WatchOptions { watchers, ..usual }
 }
 
 impl<S: ObjectStore> StoreFollower<S> {
@@ -85,12 +103,13 @@
             group,
             node,
             clock: ProcessClock::default(),
-            options: WatchOptions::default(),
+            options: watch_options(kind),
             kind,
             revision: None,
             is_lost: false,
             metrics: FrontMetrics::default(),
             start: GroupStart::default(),
+            reach: Arc::default(),
         }
     }
 
@@ -101,6 +120,13 @@
         self
     }
 
+    /// Shares with the other followers of the process whether the store answers.
+    #[must_use]
+    pub fn with_reach(mut self, reach: Arc<StoreReach>) -> Self {
+        self.reach = reach;
+        self
+    }
+
     /// Counts its calls in these metrics.
     #[must_use]
     pub fn with_metrics(mut self, metrics: FrontMetrics) -> Self {
@@ -130,8 +156,8 @@
                 }
                 Err(error) => {
                     self.note_lost(&error);
-                    let random: f64 = rand::rng().random_range(0.0..1.0);
-                    time::sleep(backoff.next(random).as_duration()).await;
+                    self.pause_lost(&mut backoff).await;
+                    self.reach.wait_for_turn(self.kind).await;
                 }
             }
         }
@@ -147,16 +173,7 @@
                 return;
             }
             let waited = self.clock.now().since(started);
-            let others = self.others();
-            let is_first =
-                store_watch_plan::is_among_first(&self.node, &others, self.options.watchers);
-            // Where another node has said that the store does not answer it, this one may have more luck.
-            let has_failed = self
-                .catalog
-                .contacts()
-                .iter()
-                .any(|contact| !contact.is_reached);
-            if waited >= self.start.chance(is_first, has_failed) {
+            if waited >= self.start.chance(self.start_view()) {
                 return;
             }
             time::sleep(PEER_LOOK).await;
@@ -173,11 +190,50 @@
                 Err(_) => self.note_lost(&StoreError::unknown("no answer in time")),
             }
             if self.revision.is_none() {
-                time::sleep(FIRST_PAUSE).await;
+                self.pause_first().await;
             }
         }
     }
 
+    /// Waits before the next try of the first list, or until a peer has told it.
+    async fn pause_first(&self) {
+        let random: f64 = rand::rng().random_range(0.0..1.0);
+        let is_ahead = self.start.is_ahead(self.start_view());
+        let pause = group_start::retry_pause(is_ahead, random);
+        let mut changed = self.catalog.changed();
+        let told = changed.wait_for(|_| self.catalog.is_listed_kind(self.kind));
+        // Where the time is up, the store is asked again.
+        let _is_over = time::timeout(pause.as_duration(), told).await.is_err();
+        self.reach.wait_for_turn(self.kind).await;
+    }
+
+    /// Waits before a call that follows one which was not answered.
+    async fn pause_lost(&self, backoff: &mut RetryBackoff) {
+        let random: f64 = rand::rng().random_range(0.0..1.0);
+        let usual = backoff.next(random);
+        let others = self.others();
+        let pause = if self.is_among_first(&others) {
+            usual
+        } else {
+            usual.max(store_watch_plan::group_pause(others.len(), random))
+        };
+        time::sleep(pause.as_duration()).await;
+    }
+
+    fn start_view(&self) -> StartView {
+        let others = self.others();
+        let contacts = self.catalog.contacts();
+        StartView {
+            knows_others: !others.is_empty(),
+            is_first: self.is_among_first(&others),
+            has_failed: contacts.iter().any(|contact| !contact.is_reached),
+        }
+    }
+
+    fn is_among_first(&self, others: &[NodeId]) -> bool {
+        store_watch_plan::is_among_first(&self.node, others, self.options.watchers)
+    }
+
     /// Waits until it may be this node's turn: another one may have said that the store does not answer it.
     async fn wait_for_turn(&self) {
         let mut changed = self.catalog.changed();
@@ -207,6 +263,13 @@
         live.map(|member| member.record.node.clone()).collect()
     }
 
+    const fn watch_wait(&self) -> TimeSpan {
+        match self.kind {
+            ObjectKind::Evacuation => EVACUATION_WAIT,
+            _ => WATCH_WAIT,
+        }
+    }
+
     const fn batch_pause(&self) -> Duration {
         match self.kind {
             ObjectKind::Target => TARGET_PAUSE,
@@ -242,7 +305,8 @@
             self.take_list(list);
             return Ok(true);
         };
-        let watched = self.store.watch(&[self.kind], revision, WATCH_WAIT).await?;
+        let wait = self.watch_wait();
+        let watched = self.store.watch(&[self.kind], revision, wait).await?;
         match watched {
             WatchOutcome::Changes(list) => {
                 let is_changed = !list.objects.is_empty();
@@ -258,7 +322,8 @@
     }
 
     fn note_reached(&mut self) {
-        self.metrics.observe_store_call(true);
+        self.metrics.observe_store_call(self.kind, true);
+        self.reach.note_answer();
         self.group.note_store_answer();
         if self.is_lost {
             self.is_lost = false;
@@ -273,7 +338,8 @@
     }
 
     fn note_lost(&mut self, error: &StoreError) {
-        self.metrics.observe_store_call(false);
+        self.metrics.observe_store_call(self.kind, false);
+        self.reach.note_failure(self.kind);
         if !self.is_lost {
             self.is_lost = true;
             FrontEvent::StoreLost {
--- a/alderhaven-policy/src/group_start.rs
+++ b/alderhaven-policy/src/group_start.rs
@@ -10,8 +10,11 @@
 //! - a group that starts for the first time has no callers yet. The nodes that all know by address ask,
 //!   and the others wait for them;
 //! - a node that starts again has callers who wait. It asks after a moment in which near peers answer,
-//!   unless others that are alive go before it;
-//! - where a node has said that the store does not answer it, another one may have more luck: it asks.
+//!   unless others that are alive go before it. One that knows of no other gives those that all know
+//!   by address a little longer: its whole group may start again;
+//! - where a node has said that the store does not answer it, another one may have more luck: it asks;
+//! - a store that does not answer is asked again at short intervals by the first nodes, who tell the
+//!   others, and seldom by those.
 
 use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
@@ -24,10 +27,32 @@
 /// way of what they learn.
 const GROUP_CHANCE: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// The time that the nodes which all know by address have to tell one that knows of no other. Callers of
+/// a group that starts again as a whole wait as long.
+const ALONE_CHANCE: TimeSpan = TimeSpan::from_millis(200);
+
 /// The same where the group starts for the first time, and some hundred nodes meet: traffic begins
 /// seconds later.
 const FIRST_CHANCE: TimeSpan = TimeSpan::from_millis(3_000);
 
+/// The pause between two tries of the first nodes in the order: until one is answered, each request is
+/// refused.
+const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
+/// The same of the other nodes, on average.
+const LATER_PAUSE: TimeSpan = TimeSpan::from_millis(800);
+
+/// Gets the pause after a try that the store did not answer. `is_ahead` says that the node is among the
+/// first, and `random`, 0 to 1, spreads the others.
+#[must_use]
+pub fn retry_pause(is_ahead: bool, random: f64) -> TimeSpan {
+    if is_ahead {
+        FIRST_PAUSE
+    } else {
+        LATER_PAUSE.mul_f64(0.5 + random)
+    }
+}
+
 /// A `GroupStart` is the way in which a node starts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -35,23 +60,46 @@
     /// Its group may be running, with callers.
     #[default]
     Again,
+    /// The same of a node that all know by address.
+    AgainKnown,
     /// Its group starts for the first time, and this is one of the nodes that all know by address.
     FirstKnown,
     /// Its group starts for the first time.
     First,
 }
 
+/// A `StartView` is what a node that starts knows of the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartView {
+    /// Whether it knows of any other that is alive.
+    pub knows_others: bool,
+    /// Whether it is among the first in the order of those that it knows.
+    pub is_first: bool,
+    /// Whether one of them has said that the store does not answer it.
+    pub has_failed: bool,
+}
+
 impl GroupStart {
-    /// Gets how long peers have to tell all. `is_ahead` says that the node is among the first of those
-    /// that it knows, `has_failed` that the store did not answer another one.
+    /// Returns true where the node is among those that ask the store for all.
+    #[must_use]
+    pub const fn is_ahead(self, view: StartView) -> bool {
+        match self {
+            Self::FirstKnown | Self::AgainKnown if !view.knows_others => true,
+            Self::First | Self::Again if !view.knows_others => false,
+            _ => view.is_first,
+        }
+    }
+
+    /// Gets how long peers have to tell all.
     #[must_use]
-    pub const fn chance(self, is_ahead: bool, has_failed: bool) -> TimeSpan {
+    pub const fn chance(self, view: StartView) -> TimeSpan {
         match self {
-            _ if has_failed => PEER_CHANCE,
             Self::FirstKnown => PEER_CHANCE,
+            Self::AgainKnown | Self::Again if self.is_ahead(view) => PEER_CHANCE,
+            _ if view.has_failed => PEER_CHANCE,
             Self::First => FIRST_CHANCE,
-            Self::Again if is_ahead => PEER_CHANCE,
-            Self::Again => GROUP_CHANCE,
+            Self::AgainKnown | Self::Again if !view.knows_others => ALONE_CHANCE,
+            Self::AgainKnown | Self::Again => GROUP_CHANCE,
         }
     }
 }
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -30,6 +30,18 @@
     pub lost_for: TimeSpan,
 }
 
+/// The pause between two calls of a whole group to a store that answers nobody.
+const GROUP_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
+/// Gets the pause before a node asks again that is not among the first of `nodes`, where the store answers
+/// none of them. `random`, 0 to 1, spreads them.
+///
+/// All together ask as often whatever their number: one of many that is answered is enough.
+#[must_use]
+pub fn group_pause(nodes: usize, random: f64) -> TimeSpan {
+    GROUP_PAUSE.mul_f64(nodes as f64 * (0.5 + random))
+}
+
 impl Default for WatchOptions {
     fn default() -> Self {
         Self {
--- a/alderhaven-policy/tests/store_watch_plan.rs
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -2,6 +2,7 @@
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::store_watch_plan;
 use alderhaven_policy::store_watch_plan::{StoreContact, WatchOptions, WatchPlan, is_among_first};
 
 fn at(millis: u64) -> TimePoint {
@@ -129,3 +130,19 @@
     });
     assert_eq!(first.count(), 3);
 }
+
+/// Guards against a store that is down for long and is asked by each of hundreds of nodes.
+#[test]
+fn pauses_of_a_group_grow_with_it() {
+    for nodes in [8_u32, 63, 580] {
+        let count = usize::try_from(nodes).expect("a small number");
+        let calls: f64 = (0..nodes)
+            .map(|node| f64::from(node) / f64::from(nodes))
+            .map(|random| 1.0 / store_watch_plan::group_pause(count, random).as_secs_f64())
+            .sum();
+        assert!(
+            (8.0..14.0).contains(&calls),
+            "{calls} calls a second of {nodes} nodes"
+        );
+    }
+}
