A failure domain that falls silent is noticed as one event

Both attempts of a shard went to domains that could not be reached, the query waited to its caller's end, and the gate refused others.

Change: three sources of a domain (targets, connections to fronts) of which nothing is heard while nothing else is heard from there make it silent for a second; queries then use replicas elsewhere, give up what is out there, and do not count it towards the route's attempts or the service's repeats. A second attempt leaves the domain of the first. What was never sent is no repeat either.

--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -346,7 +346,8 @@
             .domain
             .as_ref()
             .is_some_and(|domain| state.evacuated.contains_key(domain));
-        let handle = TargetHandle::new(entry, pool, is_near);
+        let silence = state.silence_of(entry.domain.as_ref());
+        let handle = TargetHandle::new(entry, pool, is_near, silence);
         handle.set_evacuated(is_evacuated);
         handle.warmup().note_cold(warmup_left, self.clock.now());
         state.targets.insert(id, Arc::new(handle));
--- a/alderhaven-front/src/catalog_state.rs
+++ b/alderhaven-front/src/catalog_state.rs
@@ -17,7 +17,7 @@
 use crate::routing_config::RoutingConfig;
 use crate::service_rule::ServiceRule;
 use crate::service_targets::ServiceTargets;
-use crate::target_handle::{TargetHandle, TargetStanding};
+use crate::target_handle::{SharedSilence, TargetHandle, TargetStanding};
 
 /// The parts into which a target's cap of connections is divided: one for the nodes as they are, and
 /// one for the connections that a target still counts of nodes which lost power and are back.
@@ -48,6 +48,8 @@
     pub(crate) targets: BTreeMap<String, Arc<TargetHandle>>,
     /// The failure domains that are evacuated, with when this node learnt it.
     pub(crate) evacuated: BTreeMap<FailureDomain, TimePoint>,
+    /// What was heard of each failure domain.
+    pub(crate) silences: BTreeMap<FailureDomain, SharedSilence>,
     /// The live nodes on large hosts, this one included where it is one.
     pub(crate) carriers: Vec<NodeId>,
     pub(crate) budgets: HashMap<String, Arc<Mutex<RepeatBudget>>>,
@@ -69,6 +71,7 @@
             route_states: HashMap::new(),
             targets: BTreeMap::new(),
             evacuated: BTreeMap::new(),
+            silences: BTreeMap::new(),
             carriers: Vec::new(),
             budgets: HashMap::new(),
             contacts: BTreeMap::new(),
@@ -95,6 +98,15 @@
         }
     }
 
+    /// Gets what was heard of a failure domain; a target without one shares it with no other.
+    pub fn silence_of(&mut self, domain: Option<&FailureDomain>) -> SharedSilence {
+        let Some(domain) = domain else {
+            return SharedSilence::default();
+        };
+        let silence = self.silences.entry(domain.clone()).or_default();
+        Arc::clone(silence)
+    }
+
     /// Gets how long a cold target of a service stays so; none where it tolerates any load.
     pub fn warmup_span(&self, service: &str) -> Option<TimeSpan> {
         let routing = self.routing.as_ref()?;
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -69,6 +69,16 @@
         /// Its service.
         service: String,
     },
+    /// Targets of a failure domain have all fallen silent; others are asked first until one is heard.
+    DomainSilent {
+        /// The failure domain.
+        domain: String,
+    },
+    /// A failure domain that was silent is heard again.
+    DomainHeard {
+        /// The failure domain.
+        domain: String,
+    },
     /// An operator evacuates a failure domain: its targets get no new work.
     DomainEvacuated {
         /// The failure domain.
@@ -238,6 +248,8 @@
             Self::TargetUnreadable { .. } => "target_unreadable",
             Self::TargetGone { .. } => "target_gone",
             Self::TargetAside { .. } => "target_aside",
+            Self::DomainSilent { .. } => "domain_silent",
+            Self::DomainHeard { .. } => "domain_heard",
             Self::DomainEvacuated { .. } => "domain_evacuated",
             Self::DomainReturned { .. } => "domain_returned",
             Self::EvacuationUnreadable { .. } => "evacuation_unreadable",
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -163,7 +163,7 @@
             let ready = target.filter(|target| !target.is_closed());
             let Some(target) = ready else {
                 self.ends
-                    .push(end(place, GroupOutcome::NotRun, TimeSpan::ZERO));
+                    .push(end(place, GroupOutcome::NotSent, TimeSpan::ZERO));
                 continue;
             };
             let plan = AttemptPlan {
@@ -210,9 +210,8 @@
                 return;
             }
             AttemptEnd::Failure(_) => GroupOutcome::Failed,
-            AttemptEnd::NotRun | AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
-                GroupOutcome::NotRun
-            }
+            AttemptEnd::NotRun => GroupOutcome::NotRun,
+            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => GroupOutcome::NotSent,
             AttemptEnd::WrongTarget => {
                 report.target.set_standing(TargetStanding::Leaving);
                 GroupOutcome::NotRun
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -38,6 +38,7 @@
 mod crashes;
 mod ending;
 mod groups;
+mod silence;
 
 /// A `QueryRun` carries one request to its answer.
 pub struct QueryRun<'a> {
@@ -71,6 +72,9 @@
     shard: usize,
     target: Arc<TargetHandle>,
     phase: AttemptPhase,
+    sent: TimePoint,
+    /// Whether its failure domain was told that it says nothing.
+    is_missed: bool,
 }
 
 impl Drop for QueryRun<'_> {
@@ -207,10 +211,13 @@
                 step => return step,
             };
             self.give_up_silent_asks(now);
+            self.note_silence(now);
+            self.leave_silent(now);
             self.hedge(now);
             let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
             let until = hedges
                 .chain(self.next_look(now))
+                .chain(self.next_silence())
                 .fold(until, TimePoint::min);
             tokio::select! {
                 biased;
@@ -269,7 +276,14 @@
         self.open.retain(|open| {
             open.shard != report.shard || !Arc::ptr_eq(&open.target, &report.target)
         });
+        silence::note_end(&report, now);
         let shard = &mut self.shards[report.shard];
+        if shard.has_left(&report.target) {
+            if let AttemptEnd::Success(reply) = report.end {
+                shard.part.get_or_insert(ShardPart::Own(reply));
+            }
+            return;
+        }
         shard.open -= 1;
         let mut status = None;
         let fate = match report.end {
@@ -285,18 +299,18 @@
                 AttemptFate::Failed
             }
             AttemptEnd::NotRun => {
-                shard.ran -= 1;
+                shard.note_refused();
                 shard.is_refused = true;
                 AttemptFate::NotRun
             }
             AttemptEnd::WrongTarget => {
-                shard.ran -= 1;
+                shard.note_refused();
                 // The target's process has ended, and its address belongs to another one.
                 report.target.set_standing(TargetStanding::Leaving);
                 AttemptFate::WrongTarget
             }
             AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
-                shard.ran -= 1;
+                shard.note_unsent();
                 AttemptFate::Unreachable
             }
             AttemptEnd::Lost => {
@@ -337,7 +351,8 @@
     ) -> Option<Arc<TargetHandle>> {
         let run = &self.shards[shard];
         let may_run_again = self.route.rule.is_idempotent || run.ran == 0;
-        if !may_run_again || run.ran >= self.route.rule.max_targets || now >= self.time.ends_at {
+        let is_used_up = run.counted >= self.route.rule.max_targets;
+        if !may_run_again || is_used_up || now >= self.time.ends_at {
             return None;
         }
         let service = run.service.as_ref()?;
@@ -345,9 +360,10 @@
         if reason == RepeatReason::Hedge && !self.is_in_time(&target, now) {
             return None;
         }
-        let part = self.context.catalog.share().part();
-        let may_repeat = service.budget().take(reason, part, now);
-        if !may_repeat {
+        // The first arrival at the service is no repeat.
+        let is_repeat = run.arrived > 0;
+        let part = self.context.catalog.share().repeat_part();
+        if is_repeat && !service.budget().take(reason, part, now) {
             self.context.metrics.refused_repeats.inc();
             return None;
         }
@@ -365,6 +381,8 @@
             shard,
             target: Arc::clone(&target),
             phase: phase.clone(),
+            sent: now,
+            is_missed: false,
         });
         let plan = self.plan(shard, &target, phase);
         let hedge_at = self.hedge_time().hedge_at(now);
@@ -383,7 +401,7 @@
         let rule = &self.route.rule;
         let run = &mut self.shards[shard];
         run.begin(target, now);
-        let may_hedge = rule.is_idempotent && run.ran < rule.max_targets;
+        let may_hedge = rule.is_idempotent && run.counted < rule.max_targets;
         run.hedge_at = may_hedge.then_some(hedge_at);
         self.sent += 1;
     }
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -104,7 +104,7 @@
     fn call_off_unsent(&mut self) {
         for open in self.open.drain(..) {
             if open.phase.call_off() {
-                self.shards[open.shard].ran -= 1;
+                self.shards[open.shard].note_unsent();
             }
         }
     }
--- a/alderhaven-front/src/query_run/groups.rs
+++ b/alderhaven-front/src/query_run/groups.rs
@@ -13,7 +13,7 @@
 use crate::front_metrics::{AttemptFate, SendKind};
 use crate::group_links::{GroupNews, GroupTicket};
 use crate::group_plan::{ChosenShard, ShardGroup};
-use crate::query_run::QueryRun;
+use crate::query_run::{QueryRun, silence};
 use crate::route_destination::RouteDestination;
 use crate::shard_part::ShardPart;
 use crate::target_handle::TargetHandle;
@@ -44,12 +44,14 @@
 pub(super) struct GroupQuery {
     pub(super) ticket: GroupTicket,
     /// The shards with their targets; none where the attempt has ended.
-    shards: Vec<Option<(usize, Arc<TargetHandle>)>>,
-    sent: TimePoint,
+    pub(super) shards: Vec<Option<(usize, Arc<TargetHandle>)>>,
+    pub(super) sent: TimePoint,
     /// When its first reply is due.
     due_at: TimePoint,
     /// Whether any reply has come.
     is_heard: bool,
+    /// Whether its connection was given up, because nothing was heard when it was due.
+    pub(super) is_missed: bool,
 }
 
 impl GroupQuery {
@@ -112,6 +114,7 @@
             sent: now,
             due_at: hedge_at,
             is_heard: false,
+            is_missed: false,
         });
         Vec::new()
     }
@@ -161,10 +164,11 @@
             if !ask.is_silent() {
                 continue;
             }
-            if now >= ask.due_at + FLUSH_LATE {
+            if now >= ask.due_at + FLUSH_LATE && !ask.is_missed {
                 ask.ticket.missed();
+                self.miss_ask(place, now);
             }
-            if now >= ask.due_at + ASK_LOST {
+            if now >= self.asks[place].due_at + ASK_LOST {
                 self.lose_ask(place);
             }
         }
@@ -223,6 +227,7 @@
             target
                 .gauge()
                 .end(sent, self.usual, AttemptResult::Answered, now);
+            silence::note_answer(&target, now);
             self.route.state.note_time(took);
             let Ok(proof) = HeaderValue::from_maybe_shared(end.proof) else {
                 continue;
@@ -255,9 +260,13 @@
             .gauge()
             .end(sent, self.usual, AttemptResult::Failed, now);
         let shard = &mut self.shards[place];
-        if outcome == GroupOutcome::NotRun {
-            shard.ran -= 1;
-            shard.is_refused = true;
+        match outcome {
+            GroupOutcome::NotRun => {
+                shard.note_refused();
+                shard.is_refused = true;
+            }
+            GroupOutcome::NotSent => shard.note_unsent(),
+            _ => {}
         }
         if outcome == GroupOutcome::Lost {
             self.suspect_crash(place, target);
@@ -266,6 +275,7 @@
             target: target.entry().id.clone(),
             fate: match outcome {
                 GroupOutcome::NotRun => AttemptFate::NotRun,
+                GroupOutcome::NotSent => AttemptFate::Unreachable,
                 GroupOutcome::Failed => AttemptFate::Failed,
                 GroupOutcome::Lost | GroupOutcome::Answered => AttemptFate::Lost,
             },
--- a/alderhaven-front/src/service_targets.rs
+++ b/alderhaven-front/src/service_targets.rs
@@ -14,6 +14,12 @@
 /// are stuck.
 const LAPSED_PENALTY: TimeSpan = TimeSpan::from_millis(200);
 
+/// What a target in a silent failure domain must be faster by: it is used only where there is no other.
+const SILENT_PENALTY: TimeSpan = TimeSpan::from_millis(400);
+
+/// What a target must be faster by that lies in the failure domain of one that was tried already.
+const BESIDE_PENALTY: TimeSpan = TimeSpan::from_millis(100);
+
 /// A `ServiceTargets` is a service as one view of the catalog shows it.
 #[derive(Clone, Debug)]
 pub struct ServiceTargets {
@@ -39,7 +45,15 @@
         self.targets
             .iter()
             .filter(|target| !is_tried(target))
-            .filter_map(|target| Some((cost(target, usual, now)?, target)))
+            .filter_map(|target| {
+                let beside = tried.iter().any(|tried| tried.is_beside(target));
+                let penalty = if beside {
+                    BESIDE_PENALTY
+                } else {
+                    TimeSpan::ZERO
+                };
+                Some((cost(target, usual, now)? + penalty, target))
+            })
             .min_by_key(|(cost, _)| *cost)
             .map(|(_, target)| target)
     }
@@ -82,5 +96,10 @@
     } else {
         far_cost::far_cost(usual)
     };
-    Some(gauge.expected(usual, target.entry().slots, now) + far + lapsed)
+    let silent = if target.silence().is_silent(now) {
+        SILENT_PENALTY
+    } else {
+        TimeSpan::ZERO
+    };
+    Some(gauge.expected(usual, target.entry().slots, now) + far + lapsed + silent)
 }
--- a/alderhaven-front/src/shard_run.rs
+++ b/alderhaven-front/src/shard_run.rs
@@ -21,6 +21,12 @@
     pub sent: SmallVec<[TimePoint; 2]>,
     /// The targets that may have run the request.
     pub ran: usize,
+    /// The targets that count towards the most that the route allows: not those that were cut off.
+    pub counted: usize,
+    /// The targets at which the request has arrived as far as can be told: not those that were cut off.
+    pub arrived: usize,
+    /// The targets that were given up with their failure domain, though they may still answer.
+    pub left: SmallVec<[Arc<TargetHandle>; 2]>,
     /// The attempts that are out.
     pub open: usize,
     /// When another replica is asked too; none where that is not due any more.
@@ -42,6 +48,9 @@
             tried: SmallVec::new(),
             sent: SmallVec::new(),
             ran: 0,
+            counted: 0,
+            arrived: 0,
+            left: SmallVec::new(),
             open: 0,
             hedge_at: None,
             is_refused: false,
@@ -57,6 +66,34 @@
         self.sent.push(now);
         self.open += 1;
         self.ran += 1;
+        self.counted += 1;
+        self.arrived += 1;
+    }
+
+    /// Notes that a target refused an attempt without running it.
+    pub const fn note_refused(&mut self) {
+        self.ran -= 1;
+        self.counted -= 1;
+    }
+
+    /// Notes that an attempt was never sent.
+    pub const fn note_unsent(&mut self) {
+        self.note_refused();
+        self.arrived -= 1;
+    }
+
+    /// Gives up the open attempt at a target whose failure domain is silent.
+    pub fn leave(&mut self, target: Arc<TargetHandle>) {
+        self.left.push(target);
+        self.open -= 1;
+        self.counted -= 1;
+        self.arrived -= 1;
+    }
+
+    /// Returns true where the attempt at a target was given up.
+    #[must_use]
+    pub fn has_left(&self, target: &Arc<TargetHandle>) -> bool {
+        self.left.iter().any(|left| Arc::ptr_eq(left, target))
     }
 
     /// Chooses the best target that was not asked yet; none where no other may be used now.
--- a/alderhaven-front/src/target_handle.rs
+++ b/alderhaven-front/src/target_handle.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::time::TimePoint;
+use alderhaven_policy::domain_silence::DomainSilence;
 use alderhaven_policy::replica_gauge::ReplicaGauge;
 use alderhaven_policy::warmup_limit::WarmupLimit;
 use arc_swap::ArcSwap;
@@ -23,10 +24,15 @@
     gauge: Mutex<ReplicaGauge>,
     standing: Mutex<TargetStanding>,
     warmup: Mutex<WarmupLimit>,
+    /// What was heard of its failure domain, shared by all targets there.
+    silence: SharedSilence,
     is_evacuated: AtomicBool,
     is_warmed: AtomicBool,
 }
 
+/// What was heard of a failure domain, shared by its targets.
+pub type SharedSilence = Arc<Mutex<DomainSilence>>;
+
 /// A `TargetStanding` says whether a target may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetStanding {
@@ -41,7 +47,12 @@
 impl TargetHandle {
     /// Returns a target of which nothing was seen yet.
     #[must_use]
-    pub fn new(entry: TargetEntry, pool: TargetPool, is_near: bool) -> Self {
+    pub fn new(
+        entry: TargetEntry,
+        pool: TargetPool,
+        is_near: bool,
+        silence: SharedSilence,
+    ) -> Self {
         let standing = if entry.is_leaving {
             TargetStanding::Leaving
         } else {
@@ -54,6 +65,7 @@
             gauge: Mutex::default(),
             standing: Mutex::new(standing),
             warmup: Mutex::default(),
+            silence,
             is_evacuated: AtomicBool::new(false),
             is_warmed: AtomicBool::new(false),
         }
@@ -103,6 +115,18 @@
         self.is_evacuated() || self.standing() == TargetStanding::Leaving
     }
 
+    /// Locks what was heard of its failure domain.
+    pub fn silence(&self) -> MutexGuard<'_, DomainSilence> {
+        self.silence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns true where both lie in one failure domain.
+    #[must_use]
+    pub fn is_beside(&self, other: &Self) -> bool {
+        let domain = self.entry().domain.clone();
+        domain.is_some() && domain == other.entry().domain
+    }
+
     /// Locks what holds requests back while it is cold.
     pub fn warmup(&self) -> MutexGuard<'_, WarmupLimit> {
         self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
--- a/alderhaven-peer/src/group_messages.rs
+++ b/alderhaven-peer/src/group_messages.rs
@@ -98,8 +98,10 @@
     Answered = 1,
     /// The target ran it and failed.
     Failed = 2,
-    /// It did not run.
+    /// The target refused it without running it.
     NotRun = 3,
+    /// It was not sent.
+    NotSent = 4,
 }
 
 /// A `GroupClose` says that the asking front needs no more replies to an ask.
--- /dev/null
+++ b/alderhaven-policy/src/domain_silence.rs
@@ -0,0 +1,73 @@
+//! Whether a failure domain has stopped to answer a node.
+//!
+//! Load pattern: a failure domain loses power or is cut off, and all replicas there fall silent in the
+//! same moment.
+//!
+//! Without it: each query learns of it target by target. Its second attempts go to the same domain, and
+//! while it waits for them it takes the place of another query.
+//!
+//! The rules:
+//! - a domain is silent once some sources there were asked and nothing was heard from any of them since;
+//!   a target that pauses while others answer says nothing of its domain;
+//! - the silence ends with the first answer, or by itself after a while: few requests then find out
+//!   whether it goes on, since one that meets it again is enough.
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+
+/// The sources that must be silent: targets, or connections to fronts.
+const SOURCES: u32 = 3;
+
+/// How long a domain counts as silent after the latest sign of it.
+const HOLD: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// The shortest wait for a source that says anything of its domain.
+const LEAST_WAIT: TimeSpan = TimeSpan::from_millis(60);
+
+/// How many times the usual time a source is waited for.
+const WAIT_FACTOR: f64 = 3.0;
+
+/// Gets how long a source that was asked is waited for, where answers usually take `usual`.
+#[must_use]
+pub fn wait_for_source(usual: TimeSpan) -> TimeSpan {
+    usual.mul_f64(WAIT_FACTOR).max(LEAST_WAIT)
+}
+
+/// A `DomainSilence` is what one node has heard of one failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DomainSilence {
+    heard_at: TimePoint,
+    missed: u32,
+    silent_until: TimePoint,
+}
+
+impl DomainSilence {
+    /// Notes that a source in the domain has answered; returns true where that ends a silence.
+    pub fn note_heard(&mut self, now: TimePoint) -> bool {
+        let was_silent = self.is_silent(now);
+        *self = Self {
+            heard_at: now,
+            ..Self::default()
+        };
+        was_silent
+    }
+
+    /// Notes that a source which was asked at `sent` has said nothing for as long as one is waited for;
+    /// returns true where that begins a silence.
+    pub fn note_missed(&mut self, sent: TimePoint, now: TimePoint) -> bool {
+        if sent <= self.heard_at {
+            return false;
+        }
+        let was_silent = self.is_silent(now);
+        self.missed = self.missed.saturating_add(1);
+        if self.missed >= SOURCES {
+            self.silent_until = now + HOLD;
+        }
+        !was_silent && self.is_silent(now)
+    }
+
+    /// Returns true while the domain counts as silent.
+    #[must_use]
+    pub fn is_silent(&self, now: TimePoint) -> bool {
+        now < self.silent_until
+    }
+}
--- a/alderhaven-policy/src/group_share.rs
+++ b/alderhaven-policy/src/group_share.rs
@@ -9,6 +9,8 @@
 //! Each node's part is by its processor time against that of the largest group that was known. A node
 //! that is cut off sees fewer others and must not take their parts over: they use them elsewhere. So
 //! the sum of all parts is one at most, whatever each node knows, once it has seen the others.
+//!
+//! Repeats follow the load: nearly all of them are divided among the large hosts alone.
 
 use serde::Serialize;
 
@@ -26,8 +28,16 @@
     own: f64,
     largest: f64,
     all: f64,
+    /// The largest host that was ever known. A node that no longer sees it must not take over what nodes on
+    /// such hosts use elsewhere.
+    largest_known: f64,
+    /// The hosts that are large against it.
+    all_large: f64,
 }
 
+/// The part of the repeats that is divided among large hosts.
+const LARGE_REPEATS: f64 = 0.8;
+
 impl GroupShare {
     /// Returns the share of a node that knows no other.
     #[must_use]
@@ -37,22 +47,50 @@
             own,
             largest: own,
             all: own,
+            largest_known: own,
+            all_large: own,
         }
     }
 
     /// Notes the nodes that are alive, this one included; returns true where the share changes.
     pub fn note(&mut self, nodes: impl IntoIterator<Item = CpuCapacity>) -> bool {
-        let (mut all, mut largest) = (0.0, self.own);
-        for size in nodes.into_iter().map(size_of) {
-            all += size;
-            largest = size.max(largest);
+        let sizes: Vec<f64> = nodes.into_iter().map(size_of).collect();
+        let all: f64 = sizes.iter().sum();
+        let largest = sizes.iter().copied().fold(self.own, f64::max);
+        let mut all_large = self.all_large;
+        if largest > self.largest_known {
+            self.largest_known = largest;
+            // Hosts that counted as large before may not do so now.
+            all_large = 0.0;
         }
-        let is_changed = all > self.all || (largest - self.largest).abs() > f64::EPSILON;
+        let large = sizes.iter().filter(|size| self.is_carrier(**size));
+        all_large = all_large.max(large.sum());
+        let is_changed = all > self.all
+            || (all_large - self.all_large).abs() > f64::EPSILON
+            || (largest - self.largest).abs() > f64::EPSILON;
         self.all = self.all.max(all);
+        self.all_large = all_large;
         self.largest = largest;
         is_changed
     }
 
+    /// Gets the node's part of the repeats that all share, above 0 and up to 1.
+    #[must_use]
+    pub fn repeat_part(&self) -> f64 {
+        let all_small = self.all - self.all_large;
+        let part = match (self.is_carrier(self.own), all_small > 0.0) {
+            (true, true) => LARGE_REPEATS * self.own / self.all_large,
+            (true, false) => self.own / self.all_large,
+            (false, true) => (1.0 - LARGE_REPEATS) * self.own / all_small,
+            (false, false) => self.own / self.all,
+        };
+        part.min(1.0)
+    }
+
+    fn is_carrier(&self, size: f64) -> bool {
+        size >= self.largest_known * LARGE_PART
+    }
+
     /// Gets the node's part of what all share, above 0 and up to 1.
     #[must_use]
     pub fn part(&self) -> f64 {
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod crash_strike;
 pub mod delivery_age;
 pub mod domain_reach;
+pub mod domain_silence;
 pub mod drain;
 mod drain_lifecycle;
 pub mod entry_answer;
