Only a domain that was heard before falls silent, and only one that stays so is lost

Now a domain that was never heard is not silent; attempts there are only left out of the count once they were never sent, or nothing was heard for half a second. Tests of both (domain_silence) fail before.

--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -217,7 +217,7 @@
             let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
             let until = hedges
                 .chain(self.next_look(now))
-                .chain(self.next_silence())
+                .chain(self.next_silence(now))
                 .fold(until, TimePoint::min);
             tokio::select! {
                 biased;
--- a/alderhaven-front/src/query_run/silence.rs
+++ b/alderhaven-front/src/query_run/silence.rs
@@ -2,17 +2,27 @@
 
 use std::sync::Arc;
 
-use alderhaven_core::time::TimePoint;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::domain_silence;
 use log::Level;
 
 use crate::attempt::{AttemptEnd, AttemptReport};
 use crate::front_event::{FrontEvent, LostAttempt};
 use crate::front_metrics::AttemptFate;
-use crate::group_plan::ChosenShard;
-use crate::query_run::{OpenAttempt, QueryRun};
+use crate::query_run::QueryRun;
 use crate::target_handle::TargetHandle;
 
+/// How often attempts at silent failure domains are looked at.
+const SILENCE_LOOK: TimeSpan = TimeSpan::from_millis(100);
+
+/// A `LeftAttempt` is an attempt that is given up with its failure domain.
+struct LeftAttempt {
+    shard: usize,
+    target: Arc<TargetHandle>,
+    /// Whether it may run all the same.
+    will_run: bool,
+}
+
 /// Notes an answer of a target as one of its failure domain.
 pub(super) fn note_answer(target: &TargetHandle, now: TimePoint) {
     if target.silence().note_heard(now) {
@@ -70,11 +80,17 @@
         }
     }
 
-    /// Gets when an attempt has been out for long enough to say that its failure domain is silent.
-    pub(super) fn next_silence(&self) -> Option<TimePoint> {
+    /// Gets when the attempts that are out are to be looked at for the silence of their failure domains.
+    pub(super) fn next_silence(&self, now: TimePoint) -> Option<TimePoint> {
         let wait = domain_silence::wait_for_source(self.usual);
-        let waiting = self.open.iter().filter(|open| !open.is_missed);
-        waiting.map(|open| open.sent + wait).min()
+        let looks = self.open.iter().map(|open| {
+            if open.is_missed {
+                now + SILENCE_LOOK
+            } else {
+                open.sent + wait
+            }
+        });
+        looks.min()
     }
 
     /// Gives up the attempts at silent failure domains, and asks replicas elsewhere.
@@ -84,48 +100,72 @@
         }
         let mut silent = self.take_silent_attempts(now);
         silent.extend(self.take_silent_asks(now));
-        for (shard, target) in silent {
-            self.shards[shard].leave(Arc::clone(&target));
+        for left in silent {
+            self.shards[left.shard].leave(Arc::clone(&left.target), left.will_run);
             self.note_lost(LostAttempt {
-                target: target.entry().id.clone(),
+                target: left.target.entry().id.clone(),
                 fate: AttemptFate::Silent,
                 status: None,
                 age: domain_silence::wait_for_source(self.usual),
             });
-            let run = &self.shards[shard];
+            let run = &self.shards[left.shard];
             if run.part.is_none() && run.open == 0 {
-                self.retry(shard, now);
+                self.retry(left.shard, now);
             }
         }
     }
 
+    /// Returns true where an attempt at a silent failure domain may be given up: another replica may be
+    /// asked, or the domain is lost.
+    fn may_leave(&self, shard: usize, target: &TargetHandle, now: TimePoint) -> bool {
+        let silence = *target.silence();
+        let has_more = self.shards[shard].counted < self.route.rule.max_targets;
+        silence.is_silent(now) && (has_more || silence.is_lost(now))
+    }
+
     /// Takes out the attempts of its own that were out for long at silent failure domains.
-    fn take_silent_attempts(&mut self, now: TimePoint) -> Vec<ChosenShard> {
-        let shards = &self.shards;
-        let is_left = |open: &mut OpenAttempt| {
-            let is_wanted = shards[open.shard].part.is_none();
-            open.is_missed && is_wanted && open.target.silence().is_silent(now)
-        };
-        let left: Vec<OpenAttempt> = self.open.extract_if(.., is_left).collect();
-        for open in &left {
-            if open.phase.call_off() {
+    fn take_silent_attempts(&mut self, now: TimePoint) -> Vec<LeftAttempt> {
+        let mut left = Vec::new();
+        let open = std::mem::take(&mut self.open);
+        for open in open {
+            let is_wanted = self.shards[open.shard].part.is_none();
+            if !open.is_missed || !is_wanted || !self.may_leave(open.shard, &open.target, now) {
+                self.open.push(open);
+                continue;
+            }
+            let is_unsent = open.phase.call_off();
+            if is_unsent {
                 self.shards[open.shard].ran -= 1;
             }
+            left.push(LeftAttempt {
+                shard: open.shard,
+                will_run: !is_unsent && !open.target.silence().is_lost(now),
+                target: open.target,
+            });
         }
-        left.into_iter()
-            .map(|open| (open.shard, open.target))
-            .collect()
+        left
     }
 
     /// Takes out whole asks at silent failure domains: a block that came yet would hold records of
     /// shards that were asked again.
-    fn take_silent_asks(&mut self, now: TimePoint) -> Vec<ChosenShard> {
+    fn take_silent_asks(&mut self, now: TimePoint) -> Vec<LeftAttempt> {
         let mut left = Vec::new();
-        for ask in self.asks.iter_mut().filter(|ask| ask.is_missed) {
+        for place in 0..self.asks.len() {
+            let ask = &self.asks[place];
             let mut targets = ask.shards.iter().flatten();
-            if targets.any(|(_, target)| target.silence().is_silent(now)) {
-                left.extend(ask.shards.iter_mut().filter_map(Option::take));
+            let may_leave = targets.all(|(shard, target)| self.may_leave(*shard, target, now));
+            if !ask.is_missed || !may_leave {
+                continue;
             }
+            let taken = self.asks[place].shards.iter_mut();
+            left.extend(taken.filter_map(Option::take).map(|(shard, target)| {
+                let will_run = !target.silence().is_lost(now);
+                LeftAttempt {
+                    shard,
+                    target,
+                    will_run,
+                }
+            }));
         }
         left
     }
--- a/alderhaven-front/src/shard_run.rs
+++ b/alderhaven-front/src/shard_run.rs
@@ -82,12 +82,15 @@
         self.arrived -= 1;
     }
 
-    /// Gives up the open attempt at a target whose failure domain is silent.
-    pub fn leave(&mut self, target: Arc<TargetHandle>) {
+    /// Gives up the open attempt at a target whose failure domain is silent. One that will not run does not
+    /// count.
+    pub fn leave(&mut self, target: Arc<TargetHandle>, will_run: bool) {
         self.left.push(target);
         self.open -= 1;
-        self.counted -= 1;
-        self.arrived -= 1;
+        if !will_run {
+            self.counted -= 1;
+            self.arrived -= 1;
+        }
     }
 
     /// Returns true where the attempt at a target was given up.
--- a/alderhaven-policy/src/domain_silence.rs
+++ b/alderhaven-policy/src/domain_silence.rs
@@ -8,7 +8,10 @@
 //!
 //! The rules:
 //! - a domain is silent once some sources there were asked and nothing was heard from any of them since;
-//!   a target that pauses while others answer says nothing of its domain;
+//!   a target that pauses while others answer says nothing of its domain, and neither do the first
+//!   attempts of a node that has just started;
+//! - it is lost, and what was sent there will hardly run, once that has lasted for a while: a domain
+//!   whose targets are all slow is silent too;
 //! - the silence ends with the first answer, or by itself after a while: few requests then find out
 //!   whether it goes on, since one that meets it again is enough.
 
@@ -20,6 +23,9 @@
 /// How long a domain counts as silent after the latest sign of it.
 const HOLD: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// How long nothing is heard of a domain that is lost.
+const LOST_AFTER: TimeSpan = TimeSpan::from_millis(500);
+
 /// The shortest wait for a source that says anything of its domain.
 const LEAST_WAIT: TimeSpan = TimeSpan::from_millis(60);
 
@@ -35,7 +41,7 @@
 /// A `DomainSilence` is what one node has heard of one failure domain.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DomainSilence {
-    heard_at: TimePoint,
+    heard_at: Option<TimePoint>,
     missed: u32,
     silent_until: TimePoint,
 }
@@ -45,7 +51,7 @@
     pub fn note_heard(&mut self, now: TimePoint) -> bool {
         let was_silent = self.is_silent(now);
         *self = Self {
-            heard_at: now,
+            heard_at: Some(now),
             ..Self::default()
         };
         was_silent
@@ -54,7 +60,7 @@
     /// Notes that a source which was asked at `sent` has said nothing for as long as one is waited for;
     /// returns true where that begins a silence.
     pub fn note_missed(&mut self, sent: TimePoint, now: TimePoint) -> bool {
-        if sent <= self.heard_at {
+        if self.heard_at.is_none_or(|heard_at| sent <= heard_at) {
             return false;
         }
         let was_silent = self.is_silent(now);
@@ -65,6 +71,13 @@
         !was_silent && self.is_silent(now)
     }
 
+    /// Returns true while the domain counts as lost.
+    #[must_use]
+    pub fn is_lost(&self, now: TimePoint) -> bool {
+        let heard_at = self.heard_at.unwrap_or(now);
+        self.is_silent(now) && now.since(heard_at) >= LOST_AFTER
+    }
+
     /// Returns true while the domain counts as silent.
     #[must_use]
     pub fn is_silent(&self, now: TimePoint) -> bool {
--- a/alderhaven-policy/tests/domain_silence.rs
+++ b/alderhaven-policy/tests/domain_silence.rs
@@ -38,6 +38,7 @@
 #[test]
 fn silence_ends_with_the_first_answer() {
     let mut silence = DomainSilence::default();
+    silence.note_heard(at(0));
     for source in 0..3 {
         silence.note_missed(at(1 + source), at(70));
     }
@@ -52,6 +53,7 @@
 #[test]
 fn silence_ends_by_itself_and_returns_quickly() {
     let mut silence = DomainSilence::default();
+    silence.note_heard(at(0));
     for source in 0..3 {
         silence.note_missed(at(1 + source), at(70));
     }
@@ -68,3 +70,28 @@
     assert!(quick >= TimeSpan::from_millis(50));
     assert!(slow >= TimeSpan::from_millis(360));
 }
+
+/// Guards against a node that has just started, whose first attempts all wait for their connections, and that
+/// asks more replicas than a route allows.
+#[test]
+fn domain_that_was_never_heard_is_not_silent() {
+    let mut silence = DomainSilence::default();
+    for source in 0..9 {
+        assert!(!silence.note_missed(at(1 + source), at(300)));
+    }
+    assert!(!silence.is_silent(at(300)));
+}
+
+/// Guards against targets that are slow all together and run what was taken for cut off.
+#[test]
+fn silent_domain_is_lost_only_after_a_while() {
+    let mut silence = DomainSilence::default();
+    silence.note_heard(at(0));
+    for source in 0..3 {
+        silence.note_missed(at(1 + source), at(70));
+    }
+    assert!(silence.is_silent(at(100)) && !silence.is_lost(at(100)));
+    assert!(silence.is_lost(at(500)));
+    silence.note_heard(at(510));
+    assert!(!silence.is_lost(at(511)));
+}
