The soak evacuates failure domains and checks that their targets get nothing new

Beside the faults of a seed, evacuations of 5.6 to 9 s are drawn from a generator of their own, so that the faults of each seed stay as they were; kept seeds are replayed without them. A new promise: no work reaches an evacuated domain after 5 s, while the front that was asked and the store are calm. A history made by hand breaks it, and doesn't where the store fails, within the bound and once it is taken back.

--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -115,13 +115,16 @@
     let runner = SeedRunner::new(arguments.front, arguments.logs, arguments.json)?;
     let mut is_kept = true;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
-        is_kept &= runner.run(&SeedCase {
-            seed,
-            seconds: arguments.seconds,
-            fronts: arguments.fronts,
-            callers: arguments.callers,
-            cause: String::new(),
-        })?;
+        is_kept &= runner.run(
+            &SeedCase {
+                seed,
+                seconds: arguments.seconds,
+                fronts: arguments.fronts,
+                callers: arguments.callers,
+                cause: String::new(),
+            },
+            Evacuations::Drawn,
+        )?;
     }
     Ok(is_kept)
 }
@@ -136,11 +139,18 @@
     }
     let mut is_kept = true;
     for case in &cases {
-        is_kept &= runner.run(case)?;
+        is_kept &= runner.run(case, Evacuations::None)?;
     }
     Ok(is_kept)
 }
 
+/// Whether failure domains are evacuated in a run: kept seeds stay as they were.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Evacuations {
+    None,
+    Drawn,
+}
+
 /// A `SeedRunner` runs seeds and prints what they came to.
 struct SeedRunner {
     front: PathBuf,
@@ -158,7 +168,7 @@
     }
 
     /// Runs one seed; returns true where every promise was kept.
-    fn run(&self, case: &SeedCase) -> Result<bool> {
+    fn run(&self, case: &SeedCase, evacuations: Evacuations) -> Result<bool> {
         let options = SoakOptions::builder()
             .seed(case.seed)
             .span(TimeSpan::from_secs(case.seconds))
@@ -166,6 +176,7 @@
             .callers(case.callers)
             .front_binary(self.front.clone())
             .logs(self.logs.clone())
+            .has_evacuations(evacuations == Evacuations::Drawn)
             .scope(PromiseScope::All)
             .build();
         let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/alderhaven-soak/src/promises.rs
+++ b/alderhaven-soak/src/promises.rs
@@ -7,6 +7,7 @@
 
 pub mod answers;
 pub mod config;
+pub mod evacuation;
 pub mod leaving;
 pub mod once;
 pub mod repeats;
@@ -33,6 +34,8 @@
     NothingInvented,
     /// A target that leaves gets no work after some seconds.
     LeavingLeftAlone,
+    /// The targets of an evacuated failure domain get no work after some seconds.
+    EvacuatedLeftAlone,
     /// An accepted configuration is in force within seconds.
     ConfigInForce,
     /// A process never goes back to an older configuration.
@@ -88,6 +91,7 @@
     }
     broken.extend(config::check_in_force(index));
     broken.extend(leaving::check(index));
+    broken.extend(evacuation::check(index));
     broken.extend(repeats::check(index));
     broken.extend(timely::check(index));
     if is_over {
--- /dev/null
+++ b/alderhaven-soak/src/promises/evacuation.rs
@@ -0,0 +1,40 @@
+//! The targets of an evacuated failure domain get no work after some seconds.
+
+use alderhaven_core::time::TimeSpan;
+
+use crate::history_index::HistoryIndex;
+use crate::promises::{PromiseKind, Violation};
+use crate::soak_history::{ArrivalRecord, EvacuationRecord};
+use crate::soak_site;
+
+/// The time within which an evacuation is in force.
+pub const BOUND: TimeSpan = TimeSpan::from_secs(5);
+
+/// Checks the requests that reached evacuated failure domains.
+#[must_use]
+pub fn check(index: &HistoryIndex) -> Vec<Violation> {
+    let arrivals = index.history.arrivals.iter();
+    arrivals
+        .filter_map(|arrival| check_arrival(index, arrival))
+        .collect()
+}
+
+fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
+    let mut evacuations = index.history.evacuations.iter();
+    let evacuation = evacuations.find(|evacuation| is_in_force(evacuation, arrival))?;
+    let request = index.request(arrival)?;
+    let is_held = index.is_front_calm(request.front, evacuation.acked, arrival.at)
+        && index.is_store_calm(evacuation.acked, arrival.at);
+    is_held.then(|| {
+        let after = arrival.at.since(evacuation.acked);
+        let seen = format!("{} came {after} after its evacuation", arrival.request_id);
+        Violation::new(PromiseKind::EvacuatedLeftAlone, &arrival.target, seen)
+    })
+}
+
+fn is_in_force(evacuation: &EvacuationRecord, arrival: &ArrivalRecord) -> bool {
+    let is_over = evacuation.taken_back.is_some_and(|over| arrival.at >= over);
+    evacuation.domain == soak_site::domain_of(&arrival.target)
+        && arrival.at > evacuation.acked + BOUND
+        && !is_over
+}
--- a/alderhaven-soak/src/soak_fault.rs
+++ b/alderhaven-soak/src/soak_fault.rs
@@ -41,6 +41,8 @@
     ChangeConfig,
     /// The operator cuts the index into the other set of shards.
     Reshard,
+    /// The operator evacuates a failure domain for a while.
+    Evacuate(usize, TimeSpan),
 }
 
 /// A `TargetTrouble` is how a target fails.
@@ -83,6 +85,7 @@
             Self::TargetFault(..) => "target_fault",
             Self::ChangeConfig => "change_config",
             Self::Reshard => "reshard",
+            Self::Evacuate(..) => "evacuate",
         }
     }
 }
--- a/alderhaven-soak/src/soak_history.rs
+++ b/alderhaven-soak/src/soak_history.rs
@@ -6,8 +6,11 @@
 
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_platform_standin::site_texts;
+use alderhaven_platform_standin::store_standin::StoreStandin;
 use bytes::Bytes;
 use serde::Serialize;
+use serde_json::json;
 
 use crate::soak_site::{RequestKind, ShardSet};
 
@@ -22,6 +25,8 @@
     pub configs: Vec<ConfigRecord>,
     /// Targets that said that they leave, with the time at which the store accepted it.
     pub leavings: Vec<(String, TimePoint)>,
+    /// The failure domains that the operator evacuated.
+    pub evacuations: Vec<EvacuationRecord>,
     /// What was disturbed, and when.
     pub troubles: Vec<TroubleRecord>,
     /// The fronts' processes.
@@ -139,6 +144,17 @@
     pub marks: Vec<u64>,
 }
 
+/// An `EvacuationRecord` is a failure domain whose targets were to get nothing new.
+#[derive(Clone, Debug, Serialize)]
+pub struct EvacuationRecord {
+    /// The failure domain.
+    pub domain: String,
+    /// When the store accepted it.
+    pub acked: TimePoint,
+    /// When it was taken back; none while it is in force.
+    pub taken_back: Option<TimePoint>,
+}
+
 /// A `TroubleSubject` is what a disturbance touches.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -222,6 +238,30 @@
         }
     }
 
+    /// Has a failure domain evacuated; gets its place for [`Self::end_evacuation`].
+    #[must_use]
+    pub fn begin_evacuation(&self, store: &StoreStandin, domain: &str) -> usize {
+        // The lock is held while the store takes it, as for a configuration.
+        let mut history = self.lock();
+        store.put(site_texts::EVACUATIONS, domain, json!({}));
+        history.evacuations.push(EvacuationRecord {
+            domain: domain.to_owned(),
+            acked: self.now(),
+            taken_back: None,
+        });
+        history.evacuations.len() - 1
+    }
+
+    /// Takes an evacuation back.
+    pub fn end_evacuation(&self, store: &StoreStandin, place: usize) {
+        let mut history = self.lock();
+        let now = self.now();
+        if let Some(evacuation) = history.evacuations.get_mut(place) {
+            evacuation.taken_back = Some(now);
+            store.remove(site_texts::EVACUATIONS, &evacuation.domain);
+        }
+    }
+
     /// Notes a disturbance of a moment.
     pub fn note_trouble(&self, subject: TroubleSubject, what: &str) {
         let place = self.begin_trouble(subject, what);
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -32,6 +32,9 @@
     pub front_binary: PathBuf,
     /// Where the logs of runs that break a promise are kept.
     pub logs: PathBuf,
+    /// Whether failure domains are evacuated beside the faults of the seed.
+    #[builder(default)]
+    pub has_evacuations: bool,
     /// The promises that are checked.
     pub scope: PromiseScope,
 }
--- a/alderhaven-soak/src/soak_plan.rs
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -21,6 +21,8 @@
 /// The shortest and the longest disturbance, in milliseconds: from less than a time-out to more than
 /// what peers take for a death.
 const LASTING_MS: std::ops::Range<u64> = 100..4_000;
+/// The shortest and the longest evacuation, in milliseconds: it is checked some seconds after its start.
+const EVACUATION_MS: std::ops::Range<u64> = 5_600..9_000;
 /// How likely a fault comes again at once, in the same place: what one has left behind meets the next.
 const AGAIN_SHARE: f64 = 0.2;
 
@@ -59,6 +61,26 @@
         }
         Self { steps, span }
     }
+
+    /// Adds evacuations, one after the other, beside the faults that the seed has drawn.
+    #[must_use]
+    pub fn with_evacuations(mut self, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(!seed);
+        let faults_end = self.span.saturating_sub(TAIL);
+        let mut at = LEAD;
+        loop {
+            let span = TimeSpan::from_millis(rng.random_range(EVACUATION_MS));
+            let place = rng.random_range(0..usize::MAX >> 1);
+            if at + span > faults_end {
+                break;
+            }
+            let fault = SoakFault::Evacuate(place, span);
+            self.steps.push(SoakStep { at, fault });
+            at = at + span + TimeSpan::from_millis(rng.random_range(0..PAUSE_MS));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
 }
 
 fn draw_fault(rng: &mut StdRng) -> SoakFault {
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -69,7 +69,10 @@
 /// Something of the run itself can't be started; a broken promise is in the report.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport> {
     let folder = folder_of(options)?;
-    let plan = SoakPlan::new(options.seed, options.span);
+    let mut plan = SoakPlan::new(options.seed, options.span);
+    if options.has_evacuations {
+        plan = plan.with_evacuations(options.seed);
+    }
     let mut run = SoakRun::start(options, &folder).await?;
     let _watch = machine_watch::start(run.log.clone());
     let violations = run.play(options, &plan).await?;
@@ -270,6 +273,7 @@
             }
             SoakFault::ChangeConfig => self.operator.change(),
             SoakFault::Reshard => self.operator.reshard(),
+            SoakFault::Evacuate(place, span) => self.evacuate(place, span),
         }
     }
 
@@ -309,6 +313,17 @@
         });
     }
 
+    fn evacuate(&mut self, place: usize, span: TimeSpan) {
+        let domain = DOMAINS[place % DOMAINS.len()];
+        let (store, log) = (self.store.clone(), self.log.clone());
+        self.faults.spawn(async move {
+            let place = log.begin_evacuation(&store, domain);
+            time::sleep(span.as_duration()).await;
+            log.end_evacuation(&store, place);
+            Ok(())
+        });
+    }
+
     fn disturb_store(&mut self, fault: StoreFault, span: TimeSpan) {
         let (store, log) = (self.store.clone(), self.log.clone());
         self.faults.spawn(async move {
--- a/alderhaven-soak/src/soak_site.rs
+++ b/alderhaven-soak/src/soak_site.rs
@@ -21,6 +21,19 @@
 /// The targets of a service, one a domain.
 pub const REPLICAS: usize = DOMAINS.len();
 
+/// Gets the id of a target of a service in a failure domain, in its `life`-th process.
+#[must_use]
+pub fn target_id(service: &str, domain: &str, life: usize) -> String {
+    format!("{service}.{domain}{life}")
+}
+
+/// Gets the failure domain of a target by its id.
+#[must_use]
+pub fn domain_of(target: &str) -> &str {
+    let (_, place) = target.rsplit_once('.').unwrap_or_default();
+    place.trim_end_matches(|letter: char| letter.is_ascii_digit())
+}
+
 /// A `ShardSet` is one of the sets of shards that the index can be cut into.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/alderhaven-soak/src/target_crew.rs
+++ b/alderhaven-soak/src/target_crew.rs
@@ -154,7 +154,7 @@
             let post = &mut posts[place];
             post.lives += 1;
             let life = post.lives;
-            format!("{service}.{domain}{life}")
+            soak_site::target_id(&service, domain, life)
         };
         let trouble = Arc::new(Mutex::new(None));
         let log = self.log.clone();
--- a/alderhaven-soak/tests/history/mod.rs
+++ b/alderhaven-soak/tests/history/mod.rs
@@ -7,8 +7,8 @@
 use alderhaven_soak::promises::{self, PromiseKind};
 use alderhaven_soak::shard_records;
 use alderhaven_soak::soak_history::{
-    AnswerRecord, ArrivalRecord, ConfigRecord, FrontLife, RequestEnd, RequestOutcome,
-    RequestRecord, SoakHistory, TroubleRecord, TroubleSubject,
+    AnswerRecord, ArrivalRecord, ConfigRecord, EvacuationRecord, FrontLife, RequestEnd,
+    RequestOutcome, RequestRecord, SoakHistory, TroubleRecord, TroubleSubject,
 };
 use alderhaven_soak::soak_options::PromiseScope;
 use alderhaven_soak::soak_site::{RECORDS, RequestKind, ShardSet};
@@ -135,6 +135,15 @@
         });
     }
 
+    /// Evacuates a failure domain.
+    pub fn evacuate(&mut self, domain: &str, acked: TimePoint, taken_back: Option<TimePoint>) {
+        self.history.evacuations.push(EvacuationRecord {
+            domain: domain.to_owned(),
+            acked,
+            taken_back,
+        });
+    }
+
     /// Changes the answer to a request.
     pub fn answer(&mut self, id: &str, change: impl FnOnce(&mut AnswerRecord)) {
         let request = self.history.requests.get_mut(id).expect("a request");
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -167,6 +167,25 @@
     assert_eq!(maker.broken(ALL), []);
 }
 
+/// A failure domain is evacuated, and its targets get work after the bound; not while the store fails, not within the
+/// bound, and not once it is taken back.
+#[test]
+fn check_work_for_evacuated_domain() {
+    let mut maker = HistoryMaker::sound();
+    maker.evacuate("b", at(1_000), None);
+    assert_eq!(maker.broken(ALL), [], "the targets lie in the other one");
+    maker.evacuate("a", at(3_000), Some(at(10_000)));
+    assert!(maker.broken(ALL).contains(&PromiseKind::EvacuatedLeftAlone));
+    maker.disturb(TroubleSubject::Store, at(2_000), at(4_000));
+    assert_eq!(maker.broken(ALL), []);
+    let mut maker = HistoryMaker::sound();
+    maker.evacuate("a", at(4_500), Some(at(10_000)));
+    assert_eq!(maker.broken(ALL), [], "within the bound");
+    let mut maker = HistoryMaker::sound();
+    maker.evacuate("a", at(1_000), Some(at(8_000)));
+    assert_eq!(maker.broken(ALL), [], "taken back");
+}
+
 /// A route that was added long ago is missing at a front; within the first seconds that may be.
 #[test]
 fn check_late_configuration() {
