--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -24,19 +24,18 @@
 
 use alderhaven_policy::drain::DrainState;
 
-/// When a caller should come back to a front without a configuration: a start takes some tenths of
-/// a second, and the other fronts are likely to have one.
+/// When a caller should come back to a front without a configuration.
 const START_RETRY_MIN: TimeSpan = TimeSpan::from_millis(150);
-/// The longest that a request waits for the first configuration. A front that starts has one within
-/// a tenth of a second or two where the store or a peer is reached, so that the request is served in
-/// time; a refusal would send its caller to fronts that start in the same moment.
+/// What is added to it at random.
+const START_RETRY_SPREAD: TimeSpan = TimeSpan::from_millis(250);
+
+/// The longest that a request waits for the first configuration. A refusal would send its caller to fronts
+/// that start in the same moment.
 const START_WAIT: TimeSpan = TimeSpan::from_millis(600);
 
 /// The share of the caller's patience that such a wait may take, so that enough is left for another
 /// front.
 const START_WAIT_SHARE: f64 = 0.4;
-/// What is added to it at random.
-const START_RETRY_SPREAD: TimeSpan = TimeSpan::from_millis(250);
 
 /// Answers one request of a caller.
 ///
--- a/alderhaven-front/src/event_log.rs
+++ b/alderhaven-front/src/event_log.rs
@@ -12,8 +12,7 @@
 
 use crate::front_event::FrontEvent;
 
-/// The lines of one kind in a second. A line costs some ten microseconds of a part of a core, so that
-/// all kinds together stay below a hundredth of it.
+/// The lines of one kind in a second.
 const LINES_PER_SECOND: f64 = 10.0;
 
 /// The lines of one kind that may come at once: one for each request that a short fault hits.
--- a/alderhaven-front/src/query_run/ending.rs
+++ b/alderhaven-front/src/query_run/ending.rs
@@ -24,7 +24,7 @@
 use crate::route_destination::RouteDestination;
 use crate::shard_part::ShardPart;
 
-/// The shortest time after which a caller should come back: a pause of a target is over by then.
+/// The shortest time after which a caller should come back.
 const RETRY_AFTER_MIN: TimeSpan = TimeSpan::from_millis(60);
 /// What is added to it at random, so that callers who were refused together come back one by one.
 const RETRY_AFTER_SPREAD: TimeSpan = TimeSpan::from_millis(120);
--- a/alderhaven-front/src/query_run/groups.rs
+++ b/alderhaven-front/src/query_run/groups.rs
@@ -22,13 +22,11 @@
 /// domains, and the work at both ends.
 const FLUSH_LEAD: TimeSpan = TimeSpan::from_millis(3);
 
-/// How long after its hedges a query that has heard nothing sends no more on that connection. Two such
-/// waits fit into the time after a hedge of the tightest routes.
+/// How long after its hedges a query that has heard nothing sends no more on that connection.
 const FLUSH_LATE: TimeSpan = TimeSpan::from_millis(60);
 
 /// How long after its hedges a query gives up an ask that has heard nothing: a front that is busy or
-/// paused has answered by then. Its shards can be asked again only as far as repeats are left, and
-/// one that can't makes the query fail where waiting might not.
+/// paused has answered by then.
 const ASK_LOST: TimeSpan = TimeSpan::from_millis(240);
 
 /// An `AskKind` is what another front is asked for.
--- a/alderhaven-front/src/route_state.rs
+++ b/alderhaven-front/src/route_state.rs
@@ -7,11 +7,10 @@
 use alderhaven_policy::latency_window::LatencyWindow;
 use alderhaven_policy::weighted_split::WeightedSplit;
 
-/// The samples between two readings of the quantiles: a reading costs as much as some dozen samples.
+/// The samples between two readings of the quantiles, which cost more than a sample.
 const READING_PERIOD: u32 = 32;
 
-/// The quantile of parts' times after which one counts as late. A hedge is then due for one attempt
-/// in eight, which is within what the operator's budgets allow beside retries.
+/// The quantile of parts' times after which one counts as late.
 const LATE_QUANTILE: f64 = 0.88;
 
 /// The share of the latency target that an attempt takes while nothing was measured.
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -45,8 +45,8 @@
 /// How often a node that does not watch looks whether it should.
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
 
-/// The time that the store has for the first list. It answers in milliseconds; a call that it does not
-/// answer is given up early, since it may be back meanwhile.
+/// The time that the store has for the first list. A call that it does not answer is given up early, since
+/// it may be back meanwhile.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// How often a node that starts looks whether its peers have told it all.
--- a/alderhaven-front/src/target_pool.rs
+++ b/alderhaven-front/src/target_pool.rs
@@ -21,8 +21,8 @@
 
 use crate::wire_dialect::WholeBody;
 
-/// The time to open a connection. Within a region that takes a millisecond and the target's 6 ms; a
-/// packet that is dropped because the target's queue is full comes again after a second.
+/// The time to open a connection. A packet that is dropped because the target's queue is full comes again
+/// only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How long a connection is kept where the target does not say how long it keeps it.
--- a/alderhaven-front/src/wire_dialect.rs
+++ b/alderhaven-front/src/wire_dialect.rs
@@ -36,7 +36,7 @@
 }
 
 /// A `ForwardedHead` is the head of a caller's request as targets get it, but for what differs between
-/// attempts. It is built once a query: for each part anew it took a tenth of the part's processor time.
+/// attempts. It is built once a query.
 #[derive(Clone, Debug)]
 pub struct ForwardedHead {
     /// The method.
--- a/alderhaven-policy/src/caller_wait.rs
+++ b/alderhaven-policy/src/caller_wait.rs
@@ -13,8 +13,7 @@
 /// patience is read right after some seconds.
 const TURN: TimeSpan = TimeSpan::from_secs(10);
 
-/// The part of its latency target after which a caller is late in any case: the other half is what an
-/// answer takes while there is no room to spare.
+/// The part of its latency target after which a caller is late in any case.
 const LATE_SHARE: f64 = 0.5;
 
 /// A `CallerDelay` is how long a caller had waited when its request arrived.
--- a/alderhaven-policy/src/far_cost.rs
+++ b/alderhaven-policy/src/far_cost.rs
@@ -17,7 +17,7 @@
 /// The share of the usual time that a far replica must be faster by.
 const USUAL_SHARE: f64 = 2.0;
 
-/// The most that it must be faster by: half of what a stuck replica is expected to need still.
+/// The most that it must be faster by, so that a paused near replica is passed.
 const MOST: TimeSpan = TimeSpan::from_millis(36);
 
 /// Gets what a replica in another failure domain must be faster by, where an attempt usually takes
--- a/alderhaven-policy/src/group_start.rs
+++ b/alderhaven-policy/src/group_start.rs
@@ -19,8 +19,7 @@
 use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
 
-/// The time in which peers in the same failure domain answer. A longer wait is paid for by the callers
-/// of a group that starts again as a whole.
+/// The time in which peers in the same failure domain answer.
 const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(20);
 
 /// The time that the first nodes of a group that starts again need: their tries of the store, and the
@@ -31,8 +30,7 @@
 /// a group that starts again as a whole wait as long.
 const ALONE_CHANCE: TimeSpan = TimeSpan::from_millis(200);
 
-/// The same where the group starts for the first time, and some hundred nodes meet: traffic begins
-/// seconds later.
+/// The same where the group starts for the first time: there are no callers yet.
 const FIRST_CHANCE: TimeSpan = TimeSpan::from_millis(3_000);
 
 /// The pause between two tries of the first nodes in the order: until one is answered, each request is
--- a/alderhaven-policy/src/hedge_time.rs
+++ b/alderhaven-policy/src/hedge_time.rs
@@ -21,10 +21,10 @@
 /// The time that a hedge must have left to be worth sending, against the usual time.
 const HEDGE_ROOM: f64 = 1.5;
 
-/// What is added to it: the work of sending it and of reading the reply on a part of a core.
+/// What is added to it: the work of sending it and of reading the reply.
 const HEDGE_WORK: TimeSpan = TimeSpan::from_millis(2);
 
-/// The least time before a hedge, against the usual time: half of all attempts answer by then.
+/// The least time before a hedge, against the usual time.
 const HEDGE_LEAST: f64 = 1.2;
 
 /// The part of the latency target beyond the moment of the answer for which attempts at shards go on.
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -25,29 +25,25 @@
 use crate::room_limit::{QueryNeed, RoomLimit};
 use crate::running_mean::RunningMean;
 
-/// The part of the latency target that a query may wait for room. A fifth leaves the rest for the query
-/// itself, or for another try elsewhere.
+/// The part of the latency target that a query may wait for room.
 const WAIT_SHARE: f64 = 0.2;
 
-/// The ended queries that the mean stay covers: half a second of a busy front.
+/// The ended queries that the mean stay covers.
 const STAY_WINDOW: u32 = 24;
 
-/// Over how long the shares of ranks are counted: some hundred queries of a busy front.
+/// Over how long the shares of ranks are counted.
 const SHARE_FADE: TimeSpan = TimeSpan::from_millis(1_500);
 
 /// The least part of the best rank's served share that a lower rank is served.
 const LEAST_SHARE: f64 = 0.5;
 
-/// The part of the room that late queries may use. An answer in time is worth ten late ones to its
-/// caller, and a late query in flight is one in time that is refused.
+/// The part of the room that late queries may use, so that they do not keep out those in time.
 const LATE_ROOM: f64 = 0.75;
 
-/// The time to come back where little is refused. Room frees every few milliseconds, so that a caller
-/// who comes back soon may still be answered in time.
+/// The time to come back where little is refused.
 const RETRY_BASE: TimeSpan = TimeSpan::from_millis(30);
 
-/// The longest time to come back. Nobody knows how long a burst lasts; callers wait no longer than their
-/// own time allows.
+/// The longest time to come back.
 const RETRY_MOST: TimeSpan = TimeSpan::from_secs(2);
 
 /// A `GateQuery` is a query that asks for its turn.
--- a/alderhaven-policy/src/repeat_budget.rs
+++ b/alderhaven-policy/src/repeat_budget.rs
@@ -21,12 +21,11 @@
 /// The pieces into which the window is cut; a repeat is forgotten up to one piece late.
 const WINDOW_PIECES: u64 = 20;
 
-/// The share of the allowance that is used. Requests that are counted here may reach the service in
-/// the next window, and nodes join and leave meanwhile; a tenth covers one piece of twenty twice.
+/// The share of the allowance that is used. Requests that are counted here may reach the service in the
+/// next window, and nodes join and leave meanwhile.
 const USED_SHARE: f64 = 0.9;
 
-/// The share of the allowance that hedges leave to retries after failures: with one target in ten
-/// lost, a third of the hedges' share is what its requests need.
+/// The share of the allowance that hedges leave to retries after failures.
 const RETRY_RESERVE: f64 = 0.1;
 
 /// A `RepeatOptions` holds the rule that all nodes keep together.
--- a/alderhaven-policy/src/replica_gauge.rs
+++ b/alderhaven-policy/src/replica_gauge.rs
@@ -19,34 +19,27 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-/// The weight of the newest ratio: some slow answers in a row move the choice, and one
-/// attempt in a hundred that is long by nature does not for more than a few attempts.
+/// The weight of the newest ratio in the average.
 const NEWEST_WEIGHT: f64 = 0.2;
-/// The time in which what is known of slowness and failures halves: a slow spell lasts seconds, and
-/// one attempt in some seconds is the price of noticing its end.
+/// The time in which what is known of slowness and failures halves.
 const FADE: TimeSpan = TimeSpan::from_millis(2_500);
 /// The largest ratio that is kept, so that one lost answer does not shut a replica out for long.
 const MAX_RATIO: f64 = 40.0;
-/// The attempts in a row that could not reach a replica after which it is set aside. One may be a
-/// connection above the replica's cap.
+/// The attempts in a row that could not reach a replica after which it is set aside. A single one may be
+/// a connection above the replica's cap.
 const ASIDE_AFTER: u32 = 2;
 /// The first time for which a replica is set aside.
 const FIRST_ASIDE: TimeSpan = TimeSpan::from_millis(300);
 /// The longest time for which a replica is set aside; a process is restarted within seconds.
 const LONGEST_ASIDE: TimeSpan = TimeSpan::from_millis(2_400);
-/// How many times the usual time an attempt is out before the replica counts as stuck. One answer
-/// in some hundred takes three times the usual.
+/// How many times the usual time an attempt is out before the replica counts as stuck.
 const STUCK_FACTOR: f64 = 3.0;
 /// The shortest time after which a replica counts as stuck, above the jitter of the network.
 const STUCK_MIN: TimeSpan = TimeSpan::from_millis(12);
-/// What a stuck replica is expected to need still: pauses last a tenth of a second or two, and half
-/// of that is left on average.
+/// What a stuck replica is expected to need still.
 const STUCK_REST: TimeSpan = TimeSpan::from_millis(60);
-/// What a replica that fails all it gets is expected to cost, by the square of the share that it fails.
-///
-/// A rare failure is mended by one repeat, and costs little more than that takes. A replica that fails
-/// half of its requests uses up the repeats that all nodes share, and then each failure is a shard
-/// that is missing: a sound replica that is two or three times slower is better.
+/// What a replica that fails all it gets is expected to cost, by the square of the share that it fails: a
+/// rare failure is mended by one repeat, frequent ones use up the repeats that all nodes share.
 const FAILURE_COST: TimeSpan = TimeSpan::from_millis(250);
 
 /// An `AttemptResult` is how an attempt at a replica ended, as far as the replica is concerned.
--- a/alderhaven-policy/src/wake_lag.rs
+++ b/alderhaven-policy/src/wake_lag.rs
@@ -12,9 +12,9 @@
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
-/// The weight of a wake-up that is later than the lag: four of them move it by two thirds.
+/// The weight of a wake-up that is later than the lag.
 const RISE: f64 = 0.25;
-/// The weight of one that is not: with a hundred a second a busy spell is forgotten within a second.
+/// The weight of one that is not.
 const FALL: f64 = 0.02;
 /// The most that is learnt. A process that was suspended wakes up seconds late, once.
 const MAX_LAG: TimeSpan = TimeSpan::from_millis(25);
