--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -17,7 +17,7 @@
 use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::repeat_budget::RepeatOptions;
 use alderhaven_policy::store_watch_plan::StoreContact;
-use alderhaven_policy::warmup_limit::WarmupBound;
+use alderhaven_policy::warmup_bound::WarmupBound;
 use arc_swap::ArcSwap;
 use log::Level;
 use tokio::sync::watch;
--- a/alderhaven-policy/src/group_start.rs
+++ b/alderhaven-policy/src/group_start.rs
@@ -19,6 +19,8 @@
 use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
 
+use crate::start_view::StartView;
+
 /// The time in which peers in the same failure domain answer.
 const PEER_CHANCE: TimeSpan = TimeSpan::from_millis(20);
 
@@ -66,17 +68,6 @@
     First,
 }
 
-/// A `StartView` is what a node that starts knows of the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StartView {
-    /// Whether it knows of any other that is alive.
-    pub knows_others: bool,
-    /// Whether it is among the first in the order of those that it knows.
-    pub is_first: bool,
-    /// Whether one of them has said that the store does not answer it.
-    pub has_failed: bool,
-}
-
 impl GroupStart {
     /// Returns true where the node is among those that ask the store for all.
     #[must_use]
--- a/alderhaven-policy/src/warmup_limit.rs
+++ b/alderhaven-policy/src/warmup_limit.rs
@@ -14,9 +14,9 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::quantities::RatePerSecond;
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use serde::{Deserialize, Serialize};
 
 use crate::hashing;
+use crate::warmup_bound::WarmupBound;
 
 /// The nodes that send to a cold target: one may be lost.
 const SENDERS: usize = 2;
@@ -27,25 +27,6 @@
 /// The longest warm-up that is believed.
 const LONGEST: TimeSpan = TimeSpan::from_secs(120);
 
-/// A `WarmupBound` is how far all nodes together may exceed what a cold target tolerates.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct WarmupBound {
-    /// The factor by which they may exceed the rate.
-    pub overshoot: f64,
-    /// The requests in a second that they may send beyond that.
-    pub slack: f64,
-}
-
-impl Default for WarmupBound {
-    fn default() -> Self {
-        Self {
-            overshoot: 1.0,
-            slack: 0.0,
-        }
-    }
-}
-
 /// Gets the requests in any second that node `own` may send to a cold target which tolerates `rate`;
 /// `nodes` are those on large hosts, `own` among them or not.
 #[must_use]
--- a/alderhaven-policy/tests/group_start.rs
+++ b/alderhaven-policy/tests/group_start.rs
@@ -2,7 +2,8 @@
 
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::group_start;
-use alderhaven_policy::group_start::{GroupStart, StartView};
+use alderhaven_policy::group_start::GroupStart;
+use alderhaven_policy::start_view::StartView;
 
 /// The nodes of a group that starts for the first time.
 const NODES: usize = 76;
--- a/alderhaven-policy/tests/warmup_limit.rs
+++ b/alderhaven-policy/tests/warmup_limit.rs
@@ -3,7 +3,8 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::quantities::RatePerSecond;
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::warmup_limit::{self, WarmupBound, WarmupLimit};
+use alderhaven_policy::warmup_bound::WarmupBound;
+use alderhaven_policy::warmup_limit::{self, WarmupLimit};
 use proptest::prelude::*;
 
 const BOUND: WarmupBound = WarmupBound {
