An attempt that is left has a fate; one walk over arrivals; one set of named domains

Found reading the change once more, behaviour as before. A shard kept four counts that moved in step: what counts towards the route's attempts and what has arrived now follow from what may have run, was never sent or was cut off, and the bool of an attempt that is given up is an enum. The soak walked all arrivals once for each of two promises with the same loop. The directory's choice searched what it had as a set. set_evacuated returned what nobody read; a part of what all share is asked for within its file only; the large hosts' nodes have one name.

--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -199,11 +199,11 @@
             .share
             .note(nodes.iter().map(|(_, capacity)| *capacity));
         let share = state.share;
-        let is_carrier = |capacity: CpuCapacity| share.is_large_host(capacity);
-        let carriers = nodes.iter().filter(|(_, capacity)| is_carrier(*capacity));
-        let carriers: Vec<NodeId> = carriers.map(|(node, _)| node.clone()).collect();
-        if carriers != state.carriers {
-            state.carriers = carriers;
+        let is_large = |capacity: CpuCapacity| share.is_large_host(capacity);
+        let large_nodes = nodes.iter().filter(|(_, capacity)| is_large(*capacity));
+        let large_nodes: Vec<NodeId> = large_nodes.map(|(node, _)| node.clone()).collect();
+        if large_nodes != state.large_nodes {
+            state.large_nodes = large_nodes;
             is_changed = true;
         }
         if is_changed {
--- a/alderhaven-front/src/catalog_state.rs
+++ b/alderhaven-front/src/catalog_state.rs
@@ -51,7 +51,7 @@
     /// What was heard of each failure domain.
     pub(crate) silences: BTreeMap<FailureDomain, SharedSilence>,
     /// The live nodes on large hosts, this one included where it is one.
-    pub(crate) carriers: Vec<NodeId>,
+    pub(crate) large_nodes: Vec<NodeId>,
     pub(crate) budgets: HashMap<String, Arc<Mutex<RepeatBudget>>>,
     pub(crate) contacts: BTreeMap<NodeId, StoreContact>,
     pub(crate) share: GroupShare,
@@ -72,7 +72,7 @@
             targets: BTreeMap::new(),
             evacuated: BTreeMap::new(),
             silences: BTreeMap::new(),
-            carriers: Vec::new(),
+            large_nodes: Vec::new(),
             budgets: HashMap::new(),
             contacts: BTreeMap::new(),
             share,
@@ -178,7 +178,7 @@
         let rate = rule.warmup?.rate;
         Some(warmup_limit::allowance(
             &options.node,
-            &self.carriers,
+            &self.large_nodes,
             target,
             rate,
             options.warmup,
--- /dev/null
+++ b/alderhaven-front/src/left_fate.rs
@@ -0,0 +1,12 @@
+//! What becomes of an attempt that is given up with its failure domain.
+
+/// A `LeftFate` says whether such an attempt may run all the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeftFate {
+    /// It was never sent, and will not be.
+    Unsent,
+    /// It was sent to a failure domain that was lost, and will hardly run.
+    CutOff,
+    /// Its failure domain is silent; it may run.
+    MayRun,
+}
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod group_links;
 pub mod group_plan;
 pub mod group_server;
+pub mod left_fate;
 pub mod query_admission;
 pub mod query_call;
 pub mod query_run;
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -351,7 +351,7 @@
     ) -> Option<Arc<TargetHandle>> {
         let run = &self.shards[shard];
         let may_run_again = self.route.rule.is_idempotent || run.ran == 0;
-        let is_used_up = run.counted >= self.route.rule.max_targets;
+        let is_used_up = run.counted() >= self.route.rule.max_targets;
         if !may_run_again || is_used_up || now >= self.time.ends_at {
             return None;
         }
@@ -361,7 +361,7 @@
             return None;
         }
         // The first arrival at the service is no repeat.
-        let is_repeat = run.arrived > 0;
+        let is_repeat = run.has_arrived();
         let part = self.context.catalog.share().repeat_part();
         if is_repeat && !service.budget().take(reason, part, now) {
             self.context.metrics.refused_repeats.inc();
@@ -401,7 +401,7 @@
         let rule = &self.route.rule;
         let run = &mut self.shards[shard];
         run.begin(target, now);
-        let may_hedge = rule.is_idempotent && run.counted < rule.max_targets;
+        let may_hedge = rule.is_idempotent && run.counted() < rule.max_targets;
         run.hedge_at = may_hedge.then_some(hedge_at);
         self.sent += 1;
     }
--- a/alderhaven-front/src/query_run/silence.rs
+++ b/alderhaven-front/src/query_run/silence.rs
@@ -9,6 +9,7 @@
 use crate::attempt::{AttemptEnd, AttemptReport};
 use crate::front_event::{FrontEvent, LostAttempt};
 use crate::front_metrics::AttemptFate;
+use crate::left_fate::LeftFate;
 use crate::query_run::QueryRun;
 use crate::target_handle::TargetHandle;
 
@@ -19,8 +20,7 @@
 struct LeftAttempt {
     shard: usize,
     target: Arc<TargetHandle>,
-    /// Whether it may run all the same.
-    will_run: bool,
+    fate: LeftFate,
 }
 
 /// Notes an answer of a target as one of its failure domain.
@@ -54,6 +54,15 @@
     }
 }
 
+/// Gets what becomes of an attempt that was sent.
+fn sent_fate(target: &TargetHandle, now: TimePoint) -> LeftFate {
+    if target.silence().is_lost(now) {
+        LeftFate::CutOff
+    } else {
+        LeftFate::MayRun
+    }
+}
+
 fn domain_of(target: &TargetHandle) -> String {
     let domain = target.entry().domain.clone();
     domain.map(String::from).unwrap_or_default()
@@ -101,7 +110,7 @@
         let mut silent = self.take_silent_attempts(now);
         silent.extend(self.take_silent_asks(now));
         for left in silent {
-            self.shards[left.shard].leave(Arc::clone(&left.target), left.will_run);
+            self.shards[left.shard].leave(Arc::clone(&left.target), left.fate);
             self.note_lost(LostAttempt {
                 target: left.target.entry().id.clone(),
                 fate: AttemptFate::Silent,
@@ -119,7 +128,7 @@
     /// asked, or the domain is lost.
     fn may_leave(&self, shard: usize, target: &TargetHandle, now: TimePoint) -> bool {
         let silence = *target.silence();
-        let has_more = self.shards[shard].counted < self.route.rule.max_targets;
+        let has_more = self.shards[shard].counted() < self.route.rule.max_targets;
         silence.is_silent(now) && (has_more || silence.is_lost(now))
     }
 
@@ -133,14 +142,15 @@
                 self.open.push(open);
                 continue;
             }
-            let is_unsent = open.phase.call_off();
-            if is_unsent {
-                self.shards[open.shard].ran -= 1;
-            }
+            let fate = if open.phase.call_off() {
+                LeftFate::Unsent
+            } else {
+                sent_fate(&open.target, now)
+            };
             left.push(LeftAttempt {
                 shard: open.shard,
-                will_run: !is_unsent && !open.target.silence().is_lost(now),
                 target: open.target,
+                fate,
             });
         }
         left
@@ -159,11 +169,11 @@
             }
             let taken = self.asks[place].shards.iter_mut();
             left.extend(taken.filter_map(Option::take).map(|(shard, target)| {
-                let will_run = !target.silence().is_lost(now);
+                let fate = sent_fate(&target, now);
                 LeftAttempt {
                     shard,
                     target,
-                    will_run,
+                    fate,
                 }
             }));
         }
--- a/alderhaven-front/src/shard_run.rs
+++ b/alderhaven-front/src/shard_run.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::attempt::TargetReply;
+use crate::left_fate::LeftFate;
 use crate::service_targets::ServiceTargets;
 use crate::shard_part::ShardPart;
 use crate::target_handle::TargetHandle;
@@ -21,10 +22,10 @@
     pub sent: SmallVec<[TimePoint; 2]>,
     /// The targets that may have run the request.
     pub ran: usize,
-    /// The targets that count towards the most that the route allows: not those that were cut off.
-    pub counted: usize,
-    /// The targets at which the request has arrived as far as can be told: not those that were cut off.
-    pub arrived: usize,
+    /// The attempts that were never sent.
+    pub unsent: usize,
+    /// The attempts that were sent to a failure domain which was lost, where they will hardly run.
+    pub cut_off: usize,
     /// The targets that were given up with their failure domain, though they may still answer.
     pub left: SmallVec<[Arc<TargetHandle>; 2]>,
     /// The attempts that are out.
@@ -48,8 +49,8 @@
             tried: SmallVec::new(),
             sent: SmallVec::new(),
             ran: 0,
-            counted: 0,
-            arrived: 0,
+            unsent: 0,
+            cut_off: 0,
             left: SmallVec::new(),
             open: 0,
             hedge_at: None,
@@ -66,33 +67,42 @@
         self.sent.push(now);
         self.open += 1;
         self.ran += 1;
-        self.counted += 1;
-        self.arrived += 1;
     }
 
     /// Notes that a target refused an attempt without running it.
     pub const fn note_refused(&mut self) {
         self.ran -= 1;
-        self.counted -= 1;
     }
 
     /// Notes that an attempt was never sent.
     pub const fn note_unsent(&mut self) {
-        self.note_refused();
-        self.arrived -= 1;
+        self.ran -= 1;
+        self.unsent += 1;
     }
 
-    /// Gives up the open attempt at a target whose failure domain is silent. One that will not run does not
-    /// count.
-    pub fn leave(&mut self, target: Arc<TargetHandle>, will_run: bool) {
+    /// Gives up the open attempt at a target whose failure domain is silent.
+    pub fn leave(&mut self, target: Arc<TargetHandle>, fate: LeftFate) {
         self.left.push(target);
         self.open -= 1;
-        if !will_run {
-            self.counted -= 1;
-            self.arrived -= 1;
+        match fate {
+            LeftFate::Unsent => self.note_unsent(),
+            LeftFate::CutOff => self.cut_off += 1,
+            LeftFate::MayRun => {}
         }
     }
 
+    /// Gets the targets that count towards the most that the route allows: not those that were cut off.
+    #[must_use]
+    pub const fn counted(&self) -> usize {
+        self.ran - self.cut_off
+    }
+
+    /// Returns true where the request has arrived at the service, as far as can be told.
+    #[must_use]
+    pub fn has_arrived(&self) -> bool {
+        self.tried.len() > self.unsent + self.cut_off
+    }
+
     /// Returns true where the attempt at a target was given up.
     #[must_use]
     pub fn has_left(&self, target: &Arc<TargetHandle>) -> bool {
--- a/alderhaven-front/src/target_handle.rs
+++ b/alderhaven-front/src/target_handle.rs
@@ -104,9 +104,9 @@
         self.is_evacuated.load(Ordering::Relaxed)
     }
 
-    /// Changes whether its failure domain is evacuated; returns whether it was.
-    pub fn set_evacuated(&self, is_evacuated: bool) -> bool {
-        self.is_evacuated.swap(is_evacuated, Ordering::Relaxed)
+    /// Changes whether its failure domain is evacuated.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::Relaxed);
     }
 
     /// Returns true where it gets no new work, also from requests that have chosen it before.
--- a/alderhaven-policy/src/front_choice.rs
+++ b/alderhaven-policy/src/front_choice.rs
@@ -114,18 +114,10 @@
     domains: usize,
     turn: usize,
 ) {
-    let is_named = |chosen: &[&FrontOffer], domain: &FailureDomain| {
-        chosen.iter().any(|offer| offer.domain == *domain)
-    };
     let named: BTreeSet<&FailureDomain> = chosen.iter().map(|offer| &offer.domain).collect();
     let each = chosen.len().div_ceil(named.len().max(1));
-    let mut others: Vec<&FailureDomain> = scored
-        .iter()
-        .map(|(_, offer)| &offer.domain)
-        .filter(|domain| !is_named(chosen, domain))
-        .collect::<BTreeSet<_>>()
-        .into_iter()
-        .collect();
+    let all: BTreeSet<&FailureDomain> = scored.iter().map(|(_, offer)| &offer.domain).collect();
+    let mut others: Vec<&FailureDomain> = all.difference(&named).copied().collect();
     let missing = domains.saturating_sub(named.len()).min(others.len());
     if missing == 0 {
         return;
--- a/alderhaven-policy/src/group_share.rs
+++ b/alderhaven-policy/src/group_share.rs
@@ -22,6 +22,9 @@
 /// The part of the largest host from which on a host counts as large.
 const LARGE_PART: f64 = 0.5;
 
+/// The part of the repeats that is divided among large hosts.
+const LARGE_REPEATS: f64 = 0.8;
+
 /// A `GroupShare` says how a node stands in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct GroupShare {
@@ -35,9 +38,6 @@
     all_large: f64,
 }
 
-/// The part of the repeats that is divided among large hosts.
-const LARGE_REPEATS: f64 = 0.8;
-
 impl GroupShare {
     /// Returns the share of a node that knows no other.
     #[must_use]
@@ -92,8 +92,7 @@
     }
 
     /// Gets the node's part of what all share, above 0 and up to 1.
-    #[must_use]
-    pub fn part(&self) -> f64 {
+    fn part(&self) -> f64 {
         (self.own / self.all).min(1.0)
     }
 
--- a/alderhaven-soak/src/promises.rs
+++ b/alderhaven-soak/src/promises.rs
@@ -90,8 +90,10 @@
         return broken;
     }
     broken.extend(config::check_in_force(index));
-    broken.extend(leaving::check(index));
-    broken.extend(evacuation::check(index));
+    for arrival in &index.history.arrivals {
+        broken.extend(leaving::check_arrival(index, arrival));
+        broken.extend(evacuation::check_arrival(index, arrival));
+    }
     broken.extend(repeats::check(index));
     broken.extend(timely::check(index));
     if is_over {
--- a/alderhaven-soak/src/promises/evacuation.rs
+++ b/alderhaven-soak/src/promises/evacuation.rs
@@ -10,16 +10,9 @@
 /// The time within which an evacuation is in force.
 pub const BOUND: TimeSpan = TimeSpan::from_secs(5);
 
-/// Checks the requests that reached evacuated failure domains.
+/// Checks a request that reached a target, whose failure domain may be evacuated.
 #[must_use]
-pub fn check(index: &HistoryIndex) -> Vec<Violation> {
-    let arrivals = index.history.arrivals.iter();
-    arrivals
-        .filter_map(|arrival| check_arrival(index, arrival))
-        .collect()
-}
-
-fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
+pub fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
     let mut evacuations = index.history.evacuations.iter();
     let evacuation = evacuations.find(|evacuation| is_in_force(evacuation, arrival))?;
     let request = index.request(arrival)?;
--- a/alderhaven-soak/src/promises/leaving.rs
+++ b/alderhaven-soak/src/promises/leaving.rs
@@ -5,16 +5,9 @@
 use crate::soak_history::{ArrivalRecord, TroubleSubject};
 use crate::target_crew::DRAIN;
 
-/// Checks the requests that reached leaving targets.
+/// Checks a request that reached a target, which may be leaving.
 #[must_use]
-pub fn check(index: &HistoryIndex) -> Vec<Violation> {
-    let arrivals = index.history.arrivals.iter();
-    arrivals
-        .filter_map(|arrival| check_arrival(index, arrival))
-        .collect()
-}
-
-fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
+pub fn check_arrival(index: &HistoryIndex, arrival: &ArrivalRecord) -> Option<Violation> {
     let mut leavings = index.history.leavings.iter();
     let (_, said) = leavings.find(|(target, _)| *target == arrival.target)?;
     let request = index.request(arrival)?;
