Fronts log and count the state of the store: era, revision and ignored objects

The incident's logs could not tell its hypotheses apart: answered calls without an effect look the same whether the objects were known already, older than the known ones, or missing from the answer, and neither revision nor Store-Era was written anywhere. A list now writes store_listed (era, revision, objects), an answer with lower versions than the known ones writes objects_older, and metrics hold store_era, store_revision by kind and older_objects by kind.

Nothing that decides is changed.

--- a/alderhaven-core/src/ids.rs
+++ b/alderhaven-core/src/ids.rs
@@ -168,6 +168,12 @@
     u64,
     "store version"
 );
+number_id!(
+    /// Number of times that the object store came back from an older copy of its objects.
+    StoreEra,
+    u64,
+    "store era"
+);
 number_id!(
     /// Number that distinguishes a restarted process from its previous runs.
     IncarnationNumber,
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -213,15 +213,25 @@
         }
     }
 
+    /// Merges objects from a peer.
+    pub fn accept_from_peer(&self, objects: Vec<StoredObject>) {
+        // Peers may lag, so older objects are no sign of a fault.
+        let _newer_versions = self.accept(objects);
+    }
+
     /// Merges objects from the store or from peers; versions that aren't newer than the known ones
-    /// are ignored.
-    pub fn accept(&self, objects: Vec<StoredObject>) {
+    /// are ignored. Returns the known versions of objects that are older than them.
+    pub fn accept(&self, objects: Vec<StoredObject>) -> Vec<StoreVersion> {
+        let mut newer_versions = Vec::new();
         let mut state = self.state();
         let mut is_new = false;
         let mut needs_rebuild = false;
         for object in objects {
             let known = state.objects.get(&object.key).map(|known| known.version);
-            if known >= Some(object.version) {
+            if let Some(known) = known
+                && known >= object.version
+            {
+                newer_versions.extend((known > object.version).then_some(known));
                 continue;
             }
             is_new = true;
@@ -235,11 +245,18 @@
         if is_new {
             self.changed.send_modify(|count| *count += 1);
         }
+        newer_versions
     }
 
     /// Merges a complete list of a kind as of `revision`. Known objects of the kind that are
-    /// missing in it are marked as removed unless they are newer.
-    pub fn accept_list(&self, kind: ObjectKind, revision: StoreVersion, list: Vec<StoredObject>) {
+    /// missing in it are marked as removed unless they are newer. Returns the known versions of
+    /// objects that are older than them.
+    pub fn accept_list(
+        &self,
+        kind: ObjectKind,
+        revision: StoreVersion,
+        list: Vec<StoredObject>,
+    ) -> Vec<StoreVersion> {
         let missing: Vec<StoredObject> = {
             let listed: BTreeSet<&ObjectKey> = list.iter().map(|object| &object.key).collect();
             let state = self.state();
@@ -258,7 +275,7 @@
         self.accept(missing);
         // Set before `accept` notifies subscribers, which check whether the kind is listed.
         self.state().listed_kinds.insert(kind);
-        self.accept(list);
+        self.accept(list)
     }
 
     /// Applies an object to the state; returns true if the view must be rebuilt.
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use alderhaven_core::config_object::ObjectKind;
+use alderhaven_core::ids::{StoreEra, StoreVersion};
 use alderhaven_core::time::TimeSpan;
 use log::Level;
 use prometheus_client::encoding::EncodeLabelValue;
@@ -147,6 +149,30 @@
     /// The store answers again.
     #[serde(rename = "store_back")]
     StoreRecovered,
+    /// The store listed all objects of a kind.
+    StoreListed {
+        /// The kind of the objects.
+        kind: ObjectKind,
+        /// The store's era.
+        era: StoreEra,
+        /// The store's revision.
+        revision: StoreVersion,
+        /// The number of objects.
+        objects: usize,
+    },
+    /// The store returned objects with lower versions than the known ones; they were ignored.
+    ObjectsOlder {
+        /// The kind of the objects.
+        kind: ObjectKind,
+        /// The store's era.
+        era: StoreEra,
+        /// The store's revision.
+        revision: StoreVersion,
+        /// The highest known version of these objects.
+        known: StoreVersion,
+        /// The number of objects.
+        objects: usize,
+    },
     /// The outcome of a request; successful ones are sampled.
     RequestEnded {
         /// The caller's id of this attempt.
@@ -263,6 +289,8 @@
             Self::EvacuationUnreadable { .. } => "evacuation_unreadable",
             Self::StoreLost { .. } => "store_lost",
             Self::StoreRecovered => "store_back",
+            Self::StoreListed { .. } => "store_listed",
+            Self::ObjectsOlder { .. } => "objects_older",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
             Self::TargetsCrashed { .. } => "targets_crashed",
             Self::LinkLost { .. } => "link_lost",
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use alderhaven_core::config_object::ObjectKind;
+use alderhaven_core::ids::{StoreEra, StoreVersion};
 use alderhaven_core::time::TimeSpan;
 use alderhaven_peer::peer_traffic::{MessageKind, PeerTraffic};
 use prometheus_client::encoding::text;
@@ -28,6 +29,8 @@
     attempts: Family<AttemptLabels, Counter>,
     unanswered_attempts: Family<UnansweredLabels, Counter>,
     store_calls: Family<StoreCallLabels, Counter>,
+    store_revision: Family<ObjectKindLabels, Gauge>,
+    older_objects: Family<ObjectKindLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
     peer_messages: Family<PeerMessageLabels, Counter>,
     peer_bytes: Family<PeerByteLabels, Counter>,
@@ -39,6 +42,8 @@
     pub served_group_requests: Counter,
     /// The configuration version in force.
     pub config_version: Gauge,
+    /// The latest era of the store that this process has seen.
+    pub store_era: Gauge,
     /// The live nodes of the group.
     pub nodes: Gauge,
     /// The evacuated failure domains.
@@ -96,6 +101,11 @@
     result: StoreCallResult,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ObjectKindLabels {
+    kind: String,
+}
+
 /// How many services a request queries.
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
 pub enum QueryShape {
@@ -154,6 +164,8 @@
             attempts: Family::default(),
             unanswered_attempts: Family::default(),
             store_calls: Family::default(),
+            store_revision: Family::default(),
+            older_objects: Family::default(),
             refusals: Family::default(),
             peer_messages: Family::default(),
             peer_bytes: Family::default(),
@@ -161,6 +173,7 @@
             refused_repeats: Counter::default(),
             served_group_requests: Counter::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             nodes: Gauge::default(),
             evacuated_domains: Gauge::default(),
             omitted_lines: Counter::default(),
@@ -205,6 +218,24 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Records the state of the store in an answer, and how many of its objects were ignored because
+    /// newer ones are known.
+    pub fn observe_store_answer(
+        &self,
+        kind: ObjectKind,
+        era: StoreEra,
+        revision: StoreVersion,
+        older_objects: usize,
+    ) {
+        let kind = kind.to_string();
+        let labels = ObjectKindLabels { kind };
+        self.store_era.set(gauge_value(era.0));
+        let gauge = self.store_revision.get_or_create(&labels);
+        gauge.set(gauge_value(revision.0));
+        let counter = self.older_objects.get_or_create(&labels);
+        counter.inc_by(older_objects as u64);
+    }
+
     /// Sets the peer counters to the totals since the start of the process.
     pub fn set_peer_traffic(&self, traffic: &PeerTraffic) {
         for kind in MessageKind::ALL {
@@ -255,6 +286,17 @@
             "Calls of the store by kind of object and result",
             own.store_calls,
         );
+        registry.register(
+            "store_revision",
+            "Revision of the store in its latest answer, by kind of object",
+            own.store_revision,
+        );
+        registry.register(
+            "older_objects",
+            "Objects of the store that were ignored because newer ones are known",
+            own.older_objects,
+        );
+        registry.register("store_era", "Latest era of the store", own.store_era);
         registry.register(
             "refusals",
             "Requests refused before any target was asked",
@@ -300,3 +342,8 @@
         registry
     }
 }
+
+/// Converts a number for a gauge; numbers beyond its range become its maximum.
+fn gauge_value(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -250,7 +250,7 @@
     let access = ConfigAccess::builder()
         .stamps(move || stamps.stamps())
         .look_up(move |key| objects.object(key))
-        .accept(move |received| accept.accept(received))
+        .accept(move |received| accept.accept_from_peer(received))
         .is_fully_listed(move || listed.is_fully_listed())
         .changes(catalog.subscribe())
         .build();
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -299,9 +299,36 @@
     }
 
     fn apply_list(&mut self, list: ObjectList) {
-        self.revision = Some(list.revision);
-        self.catalog
-            .accept_list(self.kind, list.revision, list.objects);
+        let revision = list.revision;
+        self.revision = Some(revision);
+        FrontEvent::StoreListed {
+            kind: self.kind,
+            era: self.store.latest_era(),
+            revision,
+            objects: list.objects.len(),
+        }
+        .emit(Level::Info);
+        let newer_versions = self.catalog.accept_list(self.kind, revision, list.objects);
+        self.record_answer(revision, &newer_versions);
+    }
+
+    /// Records the state of the store in an answer, with the known versions that are newer than the
+    /// objects in it.
+    fn record_answer(&self, revision: StoreVersion, newer_versions: &[StoreVersion]) {
+        let era = self.store.latest_era();
+        let count = newer_versions.len();
+        self.metrics
+            .observe_store_answer(self.kind, era, revision, count);
+        if let Some(known) = newer_versions.iter().max() {
+            FrontEvent::ObjectsOlder {
+                kind: self.kind,
+                era,
+                revision,
+                known: *known,
+                objects: count,
+            }
+            .emit(Level::Warn);
+        }
     }
 
     /// Makes one list or watch call; returns true if it brought changes.
@@ -317,7 +344,8 @@
             WatchOutcome::Changes(list) => {
                 let is_changed = !list.objects.is_empty();
                 self.revision = Some(revision.max(list.revision));
-                self.catalog.accept(list.objects);
+                let newer_versions = self.catalog.accept(list.objects);
+                self.record_answer(list.revision, &newer_versions);
                 Ok(is_changed)
             }
             WatchOutcome::Compacted => {
--- a/alderhaven-store/src/object_store.rs
+++ b/alderhaven-store/src/object_store.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
-use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::ids::{StoreEra, StoreVersion};
 use alderhaven_core::time::TimeSpan;
 use serde::{Deserialize, Serialize};
 
@@ -137,6 +137,11 @@
         self.list(kinds)
     }
 
+    /// Returns the era of the store's latest answer.
+    fn latest_era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Reads one object, or `None` if the store has no such object.
     fn get(
         &self,
