Entries and relays follow a store that came back from an older copy

Entries and relays order configuration objects by version too. With the era in it, the content of the copy would replace newer templates, team policies, manifests and drains until their publishers repeat them. The registry now keeps the newer content, by the times in the publication ids or else by the numbers of manifests, and carries it over.

alderctl compares versions with the eras that nodes report; a node in a later era counted as lagging for ever, by a lower revision.

--- a/alderhaven-ctl/src/in_force.rs
+++ b/alderhaven-ctl/src/in_force.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 
 use alderhaven_core::config_object::ObjectKey;
-use alderhaven_core::ids::{NodeId, StoreVersion};
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
 use serde::Serialize;
 use tokio::task::JoinSet;
@@ -105,7 +106,8 @@
                 .config
                 .rejected
                 .iter()
-                .find(|rejected| rejected.key == key && rejected.version >= expected.version);
+                .filter(|rejected| rejected.key == key)
+                .find(|rejected| rejected.version.in_era(rejected.era) >= expected.version);
             if let Some(rejected) = rejected {
                 return Self::Rejected {
                     key: expected.key.clone(),
@@ -114,9 +116,10 @@
             }
         }
         let revision = status.config.revision;
+        let version = revision.map(|revision| revision.in_era(status.config.era));
         // Every change up to the revision is in force, so comparing the newest version suffices.
         let newest = wanted.iter().map(|expected| expected.version).max();
-        if newest.is_none() || revision >= newest {
+        if newest.is_none() || version >= newest {
             Self::InForce
         } else {
             Self::Behind { revision }
--- a/alderhaven-ctl/src/node_status.rs
+++ b/alderhaven-ctl/src/node_status.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use alderhaven_core::ids::{FailureDomain, IncarnationNumber, NodeId, StoreVersion};
+use alderhaven_core::ids::{FailureDomain, IncarnationNumber, NodeId, StoreEra};
+use alderhaven_core::store_version::StoreVersion;
 use serde::{Deserialize, Serialize};
 
 /// The identity and state of one node; optional fields are `None` if the node omits them.
@@ -30,6 +31,9 @@
 pub struct ConfigStatus {
     /// The store revision up to which every change is in force; `None` before the first list.
     pub revision: Option<StoreVersion>,
+    /// The store's era of the revision.
+    #[serde(default)]
+    pub era: StoreEra,
     /// Invalid objects, whose earlier contents stay in force.
     #[serde(default)]
     pub rejected: Vec<RejectedStatus>,
@@ -42,6 +46,9 @@
     pub key: String,
     /// The rejected version.
     pub version: StoreVersion,
+    /// The store's era of the version.
+    #[serde(default)]
+    pub era: StoreEra,
     /// All reasons of the rejection.
     pub errors: Vec<String>,
 }
--- a/alderhaven-ctl/tests/publish/nodes.rs
+++ b/alderhaven-ctl/tests/publish/nodes.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
-use alderhaven_core::ids::{IncarnationNumber, StoreVersion};
+use alderhaven_core::ids::IncarnationNumber;
+use alderhaven_core::ids::StoreEra;
+use alderhaven_core::store_version::StoreVersion;
 use alderhaven_ctl::node_probe::{NodeProbe, ProbeError, ProbeResult};
 use alderhaven_ctl::node_status::{ConfigStatus, NodeStatus, RejectedStatus};
 use serde_json::Value;
@@ -76,12 +78,15 @@
         let revision = match self.behaviors[&node] {
             NodeBehavior::Silent => return Err(ProbeError::new("connection refused")),
             NodeBehavior::InForceAfter(after) if earlier_probes < after => None,
-            NodeBehavior::InForceAfter(_) | NodeBehavior::Rejects => Some(StoreVersion(u64::MAX)),
+            NodeBehavior::InForceAfter(_) | NodeBehavior::Rejects => {
+                Some(StoreVersion::of_revision(u64::MAX))
+            }
         };
         let is_rejecting = self.behaviors[&node] == NodeBehavior::Rejects;
         let rejected = RejectedStatus {
+            era: StoreEra::default(),
             key: "team/publishers".to_owned(),
-            version: StoreVersion(u64::MAX),
+            version: StoreVersion::of_revision(u64::MAX),
             errors: vec!["weight: refused".to_owned()],
         };
         Ok(NodeStatus {
@@ -93,6 +98,7 @@
             incarnation: Some(IncarnationNumber(1)),
             state: None,
             config: ConfigStatus {
+                era: StoreEra::default(),
                 revision,
                 rejected: is_rejecting.then_some(rejected).into_iter().collect(),
             },
--- a/alderhaven-policy/src/config_registry.rs
+++ b/alderhaven-policy/src/config_registry.rs
@@ -3,18 +3,22 @@
 //! Objects arrive from the store's watch, from full lists and from peers, possibly late, twice or
 //! out of order. For each key the highest store version wins, tombstones included, so that the
 //! result does not depend on the order of arrival and a lagging source can't bring back an older
-//! version.
+//! version. What the store loses when it comes back from an older copy is carried over.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use alderhaven_core::config_object::{ConfigObject, ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::errors::Error;
-use alderhaven_core::ids::{ServiceName, StoreVersion, TeamId, TemplateName};
+use alderhaven_core::ids::{ServiceName, SnapshotId, TeamId, TemplateName};
 use alderhaven_core::manifest::SnapshotManifest;
+use alderhaven_core::publication_id::PublicationId;
+use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::team::TeamPolicy;
 use alderhaven_core::template::QueryTemplate;
 
+use crate::restored_store;
+
 /// The newest known version of each object, and the newest valid one.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigRegistry {
@@ -54,14 +58,22 @@
     Known,
     /// The object is invalid; what was in force before stays.
     Rejected(Vec<Error>),
+    /// The store came back with an older content; the known one stays and is carried over.
+    CarriedOver,
 }
 
 impl ConfigRegistry {
     /// Applies an object, whatever source it came from.
     pub fn accept(&mut self, object: StoredObject) -> AcceptOutcome {
-        let known = self.newest.get(&object.key).map(|known| known.version);
-        if known >= Some(object.version) {
-            return AcceptOutcome::Known;
+        if let Some(known) = self.newest.get_mut(&object.key) {
+            if known.version >= object.version {
+                return AcceptOutcome::Known;
+            }
+            let precedes = || precedes(&object, known);
+            if let Some(carried) = restored_store::carry_over(known, &object, precedes) {
+                *known = carried;
+                return AcceptOutcome::CarriedOver;
+            }
         }
         let outcome = match &object.body {
             None => {
@@ -117,12 +129,33 @@
     pub fn highest_version(&self) -> StoreVersion {
         self.newest
             .values()
-            .map(|object| object.version)
+            .map(|object| object.version.stored())
             .max()
             .unwrap_or_default()
     }
 }
 
+/// Returns true if the content of `stored` is older than that of `known` in the order of their
+/// writers: by the times of their publications, or by the numbers of their manifests.
+fn precedes(stored: &StoredObject, known: &StoredObject) -> bool {
+    let publication = |object: &StoredObject| object.write_id.parse::<PublicationId>().ok();
+    match (publication(stored), publication(known)) {
+        (Some(stored), Some(known)) => stored.is_earlier_than(&known),
+        _ => snapshot(stored)
+            .zip(snapshot(known))
+            .is_some_and(|(stored, known)| stored < known),
+    }
+}
+
+/// Returns the number of a manifest; `None` for any other object and for a deleted one.
+fn snapshot(object: &StoredObject) -> Option<SnapshotId> {
+    let body = object.body.as_ref()?;
+    match ConfigObject::read(&object.key, body) {
+        Ok(ConfigObject::Manifest(manifest)) => Some(manifest.snapshot),
+        _ => None,
+    }
+}
+
 impl ConfigView {
     fn insert(&mut self, key: &ObjectKey, content: ConfigObject) {
         match content {
--- a/alderhaven-store/src/config_follower.rs
+++ b/alderhaven-store/src/config_follower.rs
@@ -7,8 +7,9 @@
 use std::sync::Arc;
 
 use alderhaven_core::config_object::ObjectKind;
-use alderhaven_core::ids::StoreVersion;
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::store_version::StoreVersion;
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::restored_store::RestoreGrace;
 use serde::{Deserialize, Serialize};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -52,6 +53,8 @@
     store: Arc<S>,
     options: FollowerOptions,
     handle: ConfigHandle,
+    started_at: Instant,
+    restore_grace: RestoreGrace,
     /// When to list next. Set to the current time when changes may have been missed.
     list_due: Instant,
 }
@@ -80,6 +83,8 @@
             store,
             options,
             handle: handle.clone(),
+            started_at: Instant::now(),
+            restore_grace: RestoreGrace::default(),
             list_due: Instant::now(),
         };
         tokio::spawn(shutdown.run_until_cancelled_owned(follower.run()));
@@ -99,12 +104,36 @@
     }
 
     async fn list_or_watch(&mut self) -> Result<(), FollowFailure> {
+        self.update_restore_grace();
         match self.handle.complete_revision() {
             Some(after) if Instant::now() < self.list_due => self.watch(after).await,
             _ => self.list().await,
         }
     }
 
+    /// Makes the next call a list if objects that the store lost were not written again in time.
+    fn update_restore_grace(&mut self) {
+        let now = self.now();
+        let has_lost_objects = self.handle.has_lost_objects();
+        self.restore_grace.update(has_lost_objects, now);
+        let is_over = self.restore_grace.is_over(now);
+        self.handle.set_grace_over(is_over);
+        if is_over {
+            self.list_due = Instant::now();
+        }
+    }
+
+    fn now(&self) -> TimePoint {
+        TimePoint::START + TimeSpan::from(self.started_at.elapsed())
+    }
+
+    /// Returns how long a watch call waits for a change, at most until the end of the grace.
+    fn watch_timeout(&self) -> TimeSpan {
+        let timeout = self.options.watch_timeout;
+        let ends_at = self.restore_grace.ends_at();
+        ends_at.map_or(timeout, |ends_at| timeout.min(ends_at.since(self.now())))
+    }
+
     async fn list(&mut self) -> Result<(), FollowFailure> {
         let min_revision = self.handle.min_revision();
         let result = self.store.list(&ObjectKind::CONFIGURATION).await;
@@ -121,7 +150,7 @@
 
     async fn watch(&mut self, after: StoreVersion) -> Result<(), FollowFailure> {
         let min_revision = self.handle.min_revision();
-        let wait = self.options.watch_timeout;
+        let wait = self.watch_timeout();
         let call = self.store.watch(&ObjectKind::CONFIGURATION, after, wait);
         let result = call.await;
         match self
--- a/alderhaven-store/src/config_handle.rs
+++ b/alderhaven-store/src/config_handle.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::config_object::{ObjectKey, StoredObject};
-use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::logging;
+use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_registry::ConfigView;
 use alderhaven_policy::exchange::exchange_message::ObjectStamp;
@@ -70,6 +71,10 @@
     pub sync_state: StoreSyncState,
     /// The revision up to which every change is known, or `None` before the first list.
     pub revision: Option<StoreVersion>,
+    /// The store's era of that revision.
+    pub era: StoreEra,
+    /// Whether objects are in force that the store lost and that were not written again.
+    pub has_lost_objects: bool,
     /// The highest known version of any object, from the store or from peers.
     pub highest_version: StoreVersion,
     /// The time since the last list or watch result that was compared with the known state.
@@ -89,6 +94,8 @@
     pub key: String,
     /// The version of the rejected content.
     pub version: StoreVersion,
+    /// The store's era of the version.
+    pub era: StoreEra,
     /// All errors found in the content.
     pub errors: Vec<String>,
 }
@@ -103,6 +110,13 @@
     StoreLost {
         reason: &'a str,
     },
+    /// The store came back from an older copy.
+    StoreRestored {
+        era: StoreEra,
+        revision: StoreVersion,
+        /// The objects in force that the store lost.
+        carried: Vec<String>,
+    },
     #[serde(rename = "store_backwards")]
     StoreRegressed {
         reason: String,
@@ -177,6 +191,8 @@
         FollowerStatus {
             sync_state,
             revision: state.complete_revision(),
+            era: state.complete_revision().unwrap_or_default().era,
+            has_lost_objects: state.has_lost_objects(),
             highest_version: state.registry().highest_version(),
             time_since_answer: last_answer_at.map(|instant| instant.elapsed().into()),
             object_count: state.registry().objects().count(),
@@ -184,6 +200,16 @@
         }
     }
 
+    /// Returns true if objects are in force that the store lost and that were not written again.
+    pub(crate) fn has_lost_objects(&self) -> bool {
+        self.lock_state().has_lost_objects()
+    }
+
+    /// Sets whether the next list may remove such objects.
+    pub(crate) fn set_grace_over(&self, is_over: bool) {
+        self.lock_state().set_grace_over(is_over);
+    }
+
     pub(crate) fn min_revision(&self) -> StoreVersion {
         self.lock_state().min_revision()
     }
@@ -194,8 +220,12 @@
         apply: impl FnOnce(&mut ConfigState) -> Result<Vec<ObjectKey>, StoreRegression>,
     ) -> Result<(), StoreRegression> {
         let mut state = self.lock_state();
+        let previous = state.complete_revision();
         let result = apply(&mut state);
         let revision = state.complete_revision().unwrap_or_default();
+        if previous.is_some_and(|previous| previous.era < revision.era) {
+            log_restore(&state, revision);
+        }
         if let Ok(changed) = &result {
             self.publish(&state, changed);
         }
@@ -272,6 +302,7 @@
         .map(|(key, object)| RejectedStatus {
             key: key.to_string(),
             version: object.version,
+            era: object.version.era,
             errors: object.errors.iter().map(ToString::to_string).collect(),
         })
         .collect()
@@ -298,6 +329,17 @@
     }
 }
 
+fn log_restore(state: &ConfigState, revision: StoreVersion) {
+    let objects = state.registry().objects();
+    let carried = objects.filter(|object| object.version.is_carried());
+    let event = ConfigEvent::StoreRestored {
+        era: revision.era,
+        revision,
+        carried: carried.map(|object| object.key.to_string()).collect(),
+    };
+    logging::emit(Level::Error, &event);
+}
+
 fn log_sync_state(sync_state: &StoreSyncState, revision: StoreVersion) {
     match sync_state {
         StoreSyncState::Waiting => {}
--- a/alderhaven-store/src/config_state.rs
+++ b/alderhaven-store/src/config_state.rs
@@ -4,14 +4,17 @@
 //! so a node without the tombstone could accept a deleted object from a lagging peer. A store restored
 //! from a backup serves old content under revisions that grow again. The state therefore tracks the
 //! revision up to which it is complete, and compares each result of the store with what was known
-//! before the call.
+//! before the call. A restored store that tells so by a new era is followed from there; what it lost
+//! is carried over.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use alderhaven_core::config_object::{ObjectKey, StoredObject};
-use alderhaven_core::ids::StoreVersion;
+use alderhaven_core::store_version::StoreVersion;
 use alderhaven_policy::config_registry::{AcceptOutcome, ConfigRegistry};
+use alderhaven_policy::restored_store;
+use alderhaven_policy::restored_store::AbsentObject;
 use serde::Serialize;
 
 use crate::object_store::ObjectList;
@@ -22,6 +25,10 @@
     registry: ConfigRegistry,
     complete_revision: Option<StoreVersion>,
     regression: Option<StoreRegression>,
+    /// Carried objects that the latest list lacks, or that a peer sent since.
+    lost_keys: BTreeSet<ObjectKey>,
+    /// Whether the writers of lost objects have had their time to repeat their writes.
+    is_grace_over: bool,
 }
 
 /// Evidence that the store's content is older than what the node knows.
@@ -68,6 +75,20 @@
         self.regression.as_ref()
     }
 
+    /// Returns true if objects are in force that the store lacks and that were carried over into its
+    /// era. Only a list after their writers have had time to repeat the writes can remove them.
+    #[must_use]
+    pub fn has_lost_objects(&self) -> bool {
+        let objects = self.lost_keys.iter();
+        let mut objects = objects.filter_map(|key| self.registry.object(key));
+        objects.any(|object| object.version.is_carried() && object.body.is_some())
+    }
+
+    /// Sets whether the next list may remove objects that were carried over.
+    pub const fn set_grace_over(&mut self, is_over: bool) {
+        self.is_grace_over = is_over;
+    }
+
     /// Returns the registry of all known objects.
     #[must_use]
     pub const fn registry(&self) -> &ConfigRegistry {
@@ -91,8 +112,15 @@
         }
         self.regression = None;
         let revision = list.revision;
-        let removed = self.deletion_tombstones(&list);
-        let changed = self.accept_all(list.objects.into_iter().chain(removed));
+        let absent = self.settle_absent(&list);
+        let listed = list.objects.iter().map(|object| &object.key);
+        for key in listed {
+            self.lost_keys.remove(key);
+        }
+        let carried = absent.iter().filter(|object| object.version.is_carried());
+        self.lost_keys
+            .extend(carried.map(|object| object.key.clone()));
+        let changed = self.accept_all(list.objects.into_iter().chain(absent));
         self.complete_revision = Some(revision);
         Ok(changed)
     }
@@ -126,9 +154,16 @@
     /// Objects up to the complete revision are ignored: they are either known or have been deleted.
     pub fn accept_from_peer(&mut self, objects: Vec<StoredObject>) -> Vec<ObjectKey> {
         let complete_revision = self.complete_revision;
-        let newer = objects
-            .into_iter()
-            .filter(|object| Some(object.version) > complete_revision);
+        let newer = objects.into_iter().filter(|object| {
+            let is_newer = Some(object.version) > complete_revision;
+            // The store itself lacks what a peer of the same era carried over.
+            let era = complete_revision.map(|revision| revision.era);
+            is_newer || (object.version.is_carried() && Some(object.version.era) == era)
+        });
+        let newer: Vec<StoredObject> = newer.collect();
+        let carried = newer.iter().filter(|object| object.version.is_carried());
+        self.lost_keys
+            .extend(carried.map(|object| object.key.clone()));
         self.accept_all(newer)
     }
 
@@ -138,7 +173,9 @@
             let key = object.key.clone();
             match self.registry.accept(object) {
                 AcceptOutcome::Known => {}
-                AcceptOutcome::InForce | AcceptOutcome::Rejected(_) => changed.push(key),
+                AcceptOutcome::InForce
+                | AcceptOutcome::Rejected(_)
+                | AcceptOutcome::CarriedOver => changed.push(key),
             }
         }
         changed
@@ -177,6 +214,7 @@
     /// instead, so it counts as a regression until an operator publishes the object again.
     fn is_regressed(&self, known: &StoredObject, listed: Option<&StoredObject>) -> bool {
         match listed {
+            _ if known.version.is_carried() => false,
             Some(listed) => {
                 listed.version < known.version
                     || (listed.version == known.version && listed.write_id != known.write_id)
@@ -185,22 +223,40 @@
         }
     }
 
-    /// Returns tombstones for the known objects that are absent from a list.
+    /// Returns tombstones for the known objects that a list lacks because they were deleted, and
+    /// carries over those that the store lost.
     ///
-    /// They carry the list's revision, because every earlier write of the object has been deleted.
-    fn deletion_tombstones(&self, list: &ObjectList) -> Vec<StoredObject> {
+    /// Tombstones carry the list's revision, because every earlier write of the object has been
+    /// deleted.
+    fn settle_absent(&self, list: &ObjectList) -> Vec<StoredObject> {
         let listed: BTreeSet<&ObjectKey> = list.objects.iter().map(|object| &object.key).collect();
-        self.registry
-            .objects()
+        let known = self.registry.objects();
+        known
             .filter(|known| known.body.is_some())
-            .filter(|known| known.version <= list.revision && !listed.contains(&known.key))
-            .map(|known| StoredObject {
+            .filter(|known| known.version.stored() <= list.revision)
+            .filter(|known| !listed.contains(&known.key))
+            .filter_map(|known| self.settle_absent_object(known, list.revision))
+            .collect()
+    }
+
+    fn settle_absent_object(
+        &self,
+        known: &StoredObject,
+        revision: StoreVersion,
+    ) -> Option<StoredObject> {
+        match restored_store::decide_absent(known.version, revision, self.is_grace_over) {
+            AbsentObject::Remove(version) => Some(StoredObject {
                 key: known.key.clone(),
-                version: list.revision,
+                version,
                 write_id: String::new(),
                 body: None,
-            })
-            .collect()
+            }),
+            AbsentObject::CarryOver(version) => Some(StoredObject {
+                version,
+                ..known.clone()
+            }),
+            AbsentObject::Keep => None,
+        }
     }
 }
 
