Claim ledger: a store in a later era may have lost claims

The ledger grants a non-idempotent request once, by a conditional write of a bucket. Versions with the era in them order a restored store after the one before it, so the check that stopped the ledger (a version below one seen) no longer sees a restore, and a claim that the store lost could be granted twice.

Entries now refuse all keys from before they learnt of the later era, the skew of callers' clocks included; new keys are granted at once, where before the process granted none until its restart. A process that starts in a later era refuses the keys from before its first call. A write that lands in a later era grants nothing, nor does a call that was in flight meanwhile. Reads and conflicts tell the era of an absent object too.

The test of a regressed store within an era is unchanged.

--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod template;
 pub mod time;
 pub mod value_check;
+pub mod wall_clock;
--- a/alderhaven-front/src/wall_clock.rs
+++ b/alderhaven-core/src/wall_clock.rs
@@ -1,4 +1,4 @@
-//! Wall-clock time, which orders the reports of one node and tells how old they are.
+//! Wall-clock time.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
--- a/alderhaven-entry/src/claim_ledger.rs
+++ b/alderhaven-entry/src/claim_ledger.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimePoint;
+use alderhaven_core::wall_clock;
 use alderhaven_policy::claim_batcher::{ClaimBatcher, ClaimCounts};
 use alderhaven_policy::claim_bucket::ClaimWriter;
 use alderhaven_policy::claim_call::{ClaimAction, ClaimCall, ClaimReply};
@@ -153,7 +154,8 @@
             tokio::select! {
                 Some((slot, reply)) = calls_in_flight.next() => {
                     let now = self.clock.now();
-                    self.lock().batcher.handle_reply(slot, reply, now);
+                    let wall_millis = wall_clock::unix_millis();
+                    self.lock().batcher.handle_reply(slot, reply, now, wall_millis);
                 }
                 () = wake => {}
                 () = self.work_added.notified() => {}
--- a/alderhaven-entry/src/claimed_runner.rs
+++ b/alderhaven-entry/src/claimed_runner.rs
@@ -3,11 +3,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_core::wall_clock;
 use alderhaven_policy::claim_bucket::ClaimWriter;
 use alderhaven_policy::claim_fingerprint::ClaimFingerprint;
 use alderhaven_policy::claim_key::ClaimKey;
@@ -196,7 +196,7 @@
                 "the store has regressed; granted claims may be missing",
             ));
         }
-        match KeyAge::of(key, wall_clock_millis()) {
+        match KeyAge::of(key, wall_clock::unix_millis()) {
             KeyAge::Served => None,
             KeyAge::TooOld => Some(key_too_old()),
             KeyAge::TooNew => Some(ErrorAnswer::not_run(
@@ -305,9 +305,3 @@
     let spread = retry_after.mul_f64(1.0 + rand::random::<f64>());
     ErrorAnswer::not_run(code, message).with_retry_after(spread)
 }
-
-fn wall_clock_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| TimeSpan::from(elapsed).as_millis())
-}
--- a/alderhaven-front/src/catalog/node_reports.rs
+++ b/alderhaven-front/src/catalog/node_reports.rs
@@ -5,13 +5,13 @@
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::store_version::StoreVersion;
+use alderhaven_core::wall_clock;
 use alderhaven_policy::store_watch_plan::StoreContact;
 use log::Level;
 
 use crate::catalog::Catalog;
 use crate::catalog_state::CatalogState;
 use crate::front_event::FrontEvent;
-use crate::wall_clock;
 
 /// The body of a report from a node that reaches the store.
 const STORE_REACHED_BODY: &str = "reached";
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -49,6 +49,5 @@
 pub mod target_entry;
 pub mod target_handle;
 pub mod target_pool;
-pub mod wall_clock;
 pub mod warmup_rule;
 pub mod wire_dialect;
--- a/alderhaven-front/src/query_run/crash_detection.rs
+++ b/alderhaven-front/src/query_run/crash_detection.rs
@@ -13,6 +13,7 @@
 use alderhaven_core::ids::ShardId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimePoint;
+use alderhaven_core::wall_clock;
 use alderhaven_policy::crash_strike::CrashStrike;
 use log::Level;
 use rand::RngExt;
@@ -23,7 +24,6 @@
 use crate::front_event::FrontEvent;
 use crate::query_run::QueryRun;
 use crate::target_handle::TargetHandle;
-use crate::wall_clock;
 
 /// The most lost attempts of a request that are probed; each probe opens a connection.
 const MAX_CRASH_PROBES: usize = 4;
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -9,6 +9,7 @@
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_core::wall_clock;
 use alderhaven_node::node_group::NodeGroup;
 use alderhaven_policy::group_start;
 use alderhaven_policy::group_start::GroupStart;
@@ -25,7 +26,6 @@
 use crate::front_event::FrontEvent;
 use crate::front_metrics::FrontMetrics;
 use crate::store_availability::StoreAvailability;
-use crate::wall_clock;
 
 /// How long a watch call waits for a change. It bounds the time until a broken connection is
 /// noticed.
--- a/alderhaven-policy/src/claim_batcher.rs
+++ b/alderhaven-policy/src/claim_batcher.rs
@@ -4,7 +4,8 @@
 //! its token and carries all claims that arrived meanwhile. Entries write the same buckets, so
 //! writes and retries after conflicts are spread at random. A version below one seen before reveals
 //! that the store was restored from an older copy; the process then grants no claims until it is
-//! restarted. While the store is out of service claims are refused at once, and after each pause one
+//! restarted. If a later era reveals it, only keys that may have been claimed before are refused.
+//! While the store is out of service claims are refused at once, and after each pause one
 //! claim tests whether the store is back.
 
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 use crate::claim_key::ClaimKey;
 use crate::claim_options::ClaimOptions;
 use crate::claim_queue::{CallOutcome, ClaimQueue, ClaimVerdicts, NeededCall};
+use crate::claim_slot;
 use crate::claim_slot::ClaimSlot;
 use crate::claim_verdict::{ClaimRefusal, ClaimTicket, ClaimVerdict};
 use crate::pending_claim::PendingClaim;
@@ -48,6 +50,9 @@
     highest_version: StoreVersion,
     /// Whether the store has returned a version below one seen before.
     has_store_regressed: bool,
+    /// Keys up to this timestamp, in milliseconds, may have been claimed in an earlier era of the
+    /// store, which lost the claim.
+    lost_until_millis: u64,
     verdicts: ClaimVerdicts,
     counts: ClaimCounts,
 }
@@ -103,6 +108,7 @@
             pause: None,
             highest_version: StoreVersion::default(),
             has_store_regressed: false,
+            lost_until_millis: 0,
             verdicts: Vec::new(),
             counts: ClaimCounts::default(),
         }
@@ -146,7 +152,7 @@
         self.counts.offered += 1;
         let ticket = ClaimTicket { key, id };
         self.waiting_count += 1;
-        if let Some((reason, retry_after)) = self.current_refusal(now) {
+        if let Some((reason, retry_after)) = self.current_refusal(&key, now) {
             let claim = PendingClaim::new(ticket, fingerprint, now);
             let queue = self.queue(ClaimSlot::of(&key));
             let verdict = queue.refuse(&claim, reason, retry_after);
@@ -202,15 +208,30 @@
         call
     }
 
-    /// Handles the reply to a call.
-    pub fn handle_reply(&mut self, slot: ClaimSlot, reply: ClaimReply, now: TimePoint) {
+    /// Handles the reply to a call. `wall_millis` is the wall clock, in milliseconds since the Unix
+    /// epoch.
+    pub fn handle_reply(
+        &mut self,
+        slot: ClaimSlot,
+        reply: ClaimReply,
+        now: TimePoint,
+        wall_millis: u64,
+    ) {
         if matches!(reply, ClaimReply::Conflict(_)) {
             self.counts.conflicts += 1;
         }
         let Some(queue) = self.queues.get_mut(&slot) else {
             return;
         };
-        let outcome = queue.handle_reply(reply, now, &mut self.verdicts);
+        let era = self.highest_version.era;
+        let outcome = queue.handle_reply(reply, era, now, &mut self.verdicts);
+        // A call that was in flight when the store came back may have returned such claims.
+        queue.refuse_waiting_until(
+            self.lost_until_millis,
+            ClaimRefusal::LedgerBroken,
+            self.options.longest_pause,
+            &mut self.verdicts,
+        );
         self.highest_version = self.highest_version.max(queue.cached_version());
         match outcome {
             CallOutcome::Answered => self.pause = None,
@@ -245,6 +266,7 @@
                 let retry_after = self.options.longest_pause;
                 self.refuse_all(ClaimRefusal::LedgerBroken, retry_after);
             }
+            CallOutcome::StoreRestored(version) => self.handle_restore(version, wall_millis),
             CallOutcome::Unreadable => {
                 self.counts.broken += 1;
                 let retry_after = self.begin_pause(false, now);
@@ -259,6 +281,26 @@
         }
     }
 
+    /// Refuses all keys that may have been claimed before the store came back.
+    ///
+    /// A process that has seen no earlier era can't tell when the store came back, and refuses the
+    /// keys from before its own first call.
+    fn handle_restore(&mut self, version: StoreVersion, wall_millis: u64) {
+        self.counts.broken += 1;
+        let has_seen_era = self.highest_version > StoreVersion::default();
+        let skew_millis = if has_seen_era {
+            claim_slot::KEY_SKEW.as_millis()
+        } else {
+            0
+        };
+        self.highest_version = version;
+        self.lost_until_millis = wall_millis.saturating_add(skew_millis);
+        for queue in self.queues.values_mut() {
+            queue.forget_bucket();
+        }
+        self.refuse_all(ClaimRefusal::LedgerBroken, self.options.longest_pause);
+    }
+
     /// Removes and returns the verdicts reached so far.
     #[must_use]
     pub fn take_verdicts(&mut self) -> Vec<(ClaimTicket, ClaimVerdict)> {
@@ -307,8 +349,8 @@
         self.queues.entry(slot).or_default()
     }
 
-    fn current_refusal(&self, now: TimePoint) -> Option<(ClaimRefusal, TimeSpan)> {
-        if self.has_store_regressed {
+    fn current_refusal(&self, key: &ClaimKey, now: TimePoint) -> Option<(ClaimRefusal, TimeSpan)> {
+        if self.has_store_regressed || key.millis() <= self.lost_until_millis {
             return Some((ClaimRefusal::LedgerBroken, self.options.longest_pause));
         }
         if self.waiting_count > self.options.max_waiting {
--- a/alderhaven-policy/src/claim_call.rs
+++ b/alderhaven-policy/src/claim_call.rs
@@ -46,3 +46,17 @@
     /// The call was sent and its reply is lost; a write may still take effect later.
     Lost,
 }
+
+impl ClaimReply {
+    /// Returns the version of the bucket in the store, if the reply tells it.
+    #[must_use]
+    pub fn version(&self) -> Option<StoreVersion> {
+        match self {
+            Self::Bucket(object) | Self::Conflict(object) => {
+                object.as_ref().map(|object| object.version)
+            }
+            Self::Written(version) => Some(*version),
+            Self::NotDone { .. } | Self::Lost => None,
+        }
+    }
+}
--- a/alderhaven-policy/src/claim_queue.rs
+++ b/alderhaven-policy/src/claim_queue.rs
@@ -10,6 +10,7 @@
 
 use alderhaven_core::config_object::StoredObject;
 use alderhaven_core::errors::Result;
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
@@ -221,7 +222,23 @@
         retry_after: TimeSpan,
         verdicts: &mut ClaimVerdicts,
     ) {
-        for claim in mem::take(&mut self.waiting) {
+        self.refuse_waiting_until(u64::MAX, reason, retry_after, verdicts);
+    }
+
+    /// Refuses the waiting claims of keys with timestamps up to `millis`.
+    pub(crate) fn refuse_waiting_until(
+        &mut self,
+        millis: u64,
+        reason: ClaimRefusal,
+        retry_after: TimeSpan,
+        verdicts: &mut ClaimVerdicts,
+    ) {
+        let is_refused = |claim: &PendingClaim| claim.ticket.key.millis() <= millis;
+        let (refused, waiting): (Vec<_>, Vec<_>) = mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(is_refused);
+        self.waiting = waiting;
+        for claim in refused {
             verdicts.push(self.refuse(&claim, reason, retry_after));
             self.release_if_uncertain(&claim);
         }
@@ -300,16 +317,30 @@
         Some(ClaimAction::Write { expected, body })
     }
 
-    /// Handles the reply to the call in flight.
+    /// Drops the cached bucket, which the store may have lost.
+    pub(crate) fn forget_bucket(&mut self) {
+        self.cached = None;
+        self.must_read = true;
+    }
+
+    /// Handles the reply to the call in flight. `era` is the latest one that the process has seen.
     pub(crate) fn handle_reply(
         &mut self,
         reply: ClaimReply,
+        era: StoreEra,
         now: TimePoint,
         verdicts: &mut ClaimVerdicts,
     ) -> CallOutcome {
+        let new_version = reply.version().filter(|version| version.era > era);
         match (self.in_flight.take(), reply) {
             (None, _) => CallOutcome::Answered,
-            (Some(InFlightCall::Read), ClaimReply::Bucket(object)) => self.observe(object, now),
+            (Some(InFlightCall::Read), ClaimReply::Bucket(object)) => {
+                if let Some(version) = new_version {
+                    self.forget_bucket();
+                    return CallOutcome::StoreRestored(version);
+                }
+                self.observe(object, now)
+            }
             (Some(InFlightCall::Read), ClaimReply::NotDone { retry_after }) => {
                 self.must_read = true;
                 CallOutcome::NotDone(retry_after)
@@ -319,7 +350,14 @@
                 CallOutcome::Lost
             }
             (Some(flight @ InFlightCall::Write { .. }), reply) => {
-                self.handle_write_reply(flight, reply, now, verdicts)
+                let Some(version) = new_version else {
+                    return self.handle_write_reply(flight, reply, now, verdicts);
+                };
+                // Claims that were lost may be missing in the bucket that was written, so the write
+                // grants nothing.
+                self.handle_write_reply(flight, ClaimReply::Lost, now, verdicts);
+                self.forget_bucket();
+                CallOutcome::StoreRestored(version)
             }
         }
     }
@@ -342,7 +380,10 @@
             return CallOutcome::Answered;
         };
         match reply {
-            ClaimReply::Written(version) if version > highest_version => {
+            // A bucket of a later era may lack claims that this write does not know of.
+            ClaimReply::Written(version)
+                if version > highest_version && version.era == highest_version.era =>
+            {
                 let call_number = self.call_count;
                 self.cached = Some(CachedBucket {
                     version,
@@ -389,7 +430,9 @@
                 }
                 match reply {
                     // The store's versions only grow, unless it was restored from an older copy.
-                    ClaimReply::Written(_) => CallOutcome::StoreRegressed,
+                    ClaimReply::Written(version) if version <= highest_version => {
+                        CallOutcome::StoreRegressed
+                    }
                     _ => CallOutcome::Lost,
                 }
             }
@@ -523,4 +566,7 @@
     Unreadable,
     /// The store returned a version below one seen before.
     StoreRegressed,
+    /// The store returned this version of a later era than any seen before: it came back from an
+    /// older copy, and may have lost claims.
+    StoreRestored(StoreVersion),
 }
--- a/alderhaven-policy/tests/claim_ledger/ledger_simulation.rs
+++ b/alderhaven-policy/tests/claim_ledger/ledger_simulation.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use alderhaven_core::config_object::StoredObject;
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::claim_batcher::ClaimBatcher;
@@ -13,7 +14,7 @@
 use alderhaven_policy::claim_fingerprint::ClaimFingerprint;
 use alderhaven_policy::claim_key::ClaimKey;
 use alderhaven_policy::claim_options::ClaimOptions;
-use alderhaven_policy::claim_slot::{ClaimSlot, SLICE_MILLIS, SLOT_COUNT, slice_of};
+use alderhaven_policy::claim_slot::{ClaimSlot, KEY_SKEW, SLICE_MILLIS, SLOT_COUNT, slice_of};
 use alderhaven_policy::claim_verdict::{ClaimTicket, ClaimVerdict};
 
 /// The maximum number of rounds until a fault-free ledger is idle.
@@ -48,6 +49,10 @@
     Crash(usize),
     /// The store goes out of service (`true`) or returns (`false`).
     Outage(bool),
+    /// The store copies its objects.
+    CopyStore,
+    /// The store comes back from its last copy, in a new era.
+    ComeBack,
 }
 
 struct PendingCall {
@@ -78,6 +83,8 @@
     nodes: Vec<(u64, ClaimBatcher)>,
     store: BTreeMap<ClaimSlot, StoredObject>,
     version: u64,
+    era: StoreEra,
+    copy: (BTreeMap<ClaimSlot, StoredObject>, u64),
     is_store_down: bool,
     calls: Vec<PendingCall>,
     replies: Vec<PendingReply>,
@@ -105,6 +112,8 @@
             nodes: Vec::new(),
             store: BTreeMap::new(),
             version: 0,
+            era: StoreEra::default(),
+            copy: (BTreeMap::new(), 0),
             is_store_down: false,
             calls: Vec::new(),
             replies: Vec::new(),
@@ -146,6 +155,8 @@
             LedgerOp::Advance(millis) => self.now = self.now + TimeSpan::from_millis(millis),
             LedgerOp::Crash(node) => self.nodes[node] = self.start_node(),
             LedgerOp::Outage(outage) => self.is_store_down = outage,
+            LedgerOp::CopyStore => self.copy = self.copy_store(),
+            LedgerOp::ComeBack => self.come_back(),
         }
         self.step();
     }
@@ -175,6 +186,22 @@
         (self.store.clone(), self.version)
     }
 
+    /// Replaces the store by its last copy, in a new era.
+    pub fn come_back(&mut self) {
+        self.era = StoreEra(self.era.0 + 1);
+        self.restore_store(self.copy.clone());
+    }
+
+    /// Returns the wall clock of all nodes, past the timestamps of all sample keys.
+    pub fn wall_millis(&self) -> u64 {
+        let elapsed = self.now.since(TimePoint::START).as_millis();
+        (0..5)
+            .map(|number| sample_key(number).millis())
+            .max()
+            .unwrap()
+            + elapsed
+    }
+
     /// Replaces the store by an older copy.
     pub fn restore_store(&mut self, (store, version): (BTreeMap<ClaimSlot, StoredObject>, u64)) {
         self.store = store;
@@ -281,14 +308,29 @@
         if self.is_store_down {
             return ClaimReply::NotDone { retry_after: None };
         }
+        let era = self.era;
         let current = self.store.get(&call.slot).cloned();
+        let current = current.map(|object| StoredObject {
+            version: object.version.in_era(era),
+            ..object
+        });
+        // In later eras a client reads an absent object as deleted.
+        let is_era_told = era > StoreEra::default();
+        let current = current.or_else(|| {
+            is_era_told.then(|| StoredObject {
+                key: call.slot.object_key(),
+                version: StoreVersion::default().in_era(era),
+                write_id: String::new(),
+                body: None,
+            })
+        });
         let ClaimAction::Write { expected, body } = call.action else {
             return ClaimReply::Bucket(current);
         };
         let version = current
             .as_ref()
             .map_or(StoreVersion::default(), |object| object.version);
-        if version != expected {
+        if version.revision != expected.revision {
             return ClaimReply::Conflict(current);
         }
         self.version += 1;
@@ -299,7 +341,11 @@
             body: Some(body),
         };
         self.store.insert(call.slot, object);
-        ClaimReply::Written(StoreVersion::of_revision(self.version))
+        if expected.revision > 0 && expected.era != era {
+            // The store's client takes such a write for one of unknown outcome.
+            return ClaimReply::Lost;
+        }
+        ClaimReply::Written(StoreVersion::of_revision(self.version).in_era(era))
     }
 
     fn reply(&mut self, pick: usize, is_lost: bool) {
@@ -333,9 +379,10 @@
     }
 
     fn deliver_reply(&mut self, node: usize, start: u64, slot: ClaimSlot, reply: ClaimReply) {
+        let wall_millis = self.wall_millis();
         let (current, batcher) = &mut self.nodes[node];
         if *current == start {
-            batcher.handle_reply(slot, reply, self.now);
+            batcher.handle_reply(slot, reply, self.now, wall_millis);
         }
     }
 
@@ -354,6 +401,10 @@
             self.runs.values().all(|count| *count == 1),
             "a key ran twice"
         );
+        if self.era > StoreEra::default() {
+            self.check_new_keys_after_restore();
+            return;
+        }
         for key in (0..5).map(sample_key) {
             let is_held = self
                 .sent
@@ -372,6 +423,24 @@
         }
     }
 
+    /// Asserts that every node grants keys that are newer than any that the store may have lost.
+    pub fn check_new_keys_after_restore(&mut self) {
+        for node in 0..self.nodes.len() {
+            // The first claim may be what tells the node of the new era.
+            let verdicts: Vec<bool> = (1..=2)
+                .map(|number| {
+                    let millis = self.wall_millis() + 2 * KEY_SKEW.as_millis();
+                    let random = [u8::try_from(10 * node + number).unwrap(); 10];
+                    let ticket = self.send(node, ClaimKey::new(millis, random), false);
+                    self.settle();
+                    self.now = self.now + ClaimOptions::default().longest_pause;
+                    matches!(self.verdict(ticket), Some(ClaimVerdict::Granted(_)))
+                })
+                .collect();
+            assert!(verdicts[1], "node {node} grants no new key: {verdicts:?}");
+        }
+    }
+
     /// Returns `true` if the claim of a send is in force, or may be since its node is gone.
     fn is_held(&self, sent: &SentClaim) -> bool {
         let is_up = self.nodes.iter().any(|node| node.0 == sent.start);
--- a/alderhaven-policy/tests/claim_ledger/main.rs
+++ b/alderhaven-policy/tests/claim_ledger/main.rs
@@ -50,6 +50,14 @@
     ]
 }
 
+fn restoring_ledger_op() -> impl Strategy<Value = LedgerOp> {
+    prop_oneof![
+        40 => ledger_op(),
+        2 => Just(LedgerOp::CopyStore),
+        1 => Just(LedgerOp::ComeBack),
+    ]
+}
+
 proptest! {
     #![proptest_config(fuzz_config())]
 
@@ -64,4 +72,17 @@
         }
         simulation.recover_and_check();
     }
+
+    /// Runs the ledger as above, with a store that comes back from older copies and loses claims.
+    /// A key runs at most once, and afterwards new keys can be claimed.
+    #[test]
+    fn ledger_any_order_of_events_and_restores(
+        ops in prop::collection::vec(restoring_ledger_op(), 0..160),
+    ) {
+        let mut simulation = LedgerSimulation::new();
+        for op in ops {
+            simulation.apply(op);
+        }
+        simulation.recover_and_check();
+    }
 }
--- a/alderhaven-policy/tests/claim_ledger/scenarios.rs
+++ b/alderhaven-policy/tests/claim_ledger/scenarios.rs
@@ -131,6 +131,80 @@
     }
 }
 
+/// Guards against a second run of a request whose claim the store lost, and against refusing new
+/// keys for good.
+#[test]
+fn ledger_store_in_a_new_era_grants_new_keys_only() {
+    for (resending_node, restarts) in [(0, false), (1, false), (1, true)] {
+        let mut simulation = LedgerSimulation::new();
+        let other = simulation.send(resending_node, sample_key(4), false);
+        simulation.settle();
+        assert_eq!(
+            simulation.verdict(other),
+            Some(&ClaimVerdict::Granted(other))
+        );
+        simulation.apply(LedgerOp::CopyStore);
+        let ticket = simulation.send(0, sample_key(0), false);
+        simulation.settle();
+        assert_eq!(
+            simulation.verdict(ticket),
+            Some(&ClaimVerdict::Granted(ticket))
+        );
+        simulation.apply(LedgerOp::ComeBack);
+        if restarts {
+            simulation.apply(LedgerOp::Crash(resending_node));
+        }
+        for _ in 0..2 {
+            let resent = simulation.send(resending_node, sample_key(0), false);
+            simulation.settle();
+            let verdict = simulation.verdict(resent);
+            let is_refused = matches!(verdict, Some(ClaimVerdict::Refused { .. }));
+            let is_taken = matches!(verdict, Some(ClaimVerdict::Taken(_)));
+            assert!(is_refused || is_taken, "{verdict:?}");
+        }
+        simulation.check_new_keys_after_restore();
+    }
+}
+
+/// Guards against a grant by a write that was in flight while its node learnt of the new era.
+#[test]
+fn ledger_write_in_flight_across_a_restore_grants_nothing() {
+    let mut simulation = LedgerSimulation::new();
+    let send = |node, key| LedgerOp::Send {
+        node,
+        key,
+        other: false,
+    };
+    let run = LedgerOp::Dispatch {
+        pick: 0,
+        runs: true,
+    };
+    apply_all(
+        &mut simulation,
+        &[
+            // Node 1 has read the bucket, and waits for the reply.
+            send(1, 0),
+            LedgerOp::Serve(0),
+            // Node 2 claims the key and runs the request.
+            send(2, 0),
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(1),
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(1),
+            run,
+            LedgerOp::ComeBack,
+            // Node 1 learns of the era by another bucket before its write is done.
+            send(1, 4),
+            LedgerOp::Reply(0),
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(0),
+            LedgerOp::Serve(0),
+            LedgerOp::Reply(0),
+        ],
+    );
+    simulation.recover_and_check();
+}
+
 /// Guards against a backoff as long as the slow call whose write was in conflict.
 #[test]
 fn ledger_conflict_of_a_slow_call_backs_off_briefly() {
--- a/alderhaven-standin/src/fake_store.rs
+++ b/alderhaven-standin/src/fake_store.rs
@@ -312,7 +312,7 @@
 
     async fn get(&self, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
         self.start_call(|calls| calls.reads += 1, false).await?;
-        Ok(self.lock_state().table.get(key))
+        Ok(self.lock_state().table.read(key))
     }
 
     async fn write(&self, write: ConditionalWrite) -> StoreResult<WriteOutcome> {
--- a/alderhaven-standin/src/object_table.rs
+++ b/alderhaven-standin/src/object_table.rs
@@ -5,6 +5,7 @@
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
+use alderhaven_store::object_store;
 use alderhaven_store::object_store::{ConditionalWrite, ObjectList, WatchOutcome, WriteOutcome};
 
 /// How many revisions a watch may lag behind before it must list again.
@@ -78,6 +79,13 @@
         self.objects.get(key).map(|object| self.to_result(object))
     }
 
+    /// Returns what a client reads, which learns the era of an absent object too.
+    #[must_use]
+    pub fn read(&self, key: &ObjectKey) -> Option<StoredObject> {
+        self.get(key)
+            .or_else(|| object_store::absent_object(key, self.era))
+    }
+
     /// Writes or deletes an object if its revision is the expected one; 0 expects no object.
     pub fn write(&mut self, write: ConditionalWrite) -> WriteOutcome {
         let current = self.objects.get(&write.key);
@@ -89,7 +97,7 @@
             Some(object) => write.expected.revision == object.version.revision,
         };
         if !is_expected {
-            return WriteOutcome::Conflict(current.map(|object| self.to_result(object)));
+            return WriteOutcome::Conflict(self.read(&write.key));
         }
         self.revision.revision += 1;
         let object = StoredObject {
--- a/alderhaven-standin/src/platform_server.rs
+++ b/alderhaven-standin/src/platform_server.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::HostId;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
@@ -213,7 +213,8 @@
 }
 
 async fn get(store: &FakeStore, key: &ObjectKey) -> CallResult {
-    Ok(store.get(key).await?.map_or_else(
+    let object = store.get(key).await?;
+    Ok(object.filter(is_known).map_or_else(
         || text_reply(StatusCode::NOT_FOUND, "the object does not exist"),
         |object| json_reply(StatusCode::OK, &object),
     ))
@@ -232,7 +233,7 @@
         key,
         body,
     };
-    let mut written = alderhaven_core::config_object::StoredObject {
+    let mut written = StoredObject {
         key: write.key.clone(),
         version: write.expected,
         write_id: write.write_id.clone(),
@@ -243,10 +244,18 @@
             written.version = version;
             Ok(json_reply(StatusCode::OK, &written))
         }
-        WriteOutcome::Conflict(current) => Ok(json_reply(StatusCode::CONFLICT, &current)),
+        WriteOutcome::Conflict(current) => {
+            let current = current.filter(is_known);
+            Ok(json_reply(StatusCode::CONFLICT, &current))
+        }
     }
 }
 
+/// Returns true if the store has the object or its tombstone.
+const fn is_known(object: &StoredObject) -> bool {
+    object.version.revision > 0
+}
+
 async fn watch(store: &FakeStore, parts: &Parts) -> CallResult {
     let kinds = parse_kinds(parts)?;
     let after = StoreVersion::of_revision(query_number(parts, "after")?).in_era(store.era());
--- a/alderhaven-store/src/http_store.rs
+++ b/alderhaven-store/src/http_store.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::http_client::{ClientOptions, ClientResponse, HttpClient};
+use crate::object_store;
 use crate::object_store::{
     ConditionalWrite, ERA_HEADER, IF_VERSION_HEADER, MAX_VALUE_BYTES, ObjectList, ObjectStore,
     StoreError, StoreResult, WRITE_ID_HEADER, WatchOutcome, WriteOutcome,
@@ -119,8 +120,11 @@
         let request = self.build_read(&object_path(key)?)?;
         let response = self.call(StoreCall::Read, request, TimeSpan::ZERO).await?;
         match response.status {
-            StatusCode::OK => parse_object(&response),
-            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => parse_object(&response, key),
+            StatusCode::NOT_FOUND => {
+                let era = response.store_era(&ERA_HEADER)?;
+                Ok(object_store::absent_object(key, era))
+            }
             _ => Err(response.unexpected_status()),
         }
     }
@@ -139,7 +143,7 @@
                     Err(StoreError::unknown("the response belongs to another write"))
                 }
             }
-            StatusCode::CONFLICT => parse_object(&response).map(WriteOutcome::Conflict),
+            StatusCode::CONFLICT => parse_object(&response, &write.key).map(WriteOutcome::Conflict),
             _ => Err(response.unexpected_status()),
         }
     }
@@ -175,10 +179,12 @@
 }
 
 /// Parses an object, or `null` if there is none.
-fn parse_object(response: &ClientResponse) -> StoreResult<Option<StoredObject>> {
+fn parse_object(response: &ClientResponse, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
     let era = response.store_era(&ERA_HEADER)?;
-    let object: Option<StoredObject> = response.parse_json()?;
-    Ok(object.map(|object| StoredObject {
+    let Some(object) = response.parse_json::<Option<StoredObject>>()? else {
+        return Ok(object_store::absent_object(key, era));
+    };
+    Ok(Some(StoredObject {
         version: object.version.in_era(era),
         ..object
     }))
--- a/alderhaven-store/src/object_store.rs
+++ b/alderhaven-store/src/object_store.rs
@@ -79,6 +79,18 @@
     }
 }
 
+/// Returns what a read of an absent object returns in an era.
+#[must_use]
+pub fn absent_object(key: &ObjectKey, era: StoreEra) -> Option<StoredObject> {
+    let is_era_told = era > StoreEra::default();
+    is_era_told.then(|| StoredObject {
+        key: key.clone(),
+        version: StoreVersion::default().in_era(era),
+        write_id: String::new(),
+        body: None,
+    })
+}
+
 impl ConditionalWrite {
     /// Checks that the store made the write in the era of the expected version.
     ///
@@ -187,6 +199,9 @@
     }
 
     /// Reads one object, or `None` if the store has no such object.
+    ///
+    /// In later eras than the first, an absent object is returned as deleted, at revision 0, so that
+    /// the caller learns the era.
     fn get(
         &self,
         key: &ObjectKey,
