Soak and stand-in: the store comes back from older copies

The stand-in tells what it lost, and repeats those writes as operators and targets do. The soak plans restores in addition to the faults of a seed, with copies of 0.3 to 6 s of age, among kills, stops, cut links and evacuations; the promises stay as they are, and that no process reverts holds throughout.

--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -124,7 +124,7 @@
                 callers: arguments.callers,
                 cause: String::new(),
             },
-            EvacuationMode::Seeded,
+            ExtraFaults::Seeded,
         )?;
     }
     Ok(all_passed)
@@ -140,14 +140,15 @@
     }
     let mut all_passed = true;
     for case in &cases {
-        all_passed &= runner.run(case, EvacuationMode::None)?;
+        all_passed &= runner.run(case, ExtraFaults::None)?;
     }
     Ok(all_passed)
 }
 
-/// Whether a run evacuates failure domains. Regression seeds were recorded without evacuations.
+/// Whether a run evacuates failure domains and restores the store. Regression seeds were recorded
+/// without.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum EvacuationMode {
+enum ExtraFaults {
     None,
     Seeded,
 }
@@ -169,7 +170,7 @@
     }
 
     /// Runs one seed; returns true if every promise was kept.
-    fn run(&self, case: &SeedCase, evacuations: EvacuationMode) -> Result<bool> {
+    fn run(&self, case: &SeedCase, extra_faults: ExtraFaults) -> Result<bool> {
         let options = SoakOptions::builder()
             .seed(case.seed)
             .span(TimeSpan::from_secs(case.seconds))
@@ -177,7 +178,8 @@
             .callers(case.callers)
             .front_binary(self.front.clone())
             .logs(self.logs.clone())
-            .has_evacuations(evacuations == EvacuationMode::Seeded)
+            .has_evacuations(extra_faults == ExtraFaults::Seeded)
+            .has_restores(extra_faults == ExtraFaults::Seeded)
             .scope(PromiseScope::All)
             .build();
         let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/alderhaven-soak/src/soak_fault.rs
+++ b/alderhaven-soak/src/soak_fault.rs
@@ -30,6 +30,9 @@
     /// Makes the store compact its history, so that watches from older revisions fail.
     #[serde(rename = "store_forgets")]
     StoreCompaction,
+    /// The store comes back from a copy as old as the first span, after it was away for the second.
+    /// The operator and the targets then repeat what it lost.
+    RestoreStore(TimeSpan, TimeSpan),
     /// Crashes a target; its replacement starts after the pause.
     CrashTarget(usize, TimeSpan),
     /// Drains a target: it reports that it is leaving, serves for the drain time and ends. A
@@ -84,6 +87,7 @@
             Self::StoreLink(..) => "store_link",
             Self::StoreFault(..) => "store_fault",
             Self::StoreCompaction => "store_forgets",
+            Self::RestoreStore(..) => "restore_store",
             Self::CrashTarget(..) => "crash_target",
             Self::DrainTarget(_) => "drain_target",
             Self::TargetLink(..) => "target_link",
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -35,6 +35,9 @@
     /// Whether failure domains are evacuated in addition to the faults of the seed.
     #[builder(default)]
     pub has_evacuations: bool,
+    /// Whether the store comes back from older copies in addition to the faults of the seed.
+    #[builder(default)]
+    pub has_restores: bool,
     /// The promises to check.
     pub scope: PromiseScope,
 }
--- a/alderhaven-soak/src/soak_plan.rs
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -23,6 +23,10 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..4_000;
 /// The range of evacuation durations; each exceeds the time after which the evacuation is checked.
 const EVACUATION_DURATION_MS: std::ops::Range<u64> = 5_600..9_000;
+/// The range of the ages of copies from which the store comes back.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..6_000;
+/// The range of durations for which the store is away before it comes back.
+const AWAY_DURATION_MS: std::ops::Range<u64> = 50..2_500;
 /// The probability that the previous fault is injected again on the same subject, often before it
 /// has recovered.
 const REPEAT_PROBABILITY: f64 = 0.2;
@@ -83,6 +87,27 @@
         self.steps.sort_by_key(|step| step.at);
         self
     }
+
+    /// Adds restores of the store from older copies, without changing the other faults.
+    #[must_use]
+    pub fn with_restores(mut self, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(1));
+        let faults_end = self.span.saturating_sub(FAULT_FREE_END);
+        let mut at = FAULT_FREE_START;
+        loop {
+            let age = TimeSpan::from_millis(rng.random_range(COPY_AGE_MS));
+            let away = TimeSpan::from_millis(rng.random_range(AWAY_DURATION_MS));
+            if at + age + away > faults_end {
+                break;
+            }
+            let fault = SoakFault::RestoreStore(age, away);
+            self.steps.push(SoakStep { at, fault });
+            at =
+                at + age + away + TimeSpan::from_millis(rng.random_range(0..MAX_FAULT_INTERVAL_MS));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
 }
 
 fn draw_fault(rng: &mut StdRng) -> SoakFault {
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -41,6 +41,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(4);
 /// The most fronts in the seed list of a front.
 const MAX_SEED_FRONTS: usize = 3;
+/// How long after a restore the operator and the targets repeat what the store lost.
+const REPEAT_DELAY: Duration = Duration::from_millis(700);
 /// The time between SIGTERM and SIGKILL.
 const STOP_GRACE_PERIOD: TimeSpan = TimeSpan::from_secs(6);
 
@@ -72,6 +74,9 @@
     if options.has_evacuations {
         plan = plan.with_evacuations(options.seed);
     }
+    if options.has_restores {
+        plan = plan.with_restores(options.seed);
+    }
     let mut run = SoakRun::start(options, &directory).await?;
     let _stall_guard = stall_detector::start(run.log.clone());
     let violations = run.run_plan(options, &plan).await?;
@@ -258,6 +263,7 @@
                 self.log
                     .record_disruption(DisruptionSubject::Store, "forgot");
             }
+            SoakFault::RestoreStore(age, away) => self.restore_store(age, away),
             SoakFault::CrashTarget(index, pause) => {
                 let index = target(index);
                 self.fault_tasks
@@ -335,6 +341,23 @@
         });
     }
 
+    fn restore_store(&mut self, age: TimeSpan, away: TimeSpan) {
+        let (store, log) = (self.store.clone(), self.log.clone());
+        self.fault_tasks.spawn(async move {
+            let copy = store.copy();
+            time::sleep(age.as_duration()).await;
+            let disruption = log.begin_disruption(DisruptionSubject::Store, "restored");
+            store.set_fault(StoreFault::Down);
+            let lost = store.restore(copy);
+            time::sleep(away.as_duration()).await;
+            store.set_fault(StoreFault::None);
+            time::sleep(REPEAT_DELAY).await;
+            store.repeat(lost);
+            log.end_disruption(disruption);
+            Ok(())
+        });
+    }
+
     fn disrupt_store(&mut self, fault: StoreFault, span: TimeSpan) {
         let (store, log) = (self.store.clone(), self.log.clone());
         self.fault_tasks.spawn(async move {
