Lost objects stay for 4 s in each era, and calls end with that time

Writers repeat what was lost within seconds, and rules with a time bound hold again 4 s after the store is back, so lost objects stay for that long. The time starts anew in each era, so that what a second restore loses gets all of it, and a watch does not outlast it.

--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use alderhaven_core::config_object::ObjectKind;
-use alderhaven_core::ids::NodeId;
+use alderhaven_core::ids::{NodeId, StoreEra};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
@@ -72,6 +72,8 @@
     watch_options: WatchOptions,
     kind: ObjectKind,
     revision: Option<StoreVersion>,
+    /// The store's era in the latest list.
+    listed_era: StoreEra,
     restore_grace: RestoreGrace,
     is_store_lost: bool,
     metrics: FrontMetrics,
@@ -112,6 +114,7 @@
             watch_options: watch_options(kind),
             kind,
             revision: None,
+            listed_era: StoreEra::default(),
             restore_grace: RestoreGrace::default(),
             is_store_lost: false,
             metrics: FrontMetrics::default(),
@@ -275,11 +278,12 @@
         live.map(|member| member.record.node.clone()).collect()
     }
 
-    const fn watch_timeout(&self) -> TimeSpan {
-        match self.kind {
+    fn watch_timeout(&self) -> TimeSpan {
+        let timeout = match self.kind {
             ObjectKind::Evacuation => EVACUATION_WATCH_TIMEOUT,
             _ => WATCH_TIMEOUT,
-        }
+        };
+        self.restore_grace.bound_wait(timeout, self.clock.now())
     }
 
     const fn batch_delay(&self) -> Duration {
@@ -307,6 +311,7 @@
     fn apply_list(&mut self, list: ObjectList) {
         let revision = list.revision;
         self.revision = Some(revision);
+        self.listed_era = revision.era;
         FrontEvent::StoreListed {
             kind: self.kind,
             era: revision.era,
@@ -327,7 +332,8 @@
         let kind = ObjectKind::Evacuation;
         let has_lost_objects = self.kind == kind && self.catalog.has_carried_objects(kind);
         let now = self.clock.now();
-        self.restore_grace.update(has_lost_objects, now);
+        self.restore_grace
+            .update(has_lost_objects, self.listed_era, now);
         if self.restore_grace.is_over(now) {
             self.revision = None;
         }
--- a/alderhaven-policy/src/restored_store.rs
+++ b/alderhaven-policy/src/restored_store.rs
@@ -6,11 +6,12 @@
 //! restart learn it from their peers and any later write replaces it.
 
 use alderhaven_core::config_object::StoredObject;
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
 /// How long a lost object stays in force without being written again.
-pub const RESTORE_GRACE: TimeSpan = TimeSpan::from_secs(10);
+pub const RESTORE_GRACE: TimeSpan = TimeSpan::from_secs(4);
 
 /// What happens to a known object that a complete list lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,17 +60,20 @@
 /// The time in which the writers of lost objects may repeat their writes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RestoreGrace {
+    era: StoreEra,
     ends_at: Option<TimePoint>,
 }
 
 impl RestoreGrace {
-    /// Starts the time if lost objects are still in force and it does not run yet; ends it if there
-    /// are none.
-    pub fn update(&mut self, has_lost_objects: bool, now: TimePoint) {
+    /// Starts the time if lost objects are still in force, anew in each era of the store; ends it if
+    /// there are none.
+    pub fn update(&mut self, has_lost_objects: bool, era: StoreEra, now: TimePoint) {
+        if !has_lost_objects || era > self.era {
+            self.ends_at = None;
+        }
+        self.era = era;
         if has_lost_objects {
             self.ends_at.get_or_insert(now + RESTORE_GRACE);
-        } else {
-            self.ends_at = None;
         }
     }
 
@@ -79,9 +83,10 @@
         self.ends_at.is_some_and(|ends_at| now >= ends_at)
     }
 
-    /// Returns the end of the time, if it runs.
+    /// Bounds the wait of a call, so that it ends with the time.
     #[must_use]
-    pub const fn ends_at(&self) -> Option<TimePoint> {
-        self.ends_at
+    pub fn bound_wait(&self, wait: TimeSpan, now: TimePoint) -> TimeSpan {
+        let left = self.ends_at.map(|ends_at| ends_at.since(now));
+        left.map_or(wait, |left| wait.min(left))
     }
 }
--- a/alderhaven-proof/tests/end_to_end/coverage.rs
+++ b/alderhaven-proof/tests/end_to_end/coverage.rs
@@ -101,20 +101,22 @@
     }
 }
 
-/// A relay is suspended, and the entry never replaces its silent link, so that the relay's shards
-/// are unreachable. Answers at the deadline declare exactly the shards missing whose rows they
-/// lack. After the relay has resumed, late replies get into no later answer, and answers are
+/// A relay is suspended, and the entry never replaces its silent link. Each shard has one replica, so
+/// that the relay's shards are unreachable. Answers at the deadline declare exactly these shards
+/// missing. After the relay has resumed, late replies get into no later answer, and answers are
 /// complete again.
 #[tokio::test(flavor = "multi_thread")]
 async fn coverage_relay_frozen() {
     let deadline = TimeSpan::from_secs(1);
     let options = ClusterOptions::builder()
+        .placement(vec![vec![0], vec![1], vec![0], vec![1]])
         .deadline(deadline)
         .link_silence(TimeSpan::ZERO)
         .build();
     let cluster = support::start_cluster(options).await;
     let entry = cluster.entry_address(0).unwrap();
     let frozen_relay = support::relay_with_most_targets(&cluster).await;
+    let frozen_shards = support::shards_of_relay(&cluster, frozen_relay).await;
     cluster.relays[frozen_relay].freeze().unwrap();
     condition::until(
         "an answer without the suspended relay's shards",
@@ -133,6 +135,9 @@
             } else {
                 assert_eq!(missing.len(), 4, "{}", reply.body);
             }
+            if !missing.is_empty() {
+                assert_eq!(missing, frozen_shards, "{}", reply.body);
+            }
             Ok((!missing.is_empty()).then_some(()))
         },
     )
--- a/alderhaven-proof/tests/end_to_end/support.rs
+++ b/alderhaven-proof/tests/end_to_end/support.rs
@@ -50,3 +50,15 @@
     .await
     .expect("every target is queried in time")
 }
+
+/// Returns the shards with a replica that the relay dispatches to, in order.
+pub async fn shards_of_relay(cluster: &TestCluster, relay: usize) -> Vec<u64> {
+    let dispatchers = cluster.target_dispatchers(relay).await;
+    let dispatchers = dispatchers.expect("the relay dumps its state");
+    let is_dispatched = |target: &str| dispatchers.iter().any(|(name, _)| name == target);
+    let shards = cluster.manifest.shards.iter().filter(|shard| {
+        let mut replicas = shard.replicas.iter();
+        replicas.any(|replica| is_dispatched(replica.target.as_str()))
+    });
+    shards.map(|shard| u64::from(shard.shard.0)).collect()
+}
--- a/alderhaven-store/src/config_follower.rs
+++ b/alderhaven-store/src/config_follower.rs
@@ -115,7 +115,8 @@
     fn update_restore_grace(&mut self) {
         let now = self.now();
         let has_lost_objects = self.handle.has_lost_objects();
-        self.restore_grace.update(has_lost_objects, now);
+        let era = self.handle.complete_revision().unwrap_or_default().era;
+        self.restore_grace.update(has_lost_objects, era, now);
         let is_over = self.restore_grace.is_over(now);
         self.handle.set_grace_over(is_over);
         if is_over {
@@ -130,8 +131,7 @@
     /// Returns how long a watch call waits for a change, at most until the end of the grace.
     fn watch_timeout(&self) -> TimeSpan {
         let timeout = self.options.watch_timeout;
-        let ends_at = self.restore_grace.ends_at();
-        ends_at.map_or(timeout, |ends_at| timeout.min(ends_at.since(self.now())))
+        self.restore_grace.bound_wait(timeout, self.now())
     }
 
     async fn list(&mut self) -> Result<(), FollowFailure> {
--- a/alderhaven-store/tests/config_state.rs
+++ b/alderhaven-store/tests/config_state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_store::config_state::{ConfigState, StoreRegression};
 use alderhaven_store::object_store::ObjectList;
@@ -210,3 +211,84 @@
         }
     }
 }
+
+fn in_era(era: u64, list: ObjectList) -> ObjectList {
+    list.in_era(StoreEra(era))
+}
+
+fn drains(state: &ConfigState) -> Vec<String> {
+    state.registry().view().drains.into_iter().collect()
+}
+
+/// Returns a state that knows the drains `t1` and `t2` in the first era.
+fn state_with_drains() -> ConfigState {
+    let mut state = ConfigState::default();
+    let objects = vec![drain_object("t1", 3, true), drain_object("t2", 8, true)];
+    let list = object_list(8, objects);
+    state
+        .apply_list(list, state.min_revision())
+        .expect("the list is accepted");
+    state
+}
+
+/// Guards against an object that ends because a restored store lacks it, and against one that stays
+/// although nobody publishes it again.
+#[test]
+fn apply_list_of_a_later_era_keeps_lost_objects_for_a_while() {
+    let mut state = state_with_drains();
+    let restored = || in_era(1, object_list(5, vec![drain_object("t1", 3, true)]));
+    for _ in 0..2 {
+        state
+            .apply_list(restored(), state.min_revision())
+            .expect("the list is accepted");
+        assert_eq!(drains(&state), ["t1", "t2"]);
+        assert!(state.has_lost_objects());
+    }
+    assert_eq!(state.regression(), None);
+    state.set_grace_over(true);
+    state
+        .apply_list(restored(), state.min_revision())
+        .expect("the list is accepted");
+    assert_eq!(drains(&state), ["t1"]);
+    assert!(!state.has_lost_objects());
+}
+
+/// Guards against a change after a restore that is ignored for its lower revision.
+#[test]
+fn apply_changes_of_a_later_era_are_in_force() {
+    let mut state = state_with_drains();
+    let restored = in_era(1, object_list(5, vec![drain_object("t1", 3, true)]));
+    state
+        .apply_list(restored, state.min_revision())
+        .expect("the list is accepted");
+    let changes = vec![drain_object("t1", 6, false), drain_object("t3", 7, true)];
+    state
+        .apply_changes(in_era(1, object_list(7, changes)), state.min_revision())
+        .expect("the changes are accepted");
+    assert_eq!(drains(&state), ["t2", "t3"]);
+    let repeated = in_era(1, object_list(8, vec![drain_object("t2", 8, true)]));
+    state
+        .apply_changes(repeated, state.min_revision())
+        .expect("the changes are accepted");
+    assert!(!state.has_lost_objects());
+}
+
+/// Guards against a node that starts from a restored store and refuses what its peers carried over.
+#[test]
+fn accept_from_peer_carried_object_is_in_force() {
+    let mut state = ConfigState::default();
+    let restored = in_era(1, object_list(5, vec![drain_object("t1", 3, true)]));
+    state
+        .apply_list(restored, state.min_revision())
+        .expect("the list is accepted");
+    let carried = |era, revision| StoredObject {
+        version: StoreVersion::of_revision(revision)
+            .in_era(StoreEra(era))
+            .carried(),
+        ..drain_object("t2", 8, true)
+    };
+    assert!(state.accept_from_peer(vec![carried(0, 5)]).is_empty());
+    state.accept_from_peer(vec![carried(1, 5)]);
+    assert_eq!(drains(&state), ["t1", "t2"]);
+    assert!(state.has_lost_objects());
+}
