--- a/alderhaven-policy/tests/exchange/failures.rs
+++ b/alderhaven-policy/tests/exchange/failures.rs
@@ -201,3 +201,26 @@
         [(peer, ExchangeMessage::Fetch { keys: vec![key(1)] })]
     );
 }
+
+/// Guards against nodes that take the changes of a restored store for older than what they hold.
+#[test]
+fn tick_propagates_changes_of_a_restored_store() {
+    for seed in 0..5 {
+        let mut network = settled_network(40, 20, seed);
+        for index in 0..20 {
+            let version = network.store.version(&key(index));
+            assert!(network.store.write(&key(index), version, Some("{}")));
+        }
+        network.run_until(CONVERGENCE_BOUND, ExchangeNetwork::all_match_store);
+        network.nodes[30].is_paused = true;
+        network.store.come_back(25);
+        network.restart(20);
+        let version = network.store.version(&key(7));
+        assert!(network.store.write(&key(7), version, Some("{}")));
+        network.run_until(CONVERGENCE_BOUND, |_| false);
+        network.nodes[30].is_paused = false;
+        let propagation_time =
+            network.run_until(CONVERGENCE_BOUND, ExchangeNetwork::all_match_store);
+        assert!(propagation_time.is_some(), "seed {seed}");
+    }
+}
--- a/alderhaven-policy/tests/exchange/network.rs
+++ b/alderhaven-policy/tests/exchange/network.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
-use alderhaven_core::ids::NodeId;
+use alderhaven_core::ids::{NodeId, StoreEra};
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::config_registry::ConfigRegistry;
@@ -51,6 +51,7 @@
     pub newest: BTreeMap<ObjectKey, StoredObject>,
     pub is_down: bool,
     history: Vec<StoredObject>,
+    era: StoreEra,
 }
 
 impl FakeStore {
@@ -60,7 +61,8 @@
         if self.is_down || held != expected {
             return false;
         }
-        let version = StoreVersion::of_revision(self.history.len() as u64 + 1);
+        let revision = self.history.len() as u64 + 1;
+        let version = StoreVersion::of_revision(revision).in_era(self.era);
         let object = StoredObject {
             key: key.clone(),
             version,
@@ -72,6 +74,19 @@
         true
     }
 
+    /// Comes back in a new era with the first `writes` writes of the history alone.
+    pub fn come_back(&mut self, writes: usize) {
+        self.era = StoreEra(self.era.0 + 1);
+        self.history.truncate(writes);
+        for object in &mut self.history {
+            object.version = object.version.in_era(self.era);
+        }
+        let newest = self.history.iter();
+        self.newest = newest
+            .map(|object| (object.key.clone(), object.clone()))
+            .collect();
+    }
+
     /// Returns the version of an object, 0 if it was never written.
     pub fn version(&self, key: &ObjectKey) -> StoreVersion {
         self.newest
--- a/alderhaven-store/tests/config_follower.rs
+++ b/alderhaven-store/tests/config_follower.rs
@@ -4,8 +4,11 @@
 use std::sync::{Arc, Mutex};
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::restored_store::RESTORE_GRACE;
+use alderhaven_standin::fake_store::FakeStore;
 use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
 use alderhaven_store::config_handle::{ConfigHandle, StoreSyncState};
 use alderhaven_store::object_store::{
@@ -196,3 +199,45 @@
     wait_for_drains(&handle, &["t1", "t2"]).await;
     assert_eq!(handle.status().revision, Some(StoreVersion::of_revision(8)));
 }
+
+/// Guards against a restored store that ends a lost drain at once.
+#[tokio::test(start_paused = true)]
+async fn follow_store_of_a_later_era_keeps_lost_objects() {
+    let era = StoreEra(1);
+    let restored = drain_objects(3, &["t1"]).in_era(era);
+    let changes = drain_objects(4, &["t3"]).in_era(era);
+    let store = ScriptedStore::new([
+        list_answer(8, &["t1", "t2"]),
+        Answer::Watch(Ok(WatchOutcome::Compacted)),
+        Answer::List(Ok(restored)),
+        Answer::Watch(Ok(WatchOutcome::Changes(changes))),
+    ]);
+    let handle = start_follower(&store);
+    wait_for_drains(&handle, &["t1", "t2", "t3"]).await;
+    assert_eq!(store.wait_for_calls(5).await[4], "watch 4");
+    assert!(handle.status().has_lost_objects);
+    assert_eq!(handle.status().era, era);
+}
+
+/// Guards against a lost drain that nobody publishes again and that never ends.
+#[tokio::test(start_paused = true)]
+async fn follow_store_of_a_later_era_lists_again_after_the_grace() {
+    let store = FakeStore::default();
+    let drain = |name: &str| drain_objects(1, &[name]).objects[0].key.clone();
+    store.put(drain("t1"), Some("{}".to_owned()));
+    let copy = store.table();
+    store.put(drain("t2"), Some("{}".to_owned()));
+    let handle = ConfigFollower::start(
+        Arc::new(store.clone()),
+        FollowerOptions::default(),
+        CancellationToken::new(),
+    );
+    wait_for_drains(&handle, &["t1", "t2"]).await;
+    let restored_at = time::Instant::now();
+    store.come_back(copy);
+    store.put(drain("t3"), Some("{}".to_owned()));
+    wait_for_drains(&handle, &["t1", "t2", "t3"]).await;
+    wait_for_drains(&handle, &["t1", "t3"]).await;
+    assert!(restored_at.elapsed() >= RESTORE_GRACE.as_duration());
+    assert!(!handle.status().has_lost_objects);
+}
--- a/alderhaven-store/tests/http_store.rs
+++ b/alderhaven-store/tests/http_store.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind};
+use alderhaven_core::ids::StoreEra;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::store_budget::StoreBudgetOptions;
@@ -260,6 +261,53 @@
     assert!(matches!(changes, WatchOutcome::Changes(list) if list.revision.revision == 9));
 }
 
+/// Guards against continuing a watch in a store that came back, whose revisions mean other writes.
+#[tokio::test]
+async fn watch_in_a_later_era_must_list_again() {
+    let (store, _) = start_platform(&[ScriptedReply::Answer(
+        "200 OK",
+        "store-era: 3\r\n",
+        r#"{"revision":9,"objects":[]}"#,
+    )])
+    .await;
+    let after = StoreVersion::of_revision(2).in_era(StoreEra(2));
+    let watch = store.watch(&ObjectKind::CONFIGURATION, after, TimeSpan::from_millis(1));
+    assert_eq!(watch.await, Ok(WatchOutcome::Compacted));
+    let after = after.in_era(StoreEra(3));
+    let watch = store.watch(&ObjectKind::CONFIGURATION, after, TimeSpan::from_millis(1));
+    let changes = watch.await.expect("a response");
+    assert!(matches!(changes, WatchOutcome::Changes(list) if list.revision > after));
+}
+
+/// Guards against objects, absent ones too, and writes whose era is not known.
+#[tokio::test]
+async fn responses_tell_the_era() {
+    let (store, _) = start_platform(&[
+        ScriptedReply::Answer("200 OK", "store-era: 3\r\n", WRITTEN),
+        ScriptedReply::Answer("404 Not Found", "store-era: 3\r\n", ""),
+        ScriptedReply::Answer("200 OK", "store-era: 4\r\n", WRITTEN),
+        ScriptedReply::Answer("200 OK", "store-era: x\r\n", WRITTEN),
+    ])
+    .await;
+    let era = StoreEra(3);
+    let key = team_key("volta");
+    let found = store.get(&key).await.expect("a response");
+    let found = found.expect("an object");
+    assert_eq!(found.version, StoreVersion::of_revision(4).in_era(era));
+    let absent = store.get(&key).await.expect("a response");
+    let absent = absent.expect("a deleted object");
+    assert_eq!(absent.version, StoreVersion::default().in_era(era));
+    assert_eq!(absent.body, None);
+    let write = ConditionalWrite {
+        key: key.clone(),
+        expected: found.version,
+        write_id: found.write_id,
+        body: found.body,
+    };
+    assert!(is_unknown(&store.write(write).await));
+    assert!(is_unknown(&store.get(&key).await));
+}
+
 #[tokio::test]
 async fn get_invalid_name_is_not_sent() {
     let (store, request_count) =
