A list that may be seconds old counts as of the era before

A front that starts lists targets from a copy that may be seconds old. After a restore that copy may still be of before it: its revisions are above those of newer registrations, in the same era by the header, and the front ignored them.

Cost: a front that watches targets lists them once more after its start, in later eras only.

--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -301,7 +301,7 @@
     async fn list_initial(&mut self) -> Result<(), StoreError> {
         let kinds = [self.kind];
         let list = match self.kind {
-            ObjectKind::Target => self.store.list_stale(&kinds).await?,
+            ObjectKind::Target => self.store.list_stale(&kinds).await?.of_previous_era(),
             _ => self.store.list(&kinds).await?,
         };
         self.apply_list(list);
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -348,7 +348,8 @@
             time::sleep(age.as_duration()).await;
             let disruption = log.begin_disruption(DisruptionSubject::Store, "restored");
             store.set_fault(StoreFault::Down);
-            let lost = store.restore(copy);
+            let lost = store.writes_since(&copy);
+            store.restore(copy);
             time::sleep(away.as_duration()).await;
             store.set_fault(StoreFault::None);
             time::sleep(REPEAT_DELAY).await;
--- a/alderhaven-store/src/object_store.rs
+++ b/alderhaven-store/src/object_store.rs
@@ -68,6 +68,15 @@
 }
 
 impl ObjectList {
+    /// Moves a list that may be seconds old to the era before its own, unless that is the first.
+    ///
+    /// It may be of before the store came back. Its revisions then are above those of newer writes.
+    #[must_use]
+    pub fn of_previous_era(self) -> Self {
+        let StoreEra(era) = self.revision.era;
+        self.in_era(StoreEra(era.saturating_sub(1)))
+    }
+
     /// Sets the era of the revision and of all objects.
     #[must_use]
     pub fn in_era(mut self, era: StoreEra) -> Self {
