Host list: readings of a later era are followed

The host list is ordered by its revision like the objects are: a platform that came back from an older copy was ignored until its revision had passed the one read before, and targets that left meanwhile got new work.

--- a/alderhaven-policy/src/leaving_targets.rs
+++ b/alderhaven-policy/src/leaving_targets.rs
@@ -4,14 +4,18 @@
 //! seconds, and replies in which a target says that it is draining. A target counts as leaving as
 //! soon as one source says so. A published drain holds until it is withdrawn, and an entry of the
 //! host list until a later reading shows the target as live. A reply holds for at least
-//! [`LeavingOptions::reply_hold`], and then until the next reading of the list.
+//! [`LeavingOptions::reply_hold`], and then until the next reading of the list. A platform that comes
+//! back from an older copy may list leaving targets as live, so earlier readings hold a while longer.
 
 use std::collections::{BTreeSet, HashMap};
 
 use alderhaven_core::ids::TargetId;
+use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
 
+use crate::restored_store::RESTORE_GRACE;
+
 /// Settings of [`LeavingTargets`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -34,7 +38,10 @@
     options: LeavingOptions,
     drained: BTreeSet<String>,
     listed_leaving: BTreeSet<String>,
-    list_revision: u64,
+    list_version: StoreVersion,
+    /// The targets that were listed as leaving in an earlier era, with the time of the new era's
+    /// first reading.
+    carried_since: HashMap<String, TimePoint>,
     replied_at: HashMap<String, TimePoint>,
 }
 
@@ -53,16 +60,23 @@
         self.drained = targets;
     }
 
-    /// Applies a reading of the host list: its revision and the targets that are leaving.
+    /// Applies a reading of the host list: its version and the targets that are leaving.
     ///
-    /// A reading with an older revision than a previous one is ignored, so that a lagging copy of
+    /// A reading with an older version than a previous one is ignored, so that a lagging copy of
     /// the list does not bring a leaving target back.
-    pub fn set_listed(&mut self, revision: u64, leaving: BTreeSet<String>, now: TimePoint) {
-        if revision < self.list_revision {
+    pub fn set_listed(&mut self, version: StoreVersion, leaving: BTreeSet<String>, now: TimePoint) {
+        if version < self.list_version {
             return;
         }
-        self.list_revision = revision;
+        if version.era > self.list_version.era {
+            let earlier = std::mem::take(&mut self.listed_leaving);
+            let carried = earlier.into_iter().map(|target| (target, now));
+            self.carried_since.extend(carried);
+        }
+        self.list_version = version;
         self.listed_leaving = leaving;
+        self.carried_since
+            .retain(|_, since| now.since(*since) < RESTORE_GRACE);
         let hold = self.options.reply_hold;
         self.replied_at.retain(|_, since| now.since(*since) < hold);
     }
@@ -84,6 +98,7 @@
         self.drained
             .iter()
             .chain(&self.listed_leaving)
+            .chain(self.carried_since.keys())
             .chain(self.replied_at.keys())
             .cloned()
             .collect()
--- a/alderhaven-standin/src/fake_store.rs
+++ b/alderhaven-standin/src/fake_store.rs
@@ -145,7 +145,7 @@
     }
 
     /// Comes back from an older copy of the objects: later writes are lost, revisions continue from the
-    /// copy's, and the era rises.
+    /// copy's, and the era rises, also that of the host list.
     pub fn come_back(&self, copy: ObjectTable) {
         let mut state = self.lock_state();
         let StoreEra(era) = state.table.era();
@@ -275,10 +275,10 @@
         let revision = self
             .listings
             .last()
-            .map_or(0, |(_, listing)| listing.revision)
+            .map_or(0, |(_, listing)| listing.revision.revision)
             + 1;
         let listing = HostListing {
-            revision,
+            revision: StoreVersion::of_revision(revision),
             hosts: self.hosts.values().cloned().collect(),
         };
         if self.listings.len() >= MAX_HOST_LISTINGS {
@@ -387,6 +387,8 @@
         if state.faults.hosts_outage {
             return Err(StoreError::not_done("the host list is unavailable"));
         }
-        Ok(state.lagging_listing(now))
+        let mut listing = state.lagging_listing(now);
+        listing.revision = listing.revision.in_era(state.table.era());
+        Ok(listing)
     }
 }
--- a/alderhaven-store/src/host_list.rs
+++ b/alderhaven-store/src/host_list.rs
@@ -1,11 +1,13 @@
 //! Interface to the platform's host list, which may be outdated.
 //!
-//! `GET /hosts` responds with 200 and a [`HostListing`] as JSON.
+//! `GET /hosts` responds with 200 and a [`HostListing`] as JSON. All responses have the header
+//! `store-era`.
 
 use std::future::Future;
 use std::net::SocketAddr;
 
 use alderhaven_core::ids::{FailureDomain, HostId};
+use alderhaven_core::store_version::StoreVersion;
 use serde::{Deserialize, Serialize};
 
 use crate::object_store::StoreResult;
@@ -13,8 +15,8 @@
 /// Content of the host list at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostListing {
-    /// The revision of the list, which grows with each change.
-    pub revision: u64,
+    /// The revision of the list, which grows with each change within an era.
+    pub revision: StoreVersion,
     /// All nodes and targets in the list.
     pub hosts: Vec<HostRecord>,
 }
--- a/alderhaven-store/src/http_hosts.rs
+++ b/alderhaven-store/src/http_hosts.rs
@@ -8,7 +8,7 @@
 
 use crate::host_list::{HostListing, HostSource};
 use crate::http_client::{ClientOptions, HttpClient};
-use crate::object_store::{StoreError, StoreResult};
+use crate::object_store::{ERA_HEADER, StoreError, StoreResult};
 
 /// Path of the host list.
 const HOSTS_PATH: &str = "/hosts";
@@ -37,7 +37,12 @@
             .map_err(StoreError::not_done)?;
         let response = self.client.call(request, TimeSpan::ZERO).await?;
         match response.status {
-            StatusCode::OK => response.parse_json(),
+            StatusCode::OK => {
+                let era = response.store_era(&ERA_HEADER)?;
+                let mut listing: HostListing = response.parse_json()?;
+                listing.revision = listing.revision.in_era(era);
+                Ok(listing)
+            }
             _ => Err(response.unexpected_status()),
         }
     }
