Claim ledger: a process that saw absent buckets only knows the first era too

Whether the store had answered before was taken from the highest version seen, which is none as long as all buckets were absent. Such a process refused the keys of its callers' fast clocks for too short a time after a restore. The time up to which keys are refused never goes back with the wall clock.

--- a/alderhaven-policy/src/claim_batcher.rs
+++ b/alderhaven-policy/src/claim_batcher.rs
@@ -48,6 +48,8 @@
     pause: Option<StorePause>,
     /// The highest version seen in the store.
     highest_version: StoreVersion,
+    /// Whether the store has answered this process.
+    has_store_answered: bool,
     /// Whether the store has returned a version below one seen before.
     has_store_regressed: bool,
     /// Keys up to this timestamp, in milliseconds, may have been claimed in an earlier era of the
@@ -107,6 +109,7 @@
             next_write_at: now,
             pause: None,
             highest_version: StoreVersion::default(),
+            has_store_answered: false,
             has_store_regressed: false,
             lost_until_millis: 0,
             verdicts: Vec::new(),
@@ -224,6 +227,7 @@
             return;
         };
         let era = self.highest_version.era;
+        let is_answer = !matches!(reply, ClaimReply::NotDone { .. } | ClaimReply::Lost);
         let outcome = queue.handle_reply(reply, era, now, &mut self.verdicts);
         // A call that was in flight when the store came back may have returned such claims.
         queue.refuse_waiting_until(
@@ -279,22 +283,23 @@
                 }
             }
         }
+        self.has_store_answered |= is_answer;
     }
 
     /// Refuses all keys that may have been claimed before the store came back.
     ///
-    /// A process that has seen no earlier era can't tell when the store came back, and refuses the
+    /// A process that the store had not answered before can't tell when it came back, and refuses the
     /// keys from before its own first call.
     fn handle_restore(&mut self, version: StoreVersion, wall_millis: u64) {
         self.counts.broken += 1;
-        let has_seen_era = self.highest_version > StoreVersion::default();
-        let skew_millis = if has_seen_era {
+        let skew_millis = if self.has_store_answered {
             claim_slot::KEY_SKEW.as_millis()
         } else {
             0
         };
         self.highest_version = version;
-        self.lost_until_millis = wall_millis.saturating_add(skew_millis);
+        let lost_until_millis = wall_millis.saturating_add(skew_millis);
+        self.lost_until_millis = self.lost_until_millis.max(lost_until_millis);
         for queue in self.queues.values_mut() {
             queue.forget_bucket();
         }
