--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -238,7 +238,8 @@
             if let Some(known) = known
                 && known >= object.version
             {
-                newer_versions.extend((known > object.version).then_some(known));
+                let is_older = object.version < known.stored();
+                newer_versions.extend(is_older.then_some(known));
                 continue;
             }
             is_new = true;
