Fronts settle what only a peer still holds of an earlier era

What a peer holds of an earlier era, and the node's own list of the later era lacks, is now settled like at a list: targets are removed, what operators wrote is carried over and ends with its time unless it is written again. lost_evacuation_known_to_a_peer_ends fails without the change (20 s).

--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -221,7 +221,7 @@
 
     /// Merges objects from a peer.
     pub fn accept_from_peer(&self, mut objects: Vec<StoredObject>) {
-        self.remove_lost_targets(&mut objects);
+        self.settle_lost_objects(&mut objects);
         // Peers may lag, so older objects are no sign of a fault.
         let _newer_versions = self.accept(objects);
     }
@@ -462,7 +462,7 @@
 }
 
 /// Returns what becomes of a known object that a list at `revision` lacks; `None` if it stays.
-fn settle_missing(
+pub(crate) fn settle_missing(
     known: &StoredObject,
     revision: StoreVersion,
     is_grace_over: bool,
--- a/alderhaven-front/src/catalog/restored_objects.rs
+++ b/alderhaven-front/src/catalog/restored_objects.rs
@@ -76,20 +76,20 @@
         !entry.is_leaving && known.is_some_and(|known| catalog::is_same_process(&known, &entry))
     }
 
-    /// Turns targets that the store lost into removed ones, if this node has listed the store since.
-    /// A peer that has not may still hold them.
-    pub(super) fn remove_lost_targets(&self, objects: &mut [StoredObject]) {
+    /// Settles objects of a peer that the store has lost, if this node has listed the store since and
+    /// the peer has not: such a list was without them.
+    pub(super) fn settle_lost_objects(&self, objects: &mut [StoredObject]) {
         let state = self.state();
-        let Some(listed) = state.listed_kinds.get(&ObjectKind::Target) else {
-            return;
-        };
-        let lost = objects.iter_mut().filter(|object| {
-            let is_target = object.key.kind == ObjectKind::Target;
-            is_target && object.version.era < listed.era && !state.objects.contains_key(&object.key)
-        });
-        for object in lost {
-            object.version = *listed;
-            object.body = None;
+        let unknown = objects
+            .iter_mut()
+            .filter(|object| object.body.is_some() && !state.objects.contains_key(&object.key));
+        for object in unknown {
+            let listed = state.listed_kinds.get(&object.key.kind);
+            if let Some(listed) = listed.filter(|listed| object.version.era < listed.era)
+                && let Some(settled) = catalog::settle_missing(object, *listed, false)
+            {
+                *object = settled;
+            }
         }
     }
 }
