The time for repeated writes begins with a node's first list of an era

It began when a node first noticed that it held a lost object. The store answers its writers when it answers a list, so their time begins there; the first watch of evacuations ends with it.

--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use alderhaven_core::config_object::ObjectKind;
-use alderhaven_core::ids::{NodeId, StoreEra};
+use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
@@ -72,8 +72,6 @@
     watch_options: WatchOptions,
     kind: ObjectKind,
     revision: Option<StoreVersion>,
-    /// The store's era in the latest list.
-    listed_era: StoreEra,
     restore_grace: RestoreGrace,
     is_store_lost: bool,
     metrics: FrontMetrics,
@@ -114,7 +112,6 @@
             watch_options: watch_options(kind),
             kind,
             revision: None,
-            listed_era: StoreEra::default(),
             restore_grace: RestoreGrace::default(),
             is_store_lost: false,
             metrics: FrontMetrics::default(),
@@ -153,11 +150,10 @@
             if !self.should_watch() {
                 // Changes since the last watch are unknown, so the next call must list.
                 self.revision = None;
-                self.restore_grace = RestoreGrace::default();
                 self.wait_for_watch_plan_change().await;
                 continue;
             }
-            self.update_restore_grace();
+            self.list_after_grace();
             match self.list_or_watch().await {
                 Ok(is_changed) => {
                     backoff.reset();
@@ -279,11 +275,11 @@
     }
 
     fn watch_timeout(&self) -> TimeSpan {
-        let timeout = match self.kind {
-            ObjectKind::Evacuation => EVACUATION_WATCH_TIMEOUT,
+        let now = self.clock.now();
+        match self.kind {
+            ObjectKind::Evacuation => self.restore_grace.bound_wait(EVACUATION_WATCH_TIMEOUT, now),
             _ => WATCH_TIMEOUT,
-        };
-        self.restore_grace.bound_wait(timeout, self.clock.now())
+        }
     }
 
     const fn batch_delay(&self) -> Duration {
@@ -311,7 +307,6 @@
     fn apply_list(&mut self, list: ObjectList) {
         let revision = list.revision;
         self.revision = Some(revision);
-        self.listed_era = revision.era;
         FrontEvent::StoreListed {
             kind: self.kind,
             era: revision.era,
@@ -319,7 +314,9 @@
             objects: list.objects.len(),
         }
         .emit(Level::Info);
-        let is_grace_over = self.restore_grace.is_over(self.clock.now());
+        self.restore_grace
+            .record_list(revision.era, self.clock.now());
+        let is_grace_over = self.is_grace_over();
         let newer_versions = self.catalog.accept_list(self.kind, list, is_grace_over);
         self.record_answer(revision, &newer_versions);
     }
@@ -328,17 +325,18 @@
     ///
     /// A lost evacuation exists or not, so only a list can end it. Other kinds are replaced by their
     /// next write.
-    fn update_restore_grace(&mut self) {
+    fn list_after_grace(&mut self) {
         let kind = ObjectKind::Evacuation;
         let has_lost_objects = self.kind == kind && self.catalog.has_carried_objects(kind);
-        let now = self.clock.now();
-        self.restore_grace
-            .update(has_lost_objects, self.listed_era, now);
-        if self.restore_grace.is_over(now) {
+        if has_lost_objects && self.is_grace_over() {
             self.revision = None;
         }
     }
 
+    fn is_grace_over(&self) -> bool {
+        self.kind == ObjectKind::Evacuation && self.restore_grace.is_over(self.clock.now())
+    }
+
     /// Records the state of the store in an answer, with the known versions that are newer than the
     /// objects in it.
     fn record_answer(&self, revision: StoreVersion, newer_versions: &[StoreVersion]) {
--- a/alderhaven-policy/src/restored_store.rs
+++ b/alderhaven-policy/src/restored_store.rs
@@ -57,36 +57,35 @@
     })
 }
 
-/// The time in which the writers of lost objects may repeat their writes.
+/// The time in which the writers of lost objects may repeat their writes. It begins with the first list
+/// of an era, since the store answers its writers by then.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RestoreGrace {
-    era: StoreEra,
-    ends_at: Option<TimePoint>,
+    era: Option<StoreEra>,
+    ends_at: TimePoint,
 }
 
 impl RestoreGrace {
-    /// Starts the time if lost objects are still in force, anew in each era of the store; ends it if
-    /// there are none.
-    pub fn update(&mut self, has_lost_objects: bool, era: StoreEra, now: TimePoint) {
-        if !has_lost_objects || era > self.era {
-            self.ends_at = None;
-        }
-        self.era = era;
-        if has_lost_objects {
-            self.ends_at.get_or_insert(now + RESTORE_GRACE);
+    /// Records a list of the store in an era.
+    pub fn record_list(&mut self, era: StoreEra, now: TimePoint) {
+        if self.era.replace(era) != Some(era) {
+            self.ends_at = now + RESTORE_GRACE;
         }
     }
 
     /// Returns `true` if the time is over, so that the store's next list decides.
     #[must_use]
     pub fn is_over(&self, now: TimePoint) -> bool {
-        self.ends_at.is_some_and(|ends_at| now >= ends_at)
+        now >= self.ends_at
     }
 
     /// Bounds the wait of a call, so that it ends with the time.
     #[must_use]
     pub fn bound_wait(&self, wait: TimeSpan, now: TimePoint) -> TimeSpan {
-        let left = self.ends_at.map(|ends_at| ends_at.since(now));
-        left.map_or(wait, |left| wait.min(left))
+        if self.is_over(now) {
+            wait
+        } else {
+            wait.min(self.ends_at.since(now))
+        }
     }
 }
--- a/alderhaven-store/src/config_follower.rs
+++ b/alderhaven-store/src/config_follower.rs
@@ -104,7 +104,7 @@
     }
 
     async fn list_or_watch(&mut self) -> Result<(), FollowFailure> {
-        self.update_restore_grace();
+        self.list_after_grace();
         match self.handle.complete_revision() {
             Some(after) if Instant::now() < self.list_due => self.watch(after).await,
             _ => self.list().await,
@@ -112,14 +112,10 @@
     }
 
     /// Makes the next call a list if objects that the store lost were not written again in time.
-    fn update_restore_grace(&mut self) {
-        let now = self.now();
-        let has_lost_objects = self.handle.has_lost_objects();
-        let era = self.handle.complete_revision().unwrap_or_default().era;
-        self.restore_grace.update(has_lost_objects, era, now);
-        let is_over = self.restore_grace.is_over(now);
+    fn list_after_grace(&mut self) {
+        let is_over = self.restore_grace.is_over(self.now());
         self.handle.set_grace_over(is_over);
-        if is_over {
+        if is_over && self.handle.has_lost_objects() {
             self.list_due = Instant::now();
         }
     }
@@ -144,6 +140,8 @@
         self.handle
             .apply(|state| state.apply_list(list, min_revision))
             .map_err(|_regression| FollowFailure::StoreRegressed)?;
+        let era = self.handle.complete_revision().unwrap_or_default().era;
+        self.restore_grace.record_list(era, self.now());
         self.list_due = Instant::now() + self.options.relist_interval.as_duration();
         Ok(())
     }
