Stand-in of the store: what was lost is repeated in its latest form

The stand-in repeated what each had lost by itself, so that version 19, lost by the first, was written after 21, which the second had lost and which then counted as written since. The fronts carried 21 over until all were killed, and rightly began anew with the store's 19. The users' operator writes again what it wrote: the stand-in now repeats the latest write of each object that the store lacks. No check of the soak is changed.

--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -348,12 +348,11 @@
             time::sleep(age.as_duration()).await;
             let disruption = log.begin_disruption(DisruptionSubject::Store, "restored");
             store.set_fault(StoreFault::Down);
-            let lost = store.writes_since(&copy);
             store.restore(copy);
             time::sleep(away.as_duration()).await;
             store.set_fault(StoreFault::None);
             time::sleep(REPEAT_DELAY).await;
-            store.repeat(lost);
+            store.repeat_lost_writes();
             log.end_disruption(disruption);
             Ok(())
         });
