--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod boot_clock;
 pub mod carry_state;
 pub mod class;
 pub mod config_object;
--- a/alderhaven-core/src/team.rs
+++ b/alderhaven-core/src/team.rs
@@ -10,6 +10,9 @@
 /// Maximum weight of a team.
 pub const MAX_WEIGHT: u32 = 1000;
 
+/// The form of a token hash.
+const HASH_FORM: &str = "allowed is a BLAKE3 hash of 64 hexadecimal digits";
+
 /// Policy that operators publish for one team.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -23,6 +26,13 @@
     /// the team.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_rate: Option<RatePerSecond>,
+    /// The queries that the team may send at once beyond its rate. Fronts apply it; entries allow one
+    /// second of their part of the rate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub burst: Option<f64>,
+    /// The rank of the team's queries on fronts; 0 is served first. It precedes the rank of the route.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u32>,
     /// The maximum number of queries in flight at one entry. Without it, only fair sharing limits the
     /// team.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -30,6 +40,9 @@
     /// The BLAKE3 hash of the bearer token in hexadecimal. Without it, no token is required.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub token_hash: Option<String>,
+    /// The hashes of further tokens of the team, such as those that replace one another.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub other_token_hashes: Vec<String>,
 }
 
 const fn default_weight() -> u32 {
@@ -56,29 +69,45 @@
         if self.max_in_flight == Some(0) {
             errors.push(Error::invalid("max_in_flight", "allowed is 1 or more"));
         }
-        if let Some(hash) = &self.token_hash
-            && blake3::Hash::from_hex(hash).is_err()
+        if self
+            .burst
+            .is_some_and(|burst| !burst.is_finite() || burst < 0.0)
         {
-            errors.push(Error::invalid(
-                "token_hash",
-                "allowed is a BLAKE3 hash of 64 hexadecimal digits",
-            ));
+            errors.push(Error::invalid("burst", "allowed is 0 or more"));
+        }
+        let is_malformed = |hash: &str| blake3::Hash::from_hex(hash).is_err();
+        if self.token_hash.as_deref().is_some_and(is_malformed) {
+            errors.push(Error::invalid("token_hash", HASH_FORM));
+        }
+        if self
+            .other_token_hashes
+            .iter()
+            .any(|hash| is_malformed(hash))
+        {
+            errors.push(Error::invalid("other_token_hashes", HASH_FORM));
         }
         errors
     }
 
-    /// Returns true if `token` is the team's token or the team has none.
+    /// Returns the hashes of all tokens of the team.
+    pub fn token_hashes(&self) -> impl Iterator<Item = &str> {
+        let others = self.other_token_hashes.iter();
+        self.token_hash.iter().chain(others).map(String::as_str)
+    }
+
+    /// Returns true if `token` is one of the team's tokens or the team has none.
     ///
     /// The hashes are compared in constant time to prevent timing attacks.
     #[must_use]
     pub fn accepts_token(&self, token: Option<&str>) -> bool {
-        let Some(expected) = &self.token_hash else {
+        if self.token_hashes().next().is_none() {
             return true;
-        };
-        let Ok(expected) = blake3::Hash::from_hex(expected) else {
-            return false;
-        };
+        }
         let given = blake3::hash(token.unwrap_or_default().as_bytes());
-        token.is_some() && bool::from(given.as_bytes().ct_eq(expected.as_bytes()))
+        let is_same = |expected: &str| {
+            blake3::Hash::from_hex(expected)
+                .is_ok_and(|expected| bool::from(given.as_bytes().ct_eq(expected.as_bytes())))
+        };
+        token.is_some() && self.token_hashes().any(is_same)
     }
 }
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -10,8 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::Catalog;
+use crate::credit_keeper::CreditKeeper;
 use crate::front_metrics::FrontMetrics;
 use crate::group_links::GroupLinks;
+use crate::lease_keeper::LeaseKeeper;
 use crate::query_admission::QueryAdmission;
 use crate::wire_dialect::WireDialect;
 
@@ -22,6 +24,10 @@
     pub catalog: Arc<Catalog>,
     /// The deployment's protocol.
     pub dialect: Arc<dyn WireDialect>,
+    /// The lease on the configuration.
+    pub lease: Arc<LeaseKeeper>,
+    /// The credit of teams.
+    pub credit: Arc<CreditKeeper>,
     /// Connections to fronts in other failure domains.
     pub links: GroupLinks,
     /// The metrics of the process.
--- a/alderhaven-front/src/front_listeners.rs
+++ b/alderhaven-front/src/front_listeners.rs
@@ -4,11 +4,14 @@
 use std::io;
 use std::net::SocketAddr;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::caller_server;
 use crate::front_options::FrontOptions;
 
+/// Maximum number of attempts to find a port that is free for both UDP and TCP.
+const MAX_PORT_TRIES: usize = 16;
+
 /// Bound sockets that aren't served yet.
 #[derive(Debug)]
 pub struct FrontListeners {
@@ -40,21 +43,24 @@
 }
 
 impl FrontListeners {
-    /// Binds all configured addresses.
+    /// Binds all configured addresses. The socket is for control messages of other fronts, at the
+    /// address and port of their group requests.
     ///
     /// # Errors
     /// An address can't be bound.
-    pub fn open(options: &FrontOptions) -> io::Result<Self> {
-        Ok(Self {
+    pub fn open(options: &FrontOptions) -> io::Result<(Self, UdpSocket)> {
+        let (control, groups) = bind_group_sockets(options.group_address)?;
+        let listeners = Self {
             callers: caller_server::listen(options.caller_address)?,
             directory: caller_server::listen(options.directory_address)?,
             ready: caller_server::listen(options.ready_address)?,
-            groups: caller_server::listen(options.group_address)?,
+            groups,
             metrics: options
                 .metrics_address
                 .map(caller_server::listen)
                 .transpose()?,
-        })
+        };
+        Ok((listeners, control))
     }
 
     /// Gets the bound addresses.
@@ -75,3 +81,21 @@
         })
     }
 }
+
+fn bind_group_sockets(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut tries_left = MAX_PORT_TRIES;
+    loop {
+        let socket = std::net::UdpSocket::bind(address)?;
+        tries_left -= 1;
+        match caller_server::listen(socket.local_addr()?) {
+            Ok(listener) => {
+                socket.set_nonblocking(true)?;
+                return Ok((UdpSocket::from_std(socket)?, listener));
+            }
+            // With port 0, the port that UDP got may be taken for TCP: the next iteration gets
+            // another one.
+            Err(error) if address.port() != 0 || tries_left == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -9,15 +9,19 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::stop_handle::StopHandle;
+use alderhaven_peer::control_messages::ControlMessage;
 use alderhaven_peer::peer_options::ConfigAccess;
 use alderhaven_policy::drain::{DrainOptions, DrainState, StopReport};
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_store::object_store::ObjectStore;
 use log::Level;
+use tokio::time;
 
 use crate::caller_server;
 use crate::catalog::{Catalog, CatalogOptions};
 use crate::catalog_state;
+use crate::control_socket::ControlSocket;
+use crate::credit_keeper::CreditKeeper;
 use crate::front_context::FrontContext;
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
@@ -26,6 +30,7 @@
 use crate::front_options::FrontOptions;
 use crate::group_links::GroupLinks;
 use crate::group_server;
+use crate::lease_keeper::LeaseKeeper;
 use crate::query_admission::QueryAdmission;
 use crate::store_availability::StoreAvailability;
 use crate::store_follower::StoreFollower;
@@ -38,6 +43,9 @@
 /// The part of the stop limit reserved for requests in flight.
 const IN_FLIGHT_RESERVE: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// The delay after a failed receive of a control message.
+const CONTROL_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(5);
+
 /// Some callers cache a directory answer for up to this multiple of its TTL.
 const DIRECTORY_TTL_MULTIPLE: f64 = 3.0;
 
@@ -60,7 +68,7 @@
         store: Arc<S>,
     ) -> io::Result<Self> {
         let clock = ProcessClock::default();
-        let listeners = FrontListeners::open(&options)?;
+        let (listeners, control) = FrontListeners::open(&options)?;
         let addresses = listeners.addresses()?;
         let catalog_options = CatalogOptions {
             node: options.node.clone(),
@@ -73,9 +81,19 @@
         let catalog = Arc::new(Catalog::new(Arc::clone(&dialect), catalog_options, clock));
         let group = start_group(&options, addresses, &catalog).await?;
         let metrics = FrontMetrics::default();
+        let control = Arc::new(ControlSocket::new(control));
+        let lease = Arc::new(LeaseKeeper::new(options.lease, Arc::clone(&control)));
+        let credit = Arc::new(CreditKeeper::new(options.quota, Arc::clone(&control)));
+        tokio::spawn(serve_control(
+            control,
+            Arc::clone(&lease),
+            Arc::clone(&credit),
+        ));
         let context = FrontContext {
             catalog: Arc::clone(&catalog),
             dialect,
+            lease,
+            credit,
             links: GroupLinks::new(group.clone(), clock),
             metrics: metrics.clone(),
             admission: Arc::new(QueryAdmission::new(clock)),
@@ -288,3 +306,25 @@
         }
     }
 }
+
+/// Passes control messages of other fronts on for as long as the process runs.
+async fn serve_control(
+    control: Arc<ControlSocket>,
+    lease: Arc<LeaseKeeper>,
+    credit: Arc<CreditKeeper>,
+) {
+    loop {
+        match control.receive().await {
+            Ok((ControlMessage::LeaseQuery(query), sender)) => lease.handle_query(query, sender),
+            Ok((ControlMessage::LeaseReply(reply), sender)) => lease.handle_reply(reply, sender),
+            Ok((ControlMessage::CreditQuery(query), sender)) => {
+                credit.handle_query(&query, sender);
+            }
+            Ok((ControlMessage::CreditReply(reply), sender)) => {
+                credit.handle_reply(&reply, sender);
+            }
+            // A receive fails with the error of an earlier send, such as an unreachable receiver.
+            Err(_) => time::sleep(CONTROL_RETRY_DELAY).await,
+        }
+    }
+}
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -4,9 +4,11 @@
 
 use alderhaven_core::ids::{FailureDomain, HostId, NodeId};
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::config_lease::LeaseOptions;
 use alderhaven_policy::front_choice::FrontChoiceOptions;
 use alderhaven_policy::group_start::GroupStart;
 use alderhaven_policy::membership::member_record::CpuCapacity;
+use alderhaven_policy::quota_bound::QuotaBound;
 use alderhaven_policy::repeat_budget::RepeatOptions;
 use alderhaven_policy::warmup_bound::WarmupBound;
 
@@ -52,6 +54,12 @@
     /// Whether the store keeps evacuations of failure domains.
     #[builder(default)]
     pub has_evacuations: bool,
+    /// Settings of the lease on the configuration.
+    #[builder(default)]
+    pub lease: LeaseOptions,
+    /// How far all nodes together may exceed the limit of a team.
+    #[builder(default)]
+    pub quota: QuotaBound,
     /// Settings of request handling.
     #[builder(default)]
     pub requests: RequestOptions,
--- a/alderhaven-peer/src/lib.rs
+++ b/alderhaven-peer/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim_messages;
 pub mod codec;
 pub mod connection;
+pub mod control_messages;
 pub mod exchange_links;
 pub mod exchange_messages;
 pub mod frames;
--- a/alderhaven-policy/tests/admission_rules.rs
+++ b/alderhaven-policy/tests/admission_rules.rs
@@ -51,7 +51,10 @@
         weight: 2,
         max_rate: Some("5/s".parse().expect("valid rate")),
         max_in_flight: Some(2),
+        burst: None,
+        rank: None,
         token_hash: None,
+        other_token_hashes: Vec::new(),
     };
     gate.set_team(&limited, at(0));
     gate
--- a/alderhaven-proof/src/cluster_options.rs
+++ b/alderhaven-proof/src/cluster_options.rs
@@ -122,7 +122,10 @@
             weight: 1,
             max_rate: None,
             max_in_flight: None,
+            burst: None,
+            rank: None,
             token_hash: None,
+            other_token_hashes: Vec::new(),
         })
     }
 
