Rank of a query is a pair, and the gate knows its team

Cause: the rank of a query will be that of its team, then that of its route, and the gate has to share fairly between teams; both need a type that the gate and its callers agree on. Change: QueryRank (primary, secondary) replaces the rank of GateQuery; GateQuery has the hash of its team's name, 0 without one. Without teams both elements are the rank of the route.

--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -10,6 +10,7 @@
 use alderhaven_policy::caller_delay::CallerDelay;
 use alderhaven_policy::concurrency_limit::QuerySignal;
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, GateRefusal, QueryGate};
+use alderhaven_policy::query_rank::QueryRank;
 use tokio::sync::oneshot;
 
 use crate::admission_permit::AdmissionPermit;
@@ -62,7 +63,8 @@
         let now = self.clock.now();
         let query = GateQuery {
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
-            rank: rule.rank,
+            rank: QueryRank::of_route(rule.rank),
+            team: 0,
             latency_target: rule.latency_target,
             is_late: delay.is_late(rule.latency_target),
         };
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod quarantine;
 pub mod query_gate;
 pub mod query_gather;
+pub mod query_rank;
 pub mod quota_bound;
 pub mod rate_meter;
 pub mod relay_queue;
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use crate::concurrency_limit::{ConcurrencyLimit, QuerySignal};
+use crate::query_rank::QueryRank;
 use crate::rate_meter::RateMeter;
 use crate::running_mean::RunningMean;
 
@@ -41,8 +42,10 @@
 pub struct GateQuery {
     /// Query id, unique within the gate.
     pub id: u64,
-    /// Priority of the query's route; 0 is served first.
-    pub rank: u32,
+    /// Rank of the query; the smallest is served first.
+    pub rank: QueryRank,
+    /// Hash of the name of the query's team; 0 without a team.
+    pub team: u64,
     /// Latency target of the query's route.
     pub latency_target: TimeSpan,
     /// True if the answer will be late anyway, because the caller had waited before.
@@ -103,7 +106,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct RankRates {
-    rank: u32,
+    rank: QueryRank,
     offered: RateMeter,
     admitted: RateMeter,
 }
@@ -181,7 +184,7 @@
         self.limit.fits(self.in_flight, share)
     }
 
-    fn admit(&mut self, rank: u32, now: TimePoint) {
+    fn admit(&mut self, rank: QueryRank, now: TimePoint) {
         self.in_flight += 1;
         self.rank_rates(rank).admitted.add(1.0, now);
     }
@@ -213,7 +216,11 @@
 
     /// Returns the sort key of waiting queries: late ones last, underserved ranks first, then by
     /// rank and arrival.
-    fn order_key(&self, waiting: &WaitingQuery, now: TimePoint) -> (bool, bool, u32, TimePoint) {
+    fn order_key(
+        &self,
+        waiting: &WaitingQuery,
+        now: TimePoint,
+    ) -> (bool, bool, QueryRank, TimePoint) {
         let GateQuery { rank, is_late, .. } = waiting.query;
         (
             is_late,
@@ -224,7 +231,7 @@
     }
 
     /// Returns true if a worse rank is served less than its part of the best rank's served share.
-    fn is_underserved(&self, rank: u32, now: TimePoint) -> bool {
+    fn is_underserved(&self, rank: QueryRank, now: TimePoint) -> bool {
         let best = self.ranks.iter().min_by_key(|rates| rates.rank);
         let own = self.ranks.iter().find(|rates| rates.rank == rank);
         match (best, own) {
@@ -258,7 +265,7 @@
         }
     }
 
-    fn rank_rates(&mut self, rank: u32) -> &mut RankRates {
+    fn rank_rates(&mut self, rank: QueryRank) -> &mut RankRates {
         let index = self.ranks.iter().position(|rates| rates.rank == rank);
         let index = index.unwrap_or_else(|| {
             self.ranks.push(RankRates {
--- a/alderhaven-policy/tests/common/shard_simulation.rs
+++ b/alderhaven-policy/tests/common/shard_simulation.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::concurrency_limit::QuerySignal;
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, QueryGate};
+use alderhaven_policy::query_rank::QueryRank;
 
 use super::{EventQueue, SeededRng, ms};
 
@@ -230,7 +231,8 @@
         let options = self.options.kinds[kind];
         let query = GateQuery {
             id: id as u64,
-            rank: options.rank,
+            rank: QueryRank::of_route(options.rank),
+            team: 0,
             latency_target: options.latency_target,
             is_late: false,
         };
--- a/alderhaven-policy/tests/query_gate.rs
+++ b/alderhaven-policy/tests/query_gate.rs
@@ -5,6 +5,7 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::concurrency_limit::{ConcurrencyLimit, QuerySignal};
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, GateReason, QueryGate};
+use alderhaven_policy::query_rank::QueryRank;
 
 use common::shard_simulation::{KindOptions, QueryTally, ShardSimulation, ShardSimulationOptions};
 use common::{at, ms};
@@ -181,7 +182,8 @@
 const fn query(id: u64, rank: u32, is_late: bool) -> GateQuery {
     GateQuery {
         id,
-        rank,
+        rank: QueryRank::of_route(rank),
+        team: 0,
         latency_target: ms(100),
         is_late,
     }
