Fronts identify the team of a caller by its key

Cause: fronts pass callers' keys on to targets, let callers choose the team header, and serve unknown keys. Change: teams of the configuration are decoded into TeamPolicy and found by the hash of a key. The key is removed from the request head when it is hashed; targets and fronts of other failure domains receive the team header only. Unknown keys get 401, keys that can't be judged 503, teams over their limit 429. Without teams nothing on the wire changes.

--- a/alderhaven-core/src/ids.rs
+++ b/alderhaven-core/src/ids.rs
@@ -13,6 +13,9 @@
 const NAME_RULE: &str =
     "1 to 63 of a-z, 0-9, `-`, `_`, `.` and `:`, beginning with a letter or digit";
 
+const PLATFORM_NAME_RULE: &str =
+    "a text without control characters that neither begins nor ends with white space";
+
 fn is_valid_name(text: &str) -> bool {
     let first_is_alphanumeric = text
         .bytes()
@@ -175,6 +178,22 @@
     "incarnation"
 );
 
+impl TeamId {
+    /// Creates the id of a team whose name a platform gives. Unlike the names of published objects,
+    /// it may be any text that a header carries unchanged.
+    ///
+    /// # Errors
+    /// `Error::Parse` if the text is empty, begins or ends with white space, or has control
+    /// characters.
+    pub fn of_platform(text: &str) -> Result<Self> {
+        let is_control = |byte: u8| byte.is_ascii_control() && byte != b'\t';
+        if text.is_empty() || text.trim() != text || text.bytes().any(is_control) {
+            return Err(Error::parse("team", text, PLATFORM_NAME_RULE));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
 /// Unique id of one attempt at one target, also across restarts of a process.
 ///
 /// The text form is two hexadecimal numbers, `origin-sequence`.
--- a/alderhaven-core/src/lib.rs
+++ b/alderhaven-core/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod team;
 pub mod template;
 pub mod time;
+pub mod token_hash;
 pub mod value_check;
 pub mod wall_clock;
--- a/alderhaven-core/src/team.rs
+++ b/alderhaven-core/src/team.rs
@@ -6,13 +6,11 @@
 use crate::errors::Error;
 use crate::ids::TeamId;
 use crate::quantities::RatePerSecond;
+use crate::token_hash::{HASH_FORM, TokenHash};
 
 /// Maximum weight of a team.
 pub const MAX_WEIGHT: u32 = 1000;
 
-/// The form of a token hash.
-const HASH_FORM: &str = "allowed is a BLAKE3 hash of 64 hexadecimal digits";
-
 /// Policy that operators publish for one team.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,10 +50,25 @@
 /// Returns the value of `token_hash` for a bearer token.
 #[must_use]
 pub fn hash_token(token: &str) -> String {
-    blake3::hash(token.as_bytes()).to_hex().to_string()
+    TokenHash::of_token(token.as_bytes()).to_string()
 }
 
 impl TeamPolicy {
+    /// Creates the policy of a team without tokens, limits and rank.
+    #[must_use]
+    pub const fn new(name: TeamId) -> Self {
+        Self {
+            name,
+            weight: default_weight(),
+            max_rate: None,
+            burst: None,
+            rank: None,
+            max_in_flight: None,
+            token_hash: None,
+            other_token_hashes: Vec::new(),
+        }
+    }
+
     /// Validates the policy and returns all errors.
     #[must_use]
     pub fn check(&self) -> Vec<Error> {
@@ -75,7 +88,7 @@
         {
             errors.push(Error::invalid("burst", "allowed is 0 or more"));
         }
-        let is_malformed = |hash: &str| blake3::Hash::from_hex(hash).is_err();
+        let is_malformed = |hash: &str| hash.parse::<TokenHash>().is_err();
         if self.token_hash.as_deref().is_some_and(is_malformed) {
             errors.push(Error::invalid("token_hash", HASH_FORM));
         }
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -13,14 +13,18 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use log::Level;
-use rand::RngExt;
 use tokio::time;
 
+use crate::caller_check;
+use crate::catalog_view::{CatalogView, LiveRoute};
+use crate::credit_check;
 use crate::front_answer::{BadRequest, FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
 use crate::front_event::FrontEvent;
 use crate::query_call::QueryCall;
 use crate::query_run::QueryRun;
+use crate::request_refusal;
+use crate::request_refusal::RequestRefusal;
 use crate::wire_dialect::{CallerHead, WholeBody};
 
 use alderhaven_policy::drain::DrainState;
@@ -61,7 +65,7 @@
 
 async fn answer(
     context: &FrontContext,
-    head: Parts,
+    mut head: Parts,
     body: Incoming,
     arrived_at: TimePoint,
 ) -> FrontAnswer {
@@ -75,21 +79,30 @@
         .min(MAX_CONFIG_WAIT);
     let view = context.catalog.view_with_routing(limit).await;
     let Some(routing) = view.routing.clone() else {
-        return refuse_without_config(request_id);
+        return refuse_without_config(context, &request_id);
     };
     let site = site_name(&head);
     let Some(route) = view.find_route(&site, head.uri.path()).cloned() else {
         return refuse_bad_request(request_id, BadRequest::NoRoute, routing.version);
     };
+    let identity =
+        match caller_check::identify_caller(context, &view, &route, &mut head, &request_id) {
+            Ok(identity) => identity,
+            Err(answer) => return *answer,
+        };
     let limit = caller_timeout.min(route.rule.timeout).as_duration();
     let body = match read_body(body, routing.limits.max_body.as_bytes(), limit).await {
         Ok(body) => body,
         Err(reason) => return refuse_bad_request(request_id, reason, routing.version),
     };
-    let Ok(forwarded_head) = context.dialect.forwarded_head(&head) else {
+    let forwarded_head = context
+        .dialect
+        .forwarded_head(&head, identity.team_header());
+    let Ok(forwarded_head) = forwarded_head else {
         return refuse_bad_request(request_id, BadRequest::Unreadable, routing.version);
     };
     let call = Arc::new(QueryCall {
+        identity,
         head,
         forwarded_head,
         body,
@@ -97,10 +110,29 @@
         arrived_at,
         time_left: caller_timeout,
     });
-    if let Some(retry_after) = crash_retry_after(context, &call) {
-        return refuse_crashing_request(&call, retry_after);
+    run_call(context, &view, &route, &call).await
+}
+
+/// Runs a request that was read in full, unless it is refused.
+async fn run_call(
+    context: &FrontContext,
+    view: &CatalogView,
+    route: &LiveRoute,
+    call: &Arc<QueryCall>,
+) -> FrontAnswer {
+    if let Some(retry_after) = crash_retry_after(context, call) {
+        let refusal = RequestRefusal::of_call(call, route, RefusalReason::Crashes, retry_after);
+        return refusal.answer_not_run(&context.metrics, Level::Warn);
     }
-    QueryRun::answer(context, &view, &route, &call).await
+    let permit = match credit_check::take_credit(context, route, call).await {
+        Ok(permit) => permit,
+        Err(answer) => return *answer,
+    };
+    let answer = QueryRun::answer(context, view, route, call).await;
+    if let (FrontAnswer::NotRun { .. }, Some(permit)) = (&answer, permit) {
+        permit.refund();
+    }
+    answer
 }
 
 /// Gets how long the request is still refused for crashing targets; `None` if it may run.
@@ -112,31 +144,16 @@
     crashes.refused_for(&call.fingerprint())
 }
 
-fn refuse_crashing_request(call: &QueryCall, retry_after: TimeSpan) -> FrontAnswer {
-    let reason = RefusalReason::Crashes;
-    FrontEvent::RequestRefused {
-        request: call.request_id.to_string(),
-        reason,
-    }
-    .emit(Level::Warn);
-    FrontAnswer::NotRun {
-        reason,
-        retry_after,
-    }
-}
-
-fn refuse_without_config(request_id: String) -> FrontAnswer {
-    let reason = RefusalReason::NoConfiguration;
-    FrontEvent::RequestRefused {
+fn refuse_without_config(context: &FrontContext, request_id: &str) -> FrontAnswer {
+    let refusal = RequestRefusal {
         request: request_id,
-        reason,
-    }
-    .emit(Level::Warn);
-    let jitter: f64 = rand::rng().random_range(0.0..1.0);
-    FrontAnswer::NotRun {
-        reason,
-        retry_after: NO_CONFIG_RETRY_MIN + NO_CONFIG_RETRY_JITTER.mul_f64(jitter),
-    }
+        reason: RefusalReason::NoConfiguration,
+        retry_after: request_refusal::spread_retry(NO_CONFIG_RETRY_MIN, NO_CONFIG_RETRY_JITTER),
+        team: None,
+        version: None,
+        lease: None,
+    };
+    refusal.answer_not_run(&context.metrics, Level::Warn)
 }
 
 fn refuse_bad_request(request_id: String, reason: BadRequest, version: u64) -> FrontAnswer {
@@ -144,6 +161,7 @@
         request: request_id,
         reason,
         version,
+        key: None,
     }
     .emit(Level::Info);
     FrontAnswer::BadRequest(reason)
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -36,6 +36,7 @@
 use crate::target_entry::TargetEntry;
 use crate::target_handle::{TargetHandle, TargetStatus};
 use crate::target_pool::TargetPool;
+use crate::team_directory::TeamDirectory;
 use crate::wire_dialect::WireDialect;
 
 mod evacuations;
@@ -335,6 +336,7 @@
             routes: routing.routes.len(),
         }
         .emit(Level::Info);
+        state.teams = TeamDirectory::of_teams(&routing.teams).map(Arc::new);
         state.routing = Some(Arc::new(routing));
         true
     }
--- a/alderhaven-front/src/catalog_state.rs
+++ b/alderhaven-front/src/catalog_state.rs
@@ -20,6 +20,7 @@
 use crate::service_targets::ServiceTargets;
 use crate::target_entry::TargetEntry;
 use crate::target_handle::{SharedSilence, TargetHandle, TargetStatus};
+use crate::team_directory::TeamDirectory;
 
 /// The divisor of a target's connection cap. A node that lost power and restarted may open its
 /// share again while the target still counts the old connections, so only half of the cap is used.
@@ -54,6 +55,8 @@
     /// The kinds that must be listed before the object set is complete.
     pub(crate) store_kinds: &'static [ObjectKind],
     pub(crate) routing: Option<Arc<RoutingConfig>>,
+    /// The teams of the configuration, if it has any.
+    pub(crate) teams: Option<Arc<TeamDirectory>>,
     pub(crate) route_states: HashMap<String, Arc<RouteState>>,
     pub(crate) targets: BTreeMap<String, Arc<TargetHandle>>,
     /// The last registrations of targets that left as announced, with the time of their removal.
@@ -80,6 +83,7 @@
             listed_kinds: BTreeMap::new(),
             store_kinds,
             routing: None,
+            teams: None,
             route_states: HashMap::new(),
             targets: BTreeMap::new(),
             left_targets: BTreeMap::new(),
@@ -104,6 +108,7 @@
         self.remove_expired_targets(now);
         CatalogView {
             routing: self.routing.clone(),
+            teams: self.teams.clone(),
             routes: self.build_routes(),
             services: self.build_services(options),
             targets: self.targets.clone().into_iter().collect(),
--- a/alderhaven-front/src/catalog_view.rs
+++ b/alderhaven-front/src/catalog_view.rs
@@ -11,12 +11,15 @@
 use crate::service_targets::ServiceTargets;
 use crate::shard_set_id::ShardSetId;
 use crate::target_handle::TargetHandle;
+use crate::team_directory::TeamDirectory;
 
 /// The configuration and the targets at one moment.
 #[derive(Clone, Debug)]
 pub struct CatalogView {
     /// The configuration, if one is known.
     pub routing: Option<Arc<RoutingConfig>>,
+    /// The teams of the configuration, if it has any.
+    pub teams: Option<Arc<TeamDirectory>>,
     /// The routes of each site, longest path prefix first.
     pub routes: HashMap<String, Vec<Arc<LiveRoute>>>,
     /// The services by name.
@@ -46,6 +49,7 @@
     pub fn new(share: GroupShare) -> Self {
         Self {
             routing: None,
+            teams: None,
             routes: HashMap::new(),
             services: HashMap::new(),
             targets: HashMap::new(),
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -26,6 +26,11 @@
         /// After how long the caller may retry.
         retry_after: TimeSpan,
     },
+    /// The request didn't run and won't, because the caller's team is over its limit.
+    OverLimit {
+        /// After how long the team has credit again.
+        retry_after: TimeSpan,
+    },
     /// The outcome is unknown: the request may have run.
     Unknown {
         /// Whether the deadline passed.
@@ -64,6 +69,16 @@
     Outranked,
     /// It waited in the queue for the longest time allowed.
     WaitOver,
+    /// No team has the key of the request.
+    UnknownKey,
+    /// The key isn't known here, but may be in a newer configuration.
+    KeyUnconfirmed,
+    /// The configuration may be too old for its keys to count.
+    LeaseEnded,
+    /// The caller's team is over its limit.
+    OverLimit,
+    /// The front can't obtain credit for the caller's team.
+    NoCredit,
 }
 
 /// Why a request is invalid.
@@ -76,4 +91,6 @@
     BodyTooLarge,
     /// The body is incomplete or the request can't be parsed.
     Unreadable,
+    /// The key is unknown, missing, malformed or duplicated.
+    UnknownKey,
 }
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use alderhaven_core::config_object::ObjectKind;
-use alderhaven_core::ids::StoreEra;
+use alderhaven_core::ids::{StoreEra, TeamId};
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_policy::config_lease::LeaseStatus;
 use log::Level;
 use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
@@ -13,6 +14,7 @@
 use crate::event_log;
 use crate::front_answer::{BadRequest, RefusalReason};
 use crate::front_metrics::UnansweredReason;
+use crate::key_fault::KeyFault;
 
 /// An event, written as one JSON line.
 #[derive(Clone, Debug, Serialize)]
@@ -193,6 +195,9 @@
         route: String,
         /// The configuration version that applied.
         version: u64,
+        /// The caller's team, if it is known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        team: Option<TeamId>,
         /// The outcome.
         end: RequestOutcome,
         /// The time from arrival to answer, in milliseconds.
@@ -216,6 +221,17 @@
         request: String,
         /// The cause of the refusal.
         reason: RefusalReason,
+        /// The time after which the caller may retry.
+        retry_after: TimeSpan,
+        /// The caller's team, if it is known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        team: Option<TeamId>,
+        /// The configuration version that applied, if any.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        version: Option<u64>,
+        /// The lease on the configuration, if it decided.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        lease: Option<LeaseStatus>,
     },
     /// A request was invalid.
     #[serde(rename = "request_bad")]
@@ -226,6 +242,9 @@
         reason: BadRequest,
         /// The configuration version that applied.
         version: u64,
+        /// What is wrong with the key, if it was refused.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        key: Option<KeyFault>,
     },
 }
 
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -16,6 +16,7 @@
 
 use crate::front_answer::RefusalReason;
 use crate::front_event::RequestOutcome;
+use crate::team_metrics::TeamMetrics;
 
 /// The upper bounds of the latency buckets in seconds, from a lookup within a failure domain to
 /// the longest request deadline.
@@ -34,6 +35,8 @@
     refusals: Family<RefusalLabels, Counter>,
     peer_messages: Family<PeerMessageLabels, Counter>,
     peer_bytes: Family<PeerByteLabels, Counter>,
+    /// Requests and refusals by team.
+    pub teams: TeamMetrics,
     /// Shards without a reply in answers.
     pub missing_parts: Counter,
     /// Hedges and retries that the budget refused.
@@ -169,6 +172,7 @@
             refusals: Family::default(),
             peer_messages: Family::default(),
             peer_bytes: Family::default(),
+            teams: TeamMetrics::default(),
             missing_parts: Counter::default(),
             refused_repeats: Counter::default(),
             served_group_requests: Counter::default(),
@@ -301,6 +305,7 @@
             "Requests refused before any target was asked",
             own.refusals,
         );
+        own.teams.register(&mut registry);
         registry.register(
             "peer_messages",
             "Messages sent to peers, by kind",
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -26,6 +26,7 @@
 
 use crate::attempt::{AttemptOutcome, AttemptPlan, AttemptReport};
 use crate::attempt_phase::AttemptPhase;
+use crate::caller_identity::CallerIdentity;
 use crate::front_context::{self, FrontContext};
 use crate::query_call::QueryCall;
 use crate::target_handle::TargetStatus;
@@ -206,8 +207,14 @@
     fn rebuild_call(&self) -> Option<Arc<QueryCall>> {
         let now = self.context.clock.now();
         let head = request_head(&self.request)?;
-        let forwarded_head = self.context.dialect.forwarded_head(&head).ok()?;
+        let identity = CallerIdentity::Undetermined;
+        let forwarded_head = self
+            .context
+            .dialect
+            .forwarded_head(&head, identity.team_header())
+            .ok()?;
         Some(Arc::new(QueryCall {
+            identity,
             head,
             forwarded_head,
             body: self.request.body.clone(),
--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -10,10 +10,10 @@
 use alderhaven_policy::caller_delay::CallerDelay;
 use alderhaven_policy::concurrency_limit::QuerySignal;
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, GateRefusal, QueryGate};
-use alderhaven_policy::query_rank::QueryRank;
 use tokio::sync::oneshot;
 
 use crate::admission_permit::AdmissionPermit;
+use crate::caller_identity::CallerIdentity;
 use crate::front_context;
 use crate::route_rule::RouteRule;
 use crate::shard_set_id::ShardSetId;
@@ -57,14 +57,15 @@
     pub async fn admit(
         self: &Arc<Self>,
         rule: &RouteRule,
+        identity: &CallerIdentity,
         shards: ShardSetId,
         delay: CallerDelay,
     ) -> Result<AdmissionPermit, GateRefusal> {
         let now = self.clock.now();
         let query = GateQuery {
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
-            rank: QueryRank::of_route(rule.rank),
-            team: 0,
+            rank: identity.query_rank(rule.rank),
+            team: identity.team_hash(),
             latency_target: rule.latency_target,
             is_late: delay.is_late(rule.latency_target),
         };
--- a/alderhaven-front/src/query_call.rs
+++ b/alderhaven-front/src/query_call.rs
@@ -5,15 +5,18 @@
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use bytes::Bytes;
-use http::header;
 use http::request::Parts;
+use http::{HeaderMap, header};
 
+use crate::caller_identity::CallerIdentity;
 use crate::wire_dialect::ForwardedHead;
 
 /// A received request with its body read in full.
 #[derive(Debug)]
 pub struct QueryCall {
-    /// Method, URI and headers as received.
+    /// Who sent the request.
+    pub identity: CallerIdentity,
+    /// Method, URI and headers as received, without the key if the caller was identified.
     pub head: Parts,
     /// Head that is sent to targets.
     pub forwarded_head: ForwardedHead,
@@ -28,6 +31,18 @@
 }
 
 impl QueryCall {
+    /// Returns the headers that a front of another failure domain receives to send the request on.
+    ///
+    /// If the caller was identified here, they are those that targets receive: the team header must
+    /// pass the other front unchanged, even if the caller named it in a hop-by-hop header.
+    #[must_use]
+    pub fn relayed_headers(&self) -> &HeaderMap {
+        match self.identity {
+            CallerIdentity::Undetermined => &self.head.headers,
+            CallerIdentity::Anyone | CallerIdentity::Team(_) => &self.forwarded_head.headers,
+        }
+    }
+
     /// Returns the fingerprint of method, site, URI and body, which equal requests of all callers
     /// share.
     #[must_use]
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -101,9 +101,9 @@
         // The split chooses its service before admission, so that a request which is refused there
         // does not move to another service.
         let shards = shards_for_route(view, route);
-        let permit = match Self::admit(context, route, &shards, delay).await {
+        let permit = match Self::admit(context, route, call, &shards, delay).await {
             Ok(permit) => permit,
-            Err(refusal) => return completion::refuse(context, call, refusal),
+            Err(refusal) => return completion::refuse(context, route, call, refusal),
         };
         let mut run = Self::new(context, call, route, shards, delay);
         run.permit = permit;
@@ -117,6 +117,7 @@
     async fn admit(
         context: &FrontContext,
         route: &LiveRoute,
+        call: &QueryCall,
         shards: &[ShardState],
         delay: CallerDelay,
     ) -> Result<Option<AdmissionPermit>, GateRefusal> {
@@ -130,7 +131,10 @@
         let Some(set) = route.shards.or_else(single) else {
             return Ok(None);
         };
-        let permit = context.admission.admit(&route.rule, set, delay).await?;
+        let admission = &context.admission;
+        let permit = admission
+            .admit(&route.rule, &call.identity, set, delay)
+            .await?;
         Ok(Some(permit))
     }
 
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -14,6 +14,7 @@
 use tokio::time;
 
 use crate::attempt::AttemptOutcome;
+use crate::catalog_view::LiveRoute;
 use crate::event_log;
 use crate::front_answer::{ForwardedReply, FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
@@ -21,6 +22,7 @@
 use crate::front_metrics::{QueryShape, UnansweredReason};
 use crate::query_call::QueryCall;
 use crate::query_run::QueryRun;
+use crate::request_refusal::RequestRefusal;
 use crate::route_destination::RouteDestination;
 use crate::shard_reply::ShardReply;
 
@@ -152,7 +154,7 @@
                 RequestOutcome::Complete
             }
             FrontAnswer::Forwarded(_) => RequestOutcome::TargetFailed,
-            FrontAnswer::NotRun { .. } => RequestOutcome::NotRun,
+            FrontAnswer::NotRun { .. } | FrontAnswer::OverLimit { .. } => RequestOutcome::NotRun,
             FrontAnswer::Unknown { is_timed_out: true } => RequestOutcome::TimeUp,
             FrontAnswer::Unknown { .. } | FrontAnswer::BadRequest(_) => RequestOutcome::Unknown,
         }
@@ -221,6 +223,7 @@
             request: self.call.request_id.to_string(),
             route: self.route.rule.name.clone(),
             version: self.route.version,
+            team: self.call.identity.team().map(|team| team.name.clone()),
             end: outcome,
             took_ms: now.since(self.call.arrived_at).as_millis(),
             shards: self.shards.len(),
@@ -268,6 +271,7 @@
 /// Builds the answer to a query that was not admitted, and records the refusal.
 pub(super) fn refuse(
     context: &FrontContext,
+    route: &LiveRoute,
     call: &QueryCall,
     refusal: GateRefusal,
 ) -> FrontAnswer {
@@ -276,17 +280,10 @@
         GateReason::Outranked => RefusalReason::Outranked,
         GateReason::WaitOver => RefusalReason::WaitOver,
     };
-    context.metrics.observe_refusal(reason);
-    FrontEvent::RequestRefused {
-        request: call.request_id.to_string(),
-        reason,
-    }
-    .emit(Level::Info);
     let jitter: f64 = rand::rng().random_range(REFUSAL_JITTER_FACTOR);
-    FrontAnswer::NotRun {
-        reason,
-        retry_after: refusal.retry_after.mul_f64(jitter),
-    }
+    let retry_after = refusal.retry_after.mul_f64(jitter);
+    RequestRefusal::of_call(call, route, reason, retry_after)
+        .answer_not_run(&context.metrics, Level::Info)
 }
 
 /// Returns the retry delay of a request that no target ran.
--- a/alderhaven-front/src/query_run/group_requests.rs
+++ b/alderhaven-front/src/query_run/group_requests.rs
@@ -134,10 +134,14 @@
         };
         let head = &self.call.head;
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let fields = head.headers.iter().map(|(name, value)| HeaderField {
-            name: name.as_str().to_owned(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        });
+        let fields = self
+            .call
+            .relayed_headers()
+            .iter()
+            .map(|(name, value)| HeaderField {
+                name: name.as_str().to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            });
         let targets = group
             .shards
             .iter()
--- a/alderhaven-front/src/route_rule.rs
+++ b/alderhaven-front/src/route_rule.rs
@@ -25,6 +25,10 @@
     pub max_targets: usize,
     /// Admission priority among routes; 0 is the highest.
     pub rank: u32,
+    /// Whether callers need no key.
+    #[serde(default)]
+    #[builder(default)]
+    pub is_open: bool,
     /// Service or services that answer.
     pub destination: RouteDestination,
 }
--- a/alderhaven-front/src/routing_config.rs
+++ b/alderhaven-front/src/routing_config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use alderhaven_core::team::TeamPolicy;
 use serde::{Deserialize, Serialize};
 
 use crate::caller_limits::CallerLimits;
@@ -20,4 +21,16 @@
     pub services: BTreeMap<String, ServiceRule>,
     /// Limits on the size and duration of requests.
     pub limits: CallerLimits,
+    /// Teams of callers. Empty if the configuration has none: keys and the team header are then
+    /// not looked at.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<TeamPolicy>,
+}
+
+impl RoutingConfig {
+    /// Returns true if requests are served on behalf of teams.
+    #[must_use]
+    pub const fn has_teams(&self) -> bool {
+        !self.teams.is_empty()
+    }
 }
--- a/alderhaven-front/src/wire_dialect.rs
+++ b/alderhaven-front/src/wire_dialect.rs
@@ -5,14 +5,16 @@
 
 use std::net::SocketAddr;
 
-use alderhaven_core::ids::FailureDomain;
+use alderhaven_core::ids::{FailureDomain, TeamId};
 use alderhaven_core::time::TimeSpan;
+use alderhaven_core::token_hash::TokenHash;
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 
 use crate::front_answer::FrontAnswer;
+use crate::key_fault::KeyFault;
 use crate::routing_config::RoutingConfig;
 use crate::target_entry::TargetEntry;
 
@@ -47,6 +49,17 @@
     pub headers: HeaderMap,
 }
 
+/// What targets learn of the caller's team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TeamHeader<'a> {
+    /// The key and the team header are forwarded as received.
+    AsReceived,
+    /// Neither a key nor a team header is forwarded.
+    Absent,
+    /// This team is forwarded, whatever team header was received, and no key.
+    Named(&'a TeamId),
+}
+
 /// The content of one attempt at a target.
 #[derive(Debug)]
 pub struct TargetCall<'a> {
@@ -92,11 +105,21 @@
     /// Builds the response to a caller.
     fn caller_response(&self, answer: FrontAnswer) -> Response<WholeBody>;
 
+    /// Hashes the key of a caller's request and removes it from the head.
+    ///
+    /// # Errors
+    /// What is wrong with the key; it is removed in this case as well.
+    fn take_caller_key(&self, head: &mut Parts) -> Result<TokenHash, KeyFault>;
+
     /// Builds the head that all attempts of a request share.
     ///
     /// # Errors
-    /// The path can't be forwarded.
-    fn forwarded_head(&self, head: &Parts) -> Result<ForwardedHead, http::Error>;
+    /// The path or the name of the team can't be forwarded.
+    fn forwarded_head(
+        &self,
+        head: &Parts,
+        team: TeamHeader<'_>,
+    ) -> Result<ForwardedHead, http::Error>;
 
     /// Builds the request of one attempt.
     ///
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -37,6 +37,7 @@
 mod health_machine;
 pub mod hedge_timing;
 pub mod hedging;
+pub mod key_verdict;
 pub mod latency_window;
 pub mod leaving_targets;
 pub mod log_limit;
