--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -23,7 +23,8 @@
     catalog: Arc<Catalog>,
     group: NodeGroup,
     stop: StopHandle,
-    own: OwnFront,
+    /// This process, unless it serves no callers.
+    own: Option<OwnFront>,
     options: FrontChoiceOptions,
     ttl: TimeSpan,
 }
@@ -46,7 +47,7 @@
         catalog: Arc<Catalog>,
         group: NodeGroup,
         stop: StopHandle,
-        own: OwnFront,
+        own: Option<OwnFront>,
         ttl: TimeSpan,
         options: FrontChoiceOptions,
     ) -> Self {
@@ -89,10 +90,11 @@
     fn candidates(&self, state: MemberState) -> Vec<FrontCandidate> {
         let view = self.catalog.view();
         let now = self.group.now();
-        let own = self.is_ready().then(|| FrontCandidate {
-            address: self.own.address,
-            domain: self.own.domain.clone(),
-            relative_size: view.share.relative_size(self.own.capacity),
+        let own = self.own.as_ref().filter(|_| self.is_ready());
+        let own = own.map(|own| FrontCandidate {
+            address: own.address,
+            domain: own.domain.clone(),
+            relative_size: view.share.relative_size(own.capacity),
             is_started: true,
         });
         let members = self.group.members();
--- a/alderhaven-front/src/front_listeners.rs
+++ b/alderhaven-front/src/front_listeners.rs
@@ -2,7 +2,7 @@
 //! 0 can be configured and the bound ports are announced.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -15,19 +15,22 @@
 /// Bound sockets that aren't served yet.
 #[derive(Debug)]
 pub struct FrontListeners {
-    /// For callers' requests.
-    pub callers: TcpListener,
-    /// For directory queries.
-    pub directory: TcpListener,
-    /// For readiness probes.
-    pub ready: TcpListener,
+    /// For callers' requests, if configured.
+    pub callers: Option<TcpListener>,
+    /// For directory queries, if configured.
+    pub directory: Option<TcpListener>,
+    /// For readiness probes, if configured.
+    pub ready: Option<TcpListener>,
     /// For group requests of fronts in other failure domains.
     pub groups: TcpListener,
     /// For metrics and status, if configured.
     pub metrics: Option<TcpListener>,
 }
 
-/// The bound addresses of a front.
+/// The address of what a front doesn't serve.
+const NOT_SERVED: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// The bound addresses of a front; the unspecified address stands for what it doesn't serve.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FrontAddresses {
     /// Serves callers' requests.
@@ -51,14 +54,11 @@
     pub fn open(options: &FrontOptions) -> io::Result<(Self, UdpSocket)> {
         let (control, groups) = bind_group_sockets(options.group_address)?;
         let listeners = Self {
-            callers: caller_server::listen(options.caller_address)?,
-            directory: caller_server::listen(options.directory_address)?,
-            ready: caller_server::listen(options.ready_address)?,
+            callers: listen(options.caller_address)?,
+            directory: listen(options.directory_address)?,
+            ready: listen(options.ready_address)?,
             groups,
-            metrics: options
-                .metrics_address
-                .map(caller_server::listen)
-                .transpose()?,
+            metrics: listen(options.metrics_address)?,
         };
         Ok((listeners, control))
     }
@@ -69,19 +69,23 @@
     /// The operating system can't tell a socket's address.
     pub fn addresses(&self) -> io::Result<FrontAddresses> {
         Ok(FrontAddresses {
-            callers: self.callers.local_addr()?,
-            directory: self.directory.local_addr()?,
-            ready: self.ready.local_addr()?,
+            callers: bound_address(self.callers.as_ref())?.unwrap_or(NOT_SERVED),
+            directory: bound_address(self.directory.as_ref())?.unwrap_or(NOT_SERVED),
+            ready: bound_address(self.ready.as_ref())?.unwrap_or(NOT_SERVED),
             groups: self.groups.local_addr()?,
-            metrics: self
-                .metrics
-                .as_ref()
-                .map(TcpListener::local_addr)
-                .transpose()?,
+            metrics: bound_address(self.metrics.as_ref())?,
         })
     }
 }
 
+fn listen(address: Option<SocketAddr>) -> io::Result<Option<TcpListener>> {
+    address.map(caller_server::listen).transpose()
+}
+
+fn bound_address(listener: Option<&TcpListener>) -> io::Result<Option<SocketAddr>> {
+    listener.map(TcpListener::local_addr).transpose()
+}
+
 fn bind_group_sockets(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
     let mut tries_left = MAX_PORT_TRIES;
     loop {
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -73,7 +73,7 @@
         let catalog_options = CatalogOptions {
             node: options.node.clone(),
             domain: options.domain.clone(),
-            capacity: options.capacity,
+            capacity: options.group_capacity(),
             repeats: options.repeats,
             warmup: options.warmup,
             has_evacuations: options.has_evacuations,
@@ -194,11 +194,11 @@
     }
 
     fn serve(&self, listeners: FrontListeners, options: &FrontOptions) {
-        let own = OwnFront {
+        let own = options.caller_address.map(|_| OwnFront {
             address: self.addresses.callers,
             domain: options.domain.clone(),
             capacity: options.capacity,
-        };
+        });
         let directory = FrontDirectory::new(
             Arc::clone(&self.context.catalog),
             self.group.clone(),
@@ -208,12 +208,14 @@
             options.choice.clone(),
         );
         let context = || self.context.clone();
-        tokio::spawn(caller_server::serve_callers(listeners.callers, context()));
+        if let Some(listener) = listeners.callers {
+            tokio::spawn(caller_server::serve_callers(listener, context()));
+        }
         tokio::spawn(group_server::serve(listeners.groups, context()));
         if let Some(listener) = listeners.metrics {
             tokio::spawn(caller_server::serve_metrics(listener, context()));
         }
-        for listener in [listeners.directory, listeners.ready] {
+        for listener in [listeners.directory, listeners.ready].into_iter().flatten() {
             let serving = caller_server::serve_directory(listener, context(), directory.clone());
             tokio::spawn(serving);
         }
@@ -258,8 +260,8 @@
         .gossip_listen(options.gossip_address)
         .seeds(options.seeds.clone())
         .peer_address(addresses.groups)
-        .caller_address(addresses.callers)
-        .capacity(options.capacity)
+        .maybe_caller_address(options.caller_address.map(|_| addresses.callers))
+        .capacity(options.group_capacity())
         // Nothing queries a front for the configuration versions of other nodes.
         .is_reporting(false)
         .build();
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -23,12 +23,13 @@
     pub host: HostId,
     /// The failure domain of the host.
     pub domain: FailureDomain,
-    /// Serves callers' requests.
-    pub caller_address: SocketAddr,
-    /// Serves directory queries.
-    pub directory_address: SocketAddr,
-    /// Serves readiness probes.
-    pub ready_address: SocketAddr,
+    /// Serves callers' requests. Without it, the node only answers directory queries: it isn't named
+    /// to callers and takes no share of the group's limits.
+    pub caller_address: Option<SocketAddr>,
+    /// Serves directory queries, if this node answers them.
+    pub directory_address: Option<SocketAddr>,
+    /// Serves readiness probes, if the node is probed.
+    pub ready_address: Option<SocketAddr>,
     /// Serves gossip and object exchange between nodes.
     pub gossip_address: SocketAddr,
     /// Serves group requests of fronts in other failure domains.
@@ -67,3 +68,18 @@
     #[builder(default)]
     pub choice: FrontChoiceOptions,
 }
+
+/// The capacity of a node that serves no callers. It is the smallest one that is known, so that the
+/// node's share of limits is negligible.
+const CALLERLESS_CAPACITY: CpuCapacity = CpuCapacity(1);
+
+impl FrontOptions {
+    /// Gets the capacity by which the node takes part in shared limits.
+    #[must_use]
+    pub const fn group_capacity(&self) -> CpuCapacity {
+        match self.caller_address {
+            Some(_) => self.capacity,
+            None => CALLERLESS_CAPACITY,
+        }
+    }
+}
