--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -170,6 +170,7 @@
             store: link.address(),
             grace_s: STOP_GRACE_PERIOD.as_millis() / 1_000,
             repeat_extra: repeat_budget::FREE_REPEATS_PER_WINDOW,
+            team_bounds: None,
         };
         let log = self.log.clone();
         let process = FrontProcess::start(settings.clone(), &options.front_binary, directory, log)?;
