Soak: teams, their faults and their promises

Cause: nothing checked what targets and callers see of teams while fronts are stopped, frozen or cut from the store. Change: a plan can have teams with ranks and limits; keys are replaced, limits lowered and raised, one team surges, fronts are cut from the store or frozen for longer than the bounds. Callers send valid, removed, unknown, doubled and malformed keys and made-up team headers. Four promises: team_identity, team_quota, revocation, team_refusals. Kept seeds replay without teams, and their faults are unchanged.

--- a/alderhaven-soak/src/history_index.rs
+++ b/alderhaven-soak/src/history_index.rs
@@ -5,6 +5,7 @@
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
+use crate::key_history::{self, KeyHistory};
 use crate::soak_history::{
     ArrivalRecord, ConfigRecord, DisruptionRecord, DisruptionSubject, ProcessRecord, RequestRecord,
     SoakHistory,
@@ -22,6 +23,7 @@
     /// The time up to which the history is complete.
     pub now: TimePoint,
     arrivals: BTreeMap<&'h str, Vec<&'h ArrivalRecord>>,
+    keys: BTreeMap<&'h str, KeyHistory<'h>>,
 }
 
 impl<'h> HistoryIndex<'h> {
@@ -37,9 +39,22 @@
             history,
             now,
             arrivals,
+            keys: key_history::collect(&history.configs),
         }
     }
 
+    /// Returns the history of the key of a request; `None` if no configuration ever held one.
+    #[must_use]
+    pub fn key_history(&self, request: &RequestRecord) -> Option<&KeyHistory<'h>> {
+        self.keys.get(request.credential.key()?)
+    }
+
+    /// Returns the team of a request, by the configurations of the whole run.
+    #[must_use]
+    pub fn team_of(&self, request: &RequestRecord) -> Option<&'h str> {
+        self.key_history(request).map(|key| key.team)
+    }
+
     /// Returns the arrivals of a request at targets, in order.
     #[must_use]
     pub fn arrivals(&self, request_id: &str) -> &[&'h ArrivalRecord] {
--- a/alderhaven-soak/src/lib.rs
+++ b/alderhaven-soak/src/lib.rs
@@ -3,8 +3,10 @@
 //! promises.
 #![forbid(unsafe_code)]
 
+pub mod caller_credential;
 pub mod front_process;
 pub mod history_index;
+pub mod key_history;
 pub mod link_proxy;
 pub mod promises;
 pub mod seed_cases;
@@ -17,6 +19,10 @@
 pub mod soak_plan;
 pub mod soak_report;
 pub mod soak_run;
+pub mod soak_team;
 pub mod soak_workload;
 pub mod stall_detector;
 pub mod target_fleet;
+pub mod team_change;
+pub mod team_mode;
+pub mod team_plan;
--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -10,6 +10,7 @@
 use alderhaven_soak::soak_options::{MAX_FRONTS, PromiseScope, SoakOptions};
 use alderhaven_soak::soak_report::SoakReport;
 use alderhaven_soak::soak_run;
+use alderhaven_soak::team_mode::TeamMode;
 use argh::FromArgs;
 use eyre::{OptionExt, Result, WrapErr, bail};
 use tokio::signal::unix;
@@ -64,6 +65,9 @@
     /// the directory for the logs of failed seeds (default: target/soak)
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     logs: PathBuf,
+    /// whether runs have teams: on, off or drawn (default: drawn from each seed)
+    #[argh(option, default = "TeamMode::Drawn")]
+    teams: TeamMode,
     /// print one JSON line per seed
     #[argh(switch)]
     json: bool,
@@ -122,6 +126,7 @@
                 seconds: arguments.seconds,
                 fronts: arguments.fronts,
                 callers: arguments.callers,
+                teams: arguments.teams.has_teams(seed),
                 cause: String::new(),
             },
             ExtraFaults::Seeded,
@@ -180,6 +185,7 @@
             .logs(self.logs.clone())
             .has_evacuations(extra_faults == ExtraFaults::Seeded)
             .has_restores(extra_faults == ExtraFaults::Seeded)
+            .has_teams(case.teams)
             .scope(PromiseScope::All)
             .build();
         let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/alderhaven-soak/src/promises.rs
+++ b/alderhaven-soak/src/promises.rs
@@ -13,7 +13,11 @@
 pub mod leaving;
 pub mod recovery;
 pub mod repeat_budget;
+pub mod revocation;
 pub mod stops;
+pub mod team_identity;
+pub mod team_quota;
+pub mod team_refusals;
 
 /// A promise that is checked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -54,6 +58,16 @@
     CallerGone,
     /// A process ends only if it is stopped or killed.
     ProcessLives,
+    /// Targets see no key and only the team of the request's key, and no request without a valid key
+    /// runs.
+    TeamIdentity,
+    /// All fronts together run no more requests of a team than its limit allows.
+    TeamQuota,
+    /// A request with a removed key does not run after a time bound.
+    Revocation,
+    /// A refused request of a team has not run, and a key that is always valid is not refused as
+    /// unknown.
+    TeamRefusal,
     /// Requests are served again after all faults have ended.
     Recovery,
 }
@@ -89,6 +103,8 @@
     violations.extend(at_most_once::check(index));
     violations.extend(config::check_no_regression(index));
     violations.extend(stops::check(index));
+    violations.extend(team_identity::check(index));
+    violations.extend(team_refusals::check(index));
     if scope == PromiseScope::Untimed {
         return violations;
     }
@@ -99,6 +115,8 @@
     }
     violations.extend(repeat_budget::check(index));
     violations.extend(deadlines::check(index));
+    violations.extend(revocation::check(index));
+    violations.extend(team_quota::check(index));
     if is_over {
         violations.extend(recovery::check(index));
     }
--- a/alderhaven-soak/src/promises/answers.rs
+++ b/alderhaven-soak/src/promises/answers.rs
@@ -26,7 +26,7 @@
         return None;
     };
     let (promise, observed) = if !answer.is_success() {
-        check_failure(request, answer)?
+        check_failure(request, answer, index.history.team_bounds.is_some())?
     } else if request.kind == RequestKind::FanOut {
         let observed = check_merged(index, id, request, answer)?;
         (PromiseKind::TrueCoverage, observed)
@@ -39,11 +39,18 @@
     Some(Violation::new(promise, id, observed))
 }
 
-fn check_failure(request: &RequestRecord, answer: &AnswerRecord) -> Option<(PromiseKind, String)> {
+fn check_failure(
+    request: &RequestRecord,
+    answer: &AnswerRecord,
+    has_teams: bool,
+) -> Option<(PromiseKind, String)> {
     let status = answer.status;
     let is_missing_version_route =
         status == 404 && matches!(request.kind, RequestKind::VersionRoute(_));
-    if (300..500).contains(&status) && !answer.is_refusal && !is_missing_version_route {
+    // `team_refusals` checks whom a front may refuse as unknown.
+    let is_unknown_team = status == 401 && has_teams;
+    let is_denial = (300..500).contains(&status) && !answer.is_refusal;
+    if is_denial && !is_missing_version_route && !is_unknown_team {
         return Some((
             PromiseKind::NotDenied,
             format!("{} got {status}", request.kind),
--- a/alderhaven-soak/src/promises/recovery.rs
+++ b/alderhaven-soak/src/promises/recovery.rs
@@ -4,7 +4,7 @@
 
 use crate::history_index::{self, HistoryIndex};
 use crate::promises::{PromiseKind, Violation};
-use crate::soak_history::{RequestOutcome, RequestRecord};
+use crate::soak_history::{RequestOutcome, RequestRecord, SoakHistory};
 
 /// The period at the end of a run whose requests are counted. The last fault ends before it, with
 /// time to recover.
@@ -20,7 +20,9 @@
 pub fn check(index: &HistoryIndex) -> Vec<Violation> {
     let from = history_index::time_before(index.now, RECOVERY_WINDOW);
     let requests = index.history.requests.values();
-    let counted: Vec<&RequestRecord> = requests.filter(|request| request.sent_at >= from).collect();
+    let counted =
+        requests.filter(|request| request.sent_at >= from && may_be_served(index.history, request));
+    let counted: Vec<&RequestRecord> = counted.collect();
     let served = counted.iter().filter(|request| is_served(request)).count();
     let share = served as f64 / counted.len().max(1) as f64;
     if counted.len() >= MIN_REQUESTS && share >= MIN_SERVED_SHARE {
@@ -33,6 +35,18 @@
     vec![Violation::new(PromiseKind::Recovery, "all", observed)]
 }
 
+/// Returns true if nothing but a fault stands against a request: its key is valid and its team has
+/// no limit.
+fn may_be_served(history: &SoakHistory, request: &RequestRecord) -> bool {
+    if history.team_bounds.is_none() || request.kind.is_open() {
+        return true;
+    }
+    let key = request.credential.key();
+    let latest = history.configs.last();
+    let team = key.and_then(|key| latest?.team_of(key));
+    team.is_some_and(|team| !team.is_limited())
+}
+
 fn is_served(request: &RequestRecord) -> bool {
     request.end.as_ref().is_some_and(|end| match &end.outcome {
         RequestOutcome::Answered(answer) => answer.is_success(),
--- a/alderhaven-soak/src/seed_cases.rs
+++ b/alderhaven-soak/src/seed_cases.rs
@@ -17,6 +17,9 @@
     pub fronts: usize,
     /// The number of callers.
     pub callers: usize,
+    /// Whether the run has teams.
+    #[serde(default)]
+    pub teams: bool,
     /// The broken promise and the defect behind it.
     pub cause: String,
 }
--- a/alderhaven-soak/src/soak_caller.rs
+++ b/alderhaven-soak/src/soak_caller.rs
@@ -6,6 +6,7 @@
 
 use alderhaven_core::time::TimeSpan;
 use alderhaven_platform_standin::caller_client::{self, CallerConnection, CallerRequest};
+use alderhaven_platform_standin::caller_headers::CallerHeaders;
 use alderhaven_platform_standin::caller_reply::CallerReply;
 use alderhaven_platform_standin::front_settings::FrontSettings;
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use rand::rngs::StdRng;
 use tokio::time;
 
+use crate::caller_credential::CallerCredential;
 use crate::soak_history::{AnswerRecord, HistoryLog, RequestEnd, RequestOutcome, RequestRecord};
 use crate::soak_workload::{DOMAINS, RequestKind};
 
@@ -26,6 +28,16 @@
 const ABANDONED_SHARE: f64 = 0.03;
 /// The upper bound of the pause between two requests.
 const MAX_THINK_TIME_MS: u64 = 40;
+/// The longest pause after a refusal in a run with teams.
+const MAX_TEAM_REFUSAL_WAIT: Duration = Duration::from_millis(100);
+/// The percentage of requests with a key of one of the last configurations, possibly removed since.
+const OUTDATED_PERCENT: u32 = 15;
+/// How many of the last configurations such keys are from.
+const MAX_OUTDATED_CONFIGS: usize = 30;
+/// The share of requests that belong to the surging team.
+const SURGE_SHARE: f64 = 0.8;
+/// The share of requests with team headers.
+const SPOOFED_SHARE: f64 = 0.2;
 
 /// A caller, which sends random requests and records them in the history.
 #[derive(Debug)]
@@ -92,7 +104,9 @@
         let kind = self.draw_kind();
         self.sent_count += 1;
         let request_id = format!("q{}x{}", self.number, self.sent_count);
-        let request = self.start_request(&request_id, kind, front);
+        let credential = self.draw_credential();
+        let headers = self.draw_headers(&credential);
+        let request = self.start_request(&request_id, kind, front, credential);
         let max_wait = (kind.timeout() + LATE_ANSWER_WAIT).as_duration();
         let abandons = self.rng.random_bool(ABANDONED_SHARE);
         let timeout = if abandons {
@@ -100,7 +114,7 @@
         } else {
             max_wait
         };
-        let reply = time::timeout(timeout, connection.send(&request)).await;
+        let reply = time::timeout(timeout, connection.send_with_headers(&request, &headers)).await;
         let outcome = match &reply {
             Ok(Some(reply)) => RequestOutcome::Answered(answer_record(reply)),
             Ok(None) => RequestOutcome::Closed,
@@ -117,7 +131,7 @@
         if let Ok(Some(reply)) = &reply
             && let Some(wait) = reply.retry_after()
         {
-            time::sleep(wait).await;
+            time::sleep(wait.min(self.max_refusal_wait())).await;
         }
     }
 
@@ -152,7 +166,90 @@
         Some(versions[self.rng.random_range(0..versions.len())])
     }
 
-    fn start_request(&self, request_id: &str, kind: RequestKind, front: IpAddr) -> CallerRequest {
+    /// Returns the longest pause after a refusal. Callers of teams come back before they should, so
+    /// that teams send far more than their limits allow.
+    fn max_refusal_wait(&self) -> Duration {
+        let has_teams = self.log.lock().team_bounds.is_some();
+        if has_teams {
+            MAX_TEAM_REFUSAL_WAIT
+        } else {
+            Duration::MAX
+        }
+    }
+
+    /// Draws a valid, outdated or invalid credential. Nothing is drawn in a run without teams.
+    fn draw_credential(&mut self) -> CallerCredential {
+        let (config_count, surging_team) = {
+            let history = self.log.lock();
+            let has_teams = history.team_bounds.is_some();
+            (
+                history.configs.len() * usize::from(has_teams),
+                history.surging_team,
+            )
+        };
+        if config_count == 0 {
+            return CallerCredential::Missing;
+        }
+        let draw = self.rng.random_range(0..100);
+        // The latest configuration, or one of the last few, whose keys may have been removed.
+        let age = if draw < OUTDATED_PERCENT {
+            self.rng
+                .random_range(0..config_count.min(MAX_OUTDATED_CONFIGS))
+        } else {
+            0
+        };
+        let is_in_surge = self.rng.random_bool(SURGE_SHARE);
+        let (team, key) = (
+            self.rng.random_range(0..64_usize),
+            self.rng.random_range(0..64_usize),
+        );
+        let team = surging_team.filter(|_| is_in_surge).unwrap_or(team);
+        let key = {
+            let history = self.log.lock();
+            let teams = &history.configs[config_count - 1 - age].teams;
+            let keys = &teams[team % teams.len()].keys;
+            keys[key % keys.len()].clone()
+        };
+        match draw {
+            0..90 => CallerCredential::Key(key),
+            90..93 => CallerCredential::Missing,
+            93..96 => CallerCredential::UnknownKey(format!("{key}-unknown")),
+            96..98 => CallerCredential::Doubled(key),
+            _ => CallerCredential::Malformed(key),
+        }
+    }
+
+    /// Builds the headers of a credential, some of them with team headers that callers may not set.
+    fn draw_headers(&mut self, credential: &CallerCredential) -> CallerHeaders {
+        let mut headers = credential.headers();
+        let teams: Vec<String> = {
+            let history = self.log.lock();
+            let teams = history.configs.last().map(|config| &config.teams);
+            teams
+                .into_iter()
+                .flatten()
+                .map(|team| team.name.clone())
+                .collect()
+        };
+        if teams.is_empty() || !self.rng.random_bool(SPOOFED_SHARE) {
+            return headers;
+        }
+        for _ in 0..self.rng.random_range(1..=2) {
+            headers = headers.and_spoofed_team(&teams[self.rng.random_range(0..teams.len())]);
+        }
+        if self.rng.random_bool(0.5) {
+            headers = headers.and_connection_team();
+        }
+        headers
+    }
+
+    fn start_request(
+        &self,
+        request_id: &str,
+        kind: RequestKind,
+        front: IpAddr,
+        credential: CallerCredential,
+    ) -> CallerRequest {
         let body = match kind {
             RequestKind::Order => Bytes::from(format!("order {request_id}")),
             _ => Bytes::new(),
@@ -172,6 +269,7 @@
             method: request.method.clone(),
             path: request.path.clone(),
             body: request.body.clone(),
+            credential,
             end: None,
         };
         let mut history = self.log.lock();
--- a/alderhaven-soak/src/soak_fault.rs
+++ b/alderhaven-soak/src/soak_fault.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::link_proxy::LinkMode;
+use crate::team_change::TeamChange;
 
 /// A fault that is injected into the running system. A `usize` selects the front, target or failure
 /// domain, modulo their number; a `TimeSpan` is a duration or pause.
@@ -25,6 +26,8 @@
     ReloadFront(usize),
     /// Disrupts the link from a front to the store.
     StoreLink(usize, LinkMode, TimeSpan),
+    /// Blocks the links from all fronts to the store.
+    CutStore(TimeSpan),
     /// Makes the store handle all calls in a faulty way.
     StoreFault(StoreFault, TimeSpan),
     /// Makes the store compact its history, so that watches from older revisions fail.
@@ -46,6 +49,8 @@
     ChangeConfig,
     /// The operator switches the index to the other set of shards.
     Reshard,
+    /// The operator or the callers change a team.
+    ChangeTeam(TeamChange),
     /// The operator evacuates a failure domain.
     Evacuate(usize, TimeSpan),
 }
@@ -85,6 +90,7 @@
             Self::FreezeFront(..) => "freeze_front",
             Self::ReloadFront(_) => "reload_front",
             Self::StoreLink(..) => "store_link",
+            Self::CutStore(_) => "cut_store",
             Self::StoreFault(..) => "store_fault",
             Self::StoreCompaction => "store_forgets",
             Self::RestoreStore(..) => "restore_store",
@@ -95,6 +101,11 @@
             Self::ChangeConfig => "change_config",
             Self::Reshard => "reshard",
             Self::Evacuate(..) => "evacuate",
+            Self::ChangeTeam(TeamChange::RotateKey(_)) => "rotate_key",
+            Self::ChangeTeam(TeamChange::LowerLimit(_)) => "lower_limit",
+            Self::ChangeTeam(TeamChange::RaiseLimit(_)) => "raise_limit",
+            Self::ChangeTeam(TeamChange::StartSurge(_)) => "start_surge",
+            Self::ChangeTeam(TeamChange::EndSurge) => "end_surge",
         }
     }
 }
--- a/alderhaven-soak/src/soak_history.rs
+++ b/alderhaven-soak/src/soak_history.rs
@@ -9,12 +9,20 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_platform_standin::store_fixtures;
 use alderhaven_platform_standin::store_standin::StoreStandin;
+use alderhaven_platform_standin::team_bounds::TeamBounds;
 use bytes::Bytes;
 use serde::Serialize;
 use serde_json::json;
 
+use crate::caller_credential::CallerCredential;
+use crate::soak_team::SoakTeam;
 use crate::soak_workload::{RequestKind, ShardSet};
 
+/// The kind of disruption in which the store comes back from an older copy.
+pub const RESTORE_KIND: &str = "restored";
+/// The kind of disruption in which a front's process is suspended.
+pub const FREEZE_KIND: &str = "frozen";
+
 /// All recorded events of a run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct SoakHistory {
@@ -36,6 +44,11 @@
     /// The processes of all fronts, in order of their start.
     #[serde(rename = "lives")]
     pub processes: Vec<ProcessRecord>,
+    /// The settings that concern teams; `None` in a run without teams.
+    pub team_bounds: Option<TeamBounds>,
+    /// The index of the team whose requests nearly all callers send at present.
+    #[serde(skip)]
+    pub surging_team: Option<usize>,
 }
 
 /// A caller's request and its outcome.
@@ -59,6 +72,8 @@
     /// The body; not serialized.
     #[serde(skip)]
     pub body: Bytes,
+    /// What the caller stated about itself.
+    pub credential: CallerCredential,
     /// The outcome; `None` while the request is in flight.
     pub end: Option<RequestEnd>,
 }
@@ -106,6 +121,26 @@
     pub body: Bytes,
 }
 
+impl RequestRecord {
+    /// Returns the status of the answer, if there was one.
+    #[must_use]
+    pub fn status(&self) -> Option<u16> {
+        match &self.end.as_ref()?.outcome {
+            RequestOutcome::Answered(answer) => Some(answer.status),
+            RequestOutcome::Closed | RequestOutcome::Abandoned | RequestOutcome::Unanswered => None,
+        }
+    }
+}
+
+impl ConfigRecord {
+    /// Returns the team that a key identifies under this configuration.
+    #[must_use]
+    pub fn team_of(&self, key: &str) -> Option<&SoakTeam> {
+        let holds_key = |team: &&SoakTeam| team.keys.iter().any(|held| held == key);
+        self.teams.iter().find(holds_key)
+    }
+}
+
 impl AnswerRecord {
     /// Returns true if the status is 2xx.
     #[must_use]
@@ -132,6 +167,10 @@
     /// The body; not serialized.
     #[serde(skip)]
     pub body: Bytes,
+    /// The values of the team headers.
+    pub teams: Vec<String>,
+    /// Whether any header had a key, or there was an `Authorization` header.
+    pub has_key: bool,
     /// The remaining time that the front told the target; `None` if it told none.
     pub time_left: Option<TimeSpan>,
     /// Whether the target runs the request.
@@ -153,6 +192,8 @@
     /// The versions whose routes it contains.
     #[serde(rename = "marks")]
     pub version_routes: Vec<u64>,
+    /// The teams.
+    pub teams: Vec<SoakTeam>,
 }
 
 /// An evacuation of a failure domain, whose targets must get no new requests.
--- a/alderhaven-soak/src/soak_operator.rs
+++ b/alderhaven-soak/src/soak_operator.rs
@@ -4,7 +4,9 @@
 use alderhaven_platform_standin::store_standin::StoreStandin;
 
 use crate::soak_history::{ConfigRecord, HistoryLog};
+use crate::soak_team::SoakTeam;
 use crate::soak_workload::{self, ShardSet};
+use crate::team_change::TeamChange;
 
 /// The most version routes in a configuration; a change drops the oldest beyond this.
 const MAX_VERSION_ROUTES: usize = 2;
@@ -23,12 +25,13 @@
 impl SoakOperator {
     /// Creates the operator and publishes the first configuration.
     #[must_use]
-    pub fn start(log: HistoryLog, store: StoreStandin) -> Self {
+    pub fn start(log: HistoryLog, store: StoreStandin, teams: Vec<SoakTeam>) -> Self {
         let first = ConfigRecord {
             version: 1,
             accepted_at: log.now(),
             shards: ShardSet::default(),
             version_routes: vec![1],
+            teams,
         };
         let mut operator = Self {
             log,
@@ -56,6 +59,29 @@
         self.change_config();
     }
 
+    /// Publishes a configuration in which a team is changed, or changes what callers send.
+    pub fn change_team(&mut self, change: TeamChange) {
+        let teams = &mut self.latest_config.teams;
+        if teams.is_empty() {
+            return;
+        }
+        let count = teams.len();
+        match change {
+            TeamChange::RotateKey(index) => teams[index % count].rotate_key(),
+            TeamChange::LowerLimit(index) => teams[index % count].is_lowered = true,
+            TeamChange::RaiseLimit(index) => teams[index % count].is_lowered = false,
+            TeamChange::StartSurge(index) => {
+                self.log.lock().surging_team = Some(index % count);
+                return;
+            }
+            TeamChange::EndSurge => {
+                self.log.lock().surging_team = None;
+                return;
+            }
+        }
+        self.change_config();
+    }
+
     fn publish(&mut self, mut config: ConfigRecord) {
         let (kind, name) = store_fixtures::CONFIG_KEY;
         // Locked across the write, so that no caller records an effect of the configuration before
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -38,6 +38,9 @@
     /// Whether the store comes back from older copies in addition to the faults of the seed.
     #[builder(default)]
     pub has_restores: bool,
+    /// Whether the run has teams, with their own faults.
+    #[builder(default)]
+    pub has_teams: bool,
     /// The promises to check.
     pub scope: PromiseScope,
 }
--- a/alderhaven-soak/src/soak_plan.rs
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -10,9 +10,10 @@
 
 use crate::link_proxy::LinkMode;
 use crate::soak_fault::{SoakFault, TargetFault};
+use crate::team_plan::TeamPlan;
 
 /// The fault-free time at the start, in which callers connect.
-const FAULT_FREE_START: TimeSpan = TimeSpan::from_millis(1_000);
+pub const FAULT_FREE_START: TimeSpan = TimeSpan::from_millis(1_000);
 /// The fault-free time at the end. All processes restart and recover in it before served requests
 /// are counted.
 pub const FAULT_FREE_END: TimeSpan = TimeSpan::from_millis(7_000);
@@ -23,8 +24,10 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..4_000;
 /// The range of evacuation durations; each exceeds the time after which the evacuation is checked.
 const EVACUATION_DURATION_MS: std::ops::Range<u64> = 5_600..9_000;
+/// The upper bound of the age of a copy.
+pub const MAX_COPY_AGE_MS: u64 = 6_000;
 /// The range of the ages of copies from which the store comes back.
-const COPY_AGE_MS: std::ops::Range<u64> = 300..6_000;
+const COPY_AGE_MS: std::ops::Range<u64> = 300..MAX_COPY_AGE_MS;
 /// The range of durations for which the store is away before it comes back.
 const AWAY_DURATION_MS: std::ops::Range<u64> = 50..2_500;
 /// The probability that the previous fault is injected again on the same subject, often before it
@@ -38,6 +41,8 @@
     pub steps: Vec<SoakStep>,
     /// The length of the run.
     pub span: TimeSpan,
+    /// The teams, if the run has any.
+    pub teams: Option<TeamPlan>,
 }
 
 /// A fault with its scheduled time.
@@ -64,7 +69,11 @@
             steps.push(SoakStep { at, fault });
             at = at + TimeSpan::from_millis(rng.random_range(0..MAX_FAULT_INTERVAL_MS));
         }
-        Self { steps, span }
+        Self {
+            steps,
+            span,
+            teams: None,
+        }
     }
 
     /// Adds consecutive evacuations, without changing the faults that [`Self::new`] drew from the
@@ -108,6 +117,17 @@
         self.steps.sort_by_key(|step| step.at);
         self
     }
+
+    /// Adds teams, changes of them and faults that outlast their bounds, without changing the other
+    /// faults.
+    #[must_use]
+    pub fn with_teams(mut self, seed: u64) -> Self {
+        let faults_end = self.span.saturating_sub(FAULT_FREE_END);
+        self.steps.extend(TeamPlan::steps(seed, faults_end));
+        self.steps.sort_by_key(|step| step.at);
+        self.teams = Some(TeamPlan::new(seed));
+        self
+    }
 }
 
 fn draw_fault(rng: &mut StdRng) -> SoakFault {
--- a/alderhaven-soak/src/soak_report.rs
+++ b/alderhaven-soak/src/soak_report.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use crate::promises::Violation;
+use crate::promises::{PromiseKind, Violation};
 use crate::soak_history::{DisruptionSubject, RequestOutcome, SoakHistory};
 
 /// The most violations that are printed; the logs contain all of them.
@@ -59,6 +59,15 @@
     counts
 }
 
+/// Counts the violations of each promise.
+fn count_violations(violations: &[Violation]) -> BTreeMap<PromiseKind, usize> {
+    let mut counts = BTreeMap::new();
+    for violation in violations {
+        *counts.entry(violation.promise).or_default() += 1;
+    }
+    counts
+}
+
 /// Counts the stalls of the machine.
 #[must_use]
 pub fn count_stalls(history: &SoakHistory) -> usize {
@@ -85,6 +94,9 @@
             write!(formatter, " {kind} {count}")?;
         }
         write!(formatter, "; violations {}", self.violations.len())?;
+        for (promise, count) in &count_violations(&self.violations) {
+            write!(formatter, " {promise:?} {count}")?;
+        }
         for violation in self.violations.iter().take(MAX_PRINTED_VIOLATIONS) {
             let Violation {
                 promise,
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -25,7 +25,7 @@
 use crate::promises::{self, Violation, repeat_budget};
 use crate::soak_caller::SoakCaller;
 use crate::soak_fault::SoakFault;
-use crate::soak_history::{DisruptionSubject, HistoryLog};
+use crate::soak_history::{DisruptionSubject, HistoryLog, RESTORE_KIND};
 use crate::soak_operator::SoakOperator;
 use crate::soak_options::SoakOptions;
 use crate::soak_plan::{SoakPlan, SoakStep};
@@ -77,7 +77,10 @@
     if options.has_restores {
         plan = plan.with_restores(options.seed);
     }
-    let mut run = SoakRun::start(options, &directory).await?;
+    if options.has_teams {
+        plan = plan.with_teams(options.seed);
+    }
+    let mut run = SoakRun::start(options, &plan, &directory).await?;
     let _stall_guard = stall_detector::start(run.log.clone());
     let violations = run.run_plan(options, &plan).await?;
     let history = run.log.lock().clone();
@@ -126,13 +129,19 @@
 }
 
 impl SoakRun {
-    async fn start(options: &SoakOptions, directory: &std::path::Path) -> Result<Self> {
+    async fn start(
+        options: &SoakOptions,
+        plan: &SoakPlan,
+        directory: &std::path::Path,
+    ) -> Result<Self> {
         let log = HistoryLog::default();
         let store = StoreStandin::start()
             .await
             .wrap_err("the store stand-in can't be started")?;
         let targets = TargetFleet::start(log.clone(), store.clone()).await?;
-        let operator = SoakOperator::start(log.clone(), store.clone());
+        let teams = plan.teams.as_ref().map(|plan| plan.teams.clone());
+        log.lock().team_bounds = plan.teams.as_ref().map(|plan| plan.bounds);
+        let operator = SoakOperator::start(log.clone(), store.clone(), teams.unwrap_or_default());
         let mut run = Self {
             log,
             store,
@@ -170,7 +179,7 @@
             store: link.address(),
             grace_s: STOP_GRACE_PERIOD.as_millis() / 1_000,
             repeat_extra: repeat_budget::FREE_REPEATS_PER_WINDOW,
-            team_bounds: None,
+            team_bounds: self.log.lock().team_bounds,
         };
         let log = self.log.clone();
         let process = FrontProcess::start(settings.clone(), &options.front_binary, directory, log)?;
@@ -258,6 +267,7 @@
             }
             SoakFault::ReloadFront(index) => self.send_command(index, FrontCommand::Reload),
             SoakFault::StoreLink(index, mode, span) => self.disrupt_store_link(index, mode, span),
+            SoakFault::CutStore(span) => self.cut_store(span),
             SoakFault::StoreFault(fault, span) => self.disrupt_store(fault, span),
             SoakFault::StoreCompaction => {
                 self.store.compact_history();
@@ -291,6 +301,7 @@
             }
             SoakFault::ChangeConfig => self.operator.change_config(),
             SoakFault::Reshard => self.operator.reshard(),
+            SoakFault::ChangeTeam(change) => self.operator.change_team(change),
             SoakFault::Evacuate(index, span) => self.evacuate(index, span),
         }
     }
@@ -331,6 +342,19 @@
         });
     }
 
+    fn cut_store(&mut self, span: TimeSpan) {
+        for index in 0..self.fronts.len() {
+            self.disrupt_store_link(index, LinkMode::Blocked, span);
+        }
+        let log = self.log.clone();
+        self.fault_tasks.spawn(async move {
+            let disruption = log.begin_disruption(DisruptionSubject::Store, "cut from all fronts");
+            time::sleep(span.as_duration()).await;
+            log.end_disruption(disruption);
+            Ok(())
+        });
+    }
+
     fn evacuate(&mut self, index: usize, span: TimeSpan) {
         let domain = DOMAINS[index % DOMAINS.len()];
         let (store, log) = (self.store.clone(), self.log.clone());
@@ -347,7 +371,7 @@
         self.fault_tasks.spawn(async move {
             let copy = store.copy();
             time::sleep(age.as_duration()).await;
-            let disruption = log.begin_disruption(DisruptionSubject::Store, "restored");
+            let disruption = log.begin_disruption(DisruptionSubject::Store, RESTORE_KIND);
             store.set_fault(StoreFault::Down);
             store.restore(copy);
             time::sleep(away.as_duration()).await;
--- a/alderhaven-soak/src/soak_workload.rs
+++ b/alderhaven-soak/src/soak_workload.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 
 use crate::soak_history::ConfigRecord;
+use crate::soak_team::SoakTeam;
 
 /// The number of records in a merged answer.
 pub const MERGED_RECORDS: usize = 10;
@@ -126,6 +127,12 @@
         }
     }
 
+    /// Returns true if the route of the request is open to callers without a key, in a run with teams.
+    #[must_use]
+    pub const fn is_open(self) -> bool {
+        matches!(self, Self::VersionRoute(_))
+    }
+
     /// Returns the base service time, which each target varies by a random factor.
     #[must_use]
     pub const fn base_service_time(self) -> Duration {
@@ -179,9 +186,19 @@
     ];
     routes.extend(config.version_routes.iter().map(|version| {
         let name = format!("mark-{version}");
-        store_fixtures::path_route(&name, &format!("/{name}/"), "safe", RECORD_SERVICE)
+        let route = store_fixtures::path_route(&name, &format!("/{name}/"), "safe", RECORD_SERVICE);
+        if config.teams.is_empty() {
+            route
+        } else {
+            store_fixtures::open_route(route)
+        }
     }));
     let services = all_services();
     let services: Vec<&str> = services.iter().map(String::as_str).collect();
-    store_fixtures::config(config.version, &routes, &services)
+    let document = store_fixtures::config(config.version, &routes, &services);
+    if config.teams.is_empty() {
+        return document;
+    }
+    let teams: Vec<Value> = config.teams.iter().map(SoakTeam::to_json).collect();
+    store_fixtures::with_teams(document, &teams)
 }
--- a/alderhaven-soak/src/target_fleet.rs
+++ b/alderhaven-soak/src/target_fleet.rs
@@ -18,6 +18,7 @@
 use crate::shard_records;
 use crate::soak_fault::TargetFault;
 use crate::soak_history::{ArrivalRecord, DisruptionSubject, HistoryLog};
+use crate::soak_team::KEY_PREFIX;
 use crate::soak_workload::{self, DOMAINS, RequestKind};
 
 /// How long after a target reports that it is leaving it may still get requests.
@@ -260,6 +261,8 @@
         method: request.method.clone(),
         path: request.path.clone(),
         body: Bytes::copy_from_slice(&request.body),
+        teams: request.teams.clone(),
+        has_key: request.has_authorization || request.head.contains(KEY_PREFIX),
         time_left: request.time_left.map(TimeSpan::from),
         is_run: behavior.runs_request(),
         is_answered: matches!(
--- a/alderhaven-soak/tests/history/mod.rs
+++ b/alderhaven-soak/tests/history/mod.rs
@@ -3,6 +3,8 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_platform_standin::team_bounds::TeamBounds;
+use alderhaven_soak::caller_credential::CallerCredential;
 use alderhaven_soak::history_index::HistoryIndex;
 use alderhaven_soak::promises::{self, PromiseKind};
 use alderhaven_soak::shard_records;
@@ -11,6 +13,7 @@
     EvacuationRecord, ProcessRecord, RequestEnd, RequestOutcome, RequestRecord, SoakHistory,
 };
 use alderhaven_soak::soak_options::PromiseScope;
+use alderhaven_soak::soak_team::SoakTeam;
 use alderhaven_soak::soak_workload::{MERGED_RECORDS, RequestKind, ShardSet};
 use bytes::Bytes;
 
@@ -38,6 +41,8 @@
 /// Builds a history of one front.
 pub struct HistoryBuilder {
     pub history: SoakHistory,
+    /// The teams of further configurations.
+    pub teams: Vec<SoakTeam>,
 }
 
 impl HistoryBuilder {
@@ -46,6 +51,7 @@
     pub fn valid() -> Self {
         let mut builder = Self {
             history: SoakHistory::default(),
+            teams: Vec::new(),
         };
         builder.history.processes.push(ProcessRecord {
             front: FRONT_ADDRESS,
@@ -68,6 +74,72 @@
         builder
     }
 
+    /// Creates a history of a run with two teams that breaks no promise: `amber` without a limit, which
+    /// sent all requests, and `birch` with 10 requests per second and a burst of 10.
+    pub fn valid_with_teams() -> Self {
+        let mut builder = Self::valid();
+        builder.history.team_bounds = Some(TeamBounds {
+            is_revoke_strict: true,
+            revoke_ms: 5_000,
+            quota_window_s: 2.0,
+            quota_overshoot: 0.1,
+            quota_slack: 7.0,
+        });
+        builder.teams = vec![
+            SoakTeam::new("amber", 0, 0.0, 0.0),
+            SoakTeam::new("birch", 1, 10.0, 10.0),
+        ];
+        builder.history.configs[0].teams.clone_from(&builder.teams);
+        let ids: Vec<String> = builder.history.requests.keys().cloned().collect();
+        for id in ids {
+            builder.set_team(&id, 0);
+        }
+        builder
+    }
+
+    /// Lets a team send a request, with the second one of its present keys.
+    pub fn set_team(&mut self, id: &str, team: usize) {
+        let team = self.teams[team].clone();
+        self.set_credential(id, CallerCredential::Key(team.keys[1].clone()));
+        let arrivals = self.history.arrivals.iter_mut();
+        for arrival in arrivals.filter(|arrival| arrival.request_id == id) {
+            arrival.teams = vec![team.name.clone()];
+        }
+    }
+
+    /// Replaces the credential of a request.
+    pub fn set_credential(&mut self, id: &str, credential: CallerCredential) {
+        let request = self.history.requests.get_mut(id);
+        request.expect("the request was added").credential = credential;
+    }
+
+    /// Adds served requests of a team at regular intervals.
+    pub fn add_team_requests(
+        &mut self,
+        team: usize,
+        count: u64,
+        from: TimePoint,
+        interval: TimeSpan,
+    ) {
+        for number in 0..count {
+            let id = format!("team{team}from{}x{number}", from.as_micros());
+            let sent_at = from + TimeSpan::from_micros(interval.as_micros() * number);
+            self.add_request(&id, RequestKind::Record, sent_at);
+            self.set_team(&id, team);
+        }
+    }
+
+    /// Removes the arrivals of a request, and answers it with a status.
+    pub fn refuse(&mut self, id: &str, status: u16) {
+        let arrivals = &mut self.history.arrivals;
+        arrivals.retain(|arrival| arrival.request_id != id);
+        self.edit_answer(id, |answer| {
+            answer.status = status;
+            answer.is_refusal = status != 401;
+            answer.proof = String::new();
+        });
+    }
+
     pub fn add_config(
         &mut self,
         version: u64,
@@ -80,6 +152,7 @@
             accepted_at,
             shards,
             version_routes: version_routes.to_vec(),
+            teams: self.teams.clone(),
         });
     }
 
@@ -116,6 +189,7 @@
             method: kind.method().to_owned(),
             path: kind.path(id),
             body: Bytes::new(),
+            credential: CallerCredential::Missing,
             end: Some(RequestEnd {
                 at: sent_at + ANSWER_TIME,
                 outcome: RequestOutcome::Answered(answer),
@@ -144,6 +218,8 @@
             method: kind.method().to_owned(),
             path: kind.path(id),
             body: Bytes::new(),
+            teams: Vec::new(),
+            has_key: false,
             time_left: Some(TimeSpan::from_millis(500)),
             is_run: true,
             is_answered: true,
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -4,11 +4,14 @@
 mod history;
 
 use alderhaven_core::time::TimeSpan;
+use alderhaven_soak::caller_credential::CallerCredential;
 use alderhaven_soak::promises::PromiseKind;
 use alderhaven_soak::shard_records;
-use alderhaven_soak::soak_history::{DisruptionSubject, RequestOutcome};
+use alderhaven_soak::soak_history::{DisruptionSubject, FREEZE_KIND, RESTORE_KIND, RequestOutcome};
 use alderhaven_soak::soak_options::PromiseScope;
+use alderhaven_soak::soak_plan::SoakPlan;
 use alderhaven_soak::soak_workload::{MERGED_RECORDS, RequestKind, ShardSet};
+use alderhaven_soak::team_mode::TeamMode;
 use history::{FRONT_ADDRESS, HistoryBuilder, at_millis};
 
 const ALL: PromiseScope = PromiseScope::All;
@@ -326,6 +329,227 @@
     assert_eq!(broken, [PromiseKind::Recovery]);
 }
 
+#[test]
+fn check_valid_history_with_teams() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.set_team("record", 1);
+    assert_eq!(builder.broken_promises(ALL), []);
+    assert_eq!(builder.broken_promises(PromiseScope::Untimed), []);
+}
+
+/// A target sees a key, no team, a team that the caller made up, or two teams.
+#[test]
+fn check_wrong_team_at_target() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.history.arrivals[0].has_key = true;
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamIdentity]);
+    let wrong_teams: [&[&str]; 4] = [&[], &["birch"], &["amber", "birch"], &["Amber"]];
+    for teams in wrong_teams {
+        let mut builder = HistoryBuilder::valid_with_teams();
+        let teams = teams.iter().map(|team| (*team).to_owned());
+        builder.history.arrivals[0].teams = teams.collect();
+        assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamIdentity]);
+    }
+}
+
+/// A request without a key that was ever valid runs. That is allowed on an open route.
+#[test]
+fn check_run_without_valid_key() {
+    let invalid_credentials = [
+        CallerCredential::Missing,
+        CallerCredential::UnknownKey("soak-key-amber-1-unknown".to_owned()),
+        CallerCredential::Doubled("soak-key-amber-1".to_owned()),
+        CallerCredential::Malformed("soak-key-amber-1".to_owned()),
+    ];
+    for credential in invalid_credentials {
+        let mut builder = HistoryBuilder::valid_with_teams();
+        builder.set_credential("record", credential.clone());
+        assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamIdentity]);
+        let mut builder = HistoryBuilder::valid_with_teams();
+        builder.add_request("open", RequestKind::VersionRoute(1), at_millis(9_000));
+        builder.set_credential("open", credential);
+        assert_eq!(builder.broken_promises(ALL), []);
+    }
+}
+
+/// A team that the caller made up arrives over an open route.
+#[test]
+fn check_spoofed_team_on_open_route() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.add_request("open", RequestKind::VersionRoute(1), at_millis(9_000));
+    let arrival = builder.history.arrivals.last_mut();
+    arrival.expect("the request arrived").teams = vec!["amber".to_owned()];
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamIdentity]);
+}
+
+/// A team runs more in a window than its limit allows: (10 x 2 + 10) x 1.1 + 7 = 40 requests. A
+/// request that was sent in the window and arrives after it does not count.
+#[test]
+fn check_excess_over_quota() {
+    let interval = TimeSpan::from_millis(40);
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.add_team_requests(1, 40, at_millis(9_500), interval);
+    assert_eq!(builder.broken_promises(ALL), []);
+    builder.add_team_requests(1, 1, at_millis(11_400), interval);
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamQuota]);
+    let last = builder
+        .history
+        .arrivals
+        .last_mut()
+        .expect("requests arrived");
+    last.at = at_millis(11_600);
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
+/// An excess that lasts no longer than a stall of the machine is not reported.
+#[test]
+fn check_excess_over_quota_in_stall() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.add_team_requests(1, 41, at_millis(9_500), TimeSpan::from_millis(10));
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamQuota]);
+    builder.add_disruption(
+        DisruptionSubject::Machine,
+        at_millis(9_600),
+        at_millis(9_800),
+    );
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
+/// A lowered limit does not bind: (1 x 2 + 1) x 1.1 + 7 = 10.3 requests. It has to bind one window
+/// after it is in force, and a front that was suspended meanwhile may apply it later.
+#[test]
+fn check_lowered_limit() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.teams[1].is_lowered = true;
+    builder.add_config(4, &[1], ShardSet::Old, at_millis(1_000));
+    let interval = TimeSpan::from_millis(100);
+    builder.add_team_requests(1, 10, at_millis(9_500), interval);
+    builder.add_team_requests(1, 20, at_millis(6_000), interval);
+    assert_eq!(builder.broken_promises(ALL), []);
+    builder.add_team_requests(1, 1, at_millis(10_450), interval);
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamQuota]);
+    let front = DisruptionSubject::Front(FRONT_ADDRESS);
+    builder.add_disruption(front, at_millis(2_000), at_millis(5_000));
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamQuota]);
+    let frozen = builder.history.disruptions.last_mut();
+    frozen.expect("a disruption was added").kind = FREEZE_KIND.to_owned();
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
+/// A request runs that was sent later than the bound after its key was removed, on a front that was
+/// undisturbed, frozen or cut off. Without a strict bound that is allowed.
+#[test]
+fn check_run_with_removed_key() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.teams[0].rotate_key();
+    builder.add_config(4, &[1], ShardSet::Old, at_millis(4_000));
+    for number in 0..10 {
+        builder.set_team(&format!("tail{number}"), 0);
+    }
+    assert_eq!(builder.broken_promises(ALL), [], "the bound has not passed");
+    builder.history.configs[1].accepted_at = at_millis(3_900);
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::Revocation]);
+    let front = DisruptionSubject::Front(FRONT_ADDRESS);
+    builder.add_disruption(front, at_millis(2_000), at_millis(9_500));
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::Revocation]);
+    let bounds = builder.history.team_bounds.as_mut();
+    bounds.expect("the run has teams").is_revoke_strict = false;
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
+/// The store may lose the removal of a key when it comes back from an older copy. The bound then
+/// counts from its repetition.
+#[test]
+fn check_run_with_removed_key_after_restore() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.teams[0].rotate_key();
+    builder.add_config(4, &[1], ShardSet::Old, at_millis(1_000));
+    for number in 0..10 {
+        builder.set_team(&format!("tail{number}"), 0);
+    }
+    builder.add_disruption(DisruptionSubject::Store, at_millis(2_000), at_millis(4_500));
+    builder.history.disruptions[0].kind = RESTORE_KIND.to_owned();
+    assert_eq!(builder.broken_promises(ALL), []);
+    builder.history.disruptions[0].until = Some(at_millis(3_500));
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::Revocation]);
+}
+
+/// A request runs although its caller was told that it did not.
+#[test]
+fn check_refused_request_ran() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.edit_answer("record", |answer| {
+        answer.status = 401;
+        answer.proof = String::new();
+    });
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamRefusal]);
+    for status in [429, 503] {
+        let mut builder = HistoryBuilder::valid_with_teams();
+        builder.edit_answer("record", |answer| {
+            answer.status = status;
+            answer.is_refusal = true;
+            answer.proof = String::new();
+        });
+        let broken = builder.broken_promises(ALL);
+        assert_eq!(broken, [PromiseKind::NotRun, PromiseKind::TeamRefusal]);
+    }
+}
+
+/// A key that every configuration holds is refused as unknown. That is allowed for a key that was
+/// added or removed, or that no configuration held.
+#[test]
+fn check_refusal_of_valid_key() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.refuse("record", 401);
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamRefusal]);
+    builder.set_credential("record", CallerCredential::Missing);
+    assert_eq!(builder.broken_promises(ALL), []);
+    builder.set_team("record", 0);
+    builder.teams[0].rotate_key();
+    builder.add_config(4, &[1], ShardSet::Old, at_millis(8_000));
+    for number in 0..10 {
+        builder.set_team(&format!("tail{number}"), 0);
+    }
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
+/// An open route refuses a caller as unknown.
+#[test]
+fn check_refusal_on_open_route() {
+    let mut builder = HistoryBuilder::valid_with_teams();
+    builder.add_request("open", RequestKind::VersionRoute(1), at_millis(9_000));
+    builder.refuse("open", 401);
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamRefusal]);
+}
+
+/// Teams must not change the faults of a seed, or kept seeds would no longer show their fault.
+#[test]
+fn with_teams_keeps_other_faults() {
+    let span = TimeSpan::from_secs(25);
+    for seed in 0..20 {
+        let plan = SoakPlan::new(seed, span);
+        let with_teams = plan.clone().with_teams(seed);
+        let mut rest = with_teams.steps.iter();
+        let is_kept = plan
+            .steps
+            .iter()
+            .all(|step| rest.any(|other| other == step));
+        assert!(is_kept, "seed {seed}");
+        assert!(with_teams.steps.len() > plan.steps.len(), "seed {seed}");
+    }
+}
+
+/// About half of the seeds have teams unless the option decides.
+#[test]
+fn has_teams_draws_half() {
+    let count = (0..1_000)
+        .filter(|seed| TeamMode::Drawn.has_teams(*seed))
+        .count();
+    assert!((400..600).contains(&count), "{count}");
+    assert!(TeamMode::On.has_teams(1) && !TeamMode::Off.has_teams(1));
+    assert!("some".parse::<TeamMode>().is_err());
+}
+
 #[test]
 fn parse_proof_parts() {
     let parts = shard_records::parse_proof("d-old-3.b12-q1x7");
