Soak: lowered limits bind by what fronts are seen to know

Change: the check counts from when each process was seen to hold the version, by the answers of the version's own route. The overshoot of a plan is never 0, since credit has to be valid for some time.

--- a/alderhaven-soak/src/front_process.rs
+++ b/alderhaven-soak/src/front_process.rs
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal};
 use tokio::sync::mpsc;
 
-use crate::soak_history::{DisruptionSubject, FREEZE_KIND, HistoryLog, ProcessRecord};
+use crate::soak_history::{DisruptionSubject, HistoryLog, ProcessRecord};
 
 /// How often the child process is checked for its end and for due actions.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -148,7 +148,7 @@
                 self.resume()?;
                 let disruption = self
                     .log
-                    .begin_disruption(DisruptionSubject::Front(self.host()), FREEZE_KIND);
+                    .begin_disruption(DisruptionSubject::Front(self.host()), "frozen");
                 self.frozen = Some((now + span, disruption));
                 self.signal(Signal::STOP)
             }
--- a/alderhaven-soak/src/lib.rs
+++ b/alderhaven-soak/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod caller_credential;
+pub mod config_spread;
 pub mod front_process;
 pub mod history_index;
 pub mod key_history;
--- a/alderhaven-soak/src/promises/team_quota.rs
+++ b/alderhaven-soak/src/promises/team_quota.rs
@@ -4,10 +4,10 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_platform_standin::team_bounds::TeamBounds;
 
-use crate::history_index::HistoryIndex;
+use crate::config_spread::ConfigSpread;
+use crate::history_index::{self, HistoryIndex};
 use crate::promises::{PromiseKind, Violation};
-use crate::soak_history::{DisruptionRecord, DisruptionSubject, FREEZE_KIND};
-use crate::soak_team::SoakTeam;
+use crate::soak_history::DisruptionSubject;
 
 /// The time within which an accepted configuration must be in force on fronts that reach the store or
 /// their peers.
@@ -26,20 +26,25 @@
     let Some(bounds) = &index.history.team_bounds else {
         return Vec::new();
     };
+    let spread = ConfigSpread::new(index);
     let teams = index.history.configs.first();
     let teams = teams.into_iter().flat_map(|config| &config.teams);
     teams
-        .filter_map(|team| check_team(index, bounds, &team.name))
+        .filter_map(|team| check_team(index, &spread, bounds, &team.name))
         .collect()
 }
 
-fn check_team(index: &HistoryIndex, bounds: &TeamBounds, team: &str) -> Option<Violation> {
-    let window = TimeSpan::from_secs(1).mul_f64(bounds.quota_window_s);
-    let limits = LimitHistory::new(index, team, window);
+fn check_team(
+    index: &HistoryIndex,
+    spread: &ConfigSpread,
+    bounds: &TeamBounds,
+    team: &str,
+) -> Option<Violation> {
+    let window = window_length(bounds);
     let runs = team_runs(index, team);
     let excesses = runs.iter().enumerate().filter_map(|(first, run)| {
         let end = run.sent_at + window;
-        let max_runs = limits.max_runs(run.sent_at, end, bounds)?;
+        let max_runs = max_runs(index, spread, team, (run.sent_at, end), bounds)?;
         let in_window = runs[first..].iter().take_while(|run| run.sent_at <= end);
         let count = in_window.filter(|run| run.arrived_at <= end).count();
         let is_excess = count as f64 > max_runs
@@ -73,56 +78,35 @@
     runs
 }
 
-/// The limits of one team with the periods in which a front may apply each.
-struct LimitHistory<'h> {
-    /// When the store accepted the limit, the limit, and from when windows are bound by the next one.
-    limits: Vec<(TimePoint, &'h SoakTeam, Option<TimePoint>)>,
-}
-
-impl<'h> LimitHistory<'h> {
-    fn new(index: &HistoryIndex<'h>, team: &str, window: TimeSpan) -> Self {
-        let configs = &index.history.configs;
-        let limits = configs.iter().enumerate().filter_map(|(number, config)| {
-            let limit = config.teams.iter().find(|limit| limit.name == team)?;
-            let next = configs.get(number + 1);
-            let until = next.map(|next| applied_at(index, next.accepted_at) + window);
-            Some((config.accepted_at, limit, until))
-        });
-        Self {
-            limits: limits.collect(),
-        }
-    }
-
-    /// Returns the most requests that may run in a window; `None` if a front may know no limit.
-    fn max_runs(&self, from: TimePoint, until: TimePoint, bounds: &TeamBounds) -> Option<f64> {
-        let applicable = self.limits.iter().filter(|(accepted_at, _, replaced_at)| {
-            *accepted_at <= until && replaced_at.is_none_or(|at| at >= from)
-        });
-        applicable
-            .map(|(_, limit, _)| limit.max_runs(bounds))
-            .try_fold(0.0_f64, |most, max_runs| {
-                max_runs.map(|max_runs| most.max(max_runs))
-            })
-    }
+/// Returns the most requests of a team that may run in a window; `None` if a front may know no limit.
+/// Only the newest configuration that binds by then, and those that were accepted since, apply.
+fn max_runs(
+    index: &HistoryIndex,
+    spread: &ConfigSpread,
+    team: &str,
+    (from, until): (TimePoint, TimePoint),
+    bounds: &TeamBounds,
+) -> Option<f64> {
+    let configs = &index.history.configs;
+    // A configuration binds one window after all fronts have had it for the time in which they must
+    // apply it.
+    let lead = APPLY_BOUND + window_length(bounds);
+    let held_from = history_index::time_before(from, lead);
+    let binds = |number: &usize| {
+        configs[*number].accepted_at <= held_from
+            && spread.is_held_by_all(*number, held_from, until)
+    };
+    let first = (0..configs.len()).rev().find(binds).unwrap_or(0);
+    let applicable = configs[first..]
+        .iter()
+        .filter(|config| config.accepted_at <= until);
+    let mut limits =
+        applicable.filter_map(|config| config.teams.iter().find(|limit| limit.name == team));
+    limits.try_fold(0.0_f64, |most, limit| {
+        limit.max_runs(bounds).map(|max_runs| most.max(max_runs))
+    })
 }
 
-/// Returns when all fronts have applied a configuration: [`APPLY_BOUND`] after it was accepted, or
-/// after the end of disruptions before that. A front that is cut off from the store gets it from its
-/// peers.
-fn applied_at(index: &HistoryIndex, accepted_at: TimePoint) -> TimePoint {
-    let delays_fronts = |record: &&DisruptionRecord| match record.subject {
-        DisruptionSubject::Store | DisruptionSubject::Machine => true,
-        DisruptionSubject::Front(_) => record.kind == FREEZE_KIND,
-        DisruptionSubject::Target(_) => false,
-    };
-    let mut applied_at = accepted_at + APPLY_BOUND;
-    let mut disruptions: Vec<_> = index.history.disruptions.iter().collect();
-    disruptions.sort_by_key(|record| record.from);
-    for record in disruptions.into_iter().filter(delays_fronts) {
-        let end = record.until.unwrap_or(index.now);
-        if end >= accepted_at && record.from <= applied_at {
-            applied_at = applied_at.max(end + APPLY_BOUND);
-        }
-    }
-    applied_at
+fn window_length(bounds: &TeamBounds) -> TimeSpan {
+    TimeSpan::from_secs(1).mul_f64(bounds.quota_window_s)
 }
--- a/alderhaven-soak/src/soak_history.rs
+++ b/alderhaven-soak/src/soak_history.rs
@@ -20,8 +20,6 @@
 
 /// The kind of disruption in which the store comes back from an older copy.
 pub const RESTORE_KIND: &str = "restored";
-/// The kind of disruption in which a front's process is suspended.
-pub const FREEZE_KIND: &str = "frozen";
 
 /// All recorded events of a run.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/alderhaven-soak/src/team_plan.rs
+++ b/alderhaven-soak/src/team_plan.rs
@@ -22,6 +22,9 @@
 const ISOLATION_MS: std::ops::Range<u64> = 5_500..9_000;
 /// The bounds within which a removed key must stop working.
 const REVOKE_MS: [u64; 2] = [3_000, 5_000];
+/// The parts by which a limit may be exceeded. Credit has to be valid for some time, so that none of
+/// them is 0.
+const QUOTA_OVERSHOOTS: [f64; 3] = [0.05, 0.1, 0.2];
 /// The range of the spans for which a limit is lowered, long enough for the bound to be checked.
 const LOWERED_MS: std::ops::Range<u64> = 8_000..16_000;
 /// The range of the spans of a surge.
@@ -53,7 +56,7 @@
             is_revoke_strict: rng.random_bool(0.75),
             revoke_ms: REVOKE_MS[rng.random_range(0..REVOKE_MS.len())],
             quota_window_s: f64::from(rng.random_range(2..=5)),
-            quota_overshoot: f64::from(rng.random_range(0..=2)) / 10.0,
+            quota_overshoot: QUOTA_OVERSHOOTS[rng.random_range(0..QUOTA_OVERSHOOTS.len())],
             quota_slack: f64::from(rng.random_range(5..=20)),
         };
         let teams = TEAM_NAMES.iter().enumerate().map(|(index, name)| {
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -3,11 +3,13 @@
 
 mod history;
 
-use alderhaven_core::time::TimeSpan;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_soak::caller_credential::CallerCredential;
 use alderhaven_soak::promises::PromiseKind;
 use alderhaven_soak::shard_records;
-use alderhaven_soak::soak_history::{DisruptionSubject, FREEZE_KIND, RESTORE_KIND, RequestOutcome};
+use alderhaven_soak::soak_history::{
+    DisruptionSubject, ProcessRecord, RESTORE_KIND, RequestOutcome,
+};
 use alderhaven_soak::soak_options::PromiseScope;
 use alderhaven_soak::soak_plan::SoakPlan;
 use alderhaven_soak::soak_workload::{MERGED_RECORDS, RequestKind, ShardSet};
@@ -415,24 +417,43 @@
     assert_eq!(builder.broken_promises(ALL), []);
 }
 
-/// A lowered limit does not bind: (1 x 2 + 1) x 1.1 + 7 = 10.3 requests. It has to bind one window
-/// after it is in force, and a front that was suspended meanwhile may apply it later.
-#[test]
-fn check_lowered_limit() {
+/// Returns a history in which `birch` runs 11 requests in a window with a lowered limit of
+/// (1 x 2 + 1) x 1.1 + 7 = 10.3, and the only front proves at `known_at` that it holds this limit.
+fn history_with_lowered_limit(known_at: TimePoint) -> HistoryBuilder {
     let mut builder = HistoryBuilder::valid_with_teams();
     builder.teams[1].is_lowered = true;
-    builder.add_config(4, &[1], ShardSet::Old, at_millis(1_000));
+    builder.add_config(4, &[1, 4], ShardSet::Old, at_millis(1_000));
+    builder.add_request("known", RequestKind::VersionRoute(4), known_at);
     let interval = TimeSpan::from_millis(100);
-    builder.add_team_requests(1, 10, at_millis(9_500), interval);
     builder.add_team_requests(1, 20, at_millis(6_000), interval);
-    assert_eq!(builder.broken_promises(ALL), []);
-    builder.add_team_requests(1, 1, at_millis(10_450), interval);
+    builder.add_team_requests(1, 11, at_millis(9_500), interval);
+    builder
+}
+
+/// A lowered limit does not bind. It has to, one window after all fronts have had it for the time in
+/// which they must apply it.
+#[test]
+fn check_lowered_limit() {
+    let builder = history_with_lowered_limit(at_millis(2_000));
     assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamQuota]);
-    let front = DisruptionSubject::Front(FRONT_ADDRESS);
-    builder.add_disruption(front, at_millis(2_000), at_millis(5_000));
+    let builder = history_with_lowered_limit(at_millis(3_000));
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
+/// A process that started while the store had lost the lowered limit may not know it.
+#[test]
+fn check_lowered_limit_after_restore() {
+    let mut builder = history_with_lowered_limit(at_millis(2_000));
+    builder.history.processes.push(ProcessRecord {
+        front: "127.200.0.2".parse().expect("an address"),
+        started_at: at_millis(4_000),
+        stop_requested_at: None,
+        is_killed: false,
+        ended_at: None,
+    });
     assert_eq!(builder.broken_promises(ALL), [PromiseKind::TeamQuota]);
-    let frozen = builder.history.disruptions.last_mut();
-    frozen.expect("a disruption was added").kind = FREEZE_KIND.to_owned();
+    builder.add_disruption(DisruptionSubject::Store, at_millis(3_500), at_millis(4_500));
+    builder.history.disruptions[0].kind = RESTORE_KIND.to_owned();
     assert_eq!(builder.broken_promises(ALL), []);
 }
 
