--- a/alderhaven-soak/src/team_plan.rs
+++ b/alderhaven-soak/src/team_plan.rs
@@ -26,7 +26,7 @@
 /// them is 0.
 const QUOTA_OVERSHOOTS: [f64; 3] = [0.05, 0.1, 0.2];
 /// The range of the spans for which a limit is lowered, long enough for the bound to be checked.
-const LOWERED_MS: std::ops::Range<u64> = 8_000..16_000;
+const LOWERED_MS: std::ops::Range<u64> = 9_000..18_000;
 /// The range of the spans of a surge.
 const SURGE_MS: std::ops::Range<u64> = 1_000..5_000;
 /// The range of the time between two draws.
