Configuration lease: proofs, schedule and keeper

Cause: a front accepted the keys of its configuration for as long as it ran, so a removed key worked on a front that was cut off. Change: config_lease in policy holds proofs and decides the status; lease_keeper lists the store, queries other fronts and reports. Inactive until the configuration has teams.

--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -172,6 +172,29 @@
         self.view().routing.is_some() && self.is_kind_listed(ObjectKind::Target)
     }
 
+    /// Returns true if the configuration in force has teams, whose keys need a lease.
+    #[must_use]
+    pub const fn has_teams(&self) -> bool {
+        false
+    }
+
+    /// Returns true if the configuration in force has a route that is open to callers without a
+    /// key.
+    #[must_use]
+    pub const fn has_open_route(&self) -> bool {
+        false
+    }
+
+    /// Gets the version of the configuration object, removed or invalid ones included. A store keeps
+    /// one such object.
+    #[must_use]
+    pub fn routing_object_version(&self) -> Option<StoreVersion> {
+        let state = self.state();
+        let objects = state.objects.values();
+        let routing = objects.filter(|object| object.key.kind == ObjectKind::Routing);
+        routing.map(|object| object.version).max()
+    }
+
     /// Records that a peer with a complete object set has sent all of it.
     pub fn mark_listed_by_peer(&self) {
         self.state().is_listed_by_peer = true;
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -82,6 +82,9 @@
         self.metrics
             .evacuated_domains
             .set(i64::try_from(evacuated).unwrap_or(i64::MAX));
+        let proof_age = self.lease.report().and_then(|report| report.proof_age_ms);
+        let proof_age = proof_age.and_then(|age| i64::try_from(age).ok());
+        self.metrics.lease_proof_age.set(proof_age.unwrap_or(-1));
         if let Some(traffic) = self.links.group().traffic() {
             self.metrics.set_peer_traffic(&traffic);
         }
--- a/alderhaven-front/src/front_directory.rs
+++ b/alderhaven-front/src/front_directory.rs
@@ -7,6 +7,7 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::NodeGroup;
 use alderhaven_node::stop_handle::StopHandle;
+use alderhaven_policy::config_lease::LeaseStatus;
 use alderhaven_policy::drain::DrainState;
 use alderhaven_policy::front_choice::{self, FrontCandidate, FrontChoiceOptions};
 use alderhaven_policy::membership::digest_progress::DigestProgress;
@@ -15,12 +16,14 @@
 use smallvec::SmallVec;
 
 use crate::catalog::Catalog;
+use crate::lease_keeper::LeaseKeeper;
 use crate::wire_dialect::DirectoryQuery;
 
 /// Answers directory queries from the live members of the group.
 #[derive(Clone, Debug)]
 pub struct FrontDirectory {
     catalog: Arc<Catalog>,
+    lease: Arc<LeaseKeeper>,
     group: NodeGroup,
     stop: StopHandle,
     own: OwnFront,
@@ -44,6 +47,7 @@
     #[must_use]
     pub const fn new(
         catalog: Arc<Catalog>,
+        lease: Arc<LeaseKeeper>,
         group: NodeGroup,
         stop: StopHandle,
         own: OwnFront,
@@ -52,6 +56,7 @@
     ) -> Self {
         Self {
             catalog,
+            lease,
             group,
             stop,
             own,
@@ -66,15 +71,27 @@
         self.ttl
     }
 
-    /// Returns true if this process accepts requests and knows configuration and targets.
+    /// Returns true if this process accepts requests, knows configuration and targets, and may serve
+    /// some of the routes.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.stop.state() == DrainState::Serving && self.catalog.can_serve_requests()
+        self.stop.state() == DrainState::Serving
+            && self.catalog.can_serve_requests()
+            && self.may_serve_routes()
+    }
+
+    /// Returns false if the front refuses all requests because its lease has ended.
+    fn may_serve_routes(&self) -> bool {
+        self.lease.status() != LeaseStatus::Ended || self.catalog.has_open_route()
     }
 
     /// Chooses the fronts for a caller; suspected members are used only if no live one qualifies.
+    /// A front that refuses all requests names nobody: it reaches no front that could serve them.
     #[must_use]
     pub fn choose_fronts(&self, query: &DirectoryQuery) -> SmallVec<[SocketAddr; 8]> {
+        if !self.may_serve_routes() {
+            return SmallVec::new();
+        }
         let rotation = rand::rng().random_range(0..usize::from(u16::MAX));
         let candidates = self.candidates(MemberState::Alive);
         let domain = query.domain.as_ref();
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -185,6 +185,33 @@
         /// The version in the store.
         stored: StoreVersion,
     },
+    /// The front got the first proof that its configuration is the newest; keyed requests are served.
+    LeaseObtained {
+        /// The era of the proven version.
+        era: StoreEra,
+        /// The proven version of the configuration.
+        version: StoreVersion,
+        /// The age of the proof, in milliseconds.
+        proof_age_ms: u64,
+    },
+    /// The last proof is older than the bound allows; keyed requests are refused.
+    LeaseLost {
+        /// The era of the proven version.
+        era: StoreEra,
+        /// The proven version of the configuration.
+        version: StoreVersion,
+        /// The age of the proof, in milliseconds.
+        proof_age_ms: u64,
+    },
+    /// The front got a proof again; keyed requests are served.
+    LeaseRecovered {
+        /// The era of the proven version.
+        era: StoreEra,
+        /// The proven version of the configuration.
+        version: StoreVersion,
+        /// The age of the proof, in milliseconds.
+        proof_age_ms: u64,
+    },
     /// The outcome of a request; successful ones are sampled.
     RequestEnded {
         /// The caller's id of this attempt.
@@ -303,6 +330,9 @@
             Self::StoreRecovered => "store_back",
             Self::StoreListed { .. } => "store_listed",
             Self::ObjectsOlder { .. } => "objects_older",
+            Self::LeaseObtained { .. } => "lease_obtained",
+            Self::LeaseLost { .. } => "lease_lost",
+            Self::LeaseRecovered { .. } => "lease_recovered",
             Self::ObjectCarried { .. } => "object_carried",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
             Self::TargetsCrashed { .. } => "targets_crashed",
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -48,6 +48,16 @@
     pub nodes: Gauge,
     /// The evacuated failure domains.
     pub evacuated_domains: Gauge,
+    /// The age of the proof of the configuration in milliseconds; -1 without one.
+    pub lease_proof_age: Gauge,
+    /// Queries for proofs that were sent to other fronts.
+    pub lease_queries: Counter,
+    /// Replies to these queries.
+    pub lease_answers: Counter,
+    /// Queries of other fronts that were answered.
+    pub lease_replies: Counter,
+    /// Lists of the store for the lease.
+    pub lease_lists: Counter,
     /// Log lines that the rate limit suppressed.
     pub omitted_lines: Counter,
 }
@@ -176,6 +186,11 @@
             store_era: Gauge::default(),
             nodes: Gauge::default(),
             evacuated_domains: Gauge::default(),
+            lease_proof_age: Gauge::default(),
+            lease_queries: Counter::default(),
+            lease_answers: Counter::default(),
+            lease_replies: Counter::default(),
+            lease_lists: Counter::default(),
             omitted_lines: Counter::default(),
         }
     }
@@ -338,8 +353,38 @@
             own.evacuated_domains,
         );
         registry.register("omitted_log_lines", "Log lines left out", own.omitted_lines);
+        self.register_lease(&mut registry);
         registry
     }
+
+    fn register_lease(&self, registry: &mut Registry) {
+        let own = self.clone();
+        registry.register(
+            "lease_proof_age_ms",
+            "Age of the proof that the configuration is the newest; -1 without one",
+            own.lease_proof_age,
+        );
+        registry.register(
+            "lease_queries",
+            "Queries for proofs, sent to other fronts",
+            own.lease_queries,
+        );
+        registry.register(
+            "lease_answers",
+            "Queries for proofs that other fronts answered",
+            own.lease_answers,
+        );
+        registry.register(
+            "lease_replies",
+            "Queries of other fronts that were answered",
+            own.lease_replies,
+        );
+        registry.register(
+            "lease_lists",
+            "Lists of the store for the lease",
+            own.lease_lists,
+        );
+    }
 }
 
 /// Converts a number for a gauge; numbers beyond its range become its maximum.
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -30,7 +30,7 @@
 use crate::front_options::FrontOptions;
 use crate::group_links::GroupLinks;
 use crate::group_server;
-use crate::lease_keeper::LeaseKeeper;
+use crate::lease_keeper::{LeaseKeeper, LeaseLinks};
 use crate::query_admission::QueryAdmission;
 use crate::store_availability::StoreAvailability;
 use crate::store_follower::StoreFollower;
@@ -82,7 +82,16 @@
         let group = start_group(&options, addresses, &catalog).await?;
         let metrics = FrontMetrics::default();
         let control = Arc::new(ControlSocket::new(control));
-        let lease = Arc::new(LeaseKeeper::new(options.lease, Arc::clone(&control)));
+        let lease_links = LeaseLinks::builder()
+            .node(options.node.clone())
+            .catalog(Arc::clone(&catalog))
+            .group(group.clone())
+            .socket(Arc::clone(&control))
+            .metrics(metrics.clone())
+            .clock(clock)
+            .build();
+        let lease = Arc::new(LeaseKeeper::new(options.lease, lease_links));
+        tokio::spawn(Arc::clone(&lease).run(Arc::clone(&store)));
         let credit = Arc::new(CreditKeeper::new(options.quota, Arc::clone(&control)));
         tokio::spawn(serve_control(
             control,
@@ -201,6 +210,7 @@
         };
         let directory = FrontDirectory::new(
             Arc::clone(&self.context.catalog),
+            Arc::clone(&self.context.lease),
             self.group.clone(),
             self.context.stop.clone(),
             own,
--- a/alderhaven-front/src/front_status.rs
+++ b/alderhaven-front/src/front_status.rs
@@ -5,6 +5,7 @@
 
 use crate::evacuated_domain::EvacuatedDomain;
 use crate::front_context::FrontContext;
+use crate::lease_report::LeaseReport;
 
 /// A snapshot of a front's state, served as JSON.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -21,6 +22,9 @@
     pub targets: usize,
     /// The evacuated failure domains.
     pub evacuated: Vec<EvacuatedDomain>,
+    /// The lease on the configuration; absent if the configuration has no teams.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lease: Option<LeaseReport>,
 }
 
 impl FrontStatus {
@@ -37,6 +41,7 @@
             nodes: live.count(),
             targets: view.targets.len(),
             evacuated: context.catalog.evacuated_domains(),
+            lease: context.lease.report(),
         }
     }
 }
--- /dev/null
+++ b/alderhaven-policy/src/lease_group.rs
@@ -0,0 +1,53 @@
+//! The live fronts in the order in which they list the configuration for all.
+
+use std::collections::BTreeSet;
+
+use alderhaven_core::ids::NodeId;
+use alderhaven_core::time::TimePoint;
+
+use crate::group_place::GroupPlace;
+use crate::store_watch_plan::{self, StoreContact, WatchOptions};
+
+/// The live fronts, this one included: first those that reach the store as far as known, in the order of
+/// the watch plan, then the others.
+#[derive(Clone, Debug)]
+pub struct LeaseGroup {
+    order: Vec<NodeId>,
+    place: GroupPlace,
+}
+
+impl LeaseGroup {
+    /// Orders the fronts by what is known now. `now` is a time of the clock of `contacts`.
+    #[must_use]
+    pub fn new(own: &NodeId, others: &[NodeId], contacts: &[StoreContact], now: TimePoint) -> Self {
+        let options = WatchOptions::default();
+        let lost = contacts
+            .iter()
+            .filter(|contact| contact.is_lost(&options, now));
+        let lost: BTreeSet<&NodeId> = lost.map(|contact| &contact.node).collect();
+        let mut order: Vec<NodeId> = others.to_vec();
+        order.push(own.clone());
+        order.sort_by_cached_key(|node| {
+            let (hash, _) = store_watch_plan::order_of(node);
+            (lost.contains(node), hash, node.clone())
+        });
+        let own_place = order.iter().position(|node| node == own);
+        let place = GroupPlace {
+            own: own_place.unwrap_or_default(),
+            nodes: order.len(),
+        };
+        Self { order, place }
+    }
+
+    /// Returns the place of this front.
+    #[must_use]
+    pub const fn place(&self) -> GroupPlace {
+        self.place
+    }
+
+    /// Returns the front at a place.
+    #[must_use]
+    pub fn node_at(&self, place: usize) -> Option<&NodeId> {
+        self.order.get(place)
+    }
+}
--- /dev/null
+++ b/alderhaven-policy/src/lease_schedule.rs
@@ -0,0 +1,181 @@
+//! When a front lists the store or queries another front for a proof, and which front.
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+
+use crate::group_place::GroupPlace;
+use crate::lease_timing::LeaseTiming;
+use crate::store_watch_plan;
+
+/// Times of the latest calls and queries of one front.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseSchedule {
+    timing: LeaseTiming,
+    list_sent_at: Option<TimePoint>,
+    /// When a front that is not the first lists the store; `None` while its proof is young.
+    list_due_at: Option<TimePoint>,
+    query_sent_at: Option<TimePoint>,
+    /// Drawn for each query, from 0 to 1.
+    renew_random: f64,
+    /// Whether the latest query went to the first front of the own failure domain.
+    was_domain_queried: bool,
+}
+
+/// Ages of the proofs that a front has.
+#[derive(Clone, Copy, Debug)]
+pub struct ProofAges {
+    /// Age of the proof that counts; `None` without one.
+    pub confirmed: Option<TimeSpan>,
+    /// Age of the latest proof, including those for a version that is not held yet.
+    pub latest: Option<TimeSpan>,
+}
+
+impl LeaseSchedule {
+    /// Creates the schedule of a process that has sent nothing.
+    #[must_use]
+    pub const fn new(timing: LeaseTiming) -> Self {
+        Self {
+            timing,
+            list_sent_at: None,
+            list_due_at: None,
+            query_sent_at: None,
+            renew_random: 0.5,
+            was_domain_queried: false,
+        }
+    }
+
+    /// Returns true if every path is to be used, because the proof becomes too old.
+    #[must_use]
+    pub fn is_urgent(&self, ages: ProofAges) -> bool {
+        let urgent_age = self.timing.urgent_age();
+        ages.confirmed.is_none_or(|age| age >= urgent_age)
+    }
+
+    /// Returns true if the store is to be listed now, and records the list.
+    pub fn takes_list(
+        &mut self,
+        place: GroupPlace,
+        ages: ProofAges,
+        now: TimePoint,
+        random: f64,
+    ) -> bool {
+        if !place.is_first() && !self.is_urgent(ages) {
+            self.list_due_at = None;
+            return false;
+        }
+        if now < self.list_due(place, now, random) {
+            return false;
+        }
+        self.list_sent_at = Some(now);
+        self.list_due_at = Some(now + self.list_pause(place, random));
+        true
+    }
+
+    /// Returns the front to query now, and records the query.
+    pub fn takes_query(
+        &mut self,
+        place: GroupPlace,
+        ages: ProofAges,
+        now: TimePoint,
+        query: QueryDraw,
+    ) -> Option<usize> {
+        if now < self.query_due(place, ages, now)? {
+            return None;
+        }
+        self.query_sent_at = Some(now);
+        self.renew_random = query.random;
+        let is_urgent = self.is_urgent(ages);
+        if !is_urgent && !query.is_repeated {
+            return Some(draw_below(place.queried_places(), query.random));
+        }
+        // Where the domain is cut off, its first front lists the store, and few others answer.
+        self.was_domain_queried = is_urgent && !self.was_domain_queried;
+        if self.was_domain_queried && place.domain_first != place.own {
+            return Some(place.domain_first);
+        }
+        let other = draw_below(place.nodes - 1, query.random);
+        Some(if other < place.own { other } else { other + 1 })
+    }
+
+    /// Returns when the next list or query is due.
+    #[must_use]
+    pub fn next_due(&self, place: GroupPlace, ages: ProofAges, now: TimePoint) -> TimePoint {
+        let urgent_at = after_age(ages.confirmed, self.timing.urgent_age(), now);
+        let list_due = if place.is_first() {
+            self.list_sent_at
+                .map_or(now, |sent| sent + self.timing.list_interval())
+        } else if self.is_urgent(ages) {
+            self.list_due_at.unwrap_or(now)
+        } else {
+            urgent_at
+        };
+        let query_due = self.query_due(place, ages, now);
+        query_due.map_or(list_due, |due| due.min(list_due))
+    }
+
+    /// Returns when the store is to be listed by a front that lists it at all. Fronts whose proofs
+    /// become old together spread their first calls, so that the rate of all does not grow with
+    /// the group.
+    fn list_due(&mut self, place: GroupPlace, now: TimePoint, random: f64) -> TimePoint {
+        let last_due = self
+            .list_sent_at
+            .map_or(now, |sent| sent + self.timing.list_interval());
+        if place.is_frequent_lister() {
+            return last_due;
+        }
+        let first_pause = self.list_pause(place, 0.5).mul_f64(random);
+        let due = *self.list_due_at.get_or_insert(now + first_pause);
+        due.max(last_due)
+    }
+
+    fn list_pause(&self, place: GroupPlace, random: f64) -> TimeSpan {
+        let interval = self.timing.list_interval();
+        if place.is_frequent_lister() {
+            interval
+        } else {
+            store_watch_plan::group_retry_pause(place.nodes, random).max(interval)
+        }
+    }
+
+    /// Returns when the next query is due; `None` if the front queries nobody.
+    fn query_due(&self, place: GroupPlace, ages: ProofAges, now: TimePoint) -> Option<TimePoint> {
+        let is_urgent = self.is_urgent(ages);
+        let is_alone = place.nodes < 2;
+        if is_alone || (place.is_first() && !is_urgent) {
+            return None;
+        }
+        let renew_age = self.timing.renew_age(place.hops(), self.renew_random);
+        let wanted_at = if is_urgent {
+            now
+        } else {
+            after_age(ages.latest, renew_age, now)
+        };
+        let free_at = self
+            .query_sent_at
+            .map_or(now, |sent| sent + self.timing.query_timeout());
+        Some(wanted_at.max(free_at))
+    }
+}
+
+/// What is drawn and known for the choice of the front to query.
+#[derive(Clone, Copy, Debug)]
+pub struct QueryDraw {
+    /// A random number from 0 to 1.
+    pub random: f64,
+    /// Whether the latest query was not answered.
+    pub is_repeated: bool,
+}
+
+/// Returns when a proof of `age` reaches `limit`; now, if it has, or there is none.
+fn after_age(age: Option<TimeSpan>, limit: TimeSpan, now: TimePoint) -> TimePoint {
+    age.map_or(now, |age| now + limit.saturating_sub(age))
+}
+
+/// Returns a number below `count` by a random number from 0 to 1.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is from 0 to a number of nodes"
+)]
+fn draw_below(count: usize, random: f64) -> usize {
+    ((count as f64 * random) as usize).min(count.saturating_sub(1))
+}
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -59,6 +59,14 @@
     pub reported_at: TimePoint,
 }
 
+impl StoreContact {
+    /// Returns `true` if the node reported recently that the store does not answer it.
+    #[must_use]
+    pub fn is_lost(&self, options: &WatchOptions, now: TimePoint) -> bool {
+        !self.is_reached && now.since(self.reported_at) < options.store_loss_timeout
+    }
+}
+
 /// The information from which a node decides whether it watches.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchPlan<'a> {
@@ -103,11 +111,8 @@
 
     /// Returns `true` if the node reported recently that the store does not answer it.
     fn has_lost_store(&self, node: &NodeId, options: &WatchOptions, now: TimePoint) -> bool {
-        self.contacts.iter().any(|contact| {
-            contact.node == *node
-                && !contact.is_reached
-                && now.since(contact.reported_at) < options.store_loss_timeout
-        })
+        let mut contacts = self.contacts.iter();
+        contacts.any(|contact| contact.node == *node && contact.is_lost(options, now))
     }
 }
 
@@ -119,6 +124,6 @@
     before.count() < count
 }
 
-fn order_of(node: &NodeId) -> (u64, &NodeId) {
+pub(crate) fn order_of(node: &NodeId) -> (u64, &NodeId) {
     (hashing::hash_name(node.as_str()), node)
 }
