--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -12,6 +12,7 @@
 use alderhaven_peer::control_messages::ControlMessage;
 use alderhaven_peer::peer_options::ConfigAccess;
 use alderhaven_policy::drain::{DrainOptions, DrainState, StopReport};
+use alderhaven_policy::lease_group::GroupFront;
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_store::object_store::ObjectStore;
 use log::Level;
@@ -83,7 +84,10 @@
         let metrics = FrontMetrics::default();
         let control = Arc::new(ControlSocket::new(control));
         let lease_links = LeaseLinks::builder()
-            .node(options.node.clone())
+            .own(GroupFront {
+                node: options.node.clone(),
+                domain: options.domain.clone(),
+            })
             .catalog(Arc::clone(&catalog))
             .group(group.clone())
             .socket(Arc::clone(&control))
--- a/alderhaven-front/src/lease_keeper.rs
+++ b/alderhaven-front/src/lease_keeper.rs
@@ -17,7 +17,7 @@
 use alderhaven_peer::control_messages::{ControlMessage, LeaseQuery, LeaseReply};
 use alderhaven_policy::config_lease::{ConfigLease, LeaseOptions, LeaseStatus};
 use alderhaven_policy::lease_change::LeaseChange;
-use alderhaven_policy::lease_group::LeaseGroup;
+use alderhaven_policy::lease_group::{GroupFront, LeaseGroup};
 use alderhaven_policy::lease_step::LeaseStep;
 use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError};
 use log::Level;
@@ -47,8 +47,8 @@
 /// The parts of a front that its lease uses.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct LeaseLinks {
-    /// The id of this node.
-    pub node: NodeId,
+    /// This front.
+    pub own: GroupFront,
     /// The configuration and what is known of the store.
     pub catalog: Arc<Catalog>,
     /// The other fronts.
@@ -194,10 +194,13 @@
         let members = self.links.group.members();
         let others = members.iter().skip(1);
         let live = others.filter(|member| member.state.takes_work());
-        let live: Vec<NodeId> = live.map(|member| member.record.node.clone()).collect();
+        let live = live.map(|member| GroupFront {
+            node: member.record.node.clone(),
+            domain: member.record.domain.clone(),
+        });
         let contacts = self.links.catalog.store_contacts();
         let now = self.links.clock.now();
-        LeaseGroup::new(&self.links.node, &live, &contacts, now)
+        LeaseGroup::new(&self.links.own, live.collect(), &contacts, now)
     }
 
     fn send_query(&self, number: u64, receiver: Option<&NodeId>) {
@@ -248,10 +251,11 @@
     /// Tells the other fronts when it changes whether the store answers this one: the first front
     /// that reaches it lists the configuration for all.
     fn record_store_contact(&self, is_reached: bool) {
-        let LeaseLinks { node, catalog, .. } = &self.links;
+        let LeaseLinks { own, catalog, .. } = &self.links;
+        let node = &own.node;
         let contacts = catalog.store_contacts();
-        let own = contacts.iter().find(|contact| contact.node == *node);
-        if own.is_none_or(|contact| contact.is_reached) != is_reached {
+        let known = contacts.iter().find(|contact| contact.node == *node);
+        if known.is_none_or(|contact| contact.is_reached) != is_reached {
             catalog.publish_store_contact(node, is_reached, wall_clock::unix_millis());
         }
     }
--- a/alderhaven-policy/src/lease_group.rs
+++ b/alderhaven-policy/src/lease_group.rs
@@ -2,38 +2,54 @@
 
 use std::collections::BTreeSet;
 
-use alderhaven_core::ids::NodeId;
+use alderhaven_core::ids::{FailureDomain, NodeId};
 use alderhaven_core::time::TimePoint;
 
 use crate::group_place::GroupPlace;
 use crate::store_watch_plan::{self, StoreContact, WatchOptions};
 
+/// A live front.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupFront {
+    /// The id of the front.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+}
+
 /// The live fronts, this one included: first those that reach the store as far as known, in the order of
 /// the watch plan, then the others.
 #[derive(Clone, Debug)]
 pub struct LeaseGroup {
-    order: Vec<NodeId>,
+    order: Vec<GroupFront>,
     place: GroupPlace,
 }
 
 impl LeaseGroup {
     /// Orders the fronts by what is known now. `now` is a time of the clock of `contacts`.
     #[must_use]
-    pub fn new(own: &NodeId, others: &[NodeId], contacts: &[StoreContact], now: TimePoint) -> Self {
+    pub fn new(
+        own: &GroupFront,
+        others: Vec<GroupFront>,
+        contacts: &[StoreContact],
+        now: TimePoint,
+    ) -> Self {
         let options = WatchOptions::default();
         let lost = contacts
             .iter()
             .filter(|contact| contact.is_lost(&options, now));
         let lost: BTreeSet<&NodeId> = lost.map(|contact| &contact.node).collect();
-        let mut order: Vec<NodeId> = others.to_vec();
+        let mut order = others;
         order.push(own.clone());
-        order.sort_by_cached_key(|node| {
-            let (hash, _) = store_watch_plan::order_of(node);
+        order.sort_by_cached_key(|front| {
+            let (hash, node) = store_watch_plan::order_of(&front.node);
             (lost.contains(node), hash, node.clone())
         });
-        let own_place = order.iter().position(|node| node == own);
+        let own_place = order.iter().position(|front| front.node == own.node);
+        let domain_first = order.iter().position(|front| front.domain == own.domain);
         let place = GroupPlace {
             own: own_place.unwrap_or_default(),
+            domain_first: domain_first.unwrap_or_default(),
             nodes: order.len(),
         };
         Self { order, place }
@@ -48,6 +64,6 @@
     /// Returns the front at a place.
     #[must_use]
     pub fn node_at(&self, place: usize) -> Option<&NodeId> {
-        self.order.get(place)
+        self.order.get(place).map(|front| &front.node)
     }
 }
