Lease: query the own failure domain, and any of its fronts, when a proof becomes old

Cause: in a failure domain that is cut off and whose first front the store refuses, queries to random fronts of the whole group seldom reach one with a proof. Change: such queries alternate between the first front of the own domain, any front of it and any front at all.

--- a/alderhaven-front/src/lease_keeper.rs
+++ b/alderhaven-front/src/lease_keeper.rs
@@ -183,7 +183,7 @@
                     tokio::spawn(Arc::clone(self).list_store(Arc::clone(store), now));
                 }
                 Some(LeaseStep::Query { number, receiver }) => {
-                    self.send_query(number, group.node_at(receiver));
+                    self.send_query(number, group.find_receiver(receiver, random));
                 }
                 None => return self.lease().next_due(group.place(), now),
             }
--- a/alderhaven-policy/src/lease_group.rs
+++ b/alderhaven-policy/src/lease_group.rs
@@ -6,6 +6,8 @@
 use alderhaven_core::time::TimePoint;
 
 use crate::group_place::GroupPlace;
+use crate::lease_schedule;
+use crate::query_receiver::QueryReceiver;
 use crate::store_watch_plan::{self, StoreContact, WatchOptions};
 
 /// A live front.
@@ -61,9 +63,30 @@
         self.place
     }
 
-    /// Returns the front at a place.
+    /// Returns the front that a query goes to; `None` if there is no other front. `random`, from 0 to 1,
+    /// chooses among several.
     #[must_use]
-    pub fn node_at(&self, place: usize) -> Option<&NodeId> {
-        self.order.get(place).map(|front| &front.node)
+    pub fn find_receiver(&self, receiver: QueryReceiver, random: f64) -> Option<&NodeId> {
+        let front = match receiver {
+            QueryReceiver::Place(place) => self.order.get(place),
+            QueryReceiver::OwnDomain => self.find_near(random).or_else(|| self.find_any(random)),
+            QueryReceiver::Any => self.find_any(random),
+        };
+        front.map(|front| &front.node)
+    }
+
+    fn find_near(&self, random: f64) -> Option<&GroupFront> {
+        let own = self.order.get(self.place.own)?;
+        let is_near = |front: &&GroupFront| front.domain == own.domain && front.node != own.node;
+        let count = self.order.iter().filter(is_near).count();
+        let mut near = self.order.iter().filter(is_near);
+        near.nth(lease_schedule::draw_below(count, random))
+    }
+
+    fn find_any(&self, random: f64) -> Option<&GroupFront> {
+        let others = self.order.len().saturating_sub(1);
+        let other = lease_schedule::draw_below(others, random);
+        let is_before = other < self.place.own;
+        self.order.get(if is_before { other } else { other + 1 })
     }
 }
--- a/alderhaven-policy/src/lease_schedule.rs
+++ b/alderhaven-policy/src/lease_schedule.rs
@@ -4,6 +4,7 @@
 
 use crate::group_place::GroupPlace;
 use crate::lease_timing::LeaseTiming;
+use crate::query_receiver::QueryReceiver;
 use crate::store_watch_plan;
 
 /// Times of the latest calls and queries of one front.
@@ -16,8 +17,8 @@
     query_sent_at: Option<TimePoint>,
     /// Drawn for each query, from 0 to 1.
     renew_random: f64,
-    /// Whether the latest query went to the first front of the own failure domain.
-    was_domain_queried: bool,
+    /// The number of queries that were sent because the proof became too old.
+    urgent_queries: u32,
 }
 
 /// Ages of the proofs that a front has.
@@ -39,7 +40,7 @@
             list_due_at: None,
             query_sent_at: None,
             renew_random: 0.5,
-            was_domain_queried: false,
+            urgent_queries: 0,
         }
     }
 
@@ -77,7 +78,7 @@
         ages: ProofAges,
         now: TimePoint,
         query: QueryDraw,
-    ) -> Option<usize> {
+    ) -> Option<QueryReceiver> {
         if now < self.query_due(place, ages, now)? {
             return None;
         }
@@ -85,15 +86,20 @@
         self.renew_random = query.random;
         let is_urgent = self.is_urgent(ages);
         if !is_urgent && !query.is_repeated {
-            return Some(draw_below(place.queried_places(), query.random));
+            let receiver = draw_below(place.queried_places(), query.random);
+            return Some(QueryReceiver::Place(receiver));
         }
-        // Where the domain is cut off, its first front lists the store, and few others answer.
-        self.was_domain_queried = is_urgent && !self.was_domain_queried;
-        if self.was_domain_queried && place.domain_first != place.own {
-            return Some(place.domain_first);
+        if !is_urgent {
+            return Some(QueryReceiver::Any);
+        }
+        self.urgent_queries = self.urgent_queries.wrapping_add(1);
+        // Where the domain is cut off from the others, few of all answer, and its first front lists the
+        // store; where the store refuses that front, any other may have a proof.
+        match self.urgent_queries % 3 {
+            1 if place.domain_first != place.own => Some(QueryReceiver::Place(place.domain_first)),
+            2 => Some(QueryReceiver::OwnDomain),
+            _ => Some(QueryReceiver::Any),
         }
-        let other = draw_below(place.nodes - 1, query.random);
-        Some(if other < place.own { other } else { other + 1 })
     }
 
     /// Returns when the next list or query is due.
@@ -176,6 +182,6 @@
     clippy::cast_sign_loss,
     reason = "the number is from 0 to a number of nodes"
 )]
-fn draw_below(count: usize, random: f64) -> usize {
+pub(crate) fn draw_below(count: usize, random: f64) -> usize {
     ((count as f64 * random) as usize).min(count.saturating_sub(1))
 }
--- a/alderhaven-policy/src/lease_step.rs
+++ b/alderhaven-policy/src/lease_step.rs
@@ -1,5 +1,7 @@
 //! What a front does next to keep its lease.
 
+use crate::query_receiver::QueryReceiver;
+
 /// One step; the caller carries it out at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -9,7 +11,7 @@
     Query {
         /// Number of the query.
         number: u64,
-        /// Place in the order of the group, never the own one.
-        receiver: usize,
+        /// The front to query.
+        receiver: QueryReceiver,
     },
 }
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod quarantine;
 pub mod query_gate;
 pub mod query_gather;
+pub mod query_receiver;
 pub mod quota_bound;
 pub mod rate_meter;
 pub mod relay_queue;
--- a/alderhaven-policy/tests/config_lease/lease_simulation.rs
+++ b/alderhaven-policy/tests/config_lease/lease_simulation.rs
@@ -6,6 +6,7 @@
 use alderhaven_policy::config_lease::{ConfigLease, LeaseOptions, LeaseStatus};
 use alderhaven_policy::group_place::GroupPlace;
 use alderhaven_policy::lease_step::LeaseStep;
+use alderhaven_policy::query_receiver::QueryReceiver;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -43,6 +44,7 @@
     pub held: Option<StoreVersion>,
     pub is_store_refused: bool,
     pub is_cut: bool,
+    pub is_exchange_stopped: bool,
     pub suspended_until: u64,
     started_at: u64,
     clock_rate: f64,
@@ -136,6 +138,7 @@
             held: None,
             is_store_refused: false,
             is_cut: false,
+            is_exchange_stopped: false,
             suspended_until: 0,
             started_at: self.now,
             clock_rate: self.rng.random_range(0.99..1.01),
@@ -292,7 +295,12 @@
                     front.contact_lost_at = Some(self.now);
                 }
             }
-            Message::Config(version) => self.accept_config(receiver, version),
+            Message::Config(version) => {
+                let front = &self.fronts[receiver];
+                if !front.is_cut && !front.is_exchange_stopped {
+                    self.accept_config(receiver, version);
+                }
+            }
         }
     }
 
@@ -326,15 +334,19 @@
         if !self.now.is_multiple_of(EXCHANGE_INTERVAL_MS) {
             return;
         }
-        for index in 0..self.fronts.len() {
-            let peer = self.rng.random_range(0..self.fronts.len());
-            let held = self.fronts[peer].held;
-            let is_awake = self.fronts[index].suspended_until <= self.now;
-            if let Some(held) = held
-                && is_awake
-                && self.is_connected(index, peer)
-            {
-                self.accept_config(index, held);
+        let count = self.fronts.len();
+        for index in 0..count {
+            // A front notices a difference from the gossip of others, most of which is of its domain.
+            let near: Vec<usize> = (index % DOMAINS..count).step_by(DOMAINS).collect();
+            let near = near[self.rng.random_range(0..near.len())];
+            let peers = [near, self.rng.random_range(0..count)];
+            let front = &self.fronts[index];
+            let is_awake = front.suspended_until <= self.now && !front.is_exchange_stopped;
+            for peer in peers {
+                let is_reached = is_awake && self.is_connected(index, peer);
+                if let Some(held) = self.fronts[peer].held.filter(|_| is_reached) {
+                    self.accept_config(index, held);
+                }
             }
         }
     }
@@ -354,19 +366,38 @@
             match front.lease.next_step(place, now, random) {
                 Some(LeaseStep::ListStore) => self.list_store(index, now),
                 Some(LeaseStep::Query { number, receiver }) => {
-                    assert_ne!(order[receiver], index, "a front queries itself");
+                    let receiver = self.find_receiver(order, place, receiver);
+                    assert_ne!(receiver, index, "a front queries itself");
                     self.queries += 1;
                     let query = Message::Query {
                         sender: index,
                         number,
                     };
-                    self.send(index, order[receiver], query);
+                    self.send(index, receiver, query);
                 }
                 None => return,
             }
         }
     }
 
+    fn find_receiver(
+        &mut self,
+        order: &[usize],
+        place: GroupPlace,
+        receiver: QueryReceiver,
+    ) -> usize {
+        let index = order[place.own];
+        let is_near = |other: &usize| other % DOMAINS == index % DOMAINS;
+        let others = order.iter().copied().filter(|other| *other != index);
+        let near: Vec<usize> = others.clone().filter(is_near).collect();
+        let candidates = match receiver {
+            QueryReceiver::Place(place) => return order[place],
+            QueryReceiver::OwnDomain if !near.is_empty() => near,
+            QueryReceiver::OwnDomain | QueryReceiver::Any => others.collect(),
+        };
+        candidates[self.rng.random_range(0..candidates.len())]
+    }
+
     fn list_store(&mut self, index: usize, sent_at: TimePoint) {
         self.list_calls += 1;
         let incarnation = self.fronts[index].incarnation;
--- a/alderhaven-policy/tests/config_lease/main.rs
+++ b/alderhaven-policy/tests/config_lease/main.rs
@@ -36,13 +36,22 @@
 #[derive(Clone, Debug)]
 enum SystemChange {
     RemoveKey,
-    Links { loss: f64, max_delay: u64 },
-    CutFront(usize),
+    Links {
+        loss: f64,
+        max_delay: u64,
+    },
+    /// Cuts a front off from the other fronts and the store.
+    Isolate(usize),
+    /// Lets a front learn of configurations from the store only.
+    StopExchange(usize),
     CutDomains,
     HealLinks,
     RefuseStore(usize),
     SilenceStore(bool),
-    Suspend { front: usize, millis: u64 },
+    Suspend {
+        front: usize,
+        millis: u64,
+    },
     Restart(usize),
 }
 
@@ -63,9 +72,10 @@
         4 => Just(SystemChange::RemoveKey),
         2 => (0.0..0.9, 0..9_000_u64)
             .prop_map(|(loss, max_delay)| SystemChange::Links { loss, max_delay }),
-        2 => front.clone().prop_map(SystemChange::CutFront),
+        4 => front.clone().prop_map(SystemChange::Isolate),
+        2 => front.clone().prop_map(SystemChange::StopExchange),
         1 => Just(SystemChange::CutDomains),
-        2 => Just(SystemChange::HealLinks),
+        1 => Just(SystemChange::HealLinks),
         2 => front.clone().prop_map(SystemChange::RefuseStore),
         1 => any::<bool>().prop_map(SystemChange::SilenceStore),
         2 => (front.clone(), 0..12_000_u64)
@@ -90,7 +100,13 @@
             simulation.loss = loss;
             simulation.max_delay = max_delay;
         }
-        SystemChange::CutFront(front) => simulation.fronts[front % count].is_cut = true,
+        SystemChange::Isolate(front) => {
+            let front = &mut simulation.fronts[front % count];
+            (front.is_cut, front.is_store_refused) = (true, true);
+        }
+        SystemChange::StopExchange(front) => {
+            simulation.fronts[front % count].is_exchange_stopped = true;
+        }
         SystemChange::CutDomains => simulation.are_domains_cut = true,
         SystemChange::HealLinks => heal(simulation),
         SystemChange::RefuseStore(front) => {
@@ -112,6 +128,7 @@
     for front in &mut simulation.fronts {
         front.is_cut = false;
         front.is_store_refused = false;
+        front.is_exchange_stopped = false;
         front.suspended_until = 0;
     }
 }
@@ -145,7 +162,7 @@
     fn lease_any_order_of_events(
         count in DOMAINS..12_usize,
         seed in any::<u64>(),
-        changes in prop::collection::vec((system_change(), 0..1_500_u64), 0..40),
+        changes in prop::collection::vec((system_change(), 0..3_000_u64), 0..40),
         fault in lasting_fault(),
     ) {
         let mut simulation = LeaseSimulation::new(count, seed);
