--- a/alderhaven-policy/src/group_place.rs
+++ b/alderhaven-policy/src/group_place.rs
@@ -32,19 +32,22 @@
         self.own < FREQUENT_LISTERS || self.own == self.domain_first
     }
 
-    /// Returns the number of fronts, counted from the first place, which this front queries.
+    /// Returns the place of the front that this one queries; `None` for the first.
+    ///
+    /// It is the last of the first `own / 16` places, rounded up. If all of these were queried alike,
+    /// the first front would answer 67 queries per second in a group of 580.
     #[must_use]
-    pub const fn queried_places(self) -> usize {
-        self.own.div_ceil(FRONTS_PER_PLACE)
+    pub const fn queried_place(self) -> Option<usize> {
+        self.own.div_ceil(FRONTS_PER_PLACE).checked_sub(1)
     }
 
-    /// Returns the largest number of fronts that a proof passes on its way from the store to here.
+    /// Returns the number of fronts that a proof passes on its way from the store to here.
     #[must_use]
     pub const fn hops(self) -> usize {
-        let mut place = self.own;
+        let mut place = self;
         let mut hops = 0;
-        while place > 0 {
-            place = place.div_ceil(FRONTS_PER_PLACE) - 1;
+        while let Some(own) = place.queried_place() {
+            place.own = own;
             hops += 1;
         }
         hops
--- a/alderhaven-policy/src/lease_group.rs
+++ b/alderhaven-policy/src/lease_group.rs
@@ -6,7 +6,6 @@
 use alderhaven_core::time::TimePoint;
 
 use crate::group_place::GroupPlace;
-use crate::lease_schedule;
 use crate::query_receiver::QueryReceiver;
 use crate::store_watch_plan::{self, StoreContact, WatchOptions};
 
@@ -80,13 +79,23 @@
         let is_near = |front: &&GroupFront| front.domain == own.domain && front.node != own.node;
         let count = self.order.iter().filter(is_near).count();
         let mut near = self.order.iter().filter(is_near);
-        near.nth(lease_schedule::draw_below(count, random))
+        near.nth(draw_below(count, random))
     }
 
     fn find_any(&self, random: f64) -> Option<&GroupFront> {
         let others = self.order.len().saturating_sub(1);
-        let other = lease_schedule::draw_below(others, random);
+        let other = draw_below(others, random);
         let is_before = other < self.place.own;
         self.order.get(if is_before { other } else { other + 1 })
     }
 }
+
+/// Returns a number below `count` by a random number from 0 to 1.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is from 0 to a number of nodes"
+)]
+fn draw_below(count: usize, random: f64) -> usize {
+    ((count as f64 * random) as usize).min(count.saturating_sub(1))
+}
--- a/alderhaven-policy/src/lease_schedule.rs
+++ b/alderhaven-policy/src/lease_schedule.rs
@@ -86,8 +86,7 @@
         self.renew_random = query.random;
         let is_urgent = self.is_urgent(ages);
         if !is_urgent && !query.is_repeated {
-            let receiver = draw_below(place.queried_places(), query.random);
-            return Some(QueryReceiver::Place(receiver));
+            return place.queried_place().map(QueryReceiver::Place);
         }
         if !is_urgent {
             return Some(QueryReceiver::Any);
@@ -175,13 +174,3 @@
 fn after_age(age: Option<TimeSpan>, limit: TimeSpan, now: TimePoint) -> TimePoint {
     age.map_or(now, |age| now + limit.saturating_sub(age))
 }
-
-/// Returns a number below `count` by a random number from 0 to 1.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the number is from 0 to a number of nodes"
-)]
-pub(crate) fn draw_below(count: usize, random: f64) -> usize {
-    ((count as f64 * random) as usize).min(count.saturating_sub(1))
-}
