--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -187,28 +187,34 @@
     },
     /// The front got the first proof that its configuration is the newest; keyed requests are served.
     LeaseObtained {
-        /// The era of the proven version.
+        /// The version of the configuration in force.
+        version: Option<u64>,
+        /// The store's era of the proof.
         era: StoreEra,
-        /// The proven version of the configuration.
-        version: StoreVersion,
+        /// The store's revision of the configuration that was proven to be the newest.
+        revision: StoreVersion,
         /// The age of the proof, in milliseconds.
         proof_age_ms: u64,
     },
     /// The last proof is older than the bound allows; keyed requests are refused.
     LeaseLost {
-        /// The era of the proven version.
+        /// The version of the configuration in force.
+        version: Option<u64>,
+        /// The store's era of the proof.
         era: StoreEra,
-        /// The proven version of the configuration.
-        version: StoreVersion,
+        /// The store's revision of the configuration that was proven to be the newest.
+        revision: StoreVersion,
         /// The age of the proof, in milliseconds.
         proof_age_ms: u64,
     },
     /// The front got a proof again; keyed requests are served.
     LeaseRecovered {
-        /// The era of the proven version.
+        /// The version of the configuration in force.
+        version: Option<u64>,
+        /// The store's era of the proof.
         era: StoreEra,
-        /// The proven version of the configuration.
-        version: StoreVersion,
+        /// The store's revision of the configuration that was proven to be the newest.
+        revision: StoreVersion,
         /// The age of the proof, in milliseconds.
         proof_age_ms: u64,
     },
--- a/alderhaven-front/src/lease_keeper.rs
+++ b/alderhaven-front/src/lease_keeper.rs
@@ -9,15 +9,14 @@
 use alderhaven_core::boot_clock::BootClock;
 use alderhaven_core::config_object::ObjectKind;
 use alderhaven_core::ids::{NodeId, StoreEra};
-use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_core::wall_clock;
-use alderhaven_node::node_group::NodeGroup;
 use alderhaven_peer::control_messages::{ControlMessage, LeaseQuery, LeaseReply};
 use alderhaven_policy::config_lease::{ConfigLease, LeaseOptions, LeaseStatus};
+use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::lease_change::LeaseChange;
-use alderhaven_policy::lease_group::{GroupFront, LeaseGroup};
+use alderhaven_policy::lease_group::LeaseGroup;
 use alderhaven_policy::lease_step::LeaseStep;
 use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError};
 use log::Level;
@@ -26,9 +25,8 @@
 use tokio::time;
 
 use crate::catalog::Catalog;
-use crate::control_socket::ControlSocket;
 use crate::front_event::FrontEvent;
-use crate::front_metrics::FrontMetrics;
+use crate::lease_links::LeaseLinks;
 use crate::lease_report::LeaseReport;
 
 /// The time after which a list call is given up; its late answer still counts from its send.
@@ -44,23 +42,6 @@
 /// The shortest pause between two checks.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
-/// The parts of a front that its lease uses.
-#[derive(Clone, Debug, bon::Builder)]
-pub struct LeaseLinks {
-    /// This front.
-    pub own: GroupFront,
-    /// The configuration and what is known of the store.
-    pub catalog: Arc<Catalog>,
-    /// The other fronts.
-    pub group: NodeGroup,
-    /// Sends queries and replies.
-    pub socket: Arc<ControlSocket>,
-    /// The metrics of the process.
-    pub metrics: FrontMetrics,
-    /// The clock of the catalog.
-    pub clock: ProcessClock,
-}
-
 /// The lease of one front, shared by its tasks.
 #[derive(Debug)]
 pub struct LeaseKeeper {
@@ -275,29 +256,34 @@
         let Some((change, proof)) = change.zip(proof) else {
             return;
         };
-        let (era, version) = (proof.version.era, proof.version);
+        let (era, revision) = (proof.version.era, proof.version);
+        let routing = self.links.catalog.view().routing.clone();
+        let version = routing.map(|routing| routing.version);
         let proof_age_ms = proof.age(now).as_millis();
         let (event, level) = match change {
             LeaseChange::Obtained => (
                 FrontEvent::LeaseObtained {
-                    era,
                     version,
+                    era,
+                    revision,
                     proof_age_ms,
                 },
                 Level::Info,
             ),
             LeaseChange::Lost => (
                 FrontEvent::LeaseLost {
-                    era,
                     version,
+                    era,
+                    revision,
                     proof_age_ms,
                 },
                 Level::Warn,
             ),
             LeaseChange::Recovered => (
                 FrontEvent::LeaseRecovered {
-                    era,
                     version,
+                    era,
+                    revision,
                     proof_age_ms,
                 },
                 Level::Info,
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod group_plan;
 pub mod group_server;
 pub mod lease_keeper;
+pub mod lease_links;
 pub mod lease_report;
 pub mod query_admission;
 pub mod query_call;
--- a/alderhaven-policy/src/config_lease.rs
+++ b/alderhaven-policy/src/config_lease.rs
@@ -13,10 +13,11 @@
 use crate::lease_change::LeaseChange;
 pub use crate::lease_options::LeaseOptions;
 use crate::lease_queries::LeaseQueries;
-use crate::lease_schedule::{LeaseSchedule, ProofAges, QueryDraw};
+use crate::lease_schedule::LeaseSchedule;
 pub use crate::lease_status::LeaseStatus;
 use crate::lease_step::LeaseStep;
 use crate::lease_timing::LeaseTiming;
+use crate::proof_ages::ProofAges;
 
 /// The number of proofs that wait for their version. A front that lags behind more versions than this
 /// waits for the latest ones.
@@ -128,11 +129,10 @@
         if self.schedule.takes_list(place, ages, now, random) {
             return Some(LeaseStep::ListStore);
         }
-        let query = QueryDraw {
-            random,
-            is_repeated: !self.queries.is_last_answered(),
-        };
-        let receiver = self.schedule.takes_query(place, ages, now, query)?;
+        let is_repeated = !self.queries.is_last_answered();
+        let receiver = self
+            .schedule
+            .takes_query(place, ages, now, random, is_repeated)?;
         if let Some(end_age) = self.timing.end_age() {
             self.queries.drop_older(end_age, now);
         }
--- a/alderhaven-policy/src/lease_group.rs
+++ b/alderhaven-policy/src/lease_group.rs
@@ -2,22 +2,14 @@
 
 use std::collections::BTreeSet;
 
-use alderhaven_core::ids::{FailureDomain, NodeId};
+use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::TimePoint;
 
+use crate::group_front::GroupFront;
 use crate::group_place::GroupPlace;
 use crate::query_receiver::QueryReceiver;
 use crate::store_watch_plan::{self, StoreContact, WatchOptions};
 
-/// A live front.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct GroupFront {
-    /// The id of the front.
-    pub node: NodeId,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-}
-
 /// The live fronts, this one included: first those that reach the store as far as known, in the order of
 /// the watch plan, then the others.
 #[derive(Clone, Debug)]
--- a/alderhaven-policy/src/lease_schedule.rs
+++ b/alderhaven-policy/src/lease_schedule.rs
@@ -4,6 +4,7 @@
 
 use crate::group_place::GroupPlace;
 use crate::lease_timing::LeaseTiming;
+use crate::proof_ages::ProofAges;
 use crate::query_receiver::QueryReceiver;
 use crate::store_watch_plan;
 
@@ -21,15 +22,6 @@
     urgent_queries: u32,
 }
 
-/// Ages of the proofs that a front has.
-#[derive(Clone, Copy, Debug)]
-pub struct ProofAges {
-    /// Age of the proof that counts; `None` without one.
-    pub confirmed: Option<TimeSpan>,
-    /// Age of the latest proof, including those for a version that is not held yet.
-    pub latest: Option<TimeSpan>,
-}
-
 impl LeaseSchedule {
     /// Creates the schedule of a process that has sent nothing.
     #[must_use]
@@ -71,21 +63,23 @@
         true
     }
 
-    /// Returns the front to query now, and records the query.
+    /// Returns the front to query now, and records the query. `is_repeated` tells that the latest query was
+    /// not answered.
     pub fn takes_query(
         &mut self,
         place: GroupPlace,
         ages: ProofAges,
         now: TimePoint,
-        query: QueryDraw,
+        random: f64,
+        is_repeated: bool,
     ) -> Option<QueryReceiver> {
         if now < self.query_due(place, ages, now)? {
             return None;
         }
         self.query_sent_at = Some(now);
-        self.renew_random = query.random;
+        self.renew_random = random;
         let is_urgent = self.is_urgent(ages);
-        if !is_urgent && !query.is_repeated {
+        if !is_urgent && !is_repeated {
             return place.queried_place().map(QueryReceiver::Place);
         }
         if !is_urgent {
@@ -161,15 +155,6 @@
     }
 }
 
-/// What is drawn and known for the choice of the front to query.
-#[derive(Clone, Copy, Debug)]
-pub struct QueryDraw {
-    /// A random number from 0 to 1.
-    pub random: f64,
-    /// Whether the latest query was not answered.
-    pub is_repeated: bool,
-}
-
 /// Returns when a proof of `age` reaches `limit`; now, if it has, or there is none.
 fn after_age(age: Option<TimeSpan>, limit: TimeSpan, now: TimePoint) -> TimePoint {
     age.map_or(now, |age| now + limit.saturating_sub(age))
