--- a/alderhaven-front/src/caller_check.rs
+++ b/alderhaven-front/src/caller_check.rs
@@ -27,7 +27,7 @@
 
 /// Determines who sent a request, and removes the key from its head.
 ///
-/// Nothing is awaited here, so that the lease covers the configuration that the view contains.
+/// `lease` is the status that the lease had before the view was read.
 ///
 /// # Errors
 /// The answer to a caller that is not served.
@@ -35,6 +35,7 @@
     context: &FrontContext,
     view: &CatalogView,
     route: &LiveRoute,
+    lease: LeaseStatus,
     head: &mut Parts,
     request_id: &str,
 ) -> Result<CallerIdentity, Box<FrontAnswer>> {
@@ -49,7 +50,6 @@
     if let Ok(team) = team {
         context.metrics.teams.observe_request(&team.name);
     }
-    let lease = context.lease.status();
     let reason = match key_verdict::judge_key(team, lease) {
         KeyVerdict::Accepted(team) => return Ok(CallerIdentity::Team(Arc::clone(team))),
         KeyVerdict::Refused(fault) => {
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -77,7 +77,10 @@
     let limit = caller_timeout
         .mul_f64(MAX_CONFIG_WAIT_FRACTION)
         .min(MAX_CONFIG_WAIT);
-    let view = context.catalog.view_with_routing(limit).await;
+    context.catalog.wait_for_routing(limit).await;
+    // The lease covers a configuration that is read after its status.
+    let lease = context.lease.status();
+    let view = context.catalog.view();
     let Some(routing) = view.routing.clone() else {
         return refuse_without_config(context, &request_id);
     };
@@ -85,11 +88,17 @@
     let Some(route) = view.find_route(&site, head.uri.path()).cloned() else {
         return refuse_bad_request(request_id, BadRequest::NoRoute, routing.version);
     };
-    let identity =
-        match caller_check::identify_caller(context, &view, &route, &mut head, &request_id) {
-            Ok(identity) => identity,
-            Err(answer) => return *answer,
-        };
+    let identity = match caller_check::identify_caller(
+        context,
+        &view,
+        &route,
+        lease,
+        &mut head,
+        &request_id,
+    ) {
+        Ok(identity) => identity,
+        Err(answer) => return *answer,
+    };
     let limit = caller_timeout.min(route.rule.timeout).as_duration();
     let body = match read_body(body, routing.limits.max_body.as_bytes(), limit).await {
         Ok(body) => body,
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -112,20 +112,17 @@
         self.view.load_full()
     }
 
-    /// Gets the current view, waiting up to `limit` for the first configuration. The view has no
-    /// routing if none arrives in time.
-    pub async fn view_with_routing(&self, limit: TimeSpan) -> Arc<CatalogView> {
-        let view = self.view();
-        if view.routing.is_some() {
-            return view;
+    /// Waits up to `limit` for the first configuration.
+    pub async fn wait_for_routing(&self, limit: TimeSpan) {
+        if self.view().routing.is_some() {
+            return;
         }
         let mut changed = self.subscribe();
         let has_routing = changed.wait_for(|_| self.view().routing.is_some());
-        // On timeout the returned view has no routing, which callers check.
+        // On timeout the view has no routing, which callers check.
         let _is_over = time::timeout(limit.as_duration(), has_routing)
             .await
             .is_err();
-        self.view()
     }
 
     /// Subscribes to changes; the value is a counter of accepted batches.
@@ -173,6 +170,31 @@
         self.view().routing.is_some() && self.is_kind_listed(ObjectKind::Target)
     }
 
+    /// Returns true if the configuration in force has teams, whose keys need a lease.
+    #[must_use]
+    pub fn has_teams(&self) -> bool {
+        self.view().teams.is_some()
+    }
+
+    /// Returns true if the configuration in force has a route that is open to callers without a
+    /// key.
+    #[must_use]
+    pub fn has_open_route(&self) -> bool {
+        let view = self.view();
+        let mut routes = view.routes.values().flatten();
+        routes.any(|route| route.rule.is_open)
+    }
+
+    /// Gets the version of the configuration object, removed or invalid ones included. A store keeps
+    /// one such object.
+    #[must_use]
+    pub fn routing_object_version(&self) -> Option<StoreVersion> {
+        let state = self.state();
+        let objects = state.objects.values();
+        let routing = objects.filter(|object| object.key.kind == ObjectKind::Routing);
+        routing.map(|object| object.version).max()
+    }
+
     /// Records that a peer with a complete object set has sent all of it.
     pub fn mark_listed_by_peer(&self) {
         self.state().is_listed_by_peer = true;
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -187,6 +187,39 @@
         /// The version in the store.
         stored: StoreVersion,
     },
+    /// The front got the first proof that its configuration is the newest; keyed requests are served.
+    LeaseObtained {
+        /// The version of the configuration in force.
+        version: Option<u64>,
+        /// The store's era of the proof.
+        era: StoreEra,
+        /// The store's revision of the configuration that was proven to be the newest.
+        revision: StoreVersion,
+        /// The age of the proof, in milliseconds.
+        proof_age_ms: u64,
+    },
+    /// The last proof is older than the bound allows; keyed requests are refused.
+    LeaseLost {
+        /// The version of the configuration in force.
+        version: Option<u64>,
+        /// The store's era of the proof.
+        era: StoreEra,
+        /// The store's revision of the configuration that was proven to be the newest.
+        revision: StoreVersion,
+        /// The age of the proof, in milliseconds.
+        proof_age_ms: u64,
+    },
+    /// The front got a proof again; keyed requests are served.
+    LeaseRecovered {
+        /// The version of the configuration in force.
+        version: Option<u64>,
+        /// The store's era of the proof.
+        era: StoreEra,
+        /// The store's revision of the configuration that was proven to be the newest.
+        revision: StoreVersion,
+        /// The age of the proof, in milliseconds.
+        proof_age_ms: u64,
+    },
     /// The outcome of a request; successful ones are sampled.
     RequestEnded {
         /// The caller's id of this attempt.
@@ -322,6 +355,9 @@
             Self::StoreRecovered => "store_back",
             Self::StoreListed { .. } => "store_listed",
             Self::ObjectsOlder { .. } => "objects_older",
+            Self::LeaseObtained { .. } => "lease_obtained",
+            Self::LeaseLost { .. } => "lease_lost",
+            Self::LeaseRecovered { .. } => "lease_recovered",
             Self::ObjectCarried { .. } => "object_carried",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
             Self::TargetsCrashed { .. } => "targets_crashed",
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -12,6 +12,7 @@
 use alderhaven_peer::control_messages::ControlMessage;
 use alderhaven_peer::peer_options::ConfigAccess;
 use alderhaven_policy::drain::{DrainOptions, DrainState, StopReport};
+use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_store::object_store::ObjectStore;
 use log::Level;
@@ -31,6 +32,7 @@
 use crate::group_links::GroupLinks;
 use crate::group_server;
 use crate::lease_keeper::LeaseKeeper;
+use crate::lease_links::LeaseLinks;
 use crate::query_admission::QueryAdmission;
 use crate::store_availability::StoreAvailability;
 use crate::store_follower::StoreFollower;
@@ -82,7 +84,19 @@
         let group = start_group(&options, addresses, &catalog).await?;
         let metrics = FrontMetrics::default();
         let control = Arc::new(ControlSocket::new(control));
-        let lease = Arc::new(LeaseKeeper::new(options.lease, Arc::clone(&control)));
+        let lease_links = LeaseLinks::builder()
+            .own(GroupFront {
+                node: options.node.clone(),
+                domain: options.domain.clone(),
+            })
+            .catalog(Arc::clone(&catalog))
+            .group(group.clone())
+            .socket(Arc::clone(&control))
+            .metrics(metrics.clone())
+            .clock(clock)
+            .build();
+        let lease = Arc::new(LeaseKeeper::new(options.lease, lease_links));
+        tokio::spawn(Arc::clone(&lease).run(Arc::clone(&store)));
         let credit = Arc::new(CreditKeeper::new(options.quota, Arc::clone(&control)));
         tokio::spawn(serve_control(
             control,
@@ -201,6 +215,7 @@
         });
         let directory = FrontDirectory::new(
             Arc::clone(&self.context.catalog),
+            Arc::clone(&self.context.lease),
             self.group.clone(),
             self.context.stop.clone(),
             own,
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -40,6 +40,8 @@
 pub mod key_fault;
 pub mod known_team;
 pub mod lease_keeper;
+pub mod lease_links;
+pub mod lease_report;
 pub mod query_admission;
 pub mod query_call;
 pub mod query_run;
