Team quota: release of the share by a former pool, probes of silent fronts

A change of the pool left the group without credit for the lifetime of a delegation, and a front that stood still was chosen again every 5 s. A former pool now confirms the release, and silent fronts are probed. Simulation of a frozen pool: at least 0.9 of what the other shares allow is served from 2 s after.

--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -32,11 +32,11 @@
 /// Time without reply after which another front is the pool. It covers short pauses of the pool.
 const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(250);
 
-/// How long a front that did not answer is not chosen as the pool.
-const SILENCE_MEMORY: TimeSpan = TimeSpan::from_secs(5);
+/// Time between two queries to a front that did not answer, to learn when it answers again.
+const PROBE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
 /// How long a pool is not asked for a team that it can't serve.
-const UNSERVED_TIME: TimeSpan = TimeSpan::from_millis(200);
+const UNSERVED_TIME: TimeSpan = TimeSpan::from_millis(100);
 
 /// Time after which a query is no longer expected to be answered.
 const QUERY_LIFETIME: TimeSpan = TimeSpan::from_secs(1);
@@ -85,7 +85,10 @@
     local: ShareHistory,
     reserve: ShareHistory,
     pool: Option<ChosenPool>,
+    /// Fronts that did not answer and are not chosen until they do, and when each is queried next.
     silent: HashMap<NodeId, TimePoint>,
+    /// The former pool, which has to confirm that it no longer counts the share.
+    former: Option<(NodeId, PoolContact)>,
     /// The contact to which the share is delegated, and until when it may count there.
     delegated_to: u64,
     delegated_until: TimePoint,
@@ -121,6 +124,8 @@
     pool: NodeId,
     sent_at: TimePoint,
     asked: SmallVec<[(TeamId, u32); 1]>,
+    /// The contact whose reply confirms that the share is no longer delegated to it.
+    releases: Option<(u64, ProcessEpoch)>,
 }
 
 impl TeamCredit {
@@ -137,6 +142,7 @@
             reserve: ShareHistory::new(now),
             pool: None,
             silent: HashMap::new(),
+            former: None,
             delegated_to: 0,
             delegated_until: now,
             last_contact: 0,
@@ -156,7 +162,8 @@
     /// changed.
     pub fn choose_pool(&mut self, candidates: &[PoolCandidate], now: TimePoint) -> Option<&NodeId> {
         self.note_silence(now);
-        self.silent.retain(|_, until| now < *until);
+        self.silent
+            .retain(|node, _| candidates.iter().any(|candidate| candidate.node == *node));
         let is_heard = |candidate: &&PoolCandidate| !self.silent.contains_key(&candidate.node);
         let chosen = candidates.iter().find(is_heard).or(candidates.first())?;
         let current = self.pool.as_ref().map(|pool| &pool.node);
@@ -167,8 +174,44 @@
             account.allow_repeat(TimeSpan::ZERO, now);
             account.note_unserved(now);
         }
-        let pool = self.pool.insert(ChosenPool::new(chosen.node.clone(), now));
-        Some(&pool.node)
+        let pool = ChosenPool::new(chosen.node.clone(), now);
+        let former = self.pool.replace(pool);
+        self.former = former.and_then(|former| {
+            let is_silent = self.silent.contains_key(&former.node);
+            let contact = former.contact.filter(|_| !is_silent)?;
+            (contact.id == self.delegated_to).then_some((former.node, contact))
+        });
+        self.pool()
+    }
+
+    /// Returns the queries to other fronts than the pool that are due, each with its receiver.
+    ///
+    /// A former pool that still answers is told to stop counting the share, so that the share can be
+    /// delegated anew after one round trip. Fronts that did not answer are probed.
+    pub fn side_queries(&mut self, now: TimePoint) -> Vec<(NodeId, PoolQuery)> {
+        let mut queries = Vec::new();
+        if let Some((node, contact)) = self.former.take() {
+            let offer = ShareOffer {
+                pool_epoch: contact.epoch,
+                pool_time: contact.pool_time,
+                share: 0.0,
+            };
+            let query = self.open_query(&node, Some(offer), SmallVec::new(), now);
+            if let Some(open) = self.open.last_mut() {
+                open.releases = Some((contact.id, contact.epoch));
+            }
+            queries.push((node, query));
+        }
+        let due = self.silent.iter_mut().filter(|(_, due_at)| **due_at <= now);
+        let due = due.map(|(node, due_at)| {
+            *due_at = now + PROBE_INTERVAL;
+            node.clone()
+        });
+        for node in due.collect::<Vec<_>>() {
+            let query = self.open_query(&node, None, SmallVec::new(), now);
+            queries.push((node, query));
+        }
+        queries
     }
 
     /// Returns the front that is the pool for this front.
@@ -283,6 +326,8 @@
             .iter()
             .position(|query| query.number == reply.number)?;
         let query = self.open.swap_remove(place);
+        self.silent.remove(&query.pool);
+        self.note_release(&query, reply, now);
         let contact = self.note_contact(&query, reply, now);
         let lot = GrantedLot {
             expires_at: query.sent_at + self.bound.credit_lifetime(),
@@ -390,7 +435,8 @@
     fn note_silence(&mut self, now: TimePoint) {
         let Some(pool) = &self.pool else { return };
         if pool.is_silent(now) {
-            self.silent.insert(pool.node.clone(), now + SILENCE_MEMORY);
+            let due_at = self.silent.entry(pool.node.clone());
+            due_at.or_insert(now + PROBE_INTERVAL);
         }
     }
 
@@ -429,24 +475,39 @@
                     }),
             );
         }
-        self.last_number += 1;
-        let number = self.last_number;
-        self.forget_old_queries(now);
         let pool = self.pool.as_mut()?;
         pool.note_query(now);
+        let node = pool.node.clone();
+        let mut query = self.open_query(&node, offer, asked, now);
+        query.teams = teams;
+        Some(query)
+    }
+
+    /// Creates a query with a new number, whose reply is expected from now on.
+    fn open_query(
+        &mut self,
+        pool: &NodeId,
+        offer: Option<ShareOffer>,
+        asked: SmallVec<[(TeamId, u32); 1]>,
+        now: TimePoint,
+    ) -> PoolQuery {
+        self.forget_old_queries(now);
+        self.last_number += 1;
+        let number = self.last_number;
         self.open.push(OpenQuery {
             number,
-            pool: pool.node.clone(),
+            pool: pool.clone(),
             sent_at: now,
             asked,
+            releases: None,
         });
-        Some(PoolQuery {
+        PoolQuery {
             number,
             node: self.node.clone(),
             epoch: self.epoch,
             offer,
-            teams,
-        })
+            teams: Vec::new(),
+        }
     }
 
     /// Returns the echo of the pool's latest reply, with the share if it may be delegated there. The
@@ -466,6 +527,10 @@
         if share > 0.0 {
             self.delegated_to = contact.id;
             self.delegated_until = self.delegated_until.max(counts_until);
+            // An earlier release no longer shows that the share is free.
+            for query in &mut self.open {
+                query.releases = None;
+            }
             self.update_shares(now);
         }
         Some(ShareOffer {
@@ -475,6 +540,21 @@
         })
     }
 
+    /// Reclaims the share if the former pool confirms that it no longer counts it. The pool ignores
+    /// queries with lower numbers, so that none can delegate the share to it again.
+    fn note_release(&mut self, query: &OpenQuery, reply: &PoolReply, now: TimePoint) {
+        let Some((contact, epoch)) = query.releases else {
+            return;
+        };
+        if contact == self.delegated_to && epoch == reply.pool_epoch {
+            self.delegated_until = self.delegated_until.min(now);
+            self.update_shares(now);
+            if let Some(pool) = &mut self.pool {
+                pool.queried_at = None;
+            }
+        }
+    }
+
     /// Records the reply and returns the contact that it belongs to.
     fn note_contact(&mut self, query: &OpenQuery, reply: &PoolReply, now: TimePoint) -> u64 {
         let Some(pool) = self.pool.as_mut().filter(|pool| pool.node == query.pool) else {
--- a/alderhaven-policy/tests/team_quota/served.rs
+++ b/alderhaven-policy/tests/team_quota/served.rs
@@ -183,7 +183,10 @@
         let tally = &simulation.tallies[0];
         let during = tally.count(START + 6.0, START + 12.0) as f64;
         let allowed = RATE * 6.0 * (1.0 - shares()[0]);
-        assert!(during >= 0.9 * allowed, "{during} of {allowed} ran");
+        assert!(
+            during >= 0.9 * allowed,
+            "{during} of {allowed} ran, is_lost {is_lost}"
+        );
         let busiest = tally.busiest_window(BOUND.window, simulation::at(0.0));
         let limit = simulation::limit(RATE, RATE);
         assert!(busiest as f64 <= simulation::allowed_in_window(&BOUND, limit));
--- a/alderhaven-policy/tests/team_quota/simulation.rs
+++ b/alderhaven-policy/tests/team_quota/simulation.rs
@@ -327,16 +327,23 @@
         let credit = &mut self.fronts[front].credit;
         credit.set_own_share(share, now);
         credit.choose_pool(&candidates, now);
-        if let Some(query) = credit.renewal(now) {
-            self.send_query(front, query);
+        let renewal = credit.renewal(now);
+        for (pool, query) in credit.side_queries(now) {
+            self.send_query(front, &pool, query);
         }
+        if let Some(query) = renewal {
+            self.send_to_pool(front, query);
+        }
+    }
+
+    fn send_to_pool(&mut self, from: usize, query: PoolQuery) {
+        let pool = self.fronts[from].credit.pool().cloned();
+        self.send_query(from, &pool.expect("pool is chosen"), query);
     }
 
-    fn send_query(&mut self, from: usize, query: PoolQuery) {
+    fn send_query(&mut self, from: usize, pool: &NodeId, query: PoolQuery) {
         self.queries += 1;
-        let pool = self.fronts[from].credit.pool().expect("pool is chosen");
-        let name = pool.as_str();
-        let to: usize = name[6..].parse().expect("number of the front");
+        let to: usize = pool.as_str()[6..].parse().expect("number of the front");
         if to == from {
             self.answer(from, to, &query);
             return;
@@ -431,7 +438,7 @@
         let now = self.clock(front);
         let Front { credit, limits, .. } = &mut self.fronts[front];
         if let Some(query) = credit.query_for(&team_id(team), limits[team], now) {
-            self.send_query(front, query);
+            self.send_to_pool(front, query);
         }
     }
 
