Team quota: keeper with real sockets, metrics, log events and status

The keeper of credit admitted every request. It now runs both sides of the limit over the control socket.

--- /dev/null
+++ b/alderhaven-front/src/credit_limits.rs
@@ -0,0 +1,55 @@
+//! The limits of teams in the configuration in force.
+
+use std::fmt;
+
+use alderhaven_core::ids::TeamId;
+use alderhaven_policy::team_limit::TeamLimit;
+
+type LimitLookup = Box<dyn Fn(&TeamId) -> Option<TeamLimit> + Send + Sync>;
+type LimitCheck = Box<dyn Fn() -> bool + Send + Sync>;
+
+/// Looks up limits; the result changes with the configuration.
+pub struct CreditLimits {
+    look_up: LimitLookup,
+    has_limits: LimitCheck,
+}
+
+impl CreditLimits {
+    /// Creates the look-up from the limit of a team and from whether any team has one.
+    #[must_use]
+    pub fn new(
+        look_up: impl Fn(&TeamId) -> Option<TeamLimit> + Send + Sync + 'static,
+        has_limits: impl Fn() -> bool + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            look_up: Box::new(look_up),
+            has_limits: Box::new(has_limits),
+        }
+    }
+
+    /// Creates the look-up of a configuration without limits.
+    #[must_use]
+    pub fn none() -> Self {
+        Self::new(|_| None, || false)
+    }
+
+    /// Returns the limit of a team, if it has one.
+    #[must_use]
+    pub fn of_team(&self, team: &TeamId) -> Option<TeamLimit> {
+        (self.look_up)(team)
+    }
+
+    /// Returns `true` if any team has a limit.
+    #[must_use]
+    pub fn has_any(&self) -> bool {
+        (self.has_limits)()
+    }
+}
+
+impl fmt::Debug for CreditLimits {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut output = formatter.debug_struct("CreditLimits");
+        output.field("has_any", &self.has_any());
+        output.finish()
+    }
+}
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -185,6 +185,25 @@
         /// The version in the store.
         stored: StoreVersion,
     },
+    /// Another front is the pool of team limits for this one.
+    PoolChanged {
+        /// The pool.
+        pool: String,
+        /// The pool before, if any.
+        before: Option<String>,
+    },
+    /// The pool of team limits does not answer.
+    PoolSilent {
+        /// The pool.
+        pool: String,
+    },
+    /// Requests of a team are refused because it is over its limit.
+    TeamOverLimit {
+        /// The team.
+        team: String,
+        /// Time until the team has credit again.
+        retry_after: TimeSpan,
+    },
     /// The outcome of a request; successful ones are sampled.
     RequestEnded {
         /// The caller's id of this attempt.
@@ -308,6 +327,9 @@
             Self::TargetsCrashed { .. } => "targets_crashed",
             Self::LinkLost { .. } => "link_lost",
             Self::NodesChanged { .. } => "nodes_changed",
+            Self::PoolChanged { .. } => "pool_changed",
+            Self::PoolSilent { .. } => "pool_silent",
+            Self::TeamOverLimit { .. } => "team_over_limit",
             Self::RequestEnded { end, .. } => end.kind(),
             Self::RequestRefused { .. } => "request_refused",
             Self::RequestInvalid { .. } => "request_bad",
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::credit_metrics::CreditMetrics;
 use crate::front_answer::RefusalReason;
 use crate::front_event::RequestOutcome;
 
@@ -48,6 +49,8 @@
     pub nodes: Gauge,
     /// The evacuated failure domains.
     pub evacuated_domains: Gauge,
+    /// The limits of teams.
+    pub credit: CreditMetrics,
     /// Log lines that the rate limit suppressed.
     pub omitted_lines: Counter,
 }
@@ -176,6 +179,7 @@
             store_era: Gauge::default(),
             nodes: Gauge::default(),
             evacuated_domains: Gauge::default(),
+            credit: CreditMetrics::default(),
             omitted_lines: Counter::default(),
         }
     }
@@ -272,6 +276,7 @@
     fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("alderhaven_front");
         let own = self.clone();
+        own.credit.register(&mut registry);
         registry.register("requests", "Requests by their end", own.requests);
         registry.register("request_seconds", "Time to the answer", own.request_seconds);
         registry.register("attempts", "Attempts sent, by reason", own.attempts);
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -21,7 +21,9 @@
 use crate::catalog::{Catalog, CatalogOptions};
 use crate::catalog_state;
 use crate::control_socket::ControlSocket;
-use crate::credit_keeper::CreditKeeper;
+use crate::credit_group::CreditGroup;
+use crate::credit_keeper::{CreditKeeper, CreditOptions};
+use crate::credit_limits::CreditLimits;
 use crate::front_context::FrontContext;
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
@@ -83,7 +85,16 @@
         let metrics = FrontMetrics::default();
         let control = Arc::new(ControlSocket::new(control));
         let lease = Arc::new(LeaseKeeper::new(options.lease, Arc::clone(&control)));
-        let credit = Arc::new(CreditKeeper::new(options.quota, Arc::clone(&control)));
+        let credit = CreditOptions::builder()
+            .node(options.node.clone())
+            .bound(options.quota)
+            .socket(Arc::clone(&control))
+            .group(CreditGroup::of_node(Arc::clone(&catalog), group.clone()))
+            .limits(CreditLimits::none())
+            .metrics(metrics.credit.clone())
+            .build();
+        let credit = Arc::new(CreditKeeper::new(credit));
+        tokio::spawn(Arc::clone(&credit).run());
         tokio::spawn(serve_control(
             control,
             Arc::clone(&lease),
--- a/alderhaven-front/src/front_status.rs
+++ b/alderhaven-front/src/front_status.rs
@@ -3,6 +3,7 @@
 use alderhaven_policy::drain::DrainState;
 use serde::Serialize;
 
+use crate::credit_status::CreditStatus;
 use crate::evacuated_domain::EvacuatedDomain;
 use crate::front_context::FrontContext;
 
@@ -21,6 +22,9 @@
     pub targets: usize,
     /// The evacuated failure domains.
     pub evacuated: Vec<EvacuatedDomain>,
+    /// The shares of team limits, if any team has one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub credit: Option<CreditStatus>,
 }
 
 impl FrontStatus {
@@ -37,6 +41,7 @@
             nodes: live.count(),
             targets: view.targets.len(),
             evacuated: context.catalog.evacuated_domains(),
+            credit: context.credit.status(),
         }
     }
 }
--- a/alderhaven-policy/tests/team_quota/served.rs
+++ b/alderhaven-policy/tests/team_quota/served.rs
@@ -16,6 +16,9 @@
 const START: f64 = 6.0;
 const END: f64 = 26.0;
 
+/// The seconds between start and end.
+const SECONDS: std::ops::Range<u32> = 6..26;
+
 /// Part of what the limit allows that has to be served.
 const SERVED_PART: f64 = 0.95;
 
@@ -83,7 +86,7 @@
 fn hot_team_moving() {
     for (seed, times) in [(5, 5.0), (6, 8.0)] {
         let mut simulation = group(1, seed);
-        for (second, front) in (START as u32..END as u32).zip((0..LARGE).cycle()) {
+        for (second, front) in SECONDS.zip((0..LARGE).cycle()) {
             let from = f64::from(second);
             simulation.offer(0, front, USUAL * times, from, from + 1.0);
         }
@@ -96,7 +99,7 @@
 #[test]
 fn usual_team_moving() {
     let mut simulation = group(1, 7);
-    for (second, front) in (START as u32..END as u32).zip((0..LARGE).cycle()) {
+    for (second, front) in SECONDS.zip((0..LARGE).cycle()) {
         let from = f64::from(second);
         simulation.offer(0, front, USUAL, from, from + 1.0);
     }
--- a/alderhaven-policy/tests/team_quota/simulation.rs
+++ b/alderhaven-policy/tests/team_quota/simulation.rs
@@ -222,8 +222,7 @@
     fn place_of(event: &Event) -> Option<(usize, Option<u64>)> {
         match event {
             Event::Change(Change::Request { front, .. }) => Some((*front, None)),
-            Event::Query(_, to, _) => Some((*to, None)),
-            Event::Reply(to, _) => Some((*to, None)),
+            Event::Query(_, to, _) | Event::Reply(to, _) => Some((*to, None)),
             Event::Tick(front, process)
             | Event::WaitHalf(front, process, _)
             | Event::WaitEnd(front, process, ..)
@@ -329,23 +328,23 @@
         credit.choose_pool(&candidates, now);
         let renewal = credit.renewal(now);
         for (pool, query) in credit.side_queries(now) {
-            self.send_query(front, &pool, query);
+            self.send_query(front, &pool, &query);
         }
         if let Some(query) = renewal {
-            self.send_to_pool(front, query);
+            self.send_to_pool(front, &query);
         }
     }
 
-    fn send_to_pool(&mut self, from: usize, query: PoolQuery) {
+    fn send_to_pool(&mut self, from: usize, query: &PoolQuery) {
         let pool = self.fronts[from].credit.pool().cloned();
         self.send_query(from, &pool.expect("pool is chosen"), query);
     }
 
-    fn send_query(&mut self, from: usize, pool: &NodeId, query: PoolQuery) {
+    fn send_query(&mut self, from: usize, pool: &NodeId, query: &PoolQuery) {
         self.queries += 1;
         let to: usize = pool.as_str()[6..].parse().expect("number of the front");
         if to == from {
-            self.answer(from, to, &query);
+            self.answer(from, to, query);
             return;
         }
         for delay in self.deliveries(from, to) {
@@ -438,7 +437,7 @@
         let now = self.clock(front);
         let Front { credit, limits, .. } = &mut self.fronts[front];
         if let Some(query) = credit.query_for(&team_id(team), limits[team], now) {
-            self.send_to_pool(front, query);
+            self.send_to_pool(front, &query);
         }
     }
 
