--- a/alderhaven-front/src/credit_group.rs
+++ b/alderhaven-front/src/credit_group.rs
@@ -40,12 +40,13 @@
         }
     }
 
-    /// Creates the look-up of a front that is part of a group.
+    /// Creates the look-up of a front that is part of a group. `has_seeds` tells whether its settings
+    /// name other nodes.
     #[must_use]
-    pub fn of_node(catalog: Arc<Catalog>, group: NodeGroup) -> Self {
+    pub fn of_node(catalog: Arc<Catalog>, group: NodeGroup, has_seeds: bool) -> Self {
         let sizes = Arc::clone(&catalog);
         Self::new(
-            move || catalog.share().repeat_share(),
+            move || known_share(catalog.share().repeat_share(), has_seeds),
             move || live_peers(&sizes, &group),
         )
     }
@@ -63,6 +64,17 @@
     }
 }
 
+/// Returns the share that a front may use. One that starts cut off from all others computes the whole
+/// limit as its share, which the others still use: it gets none until it has seen another front.
+#[must_use]
+pub fn known_share(share: f64, has_seeds: bool) -> f64 {
+    if has_seeds && share >= 1.0 {
+        0.0
+    } else {
+        share
+    }
+}
+
 fn live_peers(catalog: &Catalog, group: &NodeGroup) -> Vec<PoolPeer> {
     let share = catalog.share();
     let members = group.members();
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -89,7 +89,11 @@
             .node(options.node.clone())
             .bound(options.quota)
             .socket(Arc::clone(&control))
-            .group(CreditGroup::of_node(Arc::clone(&catalog), group.clone()))
+            .group(CreditGroup::of_node(
+                Arc::clone(&catalog),
+                group.clone(),
+                !options.seeds.is_empty(),
+            ))
             .limits(CreditLimits::none())
             .metrics(metrics.credit.clone())
             .build();
--- a/alderhaven-front/tests/credit_keeper.rs
+++ b/alderhaven-front/tests/credit_keeper.rs
@@ -9,7 +9,7 @@
 use alderhaven_core::quantities::RatePerSecond;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_front::control_socket::ControlSocket;
-use alderhaven_front::credit_group::{CreditGroup, PoolPeer};
+use alderhaven_front::credit_group::{self, CreditGroup, PoolPeer};
 use alderhaven_front::credit_keeper::{CreditKeeper, CreditOptions, CreditRefusal};
 use alderhaven_front::credit_limits::CreditLimits;
 use alderhaven_front::credit_metrics::CreditMetrics;
@@ -231,6 +231,20 @@
     }
 }
 
+/// Guards against a front that starts cut off from all others and uses the whole limit.
+#[test]
+fn known_share_starts_isolated() {
+    let cases = [
+        (1.0, true, 0.0),
+        (1.0, false, 1.0),
+        (0.25, true, 0.25),
+        (0.25, false, 0.25),
+    ];
+    for (share, has_seeds, known) in cases {
+        assert!((credit_group::known_share(share, has_seeds) - known).abs() < 1e-9);
+    }
+}
+
 /// Guards against messages of a deployment without limits.
 #[tokio::test]
 async fn run_without_limits() {
