--- a/alderhaven-policy/tests/team_quota/main.rs
+++ b/alderhaven-policy/tests/team_quota/main.rs
@@ -1,6 +1,9 @@
 //! Tests of team limits over all fronts: no window exceeds the bound, and what is allowed is served.
 
 mod bucket;
+#[path = "../common/mod.rs"]
+mod common;
+mod pool;
 mod served;
 mod simulation;
 mod window_bound;
