Team quota: returned credit is identified by the time of its grant

The bound on returned credit was kept for each bucket and not for each grant, so that the return of an old grant could be charged to a new one: a bucket of 10 that was emptied, refilled by 5 and emptied again took back 10. A return now names when it was granted, and what the bucket gained since is subtracted.

--- a/alderhaven-front/src/credit_keeper.rs
+++ b/alderhaven-front/src/credit_keeper.rs
@@ -17,7 +17,7 @@
 use alderhaven_policy::pool_messages::{PoolQuery, PoolReply, ProcessEpoch};
 use alderhaven_policy::pool_order::{self, PoolCandidate};
 use alderhaven_policy::quota_bound::QuotaBound;
-use alderhaven_policy::team_account::CreditSource;
+use alderhaven_policy::team_account::TakenCredit;
 use alderhaven_policy::team_credit::{CreditDecision, TeamCredit};
 use alderhaven_policy::team_limit::TeamLimit;
 use log::Level;
@@ -227,9 +227,9 @@
     }
 
     /// Takes back the credit of a request that did not run.
-    pub(crate) fn give_back(&self, team: &TeamId, source: CreditSource) {
+    pub(crate) fn give_back(&self, team: &TeamId, credit: TakenCredit) {
         let mut state = self.lock();
-        state.credit.give_back(team, source, self.clock.now());
+        state.credit.give_back(team, credit, self.clock.now());
         let metrics = &self.options.metrics;
         metrics.observe_credit(team, CreditEvent::Returned, 1);
     }
@@ -303,9 +303,9 @@
     ) -> Result<CreditPermit, CreditRefusal> {
         let metrics = &self.options.metrics;
         match decision {
-            CreditDecision::Granted(source) => {
+            CreditDecision::Granted(credit) => {
                 metrics.observe_credit(team, CreditEvent::Used, 1);
-                Ok(CreditPermit::new(Arc::clone(self), team.clone(), source))
+                Ok(CreditPermit::new(Arc::clone(self), team.clone(), credit))
             }
             CreditDecision::OverLimit(delay) => {
                 metrics.observe_credit(team, CreditEvent::OverLimit, 1);
--- a/alderhaven-front/src/credit_messages.rs
+++ b/alderhaven-front/src/credit_messages.rs
@@ -15,6 +15,7 @@
         team: demand.team.to_string(),
         wanted: demand.wanted,
         returned: demand.returned,
+        granted_at_us: demand.granted_at.as_micros(),
     });
     CreditQuery {
         number: query.number,
@@ -38,6 +39,7 @@
             team: demand.team.parse().ok()?,
             wanted: demand.wanted,
             returned: demand.returned,
+            granted_at: TimePoint::from_micros(demand.granted_at_us),
         })
     });
     Some(PoolQuery {
--- a/alderhaven-front/src/credit_permit.rs
+++ b/alderhaven-front/src/credit_permit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use alderhaven_core::ids::TeamId;
-use alderhaven_policy::team_account::CreditSource;
+use alderhaven_policy::team_account::TakenCredit;
 
 use crate::credit_keeper::CreditKeeper;
 
@@ -12,20 +12,20 @@
 pub struct CreditPermit {
     keeper: Arc<CreditKeeper>,
     team: TeamId,
-    source: CreditSource,
+    credit: TakenCredit,
 }
 
 impl CreditPermit {
-    pub(crate) const fn new(keeper: Arc<CreditKeeper>, team: TeamId, source: CreditSource) -> Self {
+    pub(crate) const fn new(keeper: Arc<CreditKeeper>, team: TeamId, credit: TakenCredit) -> Self {
         Self {
             keeper,
             team,
-            source,
+            credit,
         }
     }
 
     /// Gives the credit back, for a request that did not run.
     pub fn refund(self) {
-        self.keeper.give_back(&self.team, self.source);
+        self.keeper.give_back(&self.team, self.credit);
     }
 }
--- a/alderhaven-front/tests/credit_messages.rs
+++ b/alderhaven-front/tests/credit_messages.rs
@@ -17,6 +17,7 @@
             .expect("valid team"),
         wanted: 9,
         returned: 3,
+        granted_at: TimePoint::from_micros((1 << 40) - 1),
     });
     PoolQuery {
         number: 1 << 24,
--- a/alderhaven-peer/src/control_messages.rs
+++ b/alderhaven-peer/src/control_messages.rs
@@ -105,6 +105,9 @@
     /// Credit that was granted and not used.
     #[prost(uint32, tag = "3")]
     pub returned: u32,
+    /// The pool's clock in microseconds when it granted the returned credit.
+    #[prost(uint64, tag = "4")]
+    pub granted_at_us: u64,
 }
 
 /// Credit that a pool grants.
--- a/alderhaven-policy/src/credit_pool.rs
+++ b/alderhaven-policy/src/credit_pool.rs
@@ -148,7 +148,11 @@
         team.bucket.set_limit(grant_limit, now);
         // A returned credit without a recent echo may be a late duplicate.
         if is_recent {
-            team.bucket.give_back(demand.returned, now);
+            team.bucket
+                .give_back(demand.returned, demand.granted_at, now);
+        }
+        if demand.wanted == 0 {
+            return None;
         }
         // A pool that can't hold a request of the team leaves it to the front's own share.
         team.bucket.refill_interval()?;
--- a/alderhaven-policy/src/pool_messages.rs
+++ b/alderhaven-policy/src/pool_messages.rs
@@ -45,6 +45,8 @@
     pub wanted: u32,
     /// Requests whose credit was not used.
     pub returned: u32,
+    /// When the pool granted the returned credit, by its own clock.
+    pub granted_at: TimePoint,
 }
 
 /// Reply of a pool.
--- a/alderhaven-policy/src/share_bucket.rs
+++ b/alderhaven-policy/src/share_bucket.rs
@@ -9,20 +9,24 @@
 /// capacity up to one request adds less than one request in all.
 const MAJORITY_SHARE: f64 = 0.5;
 
+/// Difference between sums of the same shares in another order, at most.
+const SHARE_TOLERANCE: f64 = 1e-9;
+
 /// Tolerance for sums of refills, which are not exact.
 const WHOLE_TOLERANCE: f64 = 1e-9;
 
 /// Credit of one team in whole requests.
 ///
-/// The level plus the returnable credit never exceeds the capacity. Credit that is returned therefore
-/// adds no more than if it had never been taken: what the bucket gained meanwhile counts against it.
+/// Credit that is returned adds no more than if it had never been taken: the bucket may have been full
+/// then, so that all that it gained since counts against what is returned.
 #[derive(Clone, Copy, Debug)]
 pub struct ShareBucket {
     limit: GrantLimit,
     share: f64,
     level: f64,
-    returnable: f64,
     updated_at: TimePoint,
+    /// When the share or the limit was last lowered, so that credit may have been lost.
+    lowered_at: TimePoint,
 }
 
 impl ShareBucket {
@@ -33,8 +37,8 @@
             limit,
             share,
             level: 0.0,
-            returnable: 0.0,
             updated_at: now,
+            lowered_at: now,
         }
     }
 
@@ -59,6 +63,9 @@
     /// Sets the share; credit above the new capacity is lost.
     pub fn set_share(&mut self, share: f64, now: TimePoint) {
         self.refill(now);
+        if share < self.share - SHARE_TOLERANCE {
+            self.lowered_at = now;
+        }
         self.share = share;
         self.clip();
     }
@@ -67,6 +74,7 @@
     pub fn set_limit(&mut self, limit: GrantLimit, now: TimePoint) {
         if self.limit != limit {
             self.refill(now);
+            self.lowered_at = now;
             self.limit = limit;
             self.clip();
         }
@@ -82,17 +90,18 @@
         self.refill(now);
         let taken = wanted.min((self.level + WHOLE_TOLERANCE) as u32);
         self.level = (self.level - f64::from(taken)).max(0.0);
-        self.returnable += f64::from(taken);
-        self.clip();
         taken
     }
 
-    /// Returns requests that were taken and did not run.
-    pub fn give_back(&mut self, count: u32, now: TimePoint) {
+    /// Returns requests that were taken at `taken_at` and did not run.
+    pub fn give_back(&mut self, count: u32, taken_at: TimePoint, now: TimePoint) {
         self.refill(now);
-        let accepted = f64::from(count).min(self.returnable);
-        self.level += accepted;
-        self.returnable -= accepted;
+        if taken_at < self.lowered_at {
+            return;
+        }
+        let elapsed = now.since(taken_at).as_secs_f64();
+        let gained = elapsed * self.limit.rate * self.share;
+        self.level += (f64::from(count) - gained).max(0.0);
         self.clip();
     }
 
@@ -128,8 +137,6 @@
     }
 
     fn clip(&mut self) {
-        let capacity = self.capacity();
-        self.level = self.level.min(capacity);
-        self.returnable = self.returnable.min(capacity - self.level);
+        self.level = self.level.min(self.capacity());
     }
 }
--- a/alderhaven-policy/src/team_account.rs
+++ b/alderhaven-policy/src/team_account.rs
@@ -16,7 +16,7 @@
 
 /// Credit from which one request runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CreditSource {
+enum CreditSource {
     /// Granted by a pool.
     Granted(GrantedLot),
     /// The front's own share, which is not delegated.
@@ -25,11 +25,20 @@
     Reserve,
 }
 
-/// Identifies a grant: until when it may be used, and the pool to which it is returned.
+/// Credit of one request, with what is needed to return it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TakenCredit {
+    source: CreditSource,
+    taken_at: TimePoint,
+}
+
+/// Identifies a grant: until when it may be used, the pool to which it is returned, and when that
+/// pool granted it by its own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GrantedLot {
     pub(crate) expires_at: TimePoint,
     pub(crate) contact: u64,
+    pub(crate) granted_at: TimePoint,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,9 +62,8 @@
     /// Requests for which credit was asked in queries without reply.
     asked: u32,
     asked_at: TimePoint,
-    /// Unused credit to return, and the pool that granted it.
-    returned: u32,
-    returned_to: u64,
+    /// Unused credit to return.
+    returned: SmallVec<[CreditLot; 1]>,
     /// Until then the team is refused without a query.
     denied_until: TimePoint,
     /// Until then the pool is known not to serve this team.
@@ -80,8 +88,7 @@
             waiting: 0,
             asked: 0,
             asked_at: now,
-            returned: 0,
-            returned_to: 0,
+            returned: SmallVec::new(),
             denied_until: now,
             unserved_until: now,
         }
@@ -107,7 +114,7 @@
     }
 
     /// Takes credit that needs no reply of a pool.
-    pub(crate) fn take(&mut self, now: TimePoint) -> Option<CreditSource> {
+    pub(crate) fn take(&mut self, now: TimePoint) -> Option<TakenCredit> {
         self.expire(now);
         self.take_from(now, |account| {
             if let Some(lot) = account.take_granted() {
@@ -118,7 +125,7 @@
     }
 
     /// Takes credit from the reserve.
-    pub(crate) fn take_reserve(&mut self, now: TimePoint) -> Option<CreditSource> {
+    pub(crate) fn take_reserve(&mut self, now: TimePoint) -> Option<TakenCredit> {
         self.take_from(now, |account| {
             (account.reserve.take(1, now) > 0).then_some(CreditSource::Reserve)
         })
@@ -128,15 +135,18 @@
         &mut self,
         now: TimePoint,
         take: impl FnOnce(&mut Self) -> Option<CreditSource>,
-    ) -> Option<CreditSource> {
+    ) -> Option<TakenCredit> {
         if self.ceiling.take(1, now) == 0 {
             return None;
         }
         let source = take(self);
         if source.is_none() {
-            self.ceiling.give_back(1, now);
+            self.ceiling.give_back(1, now, now);
         }
-        source
+        source.map(|source| TakenCredit {
+            source,
+            taken_at: now,
+        })
     }
 
     fn take_granted(&mut self) -> Option<GrantedLot> {
@@ -150,19 +160,19 @@
     }
 
     /// Takes back the credit of a request that did not run. Returns `true` if it can be used again.
-    pub(crate) fn give_back(&mut self, source: CreditSource, now: TimePoint) -> bool {
-        self.ceiling.give_back(1, now);
-        match source {
+    pub(crate) fn give_back(&mut self, credit: TakenCredit, now: TimePoint) -> bool {
+        self.ceiling.give_back(1, credit.taken_at, now);
+        match credit.source {
             CreditSource::Granted(lot) => {
                 self.add_lot(lot, 1);
                 self.expire(now) == 0
             }
             CreditSource::OwnShare => {
-                self.own_share.give_back(1, now);
+                self.own_share.give_back(1, credit.taken_at, now);
                 true
             }
             CreditSource::Reserve => {
-                self.reserve.give_back(1, now);
+                self.reserve.give_back(1, credit.taken_at, now);
                 true
             }
         }
@@ -194,29 +204,29 @@
             }
             self.lots.remove(0);
             expired += first.count;
-            if self.returned_to != first.lot.contact {
-                self.returned = 0;
-                self.returned_to = first.lot.contact;
-            }
-            self.returned += first.count;
+            self.returned.push(first);
         }
         expired
     }
 
-    /// Returns the unused credit of a pool and forgets that of others.
-    pub(crate) fn take_returned(&mut self, contact: u64, now: TimePoint) -> u32 {
+    /// Returns the unused credit of a pool, by the time at which it was granted, and forgets that of
+    /// others.
+    pub(crate) fn take_returned(
+        &mut self,
+        contact: u64,
+        now: TimePoint,
+    ) -> SmallVec<[(TimePoint, u32); 1]> {
         self.expire(now);
-        let returned = std::mem::take(&mut self.returned);
-        if self.returned_to == contact {
-            returned
-        } else {
-            0
-        }
+        let returned = self.returned.drain(..);
+        returned
+            .filter(|unused| unused.lot.contact == contact)
+            .map(|unused| (unused.lot.granted_at, unused.count))
+            .collect()
     }
 
     /// Returns `true` if there is unused credit to return.
     pub(crate) fn has_returned(&self) -> bool {
-        self.returned > 0
+        !self.returned.is_empty()
     }
 
     /// Returns for how many requests credit should be asked now.
--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -12,7 +12,7 @@
 use crate::pool_order::PoolCandidate;
 use crate::quota_bound::QuotaBound;
 use crate::share_history::ShareHistory;
-use crate::team_account::{CreditSource, GrantedLot, TeamAccount};
+use crate::team_account::{GrantedLot, TakenCredit, TeamAccount};
 use crate::team_limit::TeamLimit;
 
 /// Time between two renewals of a delegation, a third of its lifetime.
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CreditDecision {
     /// The request may run.
-    Granted(CreditSource),
+    Granted(TakenCredit),
     /// A reply of the pool decides.
     Waiting,
     /// The team is over its limit.
@@ -297,10 +297,10 @@
 
     /// Takes back the credit of a request that did not run. Returns `true` if it can be used again
     /// here.
-    pub fn give_back(&mut self, team: &TeamId, source: CreditSource, now: TimePoint) -> bool {
+    pub fn give_back(&mut self, team: &TeamId, credit: TakenCredit, now: TimePoint) -> bool {
         self.update_shares(now);
         let account = self.accounts.get_mut(team);
-        account.is_some_and(|account| account.give_back(source, now))
+        account.is_some_and(|account| account.give_back(credit, now))
     }
 
     /// Returns the query for a team that needs credit, if one should be sent now.
@@ -338,6 +338,7 @@
         let lot = GrantedLot {
             expires_at: query.sent_at + self.bound.credit_lifetime(),
             contact,
+            granted_at: reply.pool_time,
         };
         let mut outcomes = Vec::new();
         for (team, wanted) in query.asked {
@@ -456,30 +457,15 @@
             let account = self.accounts.get_mut(team)?;
             account.note_asked(wanted, now);
             asked.push((team.clone(), wanted));
-            let returned = if has_offer {
-                account.take_returned(contact, now)
-            } else {
-                0
-            };
             teams.push(TeamDemand {
                 team: team.clone(),
                 wanted,
-                returned,
+                returned: 0,
+                granted_at: TimePoint::START,
             });
-        } else if has_offer {
-            let returning = self
-                .accounts
-                .iter_mut()
-                .filter(|(_, account)| account.has_returned());
-            teams.extend(
-                returning
-                    .take(MAX_TEAMS_PER_QUERY)
-                    .map(|(team, account)| TeamDemand {
-                        team: team.clone(),
-                        wanted: 0,
-                        returned: account.take_returned(contact, now),
-                    }),
-            );
+        }
+        if has_offer {
+            self.add_returned(contact, &mut teams, now);
         }
         let pool = self.pool.as_mut()?;
         pool.note_query(now);
@@ -489,6 +475,31 @@
         Some(query)
     }
 
+    /// Adds unused credit to a query, as far as it fits.
+    fn add_returned(&mut self, contact: u64, teams: &mut Vec<TeamDemand>, now: TimePoint) {
+        let returning = self.accounts.iter_mut();
+        let returning = returning.filter(|(_, account)| account.has_returned());
+        for (team, account) in returning {
+            if teams.len() >= MAX_TEAMS_PER_QUERY {
+                return;
+            }
+            let returned = account.take_returned(contact, now);
+            let room = MAX_TEAMS_PER_QUERY - teams.len();
+            teams.extend(
+                returned
+                    .iter()
+                    .rev()
+                    .take(room)
+                    .map(|(granted_at, count)| TeamDemand {
+                        team: team.clone(),
+                        wanted: 0,
+                        returned: *count,
+                        granted_at: *granted_at,
+                    }),
+            );
+        }
+    }
+
     /// Creates a query with a new number, whose reply is expected from now on.
     fn open_query(
         &mut self,
--- a/alderhaven-policy/tests/team_quota/bucket.rs
+++ b/alderhaven-policy/tests/team_quota/bucket.rs
@@ -15,18 +15,32 @@
 /// Guards against returned credit that adds to what was refilled in the meantime.
 #[test]
 fn give_back_refilled_meanwhile() {
-    let mut bucket = ShareBucket::full(LIMIT, 1.0, TimePoint::START);
-    assert_eq!(bucket.take(10, TimePoint::START), 10);
-    let later = simulation::at(1.0);
-    assert_eq!(bucket.take(10, later), 10, "refilled");
-    bucket.give_back(10, later);
-    assert_eq!(bucket.take(10, later), 10, "the second ten were not used");
-    bucket.give_back(20, later);
+    let start = TimePoint::START;
+    let mut bucket = ShareBucket::full(LIMIT, 1.0, start);
+    assert_eq!(bucket.take(10, start), 10);
+    let later = simulation::at(0.6);
+    assert_eq!(bucket.take(10, later), 6, "refilled");
+    bucket.give_back(10, start, later);
     assert_eq!(
-        bucket.take(20, later),
-        10,
-        "no more is returned than was taken"
+        bucket.take(10, later),
+        4,
+        "a full bucket would hold 10 in all"
     );
+    bucket.give_back(4, later, later);
+    assert_eq!(bucket.take(10, later), 4, "nothing was gained since");
+}
+
+/// Guards against returned credit that was lost with the share.
+#[test]
+fn give_back_after_lowered_share() {
+    let start = TimePoint::START;
+    let mut bucket = ShareBucket::full(LIMIT, 1.0, start);
+    assert_eq!(bucket.take(10, start), 10);
+    let later = simulation::at(0.1);
+    bucket.set_share(0.0, later);
+    bucket.set_share(1.0, later);
+    bucket.give_back(10, start, later);
+    assert_eq!(bucket.take(10, later), 0);
 }
 
 /// Guards against refill for the time without delegated shares.
--- a/alderhaven-policy/tests/team_quota/pool.rs
+++ b/alderhaven-policy/tests/team_quota/pool.rs
@@ -9,26 +9,32 @@
 
 const POOL: ProcessEpoch = ProcessEpoch(7);
 
-fn query(number: u64, offer: Option<ShareOffer>, wanted: u32, returned: u32) -> PoolQuery {
+fn query(
+    number: u64,
+    offer: impl Into<Option<ShareOffer>>,
+    wanted: u32,
+    returned: u32,
+) -> PoolQuery {
     PoolQuery {
         number,
         node: "front-1".parse().expect("valid node"),
         epoch: ProcessEpoch(1),
-        offer,
+        offer: offer.into(),
         teams: vec![TeamDemand {
             team: "team-0".parse().expect("valid team"),
             wanted,
             returned,
+            granted_at: common::at(6_000),
         }],
     }
 }
 
-fn offer(pool_epoch: ProcessEpoch, pool_time: TimePoint) -> Option<ShareOffer> {
-    Some(ShareOffer {
+fn offer(pool_epoch: ProcessEpoch, pool_time: TimePoint) -> ShareOffer {
+    ShareOffer {
         pool_epoch,
         pool_time,
         share: 1.0,
-    })
+    }
 }
 
 fn answer(pool: &mut CreditPool, query: &PoolQuery, now: TimePoint) -> Option<u32> {
--- a/alderhaven-policy/tests/team_quota/simulation.rs
+++ b/alderhaven-policy/tests/team_quota/simulation.rs
@@ -10,7 +10,7 @@
 use alderhaven_policy::pool_messages::{PoolQuery, PoolReply, ProcessEpoch};
 use alderhaven_policy::pool_order::PoolCandidate;
 use alderhaven_policy::quota_bound::QuotaBound;
-use alderhaven_policy::team_account::CreditSource;
+use alderhaven_policy::team_account::TakenCredit;
 use alderhaven_policy::team_credit::{CreditDecision, TeamCredit};
 use alderhaven_policy::team_limit::TeamLimit;
 use rand::rngs::SmallRng;
@@ -87,7 +87,7 @@
     Reply(usize, PoolReply),
     WaitHalf(usize, u64, usize),
     WaitEnd(usize, u64, usize, u64),
-    Refund(usize, u64, usize, CreditSource),
+    Refund(usize, u64, usize, TakenCredit),
     SetLimit(usize, usize, TeamLimit),
     Start(usize),
 }
