--- a/alderhaven-front/src/credit_check.rs
+++ b/alderhaven-front/src/credit_check.rs
@@ -4,7 +4,8 @@
 use log::Level;
 
 use crate::catalog_view::LiveRoute;
-use crate::credit_keeper::{CreditPermit, CreditRefusal};
+use crate::credit_keeper::CreditRefusal;
+use crate::credit_permit::CreditPermit;
 use crate::front_answer::{FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
 use crate::query_call::QueryCall;
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::credit_metrics::CreditMetrics;
 use crate::front_answer::RefusalReason;
 use crate::front_event::RequestOutcome;
 use crate::team_metrics::TeamMetrics;
@@ -61,6 +62,8 @@
     pub lease_replies: Counter,
     /// Lists of the store for the lease.
     pub lease_lists: Counter,
+    /// The limits of teams.
+    pub credit: CreditMetrics,
     /// Log lines that the rate limit suppressed.
     pub omitted_lines: Counter,
 }
@@ -195,6 +198,7 @@
             lease_answers: Counter::default(),
             lease_replies: Counter::default(),
             lease_lists: Counter::default(),
+            credit: CreditMetrics::default(),
             omitted_lines: Counter::default(),
         }
     }
@@ -291,6 +295,7 @@
     fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("alderhaven_front");
         let own = self.clone();
+        own.credit.register(&mut registry);
         registry.register("requests", "Requests by their end", own.requests);
         registry.register("request_seconds", "Time to the answer", own.request_seconds);
         registry.register("attempts", "Attempts sent, by reason", own.attempts);
--- a/alderhaven-front/src/front_status.rs
+++ b/alderhaven-front/src/front_status.rs
@@ -3,6 +3,7 @@
 use alderhaven_policy::drain::DrainState;
 use serde::Serialize;
 
+use crate::credit_status::CreditStatus;
 use crate::evacuated_domain::EvacuatedDomain;
 use crate::front_context::FrontContext;
 use crate::lease_report::LeaseReport;
@@ -25,6 +26,9 @@
     /// The lease on the configuration; absent if the configuration has no teams.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub lease: Option<LeaseReport>,
+    /// The shares of team limits, if any team has one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub credit: Option<CreditStatus>,
 }
 
 impl FrontStatus {
@@ -42,6 +46,7 @@
             targets: view.targets.len(),
             evacuated: context.catalog.evacuated_domains(),
             lease: context.lease.report(),
+            credit: context.credit.status(),
         }
     }
 }
