Lease: an invalid version does not stand for what precedes it

A rejected or removed configuration counted as held. A front that missed a valid version before it kept the keys which that version removed. The version that the lease compares is now the one in force. A front that lists a rejected version reads the store's history since its own version, applies a valid version that it missed, and counts the list for the last valid one; without history the list doesn't count.

The request path read Fresh for a configuration without teams and could then judge a key by a first version with teams, with 401 and without a proof. It reads the status of the proofs now.

--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -78,8 +78,9 @@
         .mul_f64(MAX_CONFIG_WAIT_FRACTION)
         .min(MAX_CONFIG_WAIT);
     context.catalog.wait_for_routing(limit).await;
-    // The lease covers a configuration that is read after its status.
-    let lease = context.lease.status();
+    // The proofs cover a configuration that is read after their status. It may be the first one with
+    // teams, which is not proven to be the newest yet.
+    let lease = context.lease.proof_status();
     let view = context.catalog.view();
     let Some(routing) = view.routing.clone() else {
         return refuse_without_config(context, &request_id);
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -42,6 +42,7 @@
 mod evacuations;
 mod node_reports;
 mod restored_objects;
+mod routing_history;
 
 /// How long a target stays usable as a last resort after its registration was removed.
 /// Registrations of live targets expire while the store is unreachable and return shortly after it
@@ -185,16 +186,6 @@
         routes.any(|route| route.rule.is_open)
     }
 
-    /// Gets the version of the configuration object, removed or invalid ones included. A store keeps
-    /// one such object.
-    #[must_use]
-    pub fn routing_object_version(&self) -> Option<StoreVersion> {
-        let state = self.state();
-        let objects = state.objects.values();
-        let routing = objects.filter(|object| object.key.kind == ObjectKind::Routing);
-        routing.map(|object| object.version).max()
-    }
-
     /// Records that a peer with a complete object set has sent all of it.
     pub fn mark_listed_by_peer(&self) {
         self.state().is_listed_by_peer = true;
@@ -271,6 +262,9 @@
                 needs_rebuild |= self.apply_object(&mut state, &object);
             }
             let object = carried.unwrap_or(object);
+            if object.key.kind == ObjectKind::Routing && object.version.is_carried() {
+                state.routing_version = Some(object.version);
+            }
             state.objects.insert(object.key.clone(), object);
         }
         if needs_rebuild {
@@ -350,6 +344,11 @@
         };
         let known = state.routing.as_ref().map(|known| known.version);
         if known >= Some(routing.version) {
+            // A store that came back from an older copy has no history to tell what preceded it.
+            let known_era = state.routing_version.map(|version| version.era);
+            if known_era < Some(object.version.era) {
+                state.routing_version = Some(object.version);
+            }
             return false;
         }
         FrontEvent::ConfigApplied {
@@ -360,6 +359,7 @@
         .emit(Level::Info);
         state.teams = TeamDirectory::of_teams(&routing.teams).map(Arc::new);
         state.routing = Some(Arc::new(routing));
+        state.routing_version = Some(object.version);
         true
     }
 
--- a/alderhaven-front/src/catalog_state.rs
+++ b/alderhaven-front/src/catalog_state.rs
@@ -55,6 +55,8 @@
     /// The kinds that must be listed before the object set is complete.
     pub(crate) store_kinds: &'static [ObjectKind],
     pub(crate) routing: Option<Arc<RoutingConfig>>,
+    /// The store's version up to which the configuration in force is known to be the last valid one.
+    pub(crate) routing_version: Option<StoreVersion>,
     /// The teams of the configuration, if it has any.
     pub(crate) teams: Option<Arc<TeamDirectory>>,
     pub(crate) route_states: HashMap<String, Arc<RouteState>>,
@@ -83,6 +85,7 @@
             listed_kinds: BTreeMap::new(),
             store_kinds,
             routing: None,
+            routing_version: None,
             teams: None,
             route_states: HashMap::new(),
             targets: BTreeMap::new(),
--- a/alderhaven-front/src/lease_keeper.rs
+++ b/alderhaven-front/src/lease_keeper.rs
@@ -18,13 +18,12 @@
 use alderhaven_policy::lease_change::LeaseChange;
 use alderhaven_policy::lease_group::LeaseGroup;
 use alderhaven_policy::lease_step::LeaseStep;
-use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError};
+use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError, WatchOutcome};
 use log::Level;
 use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::time;
 
-use crate::catalog::Catalog;
 use crate::front_event::FrontEvent;
 use crate::lease_links::LeaseLinks;
 use crate::lease_report::LeaseReport;
@@ -50,7 +49,8 @@
     lease: Mutex<ConfigLease>,
     /// Wakes the task when a proof has arrived.
     proof_arrived: Notify,
-    has_teams: fn(&Catalog) -> bool,
+    /// The latest rejected or removed version whose predecessors are all known.
+    settled: Mutex<Option<StoreVersion>>,
 }
 
 impl LeaseKeeper {
@@ -63,28 +63,27 @@
             clock: BootClock::default(),
             lease: Mutex::new(ConfigLease::new(options, first_number)),
             proof_arrived: Notify::new(),
-            has_teams: Catalog::has_teams,
+            settled: Mutex::default(),
         }
     }
 
-    /// Replaces how the keeper finds out that the configuration in force has teams.
+    /// Returns what the front may decide by its configuration now; `Fresh` while it has no teams.
     #[must_use]
-    pub const fn with_teams(mut self, has_teams: fn(&Catalog) -> bool) -> Self {
-        self.has_teams = has_teams;
-        self
+    pub fn status(&self) -> LeaseStatus {
+        if self.is_active() {
+            self.proof_status()
+        } else {
+            LeaseStatus::Fresh
+        }
     }
 
-    /// Returns what the front may decide by its configuration now.
+    /// Returns what the proofs permit, whether or not the configuration in force has teams.
     ///
     /// The result holds for a configuration that is read afterwards. One that was read before may
     /// be older than the proof.
     #[must_use]
-    pub fn status(&self) -> LeaseStatus {
-        if self.is_active() {
-            self.lease().status(self.clock.now())
-        } else {
-            LeaseStatus::Fresh
-        }
+    pub fn proof_status(&self) -> LeaseStatus {
+        self.lease().status(self.clock.now())
     }
 
     /// Returns the state of the lease for operators; `None` while the configuration has no teams.
@@ -212,23 +211,74 @@
         self.record_store_contact(result.is_ok());
         // The follower of the configuration logs that the store is lost, with the reason.
         if let Ok(list) = result {
-            self.apply_list(list, sent_at);
+            let listed = self.apply_list(list);
+            self.record_list(&*store, sent_at, listed).await;
         }
     }
 
-    fn apply_list(&self, list: ObjectList, sent_at: TimePoint) {
+    /// Merges a list; returns the version of the configuration in it, or of its removal.
+    fn apply_list(&self, list: ObjectList) -> StoreVersion {
         let versions = list.objects.iter().map(|object| object.version);
-        let version = versions.max().unwrap_or(list.revision);
+        let listed = versions.max().unwrap_or(list.revision);
         let (kind, revision) = (ObjectKind::Routing, list.revision);
         let newer_versions = self.links.catalog.accept_list(kind, list, false);
         let metrics = &self.links.metrics;
         metrics.observe_store_answer(kind, revision, newer_versions.len());
         self.links.group.note_store_answer();
-        self.lease().record_list(sent_at, version);
+        // A removal keeps its version, while the revision of the store increases.
+        let known = self.links.catalog.routing_object_version();
+        known.map_or(listed, |known| known.min(listed))
+    }
+
+    /// Records the proof of a list that was sent at `sent_at` and showed the version `listed`.
+    ///
+    /// If that version was rejected, the proof counts for the last valid one before it, as long as
+    /// the store's history tells which one that is. Otherwise it doesn't count, because a valid
+    /// version that this front has missed may have removed a key.
+    async fn record_list<S: ObjectStore>(
+        &self,
+        store: &S,
+        sent_at: TimePoint,
+        listed: StoreVersion,
+    ) {
+        let is_settled = self.is_settled(listed) || self.settle_history(store, listed).await;
+        let applied = self.links.catalog.routing_version();
+        let proven = applied.filter(|_| is_settled).unwrap_or(listed);
+        self.lease().record_list(sent_at, proven);
         self.record_held();
         self.proof_arrived.notify_one();
     }
 
+    fn is_settled(&self, listed: StoreVersion) -> bool {
+        let applied = self.links.catalog.routing_version();
+        let settled = *self.settled();
+        let is_covered = |known: StoreVersion| known.stored() >= listed.stored();
+        applied.is_some_and(is_covered) || settled.is_some_and(is_covered)
+    }
+
+    /// Applies what the store tells of the versions before a rejected or removed one; returns true
+    /// if none is missing.
+    async fn settle_history<S: ObjectStore>(&self, store: &S, listed: StoreVersion) -> bool {
+        let Some(applied) = self.links.catalog.routing_version() else {
+            return false;
+        };
+        let call = store.watch(&[ObjectKind::Routing], applied.stored(), TimeSpan::ZERO);
+        let result = time::timeout(LIST_TIMEOUT, call).await;
+        let is_answered = matches!(result, Ok(Ok(_)));
+        let metrics = &self.links.metrics;
+        metrics.observe_store_call(ObjectKind::Routing, is_answered);
+        // After a failure the next list repeats the call; the loss of the lease is logged.
+        let Ok(Ok(WatchOutcome::Changes(changes))) = result else {
+            return false;
+        };
+        if changes.revision < listed.stored() {
+            return false;
+        }
+        self.links.catalog.accept_routing_history(changes);
+        *self.settled() = Some(listed);
+        true
+    }
+
     /// Tells the other fronts when it changes whether the store answers this one: the first front
     /// that reaches it lists the configuration for all.
     fn record_store_contact(&self, is_reached: bool) {
@@ -242,7 +292,7 @@
     }
 
     fn record_held(&self) {
-        if let Some(version) = self.links.catalog.routing_object_version() {
+        if let Some(version) = self.links.catalog.routing_version() {
             self.lease().record_held(version);
         }
     }
@@ -293,7 +343,11 @@
     }
 
     fn is_active(&self) -> bool {
-        (self.has_teams)(&self.links.catalog)
+        self.links.catalog.has_teams()
+    }
+
+    fn settled(&self) -> MutexGuard<'_, Option<StoreVersion>> {
+        self.settled.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn lease(&self) -> MutexGuard<'_, ConfigLease> {
