Group requests: a front with teams drops a caller's key

A front whose configuration has no teams yet relays a caller's headers as received. The receiving front forwarded the key in them to targets although its own configuration has teams. It removes the key now. Measured: the new test fails without the change and passes with it.

--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -206,7 +206,11 @@
     /// Rebuilds the caller's request. Returns `None` if the group request is malformed.
     fn rebuild_call(&self) -> Option<Arc<QueryCall>> {
         let now = self.context.clock.now();
-        let head = request_head(&self.request)?;
+        let mut head = request_head(&self.request)?;
+        if self.context.catalog.has_teams() {
+            // The sender has a key in its head only if its configuration has no teams yet.
+            let _key = self.context.dialect.take_caller_key(&mut head);
+        }
         let identity = CallerIdentity::Undetermined;
         let forwarded_head = self
             .context
