Quota: larger buckets, reserve from the start, 1.2 s without share

Cause: buckets held 1/8 of the slack beyond the burst and the reserve started empty and was used only without an answer of the pool, so that a team with a small limit was refused although all fronts together were within the bound, and a restart of the group served nothing for seconds.

Change: buckets hold 0.35 of the slack, the reserve 0.4, refilled in four windows. The reserve is there from 0.5 s after the start and is used whenever the pool grants nothing, also after a denial. A front that starts has at most 1 request per team in reserve, because the process before may have used its reserve in the same window. The time without own share is the lifetime of a delegation, 1.2 s in place of 2 s.

--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod replica_choice;
 pub mod replica_stats;
 pub mod replica_table;
+mod reserve_history;
 pub mod restored_store;
 pub mod retry;
 pub mod retry_budget;
--- a/alderhaven-policy/src/quota_bound.rs
+++ b/alderhaven-policy/src/quota_bound.rs
@@ -11,13 +11,18 @@
 
 /// Part of the slack by which buckets hold more than the burst, so that a part of the group also
 /// holds whole requests of a team with a small burst.
-const SLACK_IN_BUCKETS: f64 = 0.125;
+const SLACK_IN_BUCKETS: f64 = 0.35;
 
-/// Part of the slack that fronts use without the pool.
-const SLACK_IN_RESERVE: f64 = 0.5;
+/// Part of the slack that fronts use when the pool grants nothing. With less, a sixth of the group
+/// holds no whole request at a slack of 20.
+const SLACK_IN_RESERVE: f64 = 0.4;
 
 /// Windows in which the reserve is refilled.
-const RESERVE_WINDOWS: f64 = 2.0;
+const RESERVE_WINDOWS: f64 = 4.0;
+
+/// Requests of a team in a front's reserve at its start, at most. The process before may have used
+/// its whole reserve in the same window.
+const MAX_START_RESERVE: f64 = 1.0;
 
 /// In any `window`, the fronts run at most `(rate * window + burst) * (1 + overshoot) + slack` requests
 /// of a team.
@@ -66,7 +71,7 @@
         }
     }
 
-    /// Returns the limit on what all fronts together run of a team while no pool answers them.
+    /// Returns the limit on what all fronts together run of a team without credit of a pool.
     #[must_use]
     pub fn reserve_limit(&self) -> GrantLimit {
         let capacity = self.slack * SLACK_IN_RESERVE;
@@ -77,6 +82,12 @@
         }
     }
 
+    /// Returns the requests of a team in the reserve of a front that has held a share since its start.
+    #[must_use]
+    pub fn start_reserve(&self, share: f64) -> f64 {
+        (self.reserve_limit().capacity * share).min(MAX_START_RESERVE)
+    }
+
     /// Returns the limit on what one front runs of a team by its own configuration.
     ///
     /// Credit that was granted at the limit's rate may be used up to its lifetime later.
--- a/alderhaven-policy/src/share_bucket.rs
+++ b/alderhaven-policy/src/share_bucket.rs
@@ -60,6 +60,13 @@
         bucket
     }
 
+    /// Adds credit, up to the capacity.
+    pub(crate) fn add(&mut self, count: f64, now: TimePoint) {
+        self.refill(now);
+        self.level += count;
+        self.clip();
+    }
+
     /// Sets the share; credit above the new capacity is lost.
     pub fn set_share(&mut self, share: f64, now: TimePoint) {
         self.refill(now);
--- a/alderhaven-policy/src/team_account.rs
+++ b/alderhaven-policy/src/team_account.rs
@@ -4,6 +4,7 @@
 use smallvec::SmallVec;
 
 use crate::quota_bound::QuotaBound;
+use crate::reserve_history::ReserveHistory;
 use crate::share_bucket::ShareBucket;
 use crate::share_history::ShareHistory;
 use crate::team_limit::TeamLimit;
@@ -21,7 +22,7 @@
     Granted(GrantedLot),
     /// The front's own share, which is not delegated.
     OwnShare,
-    /// The reserve for times without an answer of the pool.
+    /// The reserve for times without credit of the pool.
     Reserve,
 }
 
@@ -75,13 +76,13 @@
         bound: &QuotaBound,
         limit: TeamLimit,
         local: &ShareHistory,
-        reserve: &ShareHistory,
+        reserve: &ReserveHistory,
         now: TimePoint,
     ) -> Self {
         Self {
             lots: SmallVec::new(),
             own_share: ShareBucket::with_history(bound.grant_limit(limit), local, now),
-            reserve: ShareBucket::with_history(bound.reserve_limit(), reserve, now),
+            reserve: reserve.new_bucket(bound, now),
             ceiling: ShareBucket::full(bound.front_limit(limit), 1.0, now),
             demand: 0.0,
             demand_at: now,
@@ -107,6 +108,11 @@
         self.reserve.set_share(share, now);
     }
 
+    /// Adds what a front's reserve holds at its start.
+    pub(crate) fn fill_reserve(&mut self, count: f64, now: TimePoint) {
+        self.reserve.add(count, now);
+    }
+
     /// Counts a request that asks for credit.
     pub(crate) fn note_demand(&mut self, now: TimePoint) {
         self.demand = self.demand_rate(now) + 1.0 / DEMAND_TIME.as_secs_f64();
--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -11,6 +11,7 @@
 };
 use crate::pool_order::PoolCandidate;
 use crate::quota_bound::QuotaBound;
+use crate::reserve_history::ReserveHistory;
 use crate::share_history::ShareHistory;
 use crate::team_account::{GrantedLot, TakenCredit, TeamAccount};
 use crate::team_limit::TeamLimit;
@@ -24,7 +25,11 @@
 
 /// Time without share after a start: the delegation of the process before may still count, and the
 /// other fronts have to count this process into their shares.
-const START_TIME: TimeSpan = TimeSpan::from_secs(2);
+const START_TIME: TimeSpan = DELEGATION_LIFETIME;
+
+/// Time without reserve after a start, in which the fronts learn of each other. Until then the own
+/// share may be computed too large.
+const RESERVE_START_TIME: TimeSpan = TimeSpan::from_millis(500);
 
 /// Queries without reply after which another front is the pool.
 const MAX_UNANSWERED: u32 = 3;
@@ -83,7 +88,7 @@
     own_share: f64,
     /// The share that is used without a pool.
     local: ShareHistory,
-    reserve: ShareHistory,
+    reserve: ReserveHistory,
     pool: Option<ChosenPool>,
     /// Fronts that did not answer and are not chosen until they do, and when each is queried next.
     silent: HashMap<NodeId, TimePoint>,
@@ -139,7 +144,7 @@
             started_at: now,
             own_share: 0.0,
             local: ShareHistory::new(now),
-            reserve: ShareHistory::new(now),
+            reserve: ReserveHistory::new(now),
             pool: None,
             silent: HashMap::new(),
             former: None,
@@ -390,7 +395,8 @@
             return CreditDecision::OverLimit(delay);
         }
         if let Some(delay) = account.denied_for(now) {
-            return CreditDecision::OverLimit(delay);
+            let source = account.take_reserve(now);
+            return source.map_or(CreditDecision::OverLimit(delay), CreditDecision::Granted);
         }
         if account.is_unserved(now) {
             return Self::decide_unserved(account, now);
@@ -420,6 +426,10 @@
         now.since(self.started_at) >= START_TIME
     }
 
+    fn has_reserve(&self, now: TimePoint) -> bool {
+        now.since(self.started_at) >= RESERVE_START_TIME
+    }
+
     /// Reclaims the share once no pool counts it any more.
     fn update_shares(&mut self, now: TimePoint) {
         let has_started = self.has_started(now);
@@ -431,9 +441,22 @@
                 account.set_local_share(local_share, now);
             }
         }
-        if self.reserve.set(own_share, now) {
-            for account in self.accounts.values_mut() {
-                account.set_reserve_share(own_share, now);
+        self.update_reserve(now);
+    }
+
+    fn update_reserve(&mut self, now: TimePoint) {
+        let has_reserve = self.has_reserve(now);
+        let share = if has_reserve { self.own_share } else { 0.0 };
+        let had_started = self.reserve.has_started();
+        if !self.reserve.set(share, now) {
+            return;
+        }
+        let is_start = !had_started && self.reserve.has_started();
+        let filling = self.bound.start_reserve(share);
+        for account in self.accounts.values_mut() {
+            account.set_reserve_share(share, now);
+            if is_start {
+                account.fill_reserve(filling, now);
             }
         }
     }
