Quota: large shares are delegated for 0.6 s; denials are short while shares arrive

Cause: after the death of the pool, shares returned 0.8 to 1.2 s later and were then delegated with the next regular renewal. A pool that had the share of its first front named a time of up to 1 s at which credit returns, although the other shares arrived within 0.1 s. Denials of teams with less than one request per second named at most 1 s, which is earlier than credit returns, and a denial of the former pool outlived it.

Change: shares of 0.02 and more (at most 50 fronts) count for 0.6 s and are renewed every 0.2 s, others for 1.2 s and every 0.5 s. A renewal echoes the reply to the one before, so two intervals and a repeat must fit into the lifetime: 0.6 s for 1.2 s lets each delegation lapse. A free share is delegated at the next tick. Denials name up to 10 s, but at most 0.1 s while the pool's share grows; a front queries again after at most 1 s.

--- a/alderhaven-policy/src/credit_pool.rs
+++ b/alderhaven-policy/src/credit_pool.rs
@@ -5,9 +5,8 @@
 use alderhaven_core::ids::{NodeId, TeamId};
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
-use crate::pool_messages::{
-    DELEGATION_LIFETIME, PoolQuery, PoolReply, ProcessEpoch, ShareOffer, TeamDemand, TeamGrant,
-};
+use crate::delegation_term::DELEGATION_LIFETIME;
+use crate::pool_messages::{PoolQuery, PoolReply, ProcessEpoch, ShareOffer, TeamDemand, TeamGrant};
 use crate::quota_bound::QuotaBound;
 use crate::share_bucket::ShareBucket;
 use crate::share_history::ShareHistory;
@@ -20,8 +19,15 @@
 /// Shortest time that a denial names. It bounds the queries of a front for a team over its limit.
 const MIN_DENIAL: TimeSpan = TimeSpan::from_millis(20);
 
-/// Longest time that a denial names; after that the group may have changed.
-const MAX_DENIAL: TimeSpan = TimeSpan::from_secs(1);
+/// Longest time that a denial names.
+const MAX_DENIAL: TimeSpan = TimeSpan::from_secs(10);
+
+/// Longest time that a denial names while shares arrive: with the share of few fronts, credit seems
+/// to return much later than it does.
+const MAX_EARLY_DENIAL: TimeSpan = TimeSpan::from_millis(100);
+
+/// Growth of the delegated share after which more is expected. Small hosts come and go without.
+const NOTABLE_GROWTH: f64 = 0.01;
 
 /// Shares that are delegated to this process, and each team's credit.
 #[derive(Debug)]
@@ -30,6 +36,8 @@
     epoch: ProcessEpoch,
     fronts: HashMap<(NodeId, ProcessEpoch), DelegatingFront>,
     history: ShareHistory,
+    /// When the delegated share last grew notably.
+    grown_at: Option<TimePoint>,
     /// No delegation expires before this time.
     next_expiry: TimePoint,
     teams: HashMap<TeamId, PooledTeam>,
@@ -62,6 +70,7 @@
             epoch,
             fronts: HashMap::new(),
             history: ShareHistory::new(now),
+            grown_at: None,
             next_expiry: now,
             teams: HashMap::new(),
         }
@@ -116,7 +125,7 @@
         };
         if let Some(offer) = offer {
             front.share = offer.share;
-            front.expires_at = offer.pool_time + DELEGATION_LIFETIME;
+            front.expires_at = offer.expires_at();
         }
         if front.share > 0.0 {
             self.next_expiry = self.next_expiry.min(front.expires_at);
@@ -127,7 +136,7 @@
     }
 
     fn is_valid(&self, offer: &ShareOffer, now: TimePoint) -> bool {
-        let is_current = offer.pool_time <= now && now < offer.pool_time + DELEGATION_LIFETIME;
+        let is_current = offer.pool_time <= now && now < offer.expires_at();
         offer.pool_epoch == self.epoch && is_current && (0.0..=1.0).contains(&offer.share)
     }
 
@@ -139,6 +148,7 @@
         now: TimePoint,
     ) -> Option<TeamGrant> {
         let grant_limit = self.bound.grant_limit(limit);
+        let max_denial = self.max_denial(now);
         let history = self.history;
         let entry = self.teams.entry(demand.team.clone());
         let team = entry.or_insert_with(|| PooledTeam {
@@ -158,7 +168,7 @@
         team.bucket.refill_interval()?;
         let granted = team.bucket.take(demand.wanted, now);
         let available_after = if granted < demand.wanted {
-            team.next_turn(now)
+            team.next_turn(max_denial, now)
         } else {
             TimeSpan::ZERO
         };
@@ -169,6 +179,15 @@
         })
     }
 
+    fn max_denial(&self, now: TimePoint) -> TimeSpan {
+        let is_growing = |grown_at| now.since(grown_at) < DELEGATION_LIFETIME;
+        if self.grown_at.is_some_and(is_growing) {
+            MAX_EARLY_DENIAL
+        } else {
+            MAX_DENIAL
+        }
+    }
+
     /// Ends the delegations that expired, each at its own time.
     fn expire(&mut self, now: TimePoint) {
         while self.next_expiry <= now {
@@ -192,6 +211,9 @@
         let total: f64 = self.fronts.values().map(|front| front.share).sum();
         // Fronts that have not seen all others yet may count larger shares.
         let total = total.min(1.0);
+        if total > self.history.share() + NOTABLE_GROWTH {
+            self.grown_at = Some(now);
+        }
         if self.history.set(total, now) {
             for team in self.teams.values_mut() {
                 team.bucket.set_share(total, now);
@@ -202,12 +224,12 @@
 
 impl PooledTeam {
     /// Returns the time until the next request is refilled that no other denial named.
-    fn next_turn(&mut self, now: TimePoint) -> TimeSpan {
-        let interval = self.bucket.refill_interval().unwrap_or(MAX_DENIAL);
-        let refilled_after = self.bucket.until_next(now).unwrap_or(MAX_DENIAL);
+    fn next_turn(&mut self, max_denial: TimeSpan, now: TimePoint) -> TimeSpan {
+        let interval = self.bucket.refill_interval().unwrap_or(max_denial);
+        let refilled_after = self.bucket.until_next(now).unwrap_or(max_denial);
         let turn = (self.last_turn + interval).max(now + refilled_after);
-        let delay = now.until(turn).clamp(MIN_DENIAL, MAX_DENIAL);
-        self.last_turn = turn.min(now + MAX_DENIAL);
+        let delay = now.until(turn).clamp(MIN_DENIAL, max_denial);
+        self.last_turn = turn.min(now + max_denial);
         delay
     }
 }
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod crash_strike;
 pub mod credit_pool;
 pub mod cross_domain_cost;
+pub mod delegation_term;
 pub mod delivery_age;
 pub mod domain_peers;
 pub mod domain_silence;
--- a/alderhaven-policy/src/pool_messages.rs
+++ b/alderhaven-policy/src/pool_messages.rs
@@ -3,13 +3,12 @@
 use alderhaven_core::ids::{NodeId, TeamId};
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
+use crate::delegation_term::DelegationTerm;
+
 /// Random number that a process draws at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ProcessEpoch(pub u64);
 
-/// How long a delegated share counts.
-pub const DELEGATION_LIFETIME: TimeSpan = TimeSpan::from_millis(1_200);
-
 /// Query of a front to the pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolQuery {
@@ -36,6 +35,14 @@
     pub share: f64,
 }
 
+impl ShareOffer {
+    /// Returns until when the pool counts the share, by its own clock.
+    #[must_use]
+    pub fn expires_at(&self) -> TimePoint {
+        self.pool_time + DelegationTerm::of_share(self.share).lifetime()
+    }
+}
+
 /// Credit that a front wants and returns.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamDemand {
--- a/alderhaven-policy/src/team_account.rs
+++ b/alderhaven-policy/src/team_account.rs
@@ -15,6 +15,9 @@
 /// How much of the demand a front asks for in advance.
 const PREFETCH_TIME: TimeSpan = TimeSpan::from_millis(200);
 
+/// Longest time without query after a denial; after that the group may have changed.
+const MAX_QUERY_PAUSE: TimeSpan = TimeSpan::from_secs(1);
+
 /// Credit from which one request runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CreditSource {
@@ -67,6 +70,8 @@
     returned: SmallVec<[CreditLot; 1]>,
     /// Until then the team is refused without a query.
     denied_until: TimePoint,
+    /// When the pool has credit again, which may be later.
+    credit_at: TimePoint,
     /// Until then the pool is known not to serve this team.
     unserved_until: TimePoint,
 }
@@ -91,6 +96,7 @@
             asked_at: now,
             returned: SmallVec::new(),
             denied_until: now,
+            credit_at: now,
             unserved_until: now,
         }
     }
@@ -272,9 +278,17 @@
         }
     }
 
-    /// Records that the pool has no more credit until a time.
-    pub(crate) fn note_denied(&mut self, until: TimePoint) {
-        self.denied_until = until;
+    /// Records that the pool has no more credit for some time.
+    pub(crate) fn note_denied(&mut self, delay: TimeSpan, now: TimePoint) {
+        self.denied_until = now + delay.min(MAX_QUERY_PAUSE);
+        self.credit_at = now + delay;
+    }
+
+    /// Records that another pool decides from now on.
+    pub(crate) fn note_pool_change(&mut self, now: TimePoint) {
+        self.allow_repeat(TimeSpan::ZERO, now);
+        self.denied_until = now;
+        self.unserved_until = now;
     }
 
     /// Records that the pool does not serve this team until a time.
@@ -284,7 +298,7 @@
 
     /// Returns the time until the team may have credit again, while it is refused without a query.
     pub(crate) fn denied_for(&self, now: TimePoint) -> Option<TimeSpan> {
-        (now < self.denied_until).then(|| now.until(self.denied_until))
+        (now < self.denied_until).then(|| now.until(self.credit_at))
     }
 
     /// Returns `true` while the pool is known not to serve this team.
--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -6,9 +6,8 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-use crate::pool_messages::{
-    DELEGATION_LIFETIME, PoolQuery, PoolReply, ProcessEpoch, ShareOffer, TeamDemand,
-};
+use crate::delegation_term::{DELEGATION_LIFETIME, DelegationTerm};
+use crate::pool_messages::{PoolQuery, PoolReply, ProcessEpoch, ShareOffer, TeamDemand};
 use crate::pool_order::PoolCandidate;
 use crate::quota_bound::QuotaBound;
 use crate::reserve_history::ReserveHistory;
@@ -16,9 +15,6 @@
 use crate::team_account::{GrantedLot, TakenCredit, TeamAccount};
 use crate::team_limit::TeamLimit;
 
-/// Time between two renewals of a delegation, a third of its lifetime.
-const RENEWAL_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
-
 /// Time after which a query without reply is repeated to renew a delegation, and shortest time
 /// between queries to a pool that does not answer.
 const RETRY_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
@@ -176,8 +172,7 @@
             return None;
         }
         for account in self.accounts.values_mut() {
-            account.allow_repeat(TimeSpan::ZERO, now);
-            account.note_unserved(now);
+            account.note_pool_change(now);
         }
         let pool = ChosenPool::new(chosen.node.clone(), now);
         let former = self.pool.replace(pool);
@@ -326,10 +321,28 @@
     /// Returns the query that renews the delegation, if it is due.
     pub fn renewal(&mut self, now: TimePoint) -> Option<PoolQuery> {
         self.update_shares(now);
-        let is_due = self.pool.as_ref()?.is_renewal_due(now);
+        let pool = self.pool.as_ref()?;
+        let is_due = pool.is_renewal_due(self.term(), now) || self.is_share_free(now);
         is_due.then(|| self.query(None, now))?
     }
 
+    /// Returns the term by which the own share is delegated.
+    fn term(&self) -> DelegationTerm {
+        DelegationTerm::of_share(self.own_share)
+    }
+
+    /// Returns `true` if the share can be delegated to a pool that answers, and is not.
+    fn is_share_free(&self, now: TimePoint) -> bool {
+        let pool = self.pool.as_ref();
+        let contact = pool.filter(|pool| pool.unanswered == 0);
+        let contact = contact.and_then(|pool| pool.contact);
+        contact.is_some_and(|contact| {
+            let is_recent = now < contact.received_at + self.term().lifetime();
+            let is_free = self.delegated_until <= now && self.own_share > 0.0;
+            is_recent && is_free && self.has_started(now)
+        })
+    }
+
     /// Applies a reply. Returns what it brought, or `None` if it does not belong to an open query.
     pub fn apply(&mut self, reply: &PoolReply, now: TimePoint) -> Option<Vec<GrantOutcome>> {
         let place = self
@@ -359,7 +372,7 @@
             account.add_lot(lot, granted);
             let is_denied = granted < wanted;
             if is_denied {
-                account.note_denied(now + grant.available_after);
+                account.note_denied(grant.available_after, now);
             }
             outcomes.push(GrantOutcome {
                 team,
@@ -554,12 +567,12 @@
     /// share is not used locally from this moment until no pool counts it any more.
     fn offer(&mut self, now: TimePoint) -> Option<ShareOffer> {
         let contact = self.pool.as_ref()?.contact?;
-        let counts_until = contact.received_at + DELEGATION_LIFETIME;
-        if counts_until <= now {
+        if contact.received_at + DELEGATION_LIFETIME <= now {
             return None;
         }
+        let counts_until = contact.received_at + self.term().lifetime();
         let is_free = self.delegated_to == contact.id || self.delegated_until <= now;
-        let share = if is_free && self.has_started(now) {
+        let share = if is_free && self.has_started(now) && now < counts_until {
             self.own_share
         } else {
             0.0
@@ -667,11 +680,11 @@
             .is_none_or(|queried_at| now.since(queried_at) >= RETRY_INTERVAL)
     }
 
-    fn is_renewal_due(&self, now: TimePoint) -> bool {
+    fn is_renewal_due(&self, term: DelegationTerm, now: TimePoint) -> bool {
         let interval = if self.unanswered > 0 {
             RETRY_INTERVAL
         } else {
-            RENEWAL_INTERVAL
+            term.renewal_interval()
         };
         self.queried_at
             .is_none_or(|queried_at| now.since(queried_at) >= interval)
--- a/alderhaven-policy/tests/team_quota/main.rs
+++ b/alderhaven-policy/tests/team_quota/main.rs
@@ -1,6 +1,7 @@
 //! Tests of team limits over all fronts: no window exceeds the bound, and what is allowed is served.
 
 mod bucket;
+mod changes;
 #[path = "../common/mod.rs"]
 mod common;
 mod pool;
