Quota: fronts without requests send and wake up less often

Cause: a front woke up ten times per second for a renewal every 0.4 s, and refused callers got two random additions to their retry time, one by the keeper and one by the answer.

Change: the keeper sleeps until the next renewal, 0.1 s after a query, and refreshes the group at one of these wake-ups. A request without reply chooses another pool at once. The keeper adds no random part.

Tests: queries, wake-ups and uninterrupted delegation of an idle front, with lost queries and replies; times that a denial names; no query until then.

--- a/alderhaven-front/src/credit_keeper.rs
+++ b/alderhaven-front/src/credit_keeper.rs
@@ -33,22 +33,19 @@
 use crate::credit_status::CreditStatus;
 use crate::front_event::FrontEvent;
 
-/// Interval at which renewals and repeats that are due are sent.
-const TICK: Duration = Duration::from_millis(100);
+/// Shortest time between two wake-ups to send renewals and repeats that are due.
+const MIN_TICK: TimeSpan = TimeSpan::from_millis(100);
 
 /// Interval at which a front without limits looks for new ones, to cause few wake-ups.
 const IDLE_TICK: Duration = Duration::from_secs(1);
 
-/// Interval at which the live fronts and their order are determined anew, in ticks. A pool that is
-/// lost is noticed earlier by its silence.
-const TICKS_PER_REFRESH: u32 = 5;
+/// Interval at which the live fronts and their order are determined anew, at the next wake-up. A pool
+/// that is lost is noticed earlier by its silence.
+const REFRESH_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
 
 /// Shortest time between two log lines about the limit of one team.
 const LIMIT_LINE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
-/// Retry times are extended by up to this part, so that refused callers do not return together.
-const RETRY_JITTER: f64 = 0.5;
-
 /// Parts of a keeper.
 #[derive(Debug, bon::Builder)]
 pub struct CreditOptions {
@@ -91,7 +88,7 @@
 /// Why there is no credit for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CreditRefusal {
-    /// The team is over its limit until credit returns.
+    /// The team is over its limit until credit returns. The times of refusals have no random part.
     OverLimit {
         /// Time until the team has credit again.
         retry_after: TimeSpan,
@@ -160,12 +157,11 @@
     /// Renews the delegation for as long as the process runs. Nothing is sent while no team has a
     /// limit.
     pub async fn run(self: Arc<Self>) {
-        let mut count: u32 = 0;
+        let mut refresh_at = self.clock.now();
         loop {
             if self.options.limits.has_any() {
-                self.tick(count.is_multiple_of(TICKS_PER_REFRESH));
-                count = count.wrapping_add(1);
-                time::sleep(TICK).await;
+                let pause = self.tick(&mut refresh_at);
+                time::sleep(pause.as_duration()).await;
             } else {
                 time::sleep(IDLE_TICK).await;
             }
@@ -262,7 +258,10 @@
         }
         {
             let mut state = self.lock();
-            state.credit.allow_repeat(team, half, self.clock.now());
+            let now = self.clock.now();
+            // Another pool is chosen without waiting for the next wake-up.
+            choose_pool(&mut state, now);
+            state.credit.allow_repeat(team, half, now);
             self.ask(&mut state, team, limit);
         }
         let deadline = started_at + max_wait.as_duration();
@@ -310,13 +309,11 @@
             CreditDecision::OverLimit(delay) => {
                 metrics.observe_credit(team, CreditEvent::OverLimit, 1);
                 self.log_limit(team, delay);
-                let retry_after = with_jitter(delay);
-                Err(CreditRefusal::OverLimit { retry_after })
+                Err(CreditRefusal::OverLimit { retry_after: delay })
             }
             CreditDecision::Unavailable(delay) => {
                 metrics.observe_credit(team, CreditEvent::Unavailable, 1);
-                let retry_after = with_jitter(delay);
-                Err(CreditRefusal::Unavailable { retry_after })
+                Err(CreditRefusal::Unavailable { retry_after: delay })
             }
             // Not reached: a request that waits is decided in the end.
             CreditDecision::Waiting => Err(CreditRefusal::Unavailable {
@@ -325,11 +322,15 @@
         }
     }
 
-    fn tick(&self, is_refresh_due: bool) {
+    /// Sends what is due, and returns the time until the next wake-up.
+    ///
+    /// A query without reply is followed up after the shortest time. It is usually answered by then.
+    fn tick(&self, refresh_at: &mut TimePoint) -> TimeSpan {
         let now = self.clock.now();
         let mut state = self.lock();
-        if is_refresh_due {
+        if *refresh_at <= now {
             self.refresh(&mut state, now);
+            *refresh_at = now + REFRESH_INTERVAL;
         }
         choose_pool(&mut state, now);
         let renewal = state.credit.renewal(now);
@@ -339,6 +340,9 @@
         if let Some(query) = renewal {
             self.send_to_pool(&mut state, &query);
         }
+        // The group is refreshed when a renewal is due, to cause no wake-up of its own.
+        let renewal = state.credit.until_renewal(now);
+        renewal.min(REFRESH_INTERVAL).max(MIN_TICK)
     }
 
     /// Determines the live fronts, and drops what is kept for teams that need it no more.
@@ -460,7 +464,3 @@
         FrontEvent::PoolChanged { pool, before }.emit(Level::Info);
     }
 }
-
-fn with_jitter(delay: TimeSpan) -> TimeSpan {
-    delay.mul_f64(1.0 + RETRY_JITTER * rand::random::<f64>())
-}
--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -326,6 +326,23 @@
         is_due.then(|| self.query(None, now))?
     }
 
+    /// Returns the time until a renewal may be due, if no query is sent before. While queries have no
+    /// reply, it is that until the next repeat.
+    #[must_use]
+    pub fn until_renewal(&self, now: TimePoint) -> TimeSpan {
+        let renewal = self.pool.as_ref().map_or(TimeSpan::ZERO, |pool| {
+            now.until(pool.renewal_due_at(self.term(), now))
+        });
+        let start = self.started_at + START_TIME;
+        if now < start {
+            renewal.min(now.until(start))
+        } else if now < self.delegated_until {
+            renewal.min(now.until(self.delegated_until))
+        } else {
+            renewal
+        }
+    }
+
     /// Returns the term by which the own share is delegated.
     fn term(&self) -> DelegationTerm {
         DelegationTerm::of_share(self.own_share)
@@ -681,13 +698,17 @@
     }
 
     fn is_renewal_due(&self, term: DelegationTerm, now: TimePoint) -> bool {
+        self.renewal_due_at(term, now) <= now
+    }
+
+    fn renewal_due_at(&self, term: DelegationTerm, now: TimePoint) -> TimePoint {
         let interval = if self.unanswered > 0 {
             RETRY_INTERVAL
         } else {
             term.renewal_interval()
         };
         self.queried_at
-            .is_none_or(|queried_at| now.since(queried_at) >= interval)
+            .map_or(now, |queried_at| queried_at + interval)
     }
 
     fn is_silent(&self, now: TimePoint) -> bool {
--- a/alderhaven-policy/tests/team_quota/main.rs
+++ b/alderhaven-policy/tests/team_quota/main.rs
@@ -4,7 +4,9 @@
 mod changes;
 #[path = "../common/mod.rs"]
 mod common;
+mod denials;
 mod pool;
+mod renewals;
 mod served;
 mod simulation;
 mod window_bound;
