Quota: expired credit is counted whoever notices it first

Cause: a request, a query or a refund that removed expired credit dropped its count, so that credit_total with the event Expired had only what the refresh of the group found.

Change: an account keeps the count until it is reported.

Result: expire_counted_once fails without the change ([] in place of 1) and passes with it.

--- a/alderhaven-front/src/credit_keeper.rs
+++ b/alderhaven-front/src/credit_keeper.rs
@@ -88,9 +88,9 @@
 /// Why there is no credit for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CreditRefusal {
-    /// The team is over its limit until credit returns. The times of refusals have no random part.
+    /// The team is over its limit until credit returns.
     OverLimit {
-        /// Time until the team has credit again.
+        /// Time until the team has credit again, to which the answer adds a random part.
         retry_after: TimeSpan,
     },
     /// The front has no credit and can't obtain any now.
--- a/alderhaven-policy/src/team_account.rs
+++ b/alderhaven-policy/src/team_account.rs
@@ -66,6 +66,8 @@
     /// Requests for which credit was asked in queries without reply.
     asked: u32,
     asked_at: TimePoint,
+    /// Credit that expired and was not reported yet.
+    expired: u32,
     /// Unused credit to return.
     returned: SmallVec<[CreditLot; 1]>,
     /// Until then the team is refused without a query.
@@ -94,6 +96,7 @@
             waiting: 0,
             asked: 0,
             asked_at: now,
+            expired: 0,
             returned: SmallVec::new(),
             denied_until: now,
             credit_at: now,
@@ -208,7 +211,7 @@
     }
 
     /// Collects expired credit to return it to its pool, and returns how much expired.
-    pub(crate) fn expire(&mut self, now: TimePoint) -> u32 {
+    fn expire(&mut self, now: TimePoint) -> u32 {
         let mut expired = 0;
         while let Some(first) = self.lots.first().copied() {
             if first.lot.expires_at > now {
@@ -218,9 +221,16 @@
             expired += first.count;
             self.returned.push(first);
         }
+        self.expired = self.expired.saturating_add(expired);
         expired
     }
 
+    /// Returns how much credit expired since the latest call.
+    pub(crate) fn take_expired(&mut self, now: TimePoint) -> u32 {
+        self.expire(now);
+        std::mem::take(&mut self.expired)
+    }
+
     /// Returns the unused credit of a pool, by the time at which it was granted, and forgets that of
     /// others.
     pub(crate) fn take_returned(
--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -401,7 +401,8 @@
         Some(outcomes)
     }
 
-    /// Removes accounts of teams without limit, and returns the credit that expired by team.
+    /// Removes accounts of teams without limit, and returns the credit that expired since the
+    /// latest call, by team.
     pub fn expire(
         &mut self,
         limits: impl Fn(&TeamId) -> Option<TeamLimit>,
@@ -413,7 +414,7 @@
         let expired = self
             .accounts
             .iter_mut()
-            .map(|(team, account)| (team.clone(), account.expire(now)));
+            .map(|(team, account)| (team.clone(), account.take_expired(now)));
         expired.filter(|(_, count)| *count > 0).collect()
     }
 
--- a/alderhaven-policy/tests/team_quota/denials.rs
+++ b/alderhaven-policy/tests/team_quota/denials.rs
@@ -117,3 +117,36 @@
     let decision = front.take(&team, limit(), common::at(999));
     assert_eq!(decision, CreditDecision::Waiting);
 }
+
+/// Guards against expired credit that is missing in the count because a request noticed it first.
+#[test]
+fn expire_counted_once() {
+    let start = TimePoint::START;
+    let node: NodeId = "front-1".parse().expect("valid node");
+    let mut front = TeamCredit::new(BOUND, node, ProcessEpoch(1), start);
+    let pool = PoolCandidate {
+        node: "front-0".parse().expect("valid node"),
+        is_large: true,
+    };
+    front.choose_pool(&[pool], start);
+    let team = team();
+    assert_eq!(front.take(&team, limit(), start), CreditDecision::Waiting);
+    let query = front.query_for(&team, limit(), start).expect("is needed");
+    let reply = PoolReply {
+        number: query.number,
+        pool_epoch: ProcessEpoch(2),
+        pool_time: start,
+        grants: vec![TeamGrant {
+            team: team.clone(),
+            granted: 1,
+            available_after: TimeSpan::ZERO,
+        }],
+    };
+    front.apply(&reply, start);
+    front.end_wait(&team);
+    let later = common::at(600);
+    assert_eq!(front.take(&team, limit(), later), CreditDecision::Waiting);
+    let expired = front.expire(|_| Some(limit()), later);
+    assert_eq!(expired, [(team, 1)]);
+    assert_eq!(front.expire(|_| Some(limit()), later), []);
+}
