--- a/alderhaven-policy/src/team_account.rs
+++ b/alderhaven-policy/src/team_account.rs
@@ -4,6 +4,7 @@
 use smallvec::SmallVec;
 
 use crate::quota_bound::QuotaBound;
+use crate::reserve_history::ReserveHistory;
 use crate::share_bucket::ShareBucket;
 use crate::share_history::ShareHistory;
 use crate::team_limit::TeamLimit;
@@ -14,6 +15,9 @@
 /// How much of the demand a front asks for in advance.
 const PREFETCH_TIME: TimeSpan = TimeSpan::from_millis(200);
 
+/// Longest time without query after a denial; after that the group may have changed.
+const MAX_QUERY_PAUSE: TimeSpan = TimeSpan::from_secs(1);
+
 /// Credit from which one request runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CreditSource {
@@ -21,7 +25,7 @@
     Granted(GrantedLot),
     /// The front's own share, which is not delegated.
     OwnShare,
-    /// The reserve for times without an answer of the pool.
+    /// The reserve for times without credit of the pool.
     Reserve,
 }
 
@@ -62,10 +66,14 @@
     /// Requests for which credit was asked in queries without reply.
     asked: u32,
     asked_at: TimePoint,
+    /// Credit that expired and was not reported yet.
+    expired: u32,
     /// Unused credit to return.
     returned: SmallVec<[CreditLot; 1]>,
     /// Until then the team is refused without a query.
     denied_until: TimePoint,
+    /// When the pool has credit again, which may be later.
+    credit_at: TimePoint,
     /// Until then the pool is known not to serve this team.
     unserved_until: TimePoint,
 }
@@ -75,21 +83,23 @@
         bound: &QuotaBound,
         limit: TeamLimit,
         local: &ShareHistory,
-        reserve: &ShareHistory,
+        reserve: &ReserveHistory,
         now: TimePoint,
     ) -> Self {
         Self {
             lots: SmallVec::new(),
             own_share: ShareBucket::with_history(bound.grant_limit(limit), local, now),
-            reserve: ShareBucket::with_history(bound.reserve_limit(), reserve, now),
+            reserve: reserve.new_bucket(bound, now),
             ceiling: ShareBucket::full(bound.front_limit(limit), 1.0, now),
             demand: 0.0,
             demand_at: now,
             waiting: 0,
             asked: 0,
             asked_at: now,
+            expired: 0,
             returned: SmallVec::new(),
             denied_until: now,
+            credit_at: now,
             unserved_until: now,
         }
     }
@@ -107,6 +117,11 @@
         self.reserve.set_share(share, now);
     }
 
+    /// Adds what a front's reserve holds at its start.
+    pub(crate) fn fill_reserve(&mut self, count: f64, now: TimePoint) {
+        self.reserve.add(count, now);
+    }
+
     /// Counts a request that asks for credit.
     pub(crate) fn note_demand(&mut self, now: TimePoint) {
         self.demand = self.demand_rate(now) + 1.0 / DEMAND_TIME.as_secs_f64();
@@ -196,7 +211,7 @@
     }
 
     /// Collects expired credit to return it to its pool, and returns how much expired.
-    pub(crate) fn expire(&mut self, now: TimePoint) -> u32 {
+    fn expire(&mut self, now: TimePoint) -> u32 {
         let mut expired = 0;
         while let Some(first) = self.lots.first().copied() {
             if first.lot.expires_at > now {
@@ -206,9 +221,16 @@
             expired += first.count;
             self.returned.push(first);
         }
+        self.expired = self.expired.saturating_add(expired);
         expired
     }
 
+    /// Returns how much credit expired since the latest call.
+    pub(crate) fn take_expired(&mut self, now: TimePoint) -> u32 {
+        self.expire(now);
+        std::mem::take(&mut self.expired)
+    }
+
     /// Returns the unused credit of a pool, by the time at which it was granted, and forgets that of
     /// others.
     pub(crate) fn take_returned(
@@ -266,9 +288,17 @@
         }
     }
 
-    /// Records that the pool has no more credit until a time.
-    pub(crate) fn note_denied(&mut self, until: TimePoint) {
-        self.denied_until = until;
+    /// Records that the pool has no more credit for some time.
+    pub(crate) fn note_denied(&mut self, delay: TimeSpan, now: TimePoint) {
+        self.denied_until = now + delay.min(MAX_QUERY_PAUSE);
+        self.credit_at = now + delay;
+    }
+
+    /// Records that another pool decides from now on.
+    pub(crate) fn note_pool_change(&mut self, now: TimePoint) {
+        self.allow_repeat(TimeSpan::ZERO, now);
+        self.denied_until = now;
+        self.unserved_until = now;
     }
 
     /// Records that the pool does not serve this team until a time.
@@ -278,7 +308,7 @@
 
     /// Returns the time until the team may have credit again, while it is refused without a query.
     pub(crate) fn denied_for(&self, now: TimePoint) -> Option<TimeSpan> {
-        (now < self.denied_until).then(|| now.until(self.denied_until))
+        (now < self.denied_until).then(|| now.until(self.credit_at))
     }
 
     /// Returns `true` while the pool is known not to serve this team.
--- a/alderhaven-policy/src/team_credit.rs
+++ b/alderhaven-policy/src/team_credit.rs
@@ -6,25 +6,26 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-use crate::pool_messages::{
-    DELEGATION_LIFETIME, PoolQuery, PoolReply, ProcessEpoch, ShareOffer, TeamDemand,
-};
+use crate::delegation_term::{DELEGATION_LIFETIME, DelegationTerm};
+use crate::pool_messages::{PoolQuery, PoolReply, ProcessEpoch, ShareOffer, TeamDemand};
 use crate::pool_order::PoolCandidate;
 use crate::quota_bound::QuotaBound;
+use crate::reserve_history::ReserveHistory;
 use crate::share_history::ShareHistory;
 use crate::team_account::{GrantedLot, TakenCredit, TeamAccount};
 use crate::team_limit::TeamLimit;
 
-/// Time between two renewals of a delegation, a third of its lifetime.
-const RENEWAL_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
-
 /// Time after which a query without reply is repeated to renew a delegation, and shortest time
 /// between queries to a pool that does not answer.
 const RETRY_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
 
 /// Time without share after a start: the delegation of the process before may still count, and the
 /// other fronts have to count this process into their shares.
-const START_TIME: TimeSpan = TimeSpan::from_secs(2);
+const START_TIME: TimeSpan = DELEGATION_LIFETIME;
+
+/// Time without reserve after a start, in which the fronts learn of each other. Until then the own
+/// share may be computed too large.
+const RESERVE_START_TIME: TimeSpan = TimeSpan::from_millis(500);
 
 /// Queries without reply after which another front is the pool.
 const MAX_UNANSWERED: u32 = 3;
@@ -83,7 +84,7 @@
     own_share: f64,
     /// The share that is used without a pool.
     local: ShareHistory,
-    reserve: ShareHistory,
+    reserve: ReserveHistory,
     pool: Option<ChosenPool>,
     /// Fronts that did not answer and are not chosen until they do, and when each is queried next.
     silent: HashMap<NodeId, TimePoint>,
@@ -139,7 +140,7 @@
             started_at: now,
             own_share: 0.0,
             local: ShareHistory::new(now),
-            reserve: ShareHistory::new(now),
+            reserve: ReserveHistory::new(now),
             pool: None,
             silent: HashMap::new(),
             former: None,
@@ -171,8 +172,7 @@
             return None;
         }
         for account in self.accounts.values_mut() {
-            account.allow_repeat(TimeSpan::ZERO, now);
-            account.note_unserved(now);
+            account.note_pool_change(now);
         }
         let pool = ChosenPool::new(chosen.node.clone(), now);
         let former = self.pool.replace(pool);
@@ -321,10 +321,45 @@
     /// Returns the query that renews the delegation, if it is due.
     pub fn renewal(&mut self, now: TimePoint) -> Option<PoolQuery> {
         self.update_shares(now);
-        let is_due = self.pool.as_ref()?.is_renewal_due(now);
+        let pool = self.pool.as_ref()?;
+        let is_due = pool.is_renewal_due(self.term(), now) || self.is_share_free(now);
         is_due.then(|| self.query(None, now))?
     }
 
+    /// Returns the time until a renewal may be due, if no query is sent before. While queries have no
+    /// reply, it is that until the next repeat.
+    #[must_use]
+    pub fn until_renewal(&self, now: TimePoint) -> TimeSpan {
+        let renewal = self.pool.as_ref().map_or(TimeSpan::ZERO, |pool| {
+            now.until(pool.renewal_due_at(self.term(), now))
+        });
+        let start = self.started_at + START_TIME;
+        if now < start {
+            renewal.min(now.until(start))
+        } else if now < self.delegated_until {
+            renewal.min(now.until(self.delegated_until))
+        } else {
+            renewal
+        }
+    }
+
+    /// Returns the term by which the own share is delegated.
+    fn term(&self) -> DelegationTerm {
+        DelegationTerm::of_share(self.own_share)
+    }
+
+    /// Returns `true` if the share can be delegated to a pool that answers, and is not.
+    fn is_share_free(&self, now: TimePoint) -> bool {
+        let pool = self.pool.as_ref();
+        let contact = pool.filter(|pool| pool.unanswered == 0);
+        let contact = contact.and_then(|pool| pool.contact);
+        contact.is_some_and(|contact| {
+            let is_recent = now < contact.received_at + self.term().lifetime();
+            let is_free = self.delegated_until <= now && self.own_share > 0.0;
+            is_recent && is_free && self.has_started(now)
+        })
+    }
+
     /// Applies a reply. Returns what it brought, or `None` if it does not belong to an open query.
     pub fn apply(&mut self, reply: &PoolReply, now: TimePoint) -> Option<Vec<GrantOutcome>> {
         let place = self
@@ -354,7 +389,7 @@
             account.add_lot(lot, granted);
             let is_denied = granted < wanted;
             if is_denied {
-                account.note_denied(now + grant.available_after);
+                account.note_denied(grant.available_after, now);
             }
             outcomes.push(GrantOutcome {
                 team,
@@ -366,7 +401,8 @@
         Some(outcomes)
     }
 
-    /// Removes accounts of teams without limit, and returns the credit that expired by team.
+    /// Removes accounts of teams without limit, and returns the credit that expired since the
+    /// latest call, by team.
     pub fn expire(
         &mut self,
         limits: impl Fn(&TeamId) -> Option<TeamLimit>,
@@ -378,7 +414,7 @@
         let expired = self
             .accounts
             .iter_mut()
-            .map(|(team, account)| (team.clone(), account.expire(now)));
+            .map(|(team, account)| (team.clone(), account.take_expired(now)));
         expired.filter(|(_, count)| *count > 0).collect()
     }
 
@@ -390,7 +426,8 @@
             return CreditDecision::OverLimit(delay);
         }
         if let Some(delay) = account.denied_for(now) {
-            return CreditDecision::OverLimit(delay);
+            let source = account.take_reserve(now);
+            return source.map_or(CreditDecision::OverLimit(delay), CreditDecision::Granted);
         }
         if account.is_unserved(now) {
             return Self::decide_unserved(account, now);
@@ -420,6 +457,10 @@
         now.since(self.started_at) >= START_TIME
     }
 
+    fn has_reserve(&self, now: TimePoint) -> bool {
+        now.since(self.started_at) >= RESERVE_START_TIME
+    }
+
     /// Reclaims the share once no pool counts it any more.
     fn update_shares(&mut self, now: TimePoint) {
         let has_started = self.has_started(now);
@@ -431,9 +472,22 @@
                 account.set_local_share(local_share, now);
             }
         }
-        if self.reserve.set(own_share, now) {
-            for account in self.accounts.values_mut() {
-                account.set_reserve_share(own_share, now);
+        self.update_reserve(now);
+    }
+
+    fn update_reserve(&mut self, now: TimePoint) {
+        let has_reserve = self.has_reserve(now);
+        let share = if has_reserve { self.own_share } else { 0.0 };
+        let had_started = self.reserve.has_started();
+        if !self.reserve.set(share, now) {
+            return;
+        }
+        let is_start = !had_started && self.reserve.has_started();
+        let filling = self.bound.start_reserve(share);
+        for account in self.accounts.values_mut() {
+            account.set_reserve_share(share, now);
+            if is_start {
+                account.fill_reserve(filling, now);
             }
         }
     }
@@ -531,12 +585,12 @@
     /// share is not used locally from this moment until no pool counts it any more.
     fn offer(&mut self, now: TimePoint) -> Option<ShareOffer> {
         let contact = self.pool.as_ref()?.contact?;
-        let counts_until = contact.received_at + DELEGATION_LIFETIME;
-        if counts_until <= now {
+        if contact.received_at + DELEGATION_LIFETIME <= now {
             return None;
         }
+        let counts_until = contact.received_at + self.term().lifetime();
         let is_free = self.delegated_to == contact.id || self.delegated_until <= now;
-        let share = if is_free && self.has_started(now) {
+        let share = if is_free && self.has_started(now) && now < counts_until {
             self.own_share
         } else {
             0.0
@@ -644,14 +698,18 @@
             .is_none_or(|queried_at| now.since(queried_at) >= RETRY_INTERVAL)
     }
 
-    fn is_renewal_due(&self, now: TimePoint) -> bool {
+    fn is_renewal_due(&self, term: DelegationTerm, now: TimePoint) -> bool {
+        self.renewal_due_at(term, now) <= now
+    }
+
+    fn renewal_due_at(&self, term: DelegationTerm, now: TimePoint) -> TimePoint {
         let interval = if self.unanswered > 0 {
             RETRY_INTERVAL
         } else {
-            RENEWAL_INTERVAL
+            term.renewal_interval()
         };
         self.queried_at
-            .is_none_or(|queried_at| now.since(queried_at) >= interval)
+            .map_or(now, |queried_at| queried_at + interval)
     }
 
     fn is_silent(&self, now: TimePoint) -> bool {
