--- a/alderhaven-front/src/admission_permit.rs
+++ b/alderhaven-front/src/admission_permit.rs
@@ -4,6 +4,7 @@
 
 use alderhaven_core::time::TimePoint;
 use alderhaven_policy::concurrency_limit::QuerySignal;
+use alderhaven_policy::query_gate::GateQuery;
 
 use crate::query_admission::QueryAdmission;
 use crate::shard_set_id::ShardSetId;
@@ -16,7 +17,9 @@
 pub struct AdmissionPermit {
     admission: Arc<QueryAdmission>,
     shards: ShardSetId,
+    query: GateQuery,
     admitted_at: TimePoint,
+    has_waited: bool,
     signal: QuerySignal,
 }
 
@@ -27,16 +30,32 @@
     pub const fn new(
         admission: Arc<QueryAdmission>,
         shards: ShardSetId,
+        query: GateQuery,
         admitted_at: TimePoint,
+        has_waited: bool,
     ) -> Self {
         Self {
             admission,
             shards,
+            query,
             admitted_at,
+            has_waited,
             signal: QuerySignal::Uninformative,
         }
     }
 
+    /// Returns true if the query waited in the queue of its gate.
+    #[must_use]
+    pub const fn has_waited(&self) -> bool {
+        self.has_waited
+    }
+
+    /// Returns true if queries over the same services have recently waited or been refused.
+    #[must_use]
+    pub fn is_capacity_short(&self) -> bool {
+        self.admission.is_short(self.shards)
+    }
+
     /// Sets the capacity signal that the gate receives when the permit is dropped.
     pub const fn record_signal(&mut self, signal: QuerySignal) {
         self.signal = signal;
@@ -46,6 +65,6 @@
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         self.admission
-            .finish(self.shards, self.admitted_at, self.signal);
+            .finish(self.shards, &self.query, self.admitted_at, self.signal);
     }
 }
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -22,6 +22,9 @@
 /// the longest request deadline.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.02, 0.04, 0.06, 0.1, 0.15, 0.25, 0.5, 1.5, 6.0];
 
+/// Largest rank with a series of its own, which bounds the number of series.
+const MAX_RANK_LABEL: u32 = 7;
+
 /// The metrics of a process; clones share their values.
 #[derive(Clone, Debug)]
 pub struct FrontMetrics {
@@ -33,6 +36,7 @@
     store_revision: Family<ObjectKindLabels, Gauge>,
     older_objects: Family<ObjectKindLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
+    admissions: Family<AdmissionLabels, Counter>,
     peer_messages: Family<PeerMessageLabels, Counter>,
     peer_bytes: Family<PeerByteLabels, Counter>,
     /// Requests and refusals by team.
@@ -80,6 +84,12 @@
     reason: RefusalReason,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AdmissionLabels {
+    rank: u32,
+    result: AdmissionResult,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct PeerMessageLabels {
     kind: String,
@@ -118,6 +128,23 @@
     Gathered,
 }
 
+/// What admission decided on a query.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum AdmissionResult {
+    /// Admitted on arrival.
+    Admitted,
+    /// Admitted after a wait.
+    Waited,
+    /// Refused: the wait would be too long.
+    NoRoom,
+    /// Refused: the answer would be late.
+    TooLate,
+    /// Refused: a query of a better rank took its place.
+    Outranked,
+    /// Refused: it waited for the longest time allowed.
+    WaitOver,
+}
+
 /// Why an attempt was sent.
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
 pub enum AttemptKind {
@@ -170,6 +197,7 @@
             store_revision: Family::default(),
             older_objects: Family::default(),
             refusals: Family::default(),
+            admissions: Family::default(),
             peer_messages: Family::default(),
             peer_bytes: Family::default(),
             teams: TeamMetrics::default(),
@@ -210,6 +238,13 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
+    /// Counts a decision of admission. Ranks from [`MAX_RANK_LABEL`] on are counted together.
+    pub fn observe_admission(&self, rank: u32, result: AdmissionResult) {
+        let rank = rank.min(MAX_RANK_LABEL);
+        let labels = AdmissionLabels { rank, result };
+        self.admissions.get_or_create(&labels).inc();
+    }
+
     /// Counts a store call by kind of object.
     pub fn observe_store_call(&self, kind: ObjectKind, is_answered: bool) {
         let result = if is_answered {
@@ -306,6 +341,11 @@
             own.refusals,
         );
         own.teams.register(&mut registry);
+        registry.register(
+            "admissions",
+            "Decisions of admission by rank and result",
+            own.admissions,
+        );
         registry.register(
             "peer_messages",
             "Messages sent to peers, by kind",
--- a/alderhaven-front/src/front_status.rs
+++ b/alderhaven-front/src/front_status.rs
@@ -5,6 +5,7 @@
 
 use crate::evacuated_domain::EvacuatedDomain;
 use crate::front_context::FrontContext;
+use crate::query_admission::AdmissionStatus;
 
 /// A snapshot of a front's state, served as JSON.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -21,6 +22,8 @@
     pub targets: usize,
     /// The evacuated failure domains.
     pub evacuated: Vec<EvacuatedDomain>,
+    /// The limits and queues of admission.
+    pub admission: AdmissionStatus,
 }
 
 impl FrontStatus {
@@ -37,6 +40,7 @@
             nodes: live.count(),
             targets: view.targets.len(),
             evacuated: context.catalog.evacuated_domains(),
+            admission: context.admission.status(),
         }
     }
 }
--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -6,10 +6,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::process_clock::ProcessClock;
-use alderhaven_core::time::TimePoint;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::caller_delay::CallerDelay;
 use alderhaven_policy::concurrency_limit::QuerySignal;
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, GateRefusal, QueryGate};
+use serde::Serialize;
 use tokio::sync::oneshot;
 
 use crate::admission_permit::AdmissionPermit;
@@ -30,12 +31,28 @@
     gates: Mutex<HashMap<ShardSetId, GateState>>,
 }
 
+/// Limits and queues of all gates of a front.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct AdmissionStatus {
+    /// Sum of the limits on queries in flight.
+    pub limit: f64,
+    /// Number of waiting queries.
+    pub waiting: usize,
+}
+
 type GateResult = Result<(), GateRefusal>;
 
 #[derive(Debug, Default)]
 struct GateState {
     gate: QueryGate,
-    waiters: HashMap<u64, oneshot::Sender<GateResult>>,
+    waiters: HashMap<u64, Waiter>,
+}
+
+/// A waiting query and the channel that delivers the decision.
+#[derive(Debug)]
+struct Waiter {
+    query: GateQuery,
+    sender: oneshot::Sender<GateResult>,
 }
 
 impl QueryAdmission {
@@ -50,7 +67,7 @@
     }
 
     /// Admits or refuses a query of a route over these services, and waits in the queue if
-    /// necessary.
+    /// necessary. `work` is the expected work at each target.
     ///
     /// # Errors
     /// The refusal of the gate. Nothing has been sent in that case.
@@ -60,6 +77,7 @@
         identity: &CallerIdentity,
         shards: ShardSetId,
         delay: CallerDelay,
+        work: TimeSpan,
     ) -> Result<AdmissionPermit, GateRefusal> {
         let now = self.clock.now();
         let query = GateQuery {
@@ -67,6 +85,8 @@
             rank: identity.query_rank(rule.rank),
             team: identity.team_hash(),
             latency_target: rule.latency_target,
+            work,
+            waited: delay.0,
             is_late: delay.is_late(rule.latency_target),
         };
         // The waiter is registered under the same lock, so that the gate cannot admit the query
@@ -76,11 +96,11 @@
             remove_idle_gates(&mut gates);
             let state = gates.entry(shards).or_default();
             match state.offer(query, now) {
-                GateDecision::Admit => return Ok(self.permit(shards)),
+                GateDecision::Admit => return Ok(self.permit(shards, query, false)),
                 GateDecision::Refuse(refusal) => return Err(refusal),
                 GateDecision::Wait { until, .. } => {
                     let (sender, result) = oneshot::channel();
-                    state.waiters.insert(query.id, sender);
+                    state.waiters.insert(query.id, Waiter { query, sender });
                     (until, result)
                 }
             }
@@ -88,7 +108,7 @@
         let queued = QueuedQuery {
             admission: self,
             shards,
-            id: query.id,
+            query,
             result,
         };
         queued.wait(until).await
@@ -96,17 +116,54 @@
 
     /// Releases the slot of a query that was admitted at `admitted_at`, and admits waiting
     /// queries.
-    pub(crate) fn finish(&self, shards: ShardSetId, admitted_at: TimePoint, signal: QuerySignal) {
+    pub(crate) fn finish(
+        &self,
+        shards: ShardSetId,
+        query: &GateQuery,
+        admitted_at: TimePoint,
+        signal: QuerySignal,
+    ) {
         let now = self.clock.now();
         let mut gates = self.lock();
         if let Some(state) = gates.get_mut(&shards) {
-            state.gate.record_finished(now.since(admitted_at), signal);
+            let run_time = now.since(admitted_at);
+            state.gate.record_finished(query, run_time, signal);
             state.admit_ready(now);
         }
     }
 
-    fn permit(self: &Arc<Self>, shards: ShardSetId) -> AdmissionPermit {
-        AdmissionPermit::new(Arc::clone(self), shards, self.clock.now())
+    /// Returns true if queries over these services have recently waited or been refused.
+    pub(crate) fn is_short(&self, shards: ShardSetId) -> bool {
+        let now = self.clock.now();
+        let gates = self.lock();
+        gates
+            .get(&shards)
+            .is_some_and(|state| state.gate.is_short(now))
+    }
+
+    /// Returns the state of all gates, summed.
+    #[must_use]
+    pub fn status(&self) -> AdmissionStatus {
+        let gates = self.lock();
+        AdmissionStatus {
+            limit: gates.values().map(|state| state.gate.limit()).sum(),
+            waiting: gates.values().map(|state| state.gate.queue_length()).sum(),
+        }
+    }
+
+    fn permit(
+        self: &Arc<Self>,
+        shards: ShardSetId,
+        query: GateQuery,
+        has_waited: bool,
+    ) -> AdmissionPermit {
+        AdmissionPermit::new(
+            Arc::clone(self),
+            shards,
+            query,
+            self.clock.now(),
+            has_waited,
+        )
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<ShardSetId, GateState>> {
@@ -127,7 +184,7 @@
             && let Some(waiter) = outranked.and_then(|id| self.waiters.remove(&id))
         {
             // The send fails if the caller has just disconnected.
-            let _is_delivered = waiter.send(Err(self.gate.outranked_refusal(now)));
+            let _is_delivered = waiter.sender.send(Err(self.gate.outranked_refusal(now)));
         }
         decision
     }
@@ -135,11 +192,14 @@
     /// Admits the waiting queries that the gate has capacity for.
     fn admit_ready(&mut self, now: TimePoint) {
         while let Some(id) = self.gate.next_ready(now) {
-            let waiter = self.waiters.remove(&id);
-            let is_delivered = waiter.is_some_and(|waiter| waiter.send(Ok(())).is_ok());
-            if !is_delivered {
+            // The waiter of a query is removed together with the query.
+            let Some(Waiter { query, sender }) = self.waiters.remove(&id) else {
+                log::error!("admitted query {id} has no waiter");
+                continue;
+            };
+            if sender.send(Ok(())).is_err() {
                 // The caller has just disconnected, so the slot is free again.
-                self.gate.release_unused();
+                self.gate.release_unused(&query);
             }
         }
     }
@@ -149,7 +209,7 @@
 struct QueuedQuery<'a> {
     admission: &'a Arc<QueryAdmission>,
     shards: ShardSetId,
-    id: u64,
+    query: GateQuery,
     result: oneshot::Receiver<GateResult>,
 }
 
@@ -161,23 +221,27 @@
             () = front_context::sleep_until(self.admission.clock, until) => None,
         };
         match result {
-            Some(Ok(())) => Ok(self.admission.permit(self.shards)),
+            Some(Ok(())) => Ok(self.permit()),
             Some(Err(refusal)) => Err(refusal),
             None => self.give_up(),
         }
     }
 
+    fn permit(&self) -> AdmissionPermit {
+        self.admission.permit(self.shards, self.query, true)
+    }
+
     /// Removes the query from the queue, unless the gate has just decided.
     fn give_up(&mut self) -> Result<AdmissionPermit, GateRefusal> {
         let now = self.admission.clock.now();
         let mut gates = self.admission.lock();
         if let Ok(result) = self.result.try_recv() {
             drop(gates);
-            return result.map(|()| self.admission.permit(self.shards));
+            return result.map(|()| self.permit());
         }
         let state = gates.entry(self.shards).or_default();
-        state.waiters.remove(&self.id);
-        Err(state.gate.cancel(self.id, now))
+        state.waiters.remove(&self.query.id);
+        Err(state.gate.cancel(self.query.id, now))
     }
 }
 
@@ -190,11 +254,11 @@
         let Some(state) = gates.get_mut(&self.shards) else {
             return;
         };
-        if state.waiters.remove(&self.id).is_some() {
-            state.gate.cancel(self.id, now);
+        if state.waiters.remove(&self.query.id).is_some() {
+            state.gate.cancel(self.query.id, now);
         }
         if let Ok(Ok(())) = self.result.try_recv() {
-            state.gate.release_unused();
+            state.gate.release_unused(&self.query);
             state.admit_ready(now);
         }
     }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -24,7 +24,7 @@
 use crate::front_answer::FrontAnswer;
 use crate::front_context::{self, FrontContext};
 use crate::front_event::{RequestOutcome, UnansweredAttempt};
-use crate::front_metrics::{AttemptKind, UnansweredReason};
+use crate::front_metrics::{AdmissionResult, AttemptKind, UnansweredReason};
 use crate::group_plan;
 use crate::query_call::QueryCall;
 use crate::query_run::crash_detection::CrashSuspect;
@@ -131,11 +131,19 @@
         let Some(set) = route.shards.or_else(single) else {
             return Ok(None);
         };
+        let work = route.state.typical_latency(route.rule.latency_target);
         let admission = &context.admission;
+        let identity = &call.identity;
         let permit = admission
-            .admit(&route.rule, &call.identity, set, delay)
-            .await?;
-        Ok(Some(permit))
+            .admit(&route.rule, identity, set, delay, work)
+            .await;
+        let result = match &permit {
+            Ok(permit) if permit.has_waited() => AdmissionResult::Waited,
+            Ok(_) => AdmissionResult::Admitted,
+            Err(refusal) => completion::admission_result(refusal.reason),
+        };
+        context.metrics.observe_admission(route.rule.rank, result);
+        Ok(Some(permit?))
     }
 
     fn new(
@@ -225,6 +233,9 @@
                 self.min_coverage_at = Some(now);
             }
             let until = match self.answer_time.decide(count, now) {
+                AnswerStep::Wait(_) if self.should_give_up(count, now) => {
+                    return AnswerStep::TimeUp;
+                }
                 AnswerStep::Wait(until) => until,
                 step => return step,
             };
@@ -248,6 +259,15 @@
         }
     }
 
+    /// Returns true if the answer can't be in time any more and other queries need the capacity.
+    fn should_give_up(&self, count: ShardCount, now: TimePoint) -> bool {
+        let is_gathered = matches!(self.route.rule.destination, RouteDestination::Shards { .. });
+        let permit = self.permit.as_ref();
+        is_gathered
+            && self.answer_time.is_missed(count, now)
+            && permit.is_some_and(AdmissionPermit::is_capacity_short)
+    }
+
     fn count_shards(&self) -> ShardCount {
         let total = self.shards.len();
         let required = match &self.route.rule.destination {
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -19,7 +19,7 @@
 use crate::front_answer::{ForwardedReply, FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
 use crate::front_event::{FrontEvent, RequestOutcome, UnansweredAttempt};
-use crate::front_metrics::{QueryShape, UnansweredReason};
+use crate::front_metrics::{AdmissionResult, QueryShape, UnansweredReason};
 use crate::query_call::QueryCall;
 use crate::query_run::QueryRun;
 use crate::request_refusal::RequestRefusal;
@@ -268,6 +268,16 @@
     }
 }
 
+/// Returns the result that is counted for a refusal.
+pub(super) const fn admission_result(reason: GateReason) -> AdmissionResult {
+    match reason {
+        GateReason::NoRoom => AdmissionResult::NoRoom,
+        GateReason::TooLate => AdmissionResult::TooLate,
+        GateReason::Outranked => AdmissionResult::Outranked,
+        GateReason::WaitOver => AdmissionResult::WaitOver,
+    }
+}
+
 /// Builds the answer to a query that was not admitted, and records the refusal.
 pub(super) fn refuse(
     context: &FrontContext,
@@ -277,6 +287,7 @@
 ) -> FrontAnswer {
     let reason = match refusal.reason {
         GateReason::NoRoom => RefusalReason::NoRoom,
+        GateReason::TooLate => RefusalReason::TooLate,
         GateReason::Outranked => RefusalReason::Outranked,
         GateReason::WaitOver => RefusalReason::WaitOver,
     };
--- a/alderhaven-policy/src/answer_time.rs
+++ b/alderhaven-policy/src/answer_time.rs
@@ -101,4 +101,10 @@
             self.deadline
         })
     }
+
+    /// Returns true if the answer can't be in time any more because shards are missing.
+    #[must_use]
+    pub fn is_missed(&self, count: ShardCount, now: TimePoint) -> bool {
+        now >= self.partial_at && count.answered < count.required.max(1)
+    }
 }
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -4,8 +4,12 @@
 //! query certainly didn't run. [`ConcurrencyLimit`] bounds the queries in flight. Some more wait in
 //! the order of their ranks; a worse rank goes first while its served share is below a fixed part
 //! of the best rank's. A query that would wait for too long is refused on arrival, and a waiting
-//! one is refused when a better rank displaces it. The retry time grows with the share of refused
-//! queries.
+//! one is refused when a better rank displaces it. A query whose answer would miss its latency target
+//! is refused instead of queued. While capacity is short, worse ranks leave room for the queries of
+//! better ranks that are about to arrive, since an urgent query with a short latency target can't
+//! wait for a long one to end. The retry time grows with the share of refused queries.
+
+use std::cmp::Ordering;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
@@ -14,6 +18,7 @@
 use crate::query_rank::QueryRank;
 use crate::rate_meter::RateMeter;
 use crate::running_mean::RunningMean;
+use crate::share_meter::ShareMeter;
 
 /// Longest wait for admission, as a share of the latency target.
 const MAX_WAIT_SHARE: f64 = 0.2;
@@ -24,12 +29,28 @@
 /// Time constant of the rates at which queries of a rank are offered and admitted.
 const RANK_RATE_TIME_CONSTANT: TimeSpan = TimeSpan::from_millis(1_500);
 
-/// Smallest served share of a worse rank, relative to that of the best rank.
-const MIN_SERVED_SHARE_RATIO: f64 = 0.5;
+/// Smallest served share of a worse rank, relative to that of the best rank. Callers of a worse rank
+/// are served for most of their queries, and the preference of the best rank stays visible.
+const MIN_SERVED_SHARE_RATIO: f64 = 0.7;
 
 /// Share of the limit that late queries may use, so that they don't keep out queries that can be in
 /// time.
-const LATE_LIMIT_SHARE: f64 = 0.75;
+const LATE_LIMIT_SHARE: f64 = 0.3;
+
+/// Time for which capacity counts as short after a query had to wait or was refused. Refused callers
+/// return within this time.
+const SHORTAGE_TIME: TimeSpan = TimeSpan::from_millis(500);
+
+/// Largest share of the limit that worse ranks leave to better ones.
+const MAX_ROOM_SHARE: f64 = 0.5;
+
+/// Room for better ranks, as a multiple of the expected number of their queries in flight and its
+/// standard deviation. Arrivals at one front are few and irregular, so that the expected number
+/// alone is often exceeded.
+const ROOM_FACTOR: f64 = 2.0;
+
+/// Weight of a team within its rank.
+const TEAM_WEIGHT: u32 = 1;
 
 /// Retry time if few queries are refused.
 const MIN_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(30);
@@ -48,6 +69,10 @@
     pub team: u64,
     /// Latency target of the query's route.
     pub latency_target: TimeSpan,
+    /// Expected work of the query at each target.
+    pub work: TimeSpan,
+    /// Time that the caller had waited before the query arrived.
+    pub waited: TimeSpan,
     /// True if the answer will be late anyway, because the caller had waited before.
     pub is_late: bool,
 }
@@ -66,6 +91,8 @@
 pub enum GateReason {
     /// The limit is reached, and the wait would be too long.
     NoRoom,
+    /// Its answer would miss the latency target after the expected wait.
+    TooLate,
     /// A query of a better rank took its place in the queue.
     Outranked,
     /// It waited for the longest time allowed.
@@ -96,6 +123,9 @@
     run_time: RunningMean,
     waiting: Vec<WaitingQuery>,
     ranks: SmallVec<[RankRates; 4]>,
+    kinds: SmallVec<[KindState; 4]>,
+    team_usage: ShareMeter<u64>,
+    short_until: TimePoint,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -111,14 +141,36 @@
     admitted: RateMeter,
 }
 
+/// Queries of one rank and latency target.
+#[derive(Clone, Copy, Debug)]
+struct KindState {
+    rank: QueryRank,
+    latency_target: TimeSpan,
+    offered: RateMeter,
+    in_flight: usize,
+    run_time: RunningMean,
+}
+
+/// Sort key of waiting queries; the least goes first.
+#[derive(Clone, Copy, Debug)]
+struct OrderKey {
+    is_late: bool,
+    is_served_enough: bool,
+    rank: QueryRank,
+    team_usage: f64,
+    arrived_at: TimePoint,
+}
+
 impl QueryGate {
     /// Decides on an arriving query.
     pub fn offer(&mut self, query: GateQuery, now: TimePoint) -> GateDecision {
         self.rank_rates(query.rank).offered.add(1.0, now);
-        if self.waiting.is_empty() && self.fits(&query) {
-            self.admit(query.rank, now);
+        self.kind_state(&query).offered.add(1.0, now);
+        if self.waiting.is_empty() && self.fits(&query, now) {
+            self.admit(&query, now);
             return GateDecision::Admit;
         }
+        self.short_until = now + SHORTAGE_TIME;
         let max_wait = query.latency_target.mul_f64(MAX_WAIT_SHARE);
         let arrival = WaitingQuery {
             query,
@@ -128,6 +180,9 @@
         if self.expected_wait(&query, position) > max_wait {
             return GateDecision::Refuse(self.refusal(GateReason::NoRoom, now));
         }
+        if self.would_be_late(&query, position) {
+            return GateDecision::Refuse(self.refusal(GateReason::TooLate, now));
+        }
         self.waiting.insert(position, arrival);
         GateDecision::Wait {
             until: now + max_wait,
@@ -138,13 +193,15 @@
     /// Admits the next waiting query if the limit allows; call it until it returns `None` whenever
     /// a query ends.
     pub fn next_ready(&mut self, now: TimePoint) -> Option<u64> {
-        let first = (0..self.waiting.len())
-            .min_by_key(|position| self.order_key(&self.waiting[*position], now))?;
-        if !self.fits(&self.waiting[first].query) {
+        let first = (0..self.waiting.len()).min_by(|left, right| {
+            let key = |position: usize| self.order_key(&self.waiting[position], now);
+            key(*left).total_cmp(&key(*right))
+        })?;
+        if !self.fits(&self.waiting[first].query, now) {
             return None;
         }
         let WaitingQuery { query, .. } = self.waiting.remove(first);
-        self.admit(query.rank, now);
+        self.admit(&query, now);
         Some(query.id)
     }
 
@@ -162,15 +219,37 @@
     }
 
     /// Releases an admitted query that ended after `run_time` and adjusts the limit.
-    pub fn record_finished(&mut self, run_time: TimeSpan, signal: QuerySignal) {
+    pub fn record_finished(&mut self, query: &GateQuery, run_time: TimeSpan, signal: QuerySignal) {
         self.limit.record_finished(signal, self.in_flight);
         self.run_time.add(run_time, RUN_TIME_WINDOW);
-        self.in_flight = self.in_flight.saturating_sub(1);
+        let kind = self.kind_state(query);
+        kind.run_time.add(run_time, RUN_TIME_WINDOW);
+        self.release_unused(query);
     }
 
     /// Releases an admitted query that was not sent because its caller had disconnected.
-    pub const fn release_unused(&mut self) {
+    pub fn release_unused(&mut self, query: &GateQuery) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        let kind = self.kind_state(query);
+        kind.in_flight = kind.in_flight.saturating_sub(1);
+    }
+
+    /// Returns true if queries have recently waited or been refused.
+    #[must_use]
+    pub fn is_short(&self, now: TimePoint) -> bool {
+        now < self.short_until
+    }
+
+    /// Returns the current limit on queries in flight.
+    #[must_use]
+    pub const fn limit(&self) -> f64 {
+        self.limit.get()
+    }
+
+    /// Returns the number of waiting queries.
+    #[must_use]
+    pub const fn queue_length(&self) -> usize {
+        self.waiting.len()
     }
 
     /// Returns true if no query is in flight or waiting.
@@ -179,14 +258,38 @@
         self.in_flight == 0 && self.waiting.is_empty()
     }
 
-    fn fits(&self, query: &GateQuery) -> bool {
+    fn fits(&self, query: &GateQuery, now: TimePoint) -> bool {
         let share = if query.is_late { LATE_LIMIT_SHARE } else { 1.0 };
-        self.limit.fits(self.in_flight, share)
+        let load = self.in_flight as f64 + self.room_for_better(query.rank, now);
+        load < self.limit.get() * share
     }
 
-    fn admit(&mut self, rank: QueryRank, now: TimePoint) {
+    /// Returns the part of the limit that queries of this rank leave to better ranks, in queries.
+    fn room_for_better(&self, rank: QueryRank, now: TimePoint) -> f64 {
+        if !self.is_short(now) || self.is_underserved(rank, now) {
+            return 0.0;
+        }
+        let better = self.kinds.iter().filter(|kind| kind.rank < rank);
+        let room: f64 = better.map(|kind| kind.unused_room(now)).sum();
+        room.min(self.limit.get() * MAX_ROOM_SHARE)
+    }
+
+    /// Returns true if the answer would miss the latency target after the expected wait.
+    fn would_be_late(&self, query: &GateQuery, ahead: usize) -> bool {
+        let same = |kind: &&KindState| kind.is_of(query);
+        let kind = self.kinds.iter().find(same);
+        let Some(run_time) = kind.and_then(|kind| kind.run_time.get()) else {
+            return false;
+        };
+        query.waited + self.expected_wait(query, ahead) + run_time > query.latency_target
+    }
+
+    fn admit(&mut self, query: &GateQuery, now: TimePoint) {
         self.in_flight += 1;
-        self.rank_rates(rank).admitted.add(1.0, now);
+        self.rank_rates(query.rank).admitted.add(1.0, now);
+        self.kind_state(query).in_flight += 1;
+        let cost = query.work.as_secs_f64();
+        self.team_usage.add(&query.team, TEAM_WEIGHT, cost, now);
     }
 
     /// Returns the number of waiting queries that go before this one.
@@ -194,7 +297,7 @@
         let arrival_key = self.order_key(arrival, now);
         let before = self.waiting.iter();
         before
-            .filter(|waiting| self.order_key(waiting, now) <= arrival_key)
+            .filter(|waiting| self.order_key(waiting, now).total_cmp(&arrival_key).is_le())
             .count()
     }
 
@@ -214,20 +317,22 @@
         Some(last.query.id)
     }
 
-    /// Returns the sort key of waiting queries: late ones last, underserved ranks first, then by
-    /// rank and arrival.
-    fn order_key(
-        &self,
-        waiting: &WaitingQuery,
-        now: TimePoint,
-    ) -> (bool, bool, QueryRank, TimePoint) {
-        let GateQuery { rank, is_late, .. } = waiting.query;
-        (
+    /// Returns the sort key of a waiting query: late ones last, underserved ranks first, then by
+    /// rank, recent use of the team and arrival.
+    fn order_key(&self, waiting: &WaitingQuery, now: TimePoint) -> OrderKey {
+        let GateQuery {
+            rank,
+            team,
+            is_late,
+            ..
+        } = waiting.query;
+        OrderKey {
             is_late,
-            !self.is_underserved(rank, now),
+            is_served_enough: !self.is_underserved(rank, now),
             rank,
-            waiting.arrived_at,
-        )
+            team_usage: self.team_usage.per_second(&team, now),
+            arrived_at: waiting.arrived_at,
+        }
     }
 
     /// Returns true if a worse rank is served less than its part of the best rank's served share.
@@ -265,6 +370,21 @@
         }
     }
 
+    fn kind_state(&mut self, query: &GateQuery) -> &mut KindState {
+        let index = self.kinds.iter().position(|kind| kind.is_of(query));
+        let index = index.unwrap_or_else(|| {
+            self.kinds.push(KindState {
+                rank: query.rank,
+                latency_target: query.latency_target,
+                offered: RateMeter::new(RANK_RATE_TIME_CONSTANT),
+                in_flight: 0,
+                run_time: RunningMean::default(),
+            });
+            self.kinds.len() - 1
+        });
+        &mut self.kinds[index]
+    }
+
     fn rank_rates(&mut self, rank: QueryRank) -> &mut RankRates {
         let index = self.ranks.iter().position(|rates| rates.rank == rank);
         let index = index.unwrap_or_else(|| {
@@ -289,3 +409,28 @@
         self.admitted.per_second(now) / offered
     }
 }
+
+impl KindState {
+    fn is_of(&self, query: &GateQuery) -> bool {
+        self.rank == query.rank && self.latency_target == query.latency_target
+    }
+
+    /// Returns the room that this kind needs beyond its queries in flight, by Little's law.
+    fn unused_room(&self, now: TimePoint) -> f64 {
+        let run_time = self.run_time.get().unwrap_or_default();
+        let expected = self.offered.per_second(now) * run_time.as_secs_f64();
+        let needed = ROOM_FACTOR * (expected + expected.sqrt());
+        (needed - self.in_flight as f64).max(0.0)
+    }
+}
+
+impl OrderKey {
+    fn total_cmp(&self, other: &Self) -> Ordering {
+        self.is_late
+            .cmp(&other.is_late)
+            .then(self.is_served_enough.cmp(&other.is_served_enough))
+            .then(self.rank.cmp(&other.rank))
+            .then(self.team_usage.total_cmp(&other.team_usage))
+            .then(self.arrived_at.cmp(&other.arrived_at))
+    }
+}
--- a/alderhaven-policy/tests/common/mod.rs
+++ b/alderhaven-policy/tests/common/mod.rs
@@ -99,5 +99,6 @@
     values.get(index).copied().unwrap_or_default()
 }
 
+pub mod overload_simulation;
 pub mod service_simulation;
 pub mod shard_simulation;
--- a/alderhaven-policy/tests/common/shard_simulation.rs
+++ b/alderhaven-policy/tests/common/shard_simulation.rs
@@ -228,14 +228,7 @@
             self.start(id);
             return;
         }
-        let options = self.options.kinds[kind];
-        let query = GateQuery {
-            id: id as u64,
-            rank: QueryRank::of_route(options.rank),
-            team: 0,
-            latency_target: options.latency_target,
-            is_late: false,
-        };
+        let query = self.gate_query(id);
         match self.fronts[front].gate.offer(query, self.now) {
             GateDecision::Admit => self.start(id),
             GateDecision::Wait { until, outranked } => {
@@ -412,14 +405,28 @@
         };
         self.record(query, tally);
         if self.options.is_gated {
+            let gate_query = self.gate_query(query);
             let gate = &mut self.fronts[front].gate;
-            gate.record_finished(self.now.since(started), signal);
+            gate.record_finished(&gate_query, self.now.since(started), signal);
             while let Some(next) = self.fronts[front].gate.next_ready(self.now) {
                 self.start(usize::try_from(next).expect("valid query index"));
             }
         }
     }
 
+    fn gate_query(&self, query: usize) -> GateQuery {
+        let kind = self.kind(query);
+        GateQuery {
+            id: query as u64,
+            rank: QueryRank::of_route(kind.rank),
+            latency_target: kind.latency_target,
+            team: 0,
+            work: kind.mean_work,
+            waited: TimeSpan::ZERO,
+            is_late: false,
+        }
+    }
+
     fn kind(&self, query: usize) -> KindOptions {
         self.options.kinds[self.queries[query].kind]
     }
--- a/alderhaven-policy/tests/query_gate.rs
+++ b/alderhaven-policy/tests/query_gate.rs
@@ -185,6 +185,8 @@
         rank: QueryRank::of_route(rank),
         team: 0,
         latency_target: ms(100),
+        work: ms(10),
+        waited: TimeSpan::ZERO,
         is_late,
     }
 }
@@ -198,7 +200,11 @@
     }
     gate.cancel(id, at(0));
     // One query ends and another starts, so that the mean run time is known.
-    gate.record_finished(ms(20), QuerySignal::Uninformative);
+    gate.record_finished(
+        &query(1_000, rank, false),
+        ms(20),
+        QuerySignal::Uninformative,
+    );
     let decision = gate.offer(query(999, rank, false), at(0));
     assert_eq!(decision, GateDecision::Admit);
     gate
@@ -212,10 +218,73 @@
     assert!(matches!(late, GateDecision::Wait { .. }), "{late:?}");
     let in_time = gate.offer(query(2, 2, false), at(2));
     assert!(matches!(in_time, GateDecision::Wait { .. }), "{in_time:?}");
-    gate.record_finished(ms(20), QuerySignal::Uninformative);
+    gate.record_finished(&query(1_000, 1, false), ms(20), QuerySignal::Uninformative);
     assert_eq!(gate.next_ready(at(3)), Some(2));
 }
 
+/// Guards against urgent queries that find all of the limit taken by less urgent ones.
+#[test]
+fn offer_worse_rank_leaves_room_for_better() {
+    let mut gate = QueryGate::default();
+    for id in 0..20 {
+        let urgent = query(id, 1, false);
+        assert_eq!(gate.offer(urgent, at(0)), GateDecision::Admit);
+        gate.record_finished(&urgent, ms(20), QuerySignal::Uninformative);
+    }
+    let mut id = 1_000;
+    while gate.offer(query(id, 2, false), at(1)) == GateDecision::Admit {
+        id += 1;
+    }
+    gate.cancel(id, at(1));
+    gate.record_finished(&query(1_000, 2, false), ms(20), QuerySignal::Uninformative);
+    let worse = gate.offer(query(50, 2, false), at(2));
+    assert_ne!(worse, GateDecision::Admit);
+    gate.cancel(50, at(2));
+    let better = gate.offer(query(51, 1, false), at(2));
+    assert_eq!(better, GateDecision::Admit);
+}
+
+/// Guards against a team that takes more than its share while others of the same rank wait.
+#[test]
+fn next_ready_prefers_the_team_with_the_least_use() {
+    let of_team = |id, team| GateQuery {
+        team,
+        ..query(id, 1, false)
+    };
+    let mut gate = QueryGate::default();
+    let mut id = 1_000;
+    while gate.offer(of_team(id, 7), at(0)) == GateDecision::Admit {
+        id += 1;
+    }
+    gate.cancel(id, at(0));
+    gate.record_finished(&of_team(1_000, 7), ms(20), QuerySignal::Uninformative);
+    gate.offer(of_team(1, 7), at(1));
+    gate.offer(of_team(2, 7), at(1));
+    gate.offer(of_team(3, 8), at(2));
+    let first = gate.next_ready(at(2));
+    gate.record_finished(&of_team(1_001, 7), ms(20), QuerySignal::Uninformative);
+    let second = gate.next_ready(at(2));
+    assert!(
+        first == Some(3) || second == Some(3),
+        "{first:?}, {second:?}"
+    );
+}
+
+/// Guards against a queued query whose answer misses its latency target.
+#[test]
+fn offer_refuses_a_query_that_would_be_late() {
+    let mut gate = full_gate(1);
+    let waited = GateQuery {
+        waited: ms(85),
+        ..query(1, 1, false)
+    };
+    let decision = gate.offer(waited, at(1));
+    assert!(
+        matches!(decision, GateDecision::Refuse(refusal) if refusal.reason == GateReason::TooLate),
+        "{decision:?}"
+    );
+}
+
 /// Guards against a full queue that refuses a query of a better rank.
 #[test]
 fn full_queue_displaces_its_last_for_a_better_rank() {
