Overload simulation: repeat budget, mix and scarce capacity

Each shard has the front's repeat budget (a fifth of the requests and 164 per 10 s over all fronts) instead of one pool per front, and refused attempts count as failures of the replica and not as possible runs. B offers three large queries in four. The variant 'scarce' has 0.36 slow replicas and slots that are held for 1.2 ms beyond the work; both numbers are assumptions that lower capacity towards what targets achieve, and aren't measured.

--- a/alderhaven-policy/tests/common/overload_simulation.rs
+++ b/alderhaven-policy/tests/common/overload_simulation.rs
@@ -12,6 +12,7 @@
 use alderhaven_policy::hedge_timing::{HedgeTiming, attempt_deadline};
 use alderhaven_policy::query_gate::{GateDecision, GateQuery, QueryGate};
 use alderhaven_policy::query_rank::QueryRank;
+use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions, RepeatReason};
 use alderhaven_policy::replica_stats::{AttemptResult, ReplicaStats};
 
 use super::{EventQueue, SeededRng, ms};
@@ -24,12 +25,16 @@
 const ANSWER_RESERVE: TimeSpan = ms(3);
 /// Attempts that wait at a replica before it refuses more.
 const MAX_QUEUE_LENGTH: usize = 12;
+/// Replicas that may run the same part.
+const MAX_TRIED: u32 = 2;
 /// Attempts that a replica runs at the same time.
 const SLOTS: u32 = 2;
-/// Repeats that a first attempt pays for.
-const REPEAT_SHARE: f64 = 0.1;
-/// Largest number of saved repeats of a front.
-const MAX_REPEATS: f64 = 60.0;
+/// Repeats that each request to a shard allows.
+const REPEAT_RATIO: f64 = 0.2;
+/// Repeats of a shard that are allowed in each window without any requests, for all fronts together.
+const FREE_REPEATS: f64 = 164.0;
+/// Window of the repeat budget.
+const REPEAT_WINDOW: TimeSpan = TimeSpan::from_secs(10);
 
 /// One kind of query.
 #[derive(Clone, Copy, Debug)]
@@ -74,6 +79,8 @@
     pub kinds: Vec<OverloadKind>,
     /// Slow replicas.
     pub slow: SlowReplicas,
+    /// Time that an attempt holds its slot beyond its work.
+    pub slot_overhead: TimeSpan,
     /// Shares of the demand by team, from team 1 on; empty without teams.
     pub teams: Vec<f64>,
     /// Seed of the random numbers.
@@ -114,14 +121,41 @@
 
 #[derive(Clone, Copy, Debug)]
 enum OverloadEvent {
-    Arrive { front: usize },
-    Offer { query: usize },
-    WaitOver { query: usize, attempt: u8 },
+    Arrive {
+        front: usize,
+    },
+    Offer {
+        query: usize,
+    },
+    WaitOver {
+        query: usize,
+        attempt: u8,
+    },
     AttemptArrived(Attempt),
-    WorkDone { shard: usize, replica: usize },
-    Reply { attempt: Attempt, is_answered: bool },
-    Hedge { query: usize, shard: usize },
-    Check { query: usize },
+    WorkDone {
+        shard: usize,
+        replica: usize,
+    },
+    Reply {
+        attempt: Attempt,
+        result: ReplyResult,
+    },
+    Hedge {
+        query: usize,
+        shard: usize,
+    },
+    Check {
+        query: usize,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplyResult {
+    Answered,
+    /// The attempt ran until its deadline, or the deadline passed in the queue.
+    TimedOut,
+    /// The queue was full.
+    Refused,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -146,6 +180,8 @@
     open: u8,
     /// Bits of the replicas that were tried.
     tried: u32,
+    /// Attempts that a replica refused.
+    refused: u32,
 }
 
 #[derive(Debug)]
@@ -174,7 +210,10 @@
 struct Front {
     gate: QueryGate,
     stats: Vec<Vec<ReplicaStats>>,
-    repeats: f64,
+    /// Budgets of the shards.
+    budgets: Vec<RepeatBudget>,
+    /// Share of the free repeats.
+    repeat_share: f64,
     /// Recent attempt latencies by kind.
     latencies: Vec<VecDeque<TimeSpan>>,
     typical: Vec<(TimeSpan, TimeSpan)>,
@@ -245,14 +284,11 @@
                 self.shards[shard][replica].busy -= 1;
                 self.start_work(shard, replica);
             }
-            OverloadEvent::Reply {
-                attempt,
-                is_answered,
-            } => self.receive_reply(attempt, is_answered),
+            OverloadEvent::Reply { attempt, result } => self.receive_reply(attempt, result),
             OverloadEvent::Hedge { query, shard } => {
                 let simulated = &self.queries[query];
                 if simulated.state == CallerState::Running && !simulated.parts[shard].is_answered {
-                    self.repeat(query, shard, true);
+                    self.repeat(query, shard, RepeatReason::Hedge);
                 }
             }
             OverloadEvent::Check { query } => self.check(query),
@@ -376,7 +412,9 @@
             self.send(query, shard);
         }
         let front = &mut self.fronts[front];
-        front.repeats = (front.repeats + REPEAT_SHARE * shards as f64).min(MAX_REPEATS);
+        for budget in &mut front.budgets {
+            budget.record_request(now);
+        }
         let (typical_latency, late_threshold) = front.typical[kind];
         let timing = HedgeTiming {
             answer_at: answer_time.partial_at,
@@ -424,12 +462,18 @@
         true
     }
 
-    fn repeat(&mut self, query: usize, shard: usize, is_hedge: bool) {
-        let front = self.queries[query].front;
-        let has_tries = self.queries[query].parts[shard].tried.count_ones() < 2;
-        let is_allowed = self.fronts[front].repeats >= 1.0 && has_tries;
-        if is_allowed && (!is_hedge || self.is_hedge_worthwhile(query, shard)) {
-            self.fronts[front].repeats -= 1.0;
+    /// Sends the shard to one more replica if the budget allows it.
+    fn repeat(&mut self, query: usize, shard: usize, reason: RepeatReason) {
+        let simulated = &self.queries[query];
+        let part = simulated.parts[shard];
+        if part.counted_replicas() >= MAX_TRIED
+            || self.now >= simulated.answer_time.deadline
+            || (reason == RepeatReason::Hedge && !self.is_hedge_worthwhile(query, shard))
+        {
+            return;
+        }
+        let front = &mut self.fronts[simulated.front];
+        if front.budgets[shard].take(reason, front.repeat_share, self.now) {
             self.send(query, shard);
         }
     }
@@ -456,7 +500,7 @@
     fn receive_attempt(&mut self, attempt: Attempt) {
         let replica = &mut self.shards[attempt.shard][attempt.replica];
         if replica.busy == SLOTS && replica.queue.len() >= MAX_QUEUE_LENGTH {
-            self.reply(attempt, self.now, false);
+            self.reply(attempt, self.now, ReplyResult::Refused);
             return;
         }
         replica.queue.push_back(attempt);
@@ -469,7 +513,7 @@
                 return;
             };
             if self.now >= attempt.deadline {
-                self.reply(attempt, self.now, false);
+                self.reply(attempt, self.now, ReplyResult::TimedOut);
                 continue;
             }
             let done = self.now + self.draw_work(attempt);
@@ -477,7 +521,12 @@
             self.shards[shard][replica].busy += 1;
             self.events
                 .add(end, OverloadEvent::WorkDone { shard, replica });
-            self.reply(attempt, end, done <= attempt.deadline);
+            let result = if done <= attempt.deadline {
+                ReplyResult::Answered
+            } else {
+                ReplyResult::TimedOut
+            };
+            self.reply(attempt, end, result);
         }
     }
 
@@ -490,7 +539,7 @@
         } else {
             1.0
         };
-        mean.mul_f64((0.5 + self.rng.unit()) * tail * slow)
+        mean.mul_f64((0.5 + self.rng.unit()) * tail * slow) + self.options.slot_overhead
     }
 
     fn is_slow_now(&self) -> bool {
@@ -504,15 +553,12 @@
         is_within && is_on
     }
 
-    fn reply(&mut self, attempt: Attempt, time: TimePoint, is_answered: bool) {
-        let event = OverloadEvent::Reply {
-            attempt,
-            is_answered,
-        };
+    fn reply(&mut self, attempt: Attempt, time: TimePoint, result: ReplyResult) {
+        let event = OverloadEvent::Reply { attempt, result };
         self.events.add(time + TARGET_DELAY, event);
     }
 
-    fn receive_reply(&mut self, attempt: Attempt, is_answered: bool) {
+    fn receive_reply(&mut self, attempt: Attempt, reply: ReplyResult) {
         let Attempt {
             query,
             shard,
@@ -522,10 +568,11 @@
         } = attempt;
         let (front, kind) = (self.queries[query].front, self.queries[query].kind);
         let front = &mut self.fronts[front];
-        let result = if is_answered {
-            AttemptResult::Answered
-        } else {
-            AttemptResult::Cancelled
+        let is_answered = reply == ReplyResult::Answered;
+        let result = match reply {
+            ReplyResult::Answered => AttemptResult::Answered,
+            ReplyResult::TimedOut => AttemptResult::Cancelled,
+            ReplyResult::Refused => AttemptResult::Failed,
         };
         let typical = front.typical[kind].0;
         front.stats[shard][replica].end_attempt(sent_at, typical, result, self.now);
@@ -539,8 +586,9 @@
         let part = &mut simulated.parts[shard];
         part.open -= 1;
         part.is_answered |= is_answered;
+        part.refused += u32::from(reply == ReplyResult::Refused);
         if !part.is_answered && part.open == 0 {
-            self.repeat(query, shard, false);
+            self.repeat(query, shard, RepeatReason::Retry);
         }
         self.check(query);
     }
@@ -615,6 +663,13 @@
     }
 }
 
+impl PartState {
+    /// Returns the number of replicas that may have run the part.
+    const fn counted_replicas(&self) -> u32 {
+        self.tried.count_ones() - self.refused
+    }
+}
+
 impl CallerQuery {
     fn count(&self, min_coverage: f64) -> ShardCount {
         let total = self.parts.len();
@@ -633,10 +688,16 @@
 impl Front {
     fn new(options: &OverloadOptions) -> Self {
         let typical = |kind: &OverloadKind| (kind.mean_work, kind.mean_work.mul_f64(2.0));
+        let repeat_options = RepeatOptions {
+            ratio: REPEAT_RATIO,
+            free_per_window: FREE_REPEATS,
+            window: REPEAT_WINDOW,
+        };
         Self {
             gate: QueryGate::default(),
             stats: vec![vec![ReplicaStats::default(); options.replicas]; options.shards],
-            repeats: MAX_REPEATS,
+            budgets: vec![RepeatBudget::new(repeat_options); options.shards],
+            repeat_share: 1.0 / options.rates[0].1.len() as f64,
             latencies: vec![VecDeque::new(); options.kinds.len()],
             typical: options.kinds.iter().map(typical).collect(),
         }
--- a/alderhaven-policy/tests/overload.rs
+++ b/alderhaven-policy/tests/overload.rs
@@ -12,10 +12,10 @@
 /// Callers per second at the usual rate.
 const USUAL_RATE: f64 = 42.0;
 
-const fn large(rank: u32, timeout: TimeSpan) -> OverloadKind {
+const fn large(rank: u32, share: f64, timeout: TimeSpan) -> OverloadKind {
     OverloadKind {
         rank,
-        share: 0.64,
+        share,
         mean_work: ms(11),
         latency_target: ms(150),
         min_coverage: 0.95,
@@ -23,10 +23,10 @@
     }
 }
 
-const fn small(rank: u32, timeout: TimeSpan) -> OverloadKind {
+const fn small(rank: u32, share: f64, timeout: TimeSpan) -> OverloadKind {
     OverloadKind {
         rank,
-        share: 0.36,
+        share,
         mean_work: TimeSpan::from_micros(3_800),
         latency_target: ms(50),
         min_coverage: 0.85,
@@ -37,9 +37,9 @@
 /// The large kind first. In A the small kind is urgent, in B the large one.
 fn kinds(is_small_urgent: bool) -> Vec<OverloadKind> {
     if is_small_urgent {
-        vec![large(1, ms(600)), small(0, ms(300))]
+        vec![large(1, 0.64, ms(600)), small(0, 0.36, ms(300))]
     } else {
-        vec![large(1, ms(1_500)), small(2, ms(800))]
+        vec![large(1, 0.75, ms(1_500)), small(2, 0.25, ms(800))]
     }
 }
 
@@ -60,6 +60,7 @@
             between: (at(2_000), at(8_000)),
             period: None,
         },
+        slot_overhead: TimeSpan::ZERO,
         teams: Vec::new(),
         seed,
     }
@@ -77,6 +78,10 @@
                 }
             }
         }
+        "scarce" => {
+            options.slow.share = 0.36;
+            options.slot_overhead = TimeSpan::from_micros(1_200);
+        }
         "fast" => options.slow.share = 0.0,
         "short" => options.slow.period = Some(ms(600)),
         "surge" => {
