Gate: a query that too few shards can answer in time is too late

While capacity is short, a query whose required shards are not expected to answer within the latency target is refused before it takes capacity. The expectation is the required-th lowest of the shards' expected costs, which include the queues seen in the replicas' latencies. A late query, and one with nothing else in flight, is exempt. The refusal doesn't extend the shortage, so that slow replicas without a queue don't keep it up.

--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -40,6 +40,15 @@
     pub waiting: usize,
 }
 
+/// What a front expects of a query before it sends any attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueryExpectation {
+    /// Work at each target.
+    pub work: TimeSpan,
+    /// Time until enough shards have answered; zero if unknown.
+    pub coverage_time: TimeSpan,
+}
+
 type GateResult = Result<(), GateRefusal>;
 
 #[derive(Debug, Default)]
@@ -67,7 +76,7 @@
     }
 
     /// Admits or refuses a query of a route over these services, and waits in the queue if
-    /// necessary. `work` is the expected work at each target.
+    /// necessary.
     ///
     /// # Errors
     /// The refusal of the gate. Nothing has been sent in that case.
@@ -77,7 +86,7 @@
         identity: &CallerIdentity,
         shards: ShardSetId,
         delay: CallerDelay,
-        work: TimeSpan,
+        expectation: QueryExpectation,
     ) -> Result<AdmissionPermit, GateRefusal> {
         let now = self.clock.now();
         let query = GateQuery {
@@ -85,9 +94,10 @@
             rank: identity.query_rank(rule.rank),
             team: identity.team_hash(),
             latency_target: rule.latency_target,
-            work,
+            work: expectation.work,
             waited: delay.0,
             is_late: delay.is_late(rule.latency_target),
+            coverage_time: expectation.coverage_time,
         };
         // The waiter is registered under the same lock, so that the gate cannot admit the query
         // before there is a receiver.
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -26,6 +26,7 @@
 use crate::front_event::{RequestOutcome, UnansweredAttempt};
 use crate::front_metrics::{AdmissionResult, AttemptKind, UnansweredReason};
 use crate::group_plan;
+use crate::query_admission::QueryExpectation;
 use crate::query_call::QueryCall;
 use crate::query_run::crash_detection::CrashSuspect;
 use crate::query_run::group_requests::{GroupRequestKind, PendingGroupRequest};
@@ -134,8 +135,12 @@
         let work = route.state.typical_latency(route.rule.latency_target);
         let admission = &context.admission;
         let identity = &call.identity;
+        let expectation = QueryExpectation {
+            work,
+            coverage_time: coverage_time(context, route, shards, work),
+        };
         let permit = admission
-            .admit(&route.rule, identity, set, delay, work)
+            .admit(&route.rule, identity, set, delay, expectation)
             .await;
         let result = match &permit {
             Ok(permit) if permit.has_waited() => AdmissionResult::Waited,
@@ -509,6 +514,26 @@
     }
 }
 
+/// Returns the expected time until enough shards of a gathered query have answered, or zero if it
+/// isn't known.
+fn coverage_time(
+    context: &FrontContext,
+    route: &LiveRoute,
+    shards: &[ShardState],
+    typical_latency: TimeSpan,
+) -> TimeSpan {
+    let RouteDestination::Shards { min_coverage, .. } = &route.rule.destination else {
+        return TimeSpan::ZERO;
+    };
+    let now = context.clock.now();
+    let costs = shards.iter().filter_map(|shard| {
+        let costs = shard.service.as_ref()?.costs(typical_latency, now);
+        costs.iter().map(|(cost, _)| *cost).min()
+    });
+    let required = min_shard_count(shards.len(), *min_coverage);
+    answer_time::expected_coverage_time(costs, required).unwrap_or_default()
+}
+
 /// Returns the smallest number of shards that covers at least `share` of `total`, and at least 1.
 #[expect(
     clippy::cast_possible_truncation,
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -75,6 +75,8 @@
     pub waited: TimeSpan,
     /// True if the answer will be late anyway, because the caller had waited before.
     pub is_late: bool,
+    /// Expected time from admission until enough shards have answered; zero if unknown.
+    pub coverage_time: TimeSpan,
 }
 
 /// Answer to a query that was not run.
@@ -166,6 +168,10 @@
     pub fn offer(&mut self, query: GateQuery, now: TimePoint) -> GateDecision {
         self.rank_rates(query.rank).offered.add(1.0, now);
         self.kind_state(&query).offered.add(1.0, now);
+        // The shortage isn't extended here: slow replicas alone don't make capacity short.
+        if self.is_short(now) && self.would_lack_shards(&query) {
+            return GateDecision::Refuse(self.refusal(GateReason::TooLate, now));
+        }
         if self.waiting.is_empty() && self.fits(&query, now) {
             self.admit(&query, now);
             return GateDecision::Admit;
@@ -284,6 +290,14 @@
         query.waited + self.expected_wait(query, ahead) + run_time > query.latency_target
     }
 
+    /// Returns true if too few shards are expected to answer within the latency target. With nothing
+    /// in flight this is false, so that attempts refresh what is known about the shards. A late
+    /// query is exempt, since it misses the target anyway.
+    fn would_lack_shards(&self, query: &GateQuery) -> bool {
+        let is_missed = query.waited + query.coverage_time > query.latency_target;
+        is_missed && !query.is_late && self.in_flight > 0
+    }
+
     fn admit(&mut self, query: &GateQuery, now: TimePoint) {
         self.in_flight += 1;
         self.rank_rates(query.rank).admitted.add(1.0, now);
--- a/alderhaven-policy/tests/common/overload_simulation.rs
+++ b/alderhaven-policy/tests/common/overload_simulation.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::answer_time::{AnswerStep, AnswerTime, ShardCount, usable_time};
+use alderhaven_policy::answer_time::{self, AnswerStep, AnswerTime, ShardCount, usable_time};
 use alderhaven_policy::caller_delay::CallerDelay;
 use alderhaven_policy::concurrency_limit::QuerySignal;
 use alderhaven_policy::hedge_timing::{HedgeTiming, attempt_deadline};
@@ -335,6 +335,7 @@
 
     fn offer(&mut self, id: usize) {
         let kind = self.kind(id);
+        let coverage_time = self.coverage_time(id);
         let simulated = &mut self.queries[id];
         simulated.arrived_at = self.now;
         let waited = self
@@ -356,6 +357,7 @@
             work: self.fronts[simulated.front].typical[simulated.kind].0,
             waited,
             is_late: delay.is_late(kind.latency_target),
+            coverage_time,
         };
         simulated.gate_query = Some(query);
         let (front, refusals) = (simulated.front, simulated.refusals);
@@ -376,6 +378,20 @@
         }
     }
 
+    fn coverage_time(&self, query: usize) -> TimeSpan {
+        let simulated = &self.queries[query];
+        let front = &self.fronts[simulated.front];
+        let (typical, _) = front.typical[simulated.kind];
+        let costs = front.stats.iter().filter_map(|replicas| {
+            let costs = replicas.iter();
+            costs
+                .map(|stats| stats.expected_cost(typical, SLOTS, self.now))
+                .min()
+        });
+        let required = required_shards(self.options.shards, self.kind(query).min_coverage);
+        answer_time::expected_coverage_time(costs, required).unwrap_or_default()
+    }
+
     fn end_wait(&mut self, query: usize, attempt: u8) {
         let simulated = &self.queries[query];
         if simulated.state == CallerState::Waiting && simulated.refusals == attempt {
@@ -678,9 +694,7 @@
             total,
             answered: self.parts.iter().filter(|part| part.is_answered).count(),
             pending: self.parts.iter().filter(pending).count(),
-            required: (1..=total)
-                .find(|count| *count as f64 >= total as f64 * min_coverage - 1e-9)
-                .unwrap_or(total),
+            required: required_shards(total, min_coverage),
         }
     }
 }
@@ -717,6 +731,12 @@
     }
 }
 
+fn required_shards(total: usize, min_coverage: f64) -> usize {
+    (1..=total)
+        .find(|count| *count as f64 >= total as f64 * min_coverage - 1e-9)
+        .unwrap_or(total)
+}
+
 fn draw(rng: &mut SeededRng, shares: &[f64]) -> usize {
     let mut remaining = rng.unit() * shares.iter().sum::<f64>();
     let found = shares.iter().position(|share| {
--- a/alderhaven-policy/tests/common/shard_simulation.rs
+++ b/alderhaven-policy/tests/common/shard_simulation.rs
@@ -424,6 +424,7 @@
             work: kind.mean_work,
             waited: TimeSpan::ZERO,
             is_late: false,
+            coverage_time: TimeSpan::ZERO,
         }
     }
 
--- a/alderhaven-policy/tests/query_gate.rs
+++ b/alderhaven-policy/tests/query_gate.rs
@@ -188,6 +188,7 @@
         work: ms(10),
         waited: TimeSpan::ZERO,
         is_late,
+        coverage_time: TimeSpan::ZERO,
     }
 }
 
@@ -285,6 +286,27 @@
     );
 }
 
+/// Guards against a query that takes capacity while too few of its shards can answer in time, and
+/// against refusals for that reason while capacity isn't short.
+#[test]
+fn offer_refuses_a_query_without_enough_fast_shards() {
+    let slow = |id| GateQuery {
+        coverage_time: ms(101),
+        ..query(id, 1, false)
+    };
+    let mut gate = QueryGate::default();
+    assert_eq!(gate.offer(query(1, 1, false), at(0)), GateDecision::Admit);
+    assert_eq!(gate.offer(slow(2), at(0)), GateDecision::Admit);
+
+    let mut gate = full_gate(1);
+    let decision = gate.offer(slow(1), at(400));
+    assert!(
+        matches!(decision, GateDecision::Refuse(refusal) if refusal.reason == GateReason::TooLate),
+        "{decision:?}"
+    );
+    assert!(!gate.is_short(at(600)));
+}
+
 /// Guards against a full queue that refuses a query of a better rank.
 #[test]
 fn full_queue_displaces_its_last_for_a_better_rank() {
