Gate: a query with room goes before waiting ones without

A query that had room and was first in the order waited until the next query ended whenever another one waited, such as a late one whose part of the limit was full or one of a worse rank that left room for it.

--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -172,17 +172,18 @@
         if self.is_short(now) && self.would_lack_shards(&query) {
             return GateDecision::Refuse(self.refusal(GateReason::TooLate, now));
         }
-        if self.waiting.is_empty() && self.fits(&query, now) {
-            self.admit(&query, now);
-            return GateDecision::Admit;
-        }
-        self.short_until = now + SHORTAGE_TIME;
-        let max_wait = query.latency_target.mul_f64(MAX_WAIT_SHARE);
         let arrival = WaitingQuery {
             query,
             arrived_at: now,
         };
+        // Others may wait for lack of room while this query has some: late ones and worse ranks.
         let position = self.queue_position(&arrival, now);
+        if position == 0 && self.fits(&query, now) {
+            self.admit(&query, now);
+            return GateDecision::Admit;
+        }
+        self.short_until = now + SHORTAGE_TIME;
+        let max_wait = query.latency_target.mul_f64(MAX_WAIT_SHARE);
         if self.expected_wait(&query, position) > max_wait {
             return GateDecision::Refuse(self.refusal(GateReason::NoRoom, now));
         }
--- a/alderhaven-policy/tests/query_gate.rs
+++ b/alderhaven-policy/tests/query_gate.rs
@@ -307,6 +307,19 @@
     assert!(!gate.is_short(at(600)));
 }
 
+/// Guards against a query that waits while capacity is free, behind a late one that may not use it.
+#[test]
+fn offer_admits_before_a_waiting_late_query() {
+    let mut gate = QueryGate::default();
+    for id in 0..3 {
+        assert_eq!(gate.offer(query(id, 1, false), at(0)), GateDecision::Admit);
+    }
+    let late = gate.offer(query(3, 1, true), at(1));
+    assert!(matches!(late, GateDecision::Wait { .. }), "{late:?}");
+    assert_eq!(gate.offer(query(4, 1, false), at(2)), GateDecision::Admit);
+    assert_eq!(gate.queue_length(), 1);
+}
+
 /// Guards against a full queue that refuses a query of a better rank.
 #[test]
 fn full_queue_displaces_its_last_for_a_better_rank() {
