Admission keeps queries that may be late

Cause: three decisions traded late answers for refusals, but the freed capacity was not used for answers in time. A caller with a long deadline that gets a late answer is better off than one that is refused twice. Change: removed are giving up a running query while capacity is short, the refusal too_late after the expected wait, and the refusal too_late for lack of shards that are expected in time, with their fields, types, metrics labels, log reasons, tests and documentation.

--- a/alderhaven-front/src/admission_permit.rs
+++ b/alderhaven-front/src/admission_permit.rs
@@ -50,12 +50,6 @@
         self.has_waited
     }
 
-    /// Returns true if queries over the same services have recently waited or been refused.
-    #[must_use]
-    pub fn is_capacity_short(&self) -> bool {
-        self.admission.is_short(self.shards)
-    }
-
     /// Sets the capacity signal that the gate receives when the permit is dropped.
     pub const fn record_signal(&mut self, signal: QuerySignal) {
         self.signal = signal;
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -65,8 +65,6 @@
     Crashes,
     /// The services of the query are at their concurrency limit, and the wait would be too long.
     NoRoom,
-    /// Its answer would miss the latency target after the expected wait for admission.
-    TooLate,
     /// A query of higher rank took its place in the queue.
     Outranked,
     /// It waited in the queue for the longest time allowed.
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -150,8 +150,6 @@
     Waited,
     /// Refused: the wait would be too long.
     NoRoom,
-    /// Refused: the answer would be late.
-    TooLate,
     /// Refused: a query of a better rank took its place.
     Outranked,
     /// Refused: it waited for the longest time allowed.
--- a/alderhaven-front/src/query_admission.rs
+++ b/alderhaven-front/src/query_admission.rs
@@ -40,15 +40,6 @@
     pub waiting: usize,
 }
 
-/// What a front expects of a query before it sends any attempt.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct QueryExpectation {
-    /// Work at each target.
-    pub work: TimeSpan,
-    /// Time until enough shards have answered; zero if unknown.
-    pub coverage_time: TimeSpan,
-}
-
 type GateResult = Result<(), GateRefusal>;
 
 #[derive(Debug, Default)]
@@ -76,7 +67,7 @@
     }
 
     /// Admits or refuses a query of a route over these services, and waits in the queue if
-    /// necessary.
+    /// necessary. `work` is the expected work at each target.
     ///
     /// # Errors
     /// The refusal of the gate. Nothing has been sent in that case.
@@ -86,7 +77,7 @@
         identity: &CallerIdentity,
         shards: ShardSetId,
         delay: CallerDelay,
-        expectation: QueryExpectation,
+        work: TimeSpan,
     ) -> Result<AdmissionPermit, GateRefusal> {
         let now = self.clock.now();
         let query = GateQuery {
@@ -94,10 +85,8 @@
             rank: identity.query_rank(rule.rank),
             team: identity.team_hash(),
             latency_target: rule.latency_target,
-            work: expectation.work,
-            waited: delay.0,
+            work,
             is_late: delay.is_late(rule.latency_target),
-            coverage_time: expectation.coverage_time,
         };
         // The waiter is registered under the same lock, so that the gate cannot admit the query
         // before there is a receiver.
@@ -142,15 +131,6 @@
         }
     }
 
-    /// Returns true if queries over these services have recently waited or been refused.
-    pub(crate) fn is_short(&self, shards: ShardSetId) -> bool {
-        let now = self.clock.now();
-        let gates = self.lock();
-        gates
-            .get(&shards)
-            .is_some_and(|state| state.gate.is_short(now))
-    }
-
     /// Returns the state of all gates, summed.
     #[must_use]
     pub fn status(&self) -> AdmissionStatus {
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -272,7 +272,6 @@
 pub(super) const fn admission_result(reason: GateReason) -> AdmissionResult {
     match reason {
         GateReason::NoRoom => AdmissionResult::NoRoom,
-        GateReason::TooLate => AdmissionResult::TooLate,
         GateReason::Outranked => AdmissionResult::Outranked,
         GateReason::WaitOver => AdmissionResult::WaitOver,
     }
@@ -287,7 +286,6 @@
 ) -> FrontAnswer {
     let reason = match refusal.reason {
         GateReason::NoRoom => RefusalReason::NoRoom,
-        GateReason::TooLate => RefusalReason::TooLate,
         GateReason::Outranked => RefusalReason::Outranked,
         GateReason::WaitOver => RefusalReason::WaitOver,
     };
--- a/alderhaven-policy/src/answer_time.rs
+++ b/alderhaven-policy/src/answer_time.rs
@@ -55,22 +55,6 @@
         .max(latency_target.mul_f64(MIN_USABLE_SHARE))
 }
 
-/// Returns the expected time until `required` shards have answered, from the lowest expected cost of
-/// an attempt at each shard, or `None` if fewer shards have a cost.
-#[must_use]
-pub fn expected_coverage_time(
-    costs: impl Iterator<Item = TimeSpan>,
-    required: usize,
-) -> Option<TimeSpan> {
-    let mut costs: Vec<TimeSpan> = costs.collect();
-    let last = required.max(1) - 1;
-    if last >= costs.len() {
-        return None;
-    }
-    let (_, cost, _) = costs.select_nth_unstable(last);
-    Some(*cost)
-}
-
 impl AnswerTime {
     /// Computes the times of a query that arrived at `arrived_at`.
     ///
@@ -117,10 +101,4 @@
             self.deadline
         })
     }
-
-    /// Returns true if the answer can't be in time any more because shards are missing.
-    #[must_use]
-    pub fn is_missed(&self, count: ShardCount, now: TimePoint) -> bool {
-        now >= self.partial_at && count.answered < count.required.max(1)
-    }
 }
--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -4,10 +4,9 @@
 //! query certainly didn't run. [`ConcurrencyLimit`] bounds the queries in flight. Some more wait in
 //! the order of their ranks; a worse rank goes first while its served share is below a fixed part
 //! of the best rank's. A query that would wait for too long is refused on arrival, and a waiting
-//! one is refused when a better rank displaces it. A query whose answer would miss its latency target
-//! is refused instead of queued. While capacity is short, worse ranks leave room for the queries of
-//! better ranks that are about to arrive, since an urgent query with a short latency target can't
-//! wait for a long one to end. The retry time grows with the share of refused queries.
+//! one is refused when a better rank displaces it. While capacity is short, worse ranks leave room for
+//! the queries of better ranks that are about to arrive, since an urgent query with a short latency
+//! target can't wait for a long one to end. The retry time grows with the share of refused queries.
 
 use std::cmp::Ordering;
 
@@ -71,12 +70,8 @@
     pub latency_target: TimeSpan,
     /// Expected work of the query at each target.
     pub work: TimeSpan,
-    /// Time that the caller had waited before the query arrived.
-    pub waited: TimeSpan,
     /// True if the answer will be late anyway, because the caller had waited before.
     pub is_late: bool,
-    /// Expected time from admission until enough shards have answered; zero if unknown.
-    pub coverage_time: TimeSpan,
 }
 
 /// Answer to a query that was not run.
@@ -93,8 +88,6 @@
 pub enum GateReason {
     /// The limit is reached, and the wait would be too long.
     NoRoom,
-    /// Its answer would miss the latency target after the expected wait.
-    TooLate,
     /// A query of a better rank took its place in the queue.
     Outranked,
     /// It waited for the longest time allowed.
@@ -168,10 +161,6 @@
     pub fn offer(&mut self, query: GateQuery, now: TimePoint) -> GateDecision {
         self.rank_rates(query.rank).offered.add(1.0, now);
         self.kind_state(&query).offered.add(1.0, now);
-        // The shortage isn't extended here: slow replicas alone don't make capacity short.
-        if self.is_short(now) && self.would_lack_shards(&query) {
-            return GateDecision::Refuse(self.refusal(GateReason::TooLate, now));
-        }
         let arrival = WaitingQuery {
             query,
             arrived_at: now,
@@ -187,9 +176,6 @@
         if self.expected_wait(&query, position) > max_wait {
             return GateDecision::Refuse(self.refusal(GateReason::NoRoom, now));
         }
-        if self.would_be_late(&query, position) {
-            return GateDecision::Refuse(self.refusal(GateReason::TooLate, now));
-        }
         self.waiting.insert(position, arrival);
         GateDecision::Wait {
             until: now + max_wait,
@@ -241,12 +227,6 @@
         kind.in_flight = kind.in_flight.saturating_sub(1);
     }
 
-    /// Returns true if queries have recently waited or been refused.
-    #[must_use]
-    pub fn is_short(&self, now: TimePoint) -> bool {
-        now < self.short_until
-    }
-
     /// Returns the current limit on queries in flight.
     #[must_use]
     pub const fn limit(&self) -> f64 {
@@ -271,6 +251,11 @@
         load < self.limit.get() * share
     }
 
+    /// Returns true if queries have recently waited or been refused.
+    fn is_short(&self, now: TimePoint) -> bool {
+        now < self.short_until
+    }
+
     /// Returns the part of the limit that queries of this rank leave to better ranks, in queries.
     fn room_for_better(&self, rank: QueryRank, now: TimePoint) -> f64 {
         if !self.is_short(now) || self.is_underserved(rank, now) {
@@ -281,24 +266,6 @@
         room.min(self.limit.get() * MAX_ROOM_SHARE)
     }
 
-    /// Returns true if the answer would miss the latency target after the expected wait.
-    fn would_be_late(&self, query: &GateQuery, ahead: usize) -> bool {
-        let same = |kind: &&KindState| kind.is_of(query);
-        let kind = self.kinds.iter().find(same);
-        let Some(run_time) = kind.and_then(|kind| kind.run_time.get()) else {
-            return false;
-        };
-        query.waited + self.expected_wait(query, ahead) + run_time > query.latency_target
-    }
-
-    /// Returns true if too few shards are expected to answer within the latency target. With nothing
-    /// in flight this is false, so that attempts refresh what is known about the shards. A late
-    /// query is exempt, since it misses the target anyway.
-    fn would_lack_shards(&self, query: &GateQuery) -> bool {
-        let is_missed = query.waited + query.coverage_time > query.latency_target;
-        is_missed && !query.is_late && self.in_flight > 0
-    }
-
     fn admit(&mut self, query: &GateQuery, now: TimePoint) {
         self.in_flight += 1;
         self.rank_rates(query.rank).admitted.add(1.0, now);
