--- a/alderhaven-front/src/front_status.rs
+++ b/alderhaven-front/src/front_status.rs
@@ -7,6 +7,7 @@
 use crate::evacuated_domain::EvacuatedDomain;
 use crate::front_context::FrontContext;
 use crate::lease_report::LeaseReport;
+use crate::query_admission::AdmissionStatus;
 
 /// A snapshot of a front's state, served as JSON.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -29,6 +30,8 @@
     /// The shares of team limits, if any team has one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub credit: Option<CreditStatus>,
+    /// The limits and queues of admission.
+    pub admission: AdmissionStatus,
 }
 
 impl FrontStatus {
@@ -47,6 +50,7 @@
             evacuated: context.catalog.evacuated_domains(),
             lease: context.lease.report(),
             credit: context.credit.status(),
+            admission: context.admission.status(),
         }
     }
 }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -24,7 +24,7 @@
 use crate::front_answer::FrontAnswer;
 use crate::front_context::{self, FrontContext};
 use crate::front_event::{RequestOutcome, UnansweredAttempt};
-use crate::front_metrics::{AttemptKind, UnansweredReason};
+use crate::front_metrics::{AdmissionResult, AttemptKind, UnansweredReason};
 use crate::group_plan;
 use crate::query_call::QueryCall;
 use crate::query_run::crash_detection::CrashSuspect;
@@ -131,11 +131,19 @@
         let Some(set) = route.shards.or_else(single) else {
             return Ok(None);
         };
+        let work = route.state.typical_latency(route.rule.latency_target);
         let admission = &context.admission;
+        let identity = &call.identity;
         let permit = admission
-            .admit(&route.rule, &call.identity, set, delay)
-            .await?;
-        Ok(Some(permit))
+            .admit(&route.rule, identity, set, delay, work)
+            .await;
+        let result = match &permit {
+            Ok(permit) if permit.has_waited() => AdmissionResult::Waited,
+            Ok(_) => AdmissionResult::Admitted,
+            Err(refusal) => completion::admission_result(refusal.reason),
+        };
+        context.metrics.observe_admission(route.rule.rank, result);
+        Ok(Some(permit?))
     }
 
     fn new(
