Overload simulation: bounds of the stated goals, two of them red

Cause: with the removal of the decisions that measured worse, the bound on late answers had been set near the measured share, and worth was checked against measured figures. Bounds come from the goal.

--- a/alderhaven-policy/tests/overload.rs
+++ b/alderhaven-policy/tests/overload.rs
@@ -134,24 +134,8 @@
     sum
 }
 
-/// Checks the late share of the answers and the mean worth of all callers.
-fn assert_lateness_and_worth(
-    large: &OverloadTally,
-    small: &OverloadTally,
-    max_late_share: f64,
-    min_worth: f64,
-) {
-    let (late, in_time) = (large.late + small.late, large.in_time + small.in_time);
-    assert!(
-        late <= max_late_share * (late + in_time),
-        "{late} late, {in_time} in time"
-    );
-    let (worth, total) = (large.worth + small.worth, large.total + small.total);
-    assert!(worth >= min_worth * total, "worth {worth} of {total}");
-}
-
 /// Guards against an urgent kind of little work and a short latency target that is served less than
-/// a less urgent kind of more work, and against late queries that keep out ones that can be in time.
+/// a less urgent kind of more work.
 #[test]
 fn overload_urgent_small_kind_is_not_inverted() {
     let options = variant("plain", true, 8.0, 1);
@@ -164,11 +148,9 @@
         share(&small) >= share(&large),
         "small {small:?}, large {large:?}"
     );
-    assert_lateness_and_worth(&large, &small, 0.125, 0.67);
 }
 
-/// Guards against a less urgent small kind that is served more than an urgent one of much work, and
-/// against late queries that keep out ones that can be in time.
+/// Guards against a less urgent small kind that is served more than an urgent one of much work.
 #[test]
 fn overload_urgent_large_kind_is_not_inverted() {
     let options = variant("plain", false, 8.0, 1);
@@ -178,7 +160,17 @@
     );
     let share = |tally: &OverloadTally| tally.in_time / tally.total;
     assert!(share(&large) >= share(&small), "{large:?}, {small:?}");
-    assert_lateness_and_worth(&large, &small, 0.23, 0.495);
+}
+
+/// Guards against late queries that take the capacity of ones that can be in time: at most one in
+/// fifty answers is to be late.
+#[test]
+fn overload_few_answers_are_late() {
+    for is_small_urgent in [true, false] {
+        let tally = burst_tally(&variant("plain", is_small_urgent, 8.0, 1), None);
+        let answered = tally.late + tally.in_time;
+        assert!(tally.late <= 0.02 * answered, "{tally:?}");
+    }
 }
 
 /// Guards against an urgent kind of much work that starves a less urgent small one.
