Gate: headroom for better ranks, as the field calls it

Cause: "room" names both the limit's free part and what is kept for others. Change: names of the constants and functions that keep it.

--- a/alderhaven-policy/src/query_gate.rs
+++ b/alderhaven-policy/src/query_gate.rs
@@ -41,12 +41,12 @@
 const SHORTAGE_TIME: TimeSpan = TimeSpan::from_millis(500);
 
 /// Largest share of the limit that worse ranks leave to better ones.
-const MAX_ROOM_SHARE: f64 = 0.5;
+const MAX_HEADROOM_SHARE: f64 = 0.5;
 
 /// Room for better ranks, as a multiple of the expected number of their queries in flight and its
 /// standard deviation. Arrivals at one front are few and irregular, so that the expected number
 /// alone is often exceeded.
-const ROOM_FACTOR: f64 = 2.0;
+const HEADROOM_FACTOR: f64 = 2.0;
 
 /// Weight of a team within its rank.
 const TEAM_WEIGHT: u32 = 1;
@@ -247,7 +247,7 @@
 
     fn fits(&self, query: &GateQuery, now: TimePoint) -> bool {
         let share = if query.is_late { LATE_LIMIT_SHARE } else { 1.0 };
-        let load = self.in_flight as f64 + self.room_for_better(query.rank, now);
+        let load = self.in_flight as f64 + self.headroom_for_better(query.rank, now);
         load < self.limit.get() * share
     }
 
@@ -257,13 +257,13 @@
     }
 
     /// Returns the part of the limit that queries of this rank leave to better ranks, in queries.
-    fn room_for_better(&self, rank: QueryRank, now: TimePoint) -> f64 {
+    fn headroom_for_better(&self, rank: QueryRank, now: TimePoint) -> f64 {
         if !self.is_short(now) || self.is_underserved(rank, now) {
             return 0.0;
         }
         let better = self.kinds.iter().filter(|kind| kind.rank < rank);
-        let room: f64 = better.map(|kind| kind.unused_room(now)).sum();
-        room.min(self.limit.get() * MAX_ROOM_SHARE)
+        let headroom: f64 = better.map(|kind| kind.unused_headroom(now)).sum();
+        headroom.min(self.limit.get() * MAX_HEADROOM_SHARE)
     }
 
     fn admit(&mut self, query: &GateQuery, now: TimePoint) {
@@ -398,10 +398,10 @@
     }
 
     /// Returns the room that this kind needs beyond its queries in flight, by Little's law.
-    fn unused_room(&self, now: TimePoint) -> f64 {
+    fn unused_headroom(&self, now: TimePoint) -> f64 {
         let run_time = self.run_time.get().unwrap_or_default();
         let expected = self.offered.per_second(now) * run_time.as_secs_f64();
-        let needed = ROOM_FACTOR * (expected + expected.sqrt());
+        let needed = HEADROOM_FACTOR * (expected + expected.sqrt());
         (needed - self.in_flight as f64).max(0.0)
     }
 }
