--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -255,7 +255,7 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
-    /// Counts a decision of admission. Ranks from [`MAX_RANK_LABEL`] on are counted together.
+    /// Counts a decision of admission. Ranks from 7 on are counted together.
     pub fn observe_admission(&self, rank: u32, result: AdmissionResult) {
         let rank = rank.min(MAX_RANK_LABEL);
         let labels = AdmissionLabels { rank, result };
