Fronts: the log tells who knew of a crash, when, and why a request was let through

During the incident no log or metric could tell the hypotheses apart: a request that had crashed targets ran again without a line, strikes arrived without one, and lost attempts were passed over uncounted.

New events strikes_learned (from which node, how old) and suspect_admitted (the reason: few_crashes, shared_crashes, domain_failure, refusal_over); targets_crashed has the requests in flight and whether it was published; request_ended has the fingerprint; unexamined_losses_total counts lost attempts that nobody looked at, by reason. CrashQuarantine::verdict gives decision and reason together. No decision changes.

--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -28,6 +28,7 @@
 use crate::wire_dialect::{CallerHead, WholeBody};
 
 use alderhaven_policy::drain::DrainState;
+use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 
 /// The minimum `Retry-After` of a front without a configuration.
 const NO_CONFIG_RETRY_MIN: TimeSpan = TimeSpan::from_millis(150);
@@ -151,7 +152,20 @@
     if !crashes.has_strikes() {
         return None;
     }
-    crashes.refused_for(&call.fingerprint())
+    let fingerprint = call.fingerprint();
+    match crashes.verdict(&fingerprint) {
+        QuarantineVerdict::Clear => None,
+        QuarantineVerdict::Refused(span) => Some(span),
+        QuarantineVerdict::Suspect(reason) => {
+            FrontEvent::SuspectAdmitted {
+                request: call.request_id.to_string(),
+                fingerprint: fingerprint.to_string(),
+                reason,
+            }
+            .emit(Level::Info);
+            None
+        }
+    }
 }
 
 fn refuse_without_config(context: &FrontContext, request_id: &str) -> FrontAnswer {
--- a/alderhaven-front/src/catalog/node_reports.rs
+++ b/alderhaven-front/src/catalog/node_reports.rs
@@ -6,6 +6,7 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::wall_clock;
+use alderhaven_policy::crash_strike::StrikeUpdate;
 use alderhaven_policy::store_watch_plan::StoreContact;
 use log::Level;
 
@@ -38,13 +39,14 @@
         );
     }
 
-    /// Publishes to all nodes the crash strikes that this one has recorded for a request.
+    /// Publishes to all nodes the crash strikes that this one has recorded for a request. Returns
+    /// `false` if there are too many of them.
     pub fn publish_strikes(
         &self,
         fingerprint: &RequestFingerprint,
         body: String,
         wall_millis: u64,
-    ) {
+    ) -> bool {
         let is_below_limit = self
             .state()
             .objects
@@ -56,6 +58,7 @@
             let name = format!("{fingerprint}-{}", self.options.node);
             self.publish(ObjectKind::CrashStrike, name, body, wall_millis);
         }
+        is_below_limit
     }
 
     /// Publishes an object under a name that is unique to this node.
@@ -93,12 +96,23 @@
         let Some(body) = &object.body else {
             return;
         };
-        if let Err(reason) = self.crashes.merge_remote(body, wall_clock::unix_millis()) {
-            FrontEvent::StrikesUnreadable {
-                name: object.key.name.clone(),
-                reason,
-            }
-            .emit(Level::Warn);
+        let name = object.key.name.clone();
+        match self.crashes.merge_remote(body, wall_clock::unix_millis()) {
+            Ok(updates) => emit_learned_strikes(name, &updates),
+            Err(reason) => FrontEvent::StrikesUnreadable { name, reason }.emit(Level::Warn),
         }
     }
 }
+
+fn emit_learned_strikes(name: String, updates: &[StrikeUpdate]) {
+    let Some(latest) = updates.iter().min_by_key(|update| update.age) else {
+        return;
+    };
+    FrontEvent::StrikesLearned {
+        name,
+        fingerprint: latest.fingerprint.to_string(),
+        strikes: updates.len(),
+        age: latest.age,
+    }
+    .emit(Level::Info);
+}
--- a/alderhaven-front/src/crash_tracker.rs
+++ b/alderhaven-front/src/crash_tracker.rs
@@ -14,6 +14,7 @@
 use alderhaven_policy::crash_strike::{CrashStrike, StrikeUpdate};
 use alderhaven_policy::policy_kind::PolicyKind;
 use alderhaven_policy::quarantine::{CrashQuarantine, QuarantineOptions};
+use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 use serde::{Deserialize, Serialize};
 
 /// Thread-safe quarantine of a process, with the encoding that nodes exchange.
@@ -70,10 +71,13 @@
         !self.has_strikes()
     }
 
-    /// Returns how long the request stays quarantined, or `None` if it is not.
+    /// Returns the decision on a request.
     #[must_use]
-    pub fn refused_for(&self, fingerprint: &RequestFingerprint) -> Option<TimeSpan> {
-        self.lock().refused_for(fingerprint, self.clock.now())
+    pub fn verdict(&self, fingerprint: &RequestFingerprint) -> QuarantineVerdict {
+        if !self.has_strikes() {
+            return QuarantineVerdict::Clear;
+        }
+        self.lock().verdict(fingerprint, self.clock.now())
     }
 
     /// Records strikes of a request at the Unix time `wall_millis`. Returns the encoded strikes of
@@ -93,7 +97,7 @@
                 age: TimeSpan::ZERO,
             })
             .collect();
-        self.merge(&updates);
+        let _own_updates = self.merge(&updates);
         self.encode_strikes(&fingerprint, wall_millis)
     }
 
@@ -115,11 +119,11 @@
         self.encode_strikes(fingerprint, wall_millis)
     }
 
-    /// Merges strikes that another node published.
+    /// Merges strikes that another node published. Returns those that were new or newly cleared.
     ///
     /// # Errors
     /// Describes the entry that cannot be decoded. Nothing is merged in that case.
-    pub fn merge_remote(&self, body: &str, wall_millis: u64) -> Result<(), String> {
+    pub fn merge_remote(&self, body: &str, wall_millis: u64) -> Result<Vec<StrikeUpdate>, String> {
         let strikes: Vec<PublishedStrike> =
             serde_json::from_str(body).map_err(|error| error.to_string())?;
         let now = self.clock.now();
@@ -127,16 +131,16 @@
             .into_iter()
             .map(|strike| strike.into_update(now, wall_millis))
             .collect();
-        self.merge(&updates?);
-        Ok(())
+        Ok(self.merge(&updates?))
     }
 
-    fn merge(&self, updates: &[StrikeUpdate]) {
+    fn merge(&self, updates: &[StrikeUpdate]) -> Vec<StrikeUpdate> {
         let mut quarantine = self.lock();
-        let _new_updates = quarantine.merge(updates, self.clock.now());
+        let new_updates = quarantine.merge(updates, self.clock.now());
         if !quarantine.is_empty() {
             self.has_strikes.store(true, Ordering::Release);
         }
+        new_updates
     }
 
     fn encode_strikes(&self, fingerprint: &RequestFingerprint, wall_millis: u64) -> Option<String> {
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -7,6 +7,7 @@
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_lease::LeaseStatus;
+use alderhaven_policy::quarantine_verdict::SuspectReason;
 use log::Level;
 use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
@@ -128,6 +129,30 @@
         fingerprint: String,
         /// The ids of the crashed targets.
         targets: Vec<String>,
+        /// The requests of this front in flight at each of these targets.
+        in_flight: Vec<u32>,
+        /// Whether the strikes were published to the other nodes.
+        is_published: bool,
+    },
+    /// Another node published strikes that this one did not know.
+    StrikesLearned {
+        /// The name of the object, which ends with the node that published it.
+        name: String,
+        /// The fingerprint of the request.
+        fingerprint: String,
+        /// The new or newly cleared strikes.
+        strikes: usize,
+        /// The time since the latest of these crashes, by the wall clocks of both nodes.
+        age: TimeSpan,
+    },
+    /// A request runs although strikes count against it.
+    SuspectAdmitted {
+        /// The caller's id of this attempt.
+        request: String,
+        /// The fingerprint that equal requests of all callers share.
+        fingerprint: String,
+        /// Why it is not refused.
+        reason: SuspectReason,
     },
     /// The connection to another front broke or timed out.
     LinkLost {
@@ -243,6 +268,8 @@
     RequestEnded {
         /// The caller's id of this attempt.
         request: String,
+        /// The fingerprint that equal requests of all callers share.
+        fingerprint: String,
         /// The name of the route.
         route: String,
         /// The configuration version that applied.
@@ -380,6 +407,8 @@
             Self::ObjectCarried { .. } => "object_carried",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
             Self::TargetsCrashed { .. } => "targets_crashed",
+            Self::StrikesLearned { .. } => "strikes_learned",
+            Self::SuspectAdmitted { .. } => "suspect_admitted",
             Self::LinkLost { .. } => "link_lost",
             Self::NodesChanged { .. } => "nodes_changed",
             Self::PoolChanged { .. } => "pool_changed",
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -19,7 +19,7 @@
 use crate::front_answer::{ForwardedReply, FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
 use crate::front_event::{FrontEvent, RequestOutcome, UnansweredAttempt};
-use crate::front_metrics::{AdmissionResult, QueryShape, UnansweredReason};
+use crate::front_metrics::{AdmissionResult, QueryShape, UnansweredReason, UnexaminedReason};
 use crate::query_call::QueryCall;
 use crate::query_run::QueryRun;
 use crate::request_refusal::RequestRefusal;
@@ -65,11 +65,16 @@
         let mut attempts = std::mem::take(&mut self.attempts);
         let drain_timeout = self.context.options.drain_timeout.as_duration();
         let state = Arc::clone(&self.route.state);
+        let metrics = self.context.metrics.clone();
         tokio::spawn(async move {
             let drain = async {
                 while let Some(report) = attempts.next().await {
-                    if matches!(report.outcome, AttemptOutcome::Success(_)) {
-                        state.record_latency(report.elapsed);
+                    match report.outcome {
+                        AttemptOutcome::Success(_) => state.record_latency(report.elapsed),
+                        AttemptOutcome::Lost => {
+                            metrics.observe_unexamined_loss(UnexaminedReason::AfterAnswer);
+                        }
+                        _ => {}
                     }
                 }
             };
@@ -221,6 +226,7 @@
         }
         FrontEvent::RequestEnded {
             request: self.call.request_id.to_string(),
+            fingerprint: self.call.fingerprint().to_string(),
             route: self.route.rule.name.clone(),
             version: self.route.version,
             team: self.call.identity.team().map(|team| team.name.clone()),
--- a/alderhaven-front/src/query_run/crash_detection.rs
+++ b/alderhaven-front/src/query_run/crash_detection.rs
@@ -22,6 +22,7 @@
 
 use crate::catalog::Catalog;
 use crate::front_event::FrontEvent;
+use crate::front_metrics::UnexaminedReason;
 use crate::query_run::QueryRun;
 use crate::target_handle::TargetHandle;
 
@@ -51,13 +52,23 @@
                 in_flight: target.stats().in_flight() + 1,
                 lost_at: self.context.clock.now(),
             });
+        } else {
+            self.context
+                .metrics
+                .observe_unexamined_loss(UnexaminedReason::OverLimit);
         }
     }
 
     /// Probes the suspects of unanswered shards in the background, without delaying the answer.
     pub(super) fn probe_crash_suspects(&mut self) {
         let mut suspects = std::mem::take(&mut self.crash_suspects);
+        let total = suspects.len();
         suspects.retain(|suspect| self.shards[suspect.shard].reply.is_none());
+        for _ in suspects.len()..total {
+            self.context
+                .metrics
+                .observe_unexamined_loss(UnexaminedReason::Answered);
+        }
         if suspects.is_empty() {
             return;
         }
@@ -85,7 +96,7 @@
             let wall_millis = wall_clock::unix_millis();
             let tracker = catalog.crashes();
             if let Some(body) = tracker.record_answer(&fingerprint, ShardId(index), wall_millis) {
-                catalog.publish_strikes(&fingerprint, body, wall_millis);
+                let _is_published = catalog.publish_strikes(&fingerprint, body, wall_millis);
             }
         }
     }
@@ -132,17 +143,20 @@
     strikes: Vec<CrashStrike>,
 ) {
     let targets = strikes.iter().map(|strike| strike.target.to_string());
+    let targets = targets.collect();
+    let in_flight = strikes.iter().map(|strike| strike.in_flight).collect();
+    let wall_millis = wall_clock::unix_millis();
+    let body = catalog
+        .crashes()
+        .record_strikes(fingerprint, strikes, wall_millis);
+    let is_published =
+        body.is_some_and(|body| catalog.publish_strikes(&fingerprint, body, wall_millis));
     FrontEvent::TargetsCrashed {
         request,
         fingerprint: fingerprint.to_string(),
-        targets: targets.collect(),
+        targets,
+        in_flight,
+        is_published,
     }
     .emit(Level::Warn);
-    let wall_millis = wall_clock::unix_millis();
-    if let Some(body) = catalog
-        .crashes()
-        .record_strikes(fingerprint, strikes, wall_millis)
-    {
-        catalog.publish_strikes(&fingerprint, body, wall_millis);
-    }
 }
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod pool_order;
 pub mod proof_ages;
 pub mod quarantine;
+pub mod quarantine_verdict;
 pub mod query_gate;
 pub mod query_gather;
 pub mod query_rank;
--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -16,6 +16,7 @@
 
 use crate::crash_strike::{CrashStrike, StrikeUpdate, TargetCrash};
 use crate::policy_kind::PolicyKind;
+use crate::quarantine_verdict::{QuarantineVerdict, SuspectReason};
 
 /// Strikes kept per request; the oldest are dropped. The first attempts of a query over 130 shards
 /// fit, in about 20 KB.
@@ -222,6 +223,19 @@
         (record.refused_until > now).then(|| now.until(record.refused_until))
     }
 
+    /// Returns the decision on a request, with its reason.
+    #[must_use]
+    pub fn verdict(&self, fingerprint: &RequestFingerprint, now: TimePoint) -> QuarantineVerdict {
+        if let Some(span) = self.refused_for(fingerprint, now) {
+            return QuarantineVerdict::Refused(span);
+        }
+        if !self.is_suspect(fingerprint, now) {
+            return QuarantineVerdict::Clear;
+        }
+        let record = &self.requests[fingerprint];
+        QuarantineVerdict::Suspect(self.suspect_reason(record))
+    }
+
     /// Returns `true` if a request has a strike that still counts and therefore must run alone.
     #[must_use]
     pub fn is_suspect(&self, fingerprint: &RequestFingerprint, now: TimePoint) -> bool {
@@ -386,6 +400,25 @@
         (refusals, until)
     }
 
+    /// Returns why the strikes against a suspect do not suffice for a refusal.
+    fn suspect_reason(&self, record: &RequestRecord) -> SuspectReason {
+        if record.refusals > 0 {
+            return SuspectReason::RefusalOver;
+        }
+        let strikes = record.strikes.values().filter(|strike| !strike.cleared);
+        let strikes: Vec<&CrashStrike> = strikes.collect();
+        if self.count_independent(&strikes) < self.options.targets {
+            SuspectReason::FewCrashes
+        } else if strikes
+            .iter()
+            .any(|strike| self.is_domain_failure(strike, record))
+        {
+            SuspectReason::DomainFailure
+        } else {
+            SuspectReason::SharedCrashes
+        }
+    }
+
     /// Returns `true` if the strikes, the newest one included, justify a refusal.
     fn has_enough_strikes(&self, strikes: &[&CrashStrike], refusals: u32) -> bool {
         let needed = if refusals == 0 {
--- a/alderhaven-policy/tests/quarantine.rs
+++ b/alderhaven-policy/tests/quarantine.rs
@@ -8,6 +8,7 @@
 use alderhaven_policy::crash_strike::TargetCrash;
 use alderhaven_policy::policy_kind::PolicyKind;
 use alderhaven_policy::quarantine::{CrashQuarantine, QuarantineOptions};
+use alderhaven_policy::quarantine_verdict::{QuarantineVerdict, SuspectReason};
 use common::{at, proptest_config};
 use proptest::collection;
 use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
@@ -113,6 +114,26 @@
     assert!(is_refused(&quarantine, "sweep", at(21)));
 }
 
+/// Each verdict names its reason, so that a log tells why a request was let through.
+#[test]
+fn verdict_names_the_reason() {
+    let mut quarantine = quarantine();
+    let verdict =
+        |quarantine: &CrashQuarantine, millis| quarantine.verdict(&request("one"), at(millis));
+    assert_eq!(verdict(&quarantine, 0), QuarantineVerdict::Clear);
+    quarantine.record_crash(&crash(1, 0, &["one", "two"]), at(0));
+    let few_crashes = QuarantineVerdict::Suspect(SuspectReason::FewCrashes);
+    assert_eq!(verdict(&quarantine, 1), few_crashes);
+    quarantine.record_crash(&crash(2, 1, &["one", "two"]), at(5000));
+    let shared_crashes = QuarantineVerdict::Suspect(SuspectReason::SharedCrashes);
+    assert_eq!(verdict(&quarantine, 5001), shared_crashes);
+    quarantine.record_crash(&crash(3, 2, &["one"]), at(10_000));
+    let refused = QuarantineVerdict::Refused(TimeSpan::from_millis(29_999));
+    assert_eq!(verdict(&quarantine, 10_001), refused);
+    let refusal_over = QuarantineVerdict::Suspect(SuspectReason::RefusalOver);
+    assert_eq!(verdict(&quarantine, 40_000), refusal_over);
+}
+
 #[test]
 fn quarantine_refusal_expires_and_doubles() {
     let mut quarantine = quarantine();
