Planning a query ends when the costs of its targets change meanwhile

A front hung in one thread and took 9.6 GB (once in two runs of sound_request_beside_a_crashing_one_is_not_refused): shards whose best target was in another domain a moment ago stayed ungrouped for good, since the group of each domain was empty, and an empty group ended nothing. The stack of the hung process showed ServiceTargets::costs below group_cross_domain_shards.

--- a/alderhaven-front/src/group_plan.rs
+++ b/alderhaven-front/src/group_plan.rs
@@ -77,6 +77,10 @@
     (groups.collect(), direct)
 }
 
+/// Returns the largest group, which is never empty; `None` if no shard can be grouped any more.
+///
+/// Costs change while a query is planned, so that the best target of a shard may be too costly by
+/// now.
 fn largest_group(
     shards: &[ShardState],
     ungrouped: &[usize],
@@ -97,12 +101,11 @@
             let Some(domain) = entry.domain.clone() else {
                 continue;
             };
+            if target.is_in_own_domain || cost > lowest_cost + MAX_GROUPING_COST {
+                continue;
+            }
             let group = by_domain.entry(domain).or_default();
-            let is_first_of_shard = group.last().is_none_or(|(last, _)| last != index);
-            if !target.is_in_own_domain
-                && is_first_of_shard
-                && cost <= lowest_cost + MAX_GROUPING_COST
-            {
+            if group.last().is_none_or(|(last, _)| last != index) {
                 group.push((*index, Arc::clone(target)));
             }
         }
