--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -27,4 +27,3 @@
 pub mod request_record;
 pub mod running_query;
 pub mod settings;
-pub mod suspect_trial;
--- a/alderhaven-entry/src/running_query.rs
+++ b/alderhaven-entry/src/running_query.rs
@@ -16,6 +16,7 @@
 use alderhaven_policy::replica_table::{ReplicaTable, TargetIndex};
 use alderhaven_policy::retry::{EndedAttempt, RetryDecision};
 use alderhaven_policy::row_merge;
+use alderhaven_policy::suspect_trial::SuspectTrial;
 use serde_json::value::RawValue;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -28,7 +29,6 @@
 use crate::query_runner;
 use crate::query_runner::QueryRunner;
 use crate::relay_link::{LinkReply, RelayLink, ReplySender};
-use crate::suspect_trial::SuspectTrial;
 
 type TargetIndexes = SmallVec<[TargetIndex; 4]>;
 
@@ -46,7 +46,7 @@
     /// Attempts whose path was lost. Their replicas may not have received them.
     lost_paths: SmallVec<[u64; 4]>,
     slowest_target: TimeSpan,
-    trial: SuspectTrial,
+    trial: SuspectTrial<AttemptOutcome>,
 }
 
 /// An attempt without a reply.
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -16,7 +16,7 @@
 use alderhaven_policy::drain::DrainOptions;
 use alderhaven_policy::entry_answer::AnswerOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
-use alderhaven_policy::quarantine::QuarantineOptions;
+use alderhaven_policy::quarantine_options::QuarantineOptions;
 use serde::{Deserialize, Serialize};
 
 use crate::link_options::LinkOptions;
--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt at one target: takes a connection, sends the request and reads the whole reply.
 
+use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::crash_watch::WatchedAttempt;
 use alderhaven_policy::replica_stats::AttemptResult;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -13,11 +15,14 @@
 use log::Level;
 
 use crate::attempt_phase::AttemptPhase;
+use crate::crash_reporter;
+use crate::crash_reporter::CrashReporter;
 use crate::front_answer::ForwardedReply;
 use crate::front_event::FrontEvent;
 use crate::query_call::QueryCall;
 use crate::target_handle::TargetHandle;
 use crate::target_pool::PooledConnection;
+use crate::trial_registry::TrialGuard;
 use crate::wire_dialect::{ReplyKind, TargetCall, WholeBody, WireDialect};
 
 /// The largest reply body that is read from a target, in bytes. Replies are buffered whole, so
@@ -76,6 +81,40 @@
     pub dialect: Arc<dyn WireDialect>,
     /// Clock of the process.
     pub clock: ProcessClock,
+    /// Examines the attempt if it is lost.
+    pub crashes: CrashReporter,
+    /// The trial that the attempt is part of, if its request is a suspect.
+    pub trial: Option<Arc<TrialGuard>>,
+    /// Whether no other attempt of the query runs, because its request may have crashed targets.
+    pub is_trial: bool,
+}
+
+/// Number of the next attempt of this process.
+static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(0);
+
+/// Watches an attempt for a crash of its target from when it is sent. Dropping it before the attempt
+/// has ended marks the attempt as abandoned.
+struct CrashGuard {
+    target: Arc<TargetHandle>,
+    clock: ProcessClock,
+    number: u64,
+    has_ended: bool,
+}
+
+impl CrashGuard {
+    fn end(mut self) {
+        self.has_ended = true;
+        self.target.crash_watch().record_finished(self.number);
+    }
+}
+
+impl Drop for CrashGuard {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let now = self.clock.now();
+            self.target.crash_watch().record_abandoned(self.number, now);
+        }
+    }
 }
 
 /// An attempt that has ended.
@@ -151,15 +190,22 @@
     }
 
     async fn exchange(self) -> AttemptOutcome {
-        let Ok(mut connection) = self.target.pool.take(!self.is_idempotent).await else {
-            return AttemptOutcome::Unreachable;
+        let mut connection = match self.target.pool.take(!self.is_idempotent).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.crashes.record_refused_connection(&self.target);
+                }
+                return AttemptOutcome::Unreachable;
+            }
         };
         // Built after the wait for a connection, which has used up part of the time left.
         let Some(request) = self.build_request() else {
             self.target.pool.give_back_unused(connection);
             return AttemptOutcome::Cancelled;
         };
-        match send(&self.target, &mut connection, request).await {
+        let watch = self.watch_for_crash();
+        let outcome = match send(&self.target, &mut connection, request).await {
             Ok(response) => {
                 let request_id = &self.call.request_id;
                 read_reply(
@@ -172,6 +218,28 @@
                 .await
             }
             Err(outcome) => outcome,
+        };
+        if matches!(outcome, AttemptOutcome::Lost) {
+            self.crashes
+                .examine_loss(&self.target, watch.number, self.trial);
+        }
+        watch.end();
+        outcome
+    }
+
+    fn watch_for_crash(&self) -> CrashGuard {
+        let number = NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed);
+        let attempt = WatchedAttempt {
+            fingerprint: self.call.fingerprint(),
+            shard: crash_reporter::shard_of_service(&self.target.entry().service),
+            is_trial: self.is_trial,
+        };
+        self.target.crash_watch().record_started(number, attempt);
+        CrashGuard {
+            target: Arc::clone(&self.target),
+            clock: self.clock,
+            number,
+            has_ended: false,
         }
     }
 
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -2,7 +2,7 @@
 //! query.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
@@ -25,10 +25,10 @@
 use crate::query_run::QueryRun;
 use crate::request_refusal;
 use crate::request_refusal::RequestRefusal;
+use crate::suspect_check;
 use crate::wire_dialect::{CallerHead, WholeBody};
 
 use alderhaven_policy::drain::DrainState;
-use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 
 /// The minimum `Retry-After` of a front without a configuration.
 const NO_CONFIG_RETRY_MIN: TimeSpan = TimeSpan::from_millis(150);
@@ -78,7 +78,7 @@
     let limit = caller_timeout
         .mul_f64(MAX_CONFIG_WAIT_FRACTION)
         .min(MAX_CONFIG_WAIT);
-    context.catalog.wait_for_routing(limit).await;
+    context.catalog.wait_for_start(limit).await;
     // The proofs cover a configuration that is read after their status. It may be the first one with
     // teams, which is not proven to be the newest yet.
     let lease = context.lease.proof_status();
@@ -120,6 +120,7 @@
         request_id: Arc::from(request_id),
         arrived_at,
         time_left: caller_timeout,
+        known_fingerprint: OnceLock::new(),
     });
     run_call(context, &view, &route, &call).await
 }
@@ -131,9 +132,8 @@
     route: &LiveRoute,
     call: &Arc<QueryCall>,
 ) -> FrontAnswer {
-    if let Some(retry_after) = crash_retry_after(context, call) {
-        let refusal = RequestRefusal::of_call(call, route, RefusalReason::Crashes, retry_after);
-        return refusal.answer_not_run(&context.metrics, Level::Warn);
+    if let Err(answer) = suspect_check::refuse_quarantined(context, route, call) {
+        return *answer;
     }
     let permit = match credit_check::take_credit(context, route, call).await {
         Ok(permit) => permit,
@@ -146,28 +146,6 @@
     answer
 }
 
-/// Gets how long the request is still refused for crashing targets; `None` if it may run.
-fn crash_retry_after(context: &FrontContext, call: &QueryCall) -> Option<TimeSpan> {
-    let crashes = context.catalog.crashes();
-    if !crashes.has_strikes() {
-        return None;
-    }
-    let fingerprint = call.fingerprint();
-    match crashes.verdict(&fingerprint) {
-        QuarantineVerdict::Clear => None,
-        QuarantineVerdict::Refused(span) => Some(span),
-        QuarantineVerdict::Suspect(reason) => {
-            FrontEvent::SuspectAdmitted {
-                request: call.request_id.to_string(),
-                fingerprint: fingerprint.to_string(),
-                reason,
-            }
-            .emit(Level::Info);
-            None
-        }
-    }
-}
-
 fn refuse_without_config(context: &FrontContext, request_id: &str) -> FrontAnswer {
     let refusal = RequestRefusal {
         request: request_id,
--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -6,6 +6,7 @@
 //! force never decreases while the process runs.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -61,6 +62,8 @@
     view: ArcSwap<CatalogView>,
     changed: watch::Sender<u64>,
     crashes: CrashTracker,
+    /// Whether the objects that nodes publish to each other were fetched from a peer.
+    is_caught_up: AtomicBool,
 }
 
 /// Identity, capacity and limits of a process, fixed at its start.
@@ -90,6 +93,7 @@
     ) -> Self {
         let share = GroupShare::alone(options.capacity);
         let store_kinds = catalog_state::store_kinds(options.has_evacuations);
+        let crashes = CrashTracker::new(&options.node, clock);
         Self {
             dialect,
             options,
@@ -97,7 +101,8 @@
             state: Mutex::new(CatalogState::new(share, store_kinds)),
             view: ArcSwap::from_pointee(CatalogView::new(share)),
             changed: watch::Sender::new(0),
-            crashes: CrashTracker::new(clock),
+            crashes,
+            is_caught_up: AtomicBool::new(false),
         }
     }
 
@@ -113,13 +118,21 @@
         self.view.load_full()
     }
 
-    /// Waits up to `limit` for the first configuration.
-    pub async fn wait_for_routing(&self, limit: TimeSpan) {
-        if self.view().routing.is_some() {
+    /// Ends the wait for what peers have published.
+    pub fn mark_caught_up(&self) {
+        self.is_caught_up.store(true, Ordering::Release);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Waits up to `limit` for the first configuration, and for what peers have published.
+    pub async fn wait_for_start(&self, limit: TimeSpan) {
+        let has_started =
+            || self.view().routing.is_some() && self.is_caught_up.load(Ordering::Acquire);
+        if has_started() {
             return;
         }
         let mut changed = self.subscribe();
-        let has_routing = changed.wait_for(|_| self.view().routing.is_some());
+        let has_routing = changed.wait_for(|_| has_started());
         // On timeout the view has no routing, which callers check.
         let _is_over = time::timeout(limit.as_duration(), has_routing)
             .await
--- a/alderhaven-front/src/catalog/node_reports.rs
+++ b/alderhaven-front/src/catalog/node_reports.rs
@@ -19,9 +19,11 @@
 /// The body of a report from a node that doesn't reach the store.
 const STORE_LOST_BODY: &str = "lost";
 
-/// The number of strike objects in the catalog from which on this node publishes no more; every
-/// node holds all of them in memory.
+/// The number of strike objects in the catalog from which on nodes withdraw old ones; every node
+/// holds all of them in memory.
 const MAX_STRIKE_OBJECTS: usize = 256;
+/// The strike objects that each node may keep published whatever the others do.
+const MIN_OWN_STRIKE_OBJECTS: usize = 8;
 
 impl Catalog {
     /// Publishes to all nodes whether this one reaches the store.
@@ -31,39 +33,68 @@
         } else {
             STORE_LOST_BODY
         };
-        self.publish(
-            ObjectKind::StoreContact,
-            node.to_string(),
-            body.to_owned(),
-            wall_millis,
-        );
+        let key = ObjectKey {
+            kind: ObjectKind::StoreContact,
+            name: node.to_string(),
+        };
+        self.publish(key, Some(body.to_owned()), wall_millis);
     }
 
-    /// Publishes to all nodes the crash strikes that this one has recorded for a request. Returns
-    /// `false` if there are too many of them.
+    /// Publishes to all nodes the crash strikes that this one knows of a request.
     pub fn publish_strikes(
         &self,
         fingerprint: &RequestFingerprint,
         body: String,
         wall_millis: u64,
-    ) -> bool {
-        let is_below_limit = self
-            .state()
-            .objects
-            .keys()
-            .filter(|key| key.kind == ObjectKind::CrashStrike)
-            .count()
-            < MAX_STRIKE_OBJECTS;
-        if is_below_limit {
-            let name = format!("{fingerprint}-{}", self.options.node);
-            self.publish(ObjectKind::CrashStrike, name, body, wall_millis);
+    ) {
+        let name = format!("{fingerprint}-{}", self.options.node);
+        let key = ObjectKey {
+            kind: ObjectKind::CrashStrike,
+            name,
+        };
+        let is_published = |object: &StoredObject| object.body.is_some();
+        let was_published = self.state().objects.get(&key).is_some_and(is_published);
+        if !was_published && !self.make_room_for_strikes(wall_millis) {
+            FrontEvent::StrikesUnpublished {
+                fingerprint: fingerprint.to_string(),
+            }
+            .emit(Level::Warn);
+            return;
         }
-        is_below_limit
+        self.publish(key, Some(body), wall_millis);
+    }
+
+    /// Returns `true` if one more strike object may be published. Above the limit of all nodes, this
+    /// one withdraws its oldest, and keeps a few in any case.
+    fn make_room_for_strikes(&self, wall_millis: u64) -> bool {
+        let suffix = format!("-{}", self.options.node);
+        let (total, mut own) = {
+            let state = self.state();
+            let published = state.objects.values().filter(|object| {
+                object.key.kind == ObjectKind::CrashStrike && object.body.is_some()
+            });
+            let published: Vec<(u64, ObjectKey)> = published
+                .map(|object| (object.version.revision, object.key.clone()))
+                .collect();
+            let total = published.len();
+            let own = published
+                .into_iter()
+                .filter(|(_, key)| key.name.ends_with(&suffix));
+            (total, own.collect::<Vec<_>>())
+        };
+        if total < MAX_STRIKE_OBJECTS || own.len() < MIN_OWN_STRIKE_OBJECTS {
+            return true;
+        }
+        own.sort_unstable_by_key(|(revision, _)| *revision);
+        let Some((_, oldest)) = own.into_iter().next() else {
+            return false;
+        };
+        self.publish(oldest, None, wall_millis);
+        true
     }
 
-    /// Publishes an object under a name that is unique to this node.
-    fn publish(&self, kind: ObjectKind, name: String, body: String, wall_millis: u64) {
-        let key = ObjectKey { kind, name };
+    /// Publishes an object under a name that is unique to this node; without a body, its removal.
+    fn publish(&self, key: ObjectKey, body: Option<String>, wall_millis: u64) {
         let known = self
             .state()
             .objects
@@ -76,7 +107,7 @@
             key,
             version: StoreVersion::of_revision(version),
             write_id: String::new(),
-            body: Some(body),
+            body,
         }]);
     }
 
--- a/alderhaven-front/src/crash_tracker.rs
+++ b/alderhaven-front/src/crash_tracker.rs
@@ -1,22 +1,30 @@
 //! Requests that crash targets, as known to all fronts.
 //!
-//! A front that loses an attempt and finds the target's process gone records a crash strike and
-//! publishes it. Each front then refuses requests whose strikes reach the limit of
-//! [`alderhaven_policy::quarantine`].
+//! A front that loses an attempt and finds the target's process gone records strikes against all
+//! requests that it had in flight there, and publishes them. All fronts then decide alike which
+//! requests run on trial and which are refused; see [`alderhaven_policy::quarantine`].
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::fingerprint::RequestFingerprint;
-use alderhaven_core::ids::ShardId;
+use alderhaven_core::ids::{NodeId, ShardId};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::crash_strike::{CrashStrike, StrikeUpdate};
+use alderhaven_policy::crash_strike::{CrashStrike, StrikeUpdate, TargetCrash};
 use alderhaven_policy::policy_kind::PolicyKind;
-use alderhaven_policy::quarantine::{CrashQuarantine, QuarantineOptions};
+use alderhaven_policy::quarantine::CrashQuarantine;
+use alderhaven_policy::quarantine_options::QuarantineOptions;
 use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 use serde::{Deserialize, Serialize};
 
+use crate::query_call::QueryCall;
+use crate::trial_registry::TrialRegistry;
+
+/// The strikes of a request that are published; they fit in about 8 KB.
+const MAX_PUBLISHED_STRIKES: usize = 48;
+
 /// Thread-safe quarantine of a process, with the encoding that nodes exchange.
 #[derive(Debug)]
 pub struct CrashTracker {
@@ -24,6 +32,15 @@
     quarantine: Mutex<CrashQuarantine>,
     /// Lets requests check for strikes without taking the lock. It is never cleared.
     has_strikes: AtomicBool,
+    unpublished: Mutex<UnpublishedStrikes>,
+    trials: TrialRegistry,
+}
+
+/// The requests whose strikes this node has changed and not published yet.
+#[derive(Debug, Default)]
+struct UnpublishedStrikes {
+    fingerprints: BTreeSet<RequestFingerprint>,
+    is_publishing: bool,
 }
 
 /// A strike in the JSON that nodes exchange.
@@ -35,6 +52,8 @@
     domain: String,
     shard: u32,
     in_flight: u32,
+    #[serde(default)]
+    trial: bool,
     /// Unix time of the crash in milliseconds. Clock skew of some seconds is negligible, because
     /// strikes are kept for minutes.
     seen_ms: u64,
@@ -44,79 +63,92 @@
 impl CrashTracker {
     /// Creates a tracker without strikes and with the default quarantine options.
     #[must_use]
-    pub fn new(clock: ProcessClock) -> Self {
+    pub fn new(node: &NodeId, clock: ProcessClock) -> Self {
         let quarantine = CrashQuarantine::new(PolicyKind::Current, QuarantineOptions::default());
         Self {
             clock,
-            quarantine: Mutex::new(quarantine),
+            quarantine: Mutex::new(quarantine.prolonged_for(node.as_str())),
             has_strikes: AtomicBool::new(false),
+            unpublished: Mutex::default(),
+            trials: TrialRegistry::default(),
         }
     }
 
-    /// Returns `true` once any strike has been recorded. Does not take the lock.
+    /// Returns the trials that run on this front.
     #[must_use]
-    pub fn has_strikes(&self) -> bool {
-        self.has_strikes.load(Ordering::Acquire)
+    pub const fn trials(&self) -> &TrialRegistry {
+        &self.trials
     }
 
-    /// Returns the number of requests with strikes.
+    /// Returns `true` once any strike has been recorded. Does not take the lock.
     #[must_use]
-    pub fn len(&self) -> usize {
-        self.lock().len()
+    pub fn has_strikes(&self) -> bool {
+        self.has_strikes.load(Ordering::Acquire)
     }
 
-    /// Returns `true` if no strike has ever been recorded.
+    /// Returns the number of requests that are suspected of crashing targets.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        !self.has_strikes()
+    pub fn suspect_count(&self) -> usize {
+        self.lock().suspect_count()
     }
 
     /// Returns the decision on a request.
     #[must_use]
-    pub fn verdict(&self, fingerprint: &RequestFingerprint) -> QuarantineVerdict {
+    pub fn verdict(&self, call: &QueryCall) -> QuarantineVerdict {
         if !self.has_strikes() {
             return QuarantineVerdict::Clear;
         }
-        self.lock().verdict(fingerprint, self.clock.now())
+        self.lock().verdict(&call.fingerprint(), self.clock.now())
+    }
+
+    /// Records a crash that this node saw.
+    pub fn record_crash(&self, crash: &TargetCrash) {
+        let updates = self.lock().record_crash(crash, self.clock.now());
+        self.record_changes(&updates);
     }
 
-    /// Records strikes of a request at the Unix time `wall_millis`. Returns the encoded strikes of
-    /// the request to publish, or `None` if there are none.
+    /// Records that a replica of a shard answered the request. Returns `true` if this cleared a
+    /// strike.
     #[must_use]
-    pub fn record_strikes(
-        &self,
-        fingerprint: RequestFingerprint,
-        strikes: Vec<CrashStrike>,
-        wall_millis: u64,
-    ) -> Option<String> {
-        let updates: Vec<StrikeUpdate> = strikes
-            .into_iter()
-            .map(|strike| StrikeUpdate {
-                fingerprint,
-                strike,
-                age: TimeSpan::ZERO,
-            })
-            .collect();
-        let _own_updates = self.merge(&updates);
-        self.encode_strikes(&fingerprint, wall_millis)
+    pub fn record_answer(&self, fingerprint: &RequestFingerprint, shard: ShardId) -> bool {
+        let now = self.clock.now();
+        let cleared = self.lock().record_answer(fingerprint, shard, now);
+        self.record_changes(&cleared);
+        !cleared.is_empty()
     }
 
-    /// Records that a replica of a shard answered the request. Returns the encoded strikes to
-    /// publish if this cleared a strike.
+    /// Returns `true` if a publication is to be started: there are changes, and none is under way.
     #[must_use]
-    pub fn record_answer(
-        &self,
-        fingerprint: &RequestFingerprint,
-        shard: ShardId,
-        wall_millis: u64,
-    ) -> Option<String> {
-        let cleared = self
-            .lock()
-            .record_answer(fingerprint, shard, self.clock.now());
-        if cleared.is_empty() {
-            return None;
+    pub fn begin_publishing(&self) -> bool {
+        let mut unpublished = self.lock_unpublished();
+        let is_due = !unpublished.fingerprints.is_empty() && !unpublished.is_publishing;
+        unpublished.is_publishing |= is_due;
+        is_due
+    }
+
+    /// Takes the requests whose strikes changed here, with the encoded strikes of each. Ends the
+    /// publication.
+    #[must_use]
+    pub fn take_unpublished(&self, wall_millis: u64) -> Vec<(RequestFingerprint, String)> {
+        let fingerprints = {
+            let mut unpublished = self.lock_unpublished();
+            unpublished.is_publishing = false;
+            std::mem::take(&mut unpublished.fingerprints)
+        };
+        let encode = |fingerprint| {
+            let strikes = self.encode_strikes(&fingerprint, wall_millis)?;
+            Some((fingerprint, strikes))
+        };
+        fingerprints.into_iter().filter_map(encode).collect()
+    }
+
+    fn record_changes(&self, updates: &[StrikeUpdate]) {
+        if updates.is_empty() {
+            return;
         }
-        self.encode_strikes(fingerprint, wall_millis)
+        self.has_strikes.store(true, Ordering::Release);
+        let fingerprints = updates.iter().map(|update| update.fingerprint);
+        self.lock_unpublished().fingerprints.extend(fingerprints);
     }
 
     /// Merges strikes that another node published. Returns those that were new or newly cleared.
@@ -143,19 +175,28 @@
         new_updates
     }
 
+    /// Encodes the strikes of a request, the latest ones if there are many. Returns `None` if there
+    /// are none.
     fn encode_strikes(&self, fingerprint: &RequestFingerprint, wall_millis: u64) -> Option<String> {
-        let strikes = self.lock().strikes(self.clock.now());
+        let mut strikes = self.lock().strikes_of(fingerprint, self.clock.now());
+        if strikes.is_empty() {
+            return None;
+        }
+        strikes.sort_by_key(|update| (update.strike.cleared, update.age));
+        strikes.truncate(MAX_PUBLISHED_STRIKES);
         let published: Vec<PublishedStrike> = strikes
             .iter()
-            .filter(|update| update.fingerprint == *fingerprint)
             .map(|update| PublishedStrike::new(update, wall_millis))
             .collect();
-        if published.is_empty() {
-            return None;
-        }
         serde_json::to_string(&published).ok()
     }
 
+    fn lock_unpublished(&self) -> MutexGuard<'_, UnpublishedStrikes> {
+        self.unpublished
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, CrashQuarantine> {
         self.quarantine
             .lock()
@@ -173,6 +214,7 @@
             domain: strike.domain.to_string(),
             shard: strike.shard.0,
             in_flight: strike.in_flight,
+            trial: strike.is_trial,
             seen_ms: wall_millis.saturating_sub(update.age.as_millis()),
             cleared: strike.cleared,
         }
@@ -197,6 +239,7 @@
                 shard: ShardId(self.shard),
                 in_flight: self.in_flight,
                 at: now,
+                is_trial: self.trial,
                 cleared: self.cleared,
             },
             age,
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -63,6 +63,8 @@
     Refused,
     /// The request crashed targets that ran it.
     Crashes,
+    /// An equal request that may have crashed targets is on trial.
+    OnTrial,
     /// The services of the query are at their concurrency limit, and the wait would be too long.
     NoRoom,
     /// A query of higher rank took its place in the queue.
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::Catalog;
+use crate::crash_reporter::CrashReporter;
 use crate::credit_keeper::CreditKeeper;
 use crate::front_metrics::FrontMetrics;
 use crate::group_links::GroupLinks;
@@ -22,6 +23,8 @@
 pub struct FrontContext {
     /// Configuration and targets.
     pub catalog: Arc<Catalog>,
+    /// Examines lost attempts for crashes of their targets.
+    pub crashes: CrashReporter,
     /// The deployment's protocol.
     pub dialect: Arc<dyn WireDialect>,
     /// The lease on the configuration.
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -121,18 +121,22 @@
         /// What is invalid.
         reason: String,
     },
-    /// A request was in flight at targets that crashed.
-    TargetsCrashed {
-        /// The caller's id of this attempt.
-        request: String,
-        /// The fingerprint that equal requests of all callers share.
+    /// A target crashed with requests of this front in flight.
+    #[serde(rename = "targets_crashed")]
+    TargetCrashed {
+        /// The id of the target.
+        target: String,
+        /// The service of the target.
+        service: String,
+        /// The fingerprints of the requests, which equal requests of all callers share.
+        fingerprints: Vec<String>,
+        /// The number of these requests that ran on trial.
+        trials: usize,
+    },
+    /// The strikes of a request were not published, because too many are.
+    StrikesUnpublished {
+        /// The fingerprint of the request.
         fingerprint: String,
-        /// The ids of the crashed targets.
-        targets: Vec<String>,
-        /// The requests of this front in flight at each of these targets.
-        in_flight: Vec<u32>,
-        /// Whether the strikes were published to the other nodes.
-        is_published: bool,
     },
     /// Another node published strikes that this one did not know.
     StrikesLearned {
@@ -145,7 +149,7 @@
         /// The time since the latest of these crashes, by the wall clocks of both nodes.
         age: TimeSpan,
     },
-    /// A request runs although strikes count against it.
+    /// A request runs on trial, because strikes count against it.
     SuspectAdmitted {
         /// The caller's id of this attempt.
         request: String,
@@ -406,7 +410,8 @@
             Self::LeaseRecovered { .. } => "lease_recovered",
             Self::ObjectCarried { .. } => "object_carried",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
-            Self::TargetsCrashed { .. } => "targets_crashed",
+            Self::TargetCrashed { .. } => "targets_crashed",
+            Self::StrikesUnpublished { .. } => "strikes_unpublished",
             Self::StrikesLearned { .. } => "strikes_learned",
             Self::SuspectAdmitted { .. } => "suspect_admitted",
             Self::LinkLost { .. } => "link_lost",
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -42,7 +42,6 @@
     peer_bytes: Family<PeerByteLabels, Counter>,
     /// Requests and refusals by team.
     pub teams: TeamMetrics,
-    unexamined_losses: Family<UnexaminedLabels, Counter>,
     /// Shards without a reply in answers.
     pub missing_parts: Counter,
     /// Hedges and retries that the budget refused.
@@ -93,11 +92,6 @@
     fate: UnansweredReason,
 }
 
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct UnexaminedLabels {
-    reason: UnexaminedReason,
-}
-
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RefusalLabels {
     reason: RefusalReason,
@@ -195,17 +189,8 @@
     Silent,
     /// It was in flight when the request ended.
     Open,
-}
-
-/// Why a lost attempt was not examined for a crash of its target.
-#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
-pub enum UnexaminedReason {
-    /// Too many attempts of its request were lost.
-    OverLimit,
-    /// Another target answered for the shard.
-    Answered,
-    /// It was lost after its request was answered.
-    AfterAnswer,
+    /// The relaying front refused it, because the request is quarantined.
+    Quarantined,
 }
 
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
@@ -229,7 +214,6 @@
             peer_messages: Family::default(),
             peer_bytes: Family::default(),
             teams: TeamMetrics::default(),
-            unexamined_losses: Family::default(),
             missing_parts: Counter::default(),
             refused_repeats: Counter::default(),
             served_group_requests: Counter::default(),
@@ -268,12 +252,6 @@
             .inc();
     }
 
-    /// Counts a lost attempt that was not examined for a crash of its target.
-    pub fn observe_unexamined_loss(&self, reason: UnexaminedReason) {
-        let labels = UnexaminedLabels { reason };
-        self.unexamined_losses.get_or_create(&labels).inc();
-    }
-
     /// Counts a request that was refused before any target was tried.
     pub fn observe_refusal(&self, reason: RefusalReason) {
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
@@ -382,11 +360,6 @@
             "Requests refused before any target was asked",
             own.refusals,
         );
-        registry.register(
-            "unexamined_losses",
-            "Lost attempts that were not examined for a crash of their target",
-            own.unexamined_losses,
-        );
         own.teams.register(&mut registry);
         registry.register(
             "admissions",
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -22,6 +22,7 @@
 use crate::catalog::{Catalog, CatalogOptions};
 use crate::catalog_state;
 use crate::control_socket::ControlSocket;
+use crate::crash_reporter::CrashReporter;
 use crate::credit_group::CreditGroup;
 use crate::credit_keeper::{CreditKeeper, CreditOptions};
 use crate::credit_limits::CreditLimits;
@@ -47,6 +48,13 @@
 /// The part of the stop limit reserved for requests in flight; covers the timeouts of most routes.
 const IN_FLIGHT_RESERVE: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// How often a starting node looks whether it has caught up with its peers.
+const PEER_POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(5);
+
+/// The longest wait of a starting node's requests for what its peers have published; a peer answers
+/// within one or two ticks of the exchange.
+const MAX_CATCH_UP_TIME: std::time::Duration = std::time::Duration::from_millis(400);
+
 /// The delay after a failed receive of a control message.
 const CONTROL_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(5);
 
@@ -120,6 +128,7 @@
         ));
         let context = FrontContext {
             catalog: Arc::clone(&catalog),
+            crashes: CrashReporter::new(Arc::clone(&catalog), clock),
             dialect,
             lease,
             credit,
@@ -153,6 +162,11 @@
             tokio::spawn(follower.run());
         }
         tokio::spawn(Arc::clone(&catalog).run_maintenance());
+        tokio::spawn(catch_up_with_peers(
+            node.group.clone(),
+            Arc::clone(&catalog),
+            !options.seeds.is_empty(),
+        ));
         tokio::spawn(track_live_nodes(node.group.clone(), catalog, metrics));
         node.spawn_drain(&options);
         FrontEvent::Started {
@@ -213,7 +227,7 @@
     /// Gets the number of requests that are suspected of crashing targets.
     #[must_use]
     pub fn crash_suspect_count(&self) -> usize {
-        self.context.catalog.crashes().len()
+        self.context.catalog.crashes().suspect_count()
     }
 
     /// Gets the bound gossip address, if this node gossips.
@@ -307,6 +321,21 @@
     NodeGroup::start_with(group, access).await
 }
 
+/// Lets requests wait at the start until this node knows what its peers have published: the store does
+/// not hold the crash strikes of requests. Nodes whose peers are not there wait for a moment only.
+async fn catch_up_with_peers(group: NodeGroup, catalog: Arc<Catalog>, has_seeds: bool) {
+    let wait = async {
+        while !group.has_compared() {
+            time::sleep(PEER_POLL_INTERVAL).await;
+        }
+    };
+    if has_seeds {
+        // Without peers there is nothing to catch up with.
+        let _is_over = time::timeout(MAX_CATCH_UP_TIME, wait).await.is_err();
+    }
+    catalog.mark_caught_up();
+}
+
 /// Passes the live nodes to the catalog and the metrics whenever they change.
 async fn track_live_nodes(group: NodeGroup, catalog: Arc<Catalog>, metrics: FrontMetrics) {
     let mut changed = group.subscribe();
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -5,14 +5,16 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
+use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::connection::{self, FrameSender};
 use alderhaven_peer::frames::PeerMessage;
 use alderhaven_peer::group_messages::{GroupAttemptResult, GroupOutcome, GroupReply, GroupRequest};
 use alderhaven_policy::delivery_age::DeliveryAge;
+use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 use alderhaven_policy::top_records;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -174,6 +176,12 @@
         let Some(call) = self.rebuild_call() else {
             return attempts;
         };
+        if let QuarantineVerdict::Refused(_) = self.context.catalog.crashes().verdict(&call) {
+            let refused = (0..self.request.targets.len())
+                .map(|index| attempt_result(index, GroupOutcome::Quarantined, TimeSpan::ZERO));
+            self.attempt_results.extend(refused);
+            return attempts;
+        }
         let view = self.context.catalog.view();
         for (index, id) in self.request.targets.iter().enumerate() {
             let target = view.targets.get(id);
@@ -197,6 +205,9 @@
                 typical_latency: TimeSpan::from_micros(self.request.typical_latency_us),
                 dialect: Arc::clone(&self.context.dialect),
                 clock: self.context.clock,
+                crashes: self.context.crashes.clone(),
+                trial: None,
+                is_trial: false,
             };
             attempts.push(Box::pin(plan.run()) as BoxFuture<'static, AttemptReport>);
         }
@@ -217,6 +228,7 @@
             .dialect
             .forwarded_head(&head, identity.team_header())
             .ok()?;
+        let fingerprint: Option<RequestFingerprint> = self.request.fingerprint.parse().ok();
         Some(Arc::new(QueryCall {
             identity,
             head,
@@ -225,6 +237,7 @@
             request_id: Arc::from(self.request.request_id.as_str()),
             arrived_at: now,
             time_left: self.deadline.since(now),
+            known_fingerprint: fingerprint.map_or_else(OnceLock::new, OnceLock::from),
         }))
     }
 
--- a/alderhaven-front/src/query_call.rs
+++ b/alderhaven-front/src/query_call.rs
@@ -1,6 +1,6 @@
 //! A caller's request, as the front received it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::time::{TimePoint, TimeSpan};
@@ -28,6 +28,8 @@
     pub arrived_at: TimePoint,
     /// How long the caller waits, counted from `arrived_at`.
     pub time_left: TimeSpan,
+    /// The fingerprint, once it is known.
+    pub known_fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl QueryCall {
@@ -47,6 +49,12 @@
     /// share.
     #[must_use]
     pub fn fingerprint(&self) -> RequestFingerprint {
+        *self
+            .known_fingerprint
+            .get_or_init(|| self.compute_fingerprint())
+    }
+
+    fn compute_fingerprint(&self) -> RequestFingerprint {
         let site = self.head.headers.get(header::HOST);
         let site = site.and_then(|site| site.to_str().ok()).unwrap_or_default();
         let name = format!("{} {site}{}", self.head.method, self.head.uri);
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -3,6 +3,7 @@
 //! A request to a single service runs as a query with one shard. Target choice, hedging and
 //! retries are the same, only the answer differs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
@@ -12,6 +13,7 @@
 use alderhaven_policy::hedge_timing::{self, HedgeTiming};
 use alderhaven_policy::query_gate::GateRefusal;
 use alderhaven_policy::repeat_budget::RepeatReason;
+use alderhaven_policy::suspect_trial::SuspectTrial;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -27,18 +29,19 @@
 use crate::front_metrics::{AdmissionResult, AttemptKind, UnansweredReason};
 use crate::group_plan;
 use crate::query_call::QueryCall;
-use crate::query_run::crash_detection::CrashSuspect;
 use crate::query_run::group_requests::{GroupRequestKind, PendingGroupRequest};
 use crate::route_destination::RouteDestination;
 use crate::shard_reply::ShardReply;
 use crate::shard_set_id::ShardSetId;
 use crate::shard_state::ShardState;
+use crate::suspect_check;
 use crate::target_handle::{TargetHandle, TargetStatus};
+use crate::trial_registry::TrialGuard;
 
 mod completion;
-mod crash_detection;
 mod group_requests;
 mod silent_domains;
+mod trial;
 
 /// One request in progress. Dropping it early cancels its attempts and reports that the caller
 /// left.
@@ -58,7 +61,16 @@
     is_request_finished: Arc<AtomicBool>,
     attempts_sent: usize,
     unanswered_attempts: Vec<UnansweredAttempt>,
-    crash_suspects: Vec<CrashSuspect>,
+    /// Attempts that are held back while the request may be crashing targets.
+    trial: SuspectTrial<()>,
+    /// The right to run on trial; `None` unless the request is a suspect from the start.
+    trial_guard: Option<Arc<TrialGuard>>,
+    /// Whether the trial was lost; nothing more is sent then.
+    is_trial_lost: bool,
+    /// Targets tried so far in a trial that has brought no decision.
+    undecided_trials: usize,
+    /// Whether another front refused the request as quarantined.
+    is_quarantined: bool,
     is_reported: bool,
     permit: Option<AdmissionPermit>,
     started_at: TimePoint,
@@ -105,9 +117,18 @@
             Ok(permit) => permit,
             Err(refusal) => return completion::refuse(context, route, call, refusal),
         };
+        let trial_guard = match suspect_check::begin_trial(context, route, call).await {
+            Ok(guard) => guard,
+            Err(answer) => return *answer,
+        };
         let mut run = Self::new(context, call, route, shards, delay);
         run.permit = permit;
-        run.send_first_attempts();
+        if trial_guard.is_some() {
+            run.begin_trial(trial_guard);
+        } else {
+            let shards = (0..run.shards.len()).collect();
+            run.send_first_attempts(&shards);
+        }
         let step = run.wait_for_answer().await;
         run.finish(step)
     }
@@ -182,7 +203,11 @@
             is_request_finished: Arc::default(),
             attempts_sent: 0,
             unanswered_attempts: Vec::new(),
-            crash_suspects: Vec::new(),
+            trial: SuspectTrial::default(),
+            trial_guard: None,
+            is_trial_lost: false,
+            undecided_trials: 0,
+            is_quarantined: false,
             is_reported: false,
             permit: None,
             started_at: context.clock.now(),
@@ -191,13 +216,15 @@
         }
     }
 
-    /// Sends the first attempt of every shard to its best target.
-    fn send_first_attempts(&mut self) {
+    /// Sends the first attempt of each of these shards to its best target.
+    fn send_first_attempts(&mut self, shards: &BTreeSet<usize>) {
         let now = self.context.clock.now();
-        let best: Vec<Option<Arc<TargetHandle>>> = self
-            .shards
-            .iter()
-            .map(|shard| shard.next_target(self.typical_latency, now))
+        let shard_states = self.shards.iter().enumerate();
+        let best: Vec<Option<Arc<TargetHandle>>> = shard_states
+            .map(|(index, shard)| {
+                let is_due = shards.contains(&index);
+                is_due.then(|| shard.next_target(self.typical_latency, now))?
+            })
             .collect();
         if matches!(self.route.rule.destination, RouteDestination::Shards { .. }) {
             for group in group_plan::group_cross_domain_shards(
@@ -211,6 +238,9 @@
             }
         }
         for (shard, target) in best.into_iter().enumerate() {
+            if !shards.contains(&shard) {
+                continue;
+            }
             if let Some(service) = &self.shards[shard].service {
                 service.budget().record_request(now);
             }
@@ -276,6 +306,7 @@
     /// failure domain share a group request.
     fn send_hedges(&mut self, now: TimePoint) {
         let mut assignments = Vec::new();
+        let is_on_trial = self.is_on_trial();
         for index in 0..self.shards.len() {
             let shard = &mut self.shards[index];
             if shard.hedge_at.is_none_or(|hedge_at| hedge_at > now) {
@@ -283,6 +314,7 @@
             }
             shard.hedge_at = None;
             if shard.is_open()
+                && !is_on_trial
                 && let Some(target) = self.next_repeat_target(index, RepeatReason::Hedge, now)
             {
                 assignments.push((index, target));
@@ -307,6 +339,7 @@
         if shard.is_abandoned(&report.target) {
             if let AttemptOutcome::Success(reply) = report.outcome {
                 shard.reply.get_or_insert(ShardReply::Single(reply));
+                self.record_shard_answer(report.shard, now);
             }
             return;
         }
@@ -317,6 +350,7 @@
                 self.route.state.record_latency(report.elapsed);
                 shard.hedge_at = None;
                 shard.reply.get_or_insert(ShardReply::Single(reply));
+                self.record_shard_answer(report.shard, now);
                 return;
             }
             AttemptOutcome::Failure(reply) => {
@@ -339,10 +373,7 @@
                 shard.record_unsent();
                 UnansweredReason::Unreachable
             }
-            AttemptOutcome::Lost => {
-                self.suspect_crash(report.shard, &report.target);
-                UnansweredReason::Lost
-            }
+            AttemptOutcome::Lost => UnansweredReason::Lost,
         };
         self.record_unanswered(UnansweredAttempt {
             target: report.target.entry().id.clone(),
@@ -350,10 +381,7 @@
             status,
             age: report.elapsed,
         });
-        if self.shards[report.shard].reply.is_none() && self.shards[report.shard].open_attempts == 0
-        {
-            self.retry(report.shard, now);
-        }
+        self.retry_unanswered(report.shard, reason == UnansweredReason::Lost, now);
     }
 
     fn record_unanswered(&mut self, attempt: UnansweredAttempt) {
@@ -363,11 +391,14 @@
         self.unanswered_attempts.push(attempt);
     }
 
-    /// Sends the shard to one more replica after a failure, if route, budget and time allow it.
-    fn retry(&mut self, shard: usize, now: TimePoint) {
-        if let Some(target) = self.next_repeat_target(shard, RepeatReason::Retry, now) {
-            self.send(shard, target, now);
-        }
+    /// Sends the shard to one more replica after a failure. Returns `false` if route, budget or time
+    /// do not allow it.
+    fn retry(&mut self, shard: usize, now: TimePoint) -> bool {
+        let Some(target) = self.next_repeat_target(shard, RepeatReason::Retry, now) else {
+            return false;
+        };
+        self.send(shard, target, now);
+        true
     }
 
     /// Chooses the target of a hedge or retry and takes the repeat from the budget. Returns `None`
@@ -466,6 +497,7 @@
         target: &Arc<TargetHandle>,
         phase: AttemptPhase,
     ) -> AttemptPlan {
+        let is_trial = self.trial.slot() == Some(shard) && !self.trial.is_cleared();
         AttemptPlan {
             shard,
             target: Arc::clone(target),
@@ -477,6 +509,9 @@
             typical_latency: self.typical_latency,
             dialect: Arc::clone(&self.context.dialect),
             clock: self.context.clock,
+            crashes: self.context.crashes.clone(),
+            trial: is_trial.then(|| self.trial_guard.clone()).flatten(),
+            is_trial,
         }
     }
 }
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -19,7 +19,7 @@
 use crate::front_answer::{ForwardedReply, FrontAnswer, RefusalReason};
 use crate::front_context::FrontContext;
 use crate::front_event::{FrontEvent, RequestOutcome, UnansweredAttempt};
-use crate::front_metrics::{AdmissionResult, QueryShape, UnansweredReason, UnexaminedReason};
+use crate::front_metrics::{AdmissionResult, QueryShape, UnansweredReason};
 use crate::query_call::QueryCall;
 use crate::query_run::QueryRun;
 use crate::request_refusal::RequestRefusal;
@@ -40,12 +40,8 @@
     pub(super) fn finish(mut self, step: AnswerStep) -> FrontAnswer {
         self.is_request_finished.store(true, Ordering::Relaxed);
         self.drain_attempts();
-        self.probe_crash_suspects();
         let answer = match step {
-            AnswerStep::Answer | AnswerStep::Wait(_) => {
-                self.clear_strikes();
-                self.success_answer()
-            }
+            AnswerStep::Answer | AnswerStep::Wait(_) => self.success_answer(),
             AnswerStep::GiveUp => self.failure_answer(false),
             AnswerStep::TimeUp => self.failure_answer(true),
         };
@@ -65,16 +61,11 @@
         let mut attempts = std::mem::take(&mut self.attempts);
         let drain_timeout = self.context.options.drain_timeout.as_duration();
         let state = Arc::clone(&self.route.state);
-        let metrics = self.context.metrics.clone();
         tokio::spawn(async move {
             let drain = async {
                 while let Some(report) = attempts.next().await {
-                    match report.outcome {
-                        AttemptOutcome::Success(_) => state.record_latency(report.elapsed),
-                        AttemptOutcome::Lost => {
-                            metrics.observe_unexamined_loss(UnexaminedReason::AfterAnswer);
-                        }
-                        _ => {}
+                    if matches!(report.outcome, AttemptOutcome::Success(_)) {
+                        state.record_latency(report.elapsed);
                     }
                 }
             };
@@ -128,6 +119,12 @@
         let may_have_run = self.shards.iter().any(|shard| shard.possible_runs > 0);
         if !may_have_run {
             let has_sent = self.shards.iter().any(|shard| !shard.tried.is_empty());
+            if let Some(retry_after) = self.quarantine_span() {
+                return FrontAnswer::NotRun {
+                    reason: RefusalReason::Crashes,
+                    retry_after,
+                };
+            }
             return FrontAnswer::NotRun {
                 reason: if has_sent {
                     RefusalReason::Refused
--- a/alderhaven-front/src/query_run/group_requests.rs
+++ b/alderhaven-front/src/query_run/group_requests.rs
@@ -161,6 +161,7 @@
             remaining_us: self.attempt_deadline().since(now).as_micros(),
             typical_latency_us: self.typical_latency.as_micros(),
             has_separate_replies: kind == GroupRequestKind::Hedges,
+            fingerprint: self.call.fingerprint().to_string(),
         }
     }
 
@@ -258,11 +259,13 @@
                 // Records of a single shard can still be replaced, unlike those of a block.
                 let shard_reply = ShardReply::from_records(reply.records.clone(), proof);
                 state.reply.get_or_insert(shard_reply);
+                self.record_shard_answer(shard, now);
             } else if !has_duplicate {
                 state.hedge_at = None;
                 // The block already contains the records of the shard, so it replaces the reply of
                 // a hedge.
                 state.reply = Some(ShardReply::Merged { block_index, proof });
+                self.record_shard_answer(shard, now);
             }
         }
     }
@@ -286,27 +289,26 @@
                 shard.record_refused();
                 shard.is_refused = true;
             }
+            GroupOutcome::Quarantined => {
+                shard.record_unsent();
+                self.is_quarantined = true;
+            }
             GroupOutcome::NotSent => shard.record_unsent(),
             _ => {}
         }
-        if outcome == GroupOutcome::Lost {
-            self.suspect_crash(index, target);
-        }
         self.record_unanswered(UnansweredAttempt {
             target: target.entry().id.clone(),
             reason: match outcome {
                 GroupOutcome::NotRun => UnansweredReason::NotRun,
                 GroupOutcome::NotSent => UnansweredReason::Unreachable,
+                GroupOutcome::Quarantined => UnansweredReason::Quarantined,
                 GroupOutcome::Failed => UnansweredReason::Failed,
                 GroupOutcome::Lost | GroupOutcome::Answered => UnansweredReason::Lost,
             },
             status: None,
             age: elapsed,
         });
-        let shard = &self.shards[index];
-        if shard.reply.is_none() && shard.open_attempts == 0 {
-            self.retry(index, now);
-        }
+        self.retry_unanswered(index, outcome == GroupOutcome::Lost, now);
     }
 
     /// Fails the open attempts of a group request whose link was lost or which timed out, and
@@ -326,10 +328,7 @@
                 status: None,
                 age: now.since(self.group_requests[index].sent_at),
             });
-            let state = &self.shards[shard];
-            if state.reply.is_none() && state.open_attempts == 0 {
-                self.retry(shard, now);
-            }
+            self.retry_unanswered(shard, false, now);
         }
     }
 }
--- a/alderhaven-front/src/query_run/silent_domains.rs
+++ b/alderhaven-front/src/query_run/silent_domains.rs
@@ -119,10 +119,7 @@
                 status: None,
                 age: domain_silence::source_timeout(self.typical_latency),
             });
-            let state = &self.shards[abandoned.shard];
-            if state.reply.is_none() && state.open_attempts == 0 {
-                self.retry(abandoned.shard, now);
-            }
+            self.retry_unanswered(abandoned.shard, false, now);
         }
     }
 
--- a/alderhaven-front/src/shard_state.rs
+++ b/alderhaven-front/src/shard_state.rs
@@ -31,6 +31,8 @@
     pub abandoned: SmallVec<[Arc<TargetHandle>; 2]>,
     /// Number of attempts without an end, not counting abandoned ones.
     pub open_attempts: usize,
+    /// Whether its next attempt waits for the trial of another shard.
+    pub is_held: bool,
     /// When the next hedge is due, or `None` if none is planned.
     pub hedge_at: Option<TimePoint>,
     /// Whether a target refused an attempt without running it.
@@ -54,6 +56,7 @@
             lost_with_domain: 0,
             abandoned: SmallVec::new(),
             open_attempts: 0,
+            is_held: false,
             hedge_at: None,
             is_refused: false,
             reply: None,
@@ -128,6 +131,6 @@
     /// Returns `true` while a reply is missing and may still come.
     #[must_use]
     pub const fn is_open(&self) -> bool {
-        self.reply.is_none() && self.open_attempts > 0
+        self.reply.is_none() && (self.open_attempts > 0 || self.is_held)
     }
 }
--- a/alderhaven-front/src/target_handle.rs
+++ b/alderhaven-front/src/target_handle.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::time::TimePoint;
+use alderhaven_policy::crash_watch::CrashWatch;
 use alderhaven_policy::domain_silence::DomainSilence;
 use alderhaven_policy::replica_stats::ReplicaStats;
 use alderhaven_policy::warmup_limit::WarmupLimit;
@@ -28,6 +29,9 @@
     silence: SharedSilence,
     is_evacuated: AtomicBool,
     has_preconnected: AtomicBool,
+    crash_watch: Mutex<CrashWatch<u64>>,
+    /// Held while the target is probed for a crash.
+    pub probe_lock: tokio::sync::Mutex<()>,
 }
 
 /// Silence detector of a failure domain, shared by its targets.
@@ -68,6 +72,8 @@
             silence,
             is_evacuated: AtomicBool::new(false),
             has_preconnected: AtomicBool::new(false),
+            crash_watch: Mutex::default(),
+            probe_lock: tokio::sync::Mutex::default(),
         }
     }
 
@@ -140,6 +146,13 @@
         !self.has_preconnected.swap(true, Ordering::Relaxed)
     }
 
+    /// Locks the watch on the attempts in flight.
+    pub fn crash_watch(&self) -> MutexGuard<'_, CrashWatch<u64>> {
+        self.crash_watch
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the latency and failure statistics.
     pub fn stats(&self) -> MutexGuard<'_, ReplicaStats> {
         self.stats.lock().unwrap_or_else(PoisonError::into_inner)
--- a/alderhaven-front/src/target_pool.rs
+++ b/alderhaven-front/src/target_pool.rs
@@ -188,14 +188,25 @@
             return;
         }
         // Connect errors are left for the first request to handle.
-        if let Ok(connection) = self.connect().await {
-            let idle = IdleConnection {
-                connection,
-                idle_since: self.clock.now(),
-                idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            };
-            self.idle().push(idle);
+        let _opened = self.open_idle().await;
+    }
+
+    /// Opens a connection and keeps it as an idle one.
+    ///
+    /// # Errors
+    /// The connection cannot be opened in time.
+    pub async fn open_idle(&self) -> io::Result<()> {
+        let connection = self.connect().await?;
+        let idle = IdleConnection {
+            connection,
+            idle_since: self.clock.now(),
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        };
+        let mut idle_connections = self.idle();
+        if idle_connections.len() < self.max_idle() {
+            idle_connections.push(idle);
         }
+        Ok(())
     }
 
     /// Closes the idle connections.
--- a/alderhaven-node/src/node_group.rs
+++ b/alderhaven-node/src/node_group.rs
@@ -158,6 +158,14 @@
             .is_some_and(|peers| peers.snapshot().is_complete)
     }
 
+    /// Returns true once this process has held all that a peer held; true without a group.
+    #[must_use]
+    pub fn has_compared(&self) -> bool {
+        self.peers
+            .as_ref()
+            .is_none_or(|peers| peers.snapshot().has_compared)
+    }
+
     /// Returns a channel that changes with the state of the group; it never changes without a
     /// group.
     #[must_use]
--- a/alderhaven-peer/src/group_messages.rs
+++ b/alderhaven-peer/src/group_messages.rs
@@ -44,6 +44,9 @@
     /// attempts, and a merged block could only be accepted or dropped as a whole.
     #[prost(bool, tag = "13")]
     pub has_separate_replies: bool,
+    /// Fingerprint of the request, 32 hexadecimal digits; empty if the sender does not tell it.
+    #[prost(string, tag = "14")]
+    pub fingerprint: String,
 }
 
 /// One header of a request.
@@ -102,6 +105,8 @@
     NotRun = 3,
     /// It was not sent to the target.
     NotSent = 4,
+    /// It was not sent, because the request is quarantined.
+    Quarantined = 5,
 }
 
 /// Notice that the requesting front needs no more replies to a request.
--- a/alderhaven-peer/src/peer_driver.rs
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -249,7 +249,8 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
-        let is_changed = self.published_revision != self.membership.revision();
+        let is_changed = self.published_revision != self.membership.revision()
+            || self.exchange.has_compared() != self.shared.snapshot.load().has_compared;
         let interval = if is_changed {
             MIN_PUBLISH_INTERVAL
         } else {
@@ -281,6 +282,7 @@
             is_joined: self.membership.is_joined(),
             is_superseded: self.membership.is_superseded(),
             is_complete: self.exchange.is_complete(),
+            has_compared: self.exchange.has_compared(),
             config: self.exchange.digest(),
             missing_objects: self.exchange.missing_count(),
             traffic: self.traffic,
--- a/alderhaven-peer/src/peer_handle.rs
+++ b/alderhaven-peer/src/peer_handle.rs
@@ -34,6 +34,10 @@
 }
 
 /// State of the group as known at one time; also serialized into the node's dump.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts, reported side by side"
+)]
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct PeerSnapshot {
     /// All known members, this process first.
@@ -44,6 +48,8 @@
     pub is_superseded: bool,
     /// Whether the configuration is complete; the process must not serve requests before.
     pub is_complete: bool,
+    /// Whether this process has held all that a peer held, at any time since the start.
+    pub has_compared: bool,
     /// Digest of the configuration in force on this process.
     pub config: ConfigDigest,
     /// Number of objects that peers announced and this process doesn't hold yet.
--- a/alderhaven-peer/src/strike_messages.rs
+++ b/alderhaven-peer/src/strike_messages.rs
@@ -39,6 +39,9 @@
     /// Whether a replica of the shard answered the request after the crash.
     #[prost(bool, tag = "8")]
     pub cleared: bool,
+    /// Whether the request ran on trial.
+    #[prost(bool, tag = "9")]
+    pub is_trial: bool,
 }
 
 impl StrikeNotice {
@@ -63,6 +66,7 @@
                 shard: ShardId(self.shard),
                 in_flight: self.in_flight,
                 at: TimePoint::START,
+                is_trial: self.is_trial,
                 cleared: self.cleared,
             },
             age: TimeSpan::from_micros(self.age_us),
@@ -81,6 +85,7 @@
             in_flight: update.strike.in_flight,
             age_us: update.age.as_micros(),
             cleared: update.strike.cleared,
+            is_trial: update.strike.is_trial,
         };
         Self {
             strikes: updates.iter().map(record).collect(),
--- a/alderhaven-peer/src/strike_tracker.rs
+++ b/alderhaven-peer/src/strike_tracker.rs
@@ -15,7 +15,8 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::crash_strike::{StrikeUpdate, TargetCrash};
 use alderhaven_policy::policy_kind::PolicyKind;
-use alderhaven_policy::quarantine::{CrashQuarantine, QuarantineEntry, QuarantineOptions};
+use alderhaven_policy::quarantine::{CrashQuarantine, QuarantineEntry};
+use alderhaven_policy::quarantine_options::QuarantineOptions;
 
 use crate::connection::FrameSender;
 use crate::frames::PeerMessage;
--- a/alderhaven-policy/src/crash_strike.rs
+++ b/alderhaven-policy/src/crash_strike.rs
@@ -9,7 +9,8 @@
 /// The crash of a target's process, as the node that lost the connection saw it.
 #[derive(Clone, Debug)]
 pub struct TargetCrash {
-    /// A random number that identifies the crash across processes.
+    /// A number that identifies the crash; nodes that see the same crash give the same one where they
+    /// can.
     pub id: u64,
     /// The target that crashed.
     pub target: TargetId,
@@ -17,6 +18,8 @@
     pub domain: FailureDomain,
     /// The requests with an attempt at the target, each with its shard.
     pub in_flight: SmallVec<[(RequestFingerprint, ShardId); 4]>,
+    /// Those of them that ran on trial: at one target at a time, because of earlier strikes.
+    pub trials: SmallVec<[RequestFingerprint; 1]>,
 }
 
 /// One crash with one request in flight.
@@ -31,8 +34,11 @@
     pub domain: FailureDomain,
     /// The shard that the request was sent to.
     pub shard: ShardId,
-    /// The number of different requests in flight at the target.
+    /// The number of different requests in flight at the target, as far as one node knows.
     pub in_flight: u32,
+    /// Whether the request ran on trial.
+    #[serde(rename = "trial")]
+    pub is_trial: bool,
     /// When the crash was detected.
     pub at: TimePoint,
     /// Whether a replica of the shard has answered the request since.
@@ -51,18 +57,19 @@
 }
 
 impl CrashStrike {
-    /// Returns `true` if no other request was in flight at the target.
-    #[must_use]
-    pub const fn is_alone(&self) -> bool {
-        self.in_flight <= 1
-    }
-
-    /// Merges another process's copy of the same strike: the earlier time wins, and it is cleared if
-    /// either copy is. Returns `true` if anything changed.
-    pub(crate) fn merge(&mut self, other: &Self) -> bool {
-        let before = (self.at, self.cleared);
+    /// Merges another process's copy of the same strike: the earlier time and the higher number of
+    /// requests win, and it is cleared, or of a trial, if either copy is.
+    pub(crate) fn merge(&mut self, other: &Self) {
         self.at = self.at.min(other.at);
+        self.in_flight = self.in_flight.max(other.in_flight);
+        self.is_trial |= other.is_trial;
         self.cleared |= other.cleared;
-        before != (self.at, self.cleared)
+    }
+
+    /// Returns `true` if another process's copy tells something that decides.
+    pub(crate) fn lacks(&self, other: &Self) -> bool {
+        other.cleared && !self.cleared
+            || other.is_trial && !self.is_trial
+            || other.in_flight > self.in_flight
     }
 }
--- a/alderhaven-policy/src/exchange/object_exchange.rs
+++ b/alderhaven-policy/src/exchange/object_exchange.rs
@@ -33,6 +33,8 @@
     behind_since: Option<TimePoint>,
     next_compare_at: TimePoint,
     is_complete: bool,
+    /// Whether the node held all that a peer held, at any time since the start.
+    has_compared: bool,
 }
 
 /// A version that a peer holds and this node has requested.
@@ -68,6 +70,7 @@
             behind_since: None,
             next_compare_at: TimePoint::START,
             is_complete: false,
+            has_compared: false,
         }
     }
 
@@ -84,6 +87,13 @@
         self.is_complete
     }
 
+    /// Returns true once the node has held all that a peer held, what nodes publish to each other and
+    /// the store lacks included.
+    #[must_use]
+    pub const fn has_compared(&self) -> bool {
+        self.has_compared
+    }
+
     /// Marks the node as complete, after the store was listed and its objects were passed to
     /// [`announce_held`](Self::announce_held).
     pub const fn mark_complete(&mut self) {
@@ -143,6 +153,7 @@
         let own = self.digest();
         if digest.hash == own.hash {
             self.behind_since = None;
+            self.has_compared |= self.is_complete;
         } else if digest.progress >= own.progress {
             let since = *self.behind_since.get_or_insert(now);
             let is_waiting = now.since(since) < self.options.own_domain_wait;
@@ -375,6 +386,7 @@
         if is_done && self.missing.is_empty() {
             self.comparison = None;
             self.is_complete = true;
+            self.has_compared = true;
         }
     }
 }
--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -1,90 +1,39 @@
 //! Quarantine of requests that crash targets ("queries of death").
 //!
 //! A crash of a target with a request in flight is a strike against that request, which then runs
-//! alone at its targets. It is refused after independent strikes at several targets, at one of which
-//! it was alone. An answer from a replica of the shard clears the shard's strikes. A refusal expires;
-//! after that one more strike is enough, and each refusal lasts twice as long as the one before.
-//! Strikes of several processes merge by union, and all decisions are computed from the strikes.
+//! on trial: at one target at a time, like a canary request (Dean and Barroso, "The Tail at Scale",
+//! 2013). An answer clears it. It is refused once the strikes show that it is the cause; see
+//! [`crate::crash_evidence`]. A refusal expires; after that one more strike on trial is enough, and
+//! each refusal lasts twice as long as the one before. Strikes of several processes merge by union,
+//! and all decisions are computed from the strikes.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::ids::{FailureDomain, ShardId, TargetId};
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_core::value_check::ValueCheck;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
+use crate::crash_evidence::CrashEvidence;
+use crate::crash_record::{RecentCrash, RequestRecord};
 use crate::crash_strike::{CrashStrike, StrikeUpdate, TargetCrash};
+use crate::hashing;
 use crate::policy_kind::PolicyKind;
-use crate::quarantine_verdict::{QuarantineVerdict, SuspectReason};
+use crate::quarantine_options::{MAX_STRIKES_PER_REQUEST, QuarantineOptions};
+use crate::quarantine_verdict::QuarantineVerdict;
 
-/// Strikes kept per request; the oldest are dropped. The first attempts of a query over 130 shards
-/// fit, in about 20 KB.
-const MAX_STRIKES_PER_REQUEST: usize = 160;
 /// Crashes kept to detect the failure of a whole domain; the oldest are dropped.
 const MAX_RECENT_CRASHES: usize = 512;
 
-/// Upper limit of the setting `max_requests`; each request holds up to 20 KB of strikes.
-const MAX_TRACKED_REQUESTS: usize = 1024;
+/// How long before an answer a target may have crashed with the request in flight and count as
+/// cleared. A crash is known only once its target was probed, which the answer may precede.
+const ANSWER_MEMORY: TimeSpan = TimeSpan::from_secs(1);
+/// Answers kept; the oldest are dropped.
+const MAX_RECENT_ANSWERS: usize = 256;
 
-/// Settings of [`CrashQuarantine`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct QuarantineOptions {
-    /// Whether requests are refused at all.
-    pub enabled: bool,
-    /// The number of different targets that a request crashes before it is refused. Two are
-    /// the fewest that tell a request from a failing host.
-    pub targets: usize,
-    /// The time span in which those crashes happen. It is short enough that two unrelated crashes
-    /// with the same request in flight are rare.
-    pub window: TimeSpan,
-    /// The length of the first refusal; each further one is twice as long.
-    pub hold: TimeSpan,
-    /// The longest refusal.
-    pub max_hold: TimeSpan,
-    /// How long a strike is remembered.
-    pub memory: TimeSpan,
-    /// The number of targets of one failure domain that crash together in a domain failure; within
-    /// `domain_window` independent crashes are far fewer.
-    pub domain_losses: usize,
-    /// The time span in which crashes count as simultaneous.
-    pub domain_window: TimeSpan,
-    /// The maximum number of requests with strikes that are remembered.
-    pub max_requests: usize,
-}
-
-impl Default for QuarantineOptions {
-    fn default() -> Self {
-        Self {
-            enabled: true,
-            targets: 2,
-            window: TimeSpan::from_secs(600),
-            hold: TimeSpan::from_secs(30),
-            max_hold: TimeSpan::from_secs(960),
-            memory: TimeSpan::from_secs(3600),
-            domain_losses: 4,
-            domain_window: TimeSpan::from_secs(2),
-            max_requests: 256,
-        }
-    }
-}
-
-impl QuarantineOptions {
-    /// Checks the values; fields are reported below `quarantine`.
-    pub fn check(&self, check: &mut ValueCheck) {
-        check.within(
-            "quarantine.targets",
-            &self.targets,
-            &(2..=MAX_STRIKES_PER_REQUEST),
-        );
-        check.within(
-            "quarantine.max_requests",
-            &self.max_requests,
-            &(1..=MAX_TRACKED_REQUESTS),
-        );
-    }
-}
+/// The largest part of a refusal by which nodes prolong it, each by its own part, so that not all
+/// of them try the request again at once.
+const MAX_PROLONGATION: f64 = 0.5;
 
 /// The state of one request, as it is dumped for operators.
 #[derive(Clone, Debug, Serialize)]
@@ -99,21 +48,7 @@
     pub strikes: Vec<CrashStrike>,
 }
 
-#[derive(Clone, Debug, Default)]
-struct RequestRecord {
-    strikes: BTreeMap<u64, CrashStrike>,
-    refusals: u32,
-    refused_until: TimePoint,
-}
-
-#[derive(Clone, Debug)]
-struct RecentCrash {
-    target: TargetId,
-    domain: FailureDomain,
-    at: TimePoint,
-}
-
-/// Decides from crashes which requests are refused and which run alone.
+/// Decides from crashes which requests are refused and which run on trial.
 ///
 /// It can't prevent the crashes by attempts that were sent before the first crash is known: those
 /// of a fan-out query, or of copies of a request sent at the same time. A request that crashes
@@ -121,8 +56,20 @@
 #[derive(Clone, Debug)]
 pub struct CrashQuarantine {
     options: QuarantineOptions,
+    /// Hash of this node's id, by which it prolongs refusals; `None` if it does not.
+    node_hash: Option<u64>,
     requests: HashMap<RequestFingerprint, RequestRecord>,
     recent_crashes: BTreeMap<u64, RecentCrash>,
+    /// Crashes that a refused request has caused.
+    explained: BTreeSet<u64>,
+    /// Answers to requests that had lost attempts, the latest last.
+    recent_answers: VecDeque<RecentAnswer>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RecentAnswer {
+    fingerprint: RequestFingerprint,
+    at: TimePoint,
 }
 
 impl CrashQuarantine {
@@ -132,11 +79,21 @@
         options.enabled &= policy == PolicyKind::Current;
         Self {
             options,
+            node_hash: None,
             requests: HashMap::new(),
             recent_crashes: BTreeMap::new(),
+            explained: BTreeSet::new(),
+            recent_answers: VecDeque::new(),
         }
     }
 
+    /// Prolongs each refusal by a part that depends on the node.
+    #[must_use]
+    pub fn prolonged_for(mut self, node: &str) -> Self {
+        self.node_hash = Some(hashing::hash_name(node));
+        self
+    }
+
     /// Records a crash as a strike against each request in flight. Returns the new strikes.
     pub fn record_crash(&mut self, crash: &TargetCrash, now: TimePoint) -> Vec<StrikeUpdate> {
         let distinct: BTreeSet<_> = crash.in_flight.iter().map(|(request, _)| request).collect();
@@ -153,7 +110,8 @@
                     shard: *shard,
                     in_flight,
                     at: now,
-                    cleared: false,
+                    is_trial: crash.trials.contains(fingerprint),
+                    cleared: self.was_just_answered(fingerprint, now),
                 },
                 age: TimeSpan::ZERO,
             })
@@ -189,19 +147,29 @@
         changed
     }
 
-    /// Records an answer from a replica of a shard. Returns the strikes that it cleared.
+    /// Records an answer from a replica of a shard. Returns the strikes that it cleared: all but those
+    /// of other shards of which several targets crashed.
     pub fn record_answer(
         &mut self,
         fingerprint: &RequestFingerprint,
         shard: ShardId,
         now: TimePoint,
     ) -> Vec<StrikeUpdate> {
+        if self.recent_answers.len() == MAX_RECENT_ANSWERS {
+            self.recent_answers.pop_front();
+        }
+        self.recent_answers.push_back(RecentAnswer {
+            fingerprint: *fingerprint,
+            at: now,
+        });
         let Some(record) = self.requests.get_mut(fingerprint) else {
             return Vec::new();
         };
+        let mut kept_shards = record.repeated_shards();
+        kept_shards.remove(&shard);
         let mut cleared = Vec::new();
         for strike in record.strikes.values_mut() {
-            if strike.shard == shard && !strike.cleared {
+            if !kept_shards.contains(&strike.shard) && !strike.cleared {
                 strike.cleared = true;
                 cleared.push(update_of(*fingerprint, strike, now));
             }
@@ -220,7 +188,8 @@
         now: TimePoint,
     ) -> Option<TimeSpan> {
         let record = self.requests.get(fingerprint)?;
-        (record.refused_until > now).then(|| now.until(record.refused_until))
+        let until = record.refused_until + self.prolongation(fingerprint, record.refusals);
+        (record.refusals > 0 && until > now).then(|| now.until(until))
     }
 
     /// Returns the decision on a request, with its reason.
@@ -232,21 +201,20 @@
         if !self.is_suspect(fingerprint, now) {
             return QuarantineVerdict::Clear;
         }
-        let record = &self.requests[fingerprint];
-        QuarantineVerdict::Suspect(self.suspect_reason(record))
+        let evidence = CrashEvidence::new(&self.options, &self.recent_crashes, &self.requests);
+        QuarantineVerdict::Suspect(evidence.suspect_reason(fingerprint))
     }
 
-    /// Returns `true` if a request has a strike that still counts and therefore must run alone.
+    /// Returns `true` if a request has a strike that still counts and therefore runs on trial.
     #[must_use]
     pub fn is_suspect(&self, fingerprint: &RequestFingerprint, now: TimePoint) -> bool {
         let window = self.options.window;
         self.requests.get(fingerprint).is_some_and(|record| {
-            let counts =
-                |strike: &CrashStrike| record.refusals > 0 || now.since(strike.at) < window;
-            record
-                .strikes
-                .values()
-                .any(|strike| !strike.cleared && counts(strike))
+            let counts = |strike: &CrashStrike| {
+                let is_recent = now.since(strike.at) < window;
+                record.refusals > 0 || is_recent && !self.explained.contains(&strike.crash_id)
+            };
+            record.uncleared().any(counts)
         })
     }
 
@@ -264,6 +232,32 @@
         self.requests.iter().flat_map(of_record).collect()
     }
 
+    /// Returns the number of requests with strikes that no answer has cleared.
+    #[must_use]
+    pub fn suspect_count(&self) -> usize {
+        let records = self.requests.values();
+        records
+            .filter(|record| record.uncleared().next().is_some())
+            .count()
+    }
+
+    /// Returns the strikes against one request.
+    #[must_use]
+    pub fn strikes_of(
+        &self,
+        fingerprint: &RequestFingerprint,
+        now: TimePoint,
+    ) -> Vec<StrikeUpdate> {
+        let strikes = self
+            .requests
+            .get(fingerprint)
+            .into_iter()
+            .flat_map(|record| record.strikes.values());
+        strikes
+            .map(|strike| update_of(*fingerprint, strike, now))
+            .collect()
+    }
+
     /// Returns the number of requests with strikes.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -317,14 +311,21 @@
         }
     }
 
-    /// Adds a strike. Returns `true` if it was unknown or newly cleared.
+    /// Returns `true` if a target answered the request a moment ago.
+    fn was_just_answered(&self, fingerprint: &RequestFingerprint, now: TimePoint) -> bool {
+        self.recent_answers.iter().any(|answer| {
+            answer.fingerprint == *fingerprint && now.since(answer.at) < ANSWER_MEMORY
+        })
+    }
+
+    /// Adds a strike. Returns `true` if it tells something new.
     fn add_strike(&mut self, fingerprint: RequestFingerprint, strike: CrashStrike) -> bool {
         let strikes = &mut self.requests.entry(fingerprint).or_default().strikes;
         if let Some(known) = strikes.get_mut(&strike.crash_id) {
-            let was_cleared = known.cleared;
-            known.merge(&strike);
             // An earlier time alone is only message delay and is not passed on.
-            return known.cleared != was_cleared;
+            let is_news = known.lacks(&strike);
+            known.merge(&strike);
+            return is_news;
         }
         strikes.insert(strike.crash_id, strike);
         if strikes.len() > MAX_STRIKES_PER_REQUEST {
@@ -338,7 +339,7 @@
         true
     }
 
-    /// Removes expired strikes and, above `max_requests`, the requests whose latest strike is oldest.
+    /// Removes expired strikes and, above `max_requests`, the requests of the lowest priority.
     fn prune(&mut self, now: TimePoint) {
         let memory = self.options.memory;
         self.recent_crashes
@@ -350,12 +351,10 @@
             !record.strikes.is_empty()
         });
         while self.requests.len() > self.options.max_requests {
-            let latest_strike =
-                |record: &RequestRecord| record.strikes.values().map(|strike| strike.at).max();
             let oldest = self
                 .requests
                 .iter()
-                .min_by_key(|(fingerprint, record)| (latest_strike(record), **fingerprint));
+                .min_by_key(|(fingerprint, record)| (record.priority(), **fingerprint));
             let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
                 return;
             };
@@ -363,122 +362,29 @@
         }
     }
 
-    /// Recomputes the refusals of all requests: a domain failure detected later discounts older
-    /// strikes.
+    /// Recomputes the refusals of all requests: strikes that arrive later may explain earlier
+    /// crashes, or show that a domain failed.
     fn reevaluate_requests(&mut self) {
-        let mut requests = std::mem::take(&mut self.requests);
-        for record in requests.values_mut() {
-            (record.refusals, record.refused_until) = self.evaluate(record);
-        }
-        self.requests = requests;
-    }
-
-    /// Replays a request's strikes in time order. Returns the number of refusals and the end of the
-    /// last.
-    fn evaluate(&self, record: &RequestRecord) -> (u32, TimePoint) {
-        let mut strikes: Vec<&CrashStrike> = record
-            .strikes
-            .values()
-            .filter(|strike| !strike.cleared && !self.is_domain_failure(strike, record))
-            .collect();
-        strikes.sort_by_key(|strike| (strike.at, strike.crash_id));
-        let (mut refusals, mut until) = (0, TimePoint::START);
-        let mut counted: Vec<&CrashStrike> = Vec::new();
-        for strike in strikes {
-            // Attempts in flight when a refusal began belong to the crashes that caused it.
-            if refusals > 0 && strike.at < until {
-                continue;
+        let evidence = CrashEvidence::new(&self.options, &self.recent_crashes, &self.requests);
+        let (histories, explained) = evidence.find_causes();
+        self.explained = explained;
+        for history in histories {
+            if let Some(record) = self.requests.get_mut(&history.fingerprint) {
+                record.refusals = history.count;
+                record.refused_until = history.until;
             }
-            counted.retain(|earlier| strike.at.since(earlier.at) < self.options.window);
-            counted.push(strike);
-            if self.has_enough_strikes(&counted, refusals) {
-                refusals += 1;
-                until = strike.at + self.refusal_span(refusals);
-                counted.clear();
-            }
-        }
-        (refusals, until)
-    }
-
-    /// Returns why the strikes against a suspect do not suffice for a refusal.
-    fn suspect_reason(&self, record: &RequestRecord) -> SuspectReason {
-        if record.refusals > 0 {
-            return SuspectReason::RefusalOver;
         }
-        let strikes = record.strikes.values().filter(|strike| !strike.cleared);
-        let strikes: Vec<&CrashStrike> = strikes.collect();
-        if self.count_independent(&strikes) < self.options.targets {
-            SuspectReason::FewCrashes
-        } else if strikes
-            .iter()
-            .any(|strike| self.is_domain_failure(strike, record))
-        {
-            SuspectReason::DomainFailure
-        } else {
-            SuspectReason::SharedCrashes
-        }
-    }
-
-    /// Returns `true` if the strikes, the newest one included, justify a refusal.
-    fn has_enough_strikes(&self, strikes: &[&CrashStrike], refusals: u32) -> bool {
-        let needed = if refusals == 0 {
-            self.options.targets
-        } else {
-            1
-        };
-        self.count_independent(strikes) >= needed && strikes.iter().any(|strike| strike.is_alone())
     }
 
-    /// Counts the strikes whose only common cause can be the request.
-    ///
-    /// Targets that crash together may share a host, whatever their domains. Strikes of the same
-    /// shard are independent all the same: a host holds a shard once, and its replicas are tried
-    /// one after another.
-    fn count_independent(&self, strikes: &[&CrashStrike]) -> usize {
-        let window = self.options.domain_window;
-        let are_independent = |one: &CrashStrike, other: &CrashStrike| {
-            let is_later = one.at.since(other.at) >= window || other.at.since(one.at) >= window;
-            one.target != other.target && (one.shard == other.shard || is_later)
+    /// Returns how much longer than others this node refuses a request.
+    fn prolongation(&self, fingerprint: &RequestFingerprint, refusals: u32) -> TimeSpan {
+        let Some(node) = self.node_hash else {
+            return TimeSpan::ZERO;
         };
-        // Without the newest strike there was no refusal, so it must be among those counted.
-        let mut counted: Vec<&CrashStrike> = Vec::new();
-        for strike in strikes.iter().rev() {
-            if counted.iter().all(|other| are_independent(other, strike)) {
-                counted.push(strike);
-            }
-        }
-        counted.len()
-    }
-
-    /// Returns `true` if many targets of the strike's domain crashed at about that time, at least
-    /// one of them without the request in flight; the strike then doesn't count.
-    fn is_domain_failure(&self, strike: &CrashStrike, record: &RequestRecord) -> bool {
-        let window = self.options.domain_window;
-        let simultaneous: Vec<(&u64, &RecentCrash)> = self
-            .recent_crashes
-            .iter()
-            .filter(|(_, recent)| recent.domain == strike.domain)
-            .filter(|(_, recent)| recent.at.since(strike.at) < window)
-            .filter(|(_, recent)| strike.at.since(recent.at) < window)
-            .collect();
-        let targets: BTreeSet<&TargetId> = simultaneous
-            .iter()
-            .map(|(_, recent)| &recent.target)
-            .collect();
-        let is_without_request = |crash_id: &u64| !record.strikes.contains_key(crash_id);
-        targets.len() >= self.options.domain_losses
-            && simultaneous
-                .iter()
-                .any(|(crash_id, _)| is_without_request(crash_id))
-    }
-
-    fn refusal_span(&self, refusals: u32) -> TimeSpan {
-        let factor = 2_f64.powi(
-            i32::try_from(refusals.saturating_sub(1))
-                .unwrap_or(30)
-                .min(30),
-        );
-        self.options.hold.mul_f64(factor).min(self.options.max_hold)
+        let hash = hashing::mix_hashes(node, fingerprint.leading_u64());
+        let part = (hash >> 32) as f64 / f64::from(u32::MAX);
+        let span = self.options.refusal_span(refusals);
+        span.mul_f64(part * MAX_PROLONGATION)
     }
 }
 
--- a/alderhaven-relay/src/lib.rs
+++ b/alderhaven-relay/src/lib.rs
@@ -5,7 +5,6 @@
 #![warn(missing_docs)]
 
 pub mod connection_probe;
-pub mod crash_watch;
 pub mod dispatch_options;
 pub mod dispatcher_table;
 pub mod metrics;
--- a/alderhaven-relay/src/settings.rs
+++ b/alderhaven-relay/src/settings.rs
@@ -13,7 +13,7 @@
 use alderhaven_policy::connection_health::HealthOptions;
 use alderhaven_policy::drain::DrainOptions;
 use alderhaven_policy::policy_kind::PolicyKind;
-use alderhaven_policy::quarantine::QuarantineOptions;
+use alderhaven_policy::quarantine_options::QuarantineOptions;
 use alderhaven_policy::relay_queue::RelayQueueOptions;
 use alderhaven_policy::target_limit::TargetLimitOptions;
 use serde::{Deserialize, Serialize};
--- a/alderhaven-relay/src/target_dispatcher.rs
+++ b/alderhaven-relay/src/target_dispatcher.rs
@@ -17,6 +17,7 @@
 use alderhaven_peer::frames::{AttemptReply, ReplyStatus};
 use alderhaven_peer::strike_tracker::StrikeTracker;
 use alderhaven_policy::crash_strike::TargetCrash;
+use alderhaven_policy::crash_watch::{CrashWatch, WatchedAttempt};
 use alderhaven_policy::query_gather;
 use alderhaven_policy::relay_queue::{OfferOutcome, RelayQueue};
 use alderhaven_policy::target_limit::{AttemptSignal, TargetLimit};
@@ -24,7 +25,6 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use crate::crash_watch::CrashWatch;
 use crate::dispatch_options::DispatchOptions;
 use crate::metrics::AttemptCounters;
 use crate::relay_attempt::RelayAttempt;
@@ -72,7 +72,7 @@
     held_suspect: Option<ReadyAttempt>,
     /// Whether a suspected request runs; nothing else starts meanwhile.
     is_suspect_running: bool,
-    crash_watch: CrashWatch,
+    crash_watch: CrashWatch<AttemptId>,
 }
 
 /// State of a dispatcher for the dump.
@@ -352,10 +352,11 @@
                 return;
             }
         }
-        let incident = self
+        let now = context.clock.now();
+        let (incident, _) = self
             .lock()
             .crash_watch
-            .record_loss(attempt.id(), rand::random());
+            .record_loss(attempt.id(), rand::random(), now);
         if !Box::pin(context.connections.is_process_dead()).await {
             return;
         }
@@ -364,6 +365,7 @@
             target: context.target.clone(),
             domain: context.domain.clone(),
             in_flight: incident.in_flight,
+            trials: incident.trials,
         });
         if is_new {
             context.counters.target_crashes.inc();
@@ -490,7 +492,7 @@
             self.held_suspect = Some(ready);
             return self.start_held_suspect(now, strikes);
         }
-        Some(self.start(ready))
+        Some(self.start(ready, false))
     }
 
     /// Starts the held suspect once nothing else runs.
@@ -510,15 +512,19 @@
             return Some(self.refuse(held, NotRunReason::Expired, now));
         }
         self.is_suspect_running = true;
-        Some(self.start(held))
+        Some(self.start(held, true))
     }
 
-    fn start(&mut self, ready: ReadyAttempt) -> NextAttempt {
+    fn start(&mut self, ready: ReadyAttempt, is_trial: bool) -> NextAttempt {
         let attempt = &ready.attempt;
         self.running
             .insert(attempt.id(), Arc::clone(&ready.cancelled));
-        self.crash_watch
-            .record_started(attempt.id(), attempt.fingerprint, attempt.request.shard);
+        let watched = WatchedAttempt {
+            fingerprint: attempt.fingerprint,
+            shard: attempt.request.shard,
+            is_trial,
+        };
+        self.crash_watch.record_started(attempt.id(), watched);
         NextAttempt::Run(ready)
     }
 
