--- a/alderhaven-policy/src/concurrency_limit.rs
+++ b/alderhaven-policy/src/concurrency_limit.rs
@@ -65,13 +65,6 @@
         self.limit
     }
 
-    /// Returns true if another query may start while `in_flight` are running and only `share` of
-    /// the limit may be used.
-    #[must_use]
-    pub fn fits(&self, in_flight: usize, share: f64) -> bool {
-        (in_flight as f64) < self.limit * share
-    }
-
     /// Adjusts the limit to a query that ended while `in_flight` were running, itself included.
     pub fn record_finished(&mut self, signal: QuerySignal, in_flight: usize) {
         let adjustment = match signal {
