--- a/alderhaven-front/src/credit_keeper.rs
+++ b/alderhaven-front/src/credit_keeper.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use alderhaven_core::boot_clock::BootClock;
 use alderhaven_core::ids::{NodeId, TeamId};
@@ -36,9 +35,6 @@
 /// Shortest time between two wake-ups to send renewals and repeats that are due.
 const MIN_TICK: TimeSpan = TimeSpan::from_millis(100);
 
-/// Interval at which a front without limits looks for new ones, to cause few wake-ups.
-const IDLE_TICK: Duration = Duration::from_secs(1);
-
 /// Interval at which the live fronts and their order are determined anew, at the next wake-up. A pool
 /// that is lost is noticed earlier by its silence.
 const REFRESH_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
@@ -158,12 +154,14 @@
     /// limit.
     pub async fn run(self: Arc<Self>) {
         let mut refresh_at = self.clock.now();
+        let mut changes = self.options.limits.subscribe();
         loop {
             if self.options.limits.has_any() {
                 let pause = self.tick(&mut refresh_at);
                 time::sleep(pause.as_duration()).await;
-            } else {
-                time::sleep(IDLE_TICK).await;
+            } else if changes.changed().await.is_err() {
+                // Without a catalog there will be no limits.
+                return;
             }
         }
     }
--- a/alderhaven-front/tests/credit_keeper.rs
+++ b/alderhaven-front/tests/credit_keeper.rs
@@ -18,6 +18,7 @@
 use alderhaven_policy::quota_bound::QuotaBound;
 use alderhaven_policy::team_limit::TeamLimit;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
 const BOUND: QuotaBound = QuotaBound {
@@ -50,7 +51,7 @@
 }
 
 fn limited() -> CreditLimits {
-    CreditLimits::new(|_| Some(limit()), || true)
+    CreditLimits::new(|_| Some(limit()), || true, watch::channel(0).1)
 }
 
 fn peer(node: &NodeId, address: SocketAddr) -> PoolPeer {
@@ -258,7 +259,7 @@
         socket,
         0.5,
         peers,
-        CreditLimits::new(|_| None, || false),
+        CreditLimits::new(|_| None, || false, watch::channel(0).1),
     );
     let mut buffer = [0; 1_500];
     let received = time::timeout(Duration::from_secs(1), other.recv_from(&mut buffer)).await;
@@ -266,6 +267,39 @@
     assert_eq!(keeper.status(), None);
 }
 
+/// Guards against a front without limits that looks for them again and again, and against one that
+/// misses the first.
+#[tokio::test]
+async fn run_sleeps_until_the_first_limit() {
+    let (socket, _) = bind().await;
+    let (other, address) = bind().await;
+    let node: NodeId = "front-0".parse().expect("valid node");
+    let peers = vec![peer(&"front-1".parse().expect("valid node"), address)];
+    let socket = Arc::new(ControlSocket::new(socket));
+    let (has_limits, checks) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::<AtomicUsize>::default(),
+    );
+    let (limit_changes, changes) = watch::channel(0);
+    let (has_any, check_count) = (Arc::clone(&has_limits), Arc::clone(&checks));
+    let limits = CreditLimits::new(
+        |_| Some(limit()),
+        move || {
+            check_count.fetch_add(1, Ordering::SeqCst);
+            has_any.load(Ordering::SeqCst)
+        },
+        changes,
+    );
+    let _keeper = start_keeper(&node, socket, 0.5, peers, limits);
+    time::sleep(Duration::from_millis(1_500)).await;
+    assert!(checks.load(Ordering::SeqCst) <= 1);
+    has_limits.store(true, Ordering::SeqCst);
+    limit_changes.send_replace(1);
+    let mut buffer = [0; 1_500];
+    let received = time::timeout(Duration::from_secs(20), other.recv_from(&mut buffer)).await;
+    assert!(received.is_ok(), "the first limit wakes the keeper");
+}
+
 /// Guards against a query for each request, and against requests that wait for a silent pool for
 /// longer than they may.
 #[tokio::test]
