Group requests carry no fingerprint

The front that sends the attempts computes it from method, site, path, query and body, which it receives anyway; the scheme and authority of an absolute URI, which it does not, are no longer part of it.

--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 
-use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_peer::connection::{self, FrameSender};
 use alderhaven_peer::frames::PeerMessage;
@@ -228,7 +227,6 @@
             .dialect
             .forwarded_head(&head, identity.team_header())
             .ok()?;
-        let fingerprint: Option<RequestFingerprint> = self.request.fingerprint.parse().ok();
         Some(Arc::new(QueryCall {
             identity,
             head,
@@ -237,7 +235,7 @@
             request_id: Arc::from(self.request.request_id.as_str()),
             arrived_at: now,
             time_left: self.deadline.since(now),
-            known_fingerprint: fingerprint.map_or_else(OnceLock::new, OnceLock::from),
+            known_fingerprint: OnceLock::new(),
         }))
     }
 
--- a/alderhaven-front/src/query_call.rs
+++ b/alderhaven-front/src/query_call.rs
@@ -6,6 +6,7 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use bytes::Bytes;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, header};
 
 use crate::caller_identity::CallerIdentity;
@@ -45,8 +46,8 @@
         }
     }
 
-    /// Returns the fingerprint of method, site, URI and body, which equal requests of all callers
-    /// share.
+    /// Returns the fingerprint of method, site, path, query and body, which equal requests of all
+    /// callers share.
     #[must_use]
     pub fn fingerprint(&self) -> RequestFingerprint {
         *self
@@ -57,7 +58,13 @@
     fn compute_fingerprint(&self) -> RequestFingerprint {
         let site = self.head.headers.get(header::HOST);
         let site = site.and_then(|site| site.to_str().ok()).unwrap_or_default();
-        let name = format!("{} {site}{}", self.head.method, self.head.uri);
+        // A front that sends attempts for another one receives path and query alone.
+        let path = self
+            .head
+            .uri
+            .path_and_query()
+            .map_or("/", PathAndQuery::as_str);
+        let name = format!("{} {site}{path}", self.head.method);
         RequestFingerprint::of_canonical(&name, &self.body)
     }
 }
--- a/alderhaven-front/src/query_run/group_requests.rs
+++ b/alderhaven-front/src/query_run/group_requests.rs
@@ -161,7 +161,6 @@
             remaining_us: self.attempt_deadline().since(now).as_micros(),
             typical_latency_us: self.typical_latency.as_micros(),
             has_separate_replies: kind == GroupRequestKind::Hedges,
-            fingerprint: self.call.fingerprint().to_string(),
         }
     }
 
--- a/alderhaven-peer/src/group_messages.rs
+++ b/alderhaven-peer/src/group_messages.rs
@@ -44,9 +44,6 @@
     /// attempts, and a merged block could only be accepted or dropped as a whole.
     #[prost(bool, tag = "13")]
     pub has_separate_replies: bool,
-    /// Fingerprint of the request, 32 hexadecimal digits; empty if the sender does not tell it.
-    #[prost(string, tag = "14")]
-    pub fingerprint: String,
 }
 
 /// One header of a request.
