--- a/alderhaven-front/src/crash_reporter.rs
+++ b/alderhaven-front/src/crash_reporter.rs
@@ -25,6 +25,12 @@
 /// Timeout of a probe. A host whose process is gone refuses the connection almost at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long the connection of a probe must stay open to show that the process is alive.
+const PROBE_SPAN: Duration = Duration::from_millis(20);
+
+/// The probes of a target that accepts connections and closes them.
+const MAX_PROBES: usize = 3;
+
 /// How long strikes are collected before they are published, so that those of a query that lost
 /// many shards travel together.
 const PUBLISH_DELAY: Duration = Duration::from_millis(5);
@@ -78,12 +84,10 @@
     }
 
     async fn probe(&self, target: &TargetHandle, incident: CrashIncident<u64>) {
-        let probed = time::timeout(PROBE_TIMEOUT, target.pool.open_idle()).await;
-        match probed {
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.record_crash(target, incident);
-            }
-            _ => target.crash_watch().dismiss_incident(),
+        if is_process_gone(target).await {
+            self.record_crash(target, incident);
+        } else {
+            target.crash_watch().dismiss_incident();
         }
     }
 
@@ -129,6 +133,19 @@
     }
 }
 
+/// Returns `true` if the host refuses connections, which means that the target's process is gone.
+async fn is_process_gone(target: &TargetHandle) -> bool {
+    for _ in 0..MAX_PROBES {
+        match time::timeout(PROBE_TIMEOUT, target.pool.probe(PROBE_SPAN)).await {
+            // The process may be ending.
+            Ok(Ok(false)) => {}
+            Ok(Err(error)) => return error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(true)) | Err(_) => return false,
+        }
+    }
+    false
+}
+
 /// Returns the shard that a service stands for in strikes: the position of a service in a query
 /// differs between routes and versions.
 #[must_use]
--- a/alderhaven-front/src/target_pool.rs
+++ b/alderhaven-front/src/target_pool.rs
@@ -188,15 +188,27 @@
             return;
         }
         // Connect errors are left for the first request to handle.
-        let _opened = self.open_idle().await;
+        if let Ok(connection) = self.connect().await {
+            self.add_idle(connection);
+        }
     }
 
-    /// Opens a connection and keeps it as an idle one.
+    /// Opens a connection and looks whether it stays open for a while; if so, keeps it as an idle one
+    /// and returns `true`. A process that is ending may still accept connections.
     ///
     /// # Errors
     /// The connection cannot be opened in time.
-    pub async fn open_idle(&self) -> io::Result<()> {
+    pub async fn probe(&self, span: Duration) -> io::Result<bool> {
         let connection = self.connect().await?;
+        time::sleep(span).await;
+        let is_open = !connection.sender.is_closed();
+        if is_open {
+            self.add_idle(connection);
+        }
+        Ok(is_open)
+    }
+
+    fn add_idle(&self, connection: OpenConnection) {
         let idle = IdleConnection {
             connection,
             idle_since: self.clock.now(),
@@ -206,7 +218,6 @@
         if idle_connections.len() < self.max_idle() {
             idle_connections.push(idle);
         }
-        Ok(())
     }
 
     /// Closes the idle connections.
