--- a/alderhaven-soak/src/lib.rs
+++ b/alderhaven-soak/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod caller_credential;
 pub mod config_spread;
+pub mod crash_caller;
+pub mod crash_mode;
 pub mod front_process;
 pub mod history_index;
 pub mod key_history;
--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -6,6 +6,7 @@
 
 use alderhaven_core::startup;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_soak::crash_mode::CrashMode;
 use alderhaven_soak::seed_cases::{self, SeedCase};
 use alderhaven_soak::soak_options::{MAX_FRONTS, PromiseScope, SoakOptions};
 use alderhaven_soak::soak_report::SoakReport;
@@ -68,6 +69,10 @@
     /// whether runs have teams: on, off or drawn (default: drawn from each seed)
     #[argh(option, default = "TeamMode::Drawn")]
     teams: TeamMode,
+    /// whether callers send requests that crash targets: on, off or drawn (default: drawn from each
+    /// seed)
+    #[argh(option, default = "CrashMode::Drawn")]
+    crashes: CrashMode,
     /// print one JSON line per seed
     #[argh(switch)]
     json: bool,
@@ -120,13 +125,16 @@
     let runner = SeedRunner::new(arguments.front, arguments.logs, arguments.json)?;
     let mut all_passed = true;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let teams = arguments.teams.has_teams(seed);
         all_passed &= runner.run(
             &SeedCase {
                 seed,
                 seconds: arguments.seconds,
                 fronts: arguments.fronts,
                 callers: arguments.callers,
-                teams: arguments.teams.has_teams(seed),
+                teams,
+                // They have no key.
+                crashes: !teams && arguments.crashes.has_crashing_requests(seed),
                 cause: String::new(),
             },
             ExtraFaults::Seeded,
@@ -186,6 +194,7 @@
             .has_evacuations(extra_faults == ExtraFaults::Seeded)
             .has_restores(extra_faults == ExtraFaults::Seeded)
             .has_teams(case.teams)
+            .has_crashing_requests(case.crashes)
             .scope(PromiseScope::All)
             .build();
         let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/alderhaven-soak/src/promises.rs
+++ b/alderhaven-soak/src/promises.rs
@@ -8,6 +8,7 @@
 pub mod answers;
 pub mod at_most_once;
 pub mod config;
+pub mod crashing_requests;
 pub mod deadlines;
 pub mod evacuation;
 pub mod leaving;
@@ -68,6 +69,10 @@
     /// A refused request of a team has not run, and a key that is always valid is not refused as
     /// unknown.
     TeamRefusal,
+    /// A request that crashes each target that runs it is refused after a few retries.
+    CrashBudget,
+    /// No other request is refused for crashes.
+    NotBlamed,
     /// Requests are served again after all faults have ended.
     Recovery,
 }
@@ -105,6 +110,7 @@
     violations.extend(stops::check(index));
     violations.extend(team_identity::check(index));
     violations.extend(team_refusals::check(index));
+    violations.extend(crashing_requests::check_sound(index));
     if scope == PromiseScope::Untimed {
         return violations;
     }
@@ -116,6 +122,7 @@
     violations.extend(repeat_budget::check(index));
     violations.extend(deadlines::check(index));
     violations.extend(revocation::check(index));
+    violations.extend(crashing_requests::check_late_retries(index));
     violations.extend(team_quota::check(index));
     if is_over {
         violations.extend(recovery::check(index));
--- a/alderhaven-soak/src/seed_cases.rs
+++ b/alderhaven-soak/src/seed_cases.rs
@@ -20,6 +20,9 @@
     /// Whether the run has teams.
     #[serde(default)]
     pub teams: bool,
+    /// Whether callers send requests that crash targets.
+    #[serde(default)]
+    pub crashes: bool,
     /// The broken promise and the defect behind it.
     pub cause: String,
 }
--- a/alderhaven-soak/src/soak_caller.rs
+++ b/alderhaven-soak/src/soak_caller.rs
@@ -285,13 +285,15 @@
     }
 }
 
-fn answer_record(reply: &CallerReply) -> AnswerRecord {
+/// Returns what the history keeps of a reply.
+pub(crate) fn answer_record(reply: &CallerReply) -> AnswerRecord {
     AnswerRecord {
         status: reply.status.as_u16(),
         is_refusal: reply.is_refusal(),
         part_proofs: reply.proofs().into_iter().map(str::to_owned).collect(),
         proof: reply.proof().to_owned(),
         missing: reply.missing_shards(),
+        retry_after: reply.retry_after().map(TimeSpan::from),
         body: reply.body.clone(),
     }
 }
--- a/alderhaven-soak/src/soak_history.rs
+++ b/alderhaven-soak/src/soak_history.rs
@@ -114,6 +114,8 @@
     pub proof: String,
     /// The number of shards that the answer declares missing.
     pub missing: usize,
+    /// When the caller may send the request again, if the answer says so.
+    pub retry_after: Option<TimeSpan>,
     /// The body; not serialized.
     #[serde(skip)]
     pub body: Bytes,
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -18,6 +18,7 @@
 }
 
 /// The options of one run.
+#[expect(clippy::struct_excessive_bools, reason = "independent parts of a run")]
 #[derive(Clone, Debug, bon::Builder)]
 pub struct SoakOptions {
     /// The seed from which faults and requests are drawn.
@@ -41,6 +42,9 @@
     /// Whether the run has teams, with their own faults.
     #[builder(default)]
     pub has_teams: bool,
+    /// Whether callers send requests that crash targets.
+    #[builder(default)]
+    pub has_crashing_requests: bool,
     /// The promises to check.
     pub scope: PromiseScope,
 }
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -19,6 +19,7 @@
 use tokio::time;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::crash_caller::CrashCaller;
 use crate::front_process::{FrontCommand, FrontProcess};
 use crate::history_index::HistoryIndex;
 use crate::link_proxy::{LinkMode, LinkProxy};
@@ -28,6 +29,7 @@
 use crate::soak_history::{DisruptionSubject, HistoryLog, RESTORE_KIND};
 use crate::soak_operator::SoakOperator;
 use crate::soak_options::SoakOptions;
+use crate::soak_plan;
 use crate::soak_plan::{SoakPlan, SoakStep};
 use crate::soak_report::{self, SoakReport};
 use crate::soak_workload::DOMAINS;
@@ -157,6 +159,9 @@
         }
         run.wait_until_ready().await?;
         run.start_callers(options);
+        if options.has_crashing_requests {
+            run.start_crash_callers(options);
+        }
         Ok(run)
     }
 
@@ -216,6 +221,18 @@
             .collect();
     }
 
+    fn start_crash_callers(&mut self, options: &SoakOptions) {
+        let settings = self.fronts.iter().map(|front| front.settings.clone());
+        let settings: Vec<FrontSettings> = settings.collect();
+        let faults_end = options.span.saturating_sub(soak_plan::FAULT_FREE_END);
+        let end = time::Instant::now() + faults_end.as_duration();
+        let callers = CrashCaller::of_seed(options.seed, &self.log, &settings);
+        let tasks = callers
+            .into_iter()
+            .map(|caller| AbortOnDropHandle::new(tokio::spawn(caller.run(end))));
+        self.caller_tasks.extend(tasks);
+    }
+
     /// Runs the plan to its end or until a promise is broken.
     async fn run_plan(&mut self, options: &SoakOptions, plan: &SoakPlan) -> Result<Vec<Violation>> {
         let start = time::Instant::now();
--- a/alderhaven-soak/src/soak_workload.rs
+++ b/alderhaven-soak/src/soak_workload.rs
@@ -164,6 +164,12 @@
     }
 }
 
+/// Returns true if requests for the path crash each target that runs them.
+#[must_use]
+pub fn crashes_targets(path: &str) -> bool {
+    path.contains("/crash-")
+}
+
 /// Returns the names of all services, of both shard sets.
 #[must_use]
 pub fn all_services() -> Vec<String> {
--- a/alderhaven-soak/src/target_fleet.rs
+++ b/alderhaven-soak/src/target_fleet.rs
@@ -12,6 +12,7 @@
 use alderhaven_platform_standin::target_standin::TargetStandin;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
+use futures::future::BoxFuture;
 use rand::RngExt;
 
 use crate::link_proxy::{LinkMode, LinkProxy};
@@ -27,6 +28,8 @@
 const DRAIN_MARGIN: TimeSpan = TimeSpan::from_millis(500);
 /// The time after which the registration of a crashed target expires.
 const REGISTRATION_TTL: Duration = Duration::from_millis(1_500);
+/// How long a target is away that a request has crashed, after its registration has expired.
+const REQUEST_CRASH_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 /// The factor by which a slow target multiplies its service time.
 const SLOW_FACTOR: u32 = 20;
 /// The share of its requests that a faulty target mishandles.
@@ -96,6 +99,8 @@
         let id = running.target.id.clone();
         let disruption = self.begin_disruption(&id, "crashed");
         running.target.crash();
+        // The host of a process that is gone refuses connections.
+        drop(running);
         tokio::time::sleep(REGISTRATION_TTL).await;
         self.store.remove(store_fixtures::TARGET_KIND, &id);
         tokio::time::sleep(pause.as_duration()).await;
@@ -175,13 +180,28 @@
         let entry = store_fixtures::registration(link.address(), &service, domain, "ready");
         self.store.put(store_fixtures::TARGET_KIND, &id, entry);
         self.lock_slots()[index].target = Some(RunningTarget {
-            target,
+            target: target.clone(),
             link,
             fault,
         });
+        tokio::spawn(self.clone().replace_crashed(index, target));
         Ok(())
     }
 
+    /// Replaces a target that a request has crashed. Does nothing if a fault has removed it.
+    fn replace_crashed(self, index: usize, target: TargetStandin) -> BoxFuture<'static, ()> {
+        Box::pin(async move {
+            target.crashed().await;
+            let is_current = |running: &RunningTarget| running.target.id == target.id;
+            if !self.running_target(index).as_ref().is_some_and(is_current) {
+                return;
+            }
+            if let Err(error) = self.crash(index, REQUEST_CRASH_PAUSE).await {
+                log::error!("the target {} can't be replaced: {error:#}", target.id);
+            }
+        })
+    }
+
     fn begin_disruption(&self, id: &str, kind: &str) -> usize {
         self.log
             .begin_disruption(DisruptionSubject::Target(id.to_owned()), kind)
@@ -232,6 +252,9 @@
     let body = shard_records::response_body(service, &request.request_id);
     let mut rng = rand::rng();
     let work = kind.base_service_time().mul_f64(rng.random_range(0.5..2.0));
+    if soak_workload::crashes_targets(&request.path) {
+        return TargetBehavior::CrashAfter(work);
+    }
     let fault = fault.filter(|_| rng.random_bool(FAULTY_SHARE));
     match fault {
         None => TargetBehavior::AnswerAfter(work, body),
--- a/alderhaven-soak/tests/history/mod.rs
+++ b/alderhaven-soak/tests/history/mod.rs
@@ -74,6 +74,17 @@
         builder
     }
 
+    /// Changes the path of a request, for its caller and its targets.
+    pub fn set_path(&mut self, request_id: &str, path: &str) {
+        let request = self.history.requests.get_mut(request_id);
+        let request = request.expect("the request was added");
+        path.clone_into(&mut request.path);
+        let arrivals = self.history.arrivals.iter_mut();
+        for arrival in arrivals.filter(|arrival| arrival.request_id == request_id) {
+            path.clone_into(&mut arrival.path);
+        }
+    }
+
     /// Creates a history of a run with two teams that breaks no promise: `amber` without a limit, which
     /// sent all requests, and `birch` with 10 requests per second and a burst of 10.
     pub fn valid_with_teams() -> Self {
@@ -169,6 +180,7 @@
                 part_proofs: proofs.collect(),
                 proof: String::new(),
                 missing: 0,
+                retry_after: None,
                 body: merged_body(&services, id),
             }
         } else {
@@ -178,6 +190,7 @@
                 part_proofs: Vec::new(),
                 proof: format!("d-{}.a1-{id}", services[0]),
                 missing: 0,
+                retry_after: None,
                 body: Bytes::from(shard_records::response_body(&services[0], id)),
             }
         };
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -577,3 +577,37 @@
     assert_eq!(parts, Some(("old-3", "q1x7")));
     assert_eq!(shard_records::parse_proof("old-3"), None);
 }
+
+/// A request that has crashed three targets is sent to targets again and again.
+#[test]
+fn check_crashing_request_let_through() {
+    let mut builder = HistoryBuilder::valid();
+    for (number, millis) in [1_000, 1_100, 1_200, 6_000, 7_000, 8_000, 9_500]
+        .into_iter()
+        .enumerate()
+    {
+        let id = format!("crash{number}");
+        builder.add_request(&id, RequestKind::Record, at_millis(millis));
+        builder.set_path(&id, "/record/crash-1");
+        assert!(number == 6 || builder.broken_promises(ALL).is_empty());
+    }
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::CrashBudget]);
+}
+
+/// A sound request is refused for as long as one that crashes targets.
+#[test]
+fn check_sound_request_refused_for_crashes() {
+    let mut builder = HistoryBuilder::valid();
+    builder
+        .history
+        .arrivals
+        .retain(|arrival| arrival.request_id != "record");
+    builder.edit_answer("record", |answer| {
+        answer.status = 503;
+        answer.is_refusal = true;
+        answer.retry_after = Some(TimeSpan::from_secs(30));
+        answer.proof.clear();
+        answer.body.clear();
+    });
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::NotBlamed]);
+}
