Reading the change anew: one type for what half of the seeds draw, no event that cannot occur

The oldest strike object is withdrawn whenever there are too many, so that strikes are always published; the event strikes_unpublished could not occur. TeamMode and its copy for crashing requests are RunMode. No behaviour changes.

--- a/alderhaven-front/src/catalog/node_reports.rs
+++ b/alderhaven-front/src/catalog/node_reports.rs
@@ -54,21 +54,17 @@
         };
         let is_published = |object: &StoredObject| object.body.is_some();
         let was_published = self.state().objects.get(&key).is_some_and(is_published);
-        if !was_published && !self.make_room_for_strikes(wall_millis) {
-            FrontEvent::StrikesUnpublished {
-                fingerprint: fingerprint.to_string(),
-            }
-            .emit(Level::Warn);
-            return;
+        if !was_published {
+            self.make_room_for_strikes(wall_millis);
         }
         self.publish(key, Some(body), wall_millis);
     }
 
-    /// Returns `true` if one more strike object may be published. Above the limit of all nodes, this
-    /// one withdraws its oldest, and keeps a few in any case.
-    fn make_room_for_strikes(&self, wall_millis: u64) -> bool {
+    /// Withdraws the oldest strike object of this node if all nodes have published too many. Each node
+    /// keeps a few in any case.
+    fn make_room_for_strikes(&self, wall_millis: u64) {
         let suffix = format!("-{}", self.options.node);
-        let (total, mut own) = {
+        let (total, own) = {
             let state = self.state();
             let published = state.objects.values().filter(|object| {
                 object.key.kind == ObjectKind::CrashStrike && object.body.is_some()
@@ -83,14 +79,12 @@
             (total, own.collect::<Vec<_>>())
         };
         if total < MAX_STRIKE_OBJECTS || own.len() < MIN_OWN_STRIKE_OBJECTS {
-            return true;
+            return;
+        }
+        let oldest = own.into_iter().min_by_key(|(revision, _)| *revision);
+        if let Some((_, oldest)) = oldest {
+            self.publish(oldest, None, wall_millis);
         }
-        own.sort_unstable_by_key(|(revision, _)| *revision);
-        let Some((_, oldest)) = own.into_iter().next() else {
-            return false;
-        };
-        self.publish(oldest, None, wall_millis);
-        true
     }
 
     /// Publishes an object under a name that is unique to this node; without a body, its removal.
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -133,11 +133,6 @@
         /// The number of these requests that ran on trial.
         trials: usize,
     },
-    /// The strikes of a request were not published, because too many are.
-    StrikesUnpublished {
-        /// The fingerprint of the request.
-        fingerprint: String,
-    },
     /// Another node published strikes that this one did not know.
     StrikesLearned {
         /// The name of the object, which ends with the node that published it.
@@ -411,7 +406,6 @@
             Self::ObjectCarried { .. } => "object_carried",
             Self::StrikesUnreadable { .. } => "strikes_unreadable",
             Self::TargetCrashed { .. } => "targets_crashed",
-            Self::StrikesUnpublished { .. } => "strikes_unpublished",
             Self::StrikesLearned { .. } => "strikes_learned",
             Self::SuspectAdmitted { .. } => "suspect_admitted",
             Self::LinkLost { .. } => "link_lost",
--- a/alderhaven-soak/src/lib.rs
+++ b/alderhaven-soak/src/lib.rs
@@ -6,12 +6,12 @@
 pub mod caller_credential;
 pub mod config_spread;
 pub mod crash_caller;
-pub mod crash_mode;
 pub mod front_process;
 pub mod history_index;
 pub mod key_history;
 pub mod link_proxy;
 pub mod promises;
+pub mod run_mode;
 pub mod seed_cases;
 pub mod shard_records;
 pub mod soak_caller;
@@ -27,5 +27,5 @@
 pub mod stall_detector;
 pub mod target_fleet;
 pub mod team_change;
-pub mod team_mode;
+
 pub mod team_plan;
--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -6,12 +6,13 @@
 
 use alderhaven_core::startup;
 use alderhaven_core::time::TimeSpan;
-use alderhaven_soak::crash_mode::CrashMode;
+use alderhaven_soak::crash_caller::CrashCaller;
+use alderhaven_soak::run_mode::RunMode;
 use alderhaven_soak::seed_cases::{self, SeedCase};
 use alderhaven_soak::soak_options::{MAX_FRONTS, PromiseScope, SoakOptions};
 use alderhaven_soak::soak_report::SoakReport;
 use alderhaven_soak::soak_run;
-use alderhaven_soak::team_mode::TeamMode;
+use alderhaven_soak::team_plan::TeamPlan;
 use argh::FromArgs;
 use eyre::{OptionExt, Result, WrapErr, bail};
 use tokio::signal::unix;
@@ -67,12 +68,12 @@
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     logs: PathBuf,
     /// whether runs have teams: on, off or drawn (default: drawn from each seed)
-    #[argh(option, default = "TeamMode::Drawn")]
-    teams: TeamMode,
+    #[argh(option, default = "RunMode::Drawn")]
+    teams: RunMode,
     /// whether callers send requests that crash targets: on, off or drawn (default: drawn from each
     /// seed)
-    #[argh(option, default = "CrashMode::Drawn")]
-    crashes: CrashMode,
+    #[argh(option, default = "RunMode::Drawn")]
+    crashes: RunMode,
     /// print one JSON line per seed
     #[argh(switch)]
     json: bool,
@@ -125,7 +126,7 @@
     let runner = SeedRunner::new(arguments.front, arguments.logs, arguments.json)?;
     let mut all_passed = true;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
-        let teams = arguments.teams.has_teams(seed);
+        let teams = arguments.teams.is_on(TeamPlan::is_drawn(seed));
         all_passed &= runner.run(
             &SeedCase {
                 seed,
@@ -134,7 +135,7 @@
                 callers: arguments.callers,
                 teams,
                 // They have no key.
-                crashes: !teams && arguments.crashes.has_crashing_requests(seed),
+                crashes: !teams && arguments.crashes.is_on(CrashCaller::is_drawn(seed)),
                 cause: String::new(),
             },
             ExtraFaults::Seeded,
--- a/alderhaven-soak/src/team_mode.rs
+++ b/alderhaven-soak/src/run_mode.rs
@@ -1,12 +1,10 @@
-//! Whether runs have teams.
+//! Which runs have a part that half of the seeds draw.
 
 use std::str::FromStr;
 
-use crate::team_plan::TeamPlan;
-
-/// Which runs have teams.
+/// Whether the runs of all seeds have a part, none, or those that draw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TeamMode {
+pub enum RunMode {
     /// The runs of half of the seeds.
     Drawn,
     /// All runs.
@@ -15,19 +13,19 @@
     Off,
 }
 
-impl TeamMode {
-    /// Returns true if the run of a seed has teams.
+impl RunMode {
+    /// Returns true if a run has the part; `is_drawn` is what its seed draws.
     #[must_use]
-    pub fn has_teams(self, seed: u64) -> bool {
+    pub const fn is_on(self, is_drawn: bool) -> bool {
         match self {
-            Self::Drawn => TeamPlan::is_drawn(seed),
+            Self::Drawn => is_drawn,
             Self::On => true,
             Self::Off => false,
         }
     }
 }
 
-impl FromStr for TeamMode {
+impl FromStr for RunMode {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -5,7 +5,9 @@
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_soak::caller_credential::CallerCredential;
+use alderhaven_soak::crash_caller::CrashCaller;
 use alderhaven_soak::promises::PromiseKind;
+use alderhaven_soak::run_mode::RunMode;
 use alderhaven_soak::shard_records;
 use alderhaven_soak::soak_history::{
     DisruptionSubject, ProcessRecord, RESTORE_KIND, RequestOutcome,
@@ -13,7 +15,7 @@
 use alderhaven_soak::soak_options::PromiseScope;
 use alderhaven_soak::soak_plan::SoakPlan;
 use alderhaven_soak::soak_workload::{MERGED_RECORDS, RequestKind, ShardSet};
-use alderhaven_soak::team_mode::TeamMode;
+use alderhaven_soak::team_plan::TeamPlan;
 use history::{FRONT_ADDRESS, HistoryBuilder, at_millis};
 
 const ALL: PromiseScope = PromiseScope::All;
@@ -562,13 +564,17 @@
 
 /// About half of the seeds have teams unless the option decides.
 #[test]
-fn has_teams_draws_half() {
-    let count = (0..1_000)
-        .filter(|seed| TeamMode::Drawn.has_teams(*seed))
-        .count();
-    assert!((400..600).contains(&count), "{count}");
-    assert!(TeamMode::On.has_teams(1) && !TeamMode::Off.has_teams(1));
-    assert!("some".parse::<TeamMode>().is_err());
+fn is_on_draws_half() {
+    let draws: [fn(u64) -> bool; 2] = [TeamPlan::is_drawn, CrashCaller::is_drawn];
+    for is_drawn in draws {
+        let seeds = 0..1_000;
+        let count = seeds
+            .filter(|seed| RunMode::Drawn.is_on(is_drawn(*seed)))
+            .count();
+        assert!((400..600).contains(&count), "{count}");
+    }
+    assert!(RunMode::On.is_on(false) && !RunMode::Off.is_on(true));
+    assert!("some".parse::<RunMode>().is_err());
 }
 
 #[test]
