--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -3,7 +3,7 @@
 //! A crash of a target with a request in flight is a strike against that request, which then runs
 //! on trial: at one target at a time, like a canary request (Dean and Barroso, "The Tail at Scale",
 //! 2013). An answer clears it. It is refused once the strikes show that it is the cause; see
-//! [`crate::crash_evidence`]. A refusal expires; after that one more strike on trial is enough, and
+//! `crash_evidence`. A refusal expires; after that one more strike on trial is enough, and
 //! each refusal lasts twice as long as the one before. Strikes of several processes merge by union,
 //! and all decisions are computed from the strikes.
 
