Quarantine: whoever asks only whether a request is refused gets only that

Three places asked for the verdict and threw its reason away, which for a suspect collects all strikes of all requests first. They ask refused_for, which the quarantine had already. No decision changes.

--- a/alderhaven-front/src/crash_tracker.rs
+++ b/alderhaven-front/src/crash_tracker.rs
@@ -92,7 +92,17 @@
         self.lock().suspect_count()
     }
 
-    /// Returns the decision on a request.
+    /// Returns how long a request stays refused, or `None` if it is not refused.
+    #[must_use]
+    pub fn refused_for(&self, call: &QueryCall) -> Option<TimeSpan> {
+        if !self.has_strikes() {
+            return None;
+        }
+        self.lock()
+            .refused_for(&call.fingerprint(), self.clock.now())
+    }
+
+    /// Returns the decision on a request, with its reason.
     #[must_use]
     pub fn verdict(&self, call: &QueryCall) -> QuarantineVerdict {
         if !self.has_strikes() {
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -13,7 +13,6 @@
 use alderhaven_peer::frames::PeerMessage;
 use alderhaven_peer::group_messages::{GroupAttemptResult, GroupOutcome, GroupReply, GroupRequest};
 use alderhaven_policy::delivery_age::DeliveryAge;
-use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 use alderhaven_policy::top_records;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -175,7 +174,7 @@
         let Some(call) = self.rebuild_call() else {
             return attempts;
         };
-        if let QuarantineVerdict::Refused(_) = self.context.catalog.crashes().verdict(&call) {
+        if self.context.catalog.crashes().refused_for(&call).is_some() {
             let refused = (0..self.request.targets.len())
                 .map(|index| attempt_result(index, GroupOutcome::Quarantined, TimeSpan::ZERO));
             self.attempt_results.extend(refused);
--- a/alderhaven-front/src/query_run/trial.rs
+++ b/alderhaven-front/src/query_run/trial.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 use rand::RngExt;
 
 use crate::crash_reporter;
@@ -170,9 +169,7 @@
         if !self.is_quarantined {
             return None;
         }
-        match self.context.catalog.crashes().verdict(self.call) {
-            QuarantineVerdict::Refused(span) => Some(span),
-            QuarantineVerdict::Clear | QuarantineVerdict::Suspect(_) => Some(QUARANTINE_NEWS_DELAY),
-        }
+        let refused_for = self.context.catalog.crashes().refused_for(self.call);
+        Some(refused_for.unwrap_or(QUARANTINE_NEWS_DELAY))
     }
 }
--- a/alderhaven-front/src/suspect_check.rs
+++ b/alderhaven-front/src/suspect_check.rs
@@ -32,9 +32,9 @@
     route: &LiveRoute,
     call: &QueryCall,
 ) -> Result<(), Box<FrontAnswer>> {
-    match context.catalog.crashes().verdict(call) {
-        QuarantineVerdict::Refused(span) => Err(refuse(context, route, call, span)),
-        QuarantineVerdict::Clear | QuarantineVerdict::Suspect(_) => Ok(()),
+    match context.catalog.crashes().refused_for(call) {
+        Some(span) => Err(refuse(context, route, call, span)),
+        None => Ok(()),
     }
 }
 
