Entry: refused hedges and attempts that were not sent are no retries

What callers saw: sound queries were refused as overloaded, not run, with a deadline of five seconds and three of five replicas never tried.

A trial copy that prints the attempts of a shard that is given up shows: two replicas that were gone (not sent, not sent), one hedge for which a replica had no free slot (queue full); decision NoReplica with 2 retries, 2 of 5 replicas tried.

Cause: the limit of two retries a shard counted all attempts but the first: hedges, which a slow replica without a free slot refuses again and again, and attempts that were never sent. Load only made the hedge fall between the two. A caller meets the same with targets that are slow, not dead: a lost attempt and two refused hedges were the end of its query.

Ruled out: the quarantine (no query was refused by it), the admission (the answer has a coverage), the retry budget (NoReplica).

Elsewhere: fronts count only attempts that may have run (counted_targets).

--- a/alderhaven-entry/src/running_query.rs
+++ b/alderhaven-entry/src/running_query.rs
@@ -150,7 +150,7 @@
         let runner = self.runner;
         let sequence = runner.next_sequence();
         self.gather
-            .begin_attempt(slot, chosen.replica_position, sequence);
+            .begin_attempt(slot, chosen.replica_position, sequence, is_hedge);
         runner
             .selector
             .chooser()
@@ -459,12 +459,11 @@
             return;
         }
         let tried = self.excluded_replicas(slot).len();
-        let retries = self.gather.attempts(slot).len().saturating_sub(1);
         let selector = &self.runner.selector;
         let decision = selector.decide_retry(EndedAttempt {
             outcome,
             is_idempotent: self.plan.template.idempotent,
-            retries: u32::try_from(retries).unwrap_or(u32::MAX),
+            retries: self.gather.retries(slot),
             untried_replicas: self
                 .gather
                 .shard_entry(slot)
--- a/alderhaven-policy/src/query_gather.rs
+++ b/alderhaven-policy/src/query_gather.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use crate::retry;
 use crate::row_merge;
 
 /// State of one query that is pinned to one manifest.
@@ -49,10 +50,19 @@
     pub sequence: u64,
     /// Index of the replica in the shard's manifest entry.
     pub replica: usize,
+    /// Whether the attempt is a hedge.
+    pub is_hedge: bool,
     /// Verified outcome, or `None` while the attempt is in flight.
     pub outcome: Option<AttemptOutcome>,
 }
 
+impl ShardAttempt {
+    /// Returns true if the attempt is a hedge for which the replica had no free slot.
+    fn is_refused_hedge(&self) -> bool {
+        self.is_hedge && self.outcome == Some(AttemptOutcome::NotRun(NotRunReason::QueueFull))
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct AttemptPosition {
     slot: usize,
@@ -181,8 +191,27 @@
         self.coverage().covered_share()
     }
 
+    /// Returns the number of retries of a slot's shard that count against its limit.
+    ///
+    /// Hedges that found no free slot don't count, nor does the first attempt at each replica that
+    /// was not sent or met a draining target: none of them reached a replica that could answer.
+    #[must_use]
+    pub fn retries(&self, slot: usize) -> u32 {
+        let mut unsent_replicas = SmallVec::<[usize; 4]>::new();
+        let mut counted = 0_u32;
+        for attempt in self.attempts(slot) {
+            let is_unsent = attempt.outcome.is_some_and(retry::adds_no_load);
+            if is_unsent && !unsent_replicas.contains(&attempt.replica) {
+                unsent_replicas.push(attempt.replica);
+            } else if !attempt.is_refused_hedge() {
+                counted += 1;
+            }
+        }
+        counted.saturating_sub(1)
+    }
+
     /// Records that an attempt at a replica begins.
-    pub fn begin_attempt(&mut self, slot: usize, replica: usize, sequence: u64) {
+    pub fn begin_attempt(&mut self, slot: usize, replica: usize, sequence: u64, is_hedge: bool) {
         let attempts = &mut self.shards[slot].attempts;
         let position = AttemptPosition {
             slot,
@@ -191,6 +220,7 @@
         attempts.push(ShardAttempt {
             sequence,
             replica,
+            is_hedge,
             outcome: None,
         });
         self.attempts.insert(sequence, position);
--- a/alderhaven-policy/src/retry.rs
+++ b/alderhaven-policy/src/retry.rs
@@ -43,7 +43,8 @@
     pub outcome: AttemptOutcome,
     /// Whether the query may run twice.
     pub is_idempotent: bool,
-    /// Number of retries of the shard so far.
+    /// Number of retries of the shard so far, as
+    /// [`QueryGather::retries`](crate::query_gather::QueryGather::retries) counts them.
     pub retries: u32,
     /// Number of replicas of the shard that were not tried.
     pub untried_replicas: usize,
@@ -65,19 +66,20 @@
     if attempt.untried_replicas == 0 || attempt.retries >= budget.options().max_per_shard {
         return RetryDecision::GiveUp(GiveUpReason::NoReplica);
     }
-    if consumes_budget(attempt.outcome) && !budget.take(now) {
+    if !adds_no_load(attempt.outcome) && !budget.take(now) {
         return RetryDecision::GiveUp(GiveUpReason::NoBudget);
     }
     RetryDecision::Retry
 }
 
-/// Returns true if a retry after this outcome takes from the budget.
+/// Returns true if an attempt with this outcome has put no load on a target, so that a retry takes
+/// nothing from the budget.
 ///
 /// An attempt that was not sent, had no route or met a draining target has put no load on a target.
 /// When a failure domain is lost, many attempts end like this until its targets are ejected; if
 /// their retries used up the budget, shards that other replicas can answer would stay uncovered.
-const fn consumes_budget(outcome: AttemptOutcome) -> bool {
-    !matches!(
+pub(crate) const fn adds_no_load(outcome: AttemptOutcome) -> bool {
+    matches!(
         outcome,
         AttemptOutcome::NotRun(
             NotRunReason::NotSent | NotRunReason::NoRoute | NotRunReason::Draining
