A target that timed a request out may crash under it yet

The targets went on, and crashed some milliseconds later. The 504 counted as the end of the run, so that the crash watch had forgotten the request: it got 3 strikes for 22 crashes, and 19 crashes were blamed on the sound queries in flight. Many unexplained crashes then looked like the failure of a domain, which voided the few strikes there were (suspect_admitted: domain_failure). On trial the same: three targets were tried one after another, each 504, no strike. Trials of targets in other domains went through another front, which did not know that they were trials.

Class: the end of what a front waits for is taken for the end of what the target runs.

The attempt stays in the crash watch like one that was given up. A front that hears of a crash from another one adds what it had in flight there: with all its attempts timed out it loses none. A trial is sent by the front that judges it, has the whole time of the query, and ends with the first time-out. Retries after time-outs without any answer go one at a time, like those after losses.

--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -36,6 +36,8 @@
     Success(TargetReply),
     /// The target ran the request and replied with a failure.
     Failure(TargetReply),
+    /// The target replied that the time of the request is over. It may still be running it.
+    TimedOut(TargetReply),
     /// The target refused the request without running it.
     NotRun,
     /// The address now belongs to another target, which did not run the request.
@@ -106,6 +108,11 @@
         self.has_ended = true;
         self.target.crash_watch().record_finished(self.number);
     }
+
+    /// Marks the attempt as one that the target may still be running.
+    fn abandon(self) {
+        drop(self);
+    }
 }
 
 impl Drop for CrashGuard {
@@ -223,7 +230,11 @@
             self.crashes
                 .examine_loss(&self.target, watch.number, self.trial);
         }
-        watch.end();
+        if matches!(outcome, AttemptOutcome::TimedOut(_)) {
+            watch.abandon();
+        } else {
+            watch.end();
+        }
         outcome
     }
 
@@ -317,6 +328,7 @@
     match kind {
         ReplyKind::Success => AttemptOutcome::Success(reply),
         ReplyKind::Failure => AttemptOutcome::Failure(reply),
+        ReplyKind::TimedOut => AttemptOutcome::TimedOut(reply),
         ReplyKind::NotRun => AttemptOutcome::NotRun,
         ReplyKind::WrongTarget => AttemptOutcome::WrongTarget,
         ReplyKind::RequestIdMismatch => AttemptOutcome::Lost,
--- a/alderhaven-front/src/crash_reporter.rs
+++ b/alderhaven-front/src/crash_reporter.rs
@@ -71,6 +71,22 @@
         });
     }
 
+    /// Adds what this front had in flight to the crashes that other nodes publish. Never returns.
+    ///
+    /// A front whose attempts at the target have all timed out loses none of them in the crash.
+    pub async fn follow_learned_crashes(self) {
+        loop {
+            let crashed = self.catalog.crashes().learned_targets().await;
+            let view = self.catalog.view();
+            for target in crashed
+                .iter()
+                .filter_map(|id| view.targets.get(id.as_str()))
+            {
+                self.record_refused_connection(target);
+            }
+        }
+    }
+
     /// Records the crash of a target that refuses connections, if requests may have run there
     /// shortly before.
     pub fn record_refused_connection(&self, target: &TargetHandle) {
--- a/alderhaven-front/src/crash_tracker.rs
+++ b/alderhaven-front/src/crash_tracker.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use alderhaven_core::fingerprint::RequestFingerprint;
-use alderhaven_core::ids::{NodeId, ShardId};
+use alderhaven_core::ids::{NodeId, ShardId, TargetId};
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::crash_strike::{CrashStrike, StrikeUpdate, TargetCrash};
@@ -18,6 +18,7 @@
 use alderhaven_policy::quarantine_options::QuarantineOptions;
 use alderhaven_policy::quarantine_verdict::QuarantineVerdict;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 use crate::query_call::QueryCall;
 use crate::trial_registry::TrialRegistry;
@@ -34,6 +35,8 @@
     has_strikes: AtomicBool,
     unpublished: Mutex<UnpublishedStrikes>,
     trials: TrialRegistry,
+    learned: Mutex<Vec<TargetId>>,
+    has_learned: Notify,
 }
 
 /// The requests whose strikes this node has changed and not published yet.
@@ -71,6 +74,8 @@
             has_strikes: AtomicBool::new(false),
             unpublished: Mutex::default(),
             trials: TrialRegistry::default(),
+            learned: Mutex::default(),
+            has_learned: Notify::new(),
         }
     }
 
@@ -173,7 +178,33 @@
             .into_iter()
             .map(|strike| strike.into_update(now, wall_millis))
             .collect();
-        Ok(self.merge(&updates?))
+        let new_updates = self.merge(&updates?);
+        self.record_learned(&new_updates);
+        Ok(new_updates)
+    }
+
+    /// Waits until other nodes have published crashes, and returns the targets that crashed.
+    pub async fn learned_targets(&self) -> Vec<TargetId> {
+        loop {
+            let targets = std::mem::take(&mut *self.lock_learned());
+            if !targets.is_empty() {
+                return targets;
+            }
+            self.has_learned.notified().await;
+        }
+    }
+
+    fn record_learned(&self, updates: &[StrikeUpdate]) {
+        if updates.is_empty() {
+            return;
+        }
+        let targets = updates.iter().map(|update| update.strike.target.clone());
+        self.lock_learned().extend(targets);
+        self.has_learned.notify_one();
+    }
+
+    fn lock_learned(&self) -> MutexGuard<'_, Vec<TargetId>> {
+        self.learned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn merge(&self, updates: &[StrikeUpdate]) -> Vec<StrikeUpdate> {
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -162,6 +162,7 @@
             tokio::spawn(follower.run());
         }
         tokio::spawn(Arc::clone(&catalog).run_maintenance());
+        tokio::spawn(node.context.crashes.clone().follow_learned_crashes());
         tokio::spawn(catch_up_with_peers(
             node.group.clone(),
             Arc::clone(&catalog),
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -251,6 +251,7 @@
                 return;
             }
             AttemptOutcome::Failure(_) => GroupOutcome::Failed,
+            AttemptOutcome::TimedOut(_) => GroupOutcome::TimedOut,
             AttemptOutcome::NotRun => GroupOutcome::NotRun,
             AttemptOutcome::Unreachable | AttemptOutcome::Cancelled => GroupOutcome::NotSent,
             AttemptOutcome::WrongTarget => {
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -226,7 +226,9 @@
                 is_due.then(|| shard.next_target(self.typical_latency, now))?
             })
             .collect();
-        if matches!(self.route.rule.destination, RouteDestination::Shards { .. }) {
+        // On trial, this front itself has to see whether the target crashes.
+        let may_group = !self.is_on_trial();
+        if may_group && matches!(self.route.rule.destination, RouteDestination::Shards { .. }) {
             for group in group_plan::group_cross_domain_shards(
                 &self.shards,
                 &best,
@@ -345,6 +347,10 @@
         }
         shard.open_attempts -= 1;
         let mut status = None;
+        let may_be_crashing = matches!(
+            report.outcome,
+            AttemptOutcome::Lost | AttemptOutcome::TimedOut(_)
+        );
         let reason = match report.outcome {
             AttemptOutcome::Success(reply) => {
                 self.route.state.record_latency(report.elapsed);
@@ -353,7 +359,7 @@
                 self.record_shard_answer(report.shard, now);
                 return;
             }
-            AttemptOutcome::Failure(reply) => {
+            AttemptOutcome::Failure(reply) | AttemptOutcome::TimedOut(reply) => {
                 status = Some(reply.reply.status.as_u16());
                 shard.failure = Some(reply);
                 UnansweredReason::Failed
@@ -381,7 +387,7 @@
             status,
             age: report.elapsed,
         });
-        self.retry_unanswered(report.shard, reason == UnansweredReason::Lost, now);
+        self.retry_unanswered(report.shard, may_be_crashing, now);
     }
 
     fn record_unanswered(&mut self, attempt: UnansweredAttempt) {
@@ -503,7 +509,12 @@
             target: Arc::clone(target),
             call: Arc::clone(self.call),
             is_idempotent: self.route.rule.is_idempotent,
-            deadline: self.attempt_deadline(),
+            // A target that gives up a trial early brings no decision.
+            deadline: if is_trial {
+                self.answer_time.deadline
+            } else {
+                self.attempt_deadline()
+            },
             is_request_finished: Arc::clone(&self.is_request_finished),
             phase,
             typical_latency: self.typical_latency,
--- a/alderhaven-front/src/query_run/group_requests.rs
+++ b/alderhaven-front/src/query_run/group_requests.rs
@@ -301,13 +301,14 @@
                 GroupOutcome::NotRun => UnansweredReason::NotRun,
                 GroupOutcome::NotSent => UnansweredReason::Unreachable,
                 GroupOutcome::Quarantined => UnansweredReason::Quarantined,
-                GroupOutcome::Failed => UnansweredReason::Failed,
+                GroupOutcome::Failed | GroupOutcome::TimedOut => UnansweredReason::Failed,
                 GroupOutcome::Lost | GroupOutcome::Answered => UnansweredReason::Lost,
             },
             status: None,
             age: elapsed,
         });
-        self.retry_unanswered(index, outcome == GroupOutcome::Lost, now);
+        let may_be_crashing = matches!(outcome, GroupOutcome::Lost | GroupOutcome::TimedOut);
+        self.retry_unanswered(index, may_be_crashing, now);
     }
 
     /// Fails the open attempts of a group request whose link was lost or which timed out, and
--- a/alderhaven-front/src/query_run/silent_domains.rs
+++ b/alderhaven-front/src/query_run/silent_domains.rs
@@ -38,6 +38,7 @@
     match report.outcome {
         AttemptOutcome::Success(_)
         | AttemptOutcome::Failure(_)
+        | AttemptOutcome::TimedOut(_)
         | AttemptOutcome::NotRun
         | AttemptOutcome::WrongTarget => record_answer(&report.target, now),
         // Connection errors may have their cause on this host.
--- a/alderhaven-front/src/query_run/trial.rs
+++ b/alderhaven-front/src/query_run/trial.rs
@@ -87,8 +87,9 @@
     }
 
     /// Retries a shard whose attempts have all ended without an answer, unless another shard is on
-    /// trial or the request has lost its trial.
-    pub(super) fn retry_unanswered(&mut self, shard: usize, is_lost: bool, now: TimePoint) {
+    /// trial or the request has lost its trial. `may_be_crashing` tells whether the attempt was lost
+    /// or timed out, so that its target may have crashed or crash yet.
+    pub(super) fn retry_unanswered(&mut self, shard: usize, may_be_crashing: bool, now: TimePoint) {
         let state = &self.shards[shard];
         if state.reply.is_some() || state.open_attempts > 0 || self.is_quarantined {
             return;
@@ -96,13 +97,13 @@
         if self.is_trial_lost && !self.trial.is_cleared() {
             return;
         }
-        let is_first_loss = is_lost && self.trial.slot().is_none();
+        let is_first_loss = may_be_crashing && self.trial.slot().is_none();
         if self.trial.is_cleared() || !self.is_on_trial() && !is_first_loss {
             self.retry(shard, now);
             return;
         }
         if self.trial.slot() == Some(shard) {
-            if is_lost {
+            if may_be_crashing {
                 self.end_trial();
             } else {
                 self.undecided_trials += 1;
--- a/alderhaven-front/src/wire_dialect.rs
+++ b/alderhaven-front/src/wire_dialect.rs
@@ -80,6 +80,8 @@
     Success,
     /// The target ran the request, or may have run it, and failed.
     Failure,
+    /// The target gave the request up when its time was over. What it runs of it may go on.
+    TimedOut,
     /// The target didn't run the request.
     NotRun,
     /// Another target has this address; the request didn't run.
--- a/alderhaven-peer/src/group_messages.rs
+++ b/alderhaven-peer/src/group_messages.rs
@@ -104,6 +104,8 @@
     NotSent = 4,
     /// It was not sent, because the request is quarantined.
     Quarantined = 5,
+    /// The target replied that the time of the request is over, and may still be running it.
+    TimedOut = 6,
 }
 
 /// Notice that the requesting front needs no more replies to a request.
