Strikes of a node are withdrawn by that node alone

A node looked for its own strike objects by the end of their names. With 256 published, node x withdrew those of a node b-x, whose refusals then rested on fewer strikes. Found in reading; no caller is known to have met it.

The fingerprint in front of the name has no hyphen, so that what follows the first one is the node. withdrawn_strikes_are_own_ones failed before: 247 of 248 strikes of the other node were left.

--- a/alderhaven-front/src/catalog/node_reports.rs
+++ b/alderhaven-front/src/catalog/node_reports.rs
@@ -63,7 +63,7 @@
     /// Withdraws the oldest strike object of this node if all nodes have published too many. Each node
     /// keeps a few in any case.
     fn make_room_for_strikes(&self, wall_millis: u64) {
-        let suffix = format!("-{}", self.options.node);
+        let node = self.options.node.as_str();
         let (total, own) = {
             let state = self.state();
             let published = state.objects.values().filter(|object| {
@@ -75,7 +75,7 @@
             let total = published.len();
             let own = published
                 .into_iter()
-                .filter(|(_, key)| key.name.ends_with(&suffix));
+                .filter(|(_, key)| publisher_of_strikes(&key.name) == Some(node));
             (total, own.collect::<Vec<_>>())
         };
         if total < MAX_STRIKE_OBJECTS || own.len() < MIN_OWN_STRIKE_OBJECTS {
@@ -129,6 +129,12 @@
     }
 }
 
+/// Returns the node in the name of a strike object. Fingerprints have no hyphen; names of nodes may.
+fn publisher_of_strikes(name: &str) -> Option<&str> {
+    let (_fingerprint, node) = name.split_once('-')?;
+    Some(node)
+}
+
 fn emit_learned_strikes(name: String, updates: &[StrikeUpdate]) {
     let Some(latest) = updates.iter().min_by_key(|update| update.age) else {
         return;
