Relay: an attempt that timed out stays in the crash watch

A crash a moment later was blamed on the other requests at the target alone, which could be quarantined for it; no caller is known to have met it, as nobody runs relays with such requests.

An attempt without a reply whose connection the target did not close now counts as abandoned, and stays a candidate for a second. timed_out_attempt_is_in_flight_at_the_crash_of_its_target failed before: one strike instead of two.

--- a/alderhaven-relay/src/target_call.rs
+++ b/alderhaven-relay/src/target_call.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    /// Returns true if the target may still be running the attempt: no reply came, and the connection
+    /// was not closed by the target.
+    #[must_use]
+    pub fn may_still_run(&self) -> bool {
+        self.outcome == AttemptOutcome::Unknown
+            && self.connection_loss != Some(ConnectionLoss::Closed)
+    }
+
     const fn with_loss(loss: ConnectionLoss) -> Self {
         let mut result = Self::without_reply(AttemptOutcome::Unknown);
         result.connection_loss = Some(loss);
--- a/alderhaven-relay/src/target_dispatcher.rs
+++ b/alderhaven-relay/src/target_dispatcher.rs
@@ -409,7 +409,11 @@
     ) -> TimeSpan {
         let mut state = self.lock();
         state.running.remove(&attempt.id());
-        state.crash_watch.record_finished(attempt.id());
+        if result.may_still_run() {
+            state.crash_watch.record_abandoned(attempt.id(), now);
+        } else {
+            state.crash_watch.record_finished(attempt.id());
+        }
         if state.running.is_empty() {
             state.is_suspect_running = false;
         }
--- a/alderhaven-relay/tests/peer_frames.rs
+++ b/alderhaven-relay/tests/peer_frames.rs
@@ -1,5 +1,6 @@
 //! Tests of a relay against valid, malformed and unknown messages on its peer port.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
@@ -269,3 +270,55 @@
         .collect();
     assert_eq!(addresses, [second.address()]);
 }
+
+/// Starts a target that never replies, and crashes as soon as it has read a request with this text.
+async fn start_crashing_target(text: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let crashed = CancellationToken::new();
+    tokio::spawn(crashed.clone().run_until_cancelled_owned(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let stopping = crashed.clone();
+            tokio::spawn(crashed.clone().run_until_cancelled_owned(async move {
+                let mut read = Vec::new();
+                while connection
+                    .read_buf(&mut read)
+                    .await
+                    .is_ok_and(|count| count > 0)
+                {
+                    if String::from_utf8_lossy(&read).contains(text) {
+                        stopping.cancel();
+                    }
+                }
+                std::future::pending::<()>().await;
+            }));
+        }
+    }));
+    address
+}
+
+/// Guards against blaming a crash on the other requests in flight, because the one that caused it had
+/// timed out at the relay before.
+#[tokio::test]
+async fn timed_out_attempt_is_in_flight_at_the_crash_of_its_target() {
+    let relay = start_relay(16).await;
+    let address = start_crashing_target(r#""key":"a""#).await;
+    let mut link = PeerLink::open(&relay).await;
+    let crashing = ScatterRequest {
+        parameters: r#"{"key":"slow"}"#.into(),
+        remaining_us: 100_000,
+        ..scatter_request(1, &address)
+    };
+    let reply = link.send_and_receive(crashing).await;
+    assert_eq!(reply.status(), ReplyStatus::Unknown, "{reply:?}");
+    let other = scatter_request(2, &address);
+    link.sender.send(PeerMessage::Scatter(other)).unwrap();
+    let next = connection::next_message(&mut link.reader);
+    let message = time::timeout(WAIT_LIMIT, next).await.unwrap();
+    let Some(PeerMessage::Strikes(notice)) = message else {
+        panic!("expected strikes, received {message:?}");
+    };
+    let strikes = notice.strikes.iter();
+    let blamed: BTreeSet<&str> = strikes.map(|strike| strike.fingerprint.as_str()).collect();
+    assert_eq!(blamed.len(), 2, "{notice:?}");
+}
