A refusal for crashes waits until other fronts can have added their evidence

Cause: a front that loses a target sees what it had in flight itself. If the request that caused the crash had timed out at another front, that one adds it only once it hears of the crash. For some tens of milliseconds the sound request looked alone at the target, and a second such crash refused it until the evidence came. Read from the failures, which all name the popular request, and from the order of the messages; the window was not logged.

Change: for 150 ms after the crash that decides, requests wait instead of being refused, and a front that is asked for attempts does not refuse them.

--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -132,7 +132,7 @@
     route: &LiveRoute,
     call: &Arc<QueryCall>,
 ) -> FrontAnswer {
-    if let Err(answer) = suspect_check::refuse_quarantined(context, route, call) {
+    if let Err(answer) = suspect_check::refuse_quarantined(context, route, call).await {
         return *answer;
     }
     let permit = match credit_check::take_credit(context, route, call).await {
--- a/alderhaven-front/src/crash_tracker.rs
+++ b/alderhaven-front/src/crash_tracker.rs
@@ -26,6 +26,10 @@
 /// The strikes of a request that are published; they fit in about 8 KB.
 const MAX_PUBLISHED_STRIKES: usize = 48;
 
+/// How long after a crash the requests that other nodes had in flight may still become known: the
+/// news go there, and theirs come back.
+const EVIDENCE_DELAY: TimeSpan = TimeSpan::from_millis(150);
+
 /// Thread-safe quarantine of a process, with the encoding that nodes exchange.
 #[derive(Debug)]
 pub struct CrashTracker {
@@ -107,6 +111,19 @@
             .refused_for(&call.fingerprint(), self.clock.now())
     }
 
+    /// Returns how long other nodes may still add to the evidence for the refusal of a request; zero if
+    /// it is not refused.
+    #[must_use]
+    pub fn refusal_delay(&self, call: &QueryCall) -> TimeSpan {
+        if !self.has_strikes() {
+            return TimeSpan::ZERO;
+        }
+        let age = self
+            .lock()
+            .refusal_age(&call.fingerprint(), self.clock.now());
+        age.map_or(TimeSpan::ZERO, |age| EVIDENCE_DELAY.saturating_sub(age))
+    }
+
     /// Returns the decision on a request, with its reason.
     #[must_use]
     pub fn verdict(&self, call: &QueryCall) -> QuarantineVerdict {
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -174,7 +174,9 @@
         let Some(call) = self.rebuild_call() else {
             return attempts;
         };
-        if self.context.catalog.crashes().refused_for(&call).is_some() {
+        let crashes = self.context.catalog.crashes();
+        let is_settled = crashes.refusal_delay(&call) == TimeSpan::ZERO;
+        if is_settled && crashes.refused_for(&call).is_some() {
             let refused = (0..self.request.targets.len())
                 .map(|index| attempt_result(index, GroupOutcome::Quarantined, TimeSpan::ZERO));
             self.attempt_results.extend(refused);
--- a/alderhaven-front/src/suspect_check.rs
+++ b/alderhaven-front/src/suspect_check.rs
@@ -23,21 +23,33 @@
 /// The maximum random addition to [`TRIAL_RETRY_MIN`].
 const TRIAL_RETRY_JITTER: TimeSpan = TimeSpan::from_millis(250);
 
-/// Refuses a request that is quarantined.
+/// Refuses a request that is quarantined, once other nodes have had the time to add what they had in
+/// flight at the crashes.
 ///
 /// # Errors
 /// The answer that it did not run.
-pub(crate) fn refuse_quarantined(
+pub(crate) async fn refuse_quarantined(
     context: &FrontContext,
     route: &LiveRoute,
     call: &QueryCall,
 ) -> Result<(), Box<FrontAnswer>> {
-    match context.catalog.crashes().refused_for(call) {
+    match settled_refusal(context, call).await {
         Some(span) => Err(refuse(context, route, call, span)),
         None => Ok(()),
     }
 }
 
+/// Waits until no other node can add to the evidence against a request, and returns how long it is
+/// refused then.
+async fn settled_refusal(context: &FrontContext, call: &QueryCall) -> Option<TimeSpan> {
+    let crashes = context.catalog.crashes();
+    let delay = crashes.refusal_delay(call);
+    if delay > TimeSpan::ZERO {
+        time::sleep(delay.as_duration()).await;
+    }
+    crashes.refused_for(call)
+}
+
 /// Returns the right to run on trial if the request is a suspect, after the trials of equal
 /// requests on this front have ended. Returns `None` if it is no suspect.
 ///
@@ -53,7 +65,10 @@
     loop {
         let reason = match crashes.verdict(call) {
             QuarantineVerdict::Clear => return Ok(None),
-            QuarantineVerdict::Refused(span) => return Err(refuse(context, route, call, span)),
+            QuarantineVerdict::Refused(_) => {
+                refuse_quarantined(context, route, call).await?;
+                continue;
+            }
             QuarantineVerdict::Suspect(reason) => reason,
         };
         let other = match crashes.trials().begin(call.fingerprint()) {
--- a/alderhaven-policy/src/quarantine.rs
+++ b/alderhaven-policy/src/quarantine.rs
@@ -192,6 +192,20 @@
         (record.refusals > 0 && until > now).then(|| now.until(until))
     }
 
+    /// Returns how long ago the crash was detected that led to the present refusal, or `None` if the
+    /// request is not refused.
+    #[must_use]
+    pub fn refusal_age(
+        &self,
+        fingerprint: &RequestFingerprint,
+        now: TimePoint,
+    ) -> Option<TimeSpan> {
+        self.refused_for(fingerprint, now)?;
+        let record = self.requests.get(fingerprint)?;
+        let span = self.options.refusal_span(record.refusals);
+        Some(now.since(record.refused_until - span))
+    }
+
     /// Returns the decision on a request, with its reason.
     #[must_use]
     pub fn verdict(&self, fingerprint: &RequestFingerprint, now: TimePoint) -> QuarantineVerdict {
--- a/alderhaven-policy/tests/quarantine.rs
+++ b/alderhaven-policy/tests/quarantine.rs
@@ -207,6 +207,23 @@
     assert!(distinct.iter().all(|span| *span <= Some(longest)));
 }
 
+/// Guards against a refusal that counts as settled while other nodes may still add to its evidence:
+/// its age starts anew with each refusal.
+#[test]
+fn refusal_age_counts_from_the_deciding_crash() {
+    let mut quarantine = quarantine();
+    let age = |quarantine: &CrashQuarantine, millis| {
+        quarantine.refusal_age(&request("poison"), at(millis))
+    };
+    quarantine.record_crash(&crash(1, 0, &["poison"]), at(0));
+    assert_eq!(age(&quarantine, 10), None);
+    quarantine.record_crash(&trial_crash(2, 1, "poison", &[]), at(100));
+    assert_eq!(age(&quarantine, 130), Some(TimeSpan::from_millis(30)));
+    assert_eq!(age(&quarantine, 30_100), None);
+    quarantine.record_crash(&trial_crash(3, 2, "poison", &[]), at(40_000));
+    assert_eq!(age(&quarantine, 40_005), Some(TimeSpan::from_millis(5)));
+}
+
 /// Guards against a strike that is recorded after its request was answered by another replica.
 #[test]
 fn quarantine_answer_clears_the_strike_of_an_earlier_loss() {
