A learned crash counts for the process that crashed alone

Found in reading the change of: a front that hears of a crash adds what it has in flight at the target of that name. If the target had started again under its name by then, the requests at the new process would have been blamed. The number of the crash, which depends on the start of the process, is compared now. No test shows it; on the users' platform a target that starts again has a new name.

--- a/alderhaven-front/src/crash_reporter.rs
+++ b/alderhaven-front/src/crash_reporter.rs
@@ -76,13 +76,16 @@
     /// A front whose attempts at the target have all timed out loses none of them in the crash.
     pub async fn follow_learned_crashes(self) {
         loop {
-            let crashed = self.catalog.crashes().learned_targets().await;
+            let crashes = self.catalog.crashes().learned_crashes().await;
             let view = self.catalog.view();
-            for target in crashed
-                .iter()
-                .filter_map(|id| view.targets.get(id.as_str()))
-            {
-                self.record_refused_connection(target);
+            for crash in crashes {
+                let target = view.targets.get(crash.target.as_str());
+                // News of an earlier process may arrive after the target has started again.
+                let is_present =
+                    |target: &&Arc<TargetHandle>| crash_id(&target.entry()) == crash.crash_id;
+                if let Some(target) = target.filter(is_present) {
+                    self.record_refused_connection(target);
+                }
             }
         }
     }
--- a/alderhaven-front/src/crash_tracker.rs
+++ b/alderhaven-front/src/crash_tracker.rs
@@ -39,10 +39,20 @@
     has_strikes: AtomicBool,
     unpublished: Mutex<UnpublishedStrikes>,
     trials: TrialRegistry,
-    learned: Mutex<Vec<TargetId>>,
+    /// Crashes that other nodes have published, until they are taken.
+    learned: Mutex<Vec<LearnedCrash>>,
     has_learned: Notify,
 }
 
+/// A crash that another node has published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LearnedCrash {
+    /// The number of the crash, which depends on the target's process.
+    pub crash_id: u64,
+    /// The target that crashed.
+    pub target: TargetId,
+}
+
 /// The requests whose strikes this node has changed and not published yet.
 #[derive(Debug, Default)]
 struct UnpublishedStrikes {
@@ -200,12 +210,12 @@
         Ok(new_updates)
     }
 
-    /// Waits until other nodes have published crashes, and returns the targets that crashed.
-    pub async fn learned_targets(&self) -> Vec<TargetId> {
+    /// Waits until other nodes have published crashes, and takes them.
+    pub async fn learned_crashes(&self) -> Vec<LearnedCrash> {
         loop {
-            let targets = std::mem::take(&mut *self.lock_learned());
-            if !targets.is_empty() {
-                return targets;
+            let crashes = std::mem::take(&mut *self.lock_learned());
+            if !crashes.is_empty() {
+                return crashes;
             }
             self.has_learned.notified().await;
         }
@@ -215,12 +225,15 @@
         if updates.is_empty() {
             return;
         }
-        let targets = updates.iter().map(|update| update.strike.target.clone());
-        self.lock_learned().extend(targets);
+        let crashes = updates.iter().map(|update| LearnedCrash {
+            crash_id: update.strike.crash_id,
+            target: update.strike.target.clone(),
+        });
+        self.lock_learned().extend(crashes);
         self.has_learned.notify_one();
     }
 
-    fn lock_learned(&self) -> MutexGuard<'_, Vec<TargetId>> {
+    fn lock_learned(&self) -> MutexGuard<'_, Vec<LearnedCrash>> {
         self.learned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
