--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Runs the case; see claim.txt for what it shows.
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/cases ] || { echo "run review/build.sh first"; exit 2; }
 exec target/review/cases drain review/1
