A stopping front refuses at once what it can't finish

Cause: the stop accepts requests for a fixed time and keeps a fixed 1.5 s for them, whatever they need.

A request that arrives during a stop is now taken if it ends by its own deadline before the process, or if the longest known run of its kind does. Kinds are method and first path segment after the route's prefix; open runs count with their age. All others get 503 at once. Requests that wait for admission, credit or a connection are asked again before they are sent. Shortly before its limit a front answers what is left: 503 for what it has not sent, 504 for the rest. After the end of accepting, group requests are returned as not sent. A second stop request at entries and relays leads to the final answers instead of closing connections.

Phases of a stop and requests that are unfinished at its end are logged.

--- a/alderhaven-core/src/log_queue.rs
+++ b/alderhaven-core/src/log_queue.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::thread::Thread;
 use std::time::Duration;
 
 /// Capacity of the queue in lines; about a megabyte at 300 bytes per line.
@@ -31,6 +32,7 @@
     lines: SyncSender<Vec<u8>>,
     dropped_lines: Arc<AtomicU64>,
     queued_lines: Arc<AtomicU64>,
+    writer: Thread,
     partial_line: Vec<u8>,
 }
 
@@ -46,13 +48,14 @@
         let (writer_dropped, writer_queued) =
             (Arc::clone(&dropped_lines), Arc::clone(&queued_lines));
         let writer = move || write_batches(&receiver, output, &writer_dropped, &writer_queued);
-        thread::Builder::new()
+        let writer = thread::Builder::new()
             .name("log".to_owned())
             .spawn(writer)?;
         Ok(Self {
             lines: sender,
             dropped_lines,
             queued_lines,
+            writer: writer.thread().clone(),
             partial_line: Vec::new(),
         })
     }
@@ -65,6 +68,8 @@
             if self.queued_lines.load(Ordering::Relaxed) == 0 {
                 return;
             }
+            // Ends the wait for further lines.
+            self.writer.unpark();
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
     }
@@ -103,7 +108,7 @@
     queued_lines: &AtomicU64,
 ) {
     while let Ok(first) = lines.recv() {
-        thread::sleep(BATCH_DELAY);
+        thread::park_timeout(BATCH_DELAY);
         let mut batch = first;
         let mut count = 1;
         while batch.len() < BATCH_BYTES {
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -2,6 +2,7 @@
 //! query.
 
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use crate::query_run::QueryRun;
 use crate::request_refusal;
 use crate::request_refusal::RequestRefusal;
+use crate::stop_check;
 use crate::suspect_check;
 use crate::wire_dialect::{CallerHead, WholeBody};
 
@@ -54,7 +56,7 @@
     let _in_flight = context.stop.begin_request();
     let arrived_at = context.clock.now();
     let (head, body) = request.into_parts();
-    let answer = answer(&context, head, body, arrived_at).await;
+    let answer = answer_before_close(&context, head, body, arrived_at).await;
     let mut response = context.dialect.caller_response(answer);
     if context.stop.state() != DrainState::Serving {
         // Makes the caller ask the directory for another front before its next request.
@@ -64,16 +66,43 @@
     Ok(response)
 }
 
+/// Answers a request at the latest when the process gives its last answers.
+async fn answer_before_close(
+    context: &FrontContext,
+    head: Parts,
+    body: Incoming,
+    arrived_at: TimePoint,
+) -> FrontAnswer {
+    let caller_head = context.dialect.caller_head(&head);
+    let request_id = caller_head.request_id.clone();
+    let has_started = AtomicBool::new(false);
+    let answer = answer(context, caller_head, head, body, arrived_at, &has_started);
+    let mut answer = std::pin::pin!(answer);
+    tokio::select! {
+        biased;
+        answer = &mut answer => return answer,
+        () = context.stop.closing() => {}
+    }
+    if has_started.load(Ordering::Relaxed) {
+        // The run observes the end of the process itself, and knows what was sent.
+        answer.await
+    } else {
+        stop_check::refuse_waiting(context, &request_id)
+    }
+}
+
 async fn answer(
     context: &FrontContext,
+    caller_head: CallerHead,
     mut head: Parts,
     body: Incoming,
     arrived_at: TimePoint,
+    has_started: &AtomicBool,
 ) -> FrontAnswer {
     let CallerHead {
         request_id,
         time_left,
-    } = context.dialect.caller_head(&head);
+    } = caller_head;
     let caller_timeout = time_left.unwrap_or(context.options.default_deadline);
     let limit = caller_timeout
         .mul_f64(MAX_CONFIG_WAIT_FRACTION)
@@ -122,7 +151,7 @@
         time_left: caller_timeout,
         known_fingerprint: OnceLock::new(),
     });
-    run_call(context, &view, &route, &call).await
+    run_call(context, &view, &route, &call, has_started).await
 }
 
 /// Runs a request that was read in full, unless it is refused.
@@ -131,7 +160,11 @@
     view: &CatalogView,
     route: &LiveRoute,
     call: &Arc<QueryCall>,
+    has_started: &AtomicBool,
 ) -> FrontAnswer {
+    if let Err(answer) = stop_check::refuse_unfinishable(context, route, call) {
+        return *answer;
+    }
     if let Err(answer) = suspect_check::refuse_quarantined(context, route, call).await {
         return *answer;
     }
@@ -139,7 +172,7 @@
         Ok(permit) => permit,
         Err(answer) => return *answer,
     };
-    let answer = QueryRun::answer(context, view, route, call).await;
+    let answer = QueryRun::answer(context, view, route, call, has_started).await;
     if let (FrontAnswer::NotRun { .. }, Some(permit)) = (&answer, permit) {
         permit.refund();
     }
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -71,6 +71,8 @@
     Outranked,
     /// It waited in the queue for the longest time allowed.
     WaitOver,
+    /// The front is stopping, and the request could not end before it.
+    Stopping,
     /// No team has the key of the request.
     UnknownKey,
     /// The key isn't known here, but may be in a newer configuration.
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -48,6 +48,9 @@
 /// The part of the stop limit reserved for requests in flight; covers the timeouts of most routes.
 const IN_FLIGHT_RESERVE: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// The last part of the stop limit, in which requests in flight get their final answers.
+const FINAL_ANSWER_TIME: TimeSpan = TimeSpan::from_millis(150);
+
 /// How often a starting node looks whether it has caught up with its peers.
 const PEER_POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(5);
 
@@ -289,6 +292,7 @@
             .mul_f64(DIRECTORY_TTL_MULTIPLE)
             .min(max_lifetime),
         limit: options.stop_limit,
+        final_answer_time: FINAL_ANSWER_TIME,
     }
 }
 
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -13,6 +13,7 @@
 use alderhaven_peer::frames::PeerMessage;
 use alderhaven_peer::group_messages::{GroupAttemptResult, GroupOutcome, GroupReply, GroupRequest};
 use alderhaven_policy::delivery_age::DeliveryAge;
+use alderhaven_policy::drain::DrainState;
 use alderhaven_policy::top_records;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -174,6 +175,16 @@
         let Some(call) = self.rebuild_call() else {
             return attempts;
         };
+        if !matches!(
+            self.context.stop.state(),
+            DrainState::Serving | DrainState::Leaving
+        ) {
+            // The other front can send these attempts itself, and this process is about to end.
+            let unsent = (0..self.request.targets.len())
+                .map(|index| attempt_result(index, GroupOutcome::NotSent, TimeSpan::ZERO));
+            self.attempt_results.extend(unsent);
+            return attempts;
+        }
         let crashes = self.context.catalog.crashes();
         let is_settled = crashes.refusal_delay(&call) == TimeSpan::ZERO;
         if is_settled && crashes.refused_for(&call).is_some() {
--- a/alderhaven-front/src/query_call.rs
+++ b/alderhaven-front/src/query_call.rs
@@ -1,9 +1,11 @@
 //! A caller's request, as the front received it.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, OnceLock};
 
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_policy::work_estimate::WorkKind;
 use bytes::Bytes;
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -55,6 +57,19 @@
             .get_or_init(|| self.compute_fingerprint())
     }
 
+    /// Returns the kind of work: the method and the first segment of the path after the route's
+    /// prefix, which often names an operation.
+    #[must_use]
+    pub fn work_kind(&self, path_prefix: &str) -> WorkKind {
+        let path = self.head.uri.path();
+        let rest = path.strip_prefix(path_prefix).unwrap_or(path);
+        let segment = rest.split('/').next().unwrap_or_default();
+        let mut hasher = DefaultHasher::new();
+        self.head.method.hash(&mut hasher);
+        segment.hash(&mut hasher);
+        WorkKind::from_hash(hasher.finish())
+    }
+
     fn compute_fingerprint(&self) -> RequestFingerprint {
         let site = self.head.headers.get(header::HOST);
         let site = site.and_then(|site| site.to_str().ok()).unwrap_or_default();
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::answer_time::{self, AnswerStep, AnswerTime, ShardCount};
@@ -31,9 +31,11 @@
 use crate::query_call::QueryCall;
 use crate::query_run::group_requests::{GroupRequestKind, PendingGroupRequest};
 use crate::route_destination::RouteDestination;
+use crate::run_record::RunRecord;
 use crate::shard_reply::ShardReply;
 use crate::shard_set_id::ShardSetId;
 use crate::shard_state::ShardState;
+use crate::stop_check;
 use crate::suspect_check;
 use crate::target_handle::{TargetHandle, TargetStatus};
 use crate::trial_registry::TrialGuard;
@@ -73,6 +75,7 @@
     is_quarantined: bool,
     is_reported: bool,
     permit: Option<AdmissionPermit>,
+    record: RunRecord,
     started_at: TimePoint,
     /// Time from arrival to the partial answer for a caller without prior delay.
     usable_time: TimeSpan,
@@ -100,12 +103,14 @@
 }
 
 impl<'a> QueryRun<'a> {
-    /// Runs a request and returns its answer, or the refusal of admission.
+    /// Runs a request and returns its answer, or the refusal of admission. Sets `has_started` before
+    /// anything is sent.
     pub async fn answer(
         context: &'a FrontContext,
         view: &CatalogView,
         route: &'a LiveRoute,
         call: &'a Arc<QueryCall>,
+        has_started: &AtomicBool,
     ) -> FrontAnswer {
         let delay = route
             .state
@@ -121,6 +126,11 @@
             Ok(guard) => guard,
             Err(answer) => return *answer,
         };
+        // The waits before may have used up the time that a stop leaves.
+        if let Err(answer) = stop_check::refuse_unfinishable(context, route, call) {
+            return *answer;
+        }
+        has_started.store(true, Ordering::Relaxed);
         let mut run = Self::new(context, call, route, shards, delay);
         run.permit = permit;
         if trial_guard.is_some() {
@@ -210,6 +220,11 @@
             is_quarantined: false,
             is_reported: false,
             permit: None,
+            record: RunRecord::begin(
+                &route.state,
+                call.work_kind(&route.rule.path_prefix),
+                context.clock,
+            ),
             started_at: context.clock.now(),
             usable_time: answer_time::usable_time(target, reserve),
             min_coverage_at: None,
@@ -258,6 +273,8 @@
     }
 
     async fn wait_for_answer(&mut self) -> AnswerStep {
+        let context = self.context;
+        let mut closing = std::pin::pin!(context.stop.closing());
         loop {
             let now = self.context.clock.now();
             let count = self.count_shards();
@@ -281,6 +298,7 @@
                 biased;
                 Some(report) = self.attempts.next() => self.handle_report(report),
                 (index, event) = group_requests::next_event(&mut self.group_requests) => self.handle_group_event(index, event),
+                () = &mut closing => return self.last_step(),
                 () = front_context::sleep_until(self.context.clock, until) => {
                     self.context.record_wakeup(until);
                 }
@@ -288,6 +306,16 @@
         }
     }
 
+    /// Returns how a request ends that is unfinished when the process gives its last answers.
+    fn last_step(&self) -> AnswerStep {
+        let count = self.count_shards();
+        if count.answered >= count.required.max(1) {
+            AnswerStep::Answer
+        } else {
+            AnswerStep::TimeUp
+        }
+    }
+
     fn count_shards(&self) -> ShardCount {
         let total = self.shards.len();
         let required = match &self.route.rule.destination {
@@ -421,6 +449,11 @@
         if !may_run_again || is_limit_reached || now >= self.answer_time.deadline {
             return None;
         }
+        if reason == RepeatReason::Retry
+            && !stop_check::can_finish(self.context, self.route, self.call)
+        {
+            return None;
+        }
         let service = state.service.as_ref()?;
         let target = state.next_target(self.typical_latency, now)?;
         if reason == RepeatReason::Hedge && !self.is_hedge_worthwhile(&target, now) {
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -45,6 +45,12 @@
             AnswerStep::GiveUp => self.failure_answer(false),
             AnswerStep::TimeUp => self.failure_answer(true),
         };
+        if matches!(
+            answer,
+            FrontAnswer::Gathered { .. } | FrontAnswer::Forwarded(_)
+        ) {
+            self.record.mark_complete();
+        }
         self.report_outcome(self.request_outcome(&answer));
         answer
     }
--- a/alderhaven-front/src/route_state.rs
+++ b/alderhaven-front/src/route_state.rs
@@ -6,6 +6,7 @@
 use alderhaven_policy::caller_delay::{CallerDelay, CallerDelayEstimator};
 use alderhaven_policy::latency_window::LatencyWindow;
 use alderhaven_policy::weighted_round_robin::WeightedRoundRobin;
+use alderhaven_policy::work_estimate::{OpenRun, WorkEstimate, WorkKind};
 
 /// Samples between two updates of the quantiles, which cost more than adding a sample.
 const QUANTILE_REFRESH_SAMPLES: u32 = 32;
@@ -22,6 +23,7 @@
     latencies: Mutex<RouteLatencies>,
     weighted_split: Mutex<WeightedRoundRobin>,
     caller_delay: Mutex<CallerDelayEstimator>,
+    work: Mutex<WorkEstimate>,
 }
 
 #[derive(Debug, Default)]
@@ -81,6 +83,25 @@
         split.next(weights)
     }
 
+    /// Records that a request begins to run.
+    pub fn begin_run(&self, kind: WorkKind, now: TimePoint) -> OpenRun {
+        self.lock_work().begin(kind, now)
+    }
+
+    /// Records the end of a run; `is_complete` tells whether targets have finished its work.
+    pub fn end_run(&self, run: OpenRun, is_complete: bool, now: TimePoint) {
+        self.lock_work().end(run, is_complete, now);
+    }
+
+    /// Returns the longest time that a request of this kind is known to take, if enough are known.
+    pub fn longest_run(&self, kind: WorkKind, now: TimePoint) -> Option<TimeSpan> {
+        self.lock_work().longest_run(kind, now)
+    }
+
+    fn lock_work(&self) -> MutexGuard<'_, WorkEstimate> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_latencies(&self) -> MutexGuard<'_, RouteLatencies> {
         self.latencies
             .lock()
--- a/alderhaven-node/src/stop_handle.rs
+++ b/alderhaven-node/src/stop_handle.rs
@@ -1,11 +1,15 @@
 //! Graceful shutdown of a process, requested by a signal, an operator or the owner of the handle.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
+use alderhaven_core::logging;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::drain::{DrainEvent, DrainOptions, DrainSequence, DrainState, StopReport};
+use log::Level;
+use serde::Serialize;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -21,6 +25,17 @@
     state: watch::Sender<DrainState>,
     report: watch::Sender<Option<StopReport>>,
     in_flight: Arc<AtomicUsize>,
+    /// When unfinished requests get their final answers; set by the first stop request.
+    closing_at: Arc<OnceLock<Instant>>,
+}
+
+/// A change of the shutdown's phase, as it is logged.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename = "drain_phase")]
+struct DrainProgress {
+    state: DrainState,
+    in_flight: usize,
+    elapsed: TimeSpan,
 }
 
 /// Counts one request as in flight until it is dropped.
@@ -36,12 +51,13 @@
             state: watch::Sender::new(DrainState::Serving),
             report: watch::Sender::new(None),
             in_flight: Arc::default(),
+            closing_at: Arc::default(),
         }
     }
 }
 
 impl StopHandle {
-    /// Requests a graceful shutdown; a second call ends the process immediately.
+    /// Requests a graceful shutdown; after a second call the process gives its final answers and ends.
     pub fn request_stop(&self) {
         self.stop_requests.send_modify(|count| *count += 1);
     }
@@ -76,6 +92,16 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Returns the time until unfinished requests get their final answers; `None` if no stop was
+    /// requested.
+    #[must_use]
+    pub fn remaining_run_time(&self) -> Option<TimeSpan> {
+        let closing_at = self.closing_at.get()?;
+        Some(TimeSpan::from(
+            closing_at.saturating_duration_since(Instant::now()),
+        ))
+    }
+
     /// Waits until the process is leaving, or is in a later phase.
     pub async fn leaving(&self) {
         self.wait_for_state(|state| state != DrainState::Serving)
@@ -84,7 +110,13 @@
 
     /// Waits until the process no longer accepts requests.
     pub async fn finishing(&self) {
-        self.wait_for_state(|state| matches!(state, DrainState::Finishing | DrainState::Stopped))
+        self.wait_for_state(|state| !matches!(state, DrainState::Serving | DrainState::Leaving))
+            .await;
+    }
+
+    /// Waits until unfinished requests get their final answers.
+    pub async fn closing(&self) {
+        self.wait_for_state(|state| matches!(state, DrainState::Closing | DrainState::Stopped))
             .await;
     }
 
@@ -111,20 +143,32 @@
         in_flight: impl Fn() -> usize,
     ) {
         let clock = ProcessClock::default();
+        let run_limit = options.run_limit().as_duration();
         let mut sequence = DrainSequence::new(options);
         let mut requests = self.stop_requests.subscribe();
         let mut handled = 0;
+        let mut requested_at = TimePoint::START;
         loop {
             let now = clock.now();
             let requested = *requests.borrow_and_update();
             let in_flight = in_flight();
             if handled < requested {
                 handled += 1;
+                requested_at = if handled == 1 { now } else { requested_at };
+                self.closing_at.get_or_init(|| Instant::now() + run_limit);
                 sequence.handle(DrainEvent::StopRequested { now, in_flight });
             } else {
                 sequence.handle(DrainEvent::Ticked { now, in_flight });
             }
-            self.enter_state(sequence.state(), &group).await;
+            if self.state() != sequence.state() {
+                let progress = DrainProgress {
+                    state: sequence.state(),
+                    in_flight,
+                    elapsed: now.since(requested_at),
+                };
+                logging::emit(Level::Info, &progress);
+                self.enter_state(sequence.state(), &group).await;
+            }
             if let Some(report) = sequence.report() {
                 group.shut_down().await;
                 self.report.send_replace(Some(report));
@@ -142,9 +186,6 @@
 
     /// Publishes a new state; announces leaving to the group first.
     async fn enter_state(&self, state: DrainState, group: &NodeGroup) {
-        if self.state() == state {
-            return;
-        }
         if state == DrainState::Leaving {
             group.announce_leaving().await;
         }
--- a/alderhaven-policy/src/drain.rs
+++ b/alderhaven-policy/src/drain.rs
@@ -2,8 +2,9 @@
 //!
 //! The process announces that it leaves, and serves on until other nodes no longer name it and the
 //! answers that name it have expired. Then it accepts nothing new, finishes the requests in flight
-//! and ends. A second stop request or the time limit ends it at once; the report says how many
-//! requests that aborts.
+//! and ends. Shortly before the time limit it answers what is unfinished, as not run or of unknown
+//! outcome, so that no caller sees its connection close without an answer. A second stop request
+//! does the same at once. The report says how many requests are aborted.
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,9 @@
     pub directory_lifetime: TimeSpan,
     /// The maximum time from the stop request to the end.
     pub limit: TimeSpan,
+    /// The last part of `limit`, in which unfinished requests get their final answers.
+    #[serde(rename = "final_answers")]
+    pub final_answer_time: TimeSpan,
 }
 
 impl Default for DrainOptions {
@@ -31,10 +35,19 @@
             leave_propagation_time: TimeSpan::from_secs(3),
             directory_lifetime: TimeSpan::from_secs(10),
             limit: TimeSpan::from_secs(60),
+            final_answer_time: TimeSpan::from_millis(200),
         }
     }
 }
 
+impl DrainOptions {
+    /// Returns the time from the stop request to the final answers.
+    #[must_use]
+    pub const fn run_limit(&self) -> TimeSpan {
+        self.limit.saturating_sub(self.final_answer_time)
+    }
+}
+
 /// The progress of a shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -45,6 +58,8 @@
     Leaving,
     /// The process accepts nothing new and finishes the requests in flight.
     Finishing,
+    /// The time is up or a second stop was requested: the requests in flight get their final answers.
+    Closing,
     /// The process may end.
     Stopped,
 }
@@ -52,7 +67,8 @@
 /// An input of the shutdown sequence.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DrainEvent {
-    /// A signal or an operator asks the process to stop; a second request ends it at once.
+    /// A signal or an operator asks the process to stop; at a second request it gives its final
+    /// answers, and at a third one it ends at once.
     StopRequested {
         /// The time of the request.
         now: TimePoint,
@@ -119,6 +135,7 @@
             DrainPhase::Serving {} => DrainState::Serving,
             DrainPhase::Leaving {} => DrainState::Leaving,
             DrainPhase::Finishing {} => DrainState::Finishing,
+            DrainPhase::Closing {} => DrainState::Closing,
             DrainPhase::Stopped {} => DrainState::Stopped,
         }
     }
--- a/alderhaven-policy/src/drain_lifecycle.rs
+++ b/alderhaven-policy/src/drain_lifecycle.rs
@@ -10,6 +10,11 @@
 pub(crate) struct DrainLifecycle {
     options: DrainOptions,
     stop_requested_at: TimePoint,
+    /// Why the final answers are given, and since when.
+    closing_reason: StopReason,
+    closing_since: TimePoint,
+    /// Requests in flight at that time.
+    unfinished_requests: usize,
     report: Option<StopReport>,
 }
 
@@ -33,11 +38,13 @@
     fn leaving(&mut self, event: &DrainEvent) -> Outcome<DrainPhase> {
         match *event {
             DrainEvent::StopRequested { now, in_flight } => {
-                self.stop(StopReason::AskedTwice, in_flight, now)
+                self.close(StopReason::AskedTwice, in_flight, now)
             }
             DrainEvent::Ticked { now, in_flight } => {
                 if self.is_over_limit(now) {
                     self.stop(StopReason::LimitReached, in_flight, now)
+                } else if self.is_run_time_over(now) {
+                    self.close(StopReason::LimitReached, in_flight, now)
                 } else if now.since(self.stop_requested_at) >= self.leaving_span() {
                     Transition(DrainPhase::finishing())
                 } else {
@@ -51,13 +58,15 @@
     fn finishing(&mut self, event: &DrainEvent) -> Outcome<DrainPhase> {
         match *event {
             DrainEvent::StopRequested { now, in_flight } => {
-                self.stop(StopReason::AskedTwice, in_flight, now)
+                self.close(StopReason::AskedTwice, in_flight, now)
             }
             DrainEvent::Ticked { now, in_flight } => {
                 if in_flight == 0 {
                     self.stop(StopReason::Finished, 0, now)
                 } else if self.is_over_limit(now) {
                     self.stop(StopReason::LimitReached, in_flight, now)
+                } else if self.is_run_time_over(now) {
+                    self.close(StopReason::LimitReached, in_flight, now)
                 } else {
                     Handled
                 }
@@ -65,6 +74,22 @@
         }
     }
 
+    #[state]
+    fn closing(&mut self, event: &DrainEvent) -> Outcome<DrainPhase> {
+        let (now, is_over) = match *event {
+            DrainEvent::StopRequested { now, .. } => (now, true),
+            DrainEvent::Ticked { now, in_flight } => {
+                let is_over = now.since(self.closing_since) >= self.options.final_answer_time;
+                (now, in_flight == 0 || is_over || self.is_over_limit(now))
+            }
+        };
+        if is_over {
+            self.stop(self.closing_reason, self.unfinished_requests, now)
+        } else {
+            Handled
+        }
+    }
+
     #[state]
     fn stopped(event: &DrainEvent) -> Outcome<DrainPhase> {
         match event {
@@ -78,6 +103,9 @@
         Self {
             options,
             stop_requested_at: TimePoint::START,
+            closing_reason: StopReason::LimitReached,
+            closing_since: TimePoint::START,
+            unfinished_requests: 0,
             report: None,
         }
     }
@@ -92,6 +120,22 @@
         self.options.leave_propagation_time + self.options.directory_lifetime
     }
 
+    fn is_run_time_over(&self, now: TimePoint) -> bool {
+        now.since(self.stop_requested_at) >= self.options.run_limit()
+    }
+
+    fn close(
+        &mut self,
+        reason: StopReason,
+        in_flight: usize,
+        now: TimePoint,
+    ) -> Outcome<DrainPhase> {
+        self.closing_reason = reason;
+        self.closing_since = now;
+        self.unfinished_requests = in_flight;
+        Transition(DrainPhase::closing())
+    }
+
     fn is_over_limit(&self, now: TimePoint) -> bool {
         now.since(self.stop_requested_at) >= self.options.limit
     }
--- /dev/null
+++ b/alderhaven-policy/src/run_times.rs
@@ -0,0 +1,115 @@
+//! How long requests of one kind have run, including those that are still running.
+
+use std::collections::BTreeSet;
+
+use alderhaven_core::time::{TimePoint, TimeSpan};
+use smallvec::SmallVec;
+
+/// Time after which the older half of the window is dropped.
+const HALF_WINDOW: TimeSpan = TimeSpan::from_secs(300);
+
+/// Number of ended runs from which the longest one is representative.
+const MIN_SAMPLES: usize = 20;
+
+/// One in so many runs may exceed the estimate.
+const RUNS_PER_OUTLIER: usize = 1_000;
+
+/// Largest number of long runs that are kept, and so of outliers.
+const MAX_PEAKS: usize = 8;
+
+/// Identifies an open run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunNumber {
+    started_at: TimePoint,
+    number: u64,
+}
+
+/// The longest runs over a sliding window of five to ten minutes.
+#[derive(Clone, Debug, Default)]
+pub struct RunTimes {
+    open: BTreeSet<RunNumber>,
+    next_number: u64,
+    older: RunPeaks,
+    newer: RunPeaks,
+    newer_since: TimePoint,
+}
+
+/// The longest of some ended runs.
+#[derive(Clone, Debug, Default)]
+struct RunPeaks {
+    /// In descending order.
+    longest: SmallVec<[TimeSpan; MAX_PEAKS]>,
+    samples: usize,
+}
+
+impl RunPeaks {
+    fn add(&mut self, run_time: TimeSpan) {
+        self.samples += 1;
+        let index = self.longest.partition_point(|peak| *peak >= run_time);
+        if index < MAX_PEAKS {
+            self.longest.truncate(MAX_PEAKS - 1);
+            self.longest.insert(index, run_time);
+        }
+    }
+}
+
+impl RunTimes {
+    /// Records the start of a run.
+    pub fn begin(&mut self, now: TimePoint) -> RunNumber {
+        let run = RunNumber {
+            started_at: now,
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        self.open.insert(run);
+        run
+    }
+
+    /// Records the end of a run. `is_complete` tells whether the work itself has ended; if not, the
+    /// run says nothing about how long the work takes.
+    pub fn end(&mut self, run: RunNumber, is_complete: bool, now: TimePoint) {
+        self.open.remove(&run);
+        if !is_complete {
+            return;
+        }
+        self.rotate(now);
+        self.newer.add(now.since(run.started_at));
+    }
+
+    /// Returns the time that no more than one in a thousand runs of the window has exceeded, open runs
+    /// included. Returns `None` if too few runs have ended.
+    #[must_use]
+    pub fn longest(&self, now: TimePoint) -> Option<TimeSpan> {
+        let samples = self.sample_count();
+        if samples < MIN_SAMPLES {
+            return None;
+        }
+        let outliers = (samples / RUNS_PER_OUTLIER).min(MAX_PEAKS - 1);
+        let open = self.open.iter().take(outliers + 1);
+        let ended = self.older.longest.iter().chain(&self.newer.longest);
+        let mut longest: SmallVec<[TimeSpan; 3 * MAX_PEAKS]> = open
+            .map(|run| now.since(run.started_at))
+            .chain(ended.copied())
+            .collect();
+        longest.sort_unstable();
+        longest.iter().rev().nth(outliers).copied()
+    }
+
+    /// Returns true if the window holds enough runs for an estimate, or one is still open.
+    #[must_use]
+    pub fn is_in_use(&self) -> bool {
+        !self.open.is_empty() || self.sample_count() >= MIN_SAMPLES
+    }
+
+    const fn sample_count(&self) -> usize {
+        self.older.samples + self.newer.samples
+    }
+
+    /// Drops the older half of the window when the newer one is full.
+    fn rotate(&mut self, now: TimePoint) {
+        if now.since(self.newer_since) >= HALF_WINDOW {
+            self.older = std::mem::take(&mut self.newer);
+            self.newer_since = now;
+        }
+    }
+}
