Entries and relays refuse what may outlast their stop

Callers of an entry whose query ran when its stop reached the limit, or at a second stop request, saw their connection close without an answer. Attempts that waited at a relay which reached its limit ended with the connection, so that entries had to call non-idempotent requests that never ran unknown.

An entry now takes only queries that are known to end before its final answers, by their deadline or by the longest run of their template, and answers the rest at once as not run. At the limit it answers what is unfinished: not run while it waits for admission, else failed (idempotent) or unknown. A relay refuses attempts that may outlast it, and those that wait at its limit, as not run.

Tests: failures::stopping::*, stopping_relay_*.

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -2,9 +2,11 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::NodeGroup;
@@ -13,6 +15,9 @@
 use alderhaven_policy::claim_key::ClaimKey;
 use alderhaven_policy::config_registry::ConfigView;
 use alderhaven_policy::drain::DrainState;
+use alderhaven_policy::drain_admission;
+use alderhaven_policy::hashing;
+use alderhaven_policy::work_estimate::{OpenRun, WorkEstimate, WorkKind};
 use alderhaven_store::config_handle::ConfigHandle;
 use alderhaven_store::http_store::HttpStore;
 use bytes::Bytes;
@@ -62,6 +67,8 @@
 const ENTRIES_PATH: &str = "/v1/entries";
 /// `retry_after_ms` of an entry without a complete configuration.
 const NO_CONFIG_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
+/// `retry_after_ms` of a stopping entry. Callers should use another one.
+const STOPPING_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(20);
 /// Header with the key of a non-idempotent request, a `UUIDv7`.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
@@ -86,6 +93,10 @@
     pub group: NodeGroup,
     /// Phase of the entry's shutdown, and the requests in flight.
     pub stop: StopHandle,
+    /// How long the queries of each template run.
+    pub work: Mutex<WorkEstimate>,
+    /// Clock of the process.
+    pub clock: ProcessClock,
     /// Tasks of the open connections.
     pub connections: TaskTracker,
     /// Answers which entries a caller should use.
@@ -248,11 +259,9 @@
         } else {
             Some(idempotency_key(&head.headers)?)
         };
+        self.check_remaining_time(&plan)?;
         self.metrics.in_flight.inc();
-        let answer = match key {
-            None => self.admit_and_run(&plan).await,
-            Some(key) => self.claimed_runner.answer(key, plan).await,
-        };
+        let answer = self.answer_before_close(plan, key).await;
         self.metrics.in_flight.dec();
         let outcome = answer
             .as_ref()
@@ -285,10 +294,80 @@
             .with_retry_after(NO_CONFIG_RETRY_AFTER)
     }
 
-    async fn admit_and_run(&self, plan: &QueryPlan) -> Result<QueryAnswer, ErrorAnswer> {
+    /// Refuses a query that would probably still run when a stopping entry gives its final answers.
+    fn check_remaining_time(&self, plan: &QueryPlan) -> Result<(), ErrorAnswer> {
+        let Some(run_time) = self.stop.remaining_run_time() else {
+            return Ok(());
+        };
+        let now = self.clock.now();
+        let time_left = now.until(self.clock.time_point(plan.expires_at()));
+        let longest = self.lock_work().longest_run(work_kind(plan), now);
+        if drain_admission::can_finish(run_time, time_left, longest) {
+            Ok(())
+        } else {
+            Err(stopping_answer())
+        }
+    }
+
+    /// Answers a query at the latest when a stopping entry gives its final answers.
+    async fn answer_before_close(
+        &self,
+        plan: QueryPlan,
+        key: Option<ClaimKey>,
+    ) -> Result<QueryAnswer, ErrorAnswer> {
+        let is_idempotent = key.is_none();
+        let has_started = AtomicBool::new(false);
+        let answer = async {
+            match key {
+                None => self.admit_and_run(&plan, &has_started).await,
+                Some(key) => {
+                    // Its task goes on by itself, so that nobody knows whether it is sent yet.
+                    has_started.store(true, Ordering::Relaxed);
+                    self.claimed_runner.answer(key, plan).await
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = self.stop.closing() => Err(match (has_started.load(Ordering::Relaxed), is_idempotent) {
+                (false, _) => stopping_answer(),
+                (true, true) => ErrorAnswer::may_have_run(
+                    ErrorCode::Failed,
+                    "the entry stopped before the query was answered",
+                ),
+                (true, false) => ErrorAnswer::may_have_run(
+                    ErrorCode::Unknown,
+                    "the entry stopped before the request was answered",
+                ),
+            }),
+        }
+    }
+
+    /// Runs an idempotent query. Sets `has_started` before anything is sent.
+    async fn admit_and_run(
+        &self,
+        plan: &QueryPlan,
+        has_started: &AtomicBool,
+    ) -> Result<QueryAnswer, ErrorAnswer> {
         self.runner.check_quarantine(plan)?;
         let mut permit = self.admission.admit(plan).await.map_err(refusal_answer)?;
-        self.runner.run(plan, &mut permit).await
+        // The wait for admission may have used up the time that a stop leaves.
+        self.check_remaining_time(plan)?;
+        has_started.store(true, Ordering::Relaxed);
+        let run = self.lock_work().begin(work_kind(plan), self.clock.now());
+        let run = RunGuard {
+            service: self,
+            run,
+            is_complete: false,
+        };
+        let answer = self.runner.run(plan, &mut permit).await;
+        run.end(answer.is_ok());
+        answer
+    }
+
+    fn lock_work(&self) -> MutexGuard<'_, WorkEstimate> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
@@ -316,6 +395,36 @@
     }
 }
 
+/// Records the end of a run in the estimate, also when its query is dropped.
+struct RunGuard<'a> {
+    service: &'a CallerService,
+    run: OpenRun,
+    is_complete: bool,
+}
+
+impl RunGuard<'_> {
+    fn end(mut self, is_complete: bool) {
+        self.is_complete = is_complete;
+    }
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.service.clock.now();
+        let mut work = self.service.lock_work();
+        work.end(self.run, self.is_complete, now);
+    }
+}
+
+fn work_kind(plan: &QueryPlan) -> WorkKind {
+    WorkKind::from_hash(hashing::hash_name(plan.template.name.as_str()))
+}
+
+fn stopping_answer() -> ErrorAnswer {
+    ErrorAnswer::not_run(ErrorCode::Unavailable, "the entry is stopping")
+        .with_retry_after(STOPPING_RETRY_AFTER)
+}
+
 pub(crate) fn refusal_answer(refusal: Refusal) -> ErrorAnswer {
     let message = match refusal.reason {
         RefusalReason::TeamRate => "the team's request rate is exhausted",
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
@@ -154,6 +154,8 @@
             metrics,
             group: group.clone(),
             stop: stop.clone(),
+            work: Mutex::default(),
+            clock,
             connections: connections.clone(),
             directory: directory(&settings, caller_address),
         };
@@ -205,7 +207,7 @@
         self.state.group.gossip_address()
     }
 
-    /// Requests a graceful shutdown. A second call ends the process immediately.
+    /// Requests a graceful shutdown. After a second call the entry gives its final answers and ends.
     pub fn request_stop(&self) {
         self.state.stop.request_stop();
     }
--- a/alderhaven-entry/tests/failures/main.rs
+++ b/alderhaven-entry/tests/failures/main.rs
@@ -2,5 +2,6 @@
 
 mod quarantine;
 mod silence;
+mod stopping;
 mod system;
 mod target;
--- a/alderhaven-entry/tests/failures/target.rs
+++ b/alderhaven-entry/tests/failures/target.rs
@@ -106,6 +106,9 @@
     let parameters = String::from_utf8_lossy(&body).into_owned();
     state.started_count.fetch_add(1, Ordering::SeqCst);
     state.running_count.fetch_add(1, Ordering::SeqCst);
+    if parameters.contains("stuck") {
+        future::pending::<()>().await;
+    }
     let slowdown = if parameters.contains("slow") { 25 } else { 1 };
     tokio::time::sleep(SERVICE_TIME * slowdown).await;
     state.running_count.fetch_sub(1, Ordering::SeqCst);
--- a/alderhaven-relay/src/dispatcher_table.rs
+++ b/alderhaven-relay/src/dispatcher_table.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Answers all waiting attempts as not run, because the relay is about to end.
+    pub fn refuse_waiting(&self) {
+        for dispatcher in self.dispatchers.load().values().flatten() {
+            dispatcher.refuse_waiting();
+        }
+    }
+
     /// Returns all dispatchers, each with its target's id.
     #[must_use]
     pub fn all_dispatchers(&self) -> Vec<(TargetId, Arc<TargetDispatcher>)> {
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -41,7 +41,7 @@
     peer_address: SocketAddr,
     operator_address: SocketAddr,
     state: Arc<RelayState>,
-    _tasks: [AbortOnDropHandle<()>; 6],
+    _tasks: [AbortOnDropHandle<()>; 7],
 }
 
 /// State that the tasks of a relay share and that operators can read.
@@ -113,6 +113,7 @@
                     .follow(Arc::new(hosts), state.config.clone()),
             ),
             tokio::spawn(Arc::clone(&table).expire_forever()),
+            tokio::spawn(refuse_waiting_at_close(Arc::clone(&table), stop.clone())),
             tokio::spawn(peer_server::serve(
                 listener,
                 table,
@@ -152,7 +153,7 @@
         self.state.group.gossip_address()
     }
 
-    /// Requests a graceful shutdown; a second call ends the relay immediately.
+    /// Requests a graceful shutdown; after a second call the relay refuses what waits and ends.
     pub fn request_stop(&self) {
         self.state.stop.request_stop();
     }
@@ -230,6 +231,13 @@
     }
 }
 
+/// Answers the attempts that wait when the relay gives its final answers. Their entries could not know
+/// otherwise that they never ran.
+async fn refuse_waiting_at_close(table: Arc<DispatcherTable>, stop: StopHandle) {
+    stop.closing().await;
+    table.refuse_waiting();
+}
+
 fn group_options(settings: &RelaySettings, peer_address: SocketAddr) -> GroupOptions {
     GroupOptions::builder()
         .node(settings.node.clone())
--- a/alderhaven-relay/src/peer_server.rs
+++ b/alderhaven-relay/src/peer_server.rs
@@ -67,7 +67,8 @@
 /// Serves one entry until its connection ends.
 ///
 /// When the relay starts to leave, the entry is notified on this connection, so that it uses other
-/// relays before gossip reaches it. Attempts that still arrive are run.
+/// relays before gossip reaches it. Attempts that still arrive are run, unless they may last longer
+/// than the relay.
 async fn serve_entry(stream: TcpStream, table: &DispatcherTable, stop: &StopHandle) {
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return;
@@ -82,7 +83,7 @@
             message = next_entry_message(&mut reader, has_pinged) => match message {
                 Some(message) => {
                     has_pinged |= matches!(message, PeerMessage::Ping(_));
-                    handle_message(table, &sender, message);
+                    handle_message(table, &sender, message, stop.remaining_run_time());
                 }
                 None => return,
             },
@@ -106,9 +107,14 @@
         .flatten()
 }
 
-fn handle_message(table: &DispatcherTable, sender: &FrameSender, message: PeerMessage) {
+fn handle_message(
+    table: &DispatcherTable,
+    sender: &FrameSender,
+    message: PeerMessage,
+    run_time: Option<TimeSpan>,
+) {
     match message {
-        PeerMessage::Scatter(request) => offer_attempts(table, sender, &request),
+        PeerMessage::Scatter(request) => offer_attempts(table, sender, &request, run_time),
         PeerMessage::Cancel(cancel) => cancel_attempts(table, &cancel),
         PeerMessage::Strikes(notice) => table.strikes().merge(&notice),
         PeerMessage::Ping(ping) => {
@@ -127,9 +133,22 @@
     }
 }
 
-fn offer_attempts(table: &DispatcherTable, sender: &FrameSender, request: &ScatterRequest) {
+/// Offers attempts to their targets. `run_time` is the time until a stopping relay gives its final
+/// answers.
+fn offer_attempts(
+    table: &DispatcherTable,
+    sender: &FrameSender,
+    request: &ScatterRequest,
+    run_time: Option<TimeSpan>,
+) {
     let arrived_at = table.clock().now();
     let remaining_time = TimeSpan::from_micros(request.remaining_us).min(MAX_REMAINING);
+    if run_time.is_some_and(|run_time| run_time < remaining_time) {
+        for attempt in &request.attempts {
+            reply_no_route(sender, attempt.sequence);
+        }
+        return;
+    }
     let class = QueryClass::from_rank(u8::try_from(request.class).unwrap_or(u8::MAX));
     let template: Option<TemplateName> = request.template.parse().ok();
     let fingerprint = RequestFingerprint::of_canonical(&request.template, &request.parameters);
--- a/alderhaven-relay/src/target_dispatcher.rs
+++ b/alderhaven-relay/src/target_dispatcher.rs
@@ -192,6 +192,12 @@
         }
     }
 
+    /// Answers the waiting attempts as not run, because the relay is about to end.
+    pub fn refuse_waiting(self: &Arc<Self>) {
+        self.lock().queue.drop_all(NotRunReason::NoRoute);
+        self.run_ready();
+    }
+
     /// Opens connections before the first attempts, one per slot of the target; stops at the first
     /// error.
     pub async fn open_connections(&self) {
--- a/alderhaven-relay/tests/peer_frames.rs
+++ b/alderhaven-relay/tests/peer_frames.rs
@@ -21,7 +21,7 @@
 use alderhaven_standin::target_state::TargetSpec;
 use alderhaven_store::config_follower::{ConfigFollower, FollowerOptions};
 use alderhaven_store::http_store::{HttpStore, HttpStoreOptions};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
@@ -39,6 +39,10 @@
 }
 
 async fn start_relay(peer_connections: usize) -> RelayNode {
+    start_relay_with(peer_connections, &json!({})).await
+}
+
+async fn start_relay_with(peer_connections: usize, stop: &Value) -> RelayNode {
     let platform: SocketAddr = UNREACHABLE_ADDRESS.parse().unwrap();
     let store = Arc::new(HttpStore::new(platform, HttpStoreOptions::default()));
     let config = ConfigFollower::start(store, FollowerOptions::default(), CancellationToken::new());
@@ -46,6 +50,7 @@
         "node": "relay-1", "host": "host-1", "domain": "domain-1", "platform": platform,
         "operator_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
         "limits": { "peer_connections": peer_connections },
+        "stop": stop,
     });
     RelayNode::start(serde_json::from_value(settings).unwrap(), config)
         .await
@@ -322,3 +327,66 @@
     let blamed: BTreeSet<&str> = strikes.map(|strike| strike.fingerprint.as_str()).collect();
     assert_eq!(blamed.len(), 2, "{notice:?}");
 }
+
+/// Guards against a stop that takes attempts which may run beyond its end.
+#[tokio::test]
+async fn stopping_relay_refuses_attempts_that_may_outlast_it() {
+    let stop = json!({ "heard_within": "5s", "address_life": "0s", "limit": "10s" });
+    let relay = start_relay_with(4, &stop).await;
+    let target = start_target().await;
+    let mut link = PeerLink::open(&relay).await;
+    link.assert_answered(scatter_request(1, &target.address()))
+        .await;
+    relay.request_stop();
+    let notice = connection::next_message(&mut link.reader).await;
+    assert!(
+        matches!(notice, Some(PeerMessage::Leaving(_))),
+        "{notice:?}"
+    );
+    let long = scatter_request(2, &target.address());
+    let reply = link.send_and_receive(long).await;
+    assert_eq!(reply.status(), ReplyStatus::NoRoute, "{reply:?}");
+    let mut short = scatter_request(3, &target.address());
+    short.remaining_us = 3_000_000;
+    link.assert_answered(short).await;
+}
+
+/// Guards against attempts that end with their relay, without the word that they never ran.
+#[tokio::test]
+async fn stopping_relay_refuses_what_waits_at_its_limit() {
+    const ATTEMPTS: u64 = 12;
+    let stop = json!({ "heard_within": "100ms", "address_life": "0s", "limit": "1s" });
+    let relay = start_relay_with(4, &stop).await;
+    // Accepts connections and never replies.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = silent.local_addr().unwrap();
+    let mut link = PeerLink::open(&relay).await;
+    for sequence in 0..ATTEMPTS {
+        let mut request = scatter_request(sequence, &address);
+        request.idempotent = false;
+        link.sender.send(PeerMessage::Scatter(request)).unwrap();
+    }
+    let waits = async {
+        while relay.state().table.unfinished_count() == 0 {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    time::timeout(WAIT_LIMIT, waits).await.unwrap();
+    let unfinished = relay.state().table.unfinished_count();
+    relay.request_stop();
+    relay.stopped().await;
+    let mut refused = 0;
+    let replies = async {
+        while let Some(message) = connection::next_message(&mut link.reader).await {
+            let PeerMessage::Reply(reply) = message else {
+                continue;
+            };
+            refused += usize::from(reply.status() == ReplyStatus::NoRoute);
+            if refused + 2 >= unfinished {
+                return;
+            }
+        }
+    };
+    time::timeout(WAIT_LIMIT, replies).await.unwrap();
+    assert!(refused > 0, "what waits is refused");
+}
