Exchange connections count as usable only by what they receive

Cause: a connection of the exchange was closed after 10 s without a message, and a message that the node sends itself counted. A node that lagged asked its peers each second, over the silent connection, and so kept it in use. Ruled out: silent watches of the store alone, which end after 4 s.

A message without a reply of its own now asks for one. A connection without any message for 0.6 s after that is closed, with all others on which nothing was heard since: a network failure silences many at once. What was asked of the peer goes to another one at the next tick. New: event exchange_silent, counter silent_links.

--- a/alderhaven-peer/src/exchange_links.rs
+++ b/alderhaven-peer/src/exchange_links.rs
@@ -2,24 +2,32 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::exchange::exchange_message::ExchangeMessage;
+use alderhaven_policy::link_liveness::{LinkLiveness, LinkState, LivenessOptions};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::connection::{self, FrameReader, FrameSender};
-use crate::frames::{Hello, PROTOCOL_VERSION, PeerMessage};
+use crate::frames::{Hello, PROTOCOL_VERSION, PeerMessage, PingProbe};
 
 /// Time limit for opening a connection and for the first message on an accepted one; a broken path
 /// may drop packets silently.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time without messages after which a connection is closed, which also covers silently broken
-/// ones. The exchange requests missing objects from other peers before that.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limits of a connection. The reply of a peer that is only busy comes earlier; if it does not,
+/// a new connection costs little.
+const LIVENESS: LivenessOptions = LivenessOptions {
+    reply_timeout: TimeSpan::from_millis(600),
+    idle_timeout: TimeSpan::from_secs(10),
+};
 
 /// Capacity of a connection's queue of outgoing messages.
 const MAX_QUEUED_MESSAGES: usize = 64;
@@ -34,12 +42,15 @@
     Accepted {
         peer: NodeId,
         queue: mpsc::Sender<PeerMessage>,
+        heard_at: HeardTime,
     },
     /// An exchange message was received.
     Received {
         peer: NodeId,
         message: ExchangeMessage,
     },
+    /// A peer did not reply in time; what was sent to it since then is lost.
+    Silent { peer: NodeId, since: TimePoint },
 }
 
 /// Open connections by peer.
@@ -50,6 +61,7 @@
     /// Counter of uses, by which the least recently used connection is found.
     use_count: u64,
     events: mpsc::Sender<LinkEvent>,
+    clock: ProcessClock,
 }
 
 /// Outgoing queue of a connection. Dropping it closes the connection once queued messages are sent.
@@ -57,15 +69,40 @@
 struct OpenLink {
     queue: mpsc::Sender<PeerMessage>,
     last_use: u64,
+    heard_at: HeardTime,
+}
+
+/// When a connection was opened or last received a message, in microseconds of the process clock.
+/// Clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct HeardTime {
+    micros: Arc<AtomicU64>,
+}
+
+impl HeardTime {
+    fn new(now: TimePoint) -> Self {
+        Self {
+            micros: Arc::new(AtomicU64::new(now.as_micros())),
+        }
+    }
+
+    fn set(&self, now: TimePoint) {
+        self.micros.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    fn get(&self) -> TimePoint {
+        TimePoint::from_micros(self.micros.load(Ordering::Relaxed))
+    }
 }
 
 impl ExchangeLinks {
-    pub(crate) fn new(hello: Hello, events: mpsc::Sender<LinkEvent>) -> Self {
+    pub(crate) fn new(hello: Hello, events: mpsc::Sender<LinkEvent>, clock: ProcessClock) -> Self {
         Self {
             hello,
             links: BTreeMap::new(),
             use_count: 0,
             events,
+            clock,
         }
     }
 
@@ -83,18 +120,32 @@
         };
         let (queue, outgoing) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let _is_queued = queue.try_send(message).is_ok();
+        let heard_at = HeardTime::new(self.clock.now());
         let link = LinkTask {
             peer: peer.clone(),
             outgoing,
             events: self.events.clone(),
+            clock: self.clock,
+            heard_at: heard_at.clone(),
         };
-        self.insert_link(peer, queue);
+        self.insert_link(peer, queue, heard_at);
         tokio::spawn(open_link(address, self.hello.clone(), link));
     }
 
     /// Adds a connection that was opened by the peer.
-    pub(crate) fn add_accepted(&mut self, peer: NodeId, queue: mpsc::Sender<PeerMessage>) {
-        self.insert_link(peer, queue);
+    pub(crate) fn add_accepted(
+        &mut self,
+        peer: NodeId,
+        queue: mpsc::Sender<PeerMessage>,
+        heard_at: HeardTime,
+    ) {
+        self.insert_link(peer, queue, heard_at);
+    }
+
+    /// Closes the connections on which nothing was received since `since`. A network failure silences
+    /// many connections at the same time, and each of them would lose messages before it is noticed.
+    pub(crate) fn close_unheard(&mut self, since: TimePoint) {
+        self.links.retain(|_, link| link.heard_at.get() > since);
     }
 
     /// Marks the peer's connection as used.
@@ -107,7 +158,7 @@
 
     /// Adds a connection; at the limit, closes the least recently used one. Refusing the new one
     /// instead would lose its messages, including replies to a peer that has just connected.
-    fn insert_link(&mut self, peer: NodeId, queue: mpsc::Sender<PeerMessage>) {
+    fn insert_link(&mut self, peer: NodeId, queue: mpsc::Sender<PeerMessage>, heard_at: HeardTime) {
         if self.links.len() >= MAX_LINKS && !self.links.contains_key(&peer) {
             let oldest = self.links.iter().min_by_key(|(_, link)| link.last_use);
             if let Some(oldest) = oldest.map(|(peer, _)| peer.clone()) {
@@ -116,12 +167,17 @@
         }
         self.use_count += 1;
         let last_use = self.use_count;
-        self.links.insert(peer, OpenLink { queue, last_use });
+        let link = OpenLink {
+            queue,
+            last_use,
+            heard_at,
+        };
+        self.links.insert(peer, link);
     }
 
     /// Spawns the task that serves an accepted connection.
     pub(crate) fn accept(&self, stream: TcpStream) {
-        tokio::spawn(accept_link(stream, self.events.clone()));
+        tokio::spawn(accept_link(stream, self.events.clone(), self.clock));
     }
 }
 
@@ -130,6 +186,8 @@
     peer: NodeId,
     outgoing: mpsc::Receiver<PeerMessage>,
     events: mpsc::Sender<LinkEvent>,
+    clock: ProcessClock,
+    heard_at: HeardTime,
 }
 
 async fn open_link(address: SocketAddr, hello: Hello, link: LinkTask) {
@@ -145,7 +203,7 @@
     }
 }
 
-async fn accept_link(stream: TcpStream, events: mpsc::Sender<LinkEvent>) {
+async fn accept_link(stream: TcpStream, events: mpsc::Sender<LinkEvent>, clock: ProcessClock) {
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return;
     };
@@ -160,15 +218,19 @@
         return;
     }
     let (queue, outgoing) = mpsc::channel(MAX_QUEUED_MESSAGES);
+    let heard_at = HeardTime::new(clock.now());
     let accepted = LinkEvent::Accepted {
         peer: peer.clone(),
         queue,
+        heard_at: heard_at.clone(),
     };
     if events.send(accepted).await.is_ok() {
         let link = LinkTask {
             peer,
             outgoing,
             events,
+            clock,
+            heard_at,
         };
         link.run(&sender, reader).await;
     }
@@ -176,13 +238,21 @@
 
 impl LinkTask {
     async fn run(mut self, sender: &FrameSender, mut reader: FrameReader) {
+        let mut liveness = LinkLiveness::new(LIVENESS, self.clock.now());
         loop {
+            let check_at = time::Instant::from_std(self.clock.instant(liveness.next_check()));
             let is_open = tokio::select! {
-                message = self.outgoing.recv() => {
-                    message.is_some_and(|message| sender.send(message).is_ok())
+                message = self.outgoing.recv() => match message {
+                    Some(message) => self.send(message, sender, &mut liveness),
+                    None => false,
+                },
+                message = connection::next_message(&mut reader) => {
+                    let now = self.clock.now();
+                    liveness.record_received(now);
+                    self.heard_at.set(now);
+                    self.handle_message(message, sender).await
                 }
-                message = connection::next_message(&mut reader) => self.forward_message(message).await,
-                () = time::sleep(IDLE_TIMEOUT) => false,
+                () = time::sleep_until(check_at) => self.is_usable(&liveness).await,
             };
             if !is_open {
                 return;
@@ -190,10 +260,45 @@
         }
     }
 
-    /// Forwards a received message to the exchange; returns false if the connection must be closed.
-    async fn forward_message(&self, message: Option<PeerMessage>) -> bool {
-        let Some(PeerMessage::Exchange(frame)) = message else {
-            return message.is_some();
+    /// Sends a message, and asks for a reply if it has none of its own; returns false if the connection
+    /// is closed.
+    fn send(
+        &self,
+        message: PeerMessage,
+        sender: &FrameSender,
+        liveness: &mut LinkLiveness,
+    ) -> bool {
+        let expects_reply =
+            matches!(&message, PeerMessage::Exchange(frame) if frame.expects_reply());
+        if sender.send(message).is_err() {
+            return false;
+        }
+        let needs_reply = liveness.record_sent(self.clock.now());
+        expects_reply
+            || !needs_reply
+            || sender.send(PeerMessage::Ping(PingProbe::default())).is_ok()
+    }
+
+    /// Returns false if the connection is idle or silent; a silent one is reported.
+    async fn is_usable(&self, liveness: &LinkLiveness) -> bool {
+        match liveness.state(self.clock.now()) {
+            LinkState::Usable => true,
+            LinkState::Idle => false,
+            LinkState::Silent(since) => {
+                let peer = self.peer.clone();
+                // The receiver is gone only if the process ends.
+                let _is_sent = self.events.send(LinkEvent::Silent { peer, since }).await;
+                false
+            }
+        }
+    }
+
+    /// Handles a received message; returns false if the connection must be closed.
+    async fn handle_message(&self, message: Option<PeerMessage>, sender: &FrameSender) -> bool {
+        let frame = match message {
+            Some(PeerMessage::Exchange(frame)) => frame,
+            Some(PeerMessage::Ping(ping)) => return sender.send(PeerMessage::Pong(ping)).is_ok(),
+            other => return other.is_some(),
         };
         let Ok(message) = ExchangeMessage::try_from(frame) else {
             return false;
--- a/alderhaven-peer/src/exchange_messages.rs
+++ b/alderhaven-peer/src/exchange_messages.rs
@@ -15,6 +15,17 @@
     message: Option<ExchangeWire>,
 }
 
+impl ExchangeFrame {
+    /// Returns true if the receiver replies to the message.
+    #[must_use]
+    pub const fn expects_reply(&self) -> bool {
+        matches!(
+            self.message,
+            Some(ExchangeWire::Compare(_) | ExchangeWire::Fetch(_))
+        )
+    }
+}
+
 #[derive(Clone, PartialEq, prost::Oneof)]
 enum ExchangeWire {
     #[prost(message, tag = "1")]
--- a/alderhaven-peer/src/peer_driver.rs
+++ b/alderhaven-peer/src/peer_driver.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use alderhaven_core::ids::NodeId;
+use alderhaven_core::logging;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ExchangeOutput};
@@ -15,8 +16,10 @@
 use alderhaven_policy::membership::gossip_message::OutgoingMessage;
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::MemberState;
+use log::Level;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde::Serialize;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
@@ -28,6 +31,19 @@
 use crate::peer_options::ConfigAccess;
 use crate::peer_traffic::{MessageKind, PeerTraffic};
 
+/// Log events of the driver.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum PeerEvent {
+    /// A peer did not reply on its connection, which is closed.
+    ExchangeSilent {
+        /// The id of the peer.
+        peer: String,
+        /// The time since the first message without a reply.
+        silent_for: TimeSpan,
+    },
+}
+
 /// Interval between ticks while membership or exchange has pending work.
 const ACTIVE_TICK_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
 
@@ -159,12 +175,28 @@
 
     async fn handle_link_event(&mut self, event: LinkEvent) {
         match event {
-            LinkEvent::Accepted { peer, queue } => self.links.add_accepted(peer, queue),
+            LinkEvent::Accepted {
+                peer,
+                queue,
+                heard_at,
+            } => self.links.add_accepted(peer, queue, heard_at),
             LinkEvent::Received { peer, message } => {
                 self.traffic.exchange_messages_received += 1;
                 self.links.touch(&peer);
                 self.handle_exchange_message(&peer, message);
             }
+            LinkEvent::Silent { peer, since } => {
+                self.traffic.silent_links += 1;
+                logging::emit(
+                    Level::Info,
+                    &PeerEvent::ExchangeSilent {
+                        peer: peer.to_string(),
+                        silent_for: self.clock.now().since(since),
+                    },
+                );
+                self.links.close_unheard(since);
+                self.exchange.give_up_requests(&peer);
+            }
         }
         // Yields so that a burst of link events doesn't delay datagrams.
         tokio::task::yield_now().await;
--- a/alderhaven-peer/src/peer_node.rs
+++ b/alderhaven-peer/src/peer_node.rs
@@ -67,7 +67,7 @@
         let driver = PeerDriver::builder()
             .membership(GroupMembership::new(record, version, options.membership))
             .exchange(ObjectExchange::new(options.exchange))
-            .links(ExchangeLinks::new(hello, event_sender))
+            .links(ExchangeLinks::new(hello, event_sender, shared.clock))
             .socket(socket)
             .config(config)
             .shared(Arc::clone(&shared))
--- a/alderhaven-peer/src/peer_traffic.rs
+++ b/alderhaven-peer/src/peer_traffic.rs
@@ -101,6 +101,8 @@
     /// Number of received datagrams that could not be decoded.
     #[serde(rename = "malformed")]
     pub malformed_datagrams: u64,
+    /// Connections of the exchange that were closed because their peer did not reply.
+    pub silent_links: u64,
     /// Number of exchange messages received.
     #[serde(rename = "exchange_received")]
     pub exchange_messages_received: u64,
--- a/alderhaven-peer/tests/peer_node.rs
+++ b/alderhaven-peer/tests/peer_node.rs
@@ -6,18 +6,27 @@
 
 use alderhaven_core::config_object::{ObjectKey, ObjectKind, StoredObject};
 use alderhaven_core::ids::IncarnationNumber;
+use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::store_version::StoreVersion;
-use alderhaven_peer::connection;
+use alderhaven_peer::connection::{self, FrameReader, FrameSender};
 use alderhaven_peer::frames::{Hello, PROTOCOL_VERSION, PeerMessage};
+use alderhaven_peer::gossip_messages;
 use alderhaven_peer::peer_handle::{PeerHandle, PeerSnapshot};
 use alderhaven_peer::peer_node::PeerNode;
 use alderhaven_peer::peer_options::{ConfigAccess, PeerOptions};
 use alderhaven_policy::exchange::exchange_message::{ExchangeMessage, ObjectStamp};
-use alderhaven_policy::membership::member_record::{MemberRole, MemberState};
+use alderhaven_policy::membership::gossip_message::OutgoingMessage;
+use alderhaven_policy::membership::group_membership::GroupMembership;
+use alderhaven_policy::membership::member_record::{
+    MemberRecord, MemberRole, MemberState, MemberVersion,
+};
 use alderhaven_policy::membership::membership_options::MembershipOptions;
-use tokio::net::TcpStream;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::time;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Time limit of each wait, so that a failing test doesn't hang.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -237,3 +246,124 @@
         connections.push((sender, reader));
     }
 }
+
+/// A member whose exchange connections are accepted by the test.
+struct ScriptedMember {
+    listener: TcpListener,
+    _gossip: AbortOnDropHandle<()>,
+}
+
+impl ScriptedMember {
+    /// Joins the group of `node`.
+    async fn join(node: &PeerHandle) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port can be bound");
+        let address = listener.local_addr().expect("the address is known");
+        let socket = UdpSocket::bind(address).await.expect("the port is free");
+        let record = MemberRecord::builder()
+            .node("node-9".parse().expect("a valid id"))
+            .role(MemberRole::Relay)
+            .host("host-9".parse().expect("a valid id"))
+            .domain("domain-0".parse().expect("a valid id"))
+            .gossip_address(address)
+            .build();
+        let version = MemberVersion {
+            incarnation: IncarnationNumber(1),
+            refutation: 0,
+        };
+        let options = MembershipOptions {
+            seeds: vec![node.gossip_address()],
+            ..MembershipOptions::default()
+        };
+        let membership = GroupMembership::new(record, version, options);
+        Self {
+            listener,
+            _gossip: AbortOnDropHandle::new(tokio::spawn(gossip(membership, socket))),
+        }
+    }
+
+    /// Accepts a connection and reads its first messages.
+    async fn accept(&self) -> (FrameSender, FrameReader) {
+        let (stream, _) = self.listener.accept().await.expect("a connection");
+        connection::split(stream).expect("the socket's options can be set")
+    }
+}
+
+async fn gossip(mut membership: GroupMembership, socket: UdpSocket) {
+    let clock = ProcessClock::default();
+    let mut rng = StdRng::seed_from_u64(9);
+    let mut datagram = [0; 2_048];
+    loop {
+        let outgoing = tokio::select! {
+            () = time::sleep(Duration::from_millis(50)) => membership.tick(clock.now(), &mut rng),
+            received = socket.recv_from(&mut datagram) => {
+                let (length, from) = received.expect("a datagram");
+                let message = gossip_messages::decode(&datagram[..length]).expect("a gossip message");
+                membership.receive(from, message, clock.now(), &mut rng)
+            }
+        };
+        for OutgoingMessage { to, message } in outgoing {
+            let bytes = gossip_messages::encode(message);
+            socket.send_to(&bytes, to).await.expect("a sent datagram");
+        }
+    }
+}
+
+/// Guards against a silent connection that is used for as long as the node itself sends on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn exchange_replaces_a_silent_connection_that_it_sends_on() {
+    let config = FakeConfig::new(true);
+    let node = start_node(0, None, &config).await;
+    let member = ScriptedMember::join(&node).await;
+    wait_for(&node, |snapshot| {
+        count_members(snapshot, MemberState::Alive) == 2
+    })
+    .await;
+    let changing = config.clone();
+    let _changes = AbortOnDropHandle::new(tokio::spawn(async move {
+        for version in 1.. {
+            changing.accept(vec![drain_object(1, version)]);
+            time::sleep(Duration::from_millis(200)).await;
+        }
+    }));
+    // Neither read nor closed, like a connection whose path has lost its state.
+    let _silent = member.accept().await;
+    let replaced = time::timeout(WAIT_LIMIT, member.accept()).await;
+    let (_sender, mut reader) = replaced.expect("another connection is opened");
+    let hello = connection::next_message(&mut reader).await;
+    assert!(matches!(hello, Some(PeerMessage::Hello(_))));
+    let announcement = connection::next_message(&mut reader).await;
+    assert!(matches!(announcement, Some(PeerMessage::Exchange(_))));
+    wait_for(&node, |snapshot| snapshot.traffic.silent_links >= 1).await;
+}
+
+/// Guards against connections that are closed although their peer replies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn exchange_keeps_a_connection_with_replies() {
+    let config = FakeConfig::new(true);
+    let node = start_node(0, None, &config).await;
+    let member = ScriptedMember::join(&node).await;
+    wait_for(&node, |snapshot| {
+        count_members(snapshot, MemberState::Alive) == 2
+    })
+    .await;
+    let changing = config.clone();
+    let _changes = AbortOnDropHandle::new(tokio::spawn(async move {
+        for version in 1.. {
+            changing.accept(vec![drain_object(1, version)]);
+            time::sleep(Duration::from_millis(200)).await;
+        }
+    }));
+    let (sender, mut reader) = member.accept().await;
+    let mut pings = 0;
+    while pings < 10 {
+        let message = time::timeout(WAIT_LIMIT, connection::next_message(&mut reader)).await;
+        let message = message.expect("the node asks for replies");
+        if let PeerMessage::Ping(ping) = message.expect("the connection stays open") {
+            pings += 1;
+            let pong = PeerMessage::Pong(ping);
+            sender.send(pong).expect("the connection is open");
+        }
+    }
+    assert_eq!(node.snapshot().traffic.silent_links, 0);
+}
--- a/alderhaven-policy/src/exchange/object_exchange.rs
+++ b/alderhaven-policy/src/exchange/object_exchange.rs
@@ -163,6 +163,18 @@
         }
     }
 
+    /// Gives up the requests to a peer whose connection has gone silent, so that the next
+    /// [`tick`](Self::tick) sends them to another peer.
+    pub fn give_up_requests(&mut self, peer: &NodeId) {
+        self.comparison
+            .take_if(|comparison| comparison.peer == *peer && !comparison.is_fully_listed);
+        self.open_fetches.remove(peer);
+        let lost = self.missing.values_mut();
+        for missing in lost.filter(|missing| missing.source == *peer) {
+            missing.asked_at = TimePoint::START;
+        }
+    }
+
     /// Runs all tasks that are due; must be called several times a second.
     pub fn tick(&mut self, peers: &PeerSet, now: TimePoint, rng: &mut impl Rng) -> ExchangeOutput {
         let mut output = ExchangeOutput::default();
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod lease_step;
 pub mod lease_timing;
 pub mod leaving_targets;
+pub mod link_liveness;
 pub mod log_limit;
 pub mod membership;
 mod pending_claim;
