Waits for peers that went silent end in bounded time

A watch of evacuations on a silent connection was noticed after 5.5 s, while an evacuation has to be followed within 5 s; it now waits 3.5 s and the call's 1 s. The connections on which other fronts send group requests, and those of directory queries, probes and scrapes, stayed open for good once their path was lost; they are closed after 10 min and 30 s without a request.

--- a/alderhaven-front/src/caller_server.rs
+++ b/alderhaven-front/src/caller_server.rs
@@ -24,6 +24,10 @@
 /// The smallest connection buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// The longest time for the head of a directory query, a readiness probe or a scrape, idle time before it
+/// included.
+const HEAD_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(30);
+
 /// The delay after a failed accept, typically for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(20);
 
@@ -115,7 +119,10 @@
             let service = service_fn(move |request| {
                 std::future::ready(Ok::<_, std::convert::Infallible>(answer(&request)))
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
             // The client may disconnect at any time; there is nothing to clean up.
             let _ended = connection.await;
         });
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -35,6 +35,10 @@
 /// Pause after a failed accept, which in most cases means that file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(20);
 
+/// Time without a request after which the connection of a front is closed. A front whose path has
+/// lost the connection never closes it.
+const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_mins(10);
+
 /// Accepts connections of other fronts for as long as the process runs.
 pub async fn serve(listener: TcpListener, context: FrontContext) {
     loop {
@@ -58,7 +62,9 @@
     let mut requests: HashMap<u64, OpenRequest> = HashMap::new();
     let mut delivery_age = DeliveryAge::default();
     // Requests end with their connection: the requesting front no longer waits for them.
-    while let Some(message) = connection::next_message(&mut reader).await {
+    while let Ok(Some(message)) =
+        time::timeout(IDLE_TIMEOUT, connection::next_message(&mut reader)).await
+    {
         match message {
             PeerMessage::GroupRequest(request) => {
                 let now = context.clock.now();
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -32,8 +32,8 @@
 const WATCH_TIMEOUT: TimeSpan = TimeSpan::from_millis(3_000);
 
 /// How long a watch call for evacuations waits for a change. They change rarely, so a longer wait
-/// saves calls.
-const EVACUATION_WATCH_TIMEOUT: TimeSpan = TimeSpan::from_millis(4_500);
+/// saves calls. With the call timeout it stays below the time in which an evacuation must be followed.
+const EVACUATION_WATCH_TIMEOUT: TimeSpan = TimeSpan::from_millis(3_500);
 
 /// The number of nodes that watch each kind other than the configuration. Two suffice, since a
 /// leaving target serves for some seconds, in which another node replaces watchers that failed.
