A reply that counts as failed is not forwarded as a success

Cause: the front keeps the last failed reply and forwards it when no attempt succeeds, so that callers see their target's own status. A reply without a proof, or one that claims an encoding, counts as failed but has a 2xx status. Requests that may be sent again are affected only if that isn't possible.

Failed replies are kept only if callers take their status for a failure; else the answer is 502. The connection of a spoiled reply is closed.

--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -318,9 +318,12 @@
             _ => AttemptOutcome::Lost,
         };
     };
-    target
-        .pool
-        .give_back(connection, keep_alive_timeout(&head.headers));
+    // After a reply that can't be the target's own, more bytes of that kind may follow.
+    if kind != ReplyKind::Failure || dialect.is_failure_status(head.status) {
+        target
+            .pool
+            .give_back(connection, keep_alive_timeout(&head.headers));
+    }
     let reply = TargetReply {
         proof: dialect.reply_proof(&head.headers),
         reply: forwarded_reply(head.status, head.headers, body.to_bytes()),
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -388,8 +388,11 @@
                 return;
             }
             AttemptOutcome::Failure(reply) | AttemptOutcome::TimedOut(reply) => {
-                status = Some(reply.reply.status.as_u16());
-                shard.failure = Some(reply);
+                let reply_status = reply.reply.status;
+                status = Some(reply_status.as_u16());
+                if self.context.dialect.is_failure_status(reply_status) {
+                    shard.failure = Some(reply);
+                }
                 UnansweredReason::Failed
             }
             AttemptOutcome::NotRun => {
--- a/alderhaven-front/src/wire_dialect.rs
+++ b/alderhaven-front/src/wire_dialect.rs
@@ -132,6 +132,10 @@
     /// Classifies the head of a target's reply to the request `request_id`.
     fn reply_kind(&self, request_id: &str, status: StatusCode, headers: &HeaderMap) -> ReplyKind;
 
+    /// Returns true if callers take this status for a request that failed and may have run. A failed
+    /// reply with another status is not forwarded: it would pass for a success.
+    fn is_failure_status(&self, status: StatusCode) -> bool;
+
     /// Gets the proof in a target's reply, unchanged. Callers use it to verify the reply's origin.
     fn reply_proof(&self, headers: &HeaderMap) -> Option<http::HeaderValue>;
 
