--- a/alderhaven-front/src/target_pool.rs
+++ b/alderhaven-front/src/target_pool.rs
@@ -25,6 +25,9 @@
 /// only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The largest head of a reply, in bytes. A faulty target may send bytes without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Idle timeout if the target announces none.
 const DEFAULT_IDLE_TIMEOUT: TimeSpan = TimeSpan::from_secs(4);
 
@@ -243,7 +246,9 @@
     async fn connect(&self) -> io::Result<OpenConnection> {
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
