Soak: requests that need seconds, cached directories, spoiled and endless answers

The soak never found that a stop cuts long requests: its targets answered within 60 ms, directory answers lived 0.1 s and callers asked for a new one after each connection. Spoiled answers were not played at all.

--- a/alderhaven-soak/src/lib.rs
+++ b/alderhaven-soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller_credential;
 pub mod config_spread;
 pub mod crash_caller;
+pub mod directory_cache;
 pub mod front_process;
 pub mod history_index;
 pub mod key_history;
--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -24,6 +24,8 @@
 const EXIT_NOT_RUN: u8 = 2;
 /// The shortest run: the fault-free time at its start and end, and a few faults in between.
 const MIN_SECONDS: u64 = 10;
+/// One in so many seeds has requests that need seconds.
+const LONG_WORK_PERIOD: u64 = 2;
 /// The longest run.
 const MAX_SECONDS: u64 = 3_600;
 
@@ -74,6 +76,10 @@
     /// seed)
     #[argh(option, default = "RunMode::Drawn")]
     crashes: RunMode,
+    /// whether some requests need seconds, callers keep directory answers for long, and targets spoil
+    /// answers: on, off or drawn (default: drawn from each seed)
+    #[argh(option, default = "RunMode::Drawn")]
+    long_work: RunMode,
     /// print one JSON line per seed
     #[argh(switch)]
     json: bool,
@@ -136,6 +142,9 @@
                 teams,
                 // They have no key.
                 crashes: !teams && arguments.crashes.is_on(CrashCaller::is_drawn(seed)),
+                long_work: arguments
+                    .long_work
+                    .is_on(seed.is_multiple_of(LONG_WORK_PERIOD)),
                 cause: String::new(),
             },
             ExtraFaults::Seeded,
@@ -159,8 +168,8 @@
     Ok(all_passed)
 }
 
-/// Whether a run evacuates failure domains and restores the store. Regression seeds were recorded
-/// without.
+/// Whether a run evacuates failure domains, restores the store and lets targets spoil answers.
+/// Regression seeds were recorded without.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ExtraFaults {
     None,
@@ -196,6 +205,8 @@
             .has_restores(extra_faults == ExtraFaults::Seeded)
             .has_teams(case.teams)
             .has_crashing_requests(case.crashes)
+            .has_long_work(case.long_work)
+            .has_spoiled_answers(case.long_work && extra_faults == ExtraFaults::Seeded)
             .scope(PromiseScope::All)
             .build();
         let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/alderhaven-soak/src/seed_cases.rs
+++ b/alderhaven-soak/src/seed_cases.rs
@@ -23,6 +23,9 @@
     /// Whether callers send requests that crash targets.
     #[serde(default)]
     pub crashes: bool,
+    /// Whether some requests need seconds, and targets spoil answers.
+    #[serde(default)]
+    pub long_work: bool,
     /// The broken promise and the defect behind it.
     pub cause: String,
 }
--- a/alderhaven-soak/src/soak_caller.rs
+++ b/alderhaven-soak/src/soak_caller.rs
@@ -1,7 +1,7 @@
 //! A caller: finds a front through a directory, keeps one connection while it can be reused, and
 //! sends requests sequentially.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use alderhaven_core::time::TimeSpan;
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::caller_credential::CallerCredential;
+use crate::directory_cache::DirectoryCache;
 use crate::soak_history::{AnswerRecord, HistoryLog, RequestEnd, RequestOutcome, RequestRecord};
 use crate::soak_workload::{DOMAINS, RequestKind};
 
@@ -36,6 +37,8 @@
 const MAX_OUTDATED_CONFIGS: usize = 30;
 /// The share of requests that belong to the surging team.
 const SURGE_SHARE: f64 = 0.8;
+/// The share of orders that need seconds, in a run with such requests.
+const LONG_ORDER_SHARE: f64 = 0.15;
 /// The share of requests with team headers.
 const SPOOFED_SHARE: f64 = 0.2;
 
@@ -48,6 +51,8 @@
     fronts: Vec<FrontSettings>,
     rng: StdRng,
     open_connection: Option<(IpAddr, CallerConnection)>,
+    /// Fronts that are cached, in a run with requests that need seconds.
+    directory_cache: Option<DirectoryCache>,
 }
 
 impl SoakCaller {
@@ -66,9 +71,17 @@
             fronts,
             rng,
             open_connection: None,
+            directory_cache: None,
         }
     }
 
+    /// Makes the caller cache directory answers and send requests that need seconds.
+    #[must_use]
+    pub fn with_directory_cache(mut self, cache: Option<DirectoryCache>) -> Self {
+        self.directory_cache = cache;
+        self
+    }
+
     /// Sends requests until the future is dropped.
     pub async fn run(mut self) {
         loop {
@@ -86,6 +99,10 @@
     }
 
     async fn connect(&mut self) -> Option<(IpAddr, CallerConnection)> {
+        let cached = self.directory_cache.as_ref();
+        if let Some(front) = cached.and_then(|cache| cache.choose(&mut self.rng)) {
+            return self.open(front).await;
+        }
         let directory_index = self.rng.random_range(0..self.fronts.len());
         let directory = self.fronts[directory_index].directory_address();
         let domain = DOMAINS[self.rng.random_range(0..DOMAINS.len())];
@@ -94,9 +111,22 @@
         if fronts.is_empty() {
             return None;
         }
+        if let Some(cache) = &mut self.directory_cache {
+            cache.store(&fronts);
+        }
         let front = fronts[self.rng.random_range(0..fronts.len())];
-        let opened = time::timeout(CONNECT_TIMEOUT, CallerConnection::open(front));
-        Some((front.ip(), opened.await.ok()??))
+        self.open(front).await
+    }
+
+    async fn open(&mut self, front: SocketAddr) -> Option<(IpAddr, CallerConnection)> {
+        let opened = time::timeout(CONNECT_TIMEOUT, CallerConnection::open(front)).await;
+        let opened = opened.ok().flatten();
+        if opened.is_none()
+            && let Some(cache) = &mut self.directory_cache
+        {
+            cache.remove(front);
+        }
+        Some((front.ip(), opened?))
     }
 
     /// Sends one request and keeps the connection if it can be reused.
@@ -139,13 +169,22 @@
         match self.rng.random_range(0..100) {
             0..45 => RequestKind::FanOut,
             45..65 => RequestKind::Record,
-            65..85 => RequestKind::Order,
+            65..85 => self.draw_order(),
             _ => self
                 .draw_version_route()
                 .map_or(RequestKind::Record, RequestKind::VersionRoute),
         }
     }
 
+    /// Draws whether an order needs seconds, in a run with such requests.
+    fn draw_order(&mut self) -> RequestKind {
+        if self.directory_cache.is_some() && self.rng.random_bool(LONG_ORDER_SHARE) {
+            RequestKind::LongOrder
+        } else {
+            RequestKind::Order
+        }
+    }
+
     /// Draws a version route of one of the three newest configurations, which the newest may have
     /// removed.
     fn draw_version_route(&mut self) -> Option<u64> {
@@ -251,7 +290,9 @@
         credential: CallerCredential,
     ) -> CallerRequest {
         let body = match kind {
-            RequestKind::Order => Bytes::from(format!("order {request_id}")),
+            RequestKind::Order | RequestKind::LongOrder => {
+                Bytes::from(format!("order {request_id}"))
+            }
             _ => Bytes::new(),
         };
         let request = CallerRequest {
--- a/alderhaven-soak/src/soak_fault.rs
+++ b/alderhaven-soak/src/soak_fault.rs
@@ -76,6 +76,10 @@
     TruncatesAnswers,
     /// Sends the answer twice.
     AnswersTwice,
+    /// Sends an answer without its proof, or one that claims to be encoded.
+    SpoilsAnswers,
+    /// Sends a head or body that never ends.
+    EndlessAnswers,
 }
 
 impl SoakFault {
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -45,6 +45,12 @@
     /// Whether callers send requests that crash targets.
     #[builder(default)]
     pub has_crashing_requests: bool,
+    /// Whether some requests need seconds, and callers cache directory answers for long.
+    #[builder(default)]
+    pub has_long_work: bool,
+    /// Whether targets spoil answers or send bytes without end, in addition to the faults of the seed.
+    #[builder(default)]
+    pub has_spoiled_answers: bool,
     /// The promises to check.
     pub scope: PromiseScope,
 }
--- a/alderhaven-soak/src/soak_plan.rs
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -118,6 +118,31 @@
         self
     }
 
+    /// Adds targets that spoil answers or send bytes without end, without changing the other faults.
+    #[must_use]
+    pub fn with_spoiled_answers(mut self, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(2));
+        let faults_end = self.span.saturating_sub(FAULT_FREE_END);
+        let mut at = FAULT_FREE_START;
+        loop {
+            let span = TimeSpan::from_millis(rng.random_range(FAULT_DURATION_MS));
+            let index = rng.random_range(0..usize::MAX >> 1);
+            let fault = if rng.random_bool(0.5) {
+                TargetFault::SpoilsAnswers
+            } else {
+                TargetFault::EndlessAnswers
+            };
+            if at + span > faults_end {
+                break;
+            }
+            let fault = SoakFault::TargetFault(index, fault, span);
+            self.steps.push(SoakStep { at, fault });
+            at = at + TimeSpan::from_millis(rng.random_range(0..MAX_FAULT_INTERVAL_MS));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Adds teams, changes of them and faults that outlast their bounds, without changing the other
     /// faults.
     #[must_use]
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::crash_caller::CrashCaller;
+use crate::directory_cache::DirectoryCache;
 use crate::front_process::{FrontCommand, FrontProcess};
 use crate::history_index::HistoryIndex;
 use crate::link_proxy::{LinkMode, LinkProxy};
@@ -47,6 +48,10 @@
 const REPEAT_DELAY: Duration = Duration::from_millis(700);
 /// The time between SIGTERM and SIGKILL.
 const STOP_GRACE_PERIOD: TimeSpan = TimeSpan::from_secs(6);
+/// How long callers may cache a directory answer, in seconds.
+const DIRECTORY_TTL_S: f64 = 0.1;
+/// The same in a run with requests that need seconds.
+const LONG_DIRECTORY_TTL_S: f64 = 4.0;
 
 /// A run in progress. Dropping it ends its processes and tasks.
 struct SoakRun {
@@ -79,6 +84,9 @@
     if options.has_restores {
         plan = plan.with_restores(options.seed);
     }
+    if options.has_spoiled_answers {
+        plan = plan.with_spoiled_answers(options.seed);
+    }
     if options.has_teams {
         plan = plan.with_teams(options.seed);
     }
@@ -182,6 +190,11 @@
                 .map(host_address)
                 .collect(),
             store: link.address(),
+            directory_ttl_s: if options.has_long_work {
+                LONG_DIRECTORY_TTL_S
+            } else {
+                DIRECTORY_TTL_S
+            },
             grace_s: STOP_GRACE_PERIOD.as_millis() / 1_000,
             repeat_extra: repeat_budget::FREE_REPEATS_PER_WINDOW,
             team_bounds: self.log.lock().team_bounds,
@@ -215,7 +228,14 @@
         self.caller_tasks = (0..options.callers)
             .map(|number| {
                 let rng = StdRng::seed_from_u64(options.seed.wrapping_add(number as u64));
+                let cache = options.has_long_work.then(|| {
+                    DirectoryCache::of_caller(
+                        number,
+                        TimeSpan::from_secs(1).mul_f64(LONG_DIRECTORY_TTL_S),
+                    )
+                });
                 let caller = SoakCaller::new(number, self.log.clone(), settings.clone(), rng);
+                let caller = caller.with_directory_cache(cache);
                 AbortOnDropHandle::new(tokio::spawn(caller.run()))
             })
             .collect();
--- a/alderhaven-soak/src/soak_workload.rs
+++ b/alderhaven-soak/src/soak_workload.rs
@@ -75,6 +75,9 @@
 /// The service that runs non-idempotent requests.
 pub const ORDER_SERVICE: &str = "orders";
 
+/// The path prefix of orders that take seconds.
+pub const LONG_ORDER_PREFIX: &str = "/order/long/";
+
 /// The kind of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -86,6 +89,8 @@
     Record,
     /// Places an order, which must run at most once.
     Order,
+    /// Places an order that takes seconds, on the route of the other orders.
+    LongOrder,
     /// Reads one record over the route that this configuration version added; idempotent.
     #[serde(rename = "mark")]
     VersionRoute(u64),
@@ -99,6 +104,7 @@
             Self::FanOut => format!("/sweep/{request_id}?all=1"),
             Self::Record => format!("/record/{request_id}"),
             Self::Order => format!("/order/{request_id}"),
+            Self::LongOrder => format!("{LONG_ORDER_PREFIX}{request_id}"),
             Self::VersionRoute(version) => format!("/mark-{version}/{request_id}"),
         }
     }
@@ -107,7 +113,7 @@
     #[must_use]
     pub const fn method(self) -> &'static str {
         match self {
-            Self::Order => "POST",
+            Self::Order | Self::LongOrder => "POST",
             _ => "GET",
         }
     }
@@ -115,7 +121,7 @@
     /// Returns true if the request may run more than once.
     #[must_use]
     pub const fn is_idempotent(self) -> bool {
-        !matches!(self, Self::Order)
+        !matches!(self, Self::Order | Self::LongOrder)
     }
 
     /// Returns the timeout that the caller announces.
@@ -123,6 +129,7 @@
     pub const fn timeout(self) -> TimeSpan {
         match self {
             Self::FanOut => TimeSpan::from_millis(1_500),
+            Self::LongOrder => TimeSpan::from_millis(6_000),
             _ => TimeSpan::from_millis(3_000),
         }
     }
@@ -138,6 +145,7 @@
     pub const fn base_service_time(self) -> Duration {
         match self {
             Self::FanOut => Duration::from_millis(5),
+            Self::LongOrder => Duration::from_millis(1_500),
             _ => Duration::from_millis(30),
         }
     }
@@ -148,7 +156,7 @@
         match self {
             Self::FanOut => shards.services(),
             Self::Record | Self::VersionRoute(_) => vec![RECORD_SERVICE.to_owned()],
-            Self::Order => vec![ORDER_SERVICE.to_owned()],
+            Self::Order | Self::LongOrder => vec![ORDER_SERVICE.to_owned()],
         }
     }
 }
@@ -159,6 +167,7 @@
             Self::FanOut => formatter.write_str("sweep"),
             Self::Record => formatter.write_str("record"),
             Self::Order => formatter.write_str("order"),
+            Self::LongOrder => formatter.write_str("long order"),
             Self::VersionRoute(version) => write!(formatter, "mark {version}"),
         }
     }
--- a/alderhaven-soak/src/target_fleet.rs
+++ b/alderhaven-soak/src/target_fleet.rs
@@ -20,7 +20,7 @@
 use crate::soak_fault::TargetFault;
 use crate::soak_history::{ArrivalRecord, DisruptionSubject, HistoryLog};
 use crate::soak_team::KEY_PREFIX;
-use crate::soak_workload::{self, DOMAINS, RequestKind};
+use crate::soak_workload::{self, DOMAINS, LONG_ORDER_PREFIX, RequestKind};
 
 /// How long after a target reports that it is leaving it may still get requests.
 pub const DRAIN_TIME: TimeSpan = TimeSpan::from_millis(3_000);
@@ -246,6 +246,8 @@
 ) -> TargetBehavior {
     let kind = if request.path.starts_with("/sweep/") {
         RequestKind::FanOut
+    } else if request.path.starts_with(LONG_ORDER_PREFIX) {
+        RequestKind::LongOrder
     } else {
         RequestKind::Record
     };
@@ -265,6 +267,15 @@
         Some(TargetFault::Disconnects) => TargetBehavior::RunAndDisconnect,
         Some(TargetFault::TruncatesAnswers) => TargetBehavior::AnswerTruncated(body),
         Some(TargetFault::AnswersTwice) => TargetBehavior::AnswerTwice(body),
+        Some(TargetFault::SpoilsAnswers) => match rng.random_range(0..2) {
+            0 => TargetBehavior::AnswerWithoutProof(body),
+            _ => TargetBehavior::AnswerEncoded(body),
+        },
+        // A body without a length would be complete once its target crashes.
+        Some(TargetFault::EndlessAnswers) => match rng.random_range(0..2) {
+            0 => TargetBehavior::EndlessHead,
+            _ => TargetBehavior::EndlessBody,
+        },
     }
 }
 
--- a/alderhaven-soak/tests/promises.rs
+++ b/alderhaven-soak/tests/promises.rs
@@ -248,6 +248,24 @@
     assert_eq!(builder.broken_promises(ALL), [PromiseKind::ConfigKept]);
 }
 
+/// A front that stops gives a request up early although a target answers. That is allowed once the
+/// request has timed out, and to a front that doesn't stop, where other promises apply.
+#[test]
+fn check_request_given_up_during_a_stop() {
+    let mut builder = HistoryBuilder::valid();
+    builder.edit_answer("order", |answer| {
+        answer.status = 504;
+        answer.proof = String::new();
+        answer.body = bytes::Bytes::new();
+    });
+    assert_eq!(builder.broken_promises(ALL), []);
+    builder.history.processes[0].stop_requested_at = Some(at_millis(8_000));
+    assert_eq!(builder.broken_promises(ALL), [PromiseKind::NothingCut]);
+    let order = builder.history.requests.get_mut("order");
+    order.expect("the request was added").timeout = TimeSpan::from_millis(50);
+    assert_eq!(builder.broken_promises(ALL), []);
+}
+
 /// A front closes a connection although a target answers, both while it serves and while it stops.
 /// That is allowed if it was killed.
 #[test]
