Stops tell kinds of work apart by either end of the path, beyond chance

Short requests were refused during a stop where the path names its operation last (/record/4711/long), because only the first segment made a kind, and long ones could be taken where a kind had had 20 short requests by chance.

The last segment makes a kind as well. A kind counts as shorter than its route only if its requests, were they like all others, would contain none of the longer ones with a probability of 1% at most. A new kind takes the place of the rarest one.

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -301,7 +301,7 @@
         };
         let now = self.clock.now();
         let time_left = now.until(self.clock.time_point(plan.expires_at()));
-        let longest = self.lock_work().longest_run(work_kind(plan), now);
+        let longest = self.lock_work().longest_run(&[work_kind(plan)], now);
         if drain_admission::can_finish(run_time, time_left, longest) {
             Ok(())
         } else {
@@ -355,7 +355,7 @@
         // The wait for admission may have used up the time that a stop leaves.
         self.check_remaining_time(plan)?;
         has_started.store(true, Ordering::Relaxed);
-        let run = self.lock_work().begin(work_kind(plan), self.clock.now());
+        let run = self.lock_work().begin(&[work_kind(plan)], self.clock.now());
         let run = RunGuard {
             service: self,
             run,
@@ -412,7 +412,7 @@
     fn drop(&mut self) {
         let now = self.service.clock.now();
         let mut work = self.service.lock_work();
-        work.end(self.run, self.is_complete, now);
+        work.end(&self.run, self.is_complete, now);
     }
 }
 
--- a/alderhaven-front/src/query_call.rs
+++ b/alderhaven-front/src/query_call.rs
@@ -5,7 +5,7 @@
 
 use alderhaven_core::fingerprint::RequestFingerprint;
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use alderhaven_policy::work_estimate::WorkKind;
+use alderhaven_policy::work_estimate::{WorkKind, WorkKinds};
 use bytes::Bytes;
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -57,15 +57,23 @@
             .get_or_init(|| self.compute_fingerprint())
     }
 
-    /// Returns the kind of work: the method and the first segment of the path after the route's
-    /// prefix, which often names an operation.
+    /// Returns the kinds of work: the method with the first and with the last segment of the path after
+    /// the route's prefix, either of which may name an operation.
     #[must_use]
-    pub fn work_kind(&self, path_prefix: &str) -> WorkKind {
+    pub fn work_kinds(&self, path_prefix: &str) -> WorkKinds {
         let path = self.head.uri.path();
         let rest = path.strip_prefix(path_prefix).unwrap_or(path);
-        let segment = rest.split('/').next().unwrap_or_default();
+        let mut segments = rest.split('/').filter(|segment| !segment.is_empty());
+        let ends = [segments.next(), segments.next_back()];
+        let ends = ends.into_iter().enumerate();
+        ends.filter_map(|(position, segment)| Some(self.work_kind(position, segment?)))
+            .collect()
+    }
+
+    fn work_kind(&self, position: usize, segment: &str) -> WorkKind {
         let mut hasher = DefaultHasher::new();
         self.head.method.hash(&mut hasher);
+        position.hash(&mut hasher);
         segment.hash(&mut hasher);
         WorkKind::from_hash(hasher.finish())
     }
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -222,7 +222,7 @@
             permit: None,
             record: RunRecord::begin(
                 &route.state,
-                call.work_kind(&route.rule.path_prefix),
+                &call.work_kinds(&route.rule.path_prefix),
                 context.clock,
             ),
             started_at: context.clock.now(),
--- a/alderhaven-front/src/route_state.rs
+++ b/alderhaven-front/src/route_state.rs
@@ -84,18 +84,18 @@
     }
 
     /// Records that a request begins to run.
-    pub fn begin_run(&self, kind: WorkKind, now: TimePoint) -> OpenRun {
-        self.lock_work().begin(kind, now)
+    pub fn begin_run(&self, kinds: &[WorkKind], now: TimePoint) -> OpenRun {
+        self.lock_work().begin(kinds, now)
     }
 
     /// Records the end of a run; `is_complete` tells whether targets have finished its work.
-    pub fn end_run(&self, run: OpenRun, is_complete: bool, now: TimePoint) {
+    pub fn end_run(&self, run: &OpenRun, is_complete: bool, now: TimePoint) {
         self.lock_work().end(run, is_complete, now);
     }
 
-    /// Returns the longest time that a request of this kind is known to take, if enough are known.
-    pub fn longest_run(&self, kind: WorkKind, now: TimePoint) -> Option<TimeSpan> {
-        self.lock_work().longest_run(kind, now)
+    /// Returns the longest time that a request of these kinds is known to take, if enough are known.
+    pub fn longest_run(&self, kinds: &[WorkKind], now: TimePoint) -> Option<TimeSpan> {
+        self.lock_work().longest_run(kinds, now)
     }
 
     fn lock_work(&self) -> MutexGuard<'_, WorkEstimate> {
--- a/alderhaven-front/src/run_record.rs
+++ b/alderhaven-front/src/run_record.rs
@@ -17,10 +17,10 @@
 }
 
 impl RunRecord {
-    /// Begins a run of this kind of work.
-    pub(crate) fn begin(state: &Arc<RouteState>, kind: WorkKind, clock: ProcessClock) -> Self {
+    /// Begins a run of these kinds of work.
+    pub(crate) fn begin(state: &Arc<RouteState>, kinds: &[WorkKind], clock: ProcessClock) -> Self {
         Self {
-            run: state.begin_run(kind, clock.now()),
+            run: state.begin_run(kinds, clock.now()),
             state: Arc::clone(state),
             clock,
             is_complete: false,
@@ -36,6 +36,6 @@
 impl Drop for RunRecord {
     fn drop(&mut self) {
         let now = self.clock.now();
-        self.state.end_run(self.run, self.is_complete, now);
+        self.state.end_run(&self.run, self.is_complete, now);
     }
 }
--- a/alderhaven-front/src/stop_check.rs
+++ b/alderhaven-front/src/stop_check.rs
@@ -37,8 +37,8 @@
     };
     let now = context.clock.now();
     let deadline = call.arrived_at + call.time_left.min(route.rule.timeout);
-    let kind = call.work_kind(&route.rule.path_prefix);
-    let longest_run = route.state.longest_run(kind, now);
+    let kinds = call.work_kinds(&route.rule.path_prefix);
+    let longest_run = route.state.longest_run(&kinds, now);
     drain_admission::can_finish(remaining, deadline.since(now), longest_run)
 }
 
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod row_merge;
+pub mod run_histogram;
 pub mod run_times;
 pub mod running_mean;
 pub mod service_admission;
--- a/alderhaven-policy/src/run_times.rs
+++ b/alderhaven-policy/src/run_times.rs
@@ -32,6 +32,7 @@
     older: RunPeaks,
     newer: RunPeaks,
     newer_since: TimePoint,
+    last_begin: TimePoint,
 }
 
 /// The longest of some ended runs.
@@ -61,19 +62,21 @@
             number: self.next_number,
         };
         self.next_number += 1;
+        self.last_begin = now;
         self.open.insert(run);
         run
     }
 
-    /// Records the end of a run. `is_complete` tells whether the work itself has ended; if not, the
-    /// run says nothing about how long the work takes.
-    pub fn end(&mut self, run: RunNumber, is_complete: bool, now: TimePoint) {
+    /// Records the end of a run and returns its time. `is_complete` tells whether the work itself has
+    /// ended; if not, the run says nothing about how long the work takes.
+    pub fn end(&mut self, run: RunNumber, is_complete: bool, now: TimePoint) -> TimeSpan {
         self.open.remove(&run);
-        if !is_complete {
-            return;
+        let run_time = now.since(run.started_at);
+        if is_complete {
+            self.rotate(now);
+            self.newer.add(run_time);
         }
-        self.rotate(now);
-        self.newer.add(now.since(run.started_at));
+        run_time
     }
 
     /// Returns the time that no more than one in a thousand runs of the window has exceeded, open runs
@@ -95,13 +98,30 @@
         longest.iter().rev().nth(outliers).copied()
     }
 
-    /// Returns true if the window holds enough runs for an estimate, or one is still open.
+    /// Returns the number of open runs that are longer than this time.
     #[must_use]
-    pub fn is_in_use(&self) -> bool {
-        !self.open.is_empty() || self.sample_count() >= MIN_SAMPLES
+    pub fn count_open_above(&self, run_time: TimeSpan, now: TimePoint) -> usize {
+        let longer = self.open.iter();
+        longer
+            .take_while(|run| now.since(run.started_at) > run_time)
+            .count()
     }
 
-    const fn sample_count(&self) -> usize {
+    /// Returns true if a run is open.
+    #[must_use]
+    pub fn has_open(&self) -> bool {
+        !self.open.is_empty()
+    }
+
+    /// Returns when the last run began.
+    #[must_use]
+    pub const fn last_begin(&self) -> TimePoint {
+        self.last_begin
+    }
+
+    /// Returns the number of ended runs in the window.
+    #[must_use]
+    pub const fn sample_count(&self) -> usize {
         self.older.samples + self.newer.samples
     }
 
--- a/alderhaven-policy/src/work_estimate.rs
+++ b/alderhaven-policy/src/work_estimate.rs
@@ -3,16 +3,22 @@
 use std::collections::HashMap;
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use smallvec::SmallVec;
 
+use crate::run_histogram::RunHistogram;
 use crate::run_times::{RunNumber, RunTimes};
 
 /// Largest number of kinds that are tracked apart.
 const MAX_KINDS: usize = 64;
 
-/// Time between two removals of the kinds with too few requests for an estimate.
-const CLEANUP_INTERVAL: TimeSpan = TimeSpan::from_secs(60);
+/// Expected number of longer runs among those of a kind that has none, if the kind made no difference,
+/// from which it does: the probability of having none is then 1%.
+const MIN_EXPECTED_LONGER: f64 = 4.6;
 
-/// A kind of work within a route: requests of one kind are expected to take a similar time.
+/// Time after which the older half of the window is dropped.
+const HALF_WINDOW: TimeSpan = TimeSpan::from_secs(300);
+
+/// A kind of work within a route, such as an operation that the path names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WorkKind(u64);
 
@@ -24,56 +30,94 @@
     }
 }
 
+/// The kinds that a request belongs to.
+pub type WorkKinds = SmallVec<[WorkKind; 2]>;
+
 /// A run whose end has to be recorded.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct OpenRun {
-    kind: WorkKind,
     number: RunNumber,
-    kind_number: Option<RunNumber>,
+    kinds: SmallVec<[(WorkKind, RunNumber); 2]>,
 }
 
 /// Run times of a route, overall and by kind.
-///
-/// Kinds with few requests, such as those derived from an id in the path, are not told apart.
 #[derive(Clone, Debug, Default)]
 pub struct WorkEstimate {
     overall: RunTimes,
+    older: RunHistogram,
+    newer: RunHistogram,
+    newer_since: TimePoint,
     kinds: HashMap<WorkKind, RunTimes>,
-    cleaned_at: TimePoint,
 }
 
 impl WorkEstimate {
-    /// Records that a request begins to run.
-    pub fn begin(&mut self, kind: WorkKind, now: TimePoint) -> OpenRun {
-        if now.since(self.cleaned_at) >= CLEANUP_INTERVAL {
-            self.cleaned_at = now;
-            self.kinds.retain(|_, times| times.is_in_use());
-        }
-        if self.kinds.len() < MAX_KINDS {
-            self.kinds.entry(kind).or_default();
+    /// Records that a request of these kinds begins to run.
+    pub fn begin(&mut self, kinds: &[WorkKind], now: TimePoint) -> OpenRun {
+        let mut open_kinds = SmallVec::new();
+        for kind in kinds {
+            if let Some(times) = self.times_of(*kind) {
+                open_kinds.push((*kind, times.begin(now)));
+            }
         }
         OpenRun {
-            kind,
             number: self.overall.begin(now),
-            kind_number: self.kinds.get_mut(&kind).map(|times| times.begin(now)),
+            kinds: open_kinds,
         }
     }
 
     /// Records the end of a run. `is_complete` tells whether a target has finished its work.
-    pub fn end(&mut self, run: OpenRun, is_complete: bool, now: TimePoint) {
-        self.overall.end(run.number, is_complete, now);
-        if let Some(number) = run.kind_number
-            && let Some(times) = self.kinds.get_mut(&run.kind)
-        {
-            times.end(number, is_complete, now);
+    pub fn end(&mut self, run: &OpenRun, is_complete: bool, now: TimePoint) {
+        let run_time = self.overall.end(run.number, is_complete, now);
+        if is_complete {
+            self.rotate(now);
+            self.newer.add(run_time);
+        }
+        for (kind, number) in &run.kinds {
+            if let Some(times) = self.kinds.get_mut(kind) {
+                times.end(*number, is_complete, now);
+            }
         }
     }
 
-    /// Returns the longest time that a request of this kind is known to take, or of any kind if too
-    /// few of this one are known. Returns `None` if too few requests are known at all.
+    /// Returns the longest time that a request of these kinds is known to take. Returns `None` if too
+    /// few requests are known.
+    ///
+    /// A kind counts only if its runs are shorter than those of the route by more than chance: most
+    /// values in a path, such as ids, say nothing about the work.
     #[must_use]
-    pub fn longest_run(&self, kind: WorkKind, now: TimePoint) -> Option<TimeSpan> {
-        let own = self.kinds.get(&kind).and_then(|times| times.longest(now));
-        own.or_else(|| self.overall.longest(now))
+    pub fn longest_run(&self, kinds: &[WorkKind], now: TimePoint) -> Option<TimeSpan> {
+        let overall = self.overall.longest(now)?;
+        let shorter = kinds.iter().filter_map(|kind| {
+            let times = self.kinds.get(kind)?;
+            let longest = times.longest(now)?;
+            self.is_shorter_kind(times, longest, now).then_some(longest)
+        });
+        Some(shorter.fold(overall, TimeSpan::min))
+    }
+
+    fn is_shorter_kind(&self, times: &RunTimes, longest: TimeSpan, now: TimePoint) -> bool {
+        let longer_open = self.overall.count_open_above(longest, now) as u64;
+        let longer = self.older.count_above(longest) + self.newer.count_above(longest);
+        let longer_share = (longer + longer_open) as f64 / self.overall.sample_count() as f64;
+        times.sample_count() as f64 * longer_share >= MIN_EXPECTED_LONGER
+    }
+
+    /// Returns the times of a kind. A new kind takes the place of the one with the fewest runs; `None`
+    /// if all kinds have open runs.
+    fn times_of(&mut self, kind: WorkKind) -> Option<&mut RunTimes> {
+        if !self.kinds.contains_key(&kind) && self.kinds.len() >= MAX_KINDS {
+            let closed = self.kinds.iter().filter(|(_, times)| !times.has_open());
+            let rarest = closed.min_by_key(|(_, times)| (times.sample_count(), times.last_begin()));
+            let rarest = rarest.map(|(kind, _)| *kind)?;
+            self.kinds.remove(&rarest);
+        }
+        Some(self.kinds.entry(kind).or_default())
+    }
+
+    fn rotate(&mut self, now: TimePoint) {
+        if now.since(self.newer_since) >= HALF_WINDOW {
+            self.older = std::mem::take(&mut self.newer);
+            self.newer_since = now;
+        }
     }
 }
