Entries estimate runs by template, and not those of requests that run once

The longest run of a template without enough queries of its own was that of all templates, also for non-idempotent requests, whose runs are not recorded: such a query could be taken during a stop although nothing is known of it.

Each template has its own estimate. Without one the deadline decides.

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use alderhaven_core::process_clock::ProcessClock;
@@ -16,8 +16,6 @@
 use alderhaven_policy::config_registry::ConfigView;
 use alderhaven_policy::drain::DrainState;
 use alderhaven_policy::drain_admission;
-use alderhaven_policy::hashing;
-use alderhaven_policy::work_estimate::{OpenRun, WorkEstimate, WorkKind};
 use alderhaven_store::config_handle::ConfigHandle;
 use alderhaven_store::http_store::HttpStore;
 use bytes::Bytes;
@@ -45,6 +43,7 @@
 use crate::query_runner::QueryRunner;
 use crate::request_record::{REQUEST_ID_HEADER, RequestId, RequestRecord};
 use crate::settings::EntryLimits;
+use crate::template_runs::TemplateRuns;
 
 /// Ratio of hyper's buffer to the head limit. Heads up to it get an [`ErrorAnswer`]; larger ones
 /// are rejected by hyper itself.
@@ -93,8 +92,8 @@
     pub group: NodeGroup,
     /// Phase of the entry's shutdown, and the requests in flight.
     pub stop: StopHandle,
-    /// How long the queries of each template run.
-    pub work: Mutex<WorkEstimate>,
+    /// How long the queries of each template run; non-idempotent ones are not recorded.
+    pub runs: TemplateRuns,
     /// Clock of the process.
     pub clock: ProcessClock,
     /// Tasks of the open connections.
@@ -301,7 +300,7 @@
         };
         let now = self.clock.now();
         let time_left = now.until(self.clock.time_point(plan.expires_at()));
-        let longest = self.lock_work().longest_run(&[work_kind(plan)], now);
+        let longest = self.runs.longest_run(&plan.template.name);
         if drain_admission::can_finish(run_time, time_left, longest) {
             Ok(())
         } else {
@@ -355,21 +354,14 @@
         // The wait for admission may have used up the time that a stop leaves.
         self.check_remaining_time(plan)?;
         has_started.store(true, Ordering::Relaxed);
-        let run = self.lock_work().begin(&[work_kind(plan)], self.clock.now());
-        let run = RunGuard {
-            service: self,
-            run,
-            is_complete: false,
-        };
+        let run = self.runs.begin(&plan.template.name);
         let answer = self.runner.run(plan, &mut permit).await;
-        run.end(answer.is_ok());
+        if let Some(run) = run {
+            run.end(answer.is_ok());
+        }
         answer
     }
 
-    fn lock_work(&self) -> MutexGuard<'_, WorkEstimate> {
-        self.work.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
         let limit = self.limits.body;
         // Refuses an oversized `content-length` before reading the body.
@@ -395,31 +387,6 @@
     }
 }
 
-/// Records the end of a run in the estimate, also when its query is dropped.
-struct RunGuard<'a> {
-    service: &'a CallerService,
-    run: OpenRun,
-    is_complete: bool,
-}
-
-impl RunGuard<'_> {
-    fn end(mut self, is_complete: bool) {
-        self.is_complete = is_complete;
-    }
-}
-
-impl Drop for RunGuard<'_> {
-    fn drop(&mut self) {
-        let now = self.service.clock.now();
-        let mut work = self.service.lock_work();
-        work.end(&self.run, self.is_complete, now);
-    }
-}
-
-fn work_kind(plan: &QueryPlan) -> WorkKind {
-    WorkKind::from_hash(hashing::hash_name(plan.template.name.as_str()))
-}
-
 fn stopping_answer() -> ErrorAnswer {
     ErrorAnswer::not_run(ErrorCode::Unavailable, "the entry is stopping")
         .with_retry_after(STOPPING_RETRY_AFTER)
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod request_record;
 pub mod running_query;
 pub mod settings;
+pub mod template_runs;
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use alderhaven_core::ids::NodeId;
@@ -43,6 +43,7 @@
 use crate::relay_routes::RelayRoutes;
 use crate::replica_selector::ReplicaSelector;
 use crate::settings::EntrySettings;
+use crate::template_runs::TemplateRuns;
 
 /// Time limit for writing the last answers after the graceful shutdown.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -154,7 +155,7 @@
             metrics,
             group: group.clone(),
             stop: stop.clone(),
-            work: Mutex::default(),
+            runs: TemplateRuns::new(clock),
             clock,
             connections: connections.clone(),
             directory: directory(&settings, caller_address),
--- a/alderhaven-entry/tests/failures/stopping.rs
+++ b/alderhaven-entry/tests/failures/stopping.rs
@@ -29,6 +29,26 @@
     assert_eq!(entry.stopped().await.aborted_requests, 0);
 }
 
+/// Guards against a stop that refuses queries of which it is known that they end in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_entry_serves_queries_that_are_known_to_be_short() {
+    let settings = json!({ "entry": { "stop": {
+        "heard_within": "5s", "address_life": "30s", "limit": "4s" } } });
+    let system = TestSystem::start(2, 1, &settings).await;
+    for number in 0..30 {
+        let answer = system.query(0, &format!("known-{number}")).await;
+        assert_eq!(answer["outcome"], "complete", "{answer}");
+    }
+    let entry = &system.entries[0];
+    entry.request_stop();
+    wait_until("the entry is leaving", || {
+        entry.state().stop.remaining_run_time().is_some()
+    })
+    .await;
+    let answer = send_query(entry.caller_address(), "late").await;
+    assert_eq!(answer["outcome"], "complete", "{answer}");
+}
+
 /// Guards against a second stop request, or the limit of a stop, that closes connections without an
 /// answer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
