Stops: no time remains once the final answers are given

A second stop request brings the final answers forward, but requests were still judged by the time until the limit, so that one that was just being read could be sent and then answered as of unknown outcome.

--- a/alderhaven-entry/tests/failures/stopping.rs
+++ b/alderhaven-entry/tests/failures/stopping.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use alderhaven_entry::node::EntryNode;
 use alderhaven_policy::drain::StopReason;
 use serde_json::json;
 use tokio::time;
@@ -11,6 +12,15 @@
 /// How long the last answers may take to reach their callers; far less than the queries' deadline.
 const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Requests a stop and waits until it has begun.
+async fn request_stop(entry: &EntryNode) {
+    entry.request_stop();
+    wait_until("the entry is leaving", || {
+        entry.state().stop.remaining_run_time().is_some()
+    })
+    .await;
+}
+
 /// Guards against a stop that accepts queries which may run beyond its end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopping_entry_refuses_queries_that_may_outlast_it() {
@@ -18,11 +28,7 @@
         "heard_within": "5s", "address_life": "30s", "limit": "400ms", "final_answers": "100ms" } } });
     let system = TestSystem::start(2, 1, &settings).await;
     let entry = &system.entries[0];
-    entry.request_stop();
-    wait_until("the entry is leaving", || {
-        entry.state().stop.remaining_run_time().is_some()
-    })
-    .await;
+    request_stop(entry).await;
     let answer = send_query(entry.caller_address(), "late").await;
     assert_eq!(answer["error"]["code"], "unavailable", "{answer}");
     assert_eq!(answer["error"]["not_run"], true);
@@ -40,11 +46,7 @@
         assert_eq!(answer["outcome"], "complete", "{answer}");
     }
     let entry = &system.entries[0];
-    entry.request_stop();
-    wait_until("the entry is leaving", || {
-        entry.state().stop.remaining_run_time().is_some()
-    })
-    .await;
+    request_stop(entry).await;
     let answer = send_query(entry.caller_address(), "late").await;
     assert_eq!(answer["outcome"], "complete", "{answer}");
 }
@@ -62,11 +64,7 @@
         let entry = &system.entries[0];
         let caller = tokio::spawn(send_query(entry.caller_address(), "stuck"));
         wait_until("the query runs", || system.targets[0].running_count() > 0).await;
-        entry.request_stop();
-        wait_until("the entry is leaving", || {
-            entry.state().stop.remaining_run_time().is_some()
-        })
-        .await;
+        request_stop(entry).await;
         if is_asked_twice {
             entry.request_stop();
         }
--- a/alderhaven-node/src/stop_handle.rs
+++ b/alderhaven-node/src/stop_handle.rs
@@ -97,6 +97,10 @@
     #[must_use]
     pub fn remaining_run_time(&self) -> Option<TimeSpan> {
         let closing_at = self.closing_at.get()?;
+        // A second stop request brings the final answers forward.
+        if matches!(self.state(), DrainState::Closing | DrainState::Stopped) {
+            return Some(TimeSpan::ZERO);
+        }
         Some(TimeSpan::from(
             closing_at.saturating_duration_since(Instant::now()),
         ))
--- a/alderhaven-peer/tests/peer_node.rs
+++ b/alderhaven-peer/tests/peer_node.rs
@@ -282,7 +282,18 @@
         }
     }
 
-    /// Accepts a connection and reads its first messages.
+    /// Starts a node and joins its group.
+    async fn join_new_node(config: &FakeConfig) -> (PeerHandle, Self) {
+        let node = start_node(0, None, config).await;
+        let member = Self::join(&node).await;
+        wait_for(&node, |snapshot| {
+            count_members(snapshot, MemberState::Alive) == 2
+        })
+        .await;
+        (node, member)
+    }
+
+    /// Accepts a connection.
     async fn accept(&self) -> (FrameSender, FrameReader) {
         let (stream, _) = self.listener.accept().await.expect("a connection");
         connection::split(stream).expect("the socket's options can be set")
@@ -309,23 +320,23 @@
     }
 }
 
+/// Changes an object five times a second until the handle is dropped.
+fn change_often(config: &FakeConfig) -> AbortOnDropHandle<()> {
+    let config = config.clone();
+    AbortOnDropHandle::new(tokio::spawn(async move {
+        for version in 1.. {
+            config.accept(vec![drain_object(1, version)]);
+            time::sleep(Duration::from_millis(200)).await;
+        }
+    }))
+}
+
 /// Guards against a silent connection that is used for as long as the node itself sends on it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn exchange_replaces_a_silent_connection_that_it_sends_on() {
     let config = FakeConfig::new(true);
-    let node = start_node(0, None, &config).await;
-    let member = ScriptedMember::join(&node).await;
-    wait_for(&node, |snapshot| {
-        count_members(snapshot, MemberState::Alive) == 2
-    })
-    .await;
-    let changing = config.clone();
-    let _changes = AbortOnDropHandle::new(tokio::spawn(async move {
-        for version in 1.. {
-            changing.accept(vec![drain_object(1, version)]);
-            time::sleep(Duration::from_millis(200)).await;
-        }
-    }));
+    let (node, member) = ScriptedMember::join_new_node(&config).await;
+    let _changes = change_often(&config);
     // Neither read nor closed, like a connection whose path has lost its state.
     let _silent = member.accept().await;
     let replaced = time::timeout(WAIT_LIMIT, member.accept()).await;
@@ -341,19 +352,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn exchange_keeps_a_connection_with_replies() {
     let config = FakeConfig::new(true);
-    let node = start_node(0, None, &config).await;
-    let member = ScriptedMember::join(&node).await;
-    wait_for(&node, |snapshot| {
-        count_members(snapshot, MemberState::Alive) == 2
-    })
-    .await;
-    let changing = config.clone();
-    let _changes = AbortOnDropHandle::new(tokio::spawn(async move {
-        for version in 1.. {
-            changing.accept(vec![drain_object(1, version)]);
-            time::sleep(Duration::from_millis(200)).await;
-        }
-    }));
+    let (node, member) = ScriptedMember::join_new_node(&config).await;
+    let _changes = change_often(&config);
     let (sender, mut reader) = member.accept().await;
     let mut pings = 0;
     while pings < 10 {
