--- a/alderhaven-policy/src/work_estimate.rs
+++ b/alderhaven-policy/src/work_estimate.rs
@@ -12,7 +12,7 @@
 const MAX_KINDS: usize = 64;
 
 /// Number of ended runs of a route from which the longest one is representative.
-const MIN_ROUTE_SAMPLES: usize = 50;
+const MIN_ROUTE_SAMPLES: usize = 20;
 
 /// The same for a kind of work.
 const MIN_KIND_SAMPLES: usize = 20;
