One window of two halves for run times; checks beside their twins shared

RunTimes and WorkEstimate each kept two halves with a time of their own and the same rotation; HalvedWindow serves both. AnswerTime and the end of a run at the close of a stop asked the same question of a ShardCount, which answers it now. The two refusals of a stopping front share their Retry-After.

--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -308,8 +308,7 @@
 
     /// Returns how a request ends that is unfinished when the process gives its last answers.
     fn last_step(&self) -> AnswerStep {
-        let count = self.count_shards();
-        if count.answered >= count.required.max(1) {
+        if self.count_shards().is_enough() {
             AnswerStep::Answer
         } else {
             AnswerStep::TimeUp
--- a/alderhaven-front/src/stop_check.rs
+++ b/alderhaven-front/src/stop_check.rs
@@ -43,8 +43,7 @@
 }
 
 fn refuse(context: &FrontContext, route: &LiveRoute, call: &QueryCall) -> FrontAnswer {
-    let retry_after = request_refusal::spread_retry(TimeSpan::ZERO, STOP_RETRY_JITTER);
-    RequestRefusal::of_call(call, route, RefusalReason::Stopping, retry_after)
+    RequestRefusal::of_call(call, route, RefusalReason::Stopping, retry_after())
         .answer_not_run(&context.metrics, Level::Info)
 }
 
@@ -53,10 +52,14 @@
     let refusal = RequestRefusal {
         request: request_id,
         reason: RefusalReason::Stopping,
-        retry_after: request_refusal::spread_retry(TimeSpan::ZERO, STOP_RETRY_JITTER),
+        retry_after: retry_after(),
         team: None,
         version: None,
         lease: None,
     };
     refusal.answer_not_run(&context.metrics, Level::Info)
 }
+
+fn retry_after() -> TimeSpan {
+    request_refusal::spread_retry(TimeSpan::ZERO, STOP_RETRY_JITTER)
+}
--- a/alderhaven-policy/src/answer_time.rs
+++ b/alderhaven-policy/src/answer_time.rs
@@ -33,6 +33,14 @@
     pub required: usize,
 }
 
+impl ShardCount {
+    /// Returns true if enough shards have answered for an answer.
+    #[must_use]
+    pub fn is_enough(&self) -> bool {
+        self.answered >= self.required.max(1)
+    }
+}
+
 /// Next step of a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerStep {
@@ -78,7 +86,7 @@
     /// Returns the next step of a query with this progress.
     #[must_use]
     pub fn decide(&self, count: ShardCount, now: TimePoint) -> AnswerStep {
-        let is_enough = count.answered >= count.required.max(1);
+        let is_enough = count.is_enough();
         if count.pending == 0 {
             return if is_enough {
                 AnswerStep::Answer
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod group_place;
 pub mod group_share;
 pub mod group_start;
+pub mod halved_window;
 pub mod hashing;
 mod health_machine;
 pub mod hedge_timing;
--- a/alderhaven-policy/src/run_times.rs
+++ b/alderhaven-policy/src/run_times.rs
@@ -5,8 +5,10 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-/// Time after which the older half of the window is dropped.
-const HALF_WINDOW: TimeSpan = TimeSpan::from_secs(300);
+use crate::halved_window::HalvedWindow;
+
+/// Time that each half of the window of recent runs covers.
+pub(crate) const HALF_WINDOW: TimeSpan = TimeSpan::from_secs(300);
 
 /// One in so many runs may exceed the estimate.
 const RUNS_PER_OUTLIER: usize = 1_000;
@@ -26,9 +28,7 @@
 pub struct RunTimes {
     open: BTreeSet<RunNumber>,
     next_number: u64,
-    older: RunPeaks,
-    newer: RunPeaks,
-    newer_since: TimePoint,
+    peaks: HalvedWindow<RunPeaks>,
     last_begin: TimePoint,
 }
 
@@ -75,8 +75,7 @@
         self.open.remove(&run);
         let run_time = now.since(run.started_at);
         if is_complete {
-            self.rotate(now);
-            self.newer.add(run_time);
+            self.peaks.current(HALF_WINDOW, now).add(run_time);
         }
         run_time
     }
@@ -87,7 +86,8 @@
     pub fn longest(&self, now: TimePoint) -> Option<TimeSpan> {
         let outliers = (self.sample_count() / RUNS_PER_OUTLIER).min(MAX_PEAKS - 1);
         let open = self.open.iter().take(outliers + 1);
-        let ended = self.older.longest.iter().chain(&self.newer.longest);
+        let halves = self.peaks.halves().into_iter();
+        let ended = halves.flat_map(|peaks| &peaks.longest);
         let mut longest: SmallVec<[TimeSpan; 3 * MAX_PEAKS]> = open
             .map(|run| now.since(run.started_at))
             .chain(ended.copied())
@@ -99,8 +99,8 @@
     /// Returns the time of the shortest ended run of the window; `None` without one.
     #[must_use]
     pub fn shortest(&self) -> Option<TimeSpan> {
-        let halves = [self.older.shortest, self.newer.shortest];
-        halves.into_iter().flatten().min()
+        let halves = self.peaks.halves().into_iter();
+        halves.filter_map(|peaks| peaks.shortest).min()
     }
 
     /// Returns the number of open runs that are longer than this time.
@@ -126,15 +126,8 @@
 
     /// Returns the number of ended runs in the window.
     #[must_use]
-    pub const fn sample_count(&self) -> usize {
-        self.older.samples + self.newer.samples
-    }
-
-    /// Drops the older half of the window when the newer one is full.
-    fn rotate(&mut self, now: TimePoint) {
-        if now.since(self.newer_since) >= HALF_WINDOW {
-            self.older = std::mem::take(&mut self.newer);
-            self.newer_since = now;
-        }
+    pub fn sample_count(&self) -> usize {
+        let halves = self.peaks.halves().into_iter();
+        halves.map(|peaks| peaks.samples).sum()
     }
 }
--- a/alderhaven-policy/src/work_estimate.rs
+++ b/alderhaven-policy/src/work_estimate.rs
@@ -5,8 +5,9 @@
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
+use crate::halved_window::HalvedWindow;
 use crate::run_histogram::RunHistogram;
-use crate::run_times::{RunNumber, RunTimes};
+use crate::run_times::{self, RunNumber, RunTimes};
 
 /// Largest number of kinds that are tracked apart.
 const MAX_KINDS: usize = 64;
@@ -20,9 +21,6 @@
 /// Negative logarithm of the probability, 1%, below which the runs of a kind don't differ by chance.
 const MIN_SIGNIFICANCE: f64 = 4.6;
 
-/// Time after which the older half of the window is dropped.
-const HALF_WINDOW: TimeSpan = TimeSpan::from_secs(300);
-
 /// A kind of work within a route, such as an operation that the path names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WorkKind(u64);
@@ -49,9 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkEstimate {
     overall: RunTimes,
-    older: RunHistogram,
-    newer: RunHistogram,
-    newer_since: TimePoint,
+    histogram: HalvedWindow<RunHistogram>,
     kinds: HashMap<WorkKind, RunTimes>,
 }
 
@@ -74,8 +70,8 @@
     pub fn end(&mut self, run: &OpenRun, is_complete: bool, now: TimePoint) {
         let run_time = self.overall.end(run.number, is_complete, now);
         if is_complete {
-            self.rotate(now);
-            self.newer.add(run_time);
+            let histogram = self.histogram.current(run_times::HALF_WINDOW, now);
+            histogram.add(run_time);
         }
         for (kind, number) in &run.kinds {
             if let Some(times) = self.kinds.get_mut(kind) {
@@ -129,7 +125,8 @@
     }
 
     fn count_above(&self, run_time: TimeSpan) -> u64 {
-        self.older.count_above(run_time) + self.newer.count_above(run_time)
+        let halves = self.histogram.halves().into_iter();
+        halves.map(|half| half.count_above(run_time)).sum()
     }
 
     fn share_of(&self, runs: u64) -> f64 {
@@ -147,11 +144,4 @@
         }
         Some(self.kinds.entry(kind).or_default())
     }
-
-    fn rotate(&mut self, now: TimePoint) {
-        if now.since(self.newer_since) >= HALF_WINDOW {
-            self.older = std::mem::take(&mut self.newer);
-            self.newer_since = now;
-        }
-    }
 }
