--- a/review/6/crash_case.rs
+++ b/review/6/crash_case.rs
@@ -109,6 +109,7 @@
                 crash_word: "/look/fatal".to_owned(),
                 down_time: SERVER_DOWN,
                 warmup: Duration::ZERO,
+                spoil_period: 0,
             };
             Server::start(number, options, &store, record, &arrivals)?;
         }
--- a/review/7/cold_case.rs
+++ b/review/7/cold_case.rs
@@ -95,6 +95,7 @@
         crash_word: "/no-such-path".to_owned(),
         down_time: Duration::ZERO,
         warmup,
+        spoil_period: 0,
     }
 }
 
--- a/review/standins_2.rs
+++ b/review/standins_2.rs
@@ -311,6 +311,8 @@
     pub down_time: Duration,
     /// How long the server is cold after its start.
     pub warmup: Duration,
+    /// Spoils one of this many answers: a body of one-byte chunks without end. 0 means none.
+    pub spoil_period: u64,
 }
 
 struct ServerShared {
@@ -322,6 +324,7 @@
     /// Unix milliseconds of the latest start.
     born: Mutex<u64>,
     starts: AtomicU64,
+    answered: AtomicU64,
     number: u64,
 }
 
@@ -330,7 +333,8 @@
     id: String,
     has_ended: AtomicBool,
     running: AtomicU64,
-    streams: Mutex<Vec<TcpStream>>,
+    /// Open connections by their number.
+    streams: Mutex<BTreeMap<u64, TcpStream>>,
 }
 
 impl Server {
@@ -350,6 +354,7 @@
                 address: Mutex::default(),
                 born: Mutex::default(),
                 starts: AtomicU64::new(0),
+                answered: AtomicU64::new(0),
                 number,
             }),
         };
@@ -422,7 +427,10 @@
     }
 
     fn accept(&self, listener: &TcpListener, boot: &Arc<Boot>) {
-        while !boot.has_ended.load(Ordering::Acquire) {
+        for number in 0.. {
+            if boot.has_ended.load(Ordering::Acquire) {
+                return;
+            }
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(Duration::from_micros(500));
                 continue;
@@ -430,9 +438,12 @@
             let Ok(kept) = stream.try_clone() else {
                 continue;
             };
-            lock(&boot.streams).push(kept);
+            lock(&boot.streams).insert(number, kept);
             let (server, boot) = (self.clone(), Arc::clone(boot));
-            thread::spawn(move || server.serve(stream, &boot));
+            thread::spawn(move || {
+                server.serve(stream, &boot);
+                lock(&boot.streams).remove(&number);
+            });
         }
     }
 
@@ -445,7 +456,7 @@
         let mut reader = BufReader::new(reading);
         let mut stream = stream;
         while let (true, Ok(Some(request))) = (is_set, read_message(&mut reader)) {
-            let Some(answer) = self.answer(&request, boot) else {
+            let Some(answer) = self.answer(&request, boot, &mut stream) else {
                 return;
             };
             if boot.has_ended.load(Ordering::Acquire) || stream.write_all(&answer).is_err() {
@@ -454,8 +465,13 @@
         }
     }
 
-    /// Runs a request; `None` if the server crashes.
-    fn answer(&self, request: &Message, boot: &Arc<Boot>) -> Option<Vec<u8>> {
+    /// Runs a request; `None` if the connection is to be closed.
+    fn answer(
+        &self,
+        request: &Message,
+        boot: &Arc<Boot>,
+        stream: &mut TcpStream,
+    ) -> Option<Vec<u8>> {
         let options = &self.shared.options;
         let request_id = request.header(REQUEST_ID).unwrap_or_default();
         let path = request.word(1);
@@ -489,6 +505,14 @@
         record.write(&format!("run {request_id} {path} at {}", boot.id));
         thread::sleep(options.work);
         boot.running.fetch_sub(1, Ordering::AcqRel);
+        let answered = self.shared.answered.fetch_add(1, Ordering::Relaxed);
+        if options.spoil_period > 0
+            && (answered + 7 * self.shared.number) % options.spoil_period == 0
+        {
+            record.write(&format!("spoil the answer to {request_id} at {}", boot.id));
+            send_endless(stream, request_id);
+            return None;
+        }
         let stamp = format!("stamp-{}-{request_id}", boot.id);
         let headers = [
             (REQUEST_ID, request_id),
@@ -502,7 +526,7 @@
         if boot.has_ended.swap(true, Ordering::AcqRel) {
             return;
         }
-        for stream in lock(&boot.streams).drain(..) {
+        for stream in std::mem::take(&mut *lock(&boot.streams)).values() {
             let _is_shut = stream.shutdown(Shutdown::Both);
         }
         let (server, id) = (self.clone(), boot.id.clone());
@@ -519,6 +543,20 @@
     }
 }
 
+/// Sends a body of one-byte chunks until the caller closes the connection.
+fn send_endless(stream: &mut TcpStream, request_id: &str) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\nx-alderhaven-response-stamp: stamp\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    let chunks = b"1\r\nx\r\n".repeat(6_000);
+    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+    while is_open {
+        is_open = stream.write_all(&chunks).is_ok();
+        thread::sleep(Duration::from_millis(15));
+    }
+}
+
 /// One process of the project, started with a command of the deploy file.
 pub struct Process {
     pub name: String,
@@ -574,6 +612,15 @@
         Ok(())
     }
 
+    /// Returns the resident memory of the process, in bytes.
+    pub fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
