Waits of the store's watches follow from the bound of the configuration

Cause: all three watchers run on the two hosts that were cut, so only the end of a silent watch could show the cut. A watch waited 3 s and got 1 s more; a node without news watched by itself after 5.5 s. The bound is 3 s, and was never read.

Change: config-apply-ms is read. A watch waits for 0.45 of it and gets 0.15 more; a pause after a change counts as part of the wait. From 0.7 of the bound without an answer to anyone, the first node of each failure domain watches by itself, twice as many after each further 0.02. The log names the kind and the age of the last answer when the store is lost, and when a node begins or ends to watch.

--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -170,12 +170,28 @@
     },
     /// The store doesn't answer.
     StoreLost {
+        /// The kind of the objects that the failed call was for.
+        kind: ObjectKind,
         /// The error of the failed call.
         reason: String,
+        /// The time since the store's previous answer for this kind.
+        answer_age_ms: u64,
     },
     /// The store answers again.
     #[serde(rename = "store_back")]
-    StoreRecovered,
+    StoreRecovered {
+        /// The kind of the objects that the call was for.
+        kind: ObjectKind,
+    },
+    /// This node begins or ends to watch a kind in the store.
+    StoreWatchChanged {
+        /// The kind of the objects.
+        kind: ObjectKind,
+        /// Whether it watches from now on.
+        is_watching: bool,
+        /// The time since the latest known answer of the store to another node.
+        answer_age_ms: Option<u64>,
+    },
     /// The store listed all objects of a kind.
     StoreListed {
         /// The kind of the objects.
@@ -397,7 +413,8 @@
             Self::DomainReturned { .. } => "domain_returned",
             Self::EvacuationUnreadable { .. } => "evacuation_unreadable",
             Self::StoreLost { .. } => "store_lost",
-            Self::StoreRecovered => "store_back",
+            Self::StoreRecovered { .. } => "store_back",
+            Self::StoreWatchChanged { .. } => "store_watch_changed",
             Self::StoreListed { .. } => "store_listed",
             Self::ObjectsOlder { .. } => "objects_older",
             Self::LeaseObtained { .. } => "lease_obtained",
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -12,7 +12,6 @@
 use alderhaven_peer::control_messages::ControlMessage;
 use alderhaven_peer::peer_options::ConfigAccess;
 use alderhaven_policy::drain::{DrainOptions, DrainState, StopReport};
-use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::membership::member_record::{CpuCapacity, MemberRole};
 use alderhaven_store::object_store::ObjectStore;
 use log::Level;
@@ -98,10 +97,7 @@
         let metrics = FrontMetrics::default();
         let control = Arc::new(ControlSocket::new(control));
         let lease_links = LeaseLinks::builder()
-            .own(GroupFront {
-                node: options.node.clone(),
-                domain: options.domain.clone(),
-            })
+            .own(options.group_front())
             .catalog(Arc::clone(&catalog))
             .group(group.clone())
             .socket(Arc::clone(&control))
@@ -156,9 +152,10 @@
                 store,
                 Arc::clone(&catalog),
                 group,
-                options.node.clone(),
+                options.group_front(),
                 *kind,
             );
+            let follower = follower.with_bounds(options.store_bounds);
             let follower = follower.with_metrics(metrics.clone());
             let follower = follower.with_group_start(options.start);
             let follower = follower.with_availability(Arc::clone(&availability));
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -6,10 +6,12 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_policy::config_lease::LeaseOptions;
 use alderhaven_policy::front_choice::FrontChoiceOptions;
+use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::group_start::GroupStart;
 use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::quota_bound::QuotaBound;
 use alderhaven_policy::repeat_budget::RepeatOptions;
+use alderhaven_policy::store_bounds::StoreBounds;
 use alderhaven_policy::warmup_bound::WarmupBound;
 
 use crate::front_context::RequestOptions;
@@ -52,6 +54,9 @@
     /// How far all nodes together may exceed the request rate that a cold target tolerates.
     #[builder(default)]
     pub warmup: WarmupBound,
+    /// The times within which changes in the store must be in force on all nodes.
+    #[builder(default)]
+    pub store_bounds: StoreBounds,
     /// Whether the store keeps evacuations of failure domains.
     #[builder(default)]
     pub has_evacuations: bool,
@@ -74,6 +79,16 @@
 const CALLERLESS_CAPACITY: CpuCapacity = CpuCapacity(1);
 
 impl FrontOptions {
+    /// Gets the place of this node in the group.
+    #[must_use]
+    pub fn group_front(&self) -> GroupFront {
+        GroupFront {
+            node: self.node.clone(),
+            host: self.host.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+
     /// Gets the capacity by which the node takes part in shared limits.
     #[must_use]
     pub const fn group_capacity(&self) -> CpuCapacity {
--- a/alderhaven-front/src/lease_keeper.rs
+++ b/alderhaven-front/src/lease_keeper.rs
@@ -14,7 +14,6 @@
 use alderhaven_core::wall_clock;
 use alderhaven_peer::control_messages::{ControlMessage, LeaseQuery, LeaseReply};
 use alderhaven_policy::config_lease::{ConfigLease, LeaseOptions, LeaseStatus};
-use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::lease_change::LeaseChange;
 use alderhaven_policy::lease_group::LeaseGroup;
 use alderhaven_policy::lease_step::LeaseStep;
@@ -174,10 +173,7 @@
         let members = self.links.group.members();
         let others = members.iter().skip(1);
         let live = others.filter(|member| member.state.takes_work());
-        let live = live.map(|member| GroupFront {
-            node: member.record.node.clone(),
-            domain: member.record.domain.clone(),
-        });
+        let live = live.map(|member| member.record.group_front());
         let contacts = self.links.catalog.store_contacts();
         let now = self.links.clock.now();
         LeaseGroup::new(&self.links.own, live.collect(), &contacts, now)
--- a/alderhaven-policy/src/membership/member_record.rs
+++ b/alderhaven-policy/src/membership/member_record.rs
@@ -6,6 +6,7 @@
 use alderhaven_core::store_version::StoreVersion;
 use serde::{Deserialize, Serialize};
 
+use crate::group_front::GroupFront;
 use crate::membership::digest_progress::DigestProgress;
 
 /// Function of a process in the system.
@@ -42,6 +43,18 @@
     pub capacity: CpuCapacity,
 }
 
+impl MemberRecord {
+    /// Returns the member's place among the fronts of the group.
+    #[must_use]
+    pub fn group_front(&self) -> GroupFront {
+        GroupFront {
+            node: self.node.clone(),
+            host: self.host.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+}
+
 /// Orders the updates of one member: the higher version is the newer one.
 #[derive(
     Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
--- /dev/null
+++ b/alderhaven-policy/src/store_bounds.rs
@@ -0,0 +1,38 @@
+//! The times within which changes in the store must be in force on all nodes.
+
+use alderhaven_core::config_object::ObjectKind;
+use alderhaven_core::time::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+use crate::watch_timing::WatchTiming;
+
+/// The time within which other objects than the configuration must be in force.
+const OTHER_BOUND: TimeSpan = TimeSpan::from_millis(6_500);
+
+/// The times within which changes in the store must be in force on all nodes, from the store's answer
+/// to their writer on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreBounds {
+    /// For a version of the configuration.
+    pub config: TimeSpan,
+}
+
+impl Default for StoreBounds {
+    fn default() -> Self {
+        Self {
+            config: TimeSpan::from_secs(3),
+        }
+    }
+}
+
+impl StoreBounds {
+    /// Returns the times of the calls that follow `kind`.
+    #[must_use]
+    pub fn watch_timing(&self, kind: ObjectKind) -> WatchTiming {
+        WatchTiming::new(match kind {
+            ObjectKind::Target | ObjectKind::Evacuation => OTHER_BOUND,
+            _ => self.config,
+        })
+    }
+}
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -3,14 +3,17 @@
 //! Every change wakes every watch, so the number of watches must not grow with the group. The first
 //! nodes in an order that all nodes compute alike watch, and pass changes on. A node that can't
 //! reach the store reports it, and the next one in the order takes its place. Gossip headers carry
-//! the time since the store last answered any node. A node that has not learned of an answer for a
-//! while watches by itself, since it may be cut off from its peers but not from the store.
+//! the time since the store last answered any node. Once no node of a failure domain has learned of an
+//! answer for a while, its first nodes watch by themselves, and soon all of them: the domain or a
+//! single node may be cut off from the others but not from the store.
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
 
+use crate::group_front::GroupFront;
 use crate::hashing;
+use crate::watch_timing::WatchTiming;
 
 /// Settings of the choice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,9 +21,8 @@
 pub struct WatchOptions {
     /// The number of nodes that watch; all but one may fail at the same time without a gap.
     pub watchers: usize,
-    /// The age of the latest known answer of the store after which a node watches by itself. It
-    /// covers the longest wait of a watch and the propagation of its result, with a reserve.
-    pub stale_after: TimeSpan,
+    /// The times of the calls that watch.
+    pub timing: WatchTiming,
     /// How long a node's report that it can't reach the store keeps it from being chosen.
     #[serde(rename = "lost_for")]
     pub store_loss_timeout: TimeSpan,
@@ -42,7 +44,7 @@
     fn default() -> Self {
         Self {
             watchers: 3,
-            stale_after: TimeSpan::from_millis(5_500),
+            timing: WatchTiming::new(TimeSpan::from_secs(3)),
             store_loss_timeout: TimeSpan::from_secs(5),
         }
     }
@@ -71,9 +73,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WatchPlan<'a> {
     /// The deciding node.
-    pub own: &'a NodeId,
+    pub own: &'a GroupFront,
     /// The other live nodes.
-    pub others: &'a [NodeId],
+    pub others: &'a [GroupFront],
     /// The latest reports of the nodes on whether they reach the store.
     pub contacts: &'a [StoreContact],
     /// The time since the store answered another node, or `None` if that was never reported.
@@ -84,43 +86,74 @@
     /// Returns `true` if the node should watch.
     #[must_use]
     pub fn should_watch(&self, options: &WatchOptions, now: TimePoint) -> bool {
-        if !self.has_recent_store_answer(options, now) {
+        let Some(age) = self.answer_age(now) else {
             return true;
-        }
+        };
+        self.is_assigned(options, now) || self.takes_over(age, options, now)
+    }
+
+    /// Returns the time since the store answered another node, as far as known.
+    #[must_use]
+    pub fn answer_age(&self, now: TimePoint) -> Option<TimeSpan> {
+        let is_other = |contact: &&StoreContact| contact.node != self.own.node;
+        let reached = self.contacts.iter().filter(is_other);
+        let reached = reached.filter(|contact| contact.is_reached);
+        let reported = reached.map(|contact| now.since(contact.reported_at));
+        reported.chain(self.answered_age).min()
+    }
+
+    /// Returns `true` if the node is one of the few that watch for all.
+    fn is_assigned(&self, options: &WatchOptions, now: TimePoint) -> bool {
         if self.has_lost_store(self.own, options, now) {
             return false;
         }
         let reaching = self.others.iter();
-        let reaching = reaching.filter(|node| !self.has_lost_store(node, options, now));
-        let others: Vec<NodeId> = reaching.cloned().collect();
-        is_among_first(self.own, &others, options.watchers)
+        let reaching = reaching.filter(|front| !self.has_lost_store(front, options, now));
+        is_first_of(&self.own.node, reaching, options.watchers)
     }
 
-    /// Returns `true` if the store answered another node recently.
-    fn has_recent_store_answer(&self, options: &WatchOptions, now: TimePoint) -> bool {
-        let has_answered = self
-            .answered_age
-            .is_some_and(|age| age < options.stale_after);
-        let is_fresh = |contact: &StoreContact| {
-            contact.is_reached
-                && contact.node != *self.own
-                && now.since(contact.reported_at) < options.stale_after
+    /// Returns `true` if the node watches by itself, because the store's latest known answer is too
+    /// old. The number of such nodes in a failure domain doubles with each step.
+    fn takes_over(&self, age: TimeSpan, options: &WatchOptions, now: TimePoint) -> bool {
+        let stale_after = options.timing.stale_after();
+        if age < stale_after {
+            return false;
+        }
+        let overdue = age.saturating_sub(stale_after).as_micros();
+        let steps = overdue / options.timing.takeover_step().as_micros().max(1);
+        let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+        let count = 1_usize.checked_shl(steps).unwrap_or(usize::MAX);
+        let rank = |front: &GroupFront| {
+            let is_lost = self.has_lost_store(front, options, now);
+            let (hash, node) = order_of(&front.node);
+            (is_lost, hash, node.clone())
         };
-        has_answered || self.contacts.iter().any(is_fresh)
+        let own_rank = rank(self.own);
+        let near = self.others.iter();
+        let near = near.filter(|front| front.domain == self.own.domain);
+        near.filter(|front| rank(front) < own_rank).count() < count
     }
 
     /// Returns `true` if the node reported recently that the store does not answer it.
-    fn has_lost_store(&self, node: &NodeId, options: &WatchOptions, now: TimePoint) -> bool {
+    fn has_lost_store(&self, front: &GroupFront, options: &WatchOptions, now: TimePoint) -> bool {
         let mut contacts = self.contacts.iter();
-        contacts.any(|contact| contact.node == *node && contact.is_lost(options, now))
+        contacts.any(|contact| contact.node == front.node && contact.is_lost(options, now))
     }
 }
 
 /// Returns `true` if the node is among the first `count` in the order.
 #[must_use]
-pub fn is_among_first(own: &NodeId, nodes: &[NodeId], count: usize) -> bool {
+pub fn is_among_first(own: &NodeId, others: &[GroupFront], count: usize) -> bool {
+    is_first_of(own, others.iter(), count)
+}
+
+fn is_first_of<'a>(
+    own: &NodeId,
+    others: impl Iterator<Item = &'a GroupFront>,
+    count: usize,
+) -> bool {
     let own_order = order_of(own);
-    let before = nodes.iter().filter(|node| order_of(node) < own_order);
+    let before = others.filter(|front| order_of(&front.node) < own_order);
     before.count() < count
 }
 
