Watchers of targets stand on different hosts, with waits by drain-ms

Cause: two processes watched the registrations, the first ones in an order by the hash of their names: a front and the directory beside it. Their watches began anew at the same change just before the cut, and ended after 4 s, past drain-ms (3 s), which was never read.

Watches of targets wait by drain-ms as those of the configuration do by theirs.

--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -156,6 +156,7 @@
                 *kind,
             );
             let follower = follower.with_bounds(options.store_bounds);
+            let follower = follower.with_watchers(options.store_watchers);
             let follower = follower.with_metrics(metrics.clone());
             let follower = follower.with_group_start(options.start);
             let follower = follower.with_availability(Arc::clone(&availability));
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -12,6 +12,7 @@
 use alderhaven_policy::quota_bound::QuotaBound;
 use alderhaven_policy::repeat_budget::RepeatOptions;
 use alderhaven_policy::store_bounds::StoreBounds;
+use alderhaven_policy::store_watch_plan::MIN_WATCHERS;
 use alderhaven_policy::warmup_bound::WarmupBound;
 
 use crate::front_context::RequestOptions;
@@ -57,6 +58,9 @@
     /// The times within which changes in the store must be in force on all nodes.
     #[builder(default)]
     pub store_bounds: StoreBounds,
+    /// The number of nodes that watch the store for all.
+    #[builder(default = MIN_WATCHERS)]
+    pub store_watchers: usize,
     /// Whether the store keeps evacuations of failure domains.
     #[builder(default)]
     pub has_evacuations: bool,
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -17,7 +17,6 @@
 use alderhaven_policy::start_view::StartView;
 use alderhaven_policy::store_bounds::StoreBounds;
 use alderhaven_policy::store_watch_plan::{self, WatchOptions, WatchPlan};
-use alderhaven_policy::watch_timing::WatchTiming;
 use alderhaven_store::object_store::{ObjectList, ObjectStore, StoreError, WatchOutcome};
 use alderhaven_store::retry_backoff::{BackoffOptions, RetryBackoff};
 use log::Level;
@@ -29,10 +28,6 @@
 use crate::front_metrics::FrontMetrics;
 use crate::store_availability::StoreAvailability;
 
-/// The number of nodes that watch each kind other than the configuration. Two suffice, since a
-/// leaving target serves for some seconds, in which another node replaces watchers that failed.
-const NON_CONFIG_WATCHERS: usize = 2;
-
 /// The longest delay after a configuration change before the next watch call, so that one call
 /// returns a burst of changes.
 const CONFIG_BATCH_DELAY: TimeSpan = TimeSpan::from_millis(250);
@@ -85,21 +80,6 @@
     availability: Arc<StoreAvailability>,
 }
 
-/// Gets the watch plan's settings for a kind. The configuration has more watchers, because its
-/// changes must reach all nodes even if two watchers are lost at once.
-fn watch_options(kind: ObjectKind, timing: WatchTiming) -> WatchOptions {
-    let defaults = WatchOptions::default();
-    let watchers = match kind {
-        ObjectKind::Routing => defaults.watchers,
-        _ => NON_CONFIG_WATCHERS,
-    };
-    WatchOptions {
-        watchers,
-        timing,
-        ..defaults
-    }
-}
-
 impl<S: ObjectStore> StoreFollower<S> {
     /// Creates a follower of `kind`.
     #[must_use]
@@ -110,14 +90,17 @@
         own: GroupFront,
         kind: ObjectKind,
     ) -> Self {
-        let timing = StoreBounds::default().watch_timing(kind);
+        let watch_options = WatchOptions {
+            timing: StoreBounds::default().watch_timing(kind),
+            ..WatchOptions::default()
+        };
         Self {
             store,
             catalog,
             group,
             own,
             clock: ProcessClock::default(),
-            watch_options: watch_options(kind, timing),
+            watch_options,
             kind,
             revision: None,
             is_watching: false,
@@ -139,6 +122,13 @@
         self
     }
 
+    /// Sets the number of nodes that watch the store for all.
+    #[must_use]
+    pub const fn with_watchers(mut self, watchers: usize) -> Self {
+        self.watch_options.watchers = watchers;
+        self
+    }
+
     /// Sets how the node starts, which decides how long it waits for its peers.
     #[must_use]
     pub const fn with_group_start(mut self, start: GroupStart) -> Self {
--- a/alderhaven-policy/src/store_bounds.rs
+++ b/alderhaven-policy/src/store_bounds.rs
@@ -6,8 +6,8 @@
 
 use crate::watch_timing::WatchTiming;
 
-/// The time within which other objects than the configuration must be in force.
-const OTHER_BOUND: TimeSpan = TimeSpan::from_millis(6_500);
+/// The time within which the evacuation of a failure domain must be in force.
+const EVACUATION_BOUND: TimeSpan = TimeSpan::from_millis(6_500);
 
 /// The times within which changes in the store must be in force on all nodes, from the store's answer
 /// to their writer on.
@@ -16,12 +16,15 @@
 pub struct StoreBounds {
     /// For a version of the configuration.
     pub config: TimeSpan,
+    /// For a target that announces that it leaves, or that is removed.
+    pub leaving_target: TimeSpan,
 }
 
 impl Default for StoreBounds {
     fn default() -> Self {
         Self {
             config: TimeSpan::from_secs(3),
+            leaving_target: TimeSpan::from_secs(3),
         }
     }
 }
@@ -31,7 +34,8 @@
     #[must_use]
     pub fn watch_timing(&self, kind: ObjectKind) -> WatchTiming {
         WatchTiming::new(match kind {
-            ObjectKind::Target | ObjectKind::Evacuation => OTHER_BOUND,
+            ObjectKind::Target => self.leaving_target,
+            ObjectKind::Evacuation => EVACUATION_BOUND,
             _ => self.config,
         })
     }
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -1,7 +1,9 @@
 //! Choice of the few nodes that watch the platform's store on behalf of all.
 //!
 //! Every change wakes every watch, so the number of watches must not grow with the group. The first
-//! nodes in an order that all nodes compute alike watch, and pass changes on. A node that can't
+//! nodes in an order that all nodes compute alike watch, and pass changes on. They stand on different
+//! hosts and as far as possible in different failure domains, since the processes of a host lose the
+//! store together. A node that can't
 //! reach the store reports it, and the next one in the order takes its place. Gossip headers carry
 //! the time since the store last answered any node. Once no node of a failure domain has learned of an
 //! answer for a while, its first nodes watch by themselves, and soon all of them: the domain or a
@@ -10,6 +12,7 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::group_front::GroupFront;
 use crate::hashing;
@@ -19,7 +22,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WatchOptions {
-    /// The number of nodes that watch; all but one may fail at the same time without a gap.
+    /// The number of nodes that watch. All but one of their hosts may fail at the same time without a
+    /// gap.
     pub watchers: usize,
     /// The times of the calls that watch.
     pub timing: WatchTiming,
@@ -28,6 +32,30 @@
     pub store_loss_timeout: TimeSpan,
 }
 
+/// The smallest number of nodes that watch.
+pub const MIN_WATCHERS: usize = 3;
+
+/// The largest number of nodes that watch, since each change wakes all of them. Where more hosts fail
+/// together, the bounded waits of watches and of the other nodes remain.
+const MAX_WATCHERS: usize = 5;
+
+/// Returns the number of nodes that watch, so that one of them remains if `hosts` fail together or
+/// `domains`. A number of hosts below 1 is their share of all.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is bounded first, and a negative one counts as 0"
+)]
+pub fn watcher_count(hosts: f64, domains: usize) -> usize {
+    let hosts = match hosts {
+        share if share > 0.0 && share < 1.0 => MAX_WATCHERS,
+        hosts => hosts.ceil().min(MAX_WATCHERS as f64) as usize,
+    };
+    let failed = hosts.max(domains);
+    failed.saturating_add(1).clamp(MIN_WATCHERS, MAX_WATCHERS)
+}
+
 /// The mean pause between two calls of a whole group to a store that answers no node.
 const GROUP_RETRY_PAUSE: TimeSpan = TimeSpan::from_millis(100);
 
@@ -43,7 +71,7 @@
 impl Default for WatchOptions {
     fn default() -> Self {
         Self {
-            watchers: 3,
+            watchers: MIN_WATCHERS,
             timing: WatchTiming::new(TimeSpan::from_secs(3)),
             store_loss_timeout: TimeSpan::from_secs(5),
         }
@@ -109,7 +137,8 @@
         }
         let reaching = self.others.iter();
         let reaching = reaching.filter(|front| !self.has_lost_store(front, options, now));
-        is_first_of(&self.own.node, reaching, options.watchers)
+        let watchers = choose_watchers(reaching.chain([self.own]), options.watchers);
+        watchers.contains(&self.own)
     }
 
     /// Returns `true` if the node watches by itself, because the store's latest known answer is too
@@ -141,19 +170,36 @@
     }
 }
 
+/// Chooses up to `count` fronts that fail together as little as possible: on different hosts first,
+/// then in different failure domains, then by the order.
+fn choose_watchers<'a>(
+    fronts: impl Iterator<Item = &'a GroupFront>,
+    count: usize,
+) -> SmallVec<[&'a GroupFront; MAX_WATCHERS]> {
+    let mut rest: Vec<((u64, &NodeId), &GroupFront)> =
+        fronts.map(|front| (order_of(&front.node), front)).collect();
+    let mut chosen: SmallVec<[&GroupFront; MAX_WATCHERS]> = SmallVec::new();
+    while chosen.len() < count {
+        let place = |(order, front): &((u64, &'a NodeId), &'a GroupFront)| {
+            let on_host = chosen.iter().filter(|other| other.host == front.host);
+            let in_domain = chosen.iter().filter(|other| other.domain == front.domain);
+            (on_host.count(), in_domain.count(), *order)
+        };
+        let next = (0..rest.len()).min_by_key(|index| place(&rest[*index]));
+        let Some(next) = next else {
+            break;
+        };
+        chosen.push(rest.swap_remove(next).1);
+    }
+    chosen
+}
+
 /// Returns `true` if the node is among the first `count` in the order.
 #[must_use]
 pub fn is_among_first(own: &NodeId, others: &[GroupFront], count: usize) -> bool {
-    is_first_of(own, others.iter(), count)
-}
-
-fn is_first_of<'a>(
-    own: &NodeId,
-    others: impl Iterator<Item = &'a GroupFront>,
-    count: usize,
-) -> bool {
     let own_order = order_of(own);
-    let before = others.filter(|front| order_of(&front.node) < own_order);
+    let before = others.iter();
+    let before = before.filter(|front| order_of(&front.node) < own_order);
     before.count() < count
 }
 
--- a/alderhaven-policy/tests/store_watch_plan.rs
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -1,5 +1,7 @@
 //! Tests of the choice of nodes that watch the platform's store.
 
+use std::collections::BTreeSet;
+
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::store_watch_plan;
@@ -99,8 +101,9 @@
 #[test]
 fn node_that_lost_the_store_is_chosen_again_later() {
     let nodes = nodes(8);
-    let healthy = contact(&nodes[0], true, at(0));
-    let first = watchers(&nodes, std::slice::from_ref(&healthy), at(0));
+    // With two reports each node knows of an answer to another one.
+    let healthy = [&nodes[0], &nodes[1]].map(|front| contact(front, true, at(0)));
+    let first = watchers(&nodes, &healthy, at(0));
     let lost = first.iter().map(|node| contact(node, false, at(0)));
     let others = nodes.iter().filter(|node| !first.contains(node));
     let contacts: Vec<_> = lost
@@ -189,3 +192,72 @@
         );
     }
 }
+
+/// Returns the processes of a deployment: a front on each host, and a directory on the first of each
+/// failure domain.
+fn fronts_and_directories(domains: usize, hosts_per_domain: usize) -> Vec<GroupFront> {
+    let process = |domain: usize, host: usize, suffix: &str| GroupFront {
+        node: format!("host-{domain}-{host}{suffix}")
+            .parse()
+            .expect("a valid node name"),
+        host: format!("host-{domain}-{host}")
+            .parse()
+            .expect("a valid host name"),
+        domain: format!("domain-{domain}")
+            .parse()
+            .expect("a valid failure domain"),
+    };
+    let fronts = (0..domains)
+        .flat_map(|domain| (0..hosts_per_domain).map(move |host| process(domain, host, "")));
+    let directories = (0..domains).map(|domain| process(domain, 0, "-directory"));
+    fronts.chain(directories).collect()
+}
+
+/// Guards against leaving targets and configurations that nobody hears of while hosts are cut off: a host
+/// takes its front and its directory along, and a failure domain all its hosts.
+#[test]
+fn any_lost_hosts_or_domain_leave_a_watcher() {
+    for (domains, hosts_per_domain) in [(2, 4), (3, 3), (4, 2), (7, 28)] {
+        for tolerated in [2, 3, 4] {
+            let nodes = fronts_and_directories(domains, hosts_per_domain);
+            let contacts = [
+                contact(&nodes[0], true, at(0)),
+                contact(&nodes[1], true, at(0)),
+            ];
+            let options = WatchOptions {
+                watchers: store_watch_plan::watcher_count(f64::from(tolerated), 1),
+                ..WatchOptions::default()
+            };
+            let watches = |own: &&GroupFront| {
+                let plan = WatchPlan {
+                    own,
+                    others: &others_of(own, &nodes),
+                    contacts: &contacts,
+                    answered_age: Some(TimeSpan::ZERO),
+                };
+                plan.should_watch(&options, at(0))
+            };
+            let watchers: Vec<&GroupFront> = nodes.iter().filter(watches).collect();
+            let hosts: BTreeSet<_> = watchers.iter().map(|front| &front.host).collect();
+            let failure_domains: BTreeSet<_> = watchers.iter().map(|front| &front.domain).collect();
+            let names: Vec<_> = watchers.iter().map(|front| front.node.as_str()).collect();
+            let tolerated = usize::try_from(tolerated).expect("a small number");
+            assert!(
+                hosts.len() > tolerated,
+                "{tolerated} hosts lost of {names:?}"
+            );
+            assert!(failure_domains.len() > 1, "a domain lost of {names:?}");
+        }
+    }
+}
+
+/// Guards against a number of watchers that grows with a share of a large group.
+#[test]
+fn watcher_count_is_bounded() {
+    assert_eq!(store_watch_plan::watcher_count(0.0, 0), 3);
+    assert_eq!(store_watch_plan::watcher_count(2.0, 0), 3);
+    assert_eq!(store_watch_plan::watcher_count(3.0, 1), 4);
+    assert_eq!(store_watch_plan::watcher_count(40.0, 1), 5);
+    assert_eq!(store_watch_plan::watcher_count(0.1, 0), 5);
+    assert_eq!(store_watch_plan::watcher_count(-1.0, usize::MAX), 5);
+}
