Replacements watch on while nodes that lost the store call it again

With all watchers cut off for longer than 5 s, their reports lapsed on all nodes at once, so that the replacements stopped watching at the moment at which the cut nodes began to call again, until a call failed (up to 1.5 s) and was reported anew; and that second report was never sent, since the node had lost the store already, so that from then on the cut nodes stayed chosen and only the age of the last answer helped.

Change: a node that lost the store calls again after 5 s as before, and the others hold its report for 10 s. A node that still gets no answer renews its report, if it is among the first of the order (while the store is down, all nodes have lost it).

Test: replaced_watchers_call_again_beside_their_replacements fails before (three nodes watch after 7 s, none of them a replacement). It takes the place of node_that_lost_the_store_is_chosen_again_later, whose check is its last assertion, after the time for which a report is now held.

--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -483,9 +483,26 @@
             }
             .emit(Level::Warn);
             self.publish_store_contact(false);
+        } else if self.is_report_due() {
+            self.publish_store_contact(false);
         }
     }
 
+    /// Returns true if the report that the store is lost has to be renewed, so that this node isn't chosen
+    /// to watch. Nodes that are far from being chosen don't renew it: while the store is down, all of
+    /// them have lost it.
+    fn is_report_due(&self) -> bool {
+        let (options, now) = (&self.watch_options, self.clock.now());
+        let contacts = self.catalog.store_contacts();
+        let mut own = contacts
+            .iter()
+            .filter(|contact| contact.node == self.own.node);
+        let others = self.other_live_nodes();
+        let candidates = options.watchers.saturating_mul(2);
+        own.all(|contact| !contact.is_waiting(options, now))
+            && store_watch_plan::is_among_first(&self.own.node, &others, candidates)
+    }
+
     fn publish_store_contact(&self, is_reached: bool) {
         let node = &self.own.node;
         self.catalog
--- a/alderhaven-policy/src/store_watch_plan.rs
+++ b/alderhaven-policy/src/store_watch_plan.rs
@@ -27,7 +27,8 @@
     pub watchers: usize,
     /// The times of the calls that watch.
     pub timing: WatchTiming,
-    /// How long a node's report that it can't reach the store keeps it from being chosen.
+    /// How long a node that can't reach the store waits before it calls again. Other nodes hold its report
+    /// for longer, so that its replacement watches until the call has shown something.
     #[serde(rename = "lost_for")]
     pub store_loss_timeout: TimeSpan,
 }
@@ -39,6 +40,10 @@
 /// together, the bounded waits of watches and of the other nodes remain.
 const MAX_WATCHERS: usize = 5;
 
+/// The number of waits of a node that lost the store for which others hold its report. The node renews
+/// it after each wait.
+const REPORT_HOLD_FACTOR: f64 = 2.0;
+
 /// Returns the number of nodes that watch, so that one of them remains if `hosts` fail together or
 /// `domains`. A number of hosts below 1 is their share of all.
 #[must_use]
@@ -93,6 +98,13 @@
     /// Returns `true` if the node reported recently that the store does not answer it.
     #[must_use]
     pub fn is_lost(&self, options: &WatchOptions, now: TimePoint) -> bool {
+        let hold_time = options.store_loss_timeout.mul_f64(REPORT_HOLD_FACTOR);
+        !self.is_reached && now.since(self.reported_at) < hold_time
+    }
+
+    /// Returns `true` if the node reported so and has not called again yet.
+    #[must_use]
+    pub fn is_waiting(&self, options: &WatchOptions, now: TimePoint) -> bool {
         !self.is_reached && now.since(self.reported_at) < options.store_loss_timeout
     }
 }
@@ -132,7 +144,11 @@
 
     /// Returns `true` if the node is one of the few that watch for all.
     fn is_assigned(&self, options: &WatchOptions, now: TimePoint) -> bool {
-        if self.has_lost_store(self.own, options, now) {
+        let mut contacts = self.contacts.iter();
+        let is_waiting = |contact: &StoreContact| {
+            contact.node == self.own.node && contact.is_waiting(options, now)
+        };
+        if contacts.any(is_waiting) {
             return false;
         }
         let reaching = self.others.iter();
--- a/alderhaven-policy/tests/store_watch_plan.rs
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -98,18 +98,33 @@
     assert_eq!(watchers(&nodes, &[], at(0)).len(), 3);
 }
 
+/// Guards against changes that nobody hears of while nodes that lost the store call it again: their
+/// replacements must watch on until the calls have shown something.
 #[test]
-fn node_that_lost_the_store_is_chosen_again_later() {
+fn replaced_watchers_call_again_beside_their_replacements() {
     let nodes = nodes(8);
     // With two reports each node knows of an answer to another one.
     let healthy = [&nodes[0], &nodes[1]].map(|front| contact(front, true, at(0)));
     let first = watchers(&nodes, &healthy, at(0));
     let lost = first.iter().map(|node| contact(node, false, at(0)));
     let others = nodes.iter().filter(|node| !first.contains(node));
-    let contacts: Vec<_> = lost
-        .chain(others.map(|node| contact(node, true, at(6_500))))
-        .collect();
-    assert_eq!(watchers(&nodes, &contacts, at(7_000)), first);
+    let contacts = |reported_at| -> Vec<StoreContact> {
+        let reached = others.clone().map(|node| contact(node, true, reported_at));
+        lost.clone().chain(reached).collect()
+    };
+    let waiting = watchers(&nodes, &contacts(at(4_500)), at(4_900));
+    assert_eq!(waiting.len(), 3);
+    assert!(waiting.iter().all(|node| !first.contains(node)));
+    let calling = watchers(&nodes, &contacts(at(6_500)), at(7_000));
+    assert_eq!(calling.len(), 6);
+    assert!(
+        waiting
+            .iter()
+            .chain(&first)
+            .all(|node| calling.contains(node))
+    );
+    // A report that is not renewed lapses.
+    assert_eq!(watchers(&nodes, &contacts(at(10_000)), at(10_500)), first);
 }
 
 /// Returns the number of nodes that watch if the store's latest known answer has this age.
