Watches of evacuations wait by evacuate-ms

A watch of evacuations waited 3.5 s and got 1 s more whatever the bound, so that an evacuation became known after 4.5 s at the earliest if the watchers went silent, and of a bound of 5 s little was left for a replacement; with a shorter bound nothing.

Change: StoreBounds holds all three bounds of the settings file, and the waits of each kind follow from its own.

--- a/alderhaven-policy/src/store_bounds.rs
+++ b/alderhaven-policy/src/store_bounds.rs
@@ -6,9 +6,6 @@
 
 use crate::watch_timing::WatchTiming;
 
-/// The time within which the evacuation of a failure domain must be in force.
-const EVACUATION_BOUND: TimeSpan = TimeSpan::from_millis(6_500);
-
 /// The times within which changes in the store must be in force on all nodes, from the store's answer
 /// to their writer on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +15,8 @@
     pub config: TimeSpan,
     /// For a target that announces that it leaves, or that is removed.
     pub leaving_target: TimeSpan,
+    /// For the evacuation of a failure domain.
+    pub evacuation: TimeSpan,
 }
 
 impl Default for StoreBounds {
@@ -25,6 +24,7 @@
         Self {
             config: TimeSpan::from_secs(3),
             leaving_target: TimeSpan::from_secs(3),
+            evacuation: TimeSpan::from_secs(5),
         }
     }
 }
@@ -35,7 +35,7 @@
     pub fn watch_timing(&self, kind: ObjectKind) -> WatchTiming {
         WatchTiming::new(match kind {
             ObjectKind::Target => self.leaving_target,
-            ObjectKind::Evacuation => EVACUATION_BOUND,
+            ObjectKind::Evacuation => self.evacuation,
             _ => self.config,
         })
     }
