--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -18,9 +18,11 @@
 use alderhaven_policy::exchange::exchange_message::ObjectStamp;
 use alderhaven_policy::group_share::GroupShare;
 use alderhaven_policy::membership::member_record::CpuCapacity;
+use alderhaven_policy::removal_grace;
 use alderhaven_policy::repeat_budget::RepeatOptions;
 use alderhaven_policy::restored_store;
 use alderhaven_policy::restored_store::AbsentObject;
+use alderhaven_policy::store_bounds::StoreBounds;
 use alderhaven_policy::store_watch_plan::StoreContact;
 use alderhaven_policy::warmup_bound::WarmupBound;
 use alderhaven_store::object_store::ObjectList;
@@ -45,10 +47,8 @@
 mod restored_objects;
 mod routing_history;
 
-/// How long a target stays usable as a last resort after its registration was removed.
-/// Registrations of live targets expire while the store is unreachable and return shortly after it
-/// recovers; a target that leaves for good still serves for longer than this.
-const EXPIRED_TARGET_RETENTION: TimeSpan = TimeSpan::from_millis(1_700);
+/// The time after the end of a removed target at which the view is built without it.
+const EXPIRY_CHECK_MARGIN: Duration = Duration::from_millis(50);
 
 /// The connection limit of a target whose service has no rule in the configuration.
 const DEFAULT_MAX_CONNECTIONS: usize = 8;
@@ -81,6 +81,8 @@
     pub warmup: WarmupBound,
     /// Whether the store keeps evacuations of failure domains.
     pub has_evacuations: bool,
+    /// The times within which changes in the store must be in force.
+    pub store_bounds: StoreBounds,
 }
 
 impl Catalog {
@@ -94,11 +96,12 @@
         let share = GroupShare::alone(options.capacity);
         let store_kinds = catalog_state::store_kinds(options.has_evacuations);
         let crashes = CrashTracker::new(&options.node, clock);
+        let timing = options.store_bounds.watch_timing(ObjectKind::Target);
         Self {
             dialect,
             options,
             clock,
-            state: Mutex::new(CatalogState::new(share, store_kinds)),
+            state: Mutex::new(CatalogState::new(share, store_kinds, timing)),
             view: ArcSwap::from_pointee(CatalogView::new(share)),
             changed: watch::Sender::new(0),
             crashes,
@@ -210,6 +213,12 @@
         self.state().store_contacts.values().cloned().collect()
     }
 
+    /// Records the age of the store's latest known answer to any node.
+    pub fn record_store_answer_age(&self, age: TimeSpan) {
+        let now = self.clock.now();
+        self.state().removal_grace.record_answer_age(age, now);
+    }
+
     /// Gets this node's share of limits that the group keeps together.
     #[must_use]
     pub fn share(&self) -> GroupShare {
@@ -425,10 +434,9 @@
         let Some(target) = state.targets.get(id) else {
             return;
         };
+        let now = self.clock.now();
         let status = match target.status() {
-            TargetStatus::Ready => {
-                TargetStatus::Expired(self.clock.now() + EXPIRED_TARGET_RETENTION)
-            }
+            TargetStatus::Ready => TargetStatus::Expired(now + state.removal_grace.grace(now)),
             other => other,
         };
         target.set_status(status);
@@ -450,7 +458,7 @@
         let mut changed = self.subscribe();
         loop {
             self.preconnect_own_domain_targets();
-            let check_interval = EXPIRED_TARGET_RETENTION.as_duration() + Duration::from_millis(50);
+            let check_interval = removal_grace::RETURN_TIME.as_duration() + EXPIRY_CHECK_MARGIN;
             if time::timeout(check_interval, changed.changed())
                 .await
                 .is_err()
--- a/alderhaven-front/src/catalog_state.rs
+++ b/alderhaven-front/src/catalog_state.rs
@@ -8,9 +8,11 @@
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::{TimePoint, TimeSpan};
 use alderhaven_policy::group_share::GroupShare;
+use alderhaven_policy::removal_grace::RemovalGrace;
 use alderhaven_policy::repeat_budget::{RepeatBudget, RepeatOptions};
 use alderhaven_policy::store_watch_plan::StoreContact;
 use alderhaven_policy::warmup_limit;
+use alderhaven_policy::watch_timing::WatchTiming;
 
 use crate::catalog::CatalogOptions;
 use crate::catalog_view::{CatalogView, LiveRoute};
@@ -63,6 +65,8 @@
     pub(crate) targets: BTreeMap<String, Arc<TargetHandle>>,
     /// The last registrations of targets that left as announced, with the time of their removal.
     pub(crate) left_targets: BTreeMap<String, (Arc<TargetEntry>, TimePoint)>,
+    /// Decides how long removed targets stay usable.
+    pub(crate) removal_grace: RemovalGrace,
     /// The evacuated failure domains, with the time at which this node learnt of each.
     pub(crate) evacuated_domains: BTreeMap<FailureDomain, TimePoint>,
     /// The silence detectors of failure domains, shared by their targets.
@@ -78,7 +82,12 @@
 
 impl CatalogState {
     /// Creates a state without objects.
-    pub(crate) fn new(share: GroupShare, store_kinds: &'static [ObjectKind]) -> Self {
+    /// Creates the state without objects; `timing` is that of the calls that follow the targets.
+    pub(crate) fn new(
+        share: GroupShare,
+        store_kinds: &'static [ObjectKind],
+        timing: WatchTiming,
+    ) -> Self {
         Self {
             objects: BTreeMap::new(),
             is_listed_by_peer: false,
@@ -90,6 +99,7 @@
             route_states: HashMap::new(),
             targets: BTreeMap::new(),
             left_targets: BTreeMap::new(),
+            removal_grace: RemovalGrace::new(timing),
             evacuated_domains: BTreeMap::new(),
             domain_silences: BTreeMap::new(),
             large_nodes: Vec::new(),
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -91,6 +91,7 @@
             repeats: options.repeats,
             warmup: options.warmup,
             has_evacuations: options.has_evacuations,
+            store_bounds: options.store_bounds,
         };
         let catalog = Arc::new(Catalog::new(Arc::clone(&dialect), catalog_options, clock));
         let group = start_group(&options, addresses, &catalog).await?;
--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -279,6 +279,11 @@
             contacts: &contacts,
             answered_age: answer_age,
         };
+        if self.kind == ObjectKind::Target {
+            let own_age = now.since(self.answered_at);
+            let age = plan.answer_age(now).map_or(own_age, |age| age.min(own_age));
+            self.catalog.record_store_answer_age(age);
+        }
         let is_watching = plan.should_watch(&self.watch_options, now);
         if is_watching != self.is_watching {
             self.is_watching = is_watching;
--- a/alderhaven-policy/src/lib.rs
+++ b/alderhaven-policy/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod quota_bound;
 pub mod rate_meter;
 pub mod relay_queue;
+pub mod removal_grace;
 pub mod repeat_budget;
 pub mod replica_choice;
 pub mod replica_stats;
--- a/alderhaven-policy/src/watch_timing.rs
+++ b/alderhaven-policy/src/watch_timing.rs
@@ -15,6 +15,11 @@
 /// The share of the bound after which the store's latest known answer to any node is too old. It covers a
 /// watch, the grace of its answer and the report of both.
 const STALE_SHARE: f64 = 0.7;
+/// The share of the bound after which the store must have been away: a node would have got an answer by
+/// then whichever watches went silent.
+const OUTAGE_SHARE: f64 = 0.85;
+/// The share of the bound that remains for a removed target when its removal is known late.
+const REMOVAL_SHARE: f64 = 0.25;
 /// The share of the bound after which the nodes that watch by themselves double in number.
 const TAKEOVER_STEP_SHARE: f64 = 0.02;
 /// The longest pause after a change, as a share of the bound.
@@ -75,6 +80,20 @@
         self.share(TAKEOVER_STEP_SHARE)
     }
 
+    /// Returns the age of the store's latest known answer to any node from which on the store itself was
+    /// away.
+    #[must_use]
+    pub fn outage_after(self) -> TimeSpan {
+        self.share(OUTAGE_SHARE)
+    }
+
+    /// Returns how long a removed target may be used once its removal is known, at the latest moment
+    /// at which it becomes known.
+    #[must_use]
+    pub fn removal_grace(self) -> TimeSpan {
+        self.share(REMOVAL_SHARE)
+    }
+
     fn share(self, share: f64) -> TimeSpan {
         self.bound.mul_f64(share)
     }
