The store's client doesn't call on connections that were idle for long

A node that takes over the watch of the store calls on a connection that may have been idle since its start. If that one went silent meanwhile, the call is lost for 1 s, a third of the bound.

Change: a connection that was idle for max_idle_time (1 s) is not used again. A call that its caller gives up closes the idle connections, as a call that times out did, since followers now end a silent watch themselves.

--- a/alderhaven-store/src/http_client.rs
+++ b/alderhaven-store/src/http_client.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::object_store::{RETRY_AFTER_MS_HEADER, StoreError, StoreResult};
 
@@ -26,6 +27,8 @@
 const DEFAULT_CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Default number of idle connections that are kept.
 const DEFAULT_MAX_IDLE_CONNECTIONS: usize = 4;
+/// Default time for which an idle connection is kept.
+const DEFAULT_MAX_IDLE_TIME: TimeSpan = TimeSpan::from_secs(1);
 /// Default maximum size of a response; a list of the whole configuration must fit.
 const DEFAULT_MAX_RESPONSE_SIZE: ByteSize = ByteSize::from_kib(16 << 10);
 
@@ -40,6 +43,9 @@
     /// The maximum number of idle connections that are kept.
     #[serde(rename = "max_idle")]
     pub max_idle_connections: usize,
+    /// The time after which an idle connection is not used again. The network may have dropped its state,
+    /// and only a call that times out would show it.
+    pub max_idle_time: TimeSpan,
     /// The maximum size of a response body.
     #[serde(rename = "max_answer")]
     pub max_response_size: ByteSize,
@@ -51,6 +57,7 @@
             call_timeout: DEFAULT_CALL_TIMEOUT,
             connect_timeout: DEFAULT_CONNECT_TIMEOUT,
             max_idle_connections: DEFAULT_MAX_IDLE_CONNECTIONS,
+            max_idle_time: DEFAULT_MAX_IDLE_TIME,
             max_response_size: DEFAULT_MAX_RESPONSE_SIZE,
         }
     }
@@ -61,7 +68,29 @@
 pub struct HttpClient {
     address: SocketAddr,
     options: ClientOptions,
-    idle_connections: Mutex<Vec<Connection>>,
+    idle_connections: Mutex<Vec<IdleConnection>>,
+}
+
+/// Connection without a call.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    idle_since: Instant,
+}
+
+/// Closes all idle connections unless its call ends with a response or an error. The network may have
+/// dropped the state of all open connections, and each idle one would then cost another timeout.
+struct SilenceGuard<'a> {
+    client: &'a HttpClient,
+    has_ended: bool,
+}
+
+impl Drop for SilenceGuard<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.client.lock_idle().clear();
+        }
+    }
 }
 
 /// Complete response to a call.
@@ -103,7 +132,8 @@
     /// Sends a request and reads the whole response. `wait` is added to the timeout, for a watch.
     ///
     /// A connection serves one call at a time and is reused only after the whole response was read, so
-    /// a response can't be matched to another call.
+    /// a response can't be matched to another call. A caller that drops the call has waited in vain as after
+    /// a timeout.
     ///
     /// # Errors
     /// `NotDone` if the request was not sent or the platform was overloaded; `Unknown` if the call may
@@ -114,20 +144,21 @@
         wait: TimeSpan,
     ) -> StoreResult<ClientResponse> {
         let mut connection = self.acquire_connection().await?;
+        let mut guard = SilenceGuard {
+            client: self,
+            has_ended: false,
+        };
         // A failed call drops its connection, so its late response can't reach another call.
         let timeout = (self.options.call_timeout + wait).as_duration();
-        match time::timeout(timeout, self.send_and_receive(&mut connection, request)).await {
+        let result = time::timeout(timeout, self.send_and_receive(&mut connection, request)).await;
+        guard.has_ended = result.is_ok();
+        match result {
             Ok(Ok(response)) => {
                 self.release_connection(connection);
                 reject_overload(response)
             }
             Ok(Err(error)) => Err(error),
-            Err(_elapsed) => {
-                // The network may have dropped the state of all open connections. Each idle one would
-                // then cost another timeout, so all of them are closed.
-                self.lock_idle().clear();
-                Err(StoreError::unknown("no response in time"))
-            }
+            Err(_elapsed) => Err(StoreError::unknown("no response in time")),
         }
     }
 
@@ -166,7 +197,12 @@
 
     async fn acquire_connection(&self) -> StoreResult<Connection> {
         loop {
-            let Some(mut connection) = self.lock_idle().pop() else {
+            let idle = self.lock_idle().pop();
+            let max_idle_time = self.options.max_idle_time.as_duration();
+            let recent = idle.filter(|idle| idle.idle_since.elapsed() < max_idle_time);
+            let Some(IdleConnection { mut connection, .. }) = recent else {
+                // The others have been idle for longer.
+                self.lock_idle().clear();
                 return self.connect().await;
             };
             // The last response was read to the end, so the connection is either ready or closed.
@@ -194,11 +230,14 @@
     fn release_connection(&self, connection: Connection) {
         let mut idle = self.lock_idle();
         if idle.len() < self.options.max_idle_connections {
-            idle.push(connection);
+            idle.push(IdleConnection {
+                connection,
+                idle_since: Instant::now(),
+            });
         }
     }
 
-    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<Connection>> {
+    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
         self.idle_connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/alderhaven-store/tests/http_store.rs
+++ b/alderhaven-store/tests/http_store.rs
@@ -49,8 +49,13 @@
 }
 
 fn store_at(address: SocketAddr) -> HttpStore {
+    store_with_idle_time(address, ClientOptions::default().max_idle_time)
+}
+
+fn store_with_idle_time(address: SocketAddr, max_idle_time: TimeSpan) -> HttpStore {
     let client = ClientOptions {
         call_timeout: TimeSpan::from_millis(200),
+        max_idle_time,
         ..ClientOptions::default()
     };
     let options = HttpStoreOptions {
@@ -335,3 +340,47 @@
     assert!(is_not_done(&store.get(&team_key("volta")).await));
     assert_eq!(request_count.load(Ordering::SeqCst), 1);
 }
+
+/// Starts a platform whose connections each answer one list and then go silent.
+async fn start_forgetful_platform() -> SocketAddr {
+    const REPLIES: &[ScriptedReply] = &[
+        ScriptedReply::Answer("200 OK", "", r#"{"revision":1,"objects":[]}"#),
+        ScriptedReply::Silence,
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a loopback port can be bound");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, REPLIES, Arc::default()));
+        }
+    });
+    address
+}
+
+/// Guards against a node that takes over the watch of the store and loses its first call to a connection
+/// that went silent while it was idle.
+#[tokio::test]
+async fn call_on_a_long_idle_connection_uses_a_new_one() {
+    let store = store_with_idle_time(start_forgetful_platform().await, TimeSpan::ZERO);
+    let kinds = [ObjectKind::Template];
+    for _ in 0..3 {
+        let list = store.list(&kinds).await;
+        assert!(list.is_ok(), "{list:?}");
+    }
+}
+
+/// Guards against a call after a silent one that is lost to another silent connection.
+#[tokio::test]
+async fn dropped_call_closes_idle_connections() {
+    let max_idle_time = TimeSpan::from_secs(60);
+    let store = store_with_idle_time(start_forgetful_platform().await, max_idle_time);
+    let kinds = [ObjectKind::Template];
+    let (first, second) = tokio::join!(store.list(&kinds), store.list(&kinds));
+    assert!(first.is_ok() && second.is_ok(), "{first:?} {second:?}");
+    let silent = store.list(&kinds);
+    let limit = std::time::Duration::from_millis(50);
+    assert!(tokio::time::timeout(limit, silent).await.is_err());
+    let list = store.list(&kinds).await;
+    assert!(list.is_ok(), "{list:?}");
+}
