Soak: fronts that watch the store lose it just after a change

The run cuts the one or two fronts whose links to the store carried calls last, between a change of the configuration and the next one and a drain.

--- a/alderhaven-soak/src/link_proxy.rs
+++ b/alderhaven-soak/src/link_proxy.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -55,11 +55,15 @@
     }
 }
 
+/// When bytes were last forwarded to the server.
+type LastRequest = Arc<Mutex<Option<Instant>>>;
+
 /// A link to one server. It closes when the last clone is dropped.
 #[derive(Clone, Debug)]
 pub struct LinkProxy {
     address: SocketAddr,
     mode: watch::Sender<LinkMode>,
+    last_request: LastRequest,
     _stop_guard: Arc<DropGuard>,
 }
 
@@ -74,16 +78,19 @@
         let mode = watch::Sender::new(LinkMode::Open);
         let stop_token = CancellationToken::new();
         let mode_receiver = mode.subscribe();
+        let last_request = LastRequest::default();
+        let recorded_request = Arc::clone(&last_request);
         let accept_stop_token = stop_token.clone();
         tokio::spawn(async move {
             tokio::select! {
                 () = accept_stop_token.cancelled() => {}
-                () = accept_connections(listener, server, mode_receiver, accept_stop_token.clone()) => {}
+                () = accept_connections(listener, server, mode_receiver, recorded_request, accept_stop_token.clone()) => {}
             }
         });
         Ok(Self {
             address,
             mode,
+            last_request,
             _stop_guard: Arc::new(stop_token.drop_guard()),
         })
     }
@@ -94,6 +101,12 @@
         self.address
     }
 
+    /// Returns when bytes were last forwarded to the server.
+    #[must_use]
+    pub fn last_request_at(&self) -> Option<Instant> {
+        *lock(&self.last_request)
+    }
+
     /// Changes the mode of open and new connections.
     pub fn set_mode(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
@@ -104,14 +117,16 @@
     listener: TcpListener,
     server: SocketAddr,
     mode: watch::Receiver<LinkMode>,
+    last_request: LastRequest,
     stop_token: CancellationToken,
 ) {
     while let Ok((client, _)) = listener.accept().await {
         let (mode, stop_token) = (mode.clone(), stop_token.clone());
+        let last_request = Arc::clone(&last_request);
         tokio::spawn(async move {
             tokio::select! {
                 () = stop_token.cancelled() => {}
-                () = forward_connection(client, server, mode) => {}
+                () = forward_connection(client, server, mode, last_request) => {}
             }
         });
     }
@@ -122,6 +137,7 @@
     mut client: TcpStream,
     server: SocketAddr,
     mut mode: watch::Receiver<LinkMode>,
+    last_request: LastRequest,
 ) {
     let mut unblocked_mode = mode.clone();
     // While requests are blocked, the connection is accepted but none is opened to the server.
@@ -150,8 +166,15 @@
                 upstream_out,
                 modes.clone(),
                 LinkDirection::Upstream,
+                Some(last_request),
+            ) => false,
+            () = forward_bytes(
+                upstream_in,
+                client_out,
+                modes,
+                LinkDirection::Downstream,
+                None,
             ) => false,
-            () = forward_bytes(upstream_in, client_out, modes, LinkDirection::Downstream) => false,
         }
     };
     if is_reset {
@@ -173,6 +196,7 @@
     mut to: WriteHalf<'_>,
     mut mode: watch::Receiver<LinkMode>,
     direction: LinkDirection,
+    last_request: Option<LastRequest>,
 ) {
     let mut block = vec![0; BUFFER_BYTES];
     loop {
@@ -189,12 +213,19 @@
         if let LinkMode::Delayed(delay) = current {
             tokio::time::sleep(delay).await;
         }
+        if let Some(last_request) = &last_request {
+            *lock(last_request) = Some(Instant::now());
+        }
         if to.write_all(&block[..length]).await.is_err() {
             return;
         }
     }
 }
 
+fn lock(last_request: &LastRequest) -> MutexGuard<'_, Option<Instant>> {
+    last_request.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Makes the operating system send a reset when the connection is dropped.
 fn reset_when_dropped(stream: &TcpStream) {
     // If this fails, the connection is closed in order, which is a fault as well.
--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -26,6 +26,8 @@
 const MIN_SECONDS: u64 = 10;
 /// One in so many seeds has requests that need seconds.
 const LONG_WORK_PERIOD: u64 = 2;
+/// One in so many pairs of seeds has cuts of the fronts that watch the store.
+const WATCHER_CUT_PERIOD: u64 = 2;
 /// The longest run.
 const MAX_SECONDS: u64 = 3_600;
 
@@ -80,6 +82,10 @@
     /// answers: on, off or drawn (default: drawn from each seed)
     #[argh(option, default = "RunMode::Drawn")]
     long_work: RunMode,
+    /// whether fronts that watch the store lose it just after a change: on, off or drawn (default: drawn
+    /// from each seed)
+    #[argh(option, default = "RunMode::Drawn")]
+    watcher_cuts: RunMode,
     /// print one JSON line per seed
     #[argh(switch)]
     json: bool,
@@ -145,6 +151,9 @@
                 long_work: arguments
                     .long_work
                     .is_on(seed.is_multiple_of(LONG_WORK_PERIOD)),
+                watcher_cuts: arguments
+                    .watcher_cuts
+                    .is_on(!(seed / LONG_WORK_PERIOD).is_multiple_of(WATCHER_CUT_PERIOD)),
                 cause: String::new(),
             },
             ExtraFaults::Seeded,
@@ -203,6 +212,7 @@
             .logs(self.logs.clone())
             .has_evacuations(extra_faults == ExtraFaults::Seeded)
             .has_restores(extra_faults == ExtraFaults::Seeded)
+            .has_watcher_cuts(case.watcher_cuts)
             .has_teams(case.teams)
             .has_crashing_requests(case.crashes)
             .has_long_work(case.long_work)
--- a/alderhaven-soak/src/seed_cases.rs
+++ b/alderhaven-soak/src/seed_cases.rs
@@ -7,6 +7,7 @@
 const CASES_YAML: &str = include_str!("../cases.yaml");
 
 /// A run that once broke a promise.
+#[expect(clippy::struct_excessive_bools, reason = "independent parts of a run")]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeedCase {
     /// The seed from which faults and requests are drawn.
@@ -26,6 +27,9 @@
     /// Whether some requests need seconds, and targets spoil answers.
     #[serde(default)]
     pub long_work: bool,
+    /// Whether fronts that watch the store lose it just after a change.
+    #[serde(default)]
+    pub watcher_cuts: bool,
     /// The broken promise and the defect behind it.
     pub cause: String,
 }
--- a/alderhaven-soak/src/soak_fault.rs
+++ b/alderhaven-soak/src/soak_fault.rs
@@ -26,6 +26,8 @@
     ReloadFront(usize),
     /// Disrupts the link from a front to the store.
     StoreLink(usize, LinkMode, TimeSpan),
+    /// Blocks the links to the store of so many fronts: those that called it last, which watch it.
+    CutWatchers(usize, TimeSpan),
     /// Blocks the links from all fronts to the store.
     CutStore(TimeSpan),
     /// Makes the store handle all calls in a faulty way.
@@ -94,6 +96,7 @@
             Self::FreezeFront(..) => "freeze_front",
             Self::ReloadFront(_) => "reload_front",
             Self::StoreLink(..) => "store_link",
+            Self::CutWatchers(..) => "cut_watchers",
             Self::CutStore(_) => "cut_store",
             Self::StoreFault(..) => "store_fault",
             Self::StoreCompaction => "store_forgets",
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -39,6 +39,10 @@
     /// Whether the store comes back from older copies in addition to the faults of the seed.
     #[builder(default)]
     pub has_restores: bool,
+    /// Whether fronts that watch the store lose it just after a change, in addition to the faults of the
+    /// seed.
+    #[builder(default)]
+    pub has_watcher_cuts: bool,
     /// Whether the run has teams, with their own faults.
     #[builder(default)]
     pub has_teams: bool,
--- a/alderhaven-soak/src/soak_plan.rs
+++ b/alderhaven-soak/src/soak_plan.rs
@@ -30,6 +30,13 @@
 const COPY_AGE_MS: std::ops::Range<u64> = 300..MAX_COPY_AGE_MS;
 /// The range of durations for which the store is away before it comes back.
 const AWAY_DURATION_MS: std::ops::Range<u64> = 50..2_500;
+/// The range of the pauses between a change, the cut of the fronts that watch the store, and the changes
+/// that these must not hide.
+const CUT_PAUSE_MS: std::ops::Range<u64> = 20..600;
+/// The range of durations for which such fronts are cut off; most exceed the bounds for changes.
+const CUT_DURATION_MS: std::ops::Range<u64> = 2_000..7_000;
+/// The most fronts that are cut off at once.
+const MAX_CUT_FRONTS: usize = 2;
 /// The probability that the previous fault is injected again on the same subject, often before it
 /// has recovered.
 const REPEAT_PROBABILITY: f64 = 0.2;
@@ -143,6 +150,47 @@
         self
     }
 
+    /// Adds cuts of the fronts that watch the store, each between two changes, without changing the other
+    /// faults.
+    #[must_use]
+    pub fn with_watcher_cuts(mut self, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(3));
+        let faults_end = self.span.saturating_sub(FAULT_FREE_END);
+        let mut at = FAULT_FREE_START;
+        loop {
+            let mut pause = || TimeSpan::from_millis(rng.random_range(CUT_PAUSE_MS));
+            let (cut_at, config_at) = (at + pause(), at + pause() + pause());
+            let drain_at = config_at + pause();
+            let span = TimeSpan::from_millis(rng.random_range(CUT_DURATION_MS));
+            let count = rng.random_range(1..=MAX_CUT_FRONTS);
+            let target = rng.random_range(0..usize::MAX >> 1);
+            if cut_at + span > faults_end {
+                break;
+            }
+            self.steps.extend([
+                SoakStep {
+                    at,
+                    fault: SoakFault::ChangeConfig,
+                },
+                SoakStep {
+                    at: cut_at,
+                    fault: SoakFault::CutWatchers(count, span),
+                },
+                SoakStep {
+                    at: config_at,
+                    fault: SoakFault::ChangeConfig,
+                },
+                SoakStep {
+                    at: drain_at,
+                    fault: SoakFault::DrainTarget(target),
+                },
+            ]);
+            at = cut_at + span + TimeSpan::from_millis(rng.random_range(0..MAX_FAULT_INTERVAL_MS));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Adds teams, changes of them and faults that outlast their bounds, without changing the other
     /// faults.
     #[must_use]
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -1,6 +1,7 @@
 //! One soak run: starts store, targets, fronts and callers, injects the planned faults and checks
 //! the recorded history against the promises.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::path::PathBuf;
@@ -87,6 +88,9 @@
     if options.has_spoiled_answers {
         plan = plan.with_spoiled_answers(options.seed);
     }
+    if options.has_watcher_cuts {
+        plan = plan.with_watcher_cuts(options.seed);
+    }
     if options.has_teams {
         plan = plan.with_teams(options.seed);
     }
@@ -304,6 +308,7 @@
             }
             SoakFault::ReloadFront(index) => self.send_command(index, FrontCommand::Reload),
             SoakFault::StoreLink(index, mode, span) => self.disrupt_store_link(index, mode, span),
+            SoakFault::CutWatchers(count, span) => self.cut_watchers(count, span),
             SoakFault::CutStore(span) => self.cut_store(span),
             SoakFault::StoreFault(fault, span) => self.disrupt_store(fault, span),
             SoakFault::StoreCompaction => {
@@ -379,6 +384,14 @@
         });
     }
 
+    fn cut_watchers(&mut self, count: usize, span: TimeSpan) {
+        let mut fronts: Vec<usize> = (0..self.fronts.len()).collect();
+        fronts.sort_by_key(|index| Reverse(self.fronts[*index].link.last_request_at()));
+        for index in fronts.into_iter().take(count) {
+            self.disrupt_store_link(index, LinkMode::Blocked, span);
+        }
+    }
+
     fn cut_store(&mut self, span: TimeSpan) {
         for index in 0..self.fronts.len() {
             self.disrupt_store_link(index, LinkMode::Blocked, span);
