--- a/alderhaven-policy/tests/store_watch_plan.rs
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -252,10 +252,10 @@
                 };
                 plan.should_watch(&options, at(0))
             };
-            let watchers: Vec<&GroupFront> = nodes.iter().filter(watches).collect();
-            let hosts: BTreeSet<_> = watchers.iter().map(|front| &front.host).collect();
-            let failure_domains: BTreeSet<_> = watchers.iter().map(|front| &front.domain).collect();
-            let names: Vec<_> = watchers.iter().map(|front| front.node.as_str()).collect();
+            let chosen: Vec<&GroupFront> = nodes.iter().filter(watches).collect();
+            let hosts: BTreeSet<_> = chosen.iter().map(|front| &front.host).collect();
+            let failure_domains: BTreeSet<_> = chosen.iter().map(|front| &front.domain).collect();
+            let names: Vec<_> = chosen.iter().map(|front| front.node.as_str()).collect();
             let tolerated = usize::try_from(tolerated).expect("a small number");
             assert!(
                 hosts.len() > tolerated,
