Targets whose registrations a restored store lost stay usable until they return

Since removed targets stay usable for a quarter of drain-ms only, a live target whose registration the restored store lacks was given up after 0.75 s, while its registration is written again within two seconds.

Change: a removal in a later era than the known registration gives 1.7 s, as after an outage.

--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -388,7 +388,7 @@
     fn apply_target(&self, state: &mut CatalogState, object: &StoredObject) -> bool {
         let id = &object.key.name;
         let Some(body) = &object.body else {
-            self.mark_expired(state, id);
+            self.mark_expired(state, object);
             return true;
         };
         match self.dialect.read_target(id, body) {
@@ -401,7 +401,7 @@
                     reason,
                 }
                 .emit(Level::Warn);
-                self.mark_expired(state, id);
+                self.mark_expired(state, object);
             }
         }
         true
@@ -430,18 +430,23 @@
         state.targets.insert(id, Arc::new(handle));
     }
 
-    fn mark_expired(&self, state: &mut CatalogState, id: &str) {
+    /// Marks the target of a removed registration, before the removal is recorded.
+    fn mark_expired(&self, state: &mut CatalogState, removal: &StoredObject) {
+        let id = &removal.key.name;
         let Some(target) = state.targets.get(id) else {
             return;
         };
+        let known = state.objects.get(&removal.key);
+        let is_era_new = known.is_some_and(|known| known.version.era < removal.version.era);
         let now = self.clock.now();
+        let grace = state.removal_grace.grace(is_era_new, now);
         let status = match target.status() {
-            TargetStatus::Ready => TargetStatus::Expired(now + state.removal_grace.grace(now)),
+            TargetStatus::Ready => TargetStatus::Expired(now + grace),
             other => other,
         };
         target.set_status(status);
         FrontEvent::TargetDeregistered {
-            target: id.to_owned(),
+            target: id.clone(),
             service: target.entry().service.clone(),
             was_leaving: status == TargetStatus::Leaving,
         }
--- a/alderhaven-policy/src/removal_grace.rs
+++ b/alderhaven-policy/src/removal_grace.rs
@@ -3,7 +3,8 @@
 //! Registrations of live targets expire while the store is away, and return shortly after it does. A
 //! target that is removed while the store answers has left, and must get no more requests within
 //! the bound for leaving targets. The node may have learned of its removal late by as much as a
-//! silent watch takes, so that only the rest of the bound remains.
+//! silent watch takes, so that only the rest of the bound remains. A store that comes back from an older
+//! copy has lost registrations that their targets write again.
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
 
@@ -41,13 +42,14 @@
         }
     }
 
-    /// Returns how long a target stays usable whose removal is learned now.
+    /// Returns how long a target stays usable whose removal is learned now. `is_era_new` tells that it was
+    /// known in an earlier era of the store.
     #[must_use]
-    pub fn grace(&self, now: TimePoint) -> TimeSpan {
+    pub fn grace(&self, is_era_new: bool, now: TimePoint) -> TimeSpan {
         let is_after_outage = self
             .outage_seen_at
             .is_some_and(|seen_at| now.since(seen_at) < OUTAGE_MEMORY);
-        if is_after_outage {
+        if is_after_outage || is_era_new {
             RETURN_TIME
         } else {
             RETURN_TIME.min(self.timing.removal_grace())
--- a/alderhaven-policy/tests/store_watch_cuts.rs
+++ b/alderhaven-policy/tests/store_watch_cuts.rs
@@ -6,9 +6,12 @@
 use alderhaven_policy::store_watch_plan::WatchOptions;
 use alderhaven_policy::watch_timing::WatchTiming;
 
+#[path = "common/watch_fronts.rs"]
+mod watch_fronts;
 #[path = "common/watch_simulation.rs"]
 mod watch_simulation;
 
+use watch_fronts::fronts_and_directories;
 use watch_simulation::{HostTrouble, WatchSimulation};
 
 /// A change before the trouble, at which all watches begin anew.
@@ -18,26 +21,6 @@
     TimePoint::START + TimeSpan::from_millis(millis)
 }
 
-/// Returns a front on each host, and a directory on the first of each failure domain.
-fn fronts(domains: usize, hosts_per_domain: usize) -> Vec<GroupFront> {
-    let process = |domain: usize, host: usize, suffix: &str| GroupFront {
-        node: format!("host-{domain}-{host}{suffix}")
-            .parse()
-            .expect("a valid node name"),
-        host: format!("host-{domain}-{host}")
-            .parse()
-            .expect("a valid host name"),
-        domain: format!("domain-{domain}")
-            .parse()
-            .expect("a valid failure domain"),
-    };
-    let hosts =
-        (0..domains).flat_map(|domain| (0..hosts_per_domain).map(move |host| (domain, host)));
-    let fronts = hosts.map(|(domain, host)| process(domain, host, ""));
-    let directories = (0..domains).map(|domain| process(domain, 0, "-directory"));
-    fronts.chain(directories).collect()
-}
-
 fn options(bound: TimeSpan, hosts: f64) -> WatchOptions {
     WatchOptions {
         watchers: store_watch_plan::watcher_count(hosts, 0),
@@ -90,7 +73,7 @@
 /// stand still at any moment after another change.
 #[test]
 fn change_is_known_in_time_whichever_two_hosts_lose_the_store() {
-    let fronts = fronts(2, 4);
+    let fronts = fronts_and_directories(2, 4);
     let hosts = host_names(&fronts);
     for millis in [2_000, 3_000, 5_000] {
         let bound = TimeSpan::from_millis(millis);
@@ -123,7 +106,7 @@
 #[test]
 fn change_is_known_in_time_while_all_watching_hosts_lose_the_store() {
     for (domains, hosts_per_domain) in [(4, 2), (4, 8)] {
-        let fronts = fronts(domains, hosts_per_domain);
+        let fronts = fronts_and_directories(domains, hosts_per_domain);
         for millis in [2_000, 3_000, 5_000] {
             let bound = TimeSpan::from_millis(millis);
             let delay = bound.mul_f64(DELAY_SHARE);
@@ -161,7 +144,7 @@
 /// silent watch of the one before is noticed, and again for as long as reports are held.
 #[test]
 fn changes_are_known_in_time_while_hosts_lose_the_store_in_turn() {
-    let fronts = fronts(4, 3);
+    let fronts = fronts_and_directories(4, 3);
     let hosts = host_names(&fronts);
     for millis in [2_000, 3_000, 5_000] {
         let bound = TimeSpan::from_millis(millis);
@@ -195,7 +178,7 @@
 #[test]
 fn calls_do_not_grow_with_the_group() {
     for (domains, hosts_per_domain) in [(4, 2), (4, 8), (7, 6)] {
-        let fronts = fronts(domains, hosts_per_domain);
+        let fronts = fronts_and_directories(domains, hosts_per_domain);
         let bound = TimeSpan::from_secs(3);
         let delay = bound.mul_f64(DELAY_SHARE);
         let mut simulation =
--- a/alderhaven-policy/tests/store_watch_plan.rs
+++ b/alderhaven-policy/tests/store_watch_plan.rs
@@ -8,6 +8,11 @@
 use alderhaven_policy::store_watch_plan::{StoreContact, WatchOptions, WatchPlan, is_among_first};
 use alderhaven_policy::watch_timing::WatchTiming;
 
+#[path = "common/watch_fronts.rs"]
+mod watch_fronts;
+
+use watch_fronts::fronts_and_directories;
+
 fn at(millis: u64) -> TimePoint {
     TimePoint::START + TimeSpan::from_millis(millis)
 }
@@ -208,26 +213,6 @@
     }
 }
 
-/// Returns the processes of a deployment: a front on each host, and a directory on the first of each
-/// failure domain.
-fn fronts_and_directories(domains: usize, hosts_per_domain: usize) -> Vec<GroupFront> {
-    let process = |domain: usize, host: usize, suffix: &str| GroupFront {
-        node: format!("host-{domain}-{host}{suffix}")
-            .parse()
-            .expect("a valid node name"),
-        host: format!("host-{domain}-{host}")
-            .parse()
-            .expect("a valid host name"),
-        domain: format!("domain-{domain}")
-            .parse()
-            .expect("a valid failure domain"),
-    };
-    let fronts = (0..domains)
-        .flat_map(|domain| (0..hosts_per_domain).map(move |host| process(domain, host, "")));
-    let directories = (0..domains).map(|domain| process(domain, 0, "-directory"));
-    fronts.chain(directories).collect()
-}
-
 /// Guards against leaving targets and configurations that nobody hears of while hosts are cut off: a host
 /// takes its front and its directory along, and a failure domain all its hosts.
 #[test]
