Nodes look at the watch plan once a second

Change: a node that doesn't watch looks after 1 s instead of 0.5 s, if nothing happens. Reports that the store is lost, and the moment at which its latest known answer is too old, wake it as before, so that no bound depends on it.

--- a/alderhaven-front/src/store_follower.rs
+++ b/alderhaven-front/src/store_follower.rs
@@ -36,8 +36,9 @@
 /// and leave in groups.
 const TARGET_BATCH_DELAY: TimeSpan = TimeSpan::from_millis(500);
 
-/// The longest time after which a node that doesn't watch re-evaluates the watch plan.
-const MAX_PLAN_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+/// The longest time after which a node that doesn't watch re-evaluates the watch plan. Reports of other
+/// nodes and the age of the store's latest answer wake it earlier.
+const MAX_PLAN_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
 /// The shortest time after which it does.
 const MIN_PLAN_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
