--- a/alderhaven-peer/tests/early_ends.rs
+++ b/alderhaven-peer/tests/early_ends.rs
@@ -41,14 +41,18 @@
     let (near, mut far) = open_connection().await;
     let (_sender, mut reader) = connection::split(near).expect("the connection splits");
     far.write_all(bytes).await.expect("the connection is open");
-    let far = match end {
-        ConnectionEnd::Close => None,
+    let half_closed = match end {
+        ConnectionEnd::Close => {
+            drop(far);
+            None
+        }
         ConnectionEnd::HalfClose => {
             far.shutdown().await.expect("the connection is open");
             Some(far)
         }
         ConnectionEnd::Reset => {
             far.set_zero_linger().expect("the connection can be reset");
+            drop(far);
             None
         }
     };
@@ -56,7 +60,7 @@
     while let Some(message) = connection::next_message(&mut reader).await {
         messages.push(message);
     }
-    drop(far);
+    drop(half_closed);
     messages
 }
 
