--- a/alderhaven-policy/tests/common/watch_simulation.rs
+++ b/alderhaven-policy/tests/common/watch_simulation.rs
@@ -14,8 +14,9 @@
 const ROUND_TRIP: TimeSpan = TimeSpan::from_millis(30);
 /// The time after which a list that is not answered has failed.
 const LIST_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
-/// The longest time between two looks at the plan.
-const PLAN_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+/// The time between two looks at the plan. A front is woken by reports and by the age of the latest answer
+/// instead.
+const PLAN_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
 
 /// What happens to some hosts.
 #[derive(Clone, Debug)]
@@ -102,7 +103,7 @@
         }
     }
 
-    /// Returns the nodes that watch now.
+    /// Returns the hosts of the nodes that watch now.
     pub fn watching_hosts(&self) -> Vec<String> {
         let watching = self.nodes.iter().filter(|node| node.call.is_some());
         watching.map(|node| node.front.host.to_string()).collect()
@@ -206,7 +207,7 @@
         if !self.should_watch(index) {
             let node = &mut self.nodes[index];
             node.has_list = false;
-            node.next_look = self.now + PLAN_INTERVAL.min(TICK.mul_f64(5.0));
+            node.next_look = self.now + PLAN_INTERVAL;
             return;
         }
         self.calls += 1;
@@ -230,7 +231,7 @@
         let others = self.nodes.iter().enumerate();
         let others = others.filter(|(other, _)| *other != index);
         let answered = others.clone().filter_map(|(_, other)| other.answered_at);
-        // A later answer may be under way while an earlier one is known.
+        // While a later answer is under way an earlier one, which is not kept, is known: it counts as new.
         let answered = answered.map(|at| if heard(at) { at } else { self.now });
         let answered_at = answered.max();
         let reports = others.filter_map(|(_, other)| other.report.clone());
