--- a/alderhaven-standin/src/http_server.rs
+++ b/alderhaven-standin/src/http_server.rs
@@ -130,11 +130,17 @@
 /// Builds a response with a JSON body; a failure to serialize becomes status 500.
 pub fn json_reply(status: StatusCode, content: &impl Serialize) -> HttpReply {
     match serde_json::to_vec(content) {
-        Ok(body) => build_reply(status, "application/json", Bytes::from(body)),
+        Ok(body) => json_text_reply(status, body),
         Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
 }
 
+/// Builds a response with a body that is JSON already.
+#[must_use]
+pub fn json_text_reply(status: StatusCode, body: Vec<u8>) -> HttpReply {
+    build_reply(status, "application/json", Bytes::from(body))
+}
+
 /// Builds a plain text response.
 pub fn text_reply(status: StatusCode, text: impl Into<String>) -> HttpReply {
     build_reply(status, "text/plain", Bytes::from(text.into()))
