--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -107,6 +107,14 @@
         /// How long this node saw the domain evacuated, in milliseconds.
         after_ms: u64,
     },
+    /// Entries of the store have another structure than objects, or names that no object of the kind has.
+    /// The other entries are used.
+    StoreEntriesUnreadable {
+        /// The kind of the entries.
+        kind: ObjectKind,
+        /// Their number in one answer.
+        entries: usize,
+    },
     /// The name of an evacuation is not a valid failure domain.
     EvacuationUnreadable {
         /// The name of the object.
@@ -416,6 +424,7 @@
             Self::StoreRecovered { .. } => "store_back",
             Self::StoreWatchChanged { .. } => "store_watch_changed",
             Self::StoreListed { .. } => "store_listed",
+            Self::StoreEntriesUnreadable { .. } => "store_entries_unreadable",
             Self::ObjectsOlder { .. } => "objects_older",
             Self::LeaseObtained { .. } => "lease_obtained",
             Self::LeaseLost { .. } => "lease_lost",
