A malformed object hides no other from entries, relays and alderctl

HttpStore parsed a list or a watch's changes as a whole: an object without a name, of an unknown kind or with a lone surrogate in its name made the configuration of all others unreadable ("missing field `name`" before this change). Each object is now parsed on its own; skipped ones are logged. Positions in this API are revisions, and names in its paths were checked before, so neither needs encoding.

--- a/alderhaven-store/src/http_store.rs
+++ b/alderhaven-store/src/http_store.rs
@@ -11,6 +11,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::time::Instant;
 
 use crate::http_client::{ClientOptions, ClientResponse, HttpClient};
@@ -19,6 +20,7 @@
     ConditionalWrite, ERA_HEADER, IF_VERSION_HEADER, MAX_VALUE_BYTES, ObjectList, ObjectStore,
     StoreError, StoreResult, WRITE_ID_HEADER, WatchOutcome, WriteOutcome,
 };
+use crate::readable_entries::ReadableEntries;
 
 /// Limits of an [`HttpStore`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -38,6 +40,13 @@
     started_at: Instant,
 }
 
+/// An [`ObjectList`] whose objects aren't parsed yet.
+#[derive(Debug, Deserialize)]
+struct ListText {
+    revision: StoreVersion,
+    objects: Vec<Box<RawValue>>,
+}
+
 impl HttpStore {
     /// Creates a client for the API at `address`. Connections are opened by calls.
     #[must_use]
@@ -111,7 +120,7 @@
         let response = self.call(StoreCall::Read, request, TimeSpan::ZERO).await?;
         let era = response.store_era(&ERA_HEADER)?;
         match response.status {
-            StatusCode::OK => Ok(response.parse_json::<ObjectList>()?.in_era(era)),
+            StatusCode::OK => Ok(parse_list(&response)?.in_era(era)),
             _ => Err(response.unexpected_status()),
         }
     }
@@ -164,7 +173,7 @@
         let era = response.store_era(&ERA_HEADER)?;
         match response.status {
             StatusCode::OK => {
-                let changes = response.parse_json::<ObjectList>()?.in_era(era);
+                let changes = parse_list(&response)?.in_era(era);
                 Ok(WatchOutcome::of_changes(after, changes))
             }
             StatusCode::GONE => Ok(WatchOutcome::Compacted),
@@ -178,6 +187,16 @@
     names.join(",")
 }
 
+/// Parses a list without the objects that other writers malformed.
+fn parse_list(response: &ClientResponse) -> StoreResult<ObjectList> {
+    let text = String::from_utf8_lossy(&response.body);
+    let list: ListText = serde_json::from_str(&text).map_err(StoreError::unknown)?;
+    Ok(ObjectList {
+        revision: list.revision,
+        objects: ReadableEntries::parse(&list.objects).into_entries(),
+    })
+}
+
 /// Parses an object, or `null` if there is none.
 fn parse_object(response: &ClientResponse, key: &ObjectKey) -> StoreResult<Option<StoredObject>> {
     let era = response.store_era(&ERA_HEADER)?;
--- a/alderhaven-store/tests/http_store.rs
+++ b/alderhaven-store/tests/http_store.rs
@@ -384,3 +384,32 @@
     let list = store.list(&kinds).await;
     assert!(list.is_ok(), "{list:?}");
 }
+
+// One malformed object of another writer made the objects of all others unreadable.
+#[tokio::test]
+async fn list_malformed_object_hides_no_object() {
+    const LIST: &str = r#"{"revision":9,"objects":[
+        {"key":{"kind":"team","name":"a&b +%41/..#?"},"version":4,"write_id":"w1","body":"{}"},
+        {"key":{"kind":"team"},"version":5,"write_id":"w2","body":"{}"},
+        {"key":{"kind":"team","name":"x\ud800"},"version":5,"write_id":"w2","body":"{}"},
+        {"key":{"kind":"unknown","name":"x"},"version":6,"write_id":"w3","body":"{}"},
+        null,
+        {"key":{"kind":"team","name":"volta"},"version":7,"write_id":"w4","body":"{}"}]}"#;
+    const REPLIES: &[ScriptedReply] = &[ScriptedReply::Answer("200 OK", "", LIST)];
+    let (store, _requests) = start_platform(REPLIES).await;
+    let expected = ["a&b +%41/..#?", "volta"];
+    let kinds = [ObjectKind::Team];
+    let list = store.list(&kinds).await.expect("a list");
+    let names = list.objects.iter().map(|object| object.key.name.as_str());
+    assert_eq!(names.collect::<Vec<_>>(), expected);
+    let after = StoreVersion::of_revision(3);
+    let watched = store.watch(&kinds, after, TimeSpan::ZERO).await;
+    let Ok(WatchOutcome::Changes(changes)) = watched else {
+        panic!("{watched:?}");
+    };
+    let names = changes
+        .objects
+        .iter()
+        .map(|object| object.key.name.as_str());
+    assert_eq!(names.collect::<Vec<_>>(), expected);
+}
