Crowds of callers that hold requests open, as tests of the processes

Callers whom nobody controls sent many large bodies that stopped short of their end, and a process ran out of memory. These tests start the processes with low limits (front: 64 MB, 1,000 descriptors of which 200 are for files; entry and relay: 64 MB) and let small crowds stand: bodies with a length, in large chunks and in chunks of one byte, thirds of bodies, whole bodies at a silent target, heads without end, idle connections at each address, answers that nobody reads, frames that stop short of their end. Bounds: resident memory at its peak and the bytes that the kernel holds together stay under the machine's memory, descriptors under their limit, the process lives, and ordinary requests of 0 to 256 KB are answered while the crowd stands and after it.

--- a/alderhaven-proof/src/child_process.rs
+++ b/alderhaven-proof/src/child_process.rs
@@ -77,6 +77,12 @@
         &self.name
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the parsed ready line.
     #[must_use]
     pub const fn ready_message(&self) -> &Value {
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -202,6 +202,7 @@
             grace_s: STOP_GRACE_PERIOD.as_millis() / 1_000,
             repeat_extra: repeat_budget::FREE_REPEATS_PER_WINDOW,
             team_bounds: self.log.lock().team_bounds,
+            limits: None,
         };
         let log = self.log.clone();
         let process = FrontProcess::start(settings.clone(), &options.front_binary, directory, log)?;
--- a/alderhaven-standin/src/lib.rs
+++ b/alderhaven-standin/src/lib.rs
@@ -7,16 +7,19 @@
 #![warn(missing_docs)]
 
 pub mod attempt_head;
+pub mod crowd;
 pub mod fake_store;
 pub mod fleet_control;
 pub mod fleet_services;
 pub mod held_indexes;
+pub mod held_request;
 pub mod http_connection;
 pub mod http_server;
 pub mod object_set;
 pub mod object_table;
 pub mod platform_faults;
 pub mod platform_server;
+pub mod process_usage;
 pub mod rate_limiter;
 pub mod registration;
 pub mod rows;
