Frames that stop short of their end hold bounded memory

A peer, or anyone who reaches the port, could announce a frame of 8 MB, send all of it but the last byte and stay. Twenty of these took 178 MB of a relay, an entry or a front (64 MB allowed), and accepted connections that never said whose they are had no limit.

Cause: the codec reserved the whole announced length, the read buffer doubled as it grew, and nothing bounded the sum. On several threads the allocator kept freed buffers of that size (173 MB with a bound on the sum alone).

Change: alderhaven-intake, a new crate, accounts for bytes that a process holds for others. Incomplete frames from 16 KB on are kept in parts of 64 KB under such a ledger (16 MB by default), and a connection that must give way is closed and logged. Reading yields after 128 KB, so that it gives way before others have read much. Accepted connections of the exchange are limited to 128; the one that has waited the longest gives way. Listeners for peers have a receive buffer.

--- a/alderhaven-peer/src/connection.rs
+++ b/alderhaven-peer/src/connection.rs
@@ -2,22 +2,27 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use alderhaven_core::logging;
+use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::quantities::ByteSize;
+use alderhaven_intake::byte_ledger::ByteLedger;
 use bytes::BytesMut;
 use futures::StreamExt;
 use log::Level;
 use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio_util::codec::{Encoder, FramedRead};
 
 use crate::codec::FrameCodec;
 use crate::frames::{PeerFrame, PeerMessage};
+use crate::yielding_reader::YieldingReader;
 
 /// Maximum number of messages in one write.
 const MAX_BATCH_MESSAGES: usize = 256;
@@ -31,6 +36,12 @@
 /// buffer is full. Without a bound its queue would grow for minutes.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Default bytes of incomplete frames that a process holds.
+const DEFAULT_FRAME_BUDGET: ByteSize = ByteSize::from_kib(16 << 10);
+
+/// Accounts for the incomplete frames of all connections; process-wide, like the logger.
+static FRAMES: OnceLock<Arc<ByteLedger>> = OnceLock::new();
+
 /// Cheaply cloneable sender that queues messages for one connection.
 #[derive(Clone, Debug)]
 pub struct FrameSender {
@@ -45,6 +56,9 @@
 #[derive(Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 enum ConnectionEvent {
+    /// The memory for incomplete frames is used up, and this one occupied the most for the longest; its
+    /// connection is closed.
+    FrameEvicted { peer: Option<SocketAddr> },
     /// A frame was oversized or malformed; its connection is closed.
     MalformedFrame {
         peer: Option<SocketAddr>,
@@ -53,7 +67,7 @@
 }
 
 /// Stream of the frames received on one connection.
-pub type FrameReader = FramedRead<OwnedReadHalf, FrameCodec>;
+pub type FrameReader = FramedRead<YieldingReader, FrameCodec>;
 
 impl FrameSender {
     /// Queues a message for sending.
@@ -80,14 +94,25 @@
     let (read_half, write_half) = stream.into_split();
     let (sender, queue) = mpsc::unbounded_channel();
     tokio::spawn(write_frames(write_half, queue));
-    let reader = FramedRead::with_capacity(read_half, FrameCodec::default(), READ_BUFFER_BYTES);
+    let codec = FrameCodec::with_ledger(Arc::clone(frame_ledger()));
+    let read_half = YieldingReader::new(read_half);
+    let reader = FramedRead::with_capacity(read_half, codec, READ_BUFFER_BYTES);
     Ok((FrameSender { queue: sender }, reader))
 }
 
 /// Reads the next message; `None` if the connection ended or the peer sent a malformed frame.
 pub async fn next_message(reader: &mut FrameReader) -> Option<PeerMessage> {
     loop {
-        match reader.next().await {
+        let eviction = reader.decoder().eviction().clone();
+        let frame = tokio::select! {
+            biased;
+            frame = reader.next() => frame,
+            () = eviction.cancelled() => {
+                logging::emit(Level::Warn, &ConnectionEvent::FrameEvicted { peer: reader.get_ref().peer_address() });
+                return None;
+            }
+        };
+        match frame {
             Some(Ok(PeerFrame {
                 message: Some(message),
             })) => return Some(message),
@@ -102,11 +127,26 @@
     }
 }
 
+/// Gets the ledger of incomplete frames.
+pub fn frame_ledger() -> &'static Arc<ByteLedger> {
+    FRAMES.get_or_init(|| new_ledger(DEFAULT_FRAME_BUDGET))
+}
+
+/// Sets the bytes of incomplete frames that the process holds. Only the first call has an effect, and only
+/// before the first connection.
+pub fn set_frame_budget(budget: ByteSize) {
+    let _is_first = FRAMES.set(new_ledger(budget)).is_ok();
+}
+
+fn new_ledger(budget: ByteSize) -> Arc<ByteLedger> {
+    Arc::new(ByteLedger::new(budget, ProcessClock::default()))
+}
+
 /// Logs a frame that can't be decoded; other connection errors are ordinary and not logged.
 fn log_malformed(reader: &FrameReader, error: &io::Error) {
     if error.kind() == io::ErrorKind::InvalidData {
         let event = ConnectionEvent::MalformedFrame {
-            peer: reader.get_ref().peer_addr().ok(),
+            peer: reader.get_ref().peer_address(),
             reason: error.to_string(),
         };
         logging::emit(Level::Warn, &event);
--- a/alderhaven-peer/src/exchange_links.rs
+++ b/alderhaven-peer/src/exchange_links.rs
@@ -9,6 +9,8 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_intake::connection_limit::ConnectionLimit;
+use alderhaven_intake::connection_slot::ConnectionSlot;
 use alderhaven_policy::exchange::exchange_message::ExchangeMessage;
 use alderhaven_policy::link_liveness::{LinkLiveness, LinkState, LivenessOptions};
 use tokio::net::TcpStream;
@@ -35,6 +37,9 @@
 /// Limit on open connections, each of which holds buffers at both ends.
 const MAX_LINKS: usize = 64;
 
+/// Limit of accepted connections, most of which have yet to say whose they are.
+const MAX_ACCEPTED: usize = 128;
+
 /// Events that connections send to the task that drives the exchange.
 #[derive(Debug)]
 pub(crate) enum LinkEvent {
@@ -62,6 +67,8 @@
     use_count: u64,
     events: mpsc::Sender<LinkEvent>,
     clock: ProcessClock,
+    /// The accepted connections.
+    accepted: Arc<ConnectionLimit>,
 }
 
 /// Outgoing queue of a connection. Dropping it closes the connection once queued messages are sent.
@@ -103,6 +110,7 @@
             use_count: 0,
             events,
             clock,
+            accepted: ConnectionLimit::new(MAX_ACCEPTED, clock),
         }
     }
 
@@ -177,7 +185,17 @@
 
     /// Spawns the task that serves an accepted connection.
     pub(crate) fn accept(&self, stream: TcpStream) {
-        tokio::spawn(accept_link(stream, self.events.clone(), self.clock));
+        // Links that are in use belong to peers, and their number has a limit of its own.
+        let Some(slot) = self.accepted.admit() else {
+            return;
+        };
+        let (events, clock) = (self.events.clone(), self.clock);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = accept_link(stream, &slot, events, clock) => {}
+                () = slot.closed() => {}
+            }
+        });
     }
 }
 
@@ -203,7 +221,12 @@
     }
 }
 
-async fn accept_link(stream: TcpStream, events: mpsc::Sender<LinkEvent>, clock: ProcessClock) {
+async fn accept_link(
+    stream: TcpStream,
+    slot: &ConnectionSlot,
+    events: mpsc::Sender<LinkEvent>,
+    clock: ProcessClock,
+) {
     let Ok((sender, mut reader)) = connection::split(stream) else {
         return;
     };
@@ -224,6 +247,7 @@
         queue,
         heard_at: heard_at.clone(),
     };
+    let _in_use = slot.begin_run();
     if events.send(accepted).await.is_ok() {
         let link = LinkTask {
             peer,
--- a/alderhaven-peer/src/peer_node.rs
+++ b/alderhaven-peer/src/peer_node.rs
@@ -7,6 +7,7 @@
 
 use alderhaven_core::ids::IncarnationNumber;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_intake::socket_options;
 use alderhaven_policy::exchange::object_exchange::ObjectExchange;
 use alderhaven_policy::membership::group_membership::GroupMembership;
 use alderhaven_policy::membership::member_record::{MemberRecord, MemberVersion};
@@ -91,7 +92,7 @@
     loop {
         let socket = UdpSocket::bind(address).await?;
         tries_left -= 1;
-        match TcpListener::bind(socket.local_addr()?).await {
+        match socket_options::listen_for_peers(socket.local_addr()?) {
             Ok(listener) => return Ok((socket, listener)),
             // With port 0, the port that UDP got may be taken for TCP: the next iteration gets
             // another one.
