A front's connections are limited, and one that waits gives way to a new one

Callers that opened connections and sent nothing, or heads without end, took every descriptor (4,100 of 4,100 with 4,300 heads), also those that targets and the store need; 3 of 20 ordinary requests were lost. At the addresses of probes, directory and metrics a head was held for 30 s, up to 400 KB of it.

Cause: nothing bounded the connections of any address, and hyper's buffer of those three had its default size.

Change: HostBudget divides the memory and descriptors that the settings state (memory-mb, max-fds; a value that no host can mean is refused by name). Each address gets a ConnectionLimit. A new connection beyond it replaces the one that has waited the longest for its peer; those whose requests run stay, and if all do the new one is closed at once: left in the kernel's queue it would look open and its request would wait in vain. What is closed is counted and logged. Listeners for callers have small buffers, which bound what the kernel holds unread, and the accept loop lets each connection read before the next.

--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -17,6 +17,7 @@
 use tokio::time;
 
 use crate::caller_check;
+use crate::caller_connection::CallerConnection;
 use crate::catalog_view::{CatalogView, LiveRoute};
 use crate::credit_check;
 use crate::front_answer::{BadRequest, FrontAnswer, RefusalReason};
@@ -45,18 +46,27 @@
 /// for another front.
 const MAX_CONFIG_WAIT_FRACTION: f64 = 0.4;
 
+/// A request whose head has arrived.
+struct ArrivedRequest {
+    caller_head: CallerHead,
+    head: Parts,
+    body: Incoming,
+    arrived_at: TimePoint,
+}
+
 /// Answers one request of a caller.
 ///
 /// # Errors
 /// Never.
 pub async fn serve(
     context: FrontContext,
+    connection: CallerConnection,
     request: Request<Incoming>,
 ) -> Result<Response<WholeBody>, Infallible> {
     let _in_flight = context.stop.begin_request();
     let arrived_at = context.clock.now();
     let (head, body) = request.into_parts();
-    let answer = answer_before_close(&context, head, body, arrived_at).await;
+    let answer = answer_before_close(&context, &connection, head, body, arrived_at).await;
     let mut response = context.dialect.caller_response(answer);
     if context.stop.state() != DrainState::Serving {
         // Makes the caller ask the directory for another front before its next request.
@@ -69,6 +79,7 @@
 /// Answers a request at the latest when the process gives its last answers.
 async fn answer_before_close(
     context: &FrontContext,
+    connection: &CallerConnection,
     head: Parts,
     body: Incoming,
     arrived_at: TimePoint,
@@ -76,7 +87,13 @@
     let caller_head = context.dialect.caller_head(&head);
     let request_id = caller_head.request_id.clone();
     let has_started = AtomicBool::new(false);
-    let answer = answer(context, caller_head, head, body, arrived_at, &has_started);
+    let request = ArrivedRequest {
+        caller_head,
+        head,
+        body,
+        arrived_at,
+    };
+    let answer = answer(context, connection, request, &has_started);
     let mut answer = std::pin::pin!(answer);
     tokio::select! {
         biased;
@@ -93,12 +110,16 @@
 
 async fn answer(
     context: &FrontContext,
-    caller_head: CallerHead,
-    mut head: Parts,
-    body: Incoming,
-    arrived_at: TimePoint,
+    connection: &CallerConnection,
+    request: ArrivedRequest,
     has_started: &AtomicBool,
 ) -> FrontAnswer {
+    let ArrivedRequest {
+        caller_head,
+        mut head,
+        body,
+        arrived_at,
+    } = request;
     let CallerHead {
         request_id,
         time_left,
@@ -135,6 +156,7 @@
         Ok(body) => body,
         Err(reason) => return refuse_bad_request(request_id, reason, routing.version),
     };
+    let _running = connection.slot.begin_run();
     let forwarded_head = context
         .dialect
         .forwarded_head(&head, identity.team_header());
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -12,6 +12,7 @@
 use crate::catalog::Catalog;
 use crate::crash_reporter::CrashReporter;
 use crate::credit_keeper::CreditKeeper;
+use crate::front_intake::FrontIntake;
 use crate::front_metrics::FrontMetrics;
 use crate::group_links::GroupLinks;
 use crate::lease_keeper::LeaseKeeper;
@@ -35,6 +36,8 @@
     pub links: GroupLinks,
     /// The metrics of the process.
     pub metrics: FrontMetrics,
+    /// The bytes and connections that the process holds for others.
+    pub intake: Arc<FrontIntake>,
     /// The drain of the process.
     pub stop: StopHandle,
     /// Concurrency limits and queues for queries.
@@ -91,6 +94,7 @@
         if let Some(traffic) = self.links.group().traffic() {
             self.metrics.set_peer_traffic(&traffic);
         }
+        self.metrics.intake.update(&self.intake);
         self.metrics.encode()
     }
 
--- a/alderhaven-front/src/front_event.rs
+++ b/alderhaven-front/src/front_event.rs
@@ -335,6 +335,27 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         lease: Option<LeaseStatus>,
     },
+    /// The body of a request was not held: the memory for bodies is used up. The request did not run.
+    BodyRefused {
+        /// The caller's id of this attempt.
+        request: String,
+        /// The bytes of the body that had arrived.
+        received_bytes: usize,
+        /// The bytes that may be held for all bodies together.
+        budget_bytes: usize,
+        /// The time after which the caller may retry.
+        retry_after: TimeSpan,
+    },
+    /// A connection was closed for a new one at the same address.
+    ConnectionReplaced {
+        /// What the address serves.
+        address: &'static str,
+    },
+    /// A new connection was closed at once, since the requests of all others run.
+    ConnectionRefused {
+        /// What the address serves.
+        address: &'static str,
+    },
     /// A request was invalid.
     #[serde(rename = "request_bad")]
     RequestInvalid {
@@ -441,6 +462,9 @@
             Self::TeamOverLimit { .. } => "team_over_limit",
             Self::RequestEnded { end, .. } => end.kind(),
             Self::RequestRefused { .. } => "request_refused",
+            Self::BodyRefused { .. } => "body_refused",
+            Self::ConnectionReplaced { .. } => "connection_replaced",
+            Self::ConnectionRefused { .. } => "connection_refused",
             Self::RequestInvalid { .. } => "request_bad",
         }
     }
--- a/alderhaven-front/src/front_listeners.rs
+++ b/alderhaven-front/src/front_listeners.rs
@@ -4,9 +4,9 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use alderhaven_intake::socket_options;
 use tokio::net::{TcpListener, UdpSocket};
 
-use crate::caller_server;
 use crate::front_options::FrontOptions;
 
 /// Maximum number of attempts to find a port that is free for both UDP and TCP.
@@ -79,7 +79,7 @@
 }
 
 fn listen(address: Option<SocketAddr>) -> io::Result<Option<TcpListener>> {
-    address.map(caller_server::listen).transpose()
+    address.map(socket_options::listen_for_callers).transpose()
 }
 
 fn bound_address(listener: Option<&TcpListener>) -> io::Result<Option<SocketAddr>> {
@@ -91,7 +91,7 @@
     loop {
         let socket = std::net::UdpSocket::bind(address)?;
         tries_left -= 1;
-        match caller_server::listen(socket.local_addr()?) {
+        match socket_options::listen_for_peers(socket.local_addr()?) {
             Ok(listener) => {
                 socket.set_nonblocking(true)?;
                 return Ok((UdpSocket::from_std(socket)?, listener));
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -17,6 +17,7 @@
 use crate::credit_metrics::CreditMetrics;
 use crate::front_answer::RefusalReason;
 use crate::front_event::RequestOutcome;
+use crate::intake_metrics::IntakeMetrics;
 use crate::team_metrics::TeamMetrics;
 
 /// The upper bounds of the latency buckets in seconds, from a lookup within a failure domain to
@@ -68,6 +69,8 @@
     pub lease_lists: Counter,
     /// The limits of teams.
     pub credit: CreditMetrics,
+    /// The bytes held and the open connections.
+    pub intake: IntakeMetrics,
     /// Log lines that the rate limit suppressed.
     pub omitted_lines: Counter,
 }
@@ -227,6 +230,7 @@
             lease_replies: Counter::default(),
             lease_lists: Counter::default(),
             credit: CreditMetrics::default(),
+            intake: IntakeMetrics::default(),
             omitted_lines: Counter::default(),
         }
     }
@@ -331,6 +335,7 @@
         let mut registry = Registry::with_prefix("alderhaven_front");
         let own = self.clone();
         own.credit.register(&mut registry);
+        own.intake.register(&mut registry);
         registry.register("requests", "Requests by their end", own.requests);
         registry.register("request_seconds", "Time to the answer", own.request_seconds);
         registry.register("attempts", "Attempts sent, by reason", own.attempts);
--- a/alderhaven-front/src/front_node.rs
+++ b/alderhaven-front/src/front_node.rs
@@ -9,6 +9,7 @@
 use alderhaven_core::time::TimeSpan;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::stop_handle::StopHandle;
+use alderhaven_peer::connection;
 use alderhaven_peer::control_messages::ControlMessage;
 use alderhaven_peer::peer_options::ConfigAccess;
 use alderhaven_policy::drain::{DrainOptions, DrainState, StopReport};
@@ -28,6 +29,7 @@
 use crate::front_context::FrontContext;
 use crate::front_directory::{FrontDirectory, OwnFront};
 use crate::front_event::FrontEvent;
+use crate::front_intake::FrontIntake;
 use crate::front_listeners::{FrontAddresses, FrontListeners};
 use crate::front_metrics::FrontMetrics;
 use crate::front_options::FrontOptions;
@@ -82,6 +84,7 @@
         store: Arc<S>,
     ) -> io::Result<Self> {
         let clock = ProcessClock::default();
+        connection::set_frame_budget(options.resources.budget().frames);
         let (listeners, control) = FrontListeners::open(&options)?;
         let addresses = listeners.addresses()?;
         let catalog_options = CatalogOptions {
@@ -134,6 +137,7 @@
             credit,
             links: GroupLinks::new(group.clone(), clock),
             metrics: metrics.clone(),
+            intake: Arc::new(FrontIntake::new(options.resources.budget(), clock)),
             admission: Arc::new(QueryAdmission::new(clock)),
             timer_lag: Arc::default(),
             stop: StopHandle::default(),
@@ -262,9 +266,17 @@
         if let Some(listener) = listeners.metrics {
             tokio::spawn(caller_server::serve_metrics(listener, context()));
         }
-        for listener in [listeners.directory, listeners.ready].into_iter().flatten() {
-            let serving = caller_server::serve_directory(listener, context(), directory.clone());
-            tokio::spawn(serving);
+        let intake = &self.context.intake;
+        let directories = [
+            (listeners.directory, &intake.directory),
+            (listeners.ready, &intake.ready),
+        ];
+        for (listener, limit) in directories {
+            if let Some(listener) = listener {
+                let (limit, directory) = (Arc::clone(limit), directory.clone());
+                let serving = caller_server::serve_directory(listener, limit, context(), directory);
+                tokio::spawn(serving);
+            }
         }
     }
 
--- a/alderhaven-front/src/front_options.rs
+++ b/alderhaven-front/src/front_options.rs
@@ -8,6 +8,7 @@
 use alderhaven_policy::front_choice::FrontChoiceOptions;
 use alderhaven_policy::group_front::GroupFront;
 use alderhaven_policy::group_start::GroupStart;
+use alderhaven_policy::host_budget::HostResources;
 use alderhaven_policy::membership::member_record::CpuCapacity;
 use alderhaven_policy::quota_bound::QuotaBound;
 use alderhaven_policy::repeat_budget::RepeatOptions;
@@ -39,6 +40,9 @@
     pub group_address: SocketAddr,
     /// Serves metrics and status, if set.
     pub metrics_address: Option<SocketAddr>,
+    /// The memory and descriptors available to the process.
+    #[builder(default)]
+    pub resources: HostResources,
     /// The processor time available to the process.
     pub capacity: CpuCapacity,
     /// Gossip addresses of nodes through which to join the group.
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, OnceLock};
 
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_intake::connection_slot::ConnectionSlot;
 use alderhaven_peer::connection::{self, FrameSender};
 use alderhaven_peer::frames::PeerMessage;
 use alderhaven_peer::group_messages::{GroupAttemptResult, GroupOutcome, GroupReply, GroupRequest};
@@ -21,6 +22,7 @@
 use futures::stream::FuturesUnordered;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request};
+use log::Level;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 use tokio_util::task::AbortOnDropHandle;
@@ -29,6 +31,7 @@
 use crate::attempt_phase::AttemptPhase;
 use crate::caller_identity::CallerIdentity;
 use crate::front_context::{self, FrontContext};
+use crate::front_event::FrontEvent;
 use crate::query_call::QueryCall;
 use crate::target_handle::TargetStatus;
 
@@ -44,7 +47,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_front(stream, context.clone()));
+                let Some(slot) = context.intake.groups.admit() else {
+                    FrontEvent::ConnectionRefused { address: "groups" }.emit(Level::Warn);
+                    continue;
+                };
+                tokio::spawn(serve_front_until_closed(stream, slot, context.clone()));
             }
             Err(_) => time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -57,7 +64,25 @@
     task: AbortOnDropHandle<()>,
 }
 
-async fn serve_front(stream: TcpStream, context: FrontContext) -> io::Result<()> {
+async fn serve_front_until_closed(
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    context: FrontContext,
+) -> io::Result<()> {
+    tokio::select! {
+        ended = serve_front(stream, &slot, context) => ended,
+        () = slot.closed() => {
+            FrontEvent::ConnectionReplaced { address: "groups" }.emit(Level::Warn);
+            Ok(())
+        }
+    }
+}
+
+async fn serve_front(
+    stream: TcpStream,
+    slot: &ConnectionSlot,
+    context: FrontContext,
+) -> io::Result<()> {
     let (sender, mut reader) = connection::split(stream)?;
     let mut requests: HashMap<u64, OpenRequest> = HashMap::new();
     let mut delivery_age = DeliveryAge::default();
@@ -65,6 +90,7 @@
     while let Ok(Some(message)) =
         time::timeout(IDLE_TIMEOUT, connection::next_message(&mut reader)).await
     {
+        slot.touch();
         match message {
             PeerMessage::GroupRequest(request) => {
                 let now = context.clock.now();
