The bodies of requests are held under one budget at a front

Callers sent many bodies of legal size at once and stopped short of their end. 1,500 of them took 419 MB and 142 MB in the kernel, and the process was ended by its machine's limit (260 MB).

Cause: a body was read from its first byte before any decision, and nothing bounded the sum. A chunk of one byte kept the buffer that it was read into.

Change: a body is copied into one buffer that grows with it, and its capacity is accounted for in a ledger of a fifth of the machine's memory. When that is used up, the body that has occupied the most for the longest gives way; it is answered 503 with a time to return, which is true since it wasn't forwarded. Bodies up to 16 KB may use the last quarter, up to 4 KB have no account. Whole bodies of requests that run stay; those of one route may hold half of what others leave, so that a target that doesn't answer can't fill it. The rest of a refused body is read for at most a second and 1 MB, and the connection is closed in halves, or the caller would lose the answer to a reset. A body that is announced too large gets its 413 before it arrives.

Ruled out: refusing the newcomer (stalled bodies would fill the budget until their deadlines), and letting it wait (two could wait for each other).

--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -2,17 +2,20 @@
 //! query.
 
 use std::convert::Infallible;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
 
+use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::{TimePoint, TimeSpan};
-use bytes::Bytes;
+use alderhaven_intake::body_error::BodyError;
+use alderhaven_intake::held_buffer::HeldBuffer;
+use alderhaven_intake::held_bytes::HeldBytes;
+use alderhaven_policy::byte_budget::HoldDestination;
 use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use log::Level;
 use tokio::time;
 
@@ -38,6 +41,11 @@
 /// The maximum random addition to [`NO_CONFIG_RETRY_MIN`].
 const NO_CONFIG_RETRY_JITTER: TimeSpan = TimeSpan::from_millis(250);
 
+/// The minimum `Retry-After` of a request for whose body there is no memory. Another front may have some.
+const NO_MEMORY_RETRY_MIN: TimeSpan = TimeSpan::from_millis(100);
+/// The maximum random addition to [`NO_MEMORY_RETRY_MIN`].
+const NO_MEMORY_RETRY_JITTER: TimeSpan = TimeSpan::from_millis(300);
+
 /// The longest wait of a request for the first configuration. Refusing at once would send callers
 /// to other fronts that are starting as well.
 const MAX_CONFIG_WAIT: TimeSpan = TimeSpan::from_millis(600);
@@ -67,8 +75,9 @@
     let arrived_at = context.clock.now();
     let (head, body) = request.into_parts();
     let answer = answer_before_close(&context, &connection, head, body, arrived_at).await;
+    let has_unread_body = connection.left.is_kept();
     let mut response = context.dialect.caller_response(answer);
-    if context.stop.state() != DrainState::Serving {
+    if has_unread_body || context.stop.state() != DrainState::Serving {
         // Makes the caller ask the directory for another front before its next request.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -124,6 +133,7 @@
         request_id,
         time_left,
     } = caller_head;
+    connection.left.set_kept(!body.is_end_stream());
     let caller_timeout = time_left.unwrap_or(context.options.default_deadline);
     let limit = caller_timeout
         .mul_f64(MAX_CONFIG_WAIT_FRACTION)
@@ -152,10 +162,27 @@
         Err(answer) => return *answer,
     };
     let limit = caller_timeout.min(route.rule.timeout).as_duration();
-    let body = match read_body(body, routing.limits.max_body.as_bytes(), limit).await {
-        Ok(body) => body,
-        Err(reason) => return refuse_bad_request(request_id, reason, routing.version),
+    let destination = route_destination(&route);
+    let reading = read_body(context, body, routing.limits.max_body, destination);
+    let read = tokio::select! {
+        read = time::timeout(limit, reading) => read,
+        () = connection.slot.closed() => {
+            return refuse_body(context, request_id, ByteSize::default());
+        }
+    };
+    let body = match read {
+        Ok(Ok(body)) => body.into_bytes(),
+        Ok(Err(BodyError::NoMemory { received })) => {
+            return refuse_body(context, request_id, received);
+        }
+        Ok(Err(BodyError::TooLarge)) => {
+            return refuse_bad_request(request_id, BadRequest::BodyTooLarge, routing.version);
+        }
+        Ok(Err(BodyError::Incomplete)) | Err(_) => {
+            return refuse_bad_request(request_id, BadRequest::Unreadable, routing.version);
+        }
     };
+    connection.left.set_kept(false);
     let _running = connection.slot.begin_run();
     let forwarded_head = context
         .dialect
@@ -232,14 +259,40 @@
     name.to_ascii_lowercase()
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, limit: Duration) -> Result<Bytes, BadRequest> {
-    if hyper::body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
+async fn read_body(
+    context: &FrontContext,
+    body: Incoming,
+    max: ByteSize,
+    destination: HoldDestination,
+) -> Result<HeldBytes, BodyError> {
+    if body.is_end_stream() {
+        return Ok(HeldBytes::default());
     }
-    let read = time::timeout(limit, Limited::new(body, max_bytes).collect()).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadRequest::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(BadRequest::Unreadable),
+    let mut buffer = HeldBuffer::new(Arc::clone(&context.intake.requests), max);
+    buffer.read(body).await?;
+    buffer.finish(Some(destination))
+}
+
+/// Gets the destination to which the bodies of a route's requests count.
+fn route_destination(route: &LiveRoute) -> HoldDestination {
+    let mut hasher = DefaultHasher::new();
+    route.rule.name.hash(&mut hasher);
+    HoldDestination(hasher.finish())
+}
+
+fn refuse_body(context: &FrontContext, request_id: String, received: ByteSize) -> FrontAnswer {
+    let reason = RefusalReason::NoMemory;
+    let retry_after = request_refusal::spread_retry(NO_MEMORY_RETRY_MIN, NO_MEMORY_RETRY_JITTER);
+    context.metrics.observe_refusal(reason);
+    FrontEvent::BodyRefused {
+        request: request_id,
+        received_bytes: received.as_bytes(),
+        budget_bytes: context.intake.requests.figures().budget.as_bytes(),
+        retry_after,
+    }
+    .emit(Level::Warn);
+    FrontAnswer::NotRun {
+        reason,
+        retry_after,
     }
 }
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -81,6 +81,8 @@
     LeaseEnded,
     /// The caller's team is over its limit.
     OverLimit,
+    /// The memory for the bodies of requests is used up, or others needed what this one occupied.
+    NoMemory,
     /// The front can't obtain credit for the caller's team.
     NoCredit,
 }
