Answers that callers don't read give way to others

Callers asked for long answers and read none. 300 of them took 418 to 527 MB of a front and 737 to 830 MB of its kernel within three seconds.

Cause: a reply was held until its caller took it, for as long as the connection stood, and the kernel's send buffers grew with it.

Change: replies are read into accounted buffers, as bodies are, under a ledger of their own. The account lasts while any part of the bytes is in use. From the moment an answer is handed to its connection it may have to give way, and its connection is closed then; a reply that is still arriving counts as lost. While memory is free no caller is too slow.

--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -5,12 +5,14 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::{TimePoint, TimeSpan};
+use alderhaven_intake::byte_ledger::ByteLedger;
+use alderhaven_intake::held_buffer::HeldBuffer;
+use alderhaven_intake::held_bytes::HeldBytes;
 use alderhaven_policy::crash_watch::WatchedAttempt;
 use alderhaven_policy::replica_stats::AttemptResult;
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use log::Level;
 
@@ -25,9 +27,9 @@
 use crate::trial_registry::TrialGuard;
 use crate::wire_dialect::{ReplyKind, TargetCall, WholeBody, WireDialect};
 
-/// The largest reply body that is read from a target, in bytes. Replies are buffered whole, so
+/// The largest reply body that is read from a target. Replies are buffered whole, so
 /// this bounds the memory of concurrent attempts.
-const MAX_REPLY_BYTES: usize = 2 << 20;
+const MAX_REPLY_SIZE: ByteSize = ByteSize::from_kib(2 << 10);
 
 /// How an attempt ended, and whether the request may have run at the target.
 #[derive(Debug)]
@@ -85,6 +87,8 @@
     pub clock: ProcessClock,
     /// Examines the attempt if it is lost.
     pub crashes: CrashReporter,
+    /// Accounts for the bytes of the reply.
+    pub replies: Arc<ByteLedger>,
     /// The trial that the attempt is part of, if its request is a suspect.
     pub trial: Option<Arc<TrialGuard>>,
     /// Whether no other attempt of the query runs, because its request may have crashed targets.
@@ -213,17 +217,7 @@
         };
         let watch = self.watch_for_crash();
         let outcome = match send(&self.target, &mut connection, request).await {
-            Ok(response) => {
-                let request_id = &self.call.request_id;
-                read_reply(
-                    &self.target,
-                    connection,
-                    response,
-                    request_id,
-                    &*self.dialect,
-                )
-                .await
-            }
+            Ok(response) => self.read_reply(connection, response).await,
             Err(outcome) => outcome,
         };
         if matches!(outcome, AttemptOutcome::Lost) {
@@ -271,6 +265,48 @@
         };
         self.dialect.target_request(&call).ok()
     }
+
+    async fn read_reply(
+        &self,
+        connection: PooledConnection,
+        response: Response<Incoming>,
+    ) -> AttemptOutcome {
+        let dialect = &*self.dialect;
+        let (head, body) = response.into_parts();
+        let kind = dialect.reply_kind(&self.call.request_id, head.status, &head.headers);
+        if kind == ReplyKind::RequestIdMismatch {
+            // A late or duplicate reply to an earlier request. Later replies on this connection cannot
+            // be matched to requests either, so the connection is closed.
+            return AttemptOutcome::Lost;
+        }
+        let mut buffer = HeldBuffer::new(Arc::clone(&self.replies), MAX_REPLY_SIZE);
+        let read = buffer.read(body).await;
+        let Ok(body) = read.and_then(|()| buffer.finish(None)) else {
+            return match kind {
+                ReplyKind::NotRun => AttemptOutcome::NotRun,
+                ReplyKind::WrongTarget => AttemptOutcome::WrongTarget,
+                _ => AttemptOutcome::Lost,
+            };
+        };
+        // After a reply that can't be the target's own, more bytes of that kind may follow.
+        if kind != ReplyKind::Failure || dialect.is_failure_status(head.status) {
+            self.target
+                .pool
+                .give_back(connection, keep_alive_timeout(&head.headers));
+        }
+        let reply = TargetReply {
+            proof: dialect.reply_proof(&head.headers),
+            reply: forwarded_reply(head.status, head.headers, body),
+        };
+        match kind {
+            ReplyKind::Success => AttemptOutcome::Success(reply),
+            ReplyKind::Failure => AttemptOutcome::Failure(reply),
+            ReplyKind::TimedOut => AttemptOutcome::TimedOut(reply),
+            ReplyKind::NotRun => AttemptOutcome::NotRun,
+            ReplyKind::WrongTarget => AttemptOutcome::WrongTarget,
+            ReplyKind::RequestIdMismatch => AttemptOutcome::Lost,
+        }
+    }
 }
 
 async fn send(
@@ -297,48 +333,11 @@
     })
 }
 
-async fn read_reply(
-    target: &TargetHandle,
-    connection: PooledConnection,
-    response: Response<Incoming>,
-    request_id: &str,
-    dialect: &dyn WireDialect,
-) -> AttemptOutcome {
-    let (head, body) = response.into_parts();
-    let kind = dialect.reply_kind(request_id, head.status, &head.headers);
-    if kind == ReplyKind::RequestIdMismatch {
-        // A late or duplicate reply to an earlier request. Later replies on this connection cannot
-        // be matched to requests either, so the connection is closed.
-        return AttemptOutcome::Lost;
-    }
-    let Ok(body) = Limited::new(body, MAX_REPLY_BYTES).collect().await else {
-        return match kind {
-            ReplyKind::NotRun => AttemptOutcome::NotRun,
-            ReplyKind::WrongTarget => AttemptOutcome::WrongTarget,
-            _ => AttemptOutcome::Lost,
-        };
-    };
-    // After a reply that can't be the target's own, more bytes of that kind may follow.
-    if kind != ReplyKind::Failure || dialect.is_failure_status(head.status) {
-        target
-            .pool
-            .give_back(connection, keep_alive_timeout(&head.headers));
-    }
-    let reply = TargetReply {
-        proof: dialect.reply_proof(&head.headers),
-        reply: forwarded_reply(head.status, head.headers, body.to_bytes()),
-    };
-    match kind {
-        ReplyKind::Success => AttemptOutcome::Success(reply),
-        ReplyKind::Failure => AttemptOutcome::Failure(reply),
-        ReplyKind::TimedOut => AttemptOutcome::TimedOut(reply),
-        ReplyKind::NotRun => AttemptOutcome::NotRun,
-        ReplyKind::WrongTarget => AttemptOutcome::WrongTarget,
-        ReplyKind::RequestIdMismatch => AttemptOutcome::Lost,
-    }
-}
-
-const fn forwarded_reply(status: StatusCode, headers: HeaderMap, body: Bytes) -> ForwardedReply {
+const fn forwarded_reply(
+    status: StatusCode,
+    headers: HeaderMap,
+    body: HeldBytes,
+) -> ForwardedReply {
     ForwardedReply {
         status,
         headers,
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -75,6 +75,9 @@
     let arrived_at = context.clock.now();
     let (head, body) = request.into_parts();
     let answer = answer_before_close(&context, &connection, head, body, arrived_at).await;
+    if let FrontAnswer::Forwarded(reply) = &answer {
+        reply.body.set_leaving(connection.slot.closing());
+    }
     let has_unread_body = connection.left.is_kept();
     let mut response = context.dialect.caller_response(answer);
     if has_unread_body || context.stop.state() != DrainState::Serving {
--- a/alderhaven-front/src/front_answer.rs
+++ b/alderhaven-front/src/front_answer.rs
@@ -1,6 +1,7 @@
 //! Answers to callers, independent of the protocol that carries them.
 
 use alderhaven_core::time::TimeSpan;
+use alderhaven_intake::held_bytes::HeldBytes;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use prometheus_client::encoding::EncodeLabelValue;
@@ -48,7 +49,7 @@
     /// The headers as received.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: HeldBytes,
 }
 
 /// Why a request was refused without running.
--- a/alderhaven-front/src/group_server.rs
+++ b/alderhaven-front/src/group_server.rs
@@ -249,6 +249,7 @@
                 dialect: Arc::clone(&self.context.dialect),
                 clock: self.context.clock,
                 crashes: self.context.crashes.clone(),
+                replies: Arc::clone(&self.context.intake.replies),
                 trial: None,
                 is_trial: false,
             };
@@ -292,7 +293,7 @@
                     answered.proof = Bytes::copy_from_slice(proof.as_bytes());
                 }
                 self.attempt_results.push(answered);
-                self.reply_bodies.push(reply.reply.body);
+                self.reply_bodies.push(reply.reply.body.into_bytes());
                 return;
             }
             AttemptOutcome::Failure(_) => GroupOutcome::Failed,
--- a/alderhaven-front/src/query_run.rs
+++ b/alderhaven-front/src/query_run.rs
@@ -556,6 +556,7 @@
             dialect: Arc::clone(&self.context.dialect),
             clock: self.context.clock,
             crashes: self.context.crashes.clone(),
+            replies: Arc::clone(&self.context.intake.replies),
             trial: is_trial.then(|| self.trial_guard.clone()).flatten(),
             is_trial,
         }
--- a/alderhaven-front/src/query_run/completion.rs
+++ b/alderhaven-front/src/query_run/completion.rs
@@ -95,7 +95,7 @@
             .filter_map(|shard| shard.reply.as_ref())
             .collect();
         let single_bodies = replies.iter().filter_map(|reply| match reply {
-            ShardReply::Single(reply) => Some(&reply.reply.body),
+            ShardReply::Single(reply) => Some(reply.reply.body.bytes()),
             ShardReply::Merged { .. } => None,
         });
         FrontAnswer::Gathered {
--- a/alderhaven-front/src/shard_reply.rs
+++ b/alderhaven-front/src/shard_reply.rs
@@ -28,7 +28,7 @@
             reply: ForwardedReply {
                 status: StatusCode::OK,
                 headers: HeaderMap::new(),
-                body: records,
+                body: records.into(),
             },
             proof: Some(proof),
         })
