An entry holds callers' requests and answers within budgets

1,000 callers that stopped one byte short of a body of 64 KB took 97 MB of an entry and 9 MB of its kernel, 300 in chunks of one byte 198 and 35, 1,200 heads without end 67 and 4 (64 allowed in all). At the operators' address a head could be 400 KB. Where descriptors ran out, two accept loops (outcome queries, operators) spun.

Cause: as at the front, bodies, heads and answers were held without a bound on their sum; the limit on connections (4,096) allowed 64 KB and more for each.

Change: limits.held_bodies and limits.held_answers (8 MB and 16 MB by default) bound bodies in whole or part, and answers until they are taken. A request that is arriving accounts for its connection's buffers too (half of held_bodies in all); the one that has occupied the most for the longest is closed, a body is refused as not run with a time to return. A new connection beyond the limit replaces one that has sent no request yet. The accept loop waits until each connection has read once, the queue of callers has 256 places, listeners have small buffers, and failed accepts pause everywhere.

--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -9,6 +9,12 @@
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_intake::body_error::BodyError;
+use alderhaven_intake::connection_slot::ConnectionSlot;
+use alderhaven_intake::head_account::HeadAccount;
+use alderhaven_intake::held_buffer::HeldBuffer;
+use alderhaven_intake::held_bytes::HeldBytes;
+use alderhaven_intake::metered_stream::MeteredStream;
 use alderhaven_node::node_group::NodeGroup;
 use alderhaven_node::stop_handle::StopHandle;
 use alderhaven_policy::admit_decision::{Refusal, RefusalReason};
@@ -21,21 +27,22 @@
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::time;
 use tokio_util::task::TaskTracker;
 
 use crate::admission_controller::AdmissionController;
 use crate::answer::{ErrorAnswer, ErrorCode, QueryAnswer};
 use crate::applied_config::AppliedConfig;
+use crate::caller_intake::CallerIntake;
 use crate::claimed_runner::ClaimedRunner;
 use crate::entry_directory::EntryDirectory;
 use crate::metrics::EntryMetrics;
@@ -56,6 +63,8 @@
 const MAX_DISCARDED_BYTES: u64 = 64 << 10;
 /// `retry_after_ms` of a refused connection. Callers should try another entry first.
 const REFUSED_CONNECTION_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
+/// `retry_after_ms` of a request for whose body there is no memory. Callers should try another entry first.
+const NO_MEMORY_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(200);
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Prefix of the query paths; the template's name follows.
@@ -71,11 +80,19 @@
 /// Header with the key of a non-idempotent request, a `UUIDv7`.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// An open connection of a caller.
+struct CallerConnection {
+    slot: ConnectionSlot,
+    heads: Arc<HeadAccount>,
+}
+
 /// Handles the requests of callers.
 #[derive(Debug)]
 pub struct CallerService {
     /// Limits on connections and on the size of requests.
     pub limits: EntryLimits,
+    /// What is held of callers' requests and answers, and their connections.
+    pub intake: CallerIntake,
     /// The newest configuration from the store.
     pub config: ConfigHandle,
     /// The configuration on which queries are planned.
@@ -104,10 +121,10 @@
 
 /// Accepts connections from callers until the entry no longer accepts requests.
 ///
-/// A connection above the limit receives an error and is closed, so that its caller can try another
-/// entry instead of waiting. If too many are being refused already, it is closed without a reply.
+/// A connection above the limit replaces the one that has waited the longest to send its first request. If
+/// there is none, it receives an error and is closed, so that its caller can try another entry instead of
+/// waiting. If too many are being refused already, it is closed without a reply.
 pub async fn serve(listener: TcpListener, caller_service: Arc<CallerService>) {
-    let permits = Arc::new(Semaphore::new(caller_service.limits.caller_connections));
     let refusals = Arc::new(Semaphore::new(MAX_CONCURRENT_REFUSALS));
     loop {
         let accepted = tokio::select! {
@@ -119,13 +136,13 @@
             time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+        if let Some(slot) = caller_service.intake.connections.admit() {
             let connections = caller_service.connections.clone();
+            let (has_read, reading) = oneshot::channel();
             let caller_service = Arc::clone(&caller_service);
-            connections.spawn(async move {
-                serve_connection(stream, caller_service).await;
-                drop(permit);
-            });
+            connections.spawn(serve_connection(stream, slot, caller_service, has_read));
+            // Lets it read what has arrived, so that a burst of connections takes memory one by one.
+            let _has_read = reading.await;
             continue;
         }
         caller_service.metrics.refused_connections.inc();
@@ -157,13 +174,41 @@
     Ok(())
 }
 
-async fn serve_connection(stream: TcpStream, caller_service: Arc<CallerService>) {
+async fn serve_connection(
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    caller_service: Arc<CallerService>,
+    has_read: oneshot::Sender<()>,
+) {
+    let closing = slot.closing().clone();
+    let mut serving = std::pin::pin!(serve_requests(stream, slot, caller_service));
+    let has_ended = futures::poll!(serving.as_mut()).is_ready();
+    drop(has_read);
+    if has_ended {
+        return;
+    }
+    tokio::select! {
+        () = serving => {}
+        () = closing.cancelled() => {}
+    }
+}
+
+async fn serve_requests(
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    caller_service: Arc<CallerService>,
+) {
     let _without_nagle = stream.set_nodelay(true);
     let limits = caller_service.limits.clone();
     let stop = caller_service.stop.clone();
+    let ledger = Arc::clone(&caller_service.intake.heads);
+    let heads = Arc::new(HeadAccount::new(ledger, slot.closing().clone()));
+    let stream = MeteredStream::new(stream, Arc::clone(&heads));
+    let connection = Arc::new(CallerConnection { slot, heads });
     let answering = service::service_fn(move |request| {
         let caller_service = Arc::clone(&caller_service);
-        async move { Ok::<_, Infallible>(caller_service.answer(request).await) }
+        let connection = Arc::clone(&connection);
+        async move { Ok::<_, Infallible>(caller_service.answer(request, &connection).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -184,10 +229,16 @@
 
 impl CallerService {
     /// Answers one request. Every reply carries the request's id.
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        connection: &CallerConnection,
+    ) -> Response<Full<Bytes>> {
         let _in_flight = self.stop.begin_request();
+        connection.heads.end_head();
+        connection.slot.protect();
         let mut record = RequestRecord::new(RequestId::from_headers(request.headers()));
-        let mut response = match self.route(request, &mut record).await {
+        let mut response = match self.route(request, connection, &mut record).await {
             Ok(response) => response,
             Err(error) => {
                 self.metrics.observe_error(error.error.code);
@@ -202,12 +253,32 @@
             // the connection is being closed would have an unknown outcome.
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        connection.heads.end_request();
+        connection.heads.begin_head();
+        self.hold_answer(response, connection).await
+    }
+
+    /// Accounts for an answer until its caller has taken it. If others need the memory, the connection is
+    /// closed.
+    async fn hold_answer(
+        &self,
+        response: Response<Full<Bytes>>,
+        connection: &CallerConnection,
+    ) -> Response<Full<Bytes>> {
+        let (head, body) = response.into_parts();
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(never) => match never {},
+        };
+        let answer = HeldBytes::account(body, &self.intake.answers);
+        answer.set_leaving(connection.slot.closing());
+        Response::from_parts(head, Full::new(answer.into_bytes()))
     }
 
     async fn route(
         &self,
         request: Request<Incoming>,
+        connection: &CallerConnection,
         record: &mut RequestRecord,
     ) -> Result<Response<Full<Bytes>>, ErrorAnswer> {
         if head_bytes(&request) > self.limits.head.as_bytes() {
@@ -219,7 +290,9 @@
         let path = request.uri().path().to_owned();
         if let Some(template) = path.strip_prefix(QUERY_PREFIX) {
             check_method(&request, &Method::POST)?;
-            return self.answer_query(template, request, record).await;
+            return self
+                .answer_query(template, request, connection, record)
+                .await;
         }
         if path == HEALTH_PATH {
             check_method(&request, &Method::GET)?;
@@ -241,11 +314,13 @@
         &self,
         template: &str,
         request: Request<Incoming>,
+        connection: &CallerConnection,
         record: &mut RequestRecord,
     ) -> Result<Response<Full<Bytes>>, ErrorAnswer> {
         let arrived_at = Instant::now();
         let (head, body) = request.into_parts();
         let body = self.read_body(body).await?;
+        connection.heads.end_request();
         let query = QueryRequest::parse(&body)?;
         let view = self.applied.view();
         let token = bearer_token(&head.headers);
@@ -363,27 +438,30 @@
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, ErrorAnswer> {
-        let limit = self.limits.body;
-        // Refuses an oversized `content-length` before reading the body.
-        if body.size_hint().lower() > limit.as_bytes() as u64 {
-            return Err(too_large_body(limit));
-        }
-        let reading = Limited::new(body, limit.as_bytes()).collect();
-        let read = time::timeout(self.limits.read_timeout.as_duration(), reading).await;
-        match read {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(too_large_body(limit))
+        let limits = &self.limits;
+        let mut buffer = HeldBuffer::new(Arc::clone(&self.intake.bodies), limits.body);
+        let read = time::timeout(limits.read_timeout.as_duration(), buffer.read(body)).await;
+        let held = match read {
+            Ok(read) => read.and_then(|()| buffer.finish(None)),
+            Err(_) => {
+                return Err(ErrorAnswer::not_run(
+                    ErrorCode::BadRequest,
+                    format!("the body did not come within {}", limits.read_timeout),
+                ));
             }
-            Ok(Err(error)) => Err(ErrorAnswer::not_run(
-                ErrorCode::BadRequest,
-                format!("the body can't be read: {error}"),
-            )),
-            Err(_) => Err(ErrorAnswer::not_run(
-                ErrorCode::BadRequest,
-                format!("the body did not come within {}", self.limits.read_timeout),
-            )),
-        }
+        };
+        held.map(HeldBytes::into_bytes)
+            .map_err(|error| match error {
+                BodyError::TooLarge => too_large_body(limits.body),
+                BodyError::Incomplete => ErrorAnswer::not_run(
+                    ErrorCode::BadRequest,
+                    format!("the body can't be read: {error}"),
+                ),
+                BodyError::NoMemory { .. } => {
+                    ErrorAnswer::not_run(ErrorCode::Overloaded, error.to_string())
+                        .with_retry_after(NO_MEMORY_RETRY_AFTER)
+                }
+            })
     }
 }
 
--- a/alderhaven-entry/src/claim_peers.rs
+++ b/alderhaven-entry/src/claim_peers.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_core::time::TimeSpan;
@@ -26,6 +27,8 @@
 const MAX_WAIT: TimeSpan = TimeSpan::from_secs(30);
 /// Time limit for connecting to another entry.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// Client for the outcome queries to other entries.
 #[derive(Debug)]
@@ -97,6 +100,8 @@
             return;
         };
         let Ok((stream, _)) = listener.accept().await else {
+            // Usually out of file descriptors, which may become free.
+            time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let held = Arc::clone(&held);
--- a/alderhaven-entry/src/lib.rs
+++ b/alderhaven-entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission_permit;
 pub mod answer;
 pub mod applied_config;
+pub mod caller_intake;
 pub mod caller_server;
 pub mod claim_ledger;
 pub mod claim_metrics;
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -7,6 +7,7 @@
 
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_intake::socket_options;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::process_main::ProcessNode;
 use alderhaven_node::stop_handle::StopHandle;
@@ -21,12 +22,12 @@
 use alderhaven_store::operator_server::OperatorSource;
 use alderhaven_store::target_watch::TargetWatch;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::time;
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::admission_controller::AdmissionController;
 use crate::applied_config::{AppliedConfig, ConfigApplier};
+use crate::caller_intake::CallerIntake;
 use crate::caller_server;
 use crate::caller_server::CallerService;
 use crate::claim_ledger::ClaimLedger;
@@ -48,6 +49,9 @@
 /// Time limit for writing the last answers after the graceful shutdown.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The accept backlog of callers. Connections in it hold received bytes in the kernel.
+const CALLER_BACKLOG: u32 = 256;
+
 /// A running entry. Dropping it aborts its tasks.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -92,9 +96,12 @@
     /// # Errors
     /// An I/O error if an address can't be bound.
     pub async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
-        let (listener, caller_address) = bind(settings.listen).await?;
-        let (operator_listener, operator_address) = bind(settings.operator_listen).await?;
-        let (peer_listener, peer_address) = bind(settings.peer_listen).await?;
+        let callers = socket_options::listen_with_backlog(settings.listen, CALLER_BACKLOG)?;
+        let operators = socket_options::listen_for_callers(settings.operator_listen)?;
+        let peers = socket_options::listen_for_peers(settings.peer_listen)?;
+        let caller_address = callers.local_addr()?;
+        let operator_address = operators.local_addr()?;
+        let peer_address = peers.local_addr()?;
         let metrics = Arc::new(EntryMetrics::default());
         let watch = TargetWatch::default();
         let clock = ProcessClock::default();
@@ -146,6 +153,7 @@
             stop: stop.clone(),
         });
         let service = CallerService {
+            intake: CallerIntake::new(&settings.limits, clock),
             limits: settings.limits.clone(),
             admission: Arc::clone(&admission),
             runner,
@@ -168,17 +176,14 @@
             tokio::spawn(watch.follow(Arc::new(hosts), state.config.clone())),
             tokio::spawn(Arc::clone(state.claimed_runner.ledger()).run_forever()),
             tokio::spawn(claim_peers::serve(
-                peer_listener,
+                peers,
                 Arc::clone(state.claimed_runner.held()),
                 clock,
             )),
             tokio::spawn(Arc::clone(&admission).expire_queries_forever()),
             tokio::spawn(config_applier.follow()),
-            tokio::spawn(caller_server::serve(listener, Arc::new(service))),
-            tokio::spawn(operator_server::serve(
-                operator_listener,
-                Arc::clone(&state),
-            )),
+            tokio::spawn(caller_server::serve(callers, Arc::new(service))),
+            tokio::spawn(operator_server::serve(operators, Arc::clone(&state))),
         ];
         Ok(Self {
             settings,
@@ -381,12 +386,6 @@
     )
 }
 
-async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(address).await?;
-    let bound = listener.local_addr()?;
-    Ok((listener, bound))
-}
-
 fn directory(settings: &EntrySettings, address: SocketAddr) -> EntryDirectory {
     EntryDirectory {
         options: settings.answers.clone(),
--- a/alderhaven-entry/src/settings.rs
+++ b/alderhaven-entry/src/settings.rs
@@ -26,6 +26,9 @@
 const BODY_RANGE: RangeInclusive<ByteSize> = ByteSize::from_kib(1)..=ByteSize::from_kib(1024);
 /// Allowed range of the head limit. hyper requires at least 8 KB.
 const HEAD_RANGE: RangeInclusive<ByteSize> = ByteSize::from_kib(8)..=ByteSize::from_kib(256);
+/// Allowed range of the memory for bodies or answers: four of the largest bodies, up to what a host may have.
+const HELD_RANGE: RangeInclusive<ByteSize> =
+    ByteSize::from_kib(4 << 10)..=ByteSize::from_kib(64 << 20);
 /// Largest allowed connection limit; each connection holds a file descriptor.
 const MAX_CONNECTIONS: usize = 65_536;
 /// Largest allowed limit on queued queries, each of which holds a few kilobytes.
@@ -105,6 +108,10 @@
     pub body: ByteSize,
     /// Largest head of a request: the request line and all headers.
     pub head: ByteSize,
+    /// Bodies that are held at the same time. Heads may use half as much besides.
+    pub held_bodies: ByteSize,
+    /// Answers that callers have yet to take.
+    pub held_answers: ByteSize,
     /// Maximum number of open connections from callers.
     pub caller_connections: usize,
     /// Time limit for receiving the head, and for receiving the body, of a request.
@@ -142,6 +149,8 @@
         let limits = &self.limits;
         check.within("limits.body", &limits.body, &BODY_RANGE);
         check.within("limits.head", &limits.head, &HEAD_RANGE);
+        check.within("limits.held_bodies", &limits.held_bodies, &HELD_RANGE);
+        check.within("limits.held_answers", &limits.held_answers, &HELD_RANGE);
         check.within(
             "limits.caller_connections",
             &limits.caller_connections,
@@ -205,6 +214,8 @@
         Self {
             body: ByteSize::from_kib(64),
             head: ByteSize::from_kib(16),
+            held_bodies: ByteSize::from_kib(8 << 10),
+            held_answers: ByteSize::from_kib(16 << 10),
             caller_connections: 4096,
             read_timeout: TimeSpan::from_secs(10),
         }
--- a/alderhaven-intake/src/connection_slot.rs
+++ b/alderhaven-intake/src/connection_slot.rs
@@ -54,6 +54,11 @@
         self.limit.end_run(self.id);
     }
 
+    /// Keeps the connection open from now on.
+    pub fn protect(&self) {
+        self.limit.begin_run(self.id);
+    }
+
     /// Records that a request of the connection runs, until the result is dropped.
     #[must_use]
     pub fn begin_run(&self) -> RunningRequest<'_> {
--- a/alderhaven-intake/src/held_buffer.rs
+++ b/alderhaven-intake/src/held_buffer.rs
@@ -14,7 +14,7 @@
 use crate::holding::Holding;
 
 /// Buffers up to this capacity have no account; their number is bounded by that of the connections.
-const UNCOUNTED_BYTES: usize = 4 << 10;
+pub(crate) const UNCOUNTED_BYTES: usize = 4 << 10;
 
 /// The least part of a buffer by which it grows.
 const GROWTH_DIVISOR: usize = 2;
--- a/alderhaven-intake/src/held_bytes.rs
+++ b/alderhaven-intake/src/held_bytes.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use tokio_util::sync::CancellationToken;
 
+use crate::byte_ledger::ByteLedger;
+use crate::held_buffer::UNCOUNTED_BYTES;
 use crate::holding::Holding;
 
 /// A complete body. Its account ends when all clones of the bytes are dropped.
@@ -16,7 +18,7 @@
 
 /// The owner of bytes with an account.
 struct AccountedBytes {
-    bytes: Vec<u8>,
+    bytes: Bytes,
     _holding: Arc<Holding>,
 }
 
@@ -30,11 +32,20 @@
     /// Creates the body from its bytes; few bytes have no account.
     #[must_use]
     pub fn new(bytes: Vec<u8>, holding: Option<Holding>) -> Self {
+        Self::with_holding(Bytes::from(bytes), holding)
+    }
+
+    /// Accounts for bytes that are complete, unless they are few or can't be accounted for.
+    #[must_use]
+    pub fn account(bytes: Bytes, ledger: &Arc<ByteLedger>) -> Self {
+        let holding = (bytes.len() > UNCOUNTED_BYTES).then(|| Holding::new(ledger));
+        let holding = holding.filter(|holding| holding.resize(bytes.len()).is_ok());
+        Self::with_holding(bytes, holding)
+    }
+
+    fn with_holding(bytes: Bytes, holding: Option<Holding>) -> Self {
         let Some(holding) = holding.map(Arc::new) else {
-            return Self {
-                bytes: Bytes::from(bytes),
-                holding: None,
-            };
+            return Self::from(bytes);
         };
         let owner = AccountedBytes {
             bytes,
--- a/alderhaven-intake/src/socket_options.rs
+++ b/alderhaven-intake/src/socket_options.rs
@@ -29,16 +29,23 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
-/// Opens a listener whose connections have small buffers, for callers that nobody
-/// controls.
+/// Opens a listener whose connections have small buffers, for callers that nobody controls.
 ///
 /// # Errors
 /// The address can't be bound.
 pub fn listen_for_callers(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_backlog(address, ACCEPT_BACKLOG)
+}
+
+/// Opens a listener like [`listen_for_callers`] whose queue of connections has another length.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn listen_with_backlog(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = open(address)?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
-    socket.listen(ACCEPT_BACKLOG)
+    socket.listen(backlog)
 }
 
 fn open(address: SocketAddr) -> io::Result<TcpSocket> {
--- a/alderhaven-relay/src/node.rs
+++ b/alderhaven-relay/src/node.rs
@@ -8,6 +8,7 @@
 use alderhaven_core::ids::NodeId;
 use alderhaven_core::manifest::ReplicaEntry;
 use alderhaven_core::process_clock::ProcessClock;
+use alderhaven_intake::socket_options;
 use alderhaven_node::node_group::{GroupOptions, NodeGroup};
 use alderhaven_node::process_main::ProcessNode;
 use alderhaven_node::stop_handle::StopHandle;
@@ -22,7 +23,6 @@
 use alderhaven_store::operator_server::OperatorSource;
 use alderhaven_store::target_watch::TargetWatch;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::time;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -69,9 +69,9 @@
     /// # Errors
     /// Returns an I/O error if an address can't be bound.
     pub async fn start(settings: RelaySettings, config: ConfigHandle) -> io::Result<Self> {
-        let listener = TcpListener::bind(settings.peer_listen).await?;
+        let listener = socket_options::listen_for_peers(settings.peer_listen)?;
         let peer_address = listener.local_addr()?;
-        let operator_listener = TcpListener::bind(settings.operator_listen).await?;
+        let operator_listener = socket_options::listen_for_callers(settings.operator_listen)?;
         let operator_address = operator_listener.local_addr()?;
         let metrics = RelayMetrics::default();
         let target_watch = TargetWatch::default();
--- a/alderhaven-store/src/operator_server.rs
+++ b/alderhaven-store/src/operator_server.rs
@@ -37,6 +37,11 @@
 /// Timeout for reading a request's headers.
 const HEADER_READ_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
 
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(10);
+/// Size of a connection's buffer, which is the largest request head.
+const BUFFER_BYTES: usize = 16 << 10;
+
 /// Data and actions that a process offers to operators.
 pub trait OperatorSource: Send + Sync + 'static {
     /// Returns the metrics in the `OpenMetrics` text format.
@@ -60,6 +65,8 @@
             return;
         };
         let Ok((stream, _)) = listener.accept().await else {
+            // Usually out of file descriptors, which may become free.
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let source = Arc::clone(&source);
@@ -78,6 +85,7 @@
     let _ended = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), handler)
         .await;
 }
