Replies with a status that is none of a final answer don't reach callers

A server in trouble elsewhere sent the status 000, and its client took it for an answer. Here 000, 001, 099, two and four digits and signs were refused by the HTTP library already, at plain and gathered requests, on first and reused connections, at the relay and in the store's client. But 101, 600 and 999 with a proof were failures to the front, which forwarded them: a caller that gets a 101 leaves HTTP on that connection.

Cause: PlatformDialect::is_failure_status took every status that is neither a success nor a promise. The relay passed the bodies of failures on as rows, which the entry doesn't read, and reused the connections.

A status without a reason stays an answer.

--- a/alderhaven-front/src/wire_dialect.rs
+++ b/alderhaven-front/src/wire_dialect.rs
@@ -133,8 +133,8 @@
     fn reply_kind(&self, request_id: &str, status: StatusCode, headers: &HeaderMap) -> ReplyKind;
 
     /// Returns true if callers take this status for a request that failed and may have run. A failed
-    /// reply with another status is not forwarded: it would pass for a success or for the promise that
-    /// nothing ran.
+    /// reply with another status is not forwarded: it would pass for a success, for the promise that
+    /// nothing ran, or for no answer at all.
     fn is_failure_status(&self, status: StatusCode) -> bool;
 
     /// Gets the proof in a target's reply, unchanged. Callers use it to verify the reply's origin.
--- a/alderhaven-relay/src/target_call.rs
+++ b/alderhaven-relay/src/target_call.rs
@@ -281,9 +281,16 @@
     let (head, body) = response.into_parts();
     let outcome = request.classify_reply(head.status, &head.headers);
     match Limited::new(body, MAX_REPLY_BYTES).collect().await {
-        Ok(rows) => {
-            connections.give_back(call.sender);
-            CallResult::with_reply(outcome, &head.headers, rows.to_bytes())
+        Ok(body) => {
+            // After a status that HTTP gives to no final reply, other bytes may follow.
+            if (200..600).contains(&head.status.as_u16()) {
+                connections.give_back(call.sender);
+            }
+            let rows = match outcome {
+                AttemptOutcome::Answered => body.to_bytes(),
+                _ => Bytes::new(),
+            };
+            CallResult::with_reply(outcome, &head.headers, rows)
         }
         // A truncated answer is of no use, although the target ran the attempt. The connection is
         // dropped, because its next bytes could belong to this answer.
