A configuration that is written again after a restore proves the lease

Cause: the configuration in force is carried over; its operator writes the same version again, and apply_routing left routing_version at the carried one. The lease then asked the store for the history since, got 410 each time, and no list proved it.

Change: the same configuration at a later version of the store moves routing_version there if it was carried over. Versions only rise, so nothing that is missed can lie between. Another content under the same version doesn't.

--- a/alderhaven-front/src/catalog.rs
+++ b/alderhaven-front/src/catalog.rs
@@ -368,7 +368,10 @@
         if known >= Some(routing.version) {
             // A store that came back from an older copy has no history to tell what preceded it.
             let known_era = state.routing_version.map(|version| version.era);
-            if known_era < Some(object.version.era) {
+            let is_carried = state.routing_version.is_some_and(StoreVersion::is_carried);
+            // Versions only rise, so the last one was written again.
+            let is_repeated = is_carried && state.routing.as_deref() == Some(&routing);
+            if known_era < Some(object.version.era) || is_repeated {
                 state.routing_version = Some(object.version);
             }
             return false;
