--- a/alderhaven-soak/src/main.rs
+++ b/alderhaven-soak/src/main.rs
@@ -26,6 +26,8 @@
 const MIN_SECONDS: u64 = 10;
 /// One in so many seeds has requests that need seconds.
 const LONG_WORK_PERIOD: u64 = 2;
+/// One in so many seeds has callers that hold requests open.
+const STALLED_PERIOD: u64 = 7;
 /// One in so many pairs of seeds has cuts of the fronts that watch the store.
 const WATCHER_CUT_PERIOD: u64 = 2;
 /// The longest run.
@@ -86,6 +88,10 @@
     /// from each seed)
     #[argh(option, default = "RunMode::Drawn")]
     watcher_cuts: RunMode,
+    /// whether callers hold requests open that stop short of their end: on, off or drawn (default: drawn from
+    /// each seed)
+    #[argh(option, default = "RunMode::Drawn")]
+    stalled: RunMode,
     /// print one JSON line per seed
     #[argh(switch)]
     json: bool,
@@ -154,6 +160,7 @@
                 watcher_cuts: arguments
                     .watcher_cuts
                     .is_on(!(seed / LONG_WORK_PERIOD).is_multiple_of(WATCHER_CUT_PERIOD)),
+                stalled: arguments.stalled.is_on(seed.is_multiple_of(STALLED_PERIOD)),
                 cause: String::new(),
             },
             ExtraFaults::Seeded,
@@ -216,6 +223,7 @@
             .has_teams(case.teams)
             .has_crashing_requests(case.crashes)
             .has_long_work(case.long_work)
+            .has_stalled_callers(case.stalled)
             .has_spoiled_answers(case.long_work && extra_faults == ExtraFaults::Seeded)
             .scope(PromiseScope::All)
             .build();
--- a/alderhaven-soak/src/seed_cases.rs
+++ b/alderhaven-soak/src/seed_cases.rs
@@ -30,6 +30,9 @@
     /// Whether fronts that watch the store lose it just after a change.
     #[serde(default)]
     pub watcher_cuts: bool,
+    /// Whether callers hold requests open that stop short of their end.
+    #[serde(default)]
+    pub stalled: bool,
     /// The broken promise and the defect behind it.
     pub cause: String,
 }
--- a/alderhaven-soak/src/soak_options.rs
+++ b/alderhaven-soak/src/soak_options.rs
@@ -55,6 +55,9 @@
     /// Whether targets spoil answers or send bytes without end, in addition to the faults of the seed.
     #[builder(default)]
     pub has_spoiled_answers: bool,
+    /// Whether callers hold requests open that stop short of their end.
+    #[builder(default)]
+    pub has_stalled_callers: bool,
     /// The promises to check.
     pub scope: PromiseScope,
 }
--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -11,7 +11,10 @@
 use alderhaven_platform_standin::caller_client;
 use alderhaven_platform_standin::front_settings::FrontSettings;
 use alderhaven_platform_standin::store_fault::StoreFault;
+use alderhaven_platform_standin::store_fixtures;
 use alderhaven_platform_standin::store_standin::StoreStandin;
+use alderhaven_standin::crowd::Crowd;
+use alderhaven_standin::held_request::HeldRequest;
 use eyre::{Result, WrapErr, bail};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -38,6 +41,11 @@
 use crate::stall_detector;
 use crate::target_fleet::TargetFleet;
 
+/// The callers of each front that hold a request open.
+const STALLED_CALLERS: usize = 40;
+/// The length of the bodies that they announce.
+const STALLED_BODY_BYTES: usize = 1_000;
+
 /// How long the fronts may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -63,6 +71,8 @@
     fronts: Vec<RunningFront>,
     fault_tasks: JoinSet<Result<()>>,
     caller_tasks: Vec<AbortOnDropHandle<()>>,
+    /// Callers that stop short of the ends of their requests.
+    stalled_callers: Vec<Crowd>,
 }
 
 struct RunningFront {
@@ -164,6 +174,7 @@
             fronts: Vec::new(),
             fault_tasks: JoinSet::new(),
             caller_tasks: Vec::new(),
+            stalled_callers: Vec::new(),
         };
         for index in 0..options.fronts {
             let front = run.start_front(options, directory, index).await?;
@@ -174,6 +185,9 @@
         if options.has_crashing_requests {
             run.start_crash_callers(options);
         }
+        if options.has_stalled_callers {
+            run.start_stalled_callers();
+        }
         Ok(run)
     }
 
@@ -258,6 +272,22 @@
         self.caller_tasks.extend(tasks);
     }
 
+    /// Lets callers hold bodies open at all fronts that stop one byte short of their end.
+    fn start_stalled_callers(&mut self) {
+        let site = store_fixtures::SITE;
+        let head = format!(
+            "POST /record/1 HTTP/1.1\r\nHost: {site}\r\nX-Alderhaven-Request-Id: stalled\r\n"
+        );
+        let request = HeldRequest::with_length(&head, STALLED_BODY_BYTES, STALLED_BODY_BYTES - 1);
+        let addresses = self
+            .fronts
+            .iter()
+            .map(|front| front.settings.caller_address());
+        self.stalled_callers = addresses
+            .map(|address| Crowd::start(address, STALLED_CALLERS, &request))
+            .collect();
+    }
+
     /// Runs the plan to its end or until a promise is broken.
     async fn run_plan(&mut self, options: &SoakOptions, plan: &SoakPlan) -> Result<Vec<Violation>> {
         let start = time::Instant::now();
