--- a/alderhaven-front/src/attempt.rs
+++ b/alderhaven-front/src/attempt.rs
@@ -279,7 +279,8 @@
             // be matched to requests either, so the connection is closed.
             return AttemptOutcome::Lost;
         }
-        let mut buffer = HeldBuffer::new(Arc::clone(&self.replies), MAX_REPLY_SIZE);
+        let buffer = HeldBuffer::new(Arc::clone(&self.replies), MAX_REPLY_SIZE);
+        let mut buffer = buffer.with_announced_length();
         let read = buffer.read(body).await;
         let Ok(body) = read.and_then(|()| buffer.finish(None)) else {
             return match kind {
--- a/alderhaven-front/src/front_intake.rs
+++ b/alderhaven-front/src/front_intake.rs
@@ -35,7 +35,7 @@
             requests: Arc::new(ByteLedger::new(budget.requests, clock)),
             replies: Arc::new(ByteLedger::new(budget.replies, clock)),
             callers: ConnectionLimit::new(budget.caller_connections, clock),
-            directory: service_limit(),
+            directory: ConnectionLimit::new(budget.directory_connections, clock),
             ready: service_limit(),
             metrics: service_limit(),
             groups: ConnectionLimit::new(budget.peer_connections, clock),
--- a/alderhaven-intake/src/byte_ledger.rs
+++ b/alderhaven-intake/src/byte_ledger.rs
@@ -75,23 +75,24 @@
         id
     }
 
-    /// Changes the bytes of a holder; returns false if they can't be held.
-    pub(crate) fn resize(&self, id: HolderId, bytes: usize) -> bool {
+    /// Changes the bytes of a holder; returns how many others must give way, or `None` if the bytes can't be
+    /// held.
+    pub(crate) fn resize(&self, id: HolderId, bytes: usize) -> Option<usize> {
         let now = self.clock.now();
         let mut state = self.state();
         match state.budget.resize(id, bytes, now) {
             HoldDecision::Held(victims) => {
-                for victim in victims {
+                for victim in &victims {
                     state.evicted += 1;
-                    if let Some(eviction) = state.evictions.remove(&victim) {
+                    if let Some(eviction) = state.evictions.remove(victim) {
                         eviction.cancel();
                     }
                 }
-                true
+                Some(victims.len())
             }
             HoldDecision::Refused => {
                 state.refused += 1;
-                false
+                None
             }
         }
     }
--- a/alderhaven-intake/src/head_account.rs
+++ b/alderhaven-intake/src/head_account.rs
@@ -74,6 +74,7 @@
             .holding
             .get_or_insert_with(|| Holding::with_eviction(&self.ledger, self.closing.clone()))
             .resize(received.max(BUFFER_BYTES))
+            .map(|_evicted| ())
     }
 
     fn state(&self) -> MutexGuard<'_, HeadState> {
--- a/alderhaven-intake/src/holding.rs
+++ b/alderhaven-intake/src/holding.rs
@@ -36,16 +36,13 @@
         }
     }
 
-    /// Changes the number of bytes. Holders that have occupied more for longer may have to give way.
+    /// Changes the number of bytes, and returns how many holders must give way, which have occupied more for
+    /// longer. They free their memory when their tasks run.
     ///
     /// # Errors
     /// The bytes can't be held, or this holder had to give way itself.
-    pub fn resize(&self, bytes: usize) -> Result<(), BudgetSpent> {
-        if self.ledger.resize(self.id, bytes) {
-            Ok(())
-        } else {
-            Err(BudgetSpent)
-        }
+    pub fn resize(&self, bytes: usize) -> Result<usize, BudgetSpent> {
+        self.ledger.resize(self.id, bytes).ok_or(BudgetSpent)
     }
 
     /// Waits until the holder must give up its bytes, which are no longer accounted for then.
--- a/alderhaven-peer/src/codec.rs
+++ b/alderhaven-peer/src/codec.rs
@@ -103,7 +103,8 @@
             return Ok(true);
         }
         if let Some(holding) = &self.holding {
-            holding.resize(received).map_err(|BudgetSpent| {
+            let held = holding.resize(received);
+            held.map_err(|BudgetSpent| {
                 let reason = format!("no memory for frames after {received} bytes of this one");
                 io::Error::new(io::ErrorKind::OutOfMemory, reason)
             })?;
--- a/alderhaven-policy/src/host_budget.rs
+++ b/alderhaven-policy/src/host_budget.rs
@@ -14,7 +14,7 @@
 const CONNECTION_BYTES: usize = 64 << 10;
 /// The least frames budget: one frame of the largest size and the rest of another.
 const MIN_FRAME_BYTES: usize = 12 << 20;
-/// The connections of each address for directory queries, probes and metrics.
+/// The most connections of each address for probes and metrics.
 const SERVICE_CONNECTIONS: usize = 64;
 /// The least number of connections of an address.
 const MIN_CONNECTIONS: usize = 16;
@@ -39,7 +39,9 @@
     pub frames: ByteSize,
     /// The connections of callers.
     pub caller_connections: usize,
-    /// The connections of each address for directory queries, probes and metrics.
+    /// The connections for directory queries.
+    pub directory_connections: usize,
+    /// The connections of each address for probes and metrics.
     pub service_connections: usize,
     /// The connections of other nodes, for each address.
     pub peer_connections: usize,
@@ -62,12 +64,13 @@
     pub fn budget(self) -> HostBudget {
         let memory = self.memory_mb * 1_000_000;
         let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
-        let callers = (sockets * 2 / 5).min(memory / 3 / CONNECTION_BYTES);
+        let callers = (sockets * 3 / 8).min(memory / 3 / CONNECTION_BYTES);
         HostBudget {
             requests: ByteSize::from_bytes(memory / 5),
             replies: ByteSize::from_bytes(memory / 5),
             frames: ByteSize::from_bytes((memory / 8).max(MIN_FRAME_BYTES)),
             caller_connections: callers.max(MIN_CONNECTIONS),
+            directory_connections: (sockets / 10).max(MIN_CONNECTIONS),
             service_connections: (sockets / 32).clamp(MIN_CONNECTIONS, SERVICE_CONNECTIONS),
             peer_connections: (sockets / 16).max(MIN_CONNECTIONS),
         }
