--- a/alderhaven-entry/src/caller_intake.rs
+++ b/alderhaven-entry/src/caller_intake.rs
@@ -6,6 +6,8 @@
 use alderhaven_core::quantities::ByteSize;
 use alderhaven_intake::byte_ledger::ByteLedger;
 use alderhaven_intake::connection_limit::ConnectionLimit;
+use alderhaven_intake::intake_metrics::IntakeMetrics;
+use alderhaven_peer::connection;
 
 use crate::settings::EntryLimits;
 
@@ -38,4 +40,18 @@
             connections: ConnectionLimit::new(limits.caller_connections, clock),
         }
     }
+
+    /// Updates the metrics.
+    pub fn export(&self, metrics: &IntakeMetrics) {
+        let ledgers = [
+            ("heads", &self.heads),
+            ("bodies", &self.bodies),
+            ("answers", &self.answers),
+            ("frames", connection::frame_ledger()),
+        ];
+        for (of, ledger) in ledgers {
+            metrics.set_ledger(of, ledger.figures());
+        }
+        metrics.set_limit("callers", self.connections.figures());
+    }
 }
--- a/alderhaven-entry/src/caller_server.rs
+++ b/alderhaven-entry/src/caller_server.rs
@@ -92,7 +92,7 @@
     /// Limits on connections and on the size of requests.
     pub limits: EntryLimits,
     /// What is held of callers' requests and answers, and their connections.
-    pub intake: CallerIntake,
+    pub intake: Arc<CallerIntake>,
     /// The newest configuration from the store.
     pub config: ConfigHandle,
     /// The configuration on which queries are planned.
--- a/alderhaven-entry/src/metrics.rs
+++ b/alderhaven-entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use alderhaven_core::class::QueryClass;
 use alderhaven_core::outcome::QueryOutcome;
+use alderhaven_intake::intake_metrics::IntakeMetrics;
 use prometheus_client::encoding::text;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -74,6 +75,8 @@
     pub silent_links: Counter,
     /// Queries restarted on a newer snapshot.
     pub snapshot_restarts: Counter,
+    /// The bytes held for callers, and their connections.
+    pub intake: IntakeMetrics,
     /// Metrics of the claim ledger.
     pub claims: ClaimMetrics,
 }
@@ -107,8 +110,11 @@
             quarantined_queries: Counter::default(),
             silent_links: Counter::default(),
             snapshot_restarts: Counter::default(),
+            intake: IntakeMetrics::default(),
             claims: ClaimMetrics::default(),
         };
+        let intake = registry.sub_registry_with_prefix("intake");
+        metrics.intake.register(intake);
         registry.register(
             "queries_in_flight",
             "Queries between arrival and answer",
--- a/alderhaven-entry/src/node.rs
+++ b/alderhaven-entry/src/node.rs
@@ -22,6 +22,7 @@
 use alderhaven_store::operator_server::OperatorSource;
 use alderhaven_store::target_watch::TargetWatch;
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 use tokio::time;
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
@@ -72,6 +73,8 @@
     pub config: ConfigHandle,
     /// The configuration on which queries are planned.
     pub applied: AppliedConfig,
+    /// What is held of callers' requests and answers, and their connections.
+    pub intake: Arc<CallerIntake>,
     /// Admits or refuses queries.
     pub admission: Arc<AdmissionController>,
     /// Connections to relays, and the relays of each target.
@@ -96,9 +99,7 @@
     /// # Errors
     /// An I/O error if an address can't be bound.
     pub async fn start(settings: EntrySettings, config: ConfigHandle) -> io::Result<Self> {
-        let callers = socket_options::listen_with_backlog(settings.listen, CALLER_BACKLOG)?;
-        let operators = socket_options::listen_for_callers(settings.operator_listen)?;
-        let peers = socket_options::listen_for_peers(settings.peer_listen)?;
+        let (callers, operators, peers) = open_listeners(&settings)?;
         let caller_address = callers.local_addr()?;
         let operator_address = operators.local_addr()?;
         let peer_address = peers.local_addr()?;
@@ -139,7 +140,9 @@
         follower.apply();
         let stop = StopHandle::default();
         let connections = TaskTracker::new();
+        let intake = Arc::new(CallerIntake::new(&settings.limits, clock));
         let state = Arc::new(EntryState {
+            intake: Arc::clone(&intake),
             node: settings.node.clone(),
             config: config.clone(),
             applied: applied.clone(),
@@ -153,7 +156,7 @@
             stop: stop.clone(),
         });
         let service = CallerService {
-            intake: CallerIntake::new(&settings.limits, clock),
+            intake,
             limits: settings.limits.clone(),
             admission: Arc::clone(&admission),
             runner,
@@ -284,6 +287,7 @@
 
 impl OperatorSource for EntryState {
     fn metrics(&self) -> String {
+        self.intake.export(&self.metrics.intake);
         self.metrics.encode()
     }
 
@@ -386,6 +390,15 @@
     )
 }
 
+/// Opens the listeners of callers, operators and peers.
+fn open_listeners(settings: &EntrySettings) -> io::Result<(TcpListener, TcpListener, TcpListener)> {
+    Ok((
+        socket_options::listen_with_backlog(settings.listen, CALLER_BACKLOG)?,
+        socket_options::listen_for_callers(settings.operator_listen)?,
+        socket_options::listen_for_peers(settings.peer_listen)?,
+    ))
+}
+
 fn directory(settings: &EntrySettings, address: SocketAddr) -> EntryDirectory {
     EntryDirectory {
         options: settings.answers.clone(),
--- a/alderhaven-front/src/front_context.rs
+++ b/alderhaven-front/src/front_context.rs
@@ -94,7 +94,7 @@
         if let Some(traffic) = self.links.group().traffic() {
             self.metrics.set_peer_traffic(&traffic);
         }
-        self.metrics.intake.update(&self.intake);
+        self.intake.export(&self.metrics.intake);
         self.metrics.encode()
     }
 
--- a/alderhaven-front/src/front_intake.rs
+++ b/alderhaven-front/src/front_intake.rs
@@ -5,6 +5,8 @@
 use alderhaven_core::process_clock::ProcessClock;
 use alderhaven_intake::byte_ledger::ByteLedger;
 use alderhaven_intake::connection_limit::ConnectionLimit;
+use alderhaven_intake::intake_metrics::IntakeMetrics;
+use alderhaven_peer::connection;
 use alderhaven_policy::host_budget::HostBudget;
 
 /// The ledgers and connection limits of a process.
@@ -42,21 +44,25 @@
         }
     }
 
-    /// Gets the ledgers with the names of their uses.
-    #[must_use]
-    pub fn ledgers(&self) -> [(&'static str, &ByteLedger); 2] {
-        [("requests", &self.requests), ("replies", &self.replies)]
-    }
-
-    /// Gets the limits with the names of their addresses.
-    #[must_use]
-    pub fn limits(&self) -> [(&'static str, &ConnectionLimit); 5] {
-        [
+    /// Updates the metrics.
+    pub fn export(&self, metrics: &IntakeMetrics) {
+        let ledgers = [
+            ("requests", &self.requests),
+            ("replies", &self.replies),
+            ("frames", connection::frame_ledger()),
+        ];
+        for (of, ledger) in ledgers {
+            metrics.set_ledger(of, ledger.figures());
+        }
+        let limits = [
             ("callers", &self.callers),
             ("directory", &self.directory),
             ("ready", &self.ready),
             ("metrics", &self.metrics),
             ("groups", &self.groups),
-        ]
+        ];
+        for (address, limit) in limits {
+            metrics.set_limit(address, limit.figures());
+        }
     }
 }
--- a/alderhaven-front/src/front_metrics.rs
+++ b/alderhaven-front/src/front_metrics.rs
@@ -5,6 +5,7 @@
 use alderhaven_core::config_object::ObjectKind;
 use alderhaven_core::store_version::StoreVersion;
 use alderhaven_core::time::TimeSpan;
+use alderhaven_intake::intake_metrics::IntakeMetrics;
 use alderhaven_peer::peer_traffic::{MessageKind, PeerTraffic};
 use prometheus_client::encoding::text;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -17,7 +18,6 @@
 use crate::credit_metrics::CreditMetrics;
 use crate::front_answer::RefusalReason;
 use crate::front_event::RequestOutcome;
-use crate::intake_metrics::IntakeMetrics;
 use crate::team_metrics::TeamMetrics;
 
 /// The upper bounds of the latency buckets in seconds, from a lookup within a failure domain to
--- a/alderhaven-front/src/lib.rs
+++ b/alderhaven-front/src/lib.rs
@@ -46,7 +46,6 @@
 pub mod group_links;
 pub mod group_plan;
 pub mod group_server;
-pub mod intake_metrics;
 pub mod key_fault;
 pub mod known_team;
 pub mod lease_keeper;
--- a/alderhaven-front/src/intake_metrics.rs
+++ b/alderhaven-intake/src/intake_metrics.rs
@@ -1,17 +1,16 @@
-//! Metrics of what a front takes in from callers, targets and other fronts.
+//! Metrics of the bytes that a process holds for others, and of their connections.
 
 use std::sync::atomic::Ordering;
 
 use alderhaven_core::quantities::ByteSize;
-use alderhaven_intake::byte_ledger::LedgerFigures;
-use alderhaven_intake::connection_limit::ConnectionFigures;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use crate::front_intake::FrontIntake;
+use crate::byte_ledger::LedgerFigures;
+use crate::connection_limit::ConnectionFigures;
 
 /// The bytes held and the open connections of a process; clones share their values.
 #[derive(Clone, Debug, Default)]
@@ -37,17 +36,8 @@
 }
 
 impl IntakeMetrics {
-    /// Updates all values.
-    pub fn update(&self, intake: &FrontIntake) {
-        for (of, ledger) in intake.ledgers() {
-            self.set_ledger(of, ledger.figures());
-        }
-        for (address, limit) in intake.limits() {
-            self.set_limit(address, limit.figures());
-        }
-    }
-
-    fn set_ledger(&self, of: &'static str, figures: LedgerFigures) {
+    /// Sets the values of a ledger, `of` a use.
+    pub fn set_ledger(&self, of: &'static str, figures: LedgerFigures) {
         let labels = UseLabels { of };
         let set = |family: &Family<UseLabels, Gauge>, size: ByteSize| {
             let bytes = i64::try_from(size.as_bytes()).unwrap_or(i64::MAX);
@@ -62,7 +52,8 @@
         refused.inner().store(figures.refused, Ordering::Relaxed);
     }
 
-    fn set_limit(&self, address: &'static str, figures: ConnectionFigures) {
+    /// Sets the values of the limit of an address.
+    pub fn set_limit(&self, address: &'static str, figures: ConnectionFigures) {
         let labels = AddressLabels { address };
         let open = i64::try_from(figures.open).unwrap_or(i64::MAX);
         self.connections.get_or_create(&labels).set(open);
--- a/alderhaven-intake/src/lib.rs
+++ b/alderhaven-intake/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod held_buffer;
 pub mod held_bytes;
 pub mod holding;
+pub mod intake_metrics;
 pub mod lingering_stream;
 pub mod metered_stream;
 pub mod socket_options;
