--- a/alderhaven-soak/src/soak_run.rs
+++ b/alderhaven-soak/src/soak_run.rs
@@ -11,7 +11,6 @@
 use alderhaven_platform_standin::caller_client;
 use alderhaven_platform_standin::front_settings::FrontSettings;
 use alderhaven_platform_standin::store_fault::StoreFault;
-use alderhaven_platform_standin::store_fixtures;
 use alderhaven_platform_standin::store_standin::StoreStandin;
 use alderhaven_standin::crowd::Crowd;
 use alderhaven_standin::held_request::HeldRequest;
@@ -274,10 +273,7 @@
 
     /// Lets callers hold bodies open at all fronts that stop one byte short of their end.
     fn start_stalled_callers(&mut self) {
-        let site = store_fixtures::SITE;
-        let head = format!(
-            "POST /record/1 HTTP/1.1\r\nHost: {site}\r\nX-Alderhaven-Request-Id: stalled\r\n"
-        );
+        let head = caller_client::request_head("/record/1", "stalled");
         let request = HeldRequest::with_length(&head, STALLED_BODY_BYTES, STALLED_BODY_BYTES - 1);
         let addresses = self
             .fronts
