--- a/alderhaven-front/src/caller_connection.rs
+++ b/alderhaven-front/src/caller_connection.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use alderhaven_intake::connection_slot::ConnectionSlot;
-use alderhaven_intake::lingering_stream::LeftStream;
+use alderhaven_intake::lingering_stream::KeptSocket;
 
 /// The place of a connection under the limit, and its socket once it ends.
 #[derive(Clone, Debug)]
@@ -11,5 +11,5 @@
     /// The place under the limit.
     pub slot: Arc<ConnectionSlot>,
     /// The socket, which is kept if a request was answered before all of it was read.
-    pub left: Arc<LeftStream>,
+    pub socket: Arc<KeptSocket>,
 }
--- a/alderhaven-front/src/caller_server.rs
+++ b/alderhaven-front/src/caller_server.rs
@@ -61,16 +61,16 @@
 async fn serve_caller(stream: TcpStream, slot: ConnectionSlot, context: FrontContext) {
     // Disables Nagle's algorithm, which delays small answers.
     let _is_set = stream.set_nodelay(true);
-    let (stream, left) = LingeringStream::new(stream);
+    let (stream, socket) = LingeringStream::new(stream);
     let connection = CallerConnection {
         slot: Arc::new(slot),
-        left,
+        socket,
     };
     let serving = serve_requests(stream, &connection, context);
     let Some(_refusal) = serve_until_replaced(serving, &connection).await else {
         return;
     };
-    connection.left.close().await;
+    connection.socket.close().await;
 }
 
 /// Serves a connection until it ends or is closed for a new one; `None` if it must close at once.
@@ -84,7 +84,7 @@
         () = connection.slot.closed() => report_replaced("callers"),
     }
     let refusal = connection.slot.begin_refusal()?;
-    if !connection.left.is_kept() {
+    if !connection.socket.is_kept() {
         return None;
     }
     // A request whose body is on the way still hears that it did not run.
--- a/alderhaven-front/src/caller_service.rs
+++ b/alderhaven-front/src/caller_service.rs
@@ -78,7 +78,7 @@
     if let FrontAnswer::Forwarded(reply) = &answer {
         reply.body.set_leaving(connection.slot.closing());
     }
-    let has_unread_body = connection.left.is_kept();
+    let has_unread_body = connection.socket.is_kept();
     let mut response = context.dialect.caller_response(answer);
     if has_unread_body || context.stop.state() != DrainState::Serving {
         // Makes the caller ask the directory for another front before its next request.
@@ -136,7 +136,7 @@
         request_id,
         time_left,
     } = caller_head;
-    connection.left.set_kept(!body.is_end_stream());
+    connection.socket.set_kept(!body.is_end_stream());
     let caller_timeout = time_left.unwrap_or(context.options.default_deadline);
     let limit = caller_timeout
         .mul_f64(MAX_CONFIG_WAIT_FRACTION)
@@ -185,7 +185,7 @@
             return refuse_bad_request(request_id, BadRequest::Unreadable, routing.version);
         }
     };
-    connection.left.set_kept(false);
+    connection.socket.set_kept(false);
     let _running = connection.slot.begin_run();
     let forwarded_head = context
         .dialect
--- a/alderhaven-intake/src/lingering_stream.rs
+++ b/alderhaven-intake/src/lingering_stream.rs
@@ -20,12 +20,12 @@
 #[derive(Debug)]
 pub struct LingeringStream {
     stream: Option<TcpStream>,
-    left: Arc<LeftStream>,
+    socket: Arc<KeptSocket>,
 }
 
-/// The socket of a closed connection.
+/// The socket of a connection that has ended, if it was kept.
 #[derive(Debug, Default)]
-pub struct LeftStream {
+pub struct KeptSocket {
     is_kept: AtomicBool,
     stream: Mutex<Option<TcpStream>>,
 }
@@ -33,13 +33,13 @@
 impl LingeringStream {
     /// Wraps the stream of a connection.
     #[must_use]
-    pub fn new(stream: TcpStream) -> (Self, Arc<LeftStream>) {
-        let left = Arc::new(LeftStream::default());
+    pub fn new(stream: TcpStream) -> (Self, Arc<KeptSocket>) {
+        let socket = Arc::new(KeptSocket::default());
         let lingering = Self {
             stream: Some(stream),
-            left: Arc::clone(&left),
+            socket: Arc::clone(&socket),
         };
-        (lingering, left)
+        (lingering, socket)
     }
 
     fn inner(&mut self) -> io::Result<Pin<&mut TcpStream>> {
@@ -48,7 +48,7 @@
     }
 }
 
-impl LeftStream {
+impl KeptSocket {
     /// Sets whether the socket is kept when the connection ends, because a part of a request was not read.
     /// A socket that is closed with unread bytes resets the connection, and its peer may lose the answer.
     pub fn set_kept(&self, is_kept: bool) {
@@ -81,8 +81,8 @@
 
 impl Drop for LingeringStream {
     fn drop(&mut self) {
-        if self.left.is_kept() {
-            *self.left.lock() = self.stream.take();
+        if self.socket.is_kept() {
+            *self.socket.lock() = self.stream.take();
         }
     }
 }
